The thin whole path in separate processes

Three instances, stand-in workers and a minion run as processes of their own: declarations are applied and in force, gang jobs run to their end, requests get whole answers. One replica holds the log for now; the others follow it.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,10 @@
+.PHONY: quickstart test generate
+
+quickstart:
+	./scripts/quickstart.sh
+
+test:
+	./scripts/check.sh
+
+generate:
+	go generate ./...
--- /dev/null
+++ b/internal/command/output.go
@@ -0,0 +1,33 @@
+package command
+
+import (
+	"encoding/json"
+
+	"github.com/olekukonko/tablewriter"
+
+	"pinewinch.example/pinewinch/internal/protocol/failure"
+)
+
+const formatJSON = "json"
+
+// print shows a value as JSON, or rows as a table for people.
+func (t *Tool) print(value any, header []string, rows [][]string) error {
+	if t.format == formatJSON {
+		encoder := json.NewEncoder(t.out)
+		encoder.SetIndent("", "  ")
+		return wrapOutput(encoder.Encode(value))
+	}
+	table := tablewriter.NewWriter(t.out)
+	table.Header(header)
+	if err := table.Bulk(rows); err != nil {
+		return wrapOutput(err)
+	}
+	return wrapOutput(table.Render())
+}
+
+func wrapOutput(err error) error {
+	if err == nil {
+		return nil
+	}
+	return failure.Wrap(failure.Internal, err, "print")
+}
--- /dev/null
+++ b/internal/protocol/api/api.go
@@ -0,0 +1,113 @@
+// Package api holds the JSON messages of the HTTP interfaces: callers,
+// operators, workers and minions. Paths are versioned.
+package api
+
+import (
+	"pinewinch.example/pinewinch/internal/protocol/failure"
+)
+
+// Paths that an instance serves to callers and operators.
+const (
+	PathRequests     = "/v1/requests/{service}"
+	PathAnswer       = "/v1/answers/{key}"
+	PathJobs         = "/v1/jobs"
+	PathJob          = "/v1/jobs/{id}"
+	PathDeclarations = "/v1/declarations"
+	PathStatus       = "/v1/status"
+	PathExplain      = "/v1/explain/{id}"
+	PathMembers      = "/v1/members"
+	PathDrain        = "/v1/upstreams/{id}/drain"
+	PathState        = "/debug/state"
+	PathVars         = "/debug/vars"
+	PathHealthy      = "/healthz"
+	PathReady        = "/readyz"
+)
+
+// ErrorBody is the body of every answer that is an error.
+type ErrorBody struct {
+	Code         failure.Code   `json:"code"`
+	Message      string         `json:"message"`
+	NotRun       failure.NotRun `json:"not_run"`
+	RetryAfterMs int64          `json:"retry_after_ms,omitempty"`
+	Revision     uint64         `json:"revision,omitempty"`
+}
+
+// SubmitRequest asks for one job of a declared class. The same key again gets
+// the same job.
+type SubmitRequest struct {
+	Key       string `json:"key"`
+	WorkClass string `json:"class"`
+}
+
+// Job is a job as callers see it.
+type Job struct {
+	ID          string   `json:"id"`
+	Customer    string   `json:"customer"`
+	WorkClass   string   `json:"class"`
+	Entry       string   `json:"entry,omitempty"`
+	State       string   `json:"state"`
+	Tasks       uint32   `json:"tasks"`
+	Attempts    uint32   `json:"attempts"`
+	Workers     []string `json:"workers,omitempty"`
+	SubmittedMs int64    `json:"submitted_ms"`
+	StartedMs   int64    `json:"started_ms,omitempty"`
+	EndedMs     int64    `json:"ended_ms,omitempty"`
+	Failures    []string `json:"failures,omitempty"`
+}
+
+// Declarations is the accepted declarations and their revision; items are in
+// protobuf's JSON form.
+type Declarations struct {
+	Revision uint64 `json:"revision"`
+	Items    []byte `json:"items"`
+}
+
+// ApplyRequest changes the declarations from an expected revision. Client and
+// Sequence make a resend get the first answer.
+type ApplyRequest struct {
+	Client           string   `json:"client"`
+	Sequence         uint64   `json:"sequence"`
+	ExpectedRevision uint64   `json:"expected_revision"`
+	Set              [][]byte `json:"set,omitempty"`
+	Remove           []string `json:"remove,omitempty"`
+}
+
+// ApplyReply says what was accepted.
+type ApplyReply struct {
+	Revision uint64 `json:"revision"`
+	Index    uint64 `json:"index"`
+}
+
+// Status is completion and waste at a glance.
+type Status struct {
+	Revision      uint64         `json:"revision"`
+	Leader        string         `json:"leader"`
+	Jobs          map[string]int `json:"jobs"`
+	MeanSeconds   float64        `json:"mean_completion_seconds"`
+	Workers       int            `json:"workers"`
+	Minions       int            `json:"minions"`
+	Accelerators  int            `json:"accelerators"`
+	Used          int            `json:"accelerators_used"`
+	Idle          int            `json:"accelerators_idle"`
+	LostSeconds   float64        `json:"lost_seconds"`
+	Fragmentation float64        `json:"fragmentation"`
+}
+
+// Instance is one instance of the system as another sees it.
+type Instance struct {
+	Name       string `json:"name"`
+	DataCentre string `json:"data_centre"`
+	Applied    uint64 `json:"applied"`
+	Revision   uint64 `json:"revision"`
+	Ready      bool   `json:"ready"`
+	Replica    bool   `json:"replica"`
+	Leader     bool   `json:"leader"`
+}
+
+// Explanation says why a job waits.
+type Explanation struct {
+	Job    Job    `json:"job"`
+	Reason string `json:"reason,omitempty"`
+	Wanted uint32 `json:"wanted_accelerators,omitempty"`
+	Free   uint32 `json:"free_accelerators,omitempty"`
+}
--- /dev/null
+++ b/internal/protocol/api/upstream.go
@@ -0,0 +1,175 @@
+package api
+
+import (
+	"net/http"
+	"strconv"
+	"time"
+
+	"pinewinch.example/pinewinch/internal/protocol/peerpb"
+)
+
+// Paths that an instance serves to upstreams, and that workers and minions
+// serve to instances.
+const (
+	PathAnnounceWorker = "/v1/workers/announce"
+	PathAnnounceMinion = "/v1/minions/announce"
+	PathTaskReserve    = "/v1/tasks/reserve"
+	PathTaskStart      = "/v1/tasks/start"
+	PathTaskStop       = "/v1/tasks/stop"
+	PathServe          = "/v1/serve/"
+)
+
+// Headers of a request on its way to a minion and of its answer back.
+const (
+	HeaderRequestID  = "Pinewinch-Request-Id"
+	HeaderDeadline   = "Pinewinch-Deadline-Ms"
+	HeaderNotRun     = "Pinewinch-Not-Run"
+	HeaderBodyLength = "Pinewinch-Body-Length"
+	HeaderKey        = "Idempotency-Key"
+)
+
+// Announcement is what a worker or minion says of itself. Incarnation grows
+// with each start of the upstream, Version with each announcement.
+type Announcement struct {
+	ID           string       `json:"id"`
+	Address      string       `json:"address"`
+	DataCentre   string       `json:"data_centre"`
+	Rack         string       `json:"rack,omitempty"`
+	Cores        uint32       `json:"cores,omitempty"`
+	MemoryMB     uint64       `json:"memory_mb,omitempty"`
+	Accelerators uint32       `json:"accelerators,omitempty"`
+	Services     []string     `json:"services,omitempty"`
+	Slots        uint32       `json:"slots,omitempty"`
+	Connections  uint32       `json:"connections,omitempty"`
+	Busy         uint32       `json:"busy,omitempty"`
+	Leaving      bool         `json:"leaving,omitempty"`
+	Incarnation  int64        `json:"incarnation"`
+	Version      uint64       `json:"version"`
+	Tasks        []TaskReport `json:"tasks,omitempty"`
+}
+
+// TaskReport is one task as its worker sees it. A worker repeats the report of
+// an ended task until an answer to an announcement lists it as forgotten.
+type TaskReport struct {
+	Job            string `json:"job"`
+	Task           uint32 `json:"task"`
+	Epoch          uint64 `json:"epoch"`
+	Phase          string `json:"phase"`
+	Code           string `json:"code,omitempty"`
+	Detail         string `json:"detail,omitempty"`
+	MemoryMB       uint64 `json:"memory_mb,omitempty"`
+	CheckpointedMs int64  `json:"checkpointed_ms,omitempty"`
+}
+
+// AnnounceReply tells an upstream when to announce next, and a worker which of
+// its tasks to keep. A task in neither list keeps running until its lease ends.
+type AnnounceReply struct {
+	NextMs  int64     `json:"next_ms"`
+	LeaseMs int64     `json:"lease_ms"`
+	Renew   []TaskRef `json:"renew,omitempty"`
+	Stop    []TaskRef `json:"stop,omitempty"`
+	Forget  []TaskRef `json:"forget,omitempty"`
+}
+
+// TaskRef names one run of one task.
+type TaskRef struct {
+	Job   string `json:"job"`
+	Task  uint32 `json:"task"`
+	Epoch uint64 `json:"epoch"`
+}
+
+// TaskCommand is sent to a worker to reserve, start or stop a task.
+type TaskCommand struct {
+	TaskRef
+	Accelerators   []uint32 `json:"accelerators,omitempty"`
+	Cores          uint32   `json:"cores,omitempty"`
+	MemoryMB       uint64   `json:"memory_mb,omitempty"`
+	RunTimeMs      int64    `json:"run_time_ms,omitempty"`
+	CheckpointedMs int64    `json:"checkpointed_ms,omitempty"`
+	LeaseMs        int64    `json:"lease_ms,omitempty"`
+	// Checkpoint asks for the work to be kept when a task is stopped.
+	Checkpoint bool `json:"checkpoint,omitempty"`
+}
+
+// TaskAnswer is a worker's answer to a command.
+type TaskAnswer struct {
+	CheckpointedMs int64 `json:"checkpointed_ms,omitempty"`
+}
+
+// The phases of a task on the wire.
+const (
+	PhaseReserved  = "reserved"
+	PhaseRunning   = "running"
+	PhaseCompleted = "completed"
+	PhaseFailed    = "failed"
+	PhaseStopped   = "stopped"
+)
+
+var phases = map[string]peerpb.TaskPhase{
+	PhaseReserved:  peerpb.TaskPhase_TASK_PHASE_RESERVED,
+	PhaseRunning:   peerpb.TaskPhase_TASK_PHASE_RUNNING,
+	PhaseCompleted: peerpb.TaskPhase_TASK_PHASE_COMPLETED,
+	PhaseFailed:    peerpb.TaskPhase_TASK_PHASE_FAILED,
+	PhaseStopped:   peerpb.TaskPhase_TASK_PHASE_STOPPED,
+}
+
+// Upstream gives the soft state that an announcement stands for.
+func (a *Announcement) Upstream(kind peerpb.UpstreamKind, ttl time.Duration) *peerpb.Upstream {
+	upstream := &peerpb.Upstream{
+		Id:           a.ID,
+		Kind:         kind,
+		Address:      a.Address,
+		DataCentre:   a.DataCentre,
+		Rack:         a.Rack,
+		Cores:        a.Cores,
+		MemoryMb:     a.MemoryMB,
+		Accelerators: a.Accelerators,
+		Services:     a.Services,
+		Slots:        a.Slots,
+		Connections:  a.Connections,
+		Busy:         a.Busy,
+		Leaving:      a.Leaving,
+		Incarnation:  a.Incarnation,
+		Version:      a.Version,
+		TtlMs:        ttl.Milliseconds(),
+	}
+	for _, report := range a.Tasks {
+		upstream.Tasks = append(upstream.Tasks, report.message())
+	}
+	return upstream
+}
+
+func (t TaskReport) message() *peerpb.TaskReport {
+	return &peerpb.TaskReport{
+		Job:            t.Job,
+		Task:           t.Task,
+		Epoch:          t.Epoch,
+		Phase:          phases[t.Phase],
+		Code:           t.Code,
+		Detail:         t.Detail,
+		MemoryMb:       t.MemoryMB,
+		CheckpointedMs: t.CheckpointedMs,
+	}
+}
+
+// SetDeadline writes the time left for a request, so that no clock is shared.
+func SetDeadline(header http.Header, left time.Duration) {
+	header.Set(HeaderDeadline, strconv.FormatInt(left.Milliseconds(), 10))
+}
+
+// Deadline reads the time left for a request; ok is false where none is given.
+func Deadline(header http.Header) (left time.Duration, ok bool) {
+	text := header.Get(HeaderDeadline)
+	if text == "" {
+		return 0, false
+	}
+	ms, err := strconv.ParseInt(text, 10, 64)
+	return time.Duration(ms) * time.Millisecond, err == nil && ms > 0
+}
+
+// Answer is a minion's whole answer to one request.
+type Answer struct {
+	Status      int
+	ContentType string
+	Body        []byte
+}
--- /dev/null
+++ b/internal/protocol/declaration/lines.go
@@ -0,0 +1,48 @@
+package declaration
+
+import (
+	"bufio"
+	"bytes"
+	"strings"
+)
+
+// lineIndex finds the lines of sections and keys, which the INI library does
+// not keep: an operator with 400 spans needs the line of the wrong one.
+type lineIndex struct {
+	sections map[string][]sectionLines
+}
+
+type sectionLines struct {
+	line int
+	keys map[string]int
+}
+
+func newLineIndex(text []byte) *lineIndex {
+	index := &lineIndex{sections: map[string][]sectionLines{}}
+	scanner := bufio.NewScanner(bytes.NewReader(text))
+	var current map[string]int
+	for number := 1; scanner.Scan(); number++ {
+		line := strings.TrimSpace(scanner.Text())
+		if strings.HasPrefix(line, "[") && strings.HasSuffix(line, "]") {
+			current = map[string]int{}
+			header := strings.TrimSpace(line[1 : len(line)-1])
+			index.sections[header] = append(index.sections[header], sectionLines{line: number, keys: current})
+			continue
+		}
+		key, _, ok := strings.Cut(line, "=")
+		if ok && current != nil {
+			current[strings.TrimSpace(key)] = number
+		}
+	}
+	return index
+}
+
+// next gives the next unread section of that header.
+func (l *lineIndex) next(header string) (line int, keys map[string]int) {
+	found := l.sections[header]
+	if len(found) == 0 {
+		return 0, nil
+	}
+	l.sections[header] = found[1:]
+	return found[0].line, found[0].keys
+}
--- /dev/null
+++ b/internal/standin/announcer.go
@@ -0,0 +1,79 @@
+// Package standin holds small stand-ins for a worker and a minion. They speak
+// only the published upstream protocol, and can be told to misbehave.
+package standin
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"net/http"
+	"time"
+
+	"pinewinch.example/pinewinch/internal/protocol/api"
+)
+
+const (
+	announceTimeout = 2 * time.Second
+	// retryAnnounce is the pause before the next instance is tried.
+	retryAnnounce = 100 * time.Millisecond
+)
+
+// announcer keeps an upstream known: it announces to one instance after
+// another, until one answers, and again when the answer says so.
+type announcer struct {
+	path    string
+	servers []string
+	next    int
+	// kick asks for an announcement now: a task ended.
+	kick chan struct{}
+}
+
+func newAnnouncer(path string, servers []string) *announcer {
+	return &announcer{path: path, servers: servers, kick: make(chan struct{}, 1)}
+}
+
+func (a *announcer) hurry() {
+	select {
+	case a.kick <- struct{}{}:
+	default:
+	}
+}
+
+// run announces until ctx ends.
+func (a *announcer) run(ctx context.Context, describe func() *api.Announcement, take func(*api.AnnounceReply)) {
+	for {
+		pause := retryAnnounce
+		if reply, err := a.once(ctx, describe()); err == nil {
+			take(reply)
+			pause = time.Duration(reply.NextMs) * time.Millisecond
+		} else {
+			a.next = (a.next + 1) % len(a.servers)
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-a.kick:
+		case <-time.After(pause):
+		}
+	}
+}
+
+func (a *announcer) once(ctx context.Context, announcement *api.Announcement) (*api.AnnounceReply, error) {
+	ctx, cancel := context.WithTimeout(ctx, announceTimeout)
+	defer cancel()
+	body, err := json.Marshal(announcement)
+	if err != nil {
+		return nil, err
+	}
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, a.servers[a.next]+a.path, bytes.NewReader(body))
+	if err != nil {
+		return nil, err
+	}
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return nil, err
+	}
+	defer response.Body.Close()
+	reply := &api.AnnounceReply{}
+	return reply, json.NewDecoder(response.Body).Decode(reply)
+}
--- /dev/null
+++ b/internal/state/store/store.go
@@ -0,0 +1,173 @@
+// Package store is the control state machine: the same log gives the same
+// state. It reads no clock and no random source; time comes in commands.
+//
+// A State is immutable. Apply gives the next one and shares what did not
+// change, so traffic reads a State without a lock while control goes on.
+package store
+
+import (
+	"time"
+
+	iradix "github.com/hashicorp/go-immutable-radix/v2"
+
+	"pinewinch.example/pinewinch/internal/protocol/controlpb"
+	"pinewinch.example/pinewinch/internal/protocol/declaration"
+)
+
+type table[T any] = iradix.Tree[T]
+
+// State is the control state after one log index.
+type State struct {
+	index    uint64
+	revision uint64
+	timeMs   int64
+	items    *table[*controlpb.Item]
+	jobs     *table[*controlpb.Job]
+	active   *table[*controlpb.Job]
+	claims   *table[*controlpb.Claim]
+	sessions *table[*controlpb.Session]
+	drained  *table[bool]
+}
+
+// New gives the empty state before the first entry.
+func New() *State {
+	return &State{
+		items:    iradix.New[*controlpb.Item](),
+		jobs:     iradix.New[*controlpb.Job](),
+		active:   iradix.New[*controlpb.Job](),
+		claims:   iradix.New[*controlpb.Claim](),
+		sessions: iradix.New[*controlpb.Session](),
+		drained:  iradix.New[bool](),
+	}
+}
+
+// Index is the log index of the newest applied entry.
+func (s *State) Index() uint64 { return s.index }
+
+// Revision counts accepted changes of the declarations; it never goes back.
+func (s *State) Revision() uint64 { return s.revision }
+
+// Time is the newest time that a command carried.
+func (s *State) Time() time.Time { return time.UnixMilli(s.timeMs) }
+
+// Items lists the declarations in key order.
+func (s *State) Items() []*controlpb.Item { return list(s.items) }
+
+// Customer looks up a declared customer.
+func (s *State) Customer(name string) (*controlpb.Customer, bool) {
+	item, ok := s.items.Get([]byte(declaration.CustomerKey(name)))
+	return item.GetCustomer(), ok
+}
+
+// WorkClass looks up a declared class of work.
+func (s *State) WorkClass(name string) (*controlpb.WorkClass, bool) {
+	item, ok := s.items.Get([]byte(declaration.ClassKey(name)))
+	return item.GetWorkClass(), ok
+}
+
+// Service looks up a declared service.
+func (s *State) Service(name string) (*controlpb.Service, bool) {
+	item, ok := s.items.Get([]byte(declaration.ServiceKey(name)))
+	return item.GetService(), ok
+}
+
+// Rules gives the declared rules, or the zero rules.
+func (s *State) Rules() *controlpb.Rules {
+	item, _ := s.items.Get([]byte(declaration.RulesKey))
+	return item.GetRules()
+}
+
+// Job looks up one job.
+func (s *State) Job(id string) (*controlpb.Job, bool) { return s.jobs.Get([]byte(id)) }
+
+// Jobs lists every kept job in the order of their ids.
+func (s *State) Jobs() []*controlpb.Job { return list(s.jobs) }
+
+// ActiveJobs lists the jobs that have not ended: one scheduling pass costs
+// what is open, not what has ever run.
+func (s *State) ActiveJobs() []*controlpb.Job { return list(s.active) }
+
+// Claim looks up the claim on a customer's request key.
+func (s *State) Claim(customer, key string) (*controlpb.Claim, bool) {
+	return s.claims.Get(claimKey(customer, key))
+}
+
+// Drained tells whether an operator has drained the upstream.
+func (s *State) Drained(upstream string) bool {
+	drained, _ := s.drained.Get([]byte(upstream))
+	return drained
+}
+
+// Snapshot gives the state in its stable form, every list sorted by key.
+func (s *State) Snapshot() *controlpb.Snapshot {
+	snapshot := &controlpb.Snapshot{
+		Index:    s.index,
+		Revision: s.revision,
+		TimeMs:   s.timeMs,
+		Items:    list(s.items),
+		Jobs:     list(s.jobs),
+		Claims:   list(s.claims),
+		Sessions: list(s.sessions),
+	}
+	walk(s.drained, func(key string, _ bool) { snapshot.Drained = append(snapshot.Drained, key) })
+	return snapshot
+}
+
+// Restore gives the state that a snapshot was made of.
+func Restore(snapshot *controlpb.Snapshot) *State {
+	s := New()
+	s.index = snapshot.Index
+	s.revision = snapshot.Revision
+	s.timeMs = snapshot.TimeMs
+	s.items = fill(snapshot.Items, func(i *controlpb.Item) []byte { return []byte(i.Key) })
+	s.jobs = fill(snapshot.Jobs, func(j *controlpb.Job) []byte { return []byte(j.Id) })
+	s.claims = fill(snapshot.Claims, func(c *controlpb.Claim) []byte { return claimKey(c.Customer, c.Key) })
+	s.sessions = fill(snapshot.Sessions, func(v *controlpb.Session) []byte { return []byte(v.Client) })
+	active := iradix.New[*controlpb.Job]().Txn()
+	for _, job := range snapshot.Jobs {
+		if !Ended(job.State) {
+			active.Insert([]byte(job.Id), job)
+		}
+	}
+	s.active = active.Commit()
+	drained := iradix.New[bool]().Txn()
+	for _, upstream := range snapshot.Drained {
+		drained.Insert([]byte(upstream), true)
+	}
+	s.drained = drained.Commit()
+	return s
+}
+
+// Ended tells whether a job in that state will never run again.
+func Ended(state controlpb.JobState) bool {
+	switch state {
+	case controlpb.JobState_JOB_STATE_COMPLETED,
+		controlpb.JobState_JOB_STATE_CANCELLED,
+		controlpb.JobState_JOB_STATE_PARKED:
+		return true
+	}
+	return false
+}
+
+func claimKey(customer, key string) []byte { return []byte(customer + "/" + key) }
+
+func list[T any](t *table[T]) []T {
+	values := make([]T, 0, t.Len())
+	walk(t, func(_ string, value T) { values = append(values, value) })
+	return values
+}
+
+func walk[T any](t *table[T], visit func(key string, value T)) {
+	t.Root().Walk(func(key []byte, value T) bool {
+		visit(string(key), value)
+		return false
+	})
+}
+
+func fill[T any](values []T, key func(T) []byte) *table[T] {
+	txn := iradix.New[T]().Txn()
+	for _, value := range values {
+		txn.Insert(key(value), value)
+	}
+	return txn.Commit()
+}
--- /dev/null
+++ b/internal/transport/httpapi/jobs.go
@@ -0,0 +1,140 @@
+package httpapi
+
+import (
+	"net/http"
+	"strings"
+
+	"github.com/gorilla/mux"
+
+	"pinewinch.example/pinewinch/internal/coordination/inventory"
+	"pinewinch.example/pinewinch/internal/protocol/api"
+	"pinewinch.example/pinewinch/internal/protocol/controlpb"
+	"pinewinch.example/pinewinch/internal/protocol/failure"
+
+	"github.com/oklog/ulid/v2"
+	"time"
+)
+
+const statePrefix = "JOB_STATE_"
+
+func describe(job *controlpb.Job) api.Job {
+	described := api.Job{
+		ID:          job.Id,
+		Customer:    job.Customer,
+		WorkClass:   job.WorkClass,
+		Entry:       job.Entry,
+		State:       stateName(job.State),
+		Tasks:       job.Tasks,
+		Attempts:    job.Attempts,
+		SubmittedMs: job.SubmittedMs,
+		StartedMs:   job.StartedMs,
+		EndedMs:     job.EndedMs,
+	}
+	for _, placement := range job.Placements {
+		described.Workers = append(described.Workers, placement.Worker)
+	}
+	for _, f := range job.Failures {
+		described.Failures = append(described.Failures, f.Worker+": "+f.Code+": "+f.Detail)
+	}
+	return described
+}
+
+func stateName(state controlpb.JobState) string {
+	return strings.ToLower(strings.TrimPrefix(state.String(), statePrefix))
+}
+
+func (s *Server) submitJob(w http.ResponseWriter, r *http.Request, customer string) {
+	submit := api.SubmitRequest{}
+	if err := readJSON(r, &submit); err != nil {
+		writeError(w, err)
+		return
+	}
+	if err := s.control.Fresh(); err != nil {
+		writeError(w, err)
+		return
+	}
+	class, ok := s.control.State().WorkClass(submit.WorkClass)
+	if !ok {
+		writeError(w, failure.New(failure.NotFound, "no class of work %q", submit.WorkClass))
+		return
+	}
+	key := submit.Key
+	if key == "" {
+		key = ulid.Make().String()
+	}
+	job := inventory.NewJob(customer+":"+key, customer, class, time.Now())
+	s.proposeJob(w, r, &controlpb.Command{Op: &controlpb.Command_Submit{Submit: &controlpb.SubmitJob{Job: job}}})
+}
+
+func (s *Server) cancelJob(w http.ResponseWriter, r *http.Request, customer string) {
+	cancel := &controlpb.CancelJob{Id: mux.Vars(r)["id"], Customer: customer}
+	s.proposeJob(w, r, &controlpb.Command{Op: &controlpb.Command_Cancel{Cancel: cancel}})
+}
+
+func (s *Server) proposeJob(w http.ResponseWriter, r *http.Request, command *controlpb.Command) {
+	result, err := s.propose(r, command)
+	if err != nil {
+		writeError(w, err)
+		return
+	}
+	writeJSON(w, describe(result.Job))
+}
+
+// propose commits a command and turns a refusal by the state into its failure.
+func (s *Server) propose(r *http.Request, command *controlpb.Command) (*controlpb.Result, error) {
+	result, err := s.control.Propose(r.Context(), command)
+	if err != nil {
+		return nil, err
+	}
+	if result.Code != "" {
+		f := failure.New(failure.Code(result.Code), "%s", result.Detail)
+		f.Revision = result.Revision
+		return nil, f
+	}
+	return result, nil
+}
+
+func (s *Server) listJobs(w http.ResponseWriter, _ *http.Request, customer string) {
+	jobs := []api.Job{}
+	for _, job := range s.control.State().Jobs() {
+		if job.Customer == customer {
+			jobs = append(jobs, describe(job))
+		}
+	}
+	writeJSON(w, jobs)
+}
+
+func (s *Server) getJob(w http.ResponseWriter, r *http.Request, customer string) {
+	job, err := s.ownJob(r, customer)
+	if err != nil {
+		writeError(w, err)
+		return
+	}
+	writeJSON(w, describe(job))
+}
+
+// ownJob finds a job of the customer; another's is as unknown as none.
+func (s *Server) ownJob(r *http.Request, customer string) (*controlpb.Job, error) {
+	job, ok := s.control.State().Job(mux.Vars(r)["id"])
+	if !ok || job.Customer != customer {
+		return nil, failure.New(failure.NotFound, "no such job")
+	}
+	return job, nil
+}
+
+func (s *Server) explain(w http.ResponseWriter, r *http.Request, customer string) {
+	job, err := s.ownJob(r, customer)
+	if err != nil {
+		writeError(w, err)
+		return
+	}
+	explanation := api.Explanation{Job: describe(job)}
+	for _, reason := range s.controller.Waiting() {
+		if reason.Job == job.Id {
+			explanation.Reason = string(reason.Code)
+			explanation.Wanted = reason.Wanted
+			explanation.Free = reason.Free
+		}
+	}
+	writeJSON(w, explanation)
+}
--- /dev/null
+++ b/internal/transport/peers/peers.go
@@ -0,0 +1,298 @@
+// Package peers carries calls between the system's own instances: yamux
+// sessions over TCP, one stream a call, protobuf messages with a length before
+// each.
+package peers
+
+import (
+	"bufio"
+	"context"
+	"encoding/binary"
+	"expvar"
+	"io"
+	"net"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/hashicorp/yamux"
+	"google.golang.org/protobuf/proto"
+
+	"pinewinch.example/pinewinch/internal/protocol/failure"
+	"pinewinch.example/pinewinch/internal/protocol/peerpb"
+)
+
+const (
+	maxMessage  = 64 << 20
+	dialTimeout = 2 * time.Second
+	// idleReadTimeout ends a stream on which nothing comes: a partition drops
+	// packets without a reset, and the reader would wait for ever.
+	idleReadTimeout = 10 * time.Second
+)
+
+var (
+	bytesSent     = expvar.NewInt("peer_bytes_sent")
+	bytesReceived = expvar.NewInt("peer_bytes_received")
+	callsSent     = expvar.NewInt("peer_calls_sent")
+	callsFailed   = expvar.NewInt("peer_calls_failed")
+)
+
+// Handler answers calls from other instances.
+type Handler interface {
+	// Call answers one call with one reply.
+	Call(ctx context.Context, call *peerpb.Call) (*peerpb.Reply, error)
+	// Follow sends batches until ctx ends or send fails.
+	Follow(ctx context.Context, call *peerpb.Follow, send func(*peerpb.FollowBatch) error) error
+}
+
+// Network dials the other instances and serves their calls.
+type Network struct {
+	name      string
+	addresses map[string]netip.AddrPort
+	mu        sync.Mutex
+	sessions  map[string]*yamux.Session
+}
+
+// NewNetwork makes the network of an instance; addresses are its peers'.
+func NewNetwork(name string, addresses map[string]netip.AddrPort) *Network {
+	return &Network{name: name, addresses: addresses, sessions: map[string]*yamux.Session{}}
+}
+
+// Peers lists the other instances.
+func (n *Network) Peers() []string {
+	names := make([]string, 0, len(n.addresses))
+	for name := range n.addresses {
+		if name != n.name {
+			names = append(names, name)
+		}
+	}
+	return names
+}
+
+// Serve answers the calls that arrive on the listener until it is closed.
+func (n *Network) Serve(ctx context.Context, listener net.Listener, handler Handler) error {
+	for {
+		conn, err := listener.Accept()
+		if err != nil {
+			if ctx.Err() != nil {
+				return nil
+			}
+			return failure.Wrap(failure.Unreachable, err, "accept on %s", listener.Addr())
+		}
+		go n.serveConn(ctx, conn, handler)
+	}
+}
+
+func (n *Network) serveConn(ctx context.Context, conn net.Conn, handler Handler) {
+	session, err := yamux.Server(countingConn{conn}, sessionConfig())
+	if err != nil {
+		conn.Close()
+		return
+	}
+	defer session.Close()
+	stop := context.AfterFunc(ctx, func() { session.Close() })
+	defer stop()
+	for {
+		stream, err := session.AcceptStream()
+		if err != nil {
+			return
+		}
+		go serveStream(ctx, stream, handler)
+	}
+}
+
+func serveStream(ctx context.Context, stream net.Conn, handler Handler) {
+	defer stream.Close()
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	call := &peerpb.Call{}
+	if err := readMessage(bufio.NewReader(stream), call); err != nil {
+		return
+	}
+	if follow := call.GetFollow(); follow != nil {
+		send := func(batch *peerpb.FollowBatch) error { return writeMessage(stream, batch) }
+		_ = handler.Follow(ctx, follow, send)
+		return
+	}
+	reply, err := handler.Call(ctx, call)
+	if err != nil {
+		reply = &peerpb.Reply{Failure: encodeFailure(failure.From(err))}
+	}
+	_ = writeMessage(stream, reply)
+}
+
+// Call sends one call to an instance and waits for its reply. A failure
+// before the call was written is surely not run; after that it is unknown.
+func (n *Network) Call(ctx context.Context, to string, call *peerpb.Call) (*peerpb.Reply, error) {
+	callsSent.Add(1)
+	reply, err := n.call(ctx, to, call)
+	if err != nil {
+		callsFailed.Add(1)
+	}
+	return reply, err
+}
+
+func (n *Network) call(ctx context.Context, to string, call *peerpb.Call) (*peerpb.Reply, error) {
+	stream, err := n.open(ctx, to)
+	if err != nil {
+		return nil, err
+	}
+	defer stream.Close()
+	stop := context.AfterFunc(ctx, func() { stream.Close() })
+	defer stop()
+	call.From = n.name
+	if err := writeMessage(stream, call); err != nil {
+		return nil, failure.Ran(failure.OutcomeUnknown, failure.NotRunUnknown, err, "call %s", to)
+	}
+	reply := &peerpb.Reply{}
+	if err := readMessage(bufio.NewReader(stream), reply); err != nil {
+		return nil, failure.Ran(failure.OutcomeUnknown, failure.NotRunUnknown, err, "answer of %s", to)
+	}
+	if reply.Failure != nil {
+		return nil, decodeFailure(reply.Failure)
+	}
+	return reply, nil
+}
+
+// Follow reads batches of another instance's log until ctx ends, the stream
+// breaks or handle fails.
+func (n *Network) Follow(ctx context.Context, to string, follow *peerpb.Follow, handle func(*peerpb.FollowBatch) error) error {
+	stream, err := n.open(ctx, to)
+	if err != nil {
+		return err
+	}
+	defer stream.Close()
+	stop := context.AfterFunc(ctx, func() { stream.Close() })
+	defer stop()
+	call := &peerpb.Call{From: n.name, Body: &peerpb.Call_Follow{Follow: follow}}
+	if err := writeMessage(stream, call); err != nil {
+		return failure.Wrap(failure.Unreachable, err, "follow %s", to)
+	}
+	reader := bufio.NewReader(stream)
+	for {
+		if err := stream.SetReadDeadline(time.Now().Add(idleReadTimeout)); err != nil {
+			return failure.Wrap(failure.Unreachable, err, "follow %s", to)
+		}
+		batch := &peerpb.FollowBatch{}
+		if err := readMessage(reader, batch); err != nil {
+			return failure.Wrap(failure.Unreachable, err, "follow %s", to)
+		}
+		if err := handle(batch); err != nil {
+			return err
+		}
+	}
+}
+
+func (n *Network) open(ctx context.Context, to string) (*yamux.Stream, error) {
+	session, err := n.session(ctx, to)
+	if err != nil {
+		return nil, err
+	}
+	stream, err := session.OpenStream()
+	if err != nil {
+		session.Close()
+		return nil, failure.Wrap(failure.Unreachable, err, "open a stream to %s", to)
+	}
+	return stream, nil
+}
+
+func (n *Network) session(ctx context.Context, to string) (*yamux.Session, error) {
+	n.mu.Lock()
+	session := n.sessions[to]
+	n.mu.Unlock()
+	if session != nil && !session.IsClosed() {
+		return session, nil
+	}
+	address, ok := n.addresses[to]
+	if !ok {
+		return nil, failure.New(failure.Unreachable, "no address of instance %q", to)
+	}
+	dialer := net.Dialer{Timeout: dialTimeout}
+	conn, err := dialer.DialContext(ctx, "tcp", address.String())
+	if err != nil {
+		return nil, failure.Wrap(failure.Unreachable, err, "dial %s", to)
+	}
+	session, err = yamux.Client(countingConn{conn}, sessionConfig())
+	if err != nil {
+		conn.Close()
+		return nil, failure.Wrap(failure.Unreachable, err, "session with %s", to)
+	}
+	return n.keep(to, session), nil
+}
+
+// keep stores a session; of two dialled at once the first stays.
+func (n *Network) keep(to string, session *yamux.Session) *yamux.Session {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if earlier := n.sessions[to]; earlier != nil && !earlier.IsClosed() {
+		session.Close()
+		return earlier
+	}
+	n.sessions[to] = session
+	return session
+}
+
+// Close ends every session.
+func (n *Network) Close() {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for _, session := range n.sessions {
+		session.Close()
+	}
+}
+
+func sessionConfig() *yamux.Config {
+	config := yamux.DefaultConfig()
+	config.LogOutput = io.Discard
+	config.KeepAliveInterval = 5 * time.Second
+	config.ConnectionWriteTimeout = 5 * time.Second
+	return config
+}
+
+func writeMessage(w io.Writer, message proto.Message) error {
+	buffer := make([]byte, 4, 4+proto.Size(message))
+	buffer, err := proto.MarshalOptions{}.MarshalAppend(buffer, message)
+	if err != nil {
+		return err
+	}
+	binary.LittleEndian.PutUint32(buffer, uint32(len(buffer)-4))
+	_, err = w.Write(buffer)
+	return err
+}
+
+func readMessage(r io.Reader, message proto.Message) error {
+	var header [4]byte
+	if _, err := io.ReadFull(r, header[:]); err != nil {
+		return err
+	}
+	size := binary.LittleEndian.Uint32(header[:])
+	if size > maxMessage {
+		return failure.New(failure.TooLarge, "message of %d bytes", size)
+	}
+	body := make([]byte, size)
+	if _, err := io.ReadFull(r, body); err != nil {
+		return err
+	}
+	return proto.Unmarshal(body, message)
+}
+
+func encodeFailure(f *failure.Error) *peerpb.Failure {
+	return &peerpb.Failure{Code: string(f.Code), Message: f.Error(), NotRun: string(f.NotRun), Leader: f.Leader}
+}
+
+func decodeFailure(f *peerpb.Failure) error {
+	return &failure.Error{Code: failure.Code(f.Code), Message: f.Message, NotRun: failure.NotRun(f.NotRun), Leader: f.Leader}
+}
+
+type countingConn struct{ net.Conn }
+
+func (c countingConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	bytesReceived.Add(int64(n))
+	return n, err
+}
+
+func (c countingConn) Write(p []byte) (int, error) {
+	n, err := c.Conn.Write(p)
+	bytesSent.Add(int64(n))
+	return n, err
+}
--- /dev/null
+++ b/internal/transport/upstream/client.go
@@ -0,0 +1,126 @@
+// Package upstream speaks HTTP to workers and minions.
+package upstream
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"time"
+
+	"pinewinch.example/pinewinch/internal/protocol/api"
+	"pinewinch.example/pinewinch/internal/protocol/failure"
+)
+
+const (
+	dialTimeout    = time.Second
+	maxAnswer      = 1 << 20
+	idlePerUp      = 8
+	idleLife       = 30 * time.Second
+	commandTimeout = 5 * time.Second
+)
+
+// Client sends commands to workers and requests to minions.
+type Client struct {
+	http *http.Client
+}
+
+// NewClient makes a client; it follows no redirect, for an upstream has none.
+func NewClient() *Client {
+	dialer := &net.Dialer{Timeout: dialTimeout}
+	return &Client{http: &http.Client{
+		Transport: &http.Transport{
+			DialContext:         dialer.DialContext,
+			MaxIdleConnsPerHost: idlePerUp,
+			IdleConnTimeout:     idleLife,
+			DisableCompression:  true,
+		},
+		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
+	}}
+}
+
+// Command sends one command to a worker.
+func (c *Client) Command(ctx context.Context, address, path string, command *api.TaskCommand) (*api.TaskAnswer, error) {
+	body, err := json.Marshal(command)
+	if err != nil {
+		return nil, failure.Wrap(failure.Internal, err, "encode command")
+	}
+	ctx, cancel := context.WithTimeout(ctx, commandTimeout)
+	defer cancel()
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+path, bytes.NewReader(body))
+	if err != nil {
+		return nil, failure.Wrap(failure.BadRequest, err, "address %s", address)
+	}
+	request.Header.Set("Content-Type", "application/json")
+	response, err := c.http.Do(request)
+	if err != nil {
+		return nil, sendFailure(err, address)
+	}
+	defer response.Body.Close()
+	text, err := io.ReadAll(io.LimitReader(response.Body, maxAnswer))
+	if err != nil {
+		return nil, failure.Ran(failure.TruncatedAnswer, failure.NotRunUnknown, err, "answer of %s", address)
+	}
+	if response.StatusCode != http.StatusOK {
+		return nil, answerFailure(response, text, address)
+	}
+	answer := &api.TaskAnswer{}
+	if err := json.Unmarshal(text, answer); err != nil {
+		return nil, failure.Ran(failure.WrongAnswer, failure.NotRunUnknown, err, "answer of %s", address)
+	}
+	return answer, nil
+}
+
+// sendFailure tells a connection that was never opened, which surely ran
+// nothing, from everything later.
+func sendFailure(err error, address string) *failure.Error {
+	var op *net.OpError
+	if errors.As(err, &op) && op.Op == "dial" {
+		return failure.Wrap(failure.Unreachable, err, "dial %s", address)
+	}
+	return failure.Ran(failure.OutcomeUnknown, failure.NotRunUnknown, err, "send to %s", address)
+}
+
+func answerFailure(response *http.Response, text []byte, address string) *failure.Error {
+	body := api.ErrorBody{}
+	if json.Unmarshal(text, &body) == nil && body.Code != "" {
+		return failure.Ran(body.Code, body.NotRun, nil, "%s says: %s", address, body.Message)
+	}
+	return failure.Ran(failure.UpstreamFailed, failure.NotRunFalse, nil, "%s answers %s", address, response.Status)
+}
+
+// Serve sends one request to a minion and reads its whole answer. An answer
+// that is cut, or that belongs to another request, is an error of its own.
+func (c *Client) Serve(ctx context.Context, address, service, id string, body []byte) (*api.Answer, error) {
+	url := "http://" + address + api.PathServe + service
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, url, bytes.NewReader(body))
+	if err != nil {
+		return nil, failure.Wrap(failure.BadRequest, err, "address %s", address)
+	}
+	request.Header.Set(api.HeaderRequestID, id)
+	// Go's transport sends a request again on its own where it may; a body that
+	// cannot be rewound and a method that is not idempotent keep it from that.
+	request.GetBody = nil
+	if deadline, ok := ctx.Deadline(); ok {
+		api.SetDeadline(request.Header, time.Until(deadline))
+	}
+	response, err := c.http.Do(request)
+	if err != nil {
+		return nil, sendFailure(err, address)
+	}
+	defer response.Body.Close()
+	text, err := io.ReadAll(response.Body)
+	if err != nil {
+		return nil, failure.Ran(failure.TruncatedAnswer, failure.NotRunFalse, err, "answer of %s", address)
+	}
+	if response.StatusCode == http.StatusServiceUnavailable && response.Header.Get(api.HeaderNotRun) == string(failure.NotRunTrue) {
+		return nil, failure.New(failure.Overloaded, "%s has no free slot", address)
+	}
+	if response.Header.Get(api.HeaderRequestID) != id {
+		return nil, failure.Ran(failure.WrongAnswer, failure.NotRunUnknown, nil, "%s answered another request", address)
+	}
+	return &api.Answer{Status: response.StatusCode, ContentType: response.Header.Get("Content-Type"), Body: text}, nil
+}
