--- /dev/null
+++ b/internal/app/http.go
@@ -0,0 +1,63 @@
+package app
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"go.uber.org/fx"
+
+	"pinewinch.example/pinewinch/internal/protocol/failure"
+	"pinewinch.example/pinewinch/internal/settings"
+	"pinewinch.example/pinewinch/internal/transport/httpapi"
+)
+
+var httpModule = fx.Module("http",
+	fx.Provide(httpapi.New),
+	fx.Invoke(runHTTP),
+)
+
+// Timeouts of the HTTP server: a caller that sends or reads slowly must not
+// hold a connection for ever.
+const (
+	readHeaderTimeout = 5 * time.Second
+	readTimeout       = 30 * time.Second
+	writeTimeout      = 2 * time.Minute
+	idleTimeout       = time.Minute
+)
+
+func runHTTP(lifecycle fx.Lifecycle, s *settings.Settings, server *httpapi.Server, logger *logrus.Logger) error {
+	listener, err := net.Listen("tcp", s.Instance.ListenHTTP.String())
+	if err != nil {
+		return failure.Wrap(failure.BadSettings, err, "[instance] listen_http")
+	}
+	web := &http.Server{
+		Handler:           server.Handler(),
+		ReadHeaderTimeout: readHeaderTimeout,
+		ReadTimeout:       readTimeout,
+		WriteTimeout:      writeTimeout,
+		IdleTimeout:       idleTimeout,
+	}
+	lifecycle.Append(fx.Hook{
+		OnStart: func(context.Context) error {
+			go func() {
+				if err := web.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+					logger.WithError(err).Error("http server ended")
+				}
+			}()
+			logger.WithField("http", listener.Addr().String()).WithField("instance", s.Instance.Name).Info("started")
+			return nil
+		},
+		OnStop: func(ctx context.Context) error {
+			server.BeginStop()
+			logger.Info("stopping")
+			ctx, cancel := context.WithTimeout(ctx, s.Stop.Grace)
+			defer cancel()
+			return web.Shutdown(ctx)
+		},
+	})
+	return nil
+}
--- /dev/null
+++ b/internal/app/work.go
@@ -0,0 +1,30 @@
+package app
+
+import (
+	"time"
+
+	"go.uber.org/fx"
+
+	"pinewinch.example/pinewinch/internal/coordination/dispatch"
+	"pinewinch.example/pinewinch/internal/coordination/membership"
+	"pinewinch.example/pinewinch/internal/coordination/replica"
+	"pinewinch.example/pinewinch/internal/settings"
+	"pinewinch.example/pinewinch/internal/transport/upstream"
+)
+
+var workModule = fx.Module("work",
+	fx.Provide(newDispatcher, newController),
+	fx.Invoke(runController),
+)
+
+func newDispatcher(s *settings.Settings, control *replica.Replica, client *upstream.Client, registry *membership.Registry) *dispatch.Dispatcher {
+	return dispatch.New(dispatch.Config{Lease: s.Upstreams.Lease, Now: time.Now}, control, client, registry)
+}
+
+func newController(control *replica.Replica, dispatcher *dispatch.Dispatcher, registry *membership.Registry) *dispatch.Controller {
+	return dispatch.NewController(control, dispatcher, registry, time.Now)
+}
+
+func runController(lifecycle fx.Lifecycle, controller *dispatch.Controller) {
+	background(lifecycle, controller.Run)
+}
--- /dev/null
+++ b/internal/standin/standincmd/main.go
@@ -0,0 +1,137 @@
+// Package standincmd is the command line of the stand-ins.
+package standincmd
+
+import (
+	"context"
+	"errors"
+	"flag"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"os/signal"
+	"strings"
+	"syscall"
+	"time"
+
+	"github.com/peterbourgon/ff/v3/ffcli"
+
+	"pinewinch.example/pinewinch/internal/protocol/api"
+	"pinewinch.example/pinewinch/internal/protocol/failure"
+	"pinewinch.example/pinewinch/internal/standin"
+)
+
+// Main runs one stand-in command and gives the exit code.
+func Main(args []string) int {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	root := &ffcli.Command{
+		ShortUsage:  "pinewinch-standin worker|minion|ports [flags]",
+		Subcommands: []*ffcli.Command{workerCommand(), minionCommand(), portsCommand()},
+		Exec:        func(context.Context, []string) error { return flag.ErrHelp },
+	}
+	err := root.ParseAndRun(ctx, args)
+	if err == nil || errors.Is(err, flag.ErrHelp) {
+		return 0
+	}
+	fmt.Fprintln(os.Stderr, err)
+	return failure.From(err).ExitCode()
+}
+
+type common struct {
+	announcement api.Announcement
+	servers      string
+	count        int
+}
+
+func commonFlags(name string) (*flag.FlagSet, *common) {
+	c := &common{}
+	flags := flag.NewFlagSet(name, flag.ContinueOnError)
+	flags.StringVar(&c.servers, "servers", "http://127.0.0.1:7100", "instances, separated by commas")
+	flags.StringVar(&c.announcement.ID, "id", name, "name of the first; others get a number")
+	flags.StringVar(&c.announcement.DataCentre, "data-centre", "dc1", "data centre")
+	flags.StringVar(&c.announcement.Rack, "rack", "rack1", "rack")
+	flags.IntVar(&c.count, "count", 1, "how many to run in this process")
+	return flags, c
+}
+
+func (c *common) each(ctx context.Context, run func(ctx context.Context, announcement api.Announcement, listener net.Listener)) error {
+	for i := range c.count {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			return failure.Wrap(failure.BadSettings, err, "listen")
+		}
+		announcement := c.announcement
+		announcement.ID = fmt.Sprintf("%s-%d", c.announcement.ID, i+1)
+		announcement.Address = listener.Addr().String()
+		announcement.Incarnation = time.Now().UnixNano()
+		go run(ctx, announcement, listener)
+	}
+	<-ctx.Done()
+	return nil
+}
+
+func (c *common) serverList() []string { return strings.Split(c.servers, ",") }
+
+func workerCommand() *ffcli.Command {
+	flags, c := commonFlags("worker")
+	options := standin.WorkerOptions{}
+	accelerators := flags.Uint("accelerators", 8, "accelerators of each")
+	cores := flags.Uint("cores", 32, "cores of each")
+	memory := flags.Uint64("memory-mb", 128<<10, "memory of each")
+	flags.Float64Var(&options.Speed, "speed", 1, "divides declared run times")
+	flags.BoolVar(&options.FailAll, "fail-all", false, "fail every task")
+	flags.BoolVar(&options.IgnoreStop, "ignore-stop", false, "go on after a stop until the lease ends")
+	flags.Float64Var(&options.Overrun, "overrun", 1, "multiplies run times")
+	return &ffcli.Command{Name: "worker", FlagSet: flags, Exec: func(ctx context.Context, _ []string) error {
+		c.announcement.Accelerators = uint32(*accelerators)
+		c.announcement.Cores = uint32(*cores)
+		c.announcement.MemoryMB = *memory
+		return c.each(ctx, func(ctx context.Context, announcement api.Announcement, listener net.Listener) {
+			own := options
+			own.Announcement = announcement
+			own.Servers = c.serverList()
+			worker := standin.NewWorker(own)
+			go func() { _ = http.Serve(listener, worker.Handler()) }()
+			worker.Run(ctx)
+		})
+	}}
+}
+
+func minionCommand() *ffcli.Command {
+	flags, c := commonFlags("minion")
+	options := standin.MinionOptions{}
+	slots := flags.Uint("slots", 8, "slots of each")
+	services := flags.String("services", "", "services, separated by commas")
+	flags.DurationVar(&options.Delay, "delay", 5*time.Millisecond, "time of one request")
+	flags.Uint64Var(&options.CutEvery, "cut-every", 0, "cut each nth answer")
+	return &ffcli.Command{Name: "minion", FlagSet: flags, Exec: func(ctx context.Context, _ []string) error {
+		c.announcement.Slots = uint32(*slots)
+		c.announcement.Services = strings.Split(*services, ",")
+		return c.each(ctx, func(ctx context.Context, announcement api.Announcement, listener net.Listener) {
+			own := options
+			own.Announcement = announcement
+			own.Servers = c.serverList()
+			minion := standin.NewMinion(own)
+			go func() { _ = http.Serve(listener, minion.Handler()) }()
+			minion.Run(ctx)
+		})
+	}}
+}
+
+// portsCommand prints free ports, all reserved at once so that none comes twice.
+func portsCommand() *ffcli.Command {
+	flags := flag.NewFlagSet("ports", flag.ContinueOnError)
+	count := flags.Int("count", 1, "how many")
+	return &ffcli.Command{Name: "ports", FlagSet: flags, Exec: func(context.Context, []string) error {
+		for range *count {
+			listener, err := net.Listen("tcp", "127.0.0.1:0")
+			if err != nil {
+				return failure.Wrap(failure.BadSettings, err, "listen")
+			}
+			defer listener.Close()
+			fmt.Println(listener.Addr().(*net.TCPAddr).Port)
+		}
+		return nil
+	}}
+}
--- a/test/scenarios/scenario_test.go
+++ b/test/scenarios/scenario_test.go
@@ -3,29 +3,24 @@
 
 import (
 	"os"
-	"os/exec"
 	"path/filepath"
 	"testing"
 
 	"github.com/rogpeppe/go-internal/testscript"
-)
 
-var programs string
+	"pinewinch.example/pinewinch/internal/app"
+	"pinewinch.example/pinewinch/internal/command"
+	"pinewinch.example/pinewinch/internal/standin/standincmd"
+)
 
+// TestMain lets scenarios exec the programs: each runs as a process of its
+// own, from this test binary, so the race detector watches it too.
 func TestMain(m *testing.M) {
-	folder, err := os.MkdirTemp("", "pinewinch-scenarios")
-	if err != nil {
-		panic(err)
-	}
-	programs = folder
-	build := exec.Command("go", "build", "-o", folder, "pinewinch.example/pinewinch/cmd/...")
-	build.Stderr = os.Stderr
-	if err := build.Run(); err != nil {
-		panic(err)
-	}
-	code := m.Run()
-	os.RemoveAll(folder)
-	os.Exit(code)
+	testscript.Main(m, map[string]func(){
+		"pinewinchd":        func() { os.Exit(app.Main(os.Args[1:])) },
+		"pinewinch":         func() { os.Exit(command.Run(os.Args[1:], os.Stdout, os.Stderr)) },
+		"pinewinch-standin": func() { os.Exit(standincmd.Main(os.Args[1:])) },
+	})
 }
 
 func TestScenarios(t *testing.T) {
@@ -33,7 +28,6 @@
 		Dir:                 ".",
 		RequireExplicitExec: true,
 		Setup: func(env *testscript.Env) error {
-			env.Setenv("PATH", programs+string(filepath.ListSeparator)+env.Getenv("PATH"))
 			examples, err := filepath.Abs("../../examples")
 			env.Setenv("EXAMPLES", examples)
 			return err
