--- a/internal/app/main.go
+++ b/internal/app/main.go
@@ -1,15 +1,15 @@
 package app
 
 import (
-"errors"
-"flag"
-"fmt"
-"os"
+	"errors"
+	"flag"
+	"fmt"
+	"os"
 
-"github.com/peterbourgon/ff/v3"
+	"github.com/peterbourgon/ff/v3"
 
-"pinewinch.example/pinewinch/internal/protocol/failure"
-"pinewinch.example/pinewinch/internal/settings"
+	"pinewinch.example/pinewinch/internal/protocol/failure"
+	"pinewinch.example/pinewinch/internal/settings"
 )
 
 // Main runs the daemon with its command line and gives the exit code.
