Write-ahead log in segments, file access with faults, identity and lock of a data folder

A wiped folder could not be told from an old one and two processes could share a folder. Ruled out: a checksum per entry. A batch torn by reordered pages can leave a whole entry behind a broken one, which looks like damage in the middle. One record per append makes "a whole record behind a bad one" proof of damage, because the next append is written only after the sync. Ruled out: retrying a failed sync (the kernel may have dropped the pages and reports success). Change: internal/state/wal, internal/state/disk (FS interface, Replace, identity, flock), disktest (memory file system with crash, torn write, failed sync, full disk). The thin replica uses the new log.

--- a/internal/coordination/replica/replica.go
+++ b/internal/coordination/replica/replica.go
@@ -10,9 +10,13 @@
 	"sync/atomic"
 	"time"
 
+	"google.golang.org/protobuf/proto"
+
+	"pinewinch.example/pinewinch/internal/protocol/consensuspb"
 	"pinewinch.example/pinewinch/internal/protocol/controlpb"
 	"pinewinch.example/pinewinch/internal/protocol/failure"
 	"pinewinch.example/pinewinch/internal/protocol/peerpb"
+	"pinewinch.example/pinewinch/internal/state/disk"
 	"pinewinch.example/pinewinch/internal/state/store"
 	"pinewinch.example/pinewinch/internal/state/wal"
 )
@@ -150,11 +154,15 @@
 }
 
 func (r *Replica) lead(ctx context.Context) error {
-	log, entries, err := wal.Open(r.config.DataFolder)
+	log, contents, err := wal.Open(wal.Options{Files: disk.OS{}, Folder: r.config.DataFolder})
 	if err != nil {
 		return err
 	}
 	defer log.Close()
+	entries, err := decodeEntries(contents.Entries)
+	if err != nil {
+		return err
+	}
 	r.apply(entries)
 	for {
 		select {
@@ -191,7 +199,10 @@
 		p.command.TimeMs = now
 		entries[i] = &peerpb.LogEntry{Index: index + uint64(i) + 1, Term: 1, Command: p.command}
 	}
-	err := log.Append(entries)
+	encoded, err := encodeEntries(entries)
+	if err == nil {
+		err = log.Append(nil, encoded)
+	}
 	if err != nil {
 		for _, p := range batch {
 			p.done <- outcome{err: failure.Ran(failure.DiskFailed, failure.NotRunUnknown, err, "log")}
@@ -207,6 +218,30 @@
 	return nil
 }
 
+func encodeEntries(entries []*peerpb.LogEntry) ([]*consensuspb.Entry, error) {
+	encoded := make([]*consensuspb.Entry, len(entries))
+	for i, entry := range entries {
+		data, err := proto.Marshal(entry.Command)
+		if err != nil {
+			return nil, failure.Wrap(failure.Internal, err, "encode command %d", entry.Index)
+		}
+		encoded[i] = &consensuspb.Entry{Index: entry.Index, Term: entry.Term, Data: data}
+	}
+	return encoded, nil
+}
+
+func decodeEntries(encoded []*consensuspb.Entry) ([]*peerpb.LogEntry, error) {
+	entries := make([]*peerpb.LogEntry, len(encoded))
+	for i, entry := range encoded {
+		command := &controlpb.Command{}
+		if err := proto.Unmarshal(entry.Data, command); err != nil {
+			return nil, failure.Wrap(failure.Corrupt, err, "command %d does not decode", entry.Index)
+		}
+		entries[i] = &peerpb.LogEntry{Index: entry.Index, Term: entry.Term, Command: command}
+	}
+	return entries, nil
+}
+
 // apply moves the state over the entries and wakes everyone who waits for it.
 func (r *Replica) apply(entries []*peerpb.LogEntry) []*controlpb.Result {
 	state := r.State()
--- a/internal/protocol/failure/failure.go
+++ b/internal/protocol/failure/failure.go
@@ -50,6 +50,7 @@
 	TooLarge        Code = "too_large"
 	Corrupt         Code = "corrupt_log"
 	DiskFailed      Code = "disk_failed"
+	FolderInUse     Code = "data_folder_in_use"
 	Internal        Code = "internal"
 )
 
@@ -84,6 +85,7 @@
 	TooLarge:        {http.StatusRequestEntityTooLarge, 24},
 	Corrupt:         {http.StatusInternalServerError, 25},
 	DiskFailed:      {http.StatusInternalServerError, 26},
+	FolderInUse:     {http.StatusInternalServerError, 27},
 	Internal:        {http.StatusInternalServerError, 1},
 }
 
--- a/internal/state/wal/wal.go
+++ b/internal/state/wal/wal.go
@@ -1,129 +1,322 @@
-// Package wal keeps the replicated log on disk: records with checksums,
-// synced before they are answered.
+// Package wal keeps a replica's part of the replicated log on disk: segments of
+// records, each with a checksum and synced before the append returns.
+//
+// Bounds of what it can tell: a torn write is told from damage by the whole
+// records behind it (see checkTorn). Damage to the very last synced record
+// looks like a torn write and is cut; the other replicas still hold it.
 package wal
 
 import (
-	"encoding/binary"
-	"errors"
-	"hash/crc32"
-	"io"
-	"os"
 	"path/filepath"
 
 	"google.golang.org/protobuf/proto"
 
+	"pinewinch.example/pinewinch/internal/protocol/consensuspb"
 	"pinewinch.example/pinewinch/internal/protocol/failure"
-	"pinewinch.example/pinewinch/internal/protocol/peerpb"
+	"pinewinch.example/pinewinch/internal/state/disk"
 )
 
-const (
-	fileName     = "log"
-	headerBytes  = 8
-	maxRecord    = 64 << 20
-	folderAccess = 0o700
-	fileAccess   = 0o600
-)
+// DefaultSegmentBytes is the size from which on a segment is followed by a new one.
+const DefaultSegmentBytes = 16 << 20
 
-var checksums = crc32.MakeTable(crc32.Castagnoli)
+// Options of a log.
+type Options struct {
+	Files  disk.FS
+	Folder string
+	// SegmentBytes is DefaultSegmentBytes where 0.
+	SegmentBytes int64
+}
 
-// Log is an open log file. One goroutine uses it.
+// Log is an open log. One goroutine uses it.
 type Log struct {
-	file   *os.File
+	options  Options
+	segments []segment
+	active   disk.File
+	// synced is the length of the active segment that lasts.
+	synced int64
+	hard   *consensuspb.HardState
+	mark   *consensuspb.SnapshotMeta
 	failed error
 }
 
-// Open reads the log in a folder and cuts a torn tail: a record that was never
-// synced was never answered.
-func Open(folder string) (*Log, []*peerpb.LogEntry, error) {
-	if err := os.MkdirAll(folder, folderAccess); err != nil {
-		return nil, nil, failure.Wrap(failure.DiskFailed, err, "make %s", folder)
+// Open reads the log in a folder, makes one where there is none, and cuts a
+// torn tail: an append that was never synced was never answered.
+func Open(options Options) (*Log, *Contents, error) {
+	if options.SegmentBytes == 0 {
+		options.SegmentBytes = DefaultSegmentBytes
 	}
-	path := filepath.Join(folder, fileName)
-	file, err := os.OpenFile(path, os.O_RDWR|os.O_CREATE, fileAccess)
-	if err != nil {
-		return nil, nil, failure.Wrap(failure.DiskFailed, err, "open %s", path)
+	l := &Log{options: options}
+	if err := options.Files.MakeFolder(options.Folder); err != nil {
+		return nil, nil, failure.Wrap(failure.DiskFailed, err, "make %s", options.Folder)
 	}
-	entries, good, err := readAll(file)
+	if err := disk.RemoveAside(options.Files, options.Folder); err != nil {
+		return nil, nil, err
+	}
+	numbers, err := listSegments(options.Files, options.Folder)
 	if err != nil {
 		return nil, nil, err
 	}
-	if err := file.Truncate(good); err != nil {
-		return nil, nil, failure.Wrap(failure.DiskFailed, err, "cut the tail of %s", path)
+	contents := &Contents{}
+	for i, number := range numbers {
+		if err := l.load(number, i == len(numbers)-1, contents); err != nil {
+			l.Close()
+			return nil, nil, err
+		}
+	}
+	if err := contents.check(options.Folder); err != nil {
+		l.Close()
+		return nil, nil, err
+	}
+	l.hard, l.mark = contents.Hard, contents.Snapshot
+	if len(numbers) == 0 {
+		if err := l.startSegment(1); err != nil {
+			return nil, nil, err
+		}
+	}
+	return l, contents, nil
+}
+
+func (l *Log) load(number uint64, isLast bool, contents *Contents) error {
+	s := segment{number: number, path: filepath.Join(l.options.Folder, segmentName(number))}
+	file, err := l.options.Files.Open(s.path)
+	if err != nil {
+		return failure.Wrap(failure.DiskFailed, err, "open %s", s.path)
+	}
+	if isLast {
+		l.active = file
+	} else {
+		defer file.Close()
+	}
+	data, err := disk.ReadAll(file)
+	if err != nil {
+		return failure.Wrap(failure.DiskFailed, err, "read %s", s.path)
 	}
-	if _, err := file.Seek(good, io.SeekStart); err != nil {
-		return nil, nil, failure.Wrap(failure.DiskFailed, err, "seek in %s", path)
+	take := func(record *consensuspb.LogRecord) error {
+		s.last = max(s.last, lastIndex(record))
+		return contents.take(record)
 	}
-	return &Log{file: file}, entries, nil
+	good, err := readSegment(s.path, number, data, isLast, take)
+	if err != nil {
+		return err
+	}
+	l.segments = append(l.segments, s)
+	if !isLast {
+		return nil
+	}
+	return l.settleTail(file, good, int64(len(data)))
 }
 
-func readAll(file *os.File) ([]*peerpb.LogEntry, int64, error) {
-	var entries []*peerpb.LogEntry
-	var offset int64
-	for {
-		entry, size, err := readRecord(file)
-		if errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) {
-			return entries, offset, nil
+// settleTail cuts a torn tail and syncs what is left: a process that was killed
+// between write and sync leaves records that read well and do not last yet.
+func (l *Log) settleTail(file disk.File, good, size int64) error {
+	if good < size {
+		if err := file.Truncate(good); err != nil {
+			return failure.Wrap(failure.DiskFailed, err, "cut the log's tail")
 		}
-		if err != nil {
-			return nil, 0, failure.Wrap(failure.Corrupt, err, "%s at offset %d", file.Name(), offset)
+	}
+	if err := file.Sync(); err != nil {
+		return failure.Wrap(failure.DiskFailed, err, "sync the log's tail")
+	}
+	l.synced = good
+	return nil
+}
+
+// Append writes a hard state (nil: unchanged) and entries with one write and
+// one sync. Entries whose indexes the log already has replace its tail. Once a
+// write or a sync has failed, the log refuses everything: the kernel may have
+// dropped the bytes and would call the next sync a success all the same.
+func (l *Log) Append(hard *consensuspb.HardState, entries []*consensuspb.Entry) error {
+	return l.write(&consensuspb.LogRecord{Hard: hard, Entries: entries})
+}
+
+// Mark notes a durable snapshot. A log without that entry, or with another one
+// there, is emptied: the snapshot came from the leader and replaces it.
+func (l *Log) Mark(meta *consensuspb.SnapshotMeta) error {
+	return l.write(&consensuspb.LogRecord{Snapshot: meta})
+}
+
+func (l *Log) write(record *consensuspb.LogRecord) error {
+	if l.failed != nil {
+		return l.failed
+	}
+	encoded, err := encodeRecord(nil, record)
+	if err != nil {
+		return err
+	}
+	if l.synced > segmentHeadBytes && l.synced+int64(len(encoded)) > l.options.SegmentBytes {
+		if err := l.rotate(); err != nil {
+			return l.fail(err)
 		}
-		entries = append(entries, entry)
-		offset += size
 	}
+	if err := l.writeSynced(encoded); err != nil {
+		return l.fail(err)
+	}
+	l.note(record)
+	return nil
 }
 
-func readRecord(r io.Reader) (*peerpb.LogEntry, int64, error) {
-	var header [headerBytes]byte
-	if _, err := io.ReadFull(r, header[:]); err != nil {
-		return nil, 0, err
+func (l *Log) writeSynced(encoded []byte) error {
+	if _, err := l.active.Write(encoded); err != nil {
+		return err
 	}
-	size := binary.LittleEndian.Uint32(header[:4])
-	if size > maxRecord {
-		return nil, 0, failure.New(failure.Corrupt, "record of %d bytes", size)
+	if err := l.active.Sync(); err != nil {
+		return err
 	}
-	body := make([]byte, size)
-	if _, err := io.ReadFull(r, body); err != nil {
-		return nil, 0, err
+	l.synced += int64(len(encoded))
+	return nil
+}
+
+func (l *Log) note(record *consensuspb.LogRecord) {
+	if record.Hard != nil {
+		l.hard = record.Hard
 	}
-	if crc32.Checksum(body, checksums) != binary.LittleEndian.Uint32(header[4:]) {
-		return nil, 0, failure.New(failure.Corrupt, "checksum differs")
+	if record.Snapshot != nil {
+		l.mark = record.Snapshot
 	}
-	entry := &peerpb.LogEntry{}
-	if err := proto.Unmarshal(body, entry); err != nil {
-		return nil, 0, failure.Wrap(failure.Corrupt, err, "record does not decode")
+	newest := &l.segments[len(l.segments)-1]
+	newest.last = max(newest.last, lastIndex(record))
+}
+
+// fail stops the log for good. The bytes that were not synced are cut off, so
+// that a restart does not read them from the kernel's cache as if they lasted.
+func (l *Log) fail(err error) error {
+	l.failed = failure.Wrap(failure.DiskFailed, err, "write the log in %s", l.options.Folder)
+	if l.active != nil {
+		_ = l.active.Truncate(l.synced)
 	}
-	return entry, headerBytes + int64(size), nil
+	return l.failed
+}
+
+// rotate starts the next segment. It repeats the hard state and the snapshot
+// mark, so that the older segments can go without loss.
+func (l *Log) rotate() error {
+	if err := l.active.Close(); err != nil {
+		return err
+	}
+	l.active = nil
+	return l.startSegment(l.segments[len(l.segments)-1].number + 1)
 }
 
-// Append writes entries and syncs once. After a failed write or sync the log
-// refuses all further appends: what is on the disk is no longer known.
-func (l *Log) Append(entries []*peerpb.LogEntry) error {
+func (l *Log) startSegment(number uint64) error {
+	head, err := encodeRecord(segmentHead(number), &consensuspb.LogRecord{Hard: l.hard, Snapshot: l.mark})
+	if err != nil {
+		return err
+	}
+	path := filepath.Join(l.options.Folder, segmentName(number))
+	if err := disk.Replace(l.options.Files, path, head); err != nil {
+		return err
+	}
+	l.active, err = l.options.Files.Open(path)
+	if err != nil {
+		return failure.Wrap(failure.DiskFailed, err, "open %s", path)
+	}
+	l.synced = int64(len(head))
+	l.segments = append(l.segments, segment{number: number, path: path})
+	return nil
+}
+
+// Compact drops the whole segments that hold nothing above an index. Oldest
+// first, so that a crash in between leaves no gap.
+func (l *Log) Compact(index uint64) error {
 	if l.failed != nil {
 		return l.failed
 	}
-	var buffer []byte
-	for _, entry := range entries {
-		body, err := proto.Marshal(entry)
-		if err != nil {
-			return failure.Wrap(failure.Internal, err, "encode entry %d", entry.Index)
+	dropped := false
+	for len(l.segments) > 1 && l.segments[0].last <= index {
+		if err := l.options.Files.Remove(l.segments[0].path); err != nil {
+			return l.fail(err)
 		}
-		buffer = binary.LittleEndian.AppendUint32(buffer, uint32(len(body)))
-		buffer = binary.LittleEndian.AppendUint32(buffer, crc32.Checksum(body, checksums))
-		buffer = append(buffer, body...)
+		l.segments = l.segments[1:]
+		dropped = true
 	}
-	if _, err := l.file.Write(buffer); err != nil {
-		return l.fail(err)
+	if !dropped {
+		return nil
 	}
-	if err := l.file.Sync(); err != nil {
+	if err := l.options.Files.SyncFolder(l.options.Folder); err != nil {
 		return l.fail(err)
 	}
 	return nil
 }
 
-func (l *Log) fail(err error) error {
-	l.failed = failure.Wrap(failure.DiskFailed, err, "write %s", l.file.Name())
-	return l.failed
+// Close closes the log.
+func (l *Log) Close() error {
+	if l.active == nil {
+		return nil
+	}
+	return l.active.Close()
+}
+
+func lastIndex(record *consensuspb.LogRecord) uint64 {
+	if len(record.Entries) == 0 {
+		return 0
+	}
+	return record.Entries[len(record.Entries)-1].Index
+}
+
+// Contents is what a log held when it was opened.
+type Contents struct {
+	Hard *consensuspb.HardState
+	// Snapshot is the newest mark; nil where there is none.
+	Snapshot *consensuspb.SnapshotMeta
+	// Entries without a gap; they may begin before the mark.
+	Entries []*consensuspb.Entry
 }
 
-// Close closes the file.
-func (l *Log) Close() error { return l.file.Close() }
+// Empty tells whether nothing was ever written.
+func (c *Contents) Empty() bool {
+	return c.Hard == nil && c.Snapshot == nil && len(c.Entries) == 0
+}
+
+func (c *Contents) take(record *consensuspb.LogRecord) error {
+	if record.Hard != nil {
+		c.Hard = record.Hard
+	}
+	if record.Snapshot != nil && !proto.Equal(record.Snapshot, c.Snapshot) {
+		c.Snapshot = record.Snapshot
+		if c.replacedBy(record.Snapshot) {
+			c.Entries = nil
+		}
+	}
+	for _, entry := range record.Entries {
+		if err := c.add(entry); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// replacedBy tells whether a marked snapshot replaces the entries: it lies
+// beyond them, or they have another entry at its index. A mark before them is
+// of a snapshot made here whose entries have been compacted since.
+func (c *Contents) replacedBy(meta *consensuspb.SnapshotMeta) bool {
+	if len(c.Entries) == 0 || meta.Index < c.Entries[0].Index {
+		return false
+	}
+	at := meta.Index - c.Entries[0].Index
+	return at >= uint64(len(c.Entries)) || c.Entries[at].Term != meta.Term
+}
+
+// add joins an entry to the log. One below the first replaces everything: the
+// segment with the entries before was compacted, and a mark will follow.
+func (c *Contents) add(entry *consensuspb.Entry) error {
+	if len(c.Entries) == 0 || entry.Index < c.Entries[0].Index {
+		c.Entries = append(c.Entries[:0], entry)
+		return nil
+	}
+	first := c.Entries[0].Index
+	if entry.Index > first+uint64(len(c.Entries)) {
+		return failure.New(failure.Corrupt, "entry %d does not join the log of %d to %d",
+			entry.Index, first, first+uint64(len(c.Entries))-1)
+	}
+	c.Entries = append(c.Entries[:entry.Index-first], entry)
+	return nil
+}
+
+// check refuses a log that does not reach back to its snapshot.
+func (c *Contents) check(folder string) error {
+	if len(c.Entries) > 0 && c.Entries[0].Index > c.Snapshot.GetIndex()+1 {
+		return failure.New(failure.Corrupt, "%s: the log begins at entry %d and its snapshot ends at %d",
+			folder, c.Entries[0].Index, c.Snapshot.GetIndex())
+	}
+	return nil
+}
