--- /dev/null
+++ b/cmd/pinewinch-bench/main.go
@@ -0,0 +1,13 @@
+// Command pinewinch-bench runs the project's experiments: replays of the
+// decisions, and the measurements behind docs/CAPACITY.md.
+package main
+
+import (
+	"os"
+
+	"pinewinch.example/pinewinch/internal/experiment/benchcmd"
+)
+
+func main() {
+	os.Exit(benchcmd.Run(os.Args[1:], os.Stdout, os.Stderr))
+}
