--- a/internal/app/http.go
+++ b/internal/app/http.go
@@ -12,6 +12,7 @@
 
 	"pinewinch.example/pinewinch/internal/protocol/failure"
 	"pinewinch.example/pinewinch/internal/settings"
+	"pinewinch.example/pinewinch/internal/transport/counted"
 	"pinewinch.example/pinewinch/internal/transport/httpapi"
 )
 
@@ -29,6 +30,9 @@
 	idleTimeout       = time.Minute
 )
 
+// traffic counts callers, operators and announcing upstreams together.
+var traffic = counted.NewCounters("http")
+
 func runHTTP(lifecycle fx.Lifecycle, s *settings.Settings, server *httpapi.Server, logger *logrus.Logger) error {
 	listener, err := net.Listen("tcp", s.Instance.ListenHTTP.String())
 	if err != nil {
@@ -44,7 +48,7 @@
 	lifecycle.Append(fx.Hook{
 		OnStart: func(context.Context) error {
 			go func() {
-				if err := web.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+				if err := web.Serve(traffic.Listener(listener)); !errors.Is(err, http.ErrServerClosed) {
 					logger.WithError(err).Error("http server ended")
 				}
 			}()
--- a/internal/transport/peers/peers.go
+++ b/internal/transport/peers/peers.go
@@ -19,6 +19,7 @@
 
 	"pinewinch.example/pinewinch/internal/protocol/failure"
 	"pinewinch.example/pinewinch/internal/protocol/peerpb"
+	"pinewinch.example/pinewinch/internal/transport/counted"
 )
 
 const (
@@ -30,10 +31,9 @@
 )
 
 var (
-	bytesSent     = expvar.NewInt("peer_bytes_sent")
-	bytesReceived = expvar.NewInt("peer_bytes_received")
-	callsSent     = expvar.NewInt("peer_calls_sent")
-	callsFailed   = expvar.NewInt("peer_calls_failed")
+	traffic     = counted.NewCounters("peer")
+	callsSent   = expvar.NewInt("peer_calls_sent")
+	callsFailed = expvar.NewInt("peer_calls_failed")
 )
 
 // Handler answers calls from other instances.
@@ -83,7 +83,7 @@
 }
 
 func (n *Network) serveConn(ctx context.Context, conn net.Conn, handler Handler) {
-	session, err := yamux.Server(countingConn{conn}, sessionConfig())
+	session, err := yamux.Server(traffic.Conn(conn), sessionConfig())
 	if err != nil {
 		conn.Close()
 		return
@@ -211,7 +211,7 @@
 	if err != nil {
 		return nil, failure.Wrap(failure.Unreachable, err, "dial %s", to)
 	}
-	session, err = yamux.Client(countingConn{conn}, sessionConfig())
+	session, err = yamux.Client(traffic.Conn(conn), sessionConfig())
 	if err != nil {
 		conn.Close()
 		return nil, failure.Wrap(failure.Unreachable, err, "session with %s", to)
@@ -282,17 +282,3 @@
 func decodeFailure(f *peerpb.Failure) error {
 	return &failure.Error{Code: failure.Code(f.Code), Message: f.Message, NotRun: failure.NotRun(f.NotRun), Leader: f.Leader}
 }
-
-type countingConn struct{ net.Conn }
-
-func (c countingConn) Read(p []byte) (int, error) {
-	n, err := c.Conn.Read(p)
-	bytesReceived.Add(int64(n))
-	return n, err
-}
-
-func (c countingConn) Write(p []byte) (int, error) {
-	n, err := c.Conn.Write(p)
-	bytesSent.Add(int64(n))
-	return n, err
-}
--- a/internal/transport/upstream/client.go
+++ b/internal/transport/upstream/client.go
@@ -13,6 +13,7 @@
 
 	"pinewinch.example/pinewinch/internal/protocol/api"
 	"pinewinch.example/pinewinch/internal/protocol/failure"
+	"pinewinch.example/pinewinch/internal/transport/counted"
 )
 
 const (
@@ -23,6 +24,8 @@
 	commandTimeout = 5 * time.Second
 )
 
+var traffic = counted.NewCounters("upstream")
+
 // Client sends commands to workers and requests to minions.
 type Client struct {
 	http *http.Client
@@ -33,7 +36,7 @@
 	dialer := &net.Dialer{Timeout: dialTimeout}
 	return &Client{http: &http.Client{
 		Transport: &http.Transport{
-			DialContext:         dialer.DialContext,
+			DialContext:         traffic.Dialer(dialer.DialContext),
 			MaxIdleConnsPerHost: idlePerUp,
 			IdleConnTimeout:     idleLife,
 			DisableCompression:  true,
