--- a/internal/experiment/benchcmd/benchcmd.go
+++ b/internal/experiment/benchcmd/benchcmd.go
@@ -15,7 +15,10 @@
 )
 
 // subcommands makes each experiment's command; it prints to out.
-var subcommands = []func(out io.Writer) *ffcli.Command{}
+var subcommands = []func(out io.Writer) *ffcli.Command{
+	sampleCommand,
+	fitCommand,
+}
 
 // Run runs one experiment and gives the exit code.
 func Run(args []string, out, errs io.Writer) int {
