--- a/internal/experiment/benchcmd/benchcmd.go
+++ b/internal/experiment/benchcmd/benchcmd.go
@@ -18,6 +18,7 @@
 var subcommands = []func(out io.Writer) *ffcli.Command{
 	sampleCommand,
 	fitCommand,
+	loadCommand,
 }
 
 // Run runs one experiment and gives the exit code.
--- a/internal/experiment/capacity/capacity_test.go
+++ b/internal/experiment/capacity/capacity_test.go
@@ -18,7 +18,9 @@
 	for _, size := range []float64{0, 10, 20} {
 		points = append(points,
 			Point{"followers", size, "leader", MetricCPU, 1 + 0.5*size},
-			Point{"followers", size, "voter", MetricCPU, 3},
+			Point{"followers", size, "voter", MetricCPU, 2},
+			Point{"followers", size, "voter", MetricCPU, 4},
+			Point{"followers", size, "voter", MetricMemory, 0},
 		)
 	}
 	lines := Fit(points)
@@ -27,6 +29,7 @@
 	is.True(lines[0].Straight())
 	is.Equal(lines[0].At(100), 51.0)
 	is.Equal(lines[1].Slope, 0.0)
+	is.Equal(lines[1].At(100), 3.0)
 }
 
 // A quadratic measured at a few sizes must not be taken for a line: its slope
--- a/internal/experiment/capacity/fit.go
+++ b/internal/experiment/capacity/fit.go
@@ -32,8 +32,9 @@
 
 type lineKey struct{ series, role, metric string }
 
-// Fit groups the points and fits a least-squares line through each group. Where
-// several processes have one role, each gives a point of its own.
+// Fit groups the points and fits a least-squares line through each group. Of
+// several processes in one role the mean counts; a metric that stays at zero
+// has nothing to tell and is left out.
 func Fit(points []Point) []*Line {
 	groups := map[lineKey][]Point{}
 	for _, point := range points {
@@ -42,8 +43,9 @@
 	}
 	lines := make([]*Line, 0, len(groups))
 	for key, group := range groups {
-		slices.SortStableFunc(group, func(a, b Point) int { return cmp.Compare(a.Size, b.Size) })
-		lines = append(lines, fitOne(key, group))
+		if slices.ContainsFunc(group, func(p Point) bool { return p.Value != 0 }) {
+			lines = append(lines, fitOne(key, meanBySize(group)))
+		}
 	}
 	slices.SortFunc(lines, func(a, b *Line) int {
 		return cmp.Or(cmp.Compare(a.Series, b.Series), cmp.Compare(a.Role, b.Role), cmp.Compare(a.Metric, b.Metric))
@@ -51,6 +53,23 @@
 	return lines
 }
 
+// meanBySize joins the points of one size into their mean, sizes ascending.
+func meanBySize(group []Point) []Point {
+	bySize := map[float64][]float64{}
+	for _, point := range group {
+		bySize[point.Size] = append(bySize[point.Size], point.Value)
+	}
+	means := make([]Point, 0, len(bySize))
+	for size, values := range bySize {
+		point := group[0]
+		point.Size = size
+		point.Value = stat.Mean(values, nil)
+		means = append(means, point)
+	}
+	slices.SortFunc(means, func(a, b Point) int { return cmp.Compare(a.Size, b.Size) })
+	return means
+}
+
 func fitOne(key lineKey, group []Point) *Line {
 	line := &Line{Series: key.series, Role: key.role, Metric: key.metric, Points: group}
 	var sizes, values []float64
