--- /dev/null
+++ b/internal/coordination/consensus/schedule_test.go
@@ -0,0 +1,214 @@
+package consensus
+
+import (
+	"slices"
+
+	"pinewinch.example/pinewinch/internal/protocol/consensuspb"
+)
+
+// action is one kind of event in a schedule, with its weight.
+type action struct {
+	weight int
+	// optional actions are left out of half the schedules.
+	optional bool
+	run      func(*world, *replica)
+}
+
+var actions = []action{
+	{weight: 550, run: func(w *world, r *replica) { w.network1(func(i int) { w.take(i) }) }},
+	{weight: 250, run: (*world).tick},
+	{weight: 60, run: func(w *world, r *replica) { w.propose(r) }},
+	{weight: 30, run: func(w *world, r *replica) { w.read(r) }},
+	{weight: 30, run: (*world).install},
+	{weight: 20, run: func(w *world, r *replica) { w.restart() }},
+	{weight: 10, run: func(w *world, r *replica) { clear(w.cut) }},
+	{weight: 30, optional: true, run: func(w *world, r *replica) { w.network1(w.drop) }},
+	{weight: 20, optional: true, run: func(w *world, r *replica) { w.network1(w.duplicate) }},
+	{weight: 10, optional: true, run: (*world).crash},
+	{weight: 8, optional: true, run: func(w *world, r *replica) { w.cut[[2]string{r.identity, w.any().identity}] = true }},
+	{weight: 5, optional: true, run: (*world).isolate},
+	{weight: 8, optional: true, run: func(w *world, r *replica) { r.frozen = !r.frozen }},
+	{weight: 12, optional: true, run: (*world).snapshot},
+	{weight: 20, optional: true, run: (*world).change},
+	{weight: 5, optional: true, run: func(w *world, r *replica) { _ = r.node.Transfer(w.any().identity) }},
+	{weight: 3, optional: true, run: (*world).loseDisk},
+}
+
+const (
+	scheduleSteps = 1200
+	maxReplicas   = 8
+)
+
+// outcome of one schedule.
+type outcome struct {
+	violation string
+	committed int
+	// settled tells that the liveness part was run.
+	settled bool
+}
+
+// runSchedule plays one seeded run of faults, then stops the faults and wants a
+// leader and a commit everywhere.
+func runSchedule(seed uint64, faults planted) outcome {
+	w := newWorld(seed, 3+2*int(seed%2), faults)
+	weights := make([]int, len(actions))
+	total := 0
+	for i, a := range actions {
+		if !a.optional || w.rng.IntN(2) == 0 {
+			weights[i] = a.weight
+		}
+		total += weights[i]
+	}
+	for step := 0; step < scheduleSteps && w.violation == ""; step++ {
+		pick := w.rng.IntN(total)
+		i := 0
+		for pick >= weights[i] {
+			pick -= weights[i]
+			i++
+		}
+		w.event(actions[i])
+	}
+	settled := w.violation == "" && w.settle()
+	return outcome{w.violation, len(w.committed), settled}
+}
+
+func (w *world) event(a action) {
+	if r := w.any(); !r.down {
+		a.run(w, r)
+	}
+	for _, r := range w.replicas {
+		if !r.frozen {
+			w.pump(r, false)
+		}
+		w.checkReplica(r)
+	}
+}
+
+func (w *world) any() *replica { return w.replicas[w.rng.IntN(len(w.replicas))] }
+
+// network1 picks a message, the older ones more often.
+func (w *world) network1(do func(int)) {
+	if len(w.network) > 0 {
+		do(min(w.rng.IntN(len(w.network)), w.rng.IntN(len(w.network))))
+	}
+}
+
+func (w *world) drop(i int) { w.network = slices.Delete(w.network, i, i+1) }
+
+func (w *world) duplicate(i int) { w.network = append(w.network, w.network[i]) }
+
+func (w *world) crash(r *replica) {
+	r.crashAt = crashPoint(w.rng.IntN(int(crashPoints)))
+	r.down = r.crashAt == noCrash
+}
+
+func (w *world) restart() {
+	for _, r := range w.replicas {
+		if r.down && !r.lost {
+			w.start(r)
+			return
+		}
+	}
+}
+
+func (w *world) isolate(r *replica) {
+	for _, other := range w.replicas {
+		w.cut[[2]string{r.identity, other.identity}] = true
+		w.cut[[2]string{other.identity, r.identity}] = true
+	}
+}
+
+// change proposes one random step of membership, or the repair of a lost voter.
+func (w *world) change(r *replica) {
+	next := &consensuspb.Configuration{Members: slices.Clone(r.node.configurations.newest().GetMembers())}
+	chosen := w.any()
+	i := slices.IndexFunc(next.Members, func(m *consensuspb.Member) bool { return m.Identity == chosen.identity })
+	switch {
+	case i < 0 && !chosen.lost:
+		next.Members = append(next.Members, &consensuspb.Member{Identity: chosen.identity})
+	case i >= 0 && !next.Members[i].Voter:
+		next.Members[i] = &consensuspb.Member{Identity: chosen.identity, Voter: true}
+	case i >= 0 && (chosen.lost || len(voters(next)) > 2):
+		next.Members = slices.Delete(next.Members, i, i+1)
+	}
+	_, _ = r.node.ProposeConfiguration(next)
+}
+
+// loseDisk ends a replica for good and starts an empty one, where every
+// configuration in use keeps a quorum of disks.
+func (w *world) loseDisk(r *replica) {
+	if len(w.replicas) >= maxReplicas && !w.faults.oldIdentity {
+		return
+	}
+	r.lost = true
+	if !w.quorumOfDisks() {
+		r.lost = false
+		return
+	}
+	if w.faults.oldIdentity {
+		r.lost, r.disk = false, disk{}
+		w.start(r)
+		return
+	}
+	r.down = true
+	w.start(w.add())
+}
+
+func (w *world) quorumOfDisks() bool {
+	for _, r := range w.replicas {
+		for _, p := range r.node.configurations {
+			identities := voters(p.configuration)
+			left := 0
+			for _, identity := range identities {
+				if !w.find(identity).lost {
+					left++
+				}
+			}
+			if left < quorumOf(len(identities)) {
+				return false
+			}
+		}
+	}
+	return true
+}
+
+// settle stops the faults and checks that a leader emerges and commits within
+// settleTicks. It gives false where too many disks are gone.
+func (w *world) settle() bool {
+	if !w.quorumOfDisks() {
+		return false
+	}
+	clear(w.cut)
+	for _, r := range w.replicas {
+		r.frozen, r.crashAt = false, noCrash
+		if r.down && !r.lost {
+			w.start(r)
+		}
+	}
+	target := uint64(0)
+	for range settleTicks {
+		w.round()
+		leader := w.leader()
+		if target == 0 && leader != nil && w.propose(leader) {
+			target = leader.node.log.last()
+		}
+		if target != 0 && w.violation == "" && w.appliedBy(leader, target) {
+			return true
+		}
+	}
+	w.fail("no progress within %d ticks after the faults", settleTicks)
+	return true
+}
+
+// appliedBy tells whether all members that exist hold the index.
+func (w *world) appliedBy(leader *replica, index uint64) bool {
+	if leader == nil {
+		return false
+	}
+	for _, m := range leader.node.configurations.newest().Members {
+		if r := w.find(m.Identity); !r.lost && r.view.applied < index {
+			return false
+		}
+	}
+	return true
+}
--- /dev/null
+++ b/internal/coordination/consensus/snapshot.go
@@ -0,0 +1,79 @@
+package consensus
+
+import "pinewinch.example/pinewinch/internal/protocol/consensuspb"
+
+// Fetch asks the driver to fetch a snapshot that is as new as Meta or newer
+// from a replica, to make it durable in place of the log, and to call
+// Installed with the meta of what it got. The same Fetch comes again while the
+// leader still waits for it; a driver that is at it already ignores it.
+type Fetch struct {
+	From string
+	Meta *consensuspb.SnapshotMeta
+}
+
+// SnapshotMeta describes a snapshot of the state machine at an applied index;
+// false where the log no longer tells.
+func (n *Node) SnapshotMeta(index uint64) (*consensuspb.SnapshotMeta, bool) {
+	term, ok := n.log.termAt(index)
+	configuration := n.configurations.at(index)
+	if !ok || index > n.log.applied || configuration == nil {
+		return nil, false
+	}
+	return &consensuspb.SnapshotMeta{Index: index, Term: term, Configuration: configuration}, true
+}
+
+// Compact drops the log up to index, which a durable snapshot of this replica
+// covers. An index beyond what was applied is cut to it.
+func (n *Node) Compact(index uint64) {
+	n.log.compact(index)
+	n.configurations.compact(n.log.base)
+}
+
+// sendSnapshot tells a member to fetch: the log no longer reaches back to it.
+func (n *Node) sendSnapshot(p *progress) {
+	meta, ok := n.SnapshotMeta(n.log.base)
+	if !ok {
+		return
+	}
+	p.state, p.snapshotTick = Installing, n.now
+	p.inflight = nil
+	n.send(&consensuspb.Message{
+		Kind: consensuspb.MessageKind_MESSAGE_KIND_SNAPSHOT, To: p.identity,
+		Snapshot: meta, ReadRound: n.reads.round,
+	})
+}
+
+func (n *Node) handleSnapshot(m *consensuspb.Message) {
+	if n.follow(m) != nil {
+		return
+	}
+	if n.log.matches(m.Snapshot.Index, m.Snapshot.Term) {
+		n.commitTo(m.Snapshot.Index)
+	}
+	if m.Snapshot.Index <= n.log.commit {
+		n.acknowledge(m.From, n.log.commit)
+		return
+	}
+	n.fetch = &Fetch{From: m.From, Meta: m.Snapshot}
+}
+
+// Installed tells that the driver has made a fetched snapshot durable and that
+// the state machine stands at it. One no newer than the log's commit index is
+// ignored.
+func (n *Node) Installed(meta *consensuspb.SnapshotMeta) {
+	if meta.Index <= n.log.commit {
+		return
+	}
+	if !n.log.matches(meta.Index, meta.Term) {
+		n.configurations = nil
+	}
+	n.log.restore(meta.Index, meta.Term)
+	n.configurations.reset(meta)
+	if n.leader != "" && n.role == Follower {
+		n.acknowledge(n.leader, meta.Index)
+	}
+}
+
+func (n *Node) acknowledge(to string, index uint64) {
+	n.send(&consensuspb.Message{Kind: consensuspb.MessageKind_MESSAGE_KIND_APPEND_REPLY, To: to, LogIndex: index})
+}
--- a/internal/protocol/failure/failure.go
+++ b/internal/protocol/failure/failure.go
@@ -42,6 +42,9 @@
 	StaleState      Code = "stale_state"
 	NotLeader       Code = "not_leader"
 	NoLeader        Code = "no_leader"
+	NoQuorum        Code = "no_quorum"
+	ChangePending   Code = "change_pending"
+	NotCaughtUp     Code = "not_caught_up"
 	Unreachable     Code = "unreachable"
 	OutcomeUnknown  Code = "outcome_unknown"
 	TruncatedAnswer Code = "truncated_answer"
@@ -76,6 +79,9 @@
 	StaleState:      {http.StatusServiceUnavailable, 16},
 	NotLeader:       {http.StatusMisdirectedRequest, 17},
 	NoLeader:        {http.StatusServiceUnavailable, 18},
+	NoQuorum:        {http.StatusPreconditionFailed, 40},
+	ChangePending:   {http.StatusConflict, 41},
+	NotCaughtUp:     {http.StatusConflict, 42},
 	Unreachable:     {http.StatusServiceUnavailable, 19},
 	OutcomeUnknown:  {http.StatusBadGateway, 20},
 	TruncatedAnswer: {http.StatusBadGateway, 21},
