Take the follower out of the replica; serve followers from one feed

Cause: replica.go held the leader, the follower and the serving of followers, so the voter could not be rewritten on a consensus log without the rest, and an instance could follow nobody but the first voter.

A follower took a batch's age as counted from its arrival. A batch that lay in a socket buffer while the process was stopped or the link cut then passed for fresh, with state as old as the stop. Ages were also kept in wall-clock milliseconds, so a step of the clock made old state fresh.

Followers can follow followers; loops are refused and depth and fan-out are bounded. replica only commits, and serves through feed.

Ruled out: a timestamp of the leader in each batch, as it compares two clocks.

--- a/internal/app/control.go
+++ b/internal/app/control.go
@@ -2,12 +2,17 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net"
+	"slices"
 	"time"
 
 	"github.com/sirupsen/logrus"
 	"go.uber.org/fx"
 
+	"pinewinch.example/pinewinch/internal/coordination/control"
+	"pinewinch.example/pinewinch/internal/coordination/follower"
+	"pinewinch.example/pinewinch/internal/coordination/membership"
 	"pinewinch.example/pinewinch/internal/coordination/replica"
 	"pinewinch.example/pinewinch/internal/protocol/failure"
 	"pinewinch.example/pinewinch/internal/settings"
@@ -15,24 +20,48 @@
 )
 
 var controlModule = fx.Module("control",
-	fx.Provide(newNetwork, newReplica),
-	fx.Invoke(runPeers, runReplica),
+	fx.Provide(newNetwork, newNode, newLog),
+	fx.Invoke(runPeers, runNode),
 )
 
 func newNetwork(s *settings.Settings) *peers.Network {
 	return peers.NewNetwork(s.Instance.Name, s.Peers)
 }
 
-func newReplica(s *settings.Settings, network *peers.Network) *replica.Replica {
-	return replica.New(replica.Config{
-		Name:           s.Instance.Name,
-		Leader:         s.Control.Voters[0],
-		DataFolder:     s.Instance.DataFolder,
+// newNode makes a voter of the first instance named as one, and a follower of
+// every other.
+func newNode(s *settings.Settings, network *peers.Network, registry *membership.Registry) control.Node {
+	if s.Instance.Name == s.Control.Voters[0] {
+		return replica.New(replica.Config{Name: s.Instance.Name, DataFolder: s.Instance.DataFolder, Now: time.Now})
+	}
+	self := follower.Candidate{Name: s.Instance.Name, DataCentre: s.Instance.DataCentre}
+	return follower.New(follower.Config{
+		Self:           self,
+		Voters:         s.Control.Voters,
 		FreshnessBound: s.Control.FreshnessBound,
-		Now:            time.Now,
+		Candidates:     func() []follower.Candidate { return candidates(s, registry) },
+		Rand:           rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 	}, network)
 }
 
+// candidates lists the live instances that could serve the log.
+func candidates(s *settings.Settings, registry *membership.Registry) []follower.Candidate {
+	var found []follower.Candidate
+	for _, instance := range registry.Instances(s.Control.FreshnessBound) {
+		if instance.Ready {
+			found = append(found, follower.Candidate{
+				Name:       instance.Name,
+				DataCentre: instance.DataCentre,
+				Replica:    slices.Contains(s.Control.Voters, instance.Name),
+			})
+		}
+	}
+	return found
+}
+
+// newLog is the node as every part sees it that does not serve other instances.
+func newLog(node control.Node) control.Log { return node }
+
 func runPeers(lifecycle fx.Lifecycle, s *settings.Settings, network *peers.Network, soft *softState) error {
 	listener, err := net.Listen("tcp", s.Instance.ListenPeer.String())
 	if err != nil {
@@ -47,11 +76,11 @@
 	return nil
 }
 
-// runReplica ends the process when its disk fails: a replica that cannot sync
+// runNode ends the process when its disk fails: a replica that cannot sync
 // must not go on as if it had.
-func runReplica(lifecycle fx.Lifecycle, control *replica.Replica, logger *logrus.Logger, shutdowner fx.Shutdowner) {
+func runNode(lifecycle fx.Lifecycle, node control.Node, logger *logrus.Logger, shutdowner fx.Shutdowner) {
 	background(lifecycle, func(ctx context.Context) {
-		if err := control.Run(ctx); err != nil {
+		if err := node.Run(ctx); err != nil {
 			f := failure.From(err)
 			logger.WithField("code", f.Code).Error(f.Error())
 			_ = shutdowner.Shutdown(fx.ExitCode(f.ExitCode()))
--- a/internal/app/softstate.go
+++ b/internal/app/softstate.go
@@ -4,8 +4,8 @@
 	"context"
 	"time"
 
+	"pinewinch.example/pinewinch/internal/coordination/control"
 	"pinewinch.example/pinewinch/internal/coordination/membership"
-	"pinewinch.example/pinewinch/internal/coordination/replica"
 	"pinewinch.example/pinewinch/internal/protocol/failure"
 	"pinewinch.example/pinewinch/internal/protocol/peerpb"
 	"pinewinch.example/pinewinch/internal/settings"
@@ -24,13 +24,13 @@
 // softState exchanges soft state with the other instances and answers calls.
 type softState struct {
 	settings *settings.Settings
-	control  *replica.Replica
+	node     control.Node
 	registry *membership.Registry
 	network  *peers.Network
 }
 
-func newSoftState(s *settings.Settings, control *replica.Replica, registry *membership.Registry, network *peers.Network) *softState {
-	return &softState{settings: s, control: control, registry: registry, network: network}
+func newSoftState(s *settings.Settings, node control.Node, registry *membership.Registry, network *peers.Network) *softState {
+	return &softState{settings: s, node: node, registry: registry, network: network}
 }
 
 func (s *softState) run(ctx context.Context) {
@@ -77,13 +77,13 @@
 }
 
 func (s *softState) self() *peerpb.InstanceState {
-	state := s.control.State()
+	state := s.node.State()
 	return &peerpb.InstanceState{
 		Name:        s.settings.Instance.Name,
 		DataCentre:  s.settings.Instance.DataCentre,
 		Applied:     state.Index(),
 		Revision:    state.Revision(),
-		Ready:       s.control.Fresh() == nil,
+		Ready:       s.node.Fresh() == nil,
 		HttpAddress: s.settings.Instance.ListenHTTP.String(),
 		Replica:     s.settings.Instance.DataFolder != "",
 	}
@@ -93,7 +93,7 @@
 func (s *softState) Call(ctx context.Context, call *peerpb.Call) (*peerpb.Reply, error) {
 	switch body := call.Body.(type) {
 	case *peerpb.Call_Propose:
-		result, err := s.control.ServePropose(ctx, body.Propose)
+		result, err := s.node.ServePropose(ctx, body.Propose)
 		if err != nil {
 			return nil, err
 		}
@@ -111,6 +111,6 @@
 }
 
 // Follow sends the log to an instance that has none.
-func (s *softState) Follow(ctx context.Context, follow *peerpb.Follow, send func(*peerpb.FollowBatch) error) error {
-	return s.control.ServeFollow(ctx, follow, send)
+func (s *softState) Follow(ctx context.Context, follow *peerpb.Follow, stream control.Stream) error {
+	return s.node.ServeFollow(ctx, follow, stream)
 }
--- a/internal/app/work.go
+++ b/internal/app/work.go
@@ -5,9 +5,9 @@
 
 	"go.uber.org/fx"
 
+	"pinewinch.example/pinewinch/internal/coordination/control"
 	"pinewinch.example/pinewinch/internal/coordination/dispatch"
 	"pinewinch.example/pinewinch/internal/coordination/membership"
-	"pinewinch.example/pinewinch/internal/coordination/replica"
 	"pinewinch.example/pinewinch/internal/settings"
 	"pinewinch.example/pinewinch/internal/transport/upstream"
 )
@@ -17,12 +17,12 @@
 	fx.Invoke(runController),
 )
 
-func newDispatcher(s *settings.Settings, control *replica.Replica, client *upstream.Client, registry *membership.Registry) *dispatch.Dispatcher {
-	return dispatch.New(dispatch.Config{Lease: s.Upstreams.Lease, Now: time.Now}, control, client, registry)
+func newDispatcher(s *settings.Settings, log control.Log, client *upstream.Client, registry *membership.Registry) *dispatch.Dispatcher {
+	return dispatch.New(dispatch.Config{Lease: s.Upstreams.Lease, Now: time.Now}, log, client, registry)
 }
 
-func newController(control *replica.Replica, dispatcher *dispatch.Dispatcher, registry *membership.Registry) *dispatch.Controller {
-	return dispatch.NewController(control, dispatcher, registry, time.Now)
+func newController(log control.Log, dispatcher *dispatch.Dispatcher, registry *membership.Registry) *dispatch.Controller {
+	return dispatch.NewController(log, dispatcher, registry, time.Now)
 }
 
 func runController(lifecycle fx.Lifecycle, controller *dispatch.Controller) {
--- /dev/null
+++ b/internal/coordination/control/control.go
@@ -0,0 +1,101 @@
+// Package control is what the rest of an instance sees of the replicated
+// control state, whether the instance is a voter or follows one.
+package control
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+
+	"pinewinch.example/pinewinch/internal/protocol/controlpb"
+	"pinewinch.example/pinewinch/internal/protocol/peerpb"
+	"pinewinch.example/pinewinch/internal/state/store"
+)
+
+// Log is the replicated log of one instance.
+type Log interface {
+	// State is the newest applied state; it never goes back.
+	State() *store.State
+	// Fresh fails with stale_state while the state is older than the
+	// freshness bound: an instance that is cut off must refuse what it would
+	// otherwise admit under rules since replaced.
+	Fresh() error
+	// Changed gives a channel that is closed when the state next changes.
+	Changed() <-chan struct{}
+	// Propose commits one command, by way of the leader, and gives its result.
+	Propose(ctx context.Context, command *controlpb.Command) (*controlpb.Result, error)
+	// Leader names the instance that leads as far as is known, or is empty.
+	Leader() string
+	// IsLeader tells whether this instance leads.
+	IsLeader() bool
+}
+
+// Stream is the serving end of one follower's stream.
+type Stream interface {
+	Send(batch *peerpb.FollowBatch) error
+	// Receive waits for the follower's next ping.
+	Receive() (*peerpb.FollowPing, error)
+}
+
+// SourceStream is the following end of a stream.
+type SourceStream interface {
+	Send(ping *peerpb.FollowPing) error
+	// Receive waits for the next batch; a source that ends the stream with a
+	// reason makes it fail with that failure.
+	Receive() (*peerpb.FollowBatch, error)
+	Close() error
+}
+
+// Node is an instance's part in the log: a voter or a follower.
+type Node interface {
+	Log
+	// Run takes part until ctx ends; it fails when the disk does.
+	Run(ctx context.Context) error
+	// ServePropose answers a command that another instance sent.
+	ServePropose(ctx context.Context, propose *peerpb.Propose) (*controlpb.Result, error)
+	// ServeFollow sends another instance the log until its stream ends.
+	ServeFollow(ctx context.Context, follow *peerpb.Follow, stream Stream) error
+}
+
+// Published is the newest state of a node. One goroutine publishes; any reads.
+type Published struct {
+	state   atomic.Pointer[store.State]
+	mu      sync.Mutex
+	changed chan struct{}
+}
+
+// NewPublished holds the empty state.
+func NewPublished() *Published {
+	p := &Published{changed: make(chan struct{})}
+	p.state.Store(store.New())
+	return p
+}
+
+// State is the newest published state.
+func (p *Published) State() *store.State { return p.state.Load() }
+
+// Changed gives a channel that is closed by the next Publish.
+func (p *Published) Changed() <-chan struct{} {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.changed
+}
+
+// Publish replaces the state and wakes everyone who waits.
+func (p *Published) Publish(state *store.State) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.state.Store(state)
+	close(p.changed)
+	p.changed = make(chan struct{})
+}
+
+// Apply moves the state over one entry. Voters and followers both use it, so
+// that an entry without a command moves the index alike on all of them.
+func Apply(state *store.State, entry *peerpb.LogEntry) (*store.State, *controlpb.Result) {
+	command := entry.Command
+	if command == nil {
+		command = &controlpb.Command{}
+	}
+	return state.Apply(entry.Index, command)
+}
--- /dev/null
+++ b/internal/coordination/feed/feed.go
@@ -0,0 +1,240 @@
+// Package feed serves the applied log to followers, from a bounded tail in
+// memory or, where that no longer reaches, by a snapshot in parts. Voters and
+// followers both serve through it, so that followers can follow followers.
+//
+// Freshness: a follower numbers its pings and keeps when it sent each one. A
+// batch names the newest ping that was read before the sender took the age of
+// its own state, so that state was confirmed at the latest `age` before the
+// follower sent that ping. Only durations of one machine are added up; no two
+// clocks are compared, and a batch that lay in a buffer while a link was cut or
+// a process was stopped cannot pass for news.
+package feed
+
+import (
+	"context"
+	"expvar"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"pinewinch.example/pinewinch/internal/coordination/control"
+	"pinewinch.example/pinewinch/internal/protocol/failure"
+	"pinewinch.example/pinewinch/internal/protocol/peerpb"
+	"pinewinch.example/pinewinch/internal/state/store"
+)
+
+const (
+	// MaxBatchBytes bounds the encoded entries, or the snapshot part, of one batch.
+	MaxBatchBytes = 256 << 10
+	// TailBytes is the memory that the entries kept for followers may take.
+	TailBytes = 8 << 20
+	// MaxFollowers bounds the streams that one instance serves; a follower that
+	// is refused asks the next source, so that a tree arises.
+	MaxFollowers = 16
+	// MaxPath bounds the instances between a voter and a follower, the voter
+	// counted: each adds to the age, which must stay under the freshness bound.
+	MaxPath = 4
+)
+
+var (
+	followers      = expvar.NewInt("feed_followers")
+	batchesSent    = expvar.NewInt("feed_batches_sent")
+	snapshotsSent  = expvar.NewInt("feed_snapshots_sent")
+	followsRefused = expvar.NewInt("feed_follows_refused")
+)
+
+// Source is the state that a feed serves.
+type Source interface {
+	State() *store.State
+	Changed() <-chan struct{}
+	Leader() string
+	// Age is such that a State read after it returned holds everything that was
+	// committed that long ago or earlier. It fails with stale_state where that
+	// is unknown or longer than the freshness bound.
+	Age() (time.Duration, error)
+	// Path names the instances from a voter down to this one, itself included.
+	Path() []string
+}
+
+// Server serves one instance's state to its followers.
+type Server struct {
+	source    Source
+	tail      *Tail
+	snapshots snapshotCache
+	serving   atomic.Int64
+}
+
+// NewServer makes a server. The source's owner calls Applied before it
+// publishes the state that the entries lead to.
+func NewServer(source Source) *Server {
+	return &Server{source: source, tail: NewTail(TailBytes)}
+}
+
+// Applied keeps entries for followers.
+func (s *Server) Applied(entries ...*peerpb.LogEntry) { s.tail.Append(entries...) }
+
+// Serve sends the log from after the asked index until the stream ends, or
+// this instance's own state is stale.
+func (s *Server) Serve(ctx context.Context, follow *peerpb.Follow, stream control.Stream) error {
+	if err := s.admit(follow); err != nil {
+		followsRefused.Add(1)
+		return err
+	}
+	defer s.release()
+	session := &session{server: s, stream: stream, after: follow.After, pinged: make(chan struct{}, 1)}
+	session.ping.Store(1)
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	go session.receive(cancel)
+	return session.run(ctx)
+}
+
+// admit refuses a follower that this instance itself depends on: a loop of
+// relays would confirm itself. Ages in a loop grow until all are stale, so the
+// refusal is for speed; safety rests on the ages.
+func (s *Server) admit(follow *peerpb.Follow) error {
+	if _, err := s.source.Age(); err != nil {
+		return err
+	}
+	path := s.source.Path()
+	if slices.Contains(path, follow.Instance) {
+		return failure.New(failure.NotReady, "this instance follows %s", follow.Instance)
+	}
+	if len(path) > MaxPath {
+		return failure.New(failure.NotReady, "%d instances lie between here and a voter", len(path))
+	}
+	if s.serving.Add(1) > MaxFollowers {
+		s.serving.Add(-1)
+		return failure.New(failure.Overloaded, "%d followers are served already", MaxFollowers)
+	}
+	followers.Add(1)
+	return nil
+}
+
+func (s *Server) release() {
+	s.serving.Add(-1)
+	followers.Add(-1)
+}
+
+// session is one follower's stream.
+type session struct {
+	server *Server
+	stream control.Stream
+	after  uint64
+	// ping is the newest number read; pinged wakes run.
+	ping   atomic.Uint64
+	pinged chan struct{}
+	leader string
+	path   []string
+}
+
+// receive reads pings; the end of the stream ends the session.
+func (s *session) receive(cancel context.CancelFunc) {
+	defer cancel()
+	for {
+		ping, err := s.stream.Receive()
+		if err != nil {
+			return
+		}
+		s.ping.Store(ping.Number)
+		select {
+		case s.pinged <- struct{}{}:
+		default:
+		}
+	}
+}
+
+func (s *session) run(ctx context.Context) error {
+	for ctx.Err() == nil {
+		changed := s.server.source.Changed()
+		caughtUp, err := s.step()
+		if err != nil {
+			return err
+		}
+		if !caughtUp {
+			continue
+		}
+		select {
+		case <-ctx.Done():
+		case <-changed:
+		case <-s.pinged:
+		}
+	}
+	return nil
+}
+
+// step sends what comes next and tells whether the follower then has it all.
+// The order matters: ping, then age, then state. The state then holds all that
+// the age speaks of, and the age is not older than the ping.
+func (s *session) step() (bool, error) {
+	batch := &peerpb.FollowBatch{Echo: s.ping.Load()}
+	age, err := s.server.source.Age()
+	if err != nil {
+		return false, err
+	}
+	state := s.server.source.State()
+	batch.AgeMs = (age + time.Millisecond - 1).Milliseconds()
+	batch.Commit = state.Index()
+	s.describe(batch)
+	if s.after >= state.Index() {
+		return true, s.send(batch)
+	}
+	entries, ok := s.server.tail.After(s.after, MaxBatchBytes)
+	if !ok {
+		return true, s.sendSnapshot(state, batch)
+	}
+	batch.Entries = entries
+	if err := s.send(batch); err != nil {
+		return false, err
+	}
+	if len(entries) > 0 {
+		s.after = entries[len(entries)-1].Index
+	}
+	return s.after >= state.Index(), nil
+}
+
+// sendSnapshot sends the state in parts. Commit and age of the first batch hold
+// for every part: the follower is at commit only after the last.
+func (s *session) sendSnapshot(state *store.State, first *peerpb.FollowBatch) error {
+	encoded, err := s.server.snapshots.encode(state)
+	if err != nil {
+		return err
+	}
+	snapshotsSent.Add(1)
+	for _, part := range encoded.parts() {
+		batch := &peerpb.FollowBatch{Echo: first.Echo, AgeMs: first.AgeMs, Commit: first.Commit, Snapshot: part}
+		if part.Offset == 0 {
+			batch.Leader, batch.Path = first.Leader, first.Path
+		}
+		if err := s.send(batch); err != nil {
+			return err
+		}
+	}
+	s.after = state.Index()
+	return nil
+}
+
+func (s *session) send(batch *peerpb.FollowBatch) error {
+	batchesSent.Add(1)
+	return s.stream.Send(batch)
+}
+
+// describe adds leader and path where they changed since the last batch.
+func (s *session) describe(batch *peerpb.FollowBatch) {
+	if leader := s.server.source.Leader(); leader != s.leader {
+		s.leader = leader
+		batch.Leader = leader
+	}
+	if path := s.server.source.Path(); !slices.Equal(path, s.path) {
+		s.path = path
+		batch.Path = path
+	}
+}
+
+// snapshotCache keeps the newest encoded snapshot: followers that come
+// together after a restart cost one encoding.
+type snapshotCache struct {
+	mu     sync.Mutex
+	newest *encodedSnapshot
+}
--- a/internal/coordination/replica/replica.go
+++ b/internal/coordination/replica/replica.go
@@ -1,15 +1,15 @@
-// Package replica drives the replicated log of one instance: it proposes,
-// stores and applies commands, or follows another instance's log. One
-// goroutine owns the log; readers take immutable states from an atomic pointer.
+// Package replica drives the log of a voter: it stores and applies commands and
+// serves them to followers. One goroutine owns the log; readers take immutable
+// states from an atomic pointer.
 package replica
 
 import (
 	"context"
 	"expvar"
-	"sync"
-	"sync/atomic"
 	"time"
 
+	"pinewinch.example/pinewinch/internal/coordination/control"
+	"pinewinch.example/pinewinch/internal/coordination/feed"
 	"pinewinch.example/pinewinch/internal/protocol/controlpb"
 	"pinewinch.example/pinewinch/internal/protocol/failure"
 	"pinewinch.example/pinewinch/internal/protocol/peerpb"
@@ -17,46 +17,27 @@
 	"pinewinch.example/pinewinch/internal/state/wal"
 )
 
-const (
-	// maxBatch bounds the commands that share one sync.
-	maxBatch = 256
-	// followEvery is how often an idle stream renews the freshness of followers.
-	followEvery = 500 * time.Millisecond
-	// retryFollow is the pause before another try to follow.
-	retryFollow = 200 * time.Millisecond
-)
+// maxBatch bounds the commands that share one sync.
+const maxBatch = 256
 
 var (
-	commits   = expvar.NewInt("control_commits")
-	syncs     = expvar.NewInt("control_syncs")
-	forwarded = expvar.NewInt("control_forwarded")
+	commits = expvar.NewInt("control_commits")
+	syncs   = expvar.NewInt("control_syncs")
 )
 
-// Peers carries calls to other instances.
-type Peers interface {
-	Call(ctx context.Context, to string, call *peerpb.Call) (*peerpb.Reply, error)
-	Follow(ctx context.Context, to string, follow *peerpb.Follow, handle func(*peerpb.FollowBatch) error) error
-}
-
 // Config of a replica.
 type Config struct {
-	Name           string
-	Leader         string
-	DataFolder     string
-	FreshnessBound time.Duration
-	Now            func() time.Time
+	Name       string
+	DataFolder string
+	Now        func() time.Time
 }
 
 // Replica is one instance's part in the replicated log.
 type Replica struct {
 	config    Config
-	peers     Peers
-	state     atomic.Pointer[store.State]
-	heard     atomic.Int64
+	published *control.Published
+	feed      *feed.Server
 	proposals chan proposal
-	mu        sync.Mutex
-	changed   chan struct{}
-	entries   []*peerpb.LogEntry
 }
 
 type proposal struct {
@@ -70,61 +51,42 @@
 }
 
 // New makes a replica that has applied nothing yet.
-func New(config Config, peers Peers) *Replica {
+func New(config Config) *Replica {
 	r := &Replica{
 		config:    config,
-		peers:     peers,
+		published: control.NewPublished(),
 		proposals: make(chan proposal, maxBatch),
-		changed:   make(chan struct{}),
 	}
-	r.state.Store(store.New())
+	r.feed = feed.NewServer(r)
 	return r
 }
 
 // State is the newest applied state.
-func (r *Replica) State() *store.State { return r.state.Load() }
+func (r *Replica) State() *store.State { return r.published.State() }
+
+// Changed gives a channel that is closed when the state next changes.
+func (r *Replica) Changed() <-chan struct{} { return r.published.Changed() }
 
 // Leader names the instance that accepts commands.
-func (r *Replica) Leader() string { return r.config.Leader }
+func (r *Replica) Leader() string { return r.config.Name }
 
 // IsLeader tells whether this instance accepts commands.
-func (r *Replica) IsLeader() bool { return r.config.Leader == r.config.Name }
+func (r *Replica) IsLeader() bool { return true }
 
-// Changed gives a channel that is closed when the state next changes.
-func (r *Replica) Changed() <-chan struct{} {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return r.changed
-}
+// Fresh never fails: the only voter has no newer state elsewhere.
+func (r *Replica) Fresh() error { return nil }
 
-// Fresh fails when the control state is older than the freshness bound: an
-// instance that is cut off would admit work under rules since replaced.
-func (r *Replica) Fresh() error {
-	if r.IsLeader() {
-		return nil
-	}
-	age := r.config.Now().Sub(time.UnixMilli(r.heard.Load()))
-	if r.heard.Load() == 0 || age > r.config.FreshnessBound {
-		return failure.New(failure.StaleState, "control state is not confirmed")
-	}
-	return nil
-}
+// Age implements feed.Source.
+func (r *Replica) Age() (time.Duration, error) { return 0, nil }
 
-// Run opens the log or follows the leader until ctx ends.
-func (r *Replica) Run(ctx context.Context) error {
-	if r.IsLeader() {
-		return r.lead(ctx)
-	}
-	r.follow(ctx)
-	return nil
-}
+// Path implements feed.Source.
+func (r *Replica) Path() []string { return []string{r.config.Name} }
+
+// Run opens the log and commits until ctx ends.
+func (r *Replica) Run(ctx context.Context) error { return r.lead(ctx) }
 
-// Propose commits one command and gives its result; from another instance it
-// is sent to the leader.
+// Propose commits one command and gives its result.
 func (r *Replica) Propose(ctx context.Context, command *controlpb.Command) (*controlpb.Result, error) {
-	if !r.IsLeader() {
-		return r.forward(ctx, command)
-	}
 	p := proposal{command: command, done: make(chan outcome, 1)}
 	select {
 	case r.proposals <- p:
@@ -139,16 +101,6 @@
 	}
 }
 
-func (r *Replica) forward(ctx context.Context, command *controlpb.Command) (*controlpb.Result, error) {
-	forwarded.Add(1)
-	call := &peerpb.Call{Body: &peerpb.Call_Propose{Propose: &peerpb.Propose{Command: command}}}
-	reply, err := r.peers.Call(ctx, r.config.Leader, call)
-	if err != nil {
-		return nil, err
-	}
-	return reply.GetResult(), nil
-}
-
 func (r *Replica) lead(ctx context.Context) error {
 	log, entries, err := wal.Open(r.config.DataFolder)
 	if err != nil {
@@ -213,85 +165,20 @@
 	results := make([]*controlpb.Result, 0, len(entries))
 	for _, entry := range entries {
 		var result *controlpb.Result
-		state, result = state.Apply(entry.Index, entry.Command)
+		state, result = control.Apply(state, entry)
 		results = append(results, result)
 	}
-	r.mu.Lock()
-	r.entries = append(r.entries, entries...)
-	r.mu.Unlock()
-	r.publish(state)
+	r.feed.Applied(entries...)
+	r.published.Publish(state)
 	return results
 }
 
-func (r *Replica) publish(state *store.State) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.state.Store(state)
-	close(r.changed)
-	r.changed = make(chan struct{})
-}
-
-func (r *Replica) follow(ctx context.Context) {
-	for ctx.Err() == nil {
-		follow := &peerpb.Follow{After: r.State().Index(), Instance: r.config.Name}
-		_ = r.peers.Follow(ctx, r.config.Leader, follow, r.take)
-		select {
-		case <-ctx.Done():
-		case <-time.After(retryFollow):
-		}
-	}
-}
-
-func (r *Replica) take(batch *peerpb.FollowBatch) error {
-	if batch.Snapshot != nil {
-		r.publish(store.Restore(batch.Snapshot))
-	}
-	if len(batch.Entries) > 0 {
-		r.apply(batch.Entries)
-	}
-	r.heard.Store(r.config.Now().UnixMilli() - batch.AgeMs)
-	return nil
-}
-
 // ServePropose answers a command that another instance sent.
 func (r *Replica) ServePropose(ctx context.Context, propose *peerpb.Propose) (*controlpb.Result, error) {
-	if !r.IsLeader() {
-		f := failure.New(failure.NotLeader, "another instance leads")
-		f.Leader = r.config.Leader
-		return nil, f
-	}
 	return r.Propose(ctx, propose.Command)
 }
 
-// ServeFollow sends the log from after the asked index, then each new batch.
-func (r *Replica) ServeFollow(ctx context.Context, follow *peerpb.Follow, send func(*peerpb.FollowBatch) error) error {
-	after := follow.After
-	for {
-		changed := r.Changed()
-		entries := r.entriesAfter(after)
-		if err := r.Fresh(); err != nil {
-			return err
-		}
-		batch := &peerpb.FollowBatch{Commit: r.State().Index(), Leader: r.config.Leader, Entries: entries}
-		if err := send(batch); err != nil {
-			return err
-		}
-		after += uint64(len(entries))
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-changed:
-		case <-time.After(followEvery):
-		}
-	}
-}
-
-func (r *Replica) entriesAfter(after uint64) []*peerpb.LogEntry {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if after >= uint64(len(r.entries)) {
-		return nil
-	}
-	rest := r.entries[after:]
-	return rest[:min(len(rest), maxBatch)]
+// ServeFollow sends the log to another instance.
+func (r *Replica) ServeFollow(ctx context.Context, follow *peerpb.Follow, stream control.Stream) error {
+	return r.feed.Serve(ctx, follow, stream)
 }
--- a/internal/transport/httpapi/server.go
+++ b/internal/transport/httpapi/server.go
@@ -17,9 +17,9 @@
 
 	"github.com/gorilla/mux"
 
+	"pinewinch.example/pinewinch/internal/coordination/control"
 	"pinewinch.example/pinewinch/internal/coordination/dispatch"
 	"pinewinch.example/pinewinch/internal/coordination/membership"
-	"pinewinch.example/pinewinch/internal/coordination/replica"
 	"pinewinch.example/pinewinch/internal/coordination/routing"
 	"pinewinch.example/pinewinch/internal/protocol/api"
 	"pinewinch.example/pinewinch/internal/protocol/failure"
@@ -29,7 +29,7 @@
 // Server answers the HTTP interfaces of one instance.
 type Server struct {
 	settings   *settings.Settings
-	control    *replica.Replica
+	control    control.Log
 	registry   *membership.Registry
 	router     *routing.Router
 	controller *dispatch.Controller
@@ -37,8 +37,8 @@
 }
 
 // New makes a server.
-func New(s *settings.Settings, control *replica.Replica, registry *membership.Registry, router *routing.Router, controller *dispatch.Controller) *Server {
-	return &Server{settings: s, control: control, registry: registry, router: router, controller: controller}
+func New(s *settings.Settings, log control.Log, registry *membership.Registry, router *routing.Router, controller *dispatch.Controller) *Server {
+	return &Server{settings: s, control: log, registry: registry, router: router, controller: controller}
 }
 
 // Handler gives the routes.
--- a/internal/transport/peers/peers.go
+++ b/internal/transport/peers/peers.go
@@ -17,6 +17,7 @@
 	"github.com/hashicorp/yamux"
 	"google.golang.org/protobuf/proto"
 
+	"pinewinch.example/pinewinch/internal/coordination/control"
 	"pinewinch.example/pinewinch/internal/protocol/failure"
 	"pinewinch.example/pinewinch/internal/protocol/peerpb"
 	"pinewinch.example/pinewinch/internal/transport/counted"
@@ -25,9 +26,6 @@
 const (
 	maxMessage  = 64 << 20
 	dialTimeout = 2 * time.Second
-	// idleReadTimeout ends a stream on which nothing comes: a partition drops
-	// packets without a reset, and the reader would wait for ever.
-	idleReadTimeout = 10 * time.Second
 )
 
 var (
@@ -40,8 +38,8 @@
 type Handler interface {
 	// Call answers one call with one reply.
 	Call(ctx context.Context, call *peerpb.Call) (*peerpb.Reply, error)
-	// Follow sends batches until ctx ends or send fails.
-	Follow(ctx context.Context, call *peerpb.Follow, send func(*peerpb.FollowBatch) error) error
+	// Follow sends batches until ctx or the stream ends.
+	Follow(ctx context.Context, call *peerpb.Follow, stream control.Stream) error
 }
 
 // Network dials the other instances and serves their calls.
@@ -105,12 +103,12 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	call := &peerpb.Call{}
-	if err := readMessage(bufio.NewReader(stream), call); err != nil {
+	reader := bufio.NewReader(stream)
+	if err := readMessage(reader, call); err != nil {
 		return
 	}
 	if follow := call.GetFollow(); follow != nil {
-		send := func(batch *peerpb.FollowBatch) error { return writeMessage(stream, batch) }
-		_ = handler.Follow(ctx, follow, send)
+		serveFollow(ctx, follow, &servingStream{stream: stream, reader: reader}, handler)
 		return
 	}
 	reply, err := handler.Call(ctx, call)
@@ -153,35 +151,6 @@
 	return reply, nil
 }
 
-// Follow reads batches of another instance's log until ctx ends, the stream
-// breaks or handle fails.
-func (n *Network) Follow(ctx context.Context, to string, follow *peerpb.Follow, handle func(*peerpb.FollowBatch) error) error {
-	stream, err := n.open(ctx, to)
-	if err != nil {
-		return err
-	}
-	defer stream.Close()
-	stop := context.AfterFunc(ctx, func() { stream.Close() })
-	defer stop()
-	call := &peerpb.Call{From: n.name, Body: &peerpb.Call_Follow{Follow: follow}}
-	if err := writeMessage(stream, call); err != nil {
-		return failure.Wrap(failure.Unreachable, err, "follow %s", to)
-	}
-	reader := bufio.NewReader(stream)
-	for {
-		if err := stream.SetReadDeadline(time.Now().Add(idleReadTimeout)); err != nil {
-			return failure.Wrap(failure.Unreachable, err, "follow %s", to)
-		}
-		batch := &peerpb.FollowBatch{}
-		if err := readMessage(reader, batch); err != nil {
-			return failure.Wrap(failure.Unreachable, err, "follow %s", to)
-		}
-		if err := handle(batch); err != nil {
-			return err
-		}
-	}
-}
-
 func (n *Network) open(ctx context.Context, to string) (*yamux.Stream, error) {
 	session, err := n.session(ctx, to)
 	if err != nil {
