--- /dev/null
+++ b/internal/state/snapshot/snapshot_test.go
@@ -0,0 +1,123 @@
+package snapshot_test
+
+import (
+	"bytes"
+	"fmt"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"pinewinch.example/pinewinch/internal/protocol/consensuspb"
+	"pinewinch.example/pinewinch/internal/protocol/failure"
+	"pinewinch.example/pinewinch/internal/state/disk/disktest"
+	"pinewinch.example/pinewinch/internal/state/snapshot"
+)
+
+const folder = "/snapshots"
+
+func open(t is.T, files *disktest.FS) *snapshot.Folder {
+	f, err := snapshot.Open(files, folder)
+	is.New(t).NoErr(err)
+	return f
+}
+
+func made(index uint64) *snapshot.Snapshot {
+	return &snapshot.Snapshot{
+		Meta: &consensuspb.SnapshotMeta{Index: index, Term: 3},
+		Data: bytes.Repeat([]byte{byte(index)}, 1000),
+	}
+}
+
+func path(index uint64) string { return fmt.Sprintf("%s/%016x-%016x.snap", folder, index, 3) }
+
+// Two snapshots stay, and after a power failure right behind Save the newest is
+// whole and the one that was being written is not half there.
+func TestSaveLastsAndKeepsTwo(t *testing.T) {
+	is := is.New(t)
+	files := disktest.New()
+	f := open(t, files)
+	for _, index := range []uint64{10, 20, 30} {
+		is.NoErr(f.Save(made(index)))
+	}
+	is.Equal(f.Oldest(), uint64(20))
+	files.FailSyncs = 1
+	is.True(failure.Is(f.Save(made(40)), failure.DiskFailed))
+	loaded, err := open(t, files.Crash(7)).Load(11, 45, made(30).Meta)
+	is.NoErr(err)
+	is.Equal(loaded.Meta.Index, uint64(30))
+	is.Equal(loaded.Data, made(30).Data)
+}
+
+// The newest snapshot is damaged. The older one stands in where the log still
+// leads on from it; where it doesn't, the replica refuses to start, for the
+// entries in between would silently be missing.
+func TestDamagedNewestFallsBackOnlyWhereTheLogReaches(t *testing.T) {
+	cases := map[string]struct {
+		first, last uint64
+		refused     bool
+	}{
+		"log reaches":            {first: 11, last: 35},
+		"log begins too late":    {first: 12, last: 35, refused: true},
+		"log ends too early":     {first: 5, last: 19, refused: true},
+		"log is empty":           {refused: true},
+		"log ends right at mark": {first: 11, last: 20},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			files := disktest.New()
+			f := open(t, files)
+			is.NoErr(f.Save(made(10)))
+			is.NoErr(f.Save(made(20)))
+			files.Damage(path(20), 100)
+			loaded, err := open(t, files).Load(c.first, c.last, made(20).Meta)
+			if c.refused {
+				is.True(failure.Is(err, failure.Corrupt))
+				_, err = open(t, files).Load(c.first, c.last, made(20).Meta)
+				is.True(failure.Is(err, failure.Corrupt)) // also at the next start
+				return
+			}
+			is.NoErr(err)
+			is.Equal(loaded.Meta.Index, uint64(10))
+		})
+	}
+}
+
+// A transfer breaks off in the middle and the receiver restarts. It goes on
+// where it stopped; a byte that was changed on the way never becomes state.
+func TestTransferResumesAndIsChecked(t *testing.T) {
+	for _, flip := range []bool{false, true} {
+		t.Run(fmt.Sprintf("flip=%v", flip), func(t *testing.T) {
+			is := is.New(t)
+			source := open(t, disktest.New())
+			is.NoErr(source.Save(made(20)))
+			id, _ := source.Newest()
+			files := disktest.New()
+			var done bool
+			for !done {
+				in, err := open(t, files).Receive(id)
+				is.NoErr(err)
+				chunk, err := source.ReadChunk(id, in.Offset(), 300)
+				is.NoErr(err)
+				chunk.Data[0] ^= map[bool]byte{true: 1}[flip]
+				done, err = in.Add(chunk)
+				is.NoErr(err)
+				is.NoErr(in.Close())
+			}
+			target := open(t, files)
+			in, err := target.Receive(id)
+			is.NoErr(err)
+			got, err := in.Finish()
+			if flip {
+				is.True(failure.Is(err, failure.WrongAnswer))
+				is.True(target.Empty())
+				return
+			}
+			is.NoErr(err)
+			is.Equal(got.Data, made(20).Data)
+			loaded, err := open(t, files.Crash(0)).Load(0, 0, nil)
+			is.NoErr(err)
+			is.Equal(loaded.Meta.Index, uint64(20))
+		})
+	}
+}
