--- a/internal/state/snapshot/snapshot_test.go
+++ b/internal/state/snapshot/snapshot_test.go
@@ -54,8 +54,12 @@
 func TestDamagedNewestFallsBackOnlyWhereTheLogReaches(t *testing.T) {
 	cases := map[string]struct {
 		first, last uint64
+		unmarked    bool // the process died between snapshot and mark
 		refused     bool
 	}{
+		"not marked yet, log short": {first: 11, last: 15, unmarked: true, refused: true},
+		"not marked yet":            {first: 11, last: 35, unmarked: true},
+
 		"log reaches":            {first: 11, last: 35},
 		"log begins too late":    {first: 12, last: 35, refused: true},
 		"log ends too early":     {first: 5, last: 19, refused: true},
@@ -70,10 +74,14 @@
 			is.NoErr(f.Save(made(10)))
 			is.NoErr(f.Save(made(20)))
 			files.Damage(path(20), 100)
-			loaded, err := open(t, files).Load(c.first, c.last, made(20).Meta)
+			mark := made(20).Meta
+			if c.unmarked {
+				mark = made(10).Meta
+			}
+			loaded, err := open(t, files).Load(c.first, c.last, mark)
 			if c.refused {
 				is.True(failure.Is(err, failure.Corrupt))
-				_, err = open(t, files).Load(c.first, c.last, made(20).Meta)
+				_, err = open(t, files).Load(c.first, c.last, mark)
 				is.True(failure.Is(err, failure.Corrupt)) // also at the next start
 				return
 			}
