--- a/internal/coordination/dispatch/controller.go
+++ b/internal/coordination/dispatch/controller.go
@@ -29,6 +29,7 @@
 	dispatcher *Dispatcher
 	registry   Registry
 	now        func() time.Time
+	inventory  inventory.Planner
 	waiting    atomic.Pointer[[]scheduling.Reason]
 }
 
@@ -61,8 +62,8 @@
 }
 
 func (c *Controller) step(ctx context.Context) {
-	for _, job := range inventory.Due(c.log.State(), c.now()) {
-		command := &controlpb.Command{Op: &controlpb.Command_Submit{Submit: &controlpb.SubmitJob{Job: job}}}
+	if due := c.inventory.Due(c.log.State(), c.now()); len(due) > 0 {
+		command := &controlpb.Command{Op: &controlpb.Command_SubmitJobs{SubmitJobs: &controlpb.SubmitJobs{Jobs: due}}}
 		if _, err := c.log.Propose(ctx, command); err != nil {
 			return
 		}
--- a/internal/coordination/inventory/inventory.go
+++ b/internal/coordination/inventory/inventory.go
@@ -4,6 +4,7 @@
 
 import (
 	"fmt"
+	"math"
 	"time"
 
 	"pinewinch.example/pinewinch/internal/protocol/controlpb"
@@ -14,46 +15,98 @@
 	msPerDay    = 24 * 60 * msPerMinute
 )
 
+// maxDue bounds the jobs of one call, and so the size of one log entry; the
+// rest is due at the next call.
+const maxDue = 512
+
+// never is a next due time that no clock reaches.
+const never = int64(math.MaxInt64)
+
 // State is what the decision reads of the control state.
 type State interface {
+	Revision() uint64
 	Items() []*controlpb.Item
 	WorkClass(name string) (*controlpb.WorkClass, bool)
 	Job(id string) (*controlpb.Job, bool)
+	WasDue(entry string, period int64, change string) bool
+}
+
+// Planner finds the entries whose work is due. It walks the inventory only when
+// the declarations have changed or a period has ended, so that an idle leader
+// spends nothing on it. It is not safe for use by several goroutines.
+type Planner struct {
+	walked   bool
+	revision uint64
+	// nextMs is when the next period of any entry begins.
+	nextMs int64
+}
+
+// Due lists jobs whose occurrence has come and that the state does not know of.
+// Until they are submitted, each call lists them again.
+func (p *Planner) Due(state State, now time.Time) []*controlpb.Job {
+	ms := now.UnixMilli()
+	if p.walked && p.revision == state.Revision() && ms < p.nextMs {
+		return nil
+	}
+	due, nextMs := walk(state, now)
+	p.walked = len(due) == 0
+	p.revision = state.Revision()
+	p.nextMs = nextMs
+	return due
 }
 
-// Due lists the jobs whose occurrence has come and that are not known yet. A
-// job's id is its entry and occurrence, so two leaders make the same job.
-func Due(state State, now time.Time) []*controlpb.Job {
-	var due []*controlpb.Job
+func walk(state State, now time.Time) (due []*controlpb.Job, nextMs int64) {
+	nextMs = never
 	for _, item := range state.Items() {
 		entry := item.GetEntry()
 		if entry == nil {
 			continue
 		}
-		class, ok := state.WorkClass(entry.WorkClass)
-		if !ok {
-			continue
-		}
-		job := NewJob(JobID(entry, now), entry.Customer, class, now)
-		job.Entry = entry.Name
-		job.Occurrence = occurrence(entry, now)
-		if _, known := state.Job(job.Id); !known {
-			due = append(due, job)
+		period, endMs := periodAt(entry, now)
+		nextMs = min(nextMs, endMs)
+		if len(due) < maxDue && !state.WasDue(entry.Name, period, entry.Change) {
+			due = appendJob(due, state, entry, period, now)
 		}
 	}
-	return due
+	return due, nextMs
+}
+
+// periodAt numbers the period that now lies in and gives its end. An entry
+// without a period has one that never ends.
+func periodAt(entry *controlpb.Entry, now time.Time) (period, endMs int64) {
+	if entry.PeriodMs == 0 {
+		return 0, never
+	}
+	period = now.UnixMilli() / entry.PeriodMs
+	return period, (period + 1) * entry.PeriodMs
+}
+
+func appendJob(due []*controlpb.Job, state State, entry *controlpb.Entry, period int64, now time.Time) []*controlpb.Job {
+	class, ok := state.WorkClass(entry.WorkClass)
+	if !ok {
+		return due
+	}
+	job := NewJob(jobID(entry, period), entry.Customer, class, now)
+	if _, known := state.Job(job.Id); known {
+		return due
+	}
+	job.Entry = entry.Name
+	job.Occurrence = occurrence(entry, period)
+	job.Period = period
+	job.Change = entry.Change
+	return append(due, job)
 }
 
-// JobID is the id of an entry's job at a time.
-func JobID(entry *controlpb.Entry, now time.Time) string {
-	return entry.Name + "@" + occurrence(entry, now)
+// jobID is the entry and the occurrence, so two leaders make the same job.
+func jobID(entry *controlpb.Entry, period int64) string {
+	return entry.Name + "@" + occurrence(entry, period)
 }
 
-func occurrence(entry *controlpb.Entry, now time.Time) string {
+func occurrence(entry *controlpb.Entry, period int64) string {
 	if entry.PeriodMs == 0 {
 		return "c" + entry.Change
 	}
-	return fmt.Sprintf("p%d.%s", now.UnixMilli()/entry.PeriodMs, entry.Change)
+	return fmt.Sprintf("p%d.%s", period, entry.Change)
 }
 
 // NewJob makes a job of a class, submitted now.
--- a/internal/protocol/failure/failure.go
+++ b/internal/protocol/failure/failure.go
@@ -51,6 +51,12 @@
 	Corrupt         Code = "corrupt_log"
 	DiskFailed      Code = "disk_failed"
 	Internal        Code = "internal"
+	// Codes of tasks.
+	MemoryExceeded Code = "memory_exceeded"
+	TaskFailed     Code = "task_failed"
+	LeaseLost      Code = "lease_lost"
+	WorkerVanished Code = "worker_vanished"
+	StartTimeout   Code = "start_timeout"
 )
 
 type kind struct {
@@ -85,6 +91,11 @@
 	Corrupt:         {http.StatusInternalServerError, 25},
 	DiskFailed:      {http.StatusInternalServerError, 26},
 	Internal:        {http.StatusInternalServerError, 1},
+	MemoryExceeded:  {http.StatusInsufficientStorage, 40},
+	TaskFailed:      {http.StatusBadGateway, 41},
+	LeaseLost:       {http.StatusBadGateway, 42},
+	WorkerVanished:  {http.StatusBadGateway, 43},
+	StartTimeout:    {http.StatusGatewayTimeout, 44},
 }
 
 // Codes lists every code; tests check that each has one status and one exit code.
--- a/internal/state/store/apply.go
+++ b/internal/state/store/apply.go
@@ -14,6 +14,11 @@
 	sessionLife = time.Hour
 	// endedJobLife is how long an ended job can be looked up.
 	endedJobLife = 24 * time.Hour
+	// healthLife is how long a worker's failures stand after the newest.
+	healthLife = 24 * time.Hour
+	// occurrenceLife is how long a removed entry's last occurrence is kept, in
+	// case the entry is declared again.
+	occurrenceLife = 45 * 24 * time.Hour
 	// expireEvery is how many entries lie between two clean-ups; it counts
 	// indexes, so that every replica cleans up at the same ones.
 	expireEvery = 256
@@ -65,6 +70,10 @@
 		return s.settle(op.Settle)
 	case *controlpb.Command_Drain:
 		return s.setDrain(op.Drain)
+	case *controlpb.Command_BatchMove:
+		return s.batchMove(op.BatchMove)
+	case *controlpb.Command_SubmitJobs:
+		return s.submitJobs(op.SubmitJobs)
 	}
 	return &controlpb.Result{}
 }
@@ -91,6 +100,8 @@
 	s.claims = expire(s.claims, func(c *controlpb.Claim) bool { return c.ExpiresMs < s.timeMs })
 	oldJob := s.timeMs - endedJobLife.Milliseconds()
 	s.jobs = expire(s.jobs, func(j *controlpb.Job) bool { return Ended(j.State) && j.EndedMs < oldJob })
+	s.health = expire(s.health, s.oldHealth)
+	s.occurrences = expire(s.occurrences, s.oldOccurrence)
 }
 
 func expire[T any](t *table[T], old func(T) bool) *table[T] {
--- a/internal/state/store/store.go
+++ b/internal/state/store/store.go
@@ -27,6 +27,10 @@
 	claims   *table[*controlpb.Claim]
 	sessions *table[*controlpb.Session]
 	drained  *table[bool]
+	// health holds the workers with failures, occurrences the last due work of
+	// each entry.
+	health      *table[*controlpb.WorkerHealth]
+	occurrences *table[*controlpb.Occurrence]
 }
 
 // New gives the empty state before the first entry.
@@ -38,6 +42,9 @@
 		claims:   iradix.New[*controlpb.Claim](),
 		sessions: iradix.New[*controlpb.Session](),
 		drained:  iradix.New[bool](),
+
+		health:      iradix.New[*controlpb.WorkerHealth](),
+		occurrences: iradix.New[*controlpb.Occurrence](),
 	}
 }
 
@@ -108,6 +115,9 @@
 		Jobs:     list(s.jobs),
 		Claims:   list(s.claims),
 		Sessions: list(s.sessions),
+
+		Health:      list(s.health),
+		Occurrences: list(s.occurrences),
 	}
 	walk(s.drained, func(key string, _ bool) { snapshot.Drained = append(snapshot.Drained, key) })
 	return snapshot
@@ -135,6 +145,8 @@
 		drained.Insert([]byte(upstream), true)
 	}
 	s.drained = drained.Commit()
+	s.health = fill(snapshot.Health, func(h *controlpb.WorkerHealth) []byte { return []byte(h.Worker) })
+	s.occurrences = fill(snapshot.Occurrences, func(o *controlpb.Occurrence) []byte { return []byte(o.Entry) })
 	return s
 }
 
