--- a/internal/protocol/failure/failure.go
+++ b/internal/protocol/failure/failure.go
@@ -55,6 +55,12 @@
 	DiskFailed      Code = "disk_failed"
 	FolderInUse     Code = "data_folder_in_use"
 	Internal        Code = "internal"
+	// Codes of tasks.
+	MemoryExceeded Code = "memory_exceeded"
+	TaskFailed     Code = "task_failed"
+	LeaseLost      Code = "lease_lost"
+	WorkerVanished Code = "worker_vanished"
+	StartTimeout   Code = "start_timeout"
 )
 
 type kind struct {
@@ -93,6 +99,11 @@
 	DiskFailed:      {http.StatusInternalServerError, 26},
 	FolderInUse:     {http.StatusInternalServerError, 27},
 	Internal:        {http.StatusInternalServerError, 1},
+	MemoryExceeded:  {http.StatusInsufficientStorage, 40},
+	TaskFailed:      {http.StatusBadGateway, 41},
+	LeaseLost:       {http.StatusBadGateway, 42},
+	WorkerVanished:  {http.StatusBadGateway, 43},
+	StartTimeout:    {http.StatusGatewayTimeout, 44},
 }
 
 // Codes lists every code; tests check that each has one status and one exit code.
