--- a/internal/coordination/control/control.go
+++ b/internal/coordination/control/control.go
@@ -7,6 +7,7 @@
 	"sync"
 	"sync/atomic"
 
+	"pinewinch.example/pinewinch/internal/protocol/consensuspb"
 	"pinewinch.example/pinewinch/internal/protocol/controlpb"
 	"pinewinch.example/pinewinch/internal/protocol/peerpb"
 	"pinewinch.example/pinewinch/internal/state/store"
@@ -46,6 +47,13 @@
 	Close() error
 }
 
+// MessageStream carries consensus messages to one replica. A message may be
+// lost; those that arrive are in order.
+type MessageStream interface {
+	Send(messages ...*consensuspb.Message) error
+	Close() error
+}
+
 // Node is an instance's part in the log: a voter or a follower.
 type Node interface {
 	Log
@@ -55,6 +63,11 @@
 	ServePropose(ctx context.Context, propose *peerpb.Propose) (*controlpb.Result, error)
 	// ServeFollow sends another instance the log until its stream ends.
 	ServeFollow(ctx context.Context, follow *peerpb.Follow, stream Stream) error
+	// ServeReplica answers the calls that replicas make among themselves, and
+	// an operator's change of members.
+	ServeReplica(ctx context.Context, call *peerpb.Call) (*peerpb.Reply, error)
+	// Deliver takes one consensus message; it does not wait.
+	Deliver(message *consensuspb.Message)
 }
 
 // Published is the newest state of a node. One goroutine publishes; any reads.
--- a/internal/coordination/feed/feed.go
+++ b/internal/coordination/feed/feed.go
@@ -74,6 +74,11 @@
 // Applied keeps entries for followers.
 func (s *Server) Applied(entries ...*peerpb.LogEntry) { s.tail.Append(entries...) }
 
+// Installed tells that the state was replaced by a snapshot, after the last
+// entry and before the owner publishes it. The entries kept no longer lead to
+// the state: a follower that got only those would wait for the rest for ever.
+func (s *Server) Installed() { s.tail.Reset() }
+
 // Serve sends the log from after the asked index until the stream ends, or
 // this instance's own state is stale.
 func (s *Server) Serve(ctx context.Context, follow *peerpb.Follow, stream control.Stream) error {
--- a/internal/coordination/feed/tail.go
+++ b/internal/coordination/feed/tail.go
@@ -41,6 +41,13 @@
 	t.trim()
 }
 
+// Reset drops everything.
+func (t *Tail) Reset() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.entries, t.bytes = nil, 0
+}
+
 // trim drops the oldest entries until the rest fits.
 func (t *Tail) trim() {
 	drop := 0
--- a/internal/coordination/follower/take.go
+++ b/internal/coordination/follower/take.go
@@ -56,6 +56,7 @@
 		return failure.New(failure.WrongAnswer, "snapshot of revision %d after %d", snapshot.Revision, f.State().Revision())
 	}
 	snapshots.Add(1)
+	f.feed.Installed()
 	f.published.Publish(store.Restore(snapshot))
 	return nil
 }
--- /dev/null
+++ b/internal/coordination/replica/core.go
@@ -0,0 +1,328 @@
+package replica
+
+import (
+	"context"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"pinewinch.example/pinewinch/internal/coordination/consensus"
+	"pinewinch.example/pinewinch/internal/coordination/control"
+	"pinewinch.example/pinewinch/internal/protocol/consensuspb"
+	"pinewinch.example/pinewinch/internal/protocol/controlpb"
+	"pinewinch.example/pinewinch/internal/protocol/failure"
+	"pinewinch.example/pinewinch/internal/protocol/peerpb"
+	"pinewinch.example/pinewinch/internal/state/disk"
+	"pinewinch.example/pinewinch/internal/state/store"
+)
+
+const (
+	// maxBatch and maxBatchBytes bound the commands that share one sync.
+	maxBatch      = 1024
+	maxBatchBytes = 4 << 20
+	// maxMessages bounds the messages taken before the next sync.
+	maxMessages = 128
+	// maxMissedTicks bounds the ticks made up for after the process stood still.
+	// Long before, a leader has stepped down, so no age is understated.
+	maxMissedTicks = 4 * electionTicks
+	// lingerTicks is how long messages may take to leave after a hand-over.
+	lingerTicks = 2
+	// handOverTimeouts bounds, in election timeouts, how long a stop waits for
+	// another leader.
+	handOverTimeouts = 2
+)
+
+// core is what the owner's goroutine owns.
+type core struct {
+	replica  *Replica
+	disk     *storage
+	node     *consensus.Node
+	links    *links
+	state    *store.State
+	hard     *consensuspb.HardState
+	tick     time.Duration
+	lastTick time.Time
+	// pending are the proposals on their way, by index.
+	pending map[uint64]*proposal
+	// reads wait for their round, then for its index.
+	reads    []*read
+	failure  error
+	leaderOf leaderTerm
+	saving   saving
+	fetching bool
+}
+
+// leaderTerm is from which applied index on this replica may decide as the
+// leader of a term.
+type leaderTerm struct {
+	term  uint64
+	ready uint64
+}
+
+func newCore(r *Replica, storage *storage, recovered *recovery) (*core, error) {
+	c := &core{
+		replica:  r,
+		disk:     storage,
+		state:    recovered.state,
+		hard:     recovered.consensus.Hard,
+		tick:     r.config.ElectionTimeout / electionTicks,
+		lastTick: time.Now(),
+		pending:  map[uint64]*proposal{},
+		links:    newLinks(r.config.Peers),
+	}
+	c.saving.index = recovered.state.Index()
+	c.node = consensus.New(c.nodeConfig(), recovered.consensus)
+	c.replica.published.Publish(c.state)
+	c.publishView()
+	return c, nil
+}
+
+func (c *core) nodeConfig() consensus.Config {
+	return consensus.Config{
+		Identity:       c.disk.identity,
+		ElectionTicks:  electionTicks,
+		HeartbeatTicks: heartbeatTicks,
+		MaxAppendBytes: maxAppendBytes,
+		MaxInflight:    maxInflight,
+		Rand:           c.replica.config.Rand,
+	}
+}
+
+// run owns the log until ctx ends and, on a leader, another one has taken over.
+func (c *core) run(ctx, working context.Context) error {
+	ticker := time.NewTicker(c.tick)
+	defer ticker.Stop()
+	stop := stopping{asked: ctx.Done()}
+	for {
+		select {
+		case <-stop.asked:
+			stop.begin(c)
+		case <-stop.ended:
+			return nil
+		case <-ticker.C:
+			c.passTime(time.Now())
+		case message := <-c.replica.inbox:
+			c.step(message)
+		case p := <-c.replica.proposals:
+			c.propose(p)
+		case request := <-c.replica.requests:
+			request(c)
+		}
+		c.takeWaiting()
+		if err := c.carryOutAll(working); err != nil {
+			c.abandon()
+			return err
+		}
+		stop.check(c)
+	}
+}
+
+// stopping is a graceful end: a leader hands over first, and its last messages,
+// its vote for the next leader among them, get time to leave.
+type stopping struct {
+	asked   <-chan struct{}
+	ended   <-chan time.Time
+	handing bool
+}
+
+func (s *stopping) begin(c *core) {
+	s.asked = nil
+	s.handing = c.handOver()
+	if s.handing {
+		s.ended = time.After(handOverTimeouts * c.replica.config.ElectionTimeout)
+		return
+	}
+	s.ended = time.After(0)
+}
+
+func (s *stopping) check(c *core) {
+	if s.handing && c.node.Status().Role != consensus.Leader {
+		s.handing = false
+		s.ended = time.After(lingerTicks * c.tick)
+	}
+}
+
+// passTime makes up for every tick since the last call: after the process stood
+// still, ages that are counted in ticks must not be understated.
+func (c *core) passTime(now time.Time) {
+	missed := int(now.Sub(c.lastTick) / c.tick)
+	c.lastTick = c.lastTick.Add(time.Duration(missed) * c.tick)
+	for range min(missed, maxMissedTicks) {
+		c.node.Tick()
+	}
+}
+
+// takeWaiting takes the messages that have gathered, so that one sync serves
+// all of them.
+func (c *core) takeWaiting() {
+	for range maxMessages {
+		select {
+		case message := <-c.replica.inbox:
+			c.step(message)
+		default:
+			return
+		}
+	}
+}
+
+// step hands over one message. One meant for an earlier identity of this
+// instance is refused, which is how a wiped disk stays out.
+func (c *core) step(message *consensuspb.Message) {
+	err := c.node.Step(message)
+	if failure.Is(err, failure.Corrupt) {
+		c.failure = err
+	}
+	if err != nil {
+		messagesRefused.Add(1)
+	}
+}
+
+func (c *core) carryOutAll(ctx context.Context) error {
+	for c.failure == nil {
+		ready, ok := c.node.Ready()
+		if !ok {
+			break
+		}
+		if err := c.carryOut(ctx, ready); err != nil {
+			return err
+		}
+	}
+	c.answerReads()
+	c.publishView()
+	c.snapshotWhenDue()
+	return c.failure
+}
+
+// carryOut does one Ready in its order. The leader's appends may leave before
+// its own sync: an entry commits once a quorum has synced it, the leader counts
+// itself only at Advance, after its sync, and a crash before that merely takes
+// an entry from it that the others keep or replace (thesis, 10.2.1). No message
+// that promises something of this replica is among them.
+func (c *core) carryOut(ctx context.Context, ready consensus.Ready) error {
+	c.links.send(ready.Messages[:ready.Early])
+	if ready.Hard != nil || len(ready.Entries) > 0 {
+		if err := c.disk.log.Append(ready.Hard, ready.Entries); err != nil {
+			return err
+		}
+		syncs.Add(1)
+	}
+	if ready.Hard != nil {
+		c.hard = ready.Hard
+	}
+	c.links.send(ready.Messages[ready.Early:])
+	if err := c.apply(ready.Committed); err != nil {
+		return err
+	}
+	c.takeReadStates(ready.Reads)
+	if ready.Fetch != nil {
+		c.startFetch(ctx, ready.Fetch)
+	}
+	c.node.Advance()
+	return nil
+}
+
+// apply moves the state over committed entries, publishes it, and only then
+// answers: who has the answer finds its effect in the state.
+func (c *core) apply(entries []*consensuspb.Entry) error {
+	if len(entries) == 0 {
+		return nil
+	}
+	applied := make([]*peerpb.LogEntry, len(entries))
+	results := make([]*controlpb.Result, len(entries))
+	for i, entry := range entries {
+		logEntry, err := decode(entry)
+		if err != nil {
+			return err
+		}
+		applied[i] = logEntry
+		c.state, results[i] = control.Apply(c.state, logEntry)
+		c.saving.bytes += int64(len(entry.Data))
+	}
+	commits.Add(int64(len(entries)))
+	c.replica.feed.Applied(applied...)
+	c.replica.published.Publish(c.state)
+	for i, entry := range entries {
+		c.answer(entry, results[i])
+	}
+	return nil
+}
+
+// decode gives the command of an entry. A proposal's own object is not used: its
+// caller may have given up and gone on with it.
+func decode(entry *consensuspb.Entry) (*peerpb.LogEntry, error) {
+	logEntry := &peerpb.LogEntry{Index: entry.Index, Term: entry.Term}
+	if entry.Kind != consensuspb.EntryKind_ENTRY_KIND_COMMAND {
+		return logEntry, nil
+	}
+	logEntry.Command = &controlpb.Command{}
+	if err := proto.Unmarshal(entry.Data, logEntry.Command); err != nil {
+		return nil, failure.Wrap(failure.Corrupt, err, "command %d does not decode", entry.Index)
+	}
+	return logEntry, nil
+}
+
+// publishView shows readers what has changed.
+func (c *core) publishView() {
+	status := c.node.Status()
+	v := &view{status: status, leader: c.instanceOf(status.Leader)}
+	for _, member := range status.Configuration.GetMembers() {
+		v.member = v.member || member.Identity == c.disk.identity
+	}
+	v.leading = c.leads(status)
+	if v.leading {
+		c.confirmAsLeader(status)
+	}
+	earlier := c.replica.view.Swap(v)
+	currentTerm.Set(int64(status.Term))
+	currentIndex.Set(int64(c.state.Index()))
+	c.report(earlier, v)
+}
+
+// leads tells whether this replica leads and has applied everything that
+// earlier leaders committed.
+func (c *core) leads(status consensus.Status) bool {
+	if status.Role != consensus.Leader || !status.CommittedInTerm {
+		return false
+	}
+	if c.leaderOf.term != status.Term {
+		c.leaderOf = leaderTerm{term: status.Term, ready: status.Commit}
+	}
+	return c.state.Index() >= c.leaderOf.ready
+}
+
+func (c *core) instanceOf(identity string) string {
+	if identity == "" {
+		return ""
+	}
+	return disk.Instance(identity)
+}
+
+func (c *core) report(earlier, now *view) {
+	if earlier.leader == now.leader && earlier.status.Term == now.status.Term && earlier.member == now.member {
+		return
+	}
+	elections.Add(1)
+	c.replica.config.Logger.WithField("leader", now.leader).WithField("term", now.status.Term).
+		WithField("role", now.status.Role.String()).WithField("member", now.member).Info("control log")
+}
+
+// handOver asks the voter with most of the log to lead; false where there is none.
+func (c *core) handOver() bool {
+	status := c.node.Status()
+	best := ""
+	var match uint64
+	for _, member := range status.Members {
+		if member.Voter && member.Live && (best == "" || member.Match > match) {
+			best, match = member.Identity, member.Match
+		}
+	}
+	return best != "" && c.node.Transfer(best) == nil
+}
+
+// abandon ends what waits when the disk has failed: nobody can tell what
+// became of it.
+func (c *core) abandon() {
+	for index, p := range c.pending {
+		p.finish(nil, failure.Ran(failure.OutcomeUnknown, failure.NotRunUnknown, nil, "the log failed at entry %d", index))
+	}
+}
--- a/internal/coordination/replica/replica.go
+++ b/internal/coordination/replica/replica.go
@@ -1,15 +1,19 @@
-// Package replica drives the log of a voter: it stores and applies commands and
-// serves them to followers. One goroutine owns the log; readers take immutable
-// states from an atomic pointer.
+// Package replica drives one member of the replicated log: it carries out what
+// package consensus decides, with the log and the snapshots on disk, the
+// messages to the other members and the state machine. One goroutine owns all
+// of these; readers take immutable states from an atomic pointer.
 package replica
 
 import (
 	"context"
 	"expvar"
+	"math/rand/v2"
+	"sync/atomic"
 	"time"
 
-	"google.golang.org/protobuf/proto"
+	"github.com/sirupsen/logrus"
 
+	"pinewinch.example/pinewinch/internal/coordination/consensus"
 	"pinewinch.example/pinewinch/internal/coordination/control"
 	"pinewinch.example/pinewinch/internal/coordination/feed"
 	"pinewinch.example/pinewinch/internal/protocol/consensuspb"
@@ -18,50 +22,120 @@
 	"pinewinch.example/pinewinch/internal/protocol/peerpb"
 	"pinewinch.example/pinewinch/internal/state/disk"
 	"pinewinch.example/pinewinch/internal/state/store"
-	"pinewinch.example/pinewinch/internal/state/wal"
 )
 
-// maxBatch bounds the commands that share one sync.
-const maxBatch = 256
+const (
+	// electionTicks divides the shortest election timeout.
+	electionTicks = 10
+	// heartbeatTicks lets three heartbeats be lost before an election.
+	heartbeatTicks = 3
+	// maxAppendBytes and maxInflight bound what is on its way to one member.
+	maxAppendBytes = 128 << 10
+	maxInflight    = 32
+	// queueLength bounds the proposals that wait for the owner; more are refused.
+	queueLength = 4096
+	// inboxLength bounds the messages that wait for it; more are dropped, which
+	// consensus takes like a loss on the link.
+	inboxLength = 1024
+)
 
 var (
-	commits = expvar.NewInt("control_commits")
-	syncs   = expvar.NewInt("control_syncs")
+	commits         = expvar.NewInt("control_commits")
+	syncs           = expvar.NewInt("control_syncs")
+	forwarded       = expvar.NewInt("control_forwarded")
+	elections       = expvar.NewInt("control_leader_changes")
+	messagesDropped = expvar.NewInt("control_messages_dropped")
+	messagesRefused = expvar.NewInt("control_messages_refused")
+	snapshotsMade   = expvar.NewInt("control_snapshots_made")
+	snapshotsGot    = expvar.NewInt("control_snapshots_installed")
+	currentTerm     = expvar.NewInt("control_term")
+	currentIndex    = expvar.NewInt("control_applied_index")
 )
 
+// Peers carries calls and messages to other instances.
+type Peers interface {
+	Call(ctx context.Context, to string, call *peerpb.Call) (*peerpb.Reply, error)
+	Messages(ctx context.Context, to string) (control.MessageStream, error)
+}
+
 // Config of a replica.
 type Config struct {
-	Name       string
+	Instance   string
+	DataCentre string
+	// Voters are the instances that found the cluster; the first of them
+	// decides with which identities.
+	Voters []string
+	// Peers lists all other instances.
+	Peers      []string
+	Files      disk.FS
 	DataFolder string
-	Now        func() time.Time
+	// ElectionTimeout is the shortest time without a leader's word before an
+	// election; the longest is twice that.
+	ElectionTimeout time.Duration
+	FreshnessBound  time.Duration
+	// SnapshotEntries and SnapshotBytes are how much log lies between two
+	// snapshots at most; the defaults where 0.
+	SnapshotEntries uint64
+	SnapshotBytes   int64
+	Rand            *rand.Rand
+	// Now stamps commands; no decision is made by it.
+	Now    func() time.Time
+	Logger *logrus.Logger
 }
 
-// Replica is one instance's part in the replicated log.
+// Replica is one member of the replicated log.
 type Replica struct {
 	config    Config
+	peers     Peers
 	published *control.Published
 	feed      *feed.Server
-	proposals chan proposal
+	view      atomic.Pointer[view]
+	// confirmed is a time of this process's clock at which the published state
+	// held everything committed.
+	confirmed atomic.Pointer[time.Time]
+	proposals chan *proposal
+	inbox     chan *consensuspb.Message
+	// requests run on the goroutine that owns the log.
+	requests chan func(*core)
+	// opened is closed when the log is open; disk is set before.
+	opened chan struct{}
+	disk   *storage
+	// foundedWith is the first configuration, where this replica founded.
+	foundedWith atomic.Pointer[consensuspb.Configuration]
+	// ended is closed when Run ends.
+	ended chan struct{}
 }
 
-type proposal struct {
-	command *controlpb.Command
-	done    chan outcome
+// view is what readers may know of the owner's state.
+type view struct {
+	status consensus.Status
+	// leading tells that this replica leads and has applied its own term's
+	// first entry, hence everything that earlier leaders committed.
+	leading bool
+	leader  string
+	member  bool
 }
 
-type outcome struct {
-	result *controlpb.Result
-	err    error
-}
-
-// New makes a replica that has applied nothing yet.
-func New(config Config) *Replica {
+// New makes a replica; Run opens its log.
+func New(config Config, peers Peers) *Replica {
+	if config.SnapshotEntries == 0 {
+		config.SnapshotEntries = defaultSnapshotEntries
+	}
+	if config.SnapshotBytes == 0 {
+		config.SnapshotBytes = defaultSnapshotBytes
+	}
 	r := &Replica{
 		config:    config,
+		peers:     peers,
 		published: control.NewPublished(),
-		proposals: make(chan proposal, maxBatch),
+		proposals: make(chan *proposal, queueLength),
+		inbox:     make(chan *consensuspb.Message, inboxLength),
+		requests:  make(chan func(*core)),
+		opened:    make(chan struct{}),
+		ended:     make(chan struct{}),
 	}
 	r.feed = feed.NewServer(r)
+	r.view.Store(&view{})
 	return r
 }
 
@@ -71,149 +145,98 @@
 // Changed gives a channel that is closed when the state next changes.
 func (r *Replica) Changed() <-chan struct{} { return r.published.Changed() }
 
-// Leader names the instance that accepts commands.
-func (r *Replica) Leader() string { return r.config.Name }
+// Leader names the instance that leads, as far as is known.
+func (r *Replica) Leader() string { return r.view.Load().leader }
 
-// IsLeader tells whether this instance accepts commands.
-func (r *Replica) IsLeader() bool { return true }
+// IsLeader tells whether this instance leads and has applied everything that
+// earlier leaders committed: a decision made before that would repeat theirs.
+func (r *Replica) IsLeader() bool { return r.view.Load().leading }
 
-// Fresh never fails: the only voter has no newer state elsewhere.
-func (r *Replica) Fresh() error { return nil }
+// Member tells whether this replica is a member of the newest configuration.
+func (r *Replica) Member() bool { return r.view.Load().member }
 
-// Age implements feed.Source.
-func (r *Replica) Age() (time.Duration, error) { return 0, nil }
+// Status is what this replica knows of the log.
+func (r *Replica) Status() consensus.Status { return r.view.Load().status }
 
 // Path implements feed.Source.
-func (r *Replica) Path() []string { return []string{r.config.Name} }
+func (r *Replica) Path() []string { return []string{r.config.Instance} }
 
-// Run opens the log and commits until ctx ends.
-func (r *Replica) Run(ctx context.Context) error { return r.lead(ctx) }
-
-// Propose commits one command and gives its result.
-func (r *Replica) Propose(ctx context.Context, command *controlpb.Command) (*controlpb.Result, error) {
-	p := proposal{command: command, done: make(chan outcome, 1)}
+// Deliver takes one consensus message; where the owner is behind it is dropped.
+func (r *Replica) Deliver(message *consensuspb.Message) {
 	select {
-	case r.proposals <- p:
-	case <-ctx.Done():
-		return nil, failure.Wrap(failure.Overloaded, ctx.Err(), "the log takes no more commands now")
-	}
-	select {
-	case o := <-p.done:
-		return o.result, o.err
-	case <-ctx.Done():
-		return nil, failure.Ran(failure.OutcomeUnknown, failure.NotRunUnknown, ctx.Err(), "command not confirmed")
+	case r.inbox <- message:
+	default:
+		messagesDropped.Add(1)
 	}
 }
 
-func (r *Replica) lead(ctx context.Context) error {
-	log, contents, err := wal.Open(wal.Options{Files: disk.OS{}, Folder: r.config.DataFolder})
+// ServeFollow sends the log to another instance.
+func (r *Replica) ServeFollow(ctx context.Context, follow *peerpb.Follow, stream control.Stream) error {
+	return r.feed.Serve(ctx, follow, stream)
+}
+
+// ServePropose answers a command that another instance sent. It is not sent on:
+// a command could go round for ever between two that each take the other for
+// the leader.
+func (r *Replica) ServePropose(ctx context.Context, propose *peerpb.Propose) (*controlpb.Result, error) {
+	ctx, cancel := context.WithTimeout(ctx, proposePatience)
+	defer cancel()
+	return r.submit(ctx, propose.Command)
+}
+
+// Run takes part in the log until ctx ends; it fails when the disk does. A
+// leader hands over before it ends.
+func (r *Replica) Run(ctx context.Context) error {
+	defer close(r.ended)
+	storage, recovered, err := openStorage(&r.config)
 	if err != nil {
 		return err
 	}
-	defer log.Close()
-	entries, err := decodeEntries(contents.Entries)
+	defer storage.close()
+	core, err := newCore(r, storage, recovered)
 	if err != nil {
 		return err
 	}
-	r.apply(entries)
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case first := <-r.proposals:
-			if err := r.commit(log, r.gather(first)); err != nil {
-				return err
-			}
-		}
-	}
-}
-
-// gather takes what waits behind the first proposal, so that one sync serves
-// all: under load batches grow by themselves.
-func (r *Replica) gather(first proposal) []proposal {
-	batch := []proposal{first}
-	for len(batch) < maxBatch {
-		select {
-		case next := <-r.proposals:
-			batch = append(batch, next)
-		default:
-			return batch
-		}
-	}
-	return batch
+	r.disk = storage
+	r.foundedWith.Store(storage.first)
+	close(r.opened)
+	working, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+	core.links.start(working, r.peers)
+	go r.confirmFromLeader(working)
+	go r.found(working)
+	return core.run(ctx, working)
 }
 
-func (r *Replica) commit(log *wal.Log, batch []proposal) error {
-	now := r.config.Now().UnixMilli()
-	index := r.State().Index()
-	entries := make([]*peerpb.LogEntry, len(batch))
-	for i, p := range batch {
-		p.command.TimeMs = now
-		entries[i] = &peerpb.LogEntry{Index: index + uint64(i) + 1, Term: 1, Command: p.command}
-	}
-	encoded, err := encodeEntries(entries)
-	if err == nil {
-		err = log.Append(nil, encoded)
-	}
-	if err != nil {
-		for _, p := range batch {
-			p.done <- outcome{err: failure.Ran(failure.DiskFailed, failure.NotRunUnknown, err, "log")}
-		}
-		return err
+// ask runs a request on the owner's goroutine and waits for its end.
+func (r *Replica) ask(ctx context.Context, request func(*core)) error {
+	done := make(chan struct{})
+	wrapped := func(c *core) {
+		request(c)
+		close(done)
 	}
-	syncs.Add(1)
-	commits.Add(int64(len(batch)))
-	results := r.apply(entries)
-	for i, p := range batch {
-		p.done <- outcome{result: results[i]}
+	select {
+	case r.requests <- wrapped:
+	case <-ctx.Done():
+		return failure.Wrap(failure.Overloaded, ctx.Err(), "the log did not take the request")
+	case <-r.ended:
+		return failure.New(failure.NotReady, "the log is closed")
 	}
+	<-done
 	return nil
 }
 
-func encodeEntries(entries []*peerpb.LogEntry) ([]*consensuspb.Entry, error) {
-	encoded := make([]*consensuspb.Entry, len(entries))
-	for i, entry := range entries {
-		data, err := proto.Marshal(entry.Command)
-		if err != nil {
-			return nil, failure.Wrap(failure.Internal, err, "encode command %d", entry.Index)
+// waitApplied waits until the published state has applied an index.
+func (r *Replica) waitApplied(ctx context.Context, index uint64) error {
+	for {
+		changed := r.Changed()
+		if r.State().Index() >= index {
+			return nil
 		}
-		encoded[i] = &consensuspb.Entry{Index: entry.Index, Term: entry.Term, Data: data}
-	}
-	return encoded, nil
-}
-
-func decodeEntries(encoded []*consensuspb.Entry) ([]*peerpb.LogEntry, error) {
-	entries := make([]*peerpb.LogEntry, len(encoded))
-	for i, entry := range encoded {
-		command := &controlpb.Command{}
-		if err := proto.Unmarshal(entry.Data, command); err != nil {
-			return nil, failure.Wrap(failure.Corrupt, err, "command %d does not decode", entry.Index)
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return failure.Wrap(failure.StaleState, ctx.Err(), "entry %d has not been applied", index)
 		}
-		entries[i] = &peerpb.LogEntry{Index: entry.Index, Term: entry.Term, Command: command}
 	}
-	return entries, nil
-}
-
-// apply moves the state over the entries and wakes everyone who waits for it.
-func (r *Replica) apply(entries []*peerpb.LogEntry) []*controlpb.Result {
-	state := r.State()
-	results := make([]*controlpb.Result, 0, len(entries))
-	for _, entry := range entries {
-		var result *controlpb.Result
-		state, result = control.Apply(state, entry)
-		results = append(results, result)
-	}
-	r.feed.Applied(entries...)
-	r.published.Publish(state)
-	return results
-}
-
-// ServePropose answers a command that another instance sent.
-func (r *Replica) ServePropose(ctx context.Context, propose *peerpb.Propose) (*controlpb.Result, error) {
-	return r.Propose(ctx, propose.Command)
-}
-
-// ServeFollow sends the log to another instance.
-func (r *Replica) ServeFollow(ctx context.Context, follow *peerpb.Follow, stream control.Stream) error {
-	return r.feed.Serve(ctx, follow, stream)
 }
--- a/internal/state/wal/wal.go
+++ b/internal/state/wal/wal.go
@@ -272,10 +272,7 @@
 		c.Hard = record.Hard
 	}
 	if record.Snapshot != nil && !proto.Equal(record.Snapshot, c.Snapshot) {
-		c.Snapshot = record.Snapshot
-		if c.replacedBy(record.Snapshot) {
-			c.Entries = nil
-		}
+		c.Mark(record.Snapshot)
 	}
 	for _, entry := range record.Entries {
 		if err := c.add(entry); err != nil {
@@ -285,6 +282,30 @@
 	return nil
 }
 
+// Mark does to the contents what Log.Mark does to the log.
+func (c *Contents) Mark(meta *consensuspb.SnapshotMeta) {
+	c.Snapshot = meta
+	if c.replacedBy(meta) {
+		c.Entries = nil
+	}
+}
+
+// First and Last are the indexes of the entries; 0 where there are none.
+func (c *Contents) First() uint64 {
+	if len(c.Entries) == 0 {
+		return 0
+	}
+	return c.Entries[0].Index
+}
+
+// Last is the index of the newest entry.
+func (c *Contents) Last() uint64 {
+	if len(c.Entries) == 0 {
+		return 0
+	}
+	return c.Entries[len(c.Entries)-1].Index
+}
+
 // replacedBy tells whether a marked snapshot replaces the entries: it lies
 // beyond them, or they have another entry at its index. A mark before them is
 // of a snapshot made here whose entries have been compacted since.
--- a/internal/transport/peers/peers.go
+++ b/internal/transport/peers/peers.go
@@ -18,6 +18,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"pinewinch.example/pinewinch/internal/coordination/control"
+	"pinewinch.example/pinewinch/internal/protocol/consensuspb"
 	"pinewinch.example/pinewinch/internal/protocol/failure"
 	"pinewinch.example/pinewinch/internal/protocol/peerpb"
 	"pinewinch.example/pinewinch/internal/transport/counted"
@@ -40,6 +41,8 @@
 	Call(ctx context.Context, call *peerpb.Call) (*peerpb.Reply, error)
 	// Follow sends batches until ctx or the stream ends.
 	Follow(ctx context.Context, call *peerpb.Follow, stream control.Stream) error
+	// Deliver takes one consensus message; it does not wait.
+	Deliver(message *consensuspb.Message)
 }
 
 // Network dials the other instances and serves their calls.
@@ -111,6 +114,10 @@
 		serveFollow(ctx, follow, &servingStream{stream: stream, reader: reader}, handler)
 		return
 	}
+	if call.GetReplicate() != nil {
+		serveReplicate(ctx, reader, handler)
+		return
+	}
 	reply, err := handler.Call(ctx, call)
 	if err != nil {
 		reply = &peerpb.Reply{Failure: encodeFailure(failure.From(err))}
--- /dev/null
+++ b/internal/transport/peers/replicate.go
@@ -0,0 +1,66 @@
+package peers
+
+import (
+	"bufio"
+	"context"
+	"net"
+
+	"pinewinch.example/pinewinch/internal/coordination/control"
+	"pinewinch.example/pinewinch/internal/protocol/consensuspb"
+	"pinewinch.example/pinewinch/internal/protocol/failure"
+	"pinewinch.example/pinewinch/internal/protocol/peerpb"
+)
+
+// serveReplicate hands over consensus messages until the stream ends.
+func serveReplicate(ctx context.Context, reader *bufio.Reader, handler Handler) {
+	for ctx.Err() == nil {
+		message := &consensuspb.Message{}
+		if err := readMessage(reader, message); err != nil {
+			return
+		}
+		handler.Deliver(message)
+	}
+}
+
+// messageStream carries consensus messages one way.
+type messageStream struct {
+	to     string
+	stream net.Conn
+	writer *bufio.Writer
+	stop   func() bool
+}
+
+// Messages opens a stream for consensus messages to an instance. It ends with
+// ctx or by Close.
+func (n *Network) Messages(ctx context.Context, to string) (control.MessageStream, error) {
+	stream, err := n.open(ctx, to)
+	if err != nil {
+		return nil, err
+	}
+	call := &peerpb.Call{From: n.name, Body: &peerpb.Call_Replicate{Replicate: &peerpb.Replicate{}}}
+	if err := writeMessage(stream, call); err != nil {
+		stream.Close()
+		return nil, failure.Wrap(failure.Unreachable, err, "replicate to %s", to)
+	}
+	stop := context.AfterFunc(ctx, func() { stream.Close() })
+	return &messageStream{to: to, stream: stream, writer: bufio.NewWriter(stream), stop: stop}, nil
+}
+
+// Send writes messages in one go.
+func (s *messageStream) Send(messages ...*consensuspb.Message) error {
+	for _, message := range messages {
+		if err := writeMessage(s.writer, message); err != nil {
+			return failure.Wrap(failure.Unreachable, err, "replicate to %s", s.to)
+		}
+	}
+	if err := s.writer.Flush(); err != nil {
+		return failure.Wrap(failure.Unreachable, err, "replicate to %s", s.to)
+	}
+	return nil
+}
+
+// Close ends the stream.
+func (s *messageStream) Close() error {
+	s.stop()
+	return s.stream.Close()
+}
