--- a/internal/protocol/failure/failure.go
+++ b/internal/protocol/failure/failure.go
@@ -53,6 +53,7 @@
 	TooLarge        Code = "too_large"
 	Corrupt         Code = "corrupt_log"
 	DiskFailed      Code = "disk_failed"
+	FolderInUse     Code = "data_folder_in_use"
 	Internal        Code = "internal"
 	// Codes of tasks.
 	MemoryExceeded Code = "memory_exceeded"
@@ -96,6 +97,7 @@
 	TooLarge:        {http.StatusRequestEntityTooLarge, 24},
 	Corrupt:         {http.StatusInternalServerError, 25},
 	DiskFailed:      {http.StatusInternalServerError, 26},
+	FolderInUse:     {http.StatusInternalServerError, 27},
 	Internal:        {http.StatusInternalServerError, 1},
 	MemoryExceeded:  {http.StatusInsufficientStorage, 40},
 	TaskFailed:      {http.StatusBadGateway, 41},
