Prove the follower: fresh within the bound, never back, a tree that finds everyone

Cause found by TestManyFollowersFormATree: an instance followed only relays of its data centre with a lesser name. Once a voter served 16 followers with greater names, the instance with the least name found no source at all and stayed stale for ever.

Ruled out: raising the fan-out, which only moves the number. Change: relays with a greater name rank last instead of never; loops are refused by the path, and ages in a loop grow until all are stale.

--- /dev/null
+++ b/internal/coordination/follower/follower_test.go
@@ -0,0 +1,266 @@
+package follower
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/matryer/is"
+	"google.golang.org/protobuf/proto"
+
+	"pinewinch.example/pinewinch/internal/coordination/feed"
+	"pinewinch.example/pinewinch/internal/protocol/controlpb"
+	"pinewinch.example/pinewinch/internal/protocol/failure"
+	"pinewinch.example/pinewinch/internal/protocol/peerpb"
+)
+
+// A partition cuts an instance off without a reset while a change is accepted
+// elsewhere. Callers of the cut instance must be refused within the freshness
+// bound, for it would admit work under the rules before the change; after the
+// cut heals it has the change before it admits anything.
+func TestCutInstanceRefusesAndNeverReverts(t *testing.T) {
+	bubble(t, func(t *testing.T, ctx context.Context) {
+		is := is.New(t)
+		m := newMesh()
+		v := newVoter(m, "v")
+		m.setCutBoth("v", "r01", true)
+		f := m.start(ctx, relay(1))
+		pass(time.Second)
+		is.True(failure.Is(f.Fresh(), failure.StaleState)) // nothing confirmed yet
+		m.setCutBoth("v", "r01", false)
+		v.change()
+		pass(2 * lastRetry)
+		is.NoErr(f.Fresh())
+		is.Equal(f.State().Revision(), uint64(1))
+
+		m.setCutBoth("v", "r01", true)
+		v.change()
+		pass(bound)
+		is.True(failure.Is(f.Fresh(), failure.StaleState))
+		is.Equal(failure.From(f.Fresh()).NotRun, failure.NotRunTrue)
+		is.Equal(f.State().Revision(), uint64(1))
+
+		pass(time.Hour)
+		m.setCutBoth("v", "r01", false)
+		pass(2 * lastRetry)
+		is.NoErr(f.Fresh())
+		is.Equal(f.State().Revision(), uint64(2))
+	})
+}
+
+// Batches lie in a buffer while a link is slow or the process is stopped, and
+// arrive late; then nothing more comes. Counted from their arrival they would
+// pass for fresh. The state they bring must count as old as the ping that they
+// answer, so the instance refuses a bound after that ping and not later.
+func TestLateBatchIsAsOldAsItsPing(t *testing.T) {
+	bubble(t, func(t *testing.T, ctx context.Context) {
+		is := is.New(t)
+		m := newMesh()
+		newVoter(m, "v")
+		f := m.start(ctx, relay(1))
+		pass(10 * time.Second)
+		// Batches are held for a while, then delivered with the way back cut.
+		m.setCut("v", "r01", true)
+		pass(bound * 2 / 5)
+		m.setCut("r01", "v", true)
+		pass(time.Millisecond)
+		lastPing := time.Now()
+		m.setCut("v", "r01", false)
+		pass(time.Millisecond)
+		is.NoErr(f.Fresh())
+		pass(time.Until(lastPing.Add(bound)))
+		is.True(failure.Is(f.Fresh(), failure.StaleState))
+	})
+}
+
+// Relays hand on the age of what they hold. The chain's first link is cut: the
+// last relay hears its neighbour well, and yet must refuse within the bound.
+func TestAgeAddsUpAlongRelays(t *testing.T) {
+	bubble(t, func(t *testing.T, ctx context.Context) {
+		is := is.New(t)
+		m := newMesh()
+		v := newVoter(m, "v")
+		first := m.start(ctx, relay(1))
+		pass(time.Second)
+		m.setCutBoth("v", "r02", true)
+		m.setCutBoth("v", "r03", true)
+		second := m.start(ctx, relay(2), relay(1))
+		pass(time.Second)
+		third := m.start(ctx, relay(3), relay(2))
+		v.change()
+		pass(5 * time.Second)
+		is.Equal(third.Path(), []string{"v", "r01", "r02", "r03"})
+		is.NoErr(third.Fresh())
+		is.Equal(third.State().Revision(), uint64(1))
+
+		m.setCutBoth("v", "r01", true)
+		pass(bound)
+		for _, f := range []*Follower{first, second, third} {
+			is.True(failure.Is(f.Fresh(), failure.StaleState))
+		}
+	})
+}
+
+// An instance loses its source and moves to one that is far behind. Readers
+// must keep seeing the newest revision they saw, and once the source has
+// caught up they go on from there.
+func TestSourceThatIsBehindTakesNothingBack(t *testing.T) {
+	bubble(t, func(t *testing.T, ctx context.Context) {
+		is := is.New(t)
+		m := newMesh()
+		v, behind := newVoter(m, "v"), newVoter(m, "w")
+		f := m.start(ctx, relay(1), Candidate{Name: "w", DataCentre: "dc2", Replica: true})
+		for range 10 {
+			v.change()
+		}
+		m.setCutBoth("w", "r01", true)
+		pass(20 * time.Second)
+		is.Equal(f.State().Revision(), uint64(10))
+		behind.change()
+		m.setCutBoth("v", "r01", true)
+		m.setCutBoth("w", "r01", false)
+		pass(20 * time.Second)
+		is.Equal(f.Path(), []string{"w", "r01"})
+		is.Equal(f.State().Revision(), uint64(10))
+		for range 11 {
+			behind.change()
+		}
+		pass(time.Second)
+		is.Equal(f.State().Revision(), uint64(12))
+	})
+}
+
+// A voter has restarted from a snapshot, so its tail is empty; an instance
+// that starts then gets the state in parts.
+func TestStartsFromSnapshotInParts(t *testing.T) {
+	bubble(t, func(t *testing.T, ctx context.Context) {
+		is := is.New(t)
+		m := newMesh()
+		before := newVoter(newMesh(), "v")
+		for range 50 {
+			before.change()
+		}
+		v := newVoter(m, "v")
+		v.Publish(before.State())
+		f := m.start(ctx, relay(1))
+		pass(time.Second)
+		is.NoErr(f.Fresh())
+		is.Equal(f.State().Revision(), uint64(50))
+		v.change()
+		pass(time.Second)
+		is.Equal(f.State().Revision(), uint64(51))
+	})
+}
+
+// Batches may overlap while two sources are followed, come short of the commit
+// that they name, or come from a source that lost its place. Readers see
+// neither an older state nor a fresh one that lacks what was committed.
+func TestTake(t *testing.T) {
+	entry := func(index uint64) *peerpb.LogEntry { return &peerpb.LogEntry{Index: index} }
+	snapshot := func(index uint64) *peerpb.SnapshotPart {
+		data, _ := proto.Marshal(&controlpb.Snapshot{Index: index})
+		return &peerpb.SnapshotPart{Index: index, Total: uint64(len(data)), Data: data, Checksum: xxhash.Sum64(data)}
+	}
+	wrongSum := snapshot(9)
+	wrongSum.Checksum++
+	tests := map[string]struct {
+		batch *peerpb.FollowBatch
+		code  failure.Code
+		index uint64
+		fresh bool
+	}{
+		"next entries":           {&peerpb.FollowBatch{Echo: 1, Commit: 4, Entries: []*peerpb.LogEntry{entry(3), entry(4)}}, "", 4, true},
+		"overlap":                {&peerpb.FollowBatch{Echo: 1, Commit: 3, Entries: []*peerpb.LogEntry{entry(1), entry(2), entry(3)}}, "", 3, true},
+		"gap":                    {&peerpb.FollowBatch{Echo: 1, Commit: 4, Entries: []*peerpb.LogEntry{entry(4)}}, failure.WrongAnswer, 2, false},
+		"more is committed":      {&peerpb.FollowBatch{Echo: 1, Commit: 9, Entries: []*peerpb.LogEntry{entry(3)}}, "", 3, false},
+		"no such ping":           {&peerpb.FollowBatch{Echo: 7, Commit: 2}, "", 2, false},
+		"as old as the bound":    {&peerpb.FollowBatch{Echo: 1, Commit: 2, AgeMs: bound.Milliseconds() + 1}, "", 2, false},
+		"snapshot":               {&peerpb.FollowBatch{Echo: 1, Commit: 9, Snapshot: snapshot(9)}, "", 9, true},
+		"older snapshot":         {&peerpb.FollowBatch{Echo: 1, Commit: 1, Snapshot: snapshot(1)}, "", 2, true},
+		"snapshot, wrong sum":    {&peerpb.FollowBatch{Echo: 1, Commit: 9, Snapshot: wrongSum}, failure.WrongAnswer, 2, false},
+		"source follows us":      {&peerpb.FollowBatch{Echo: 1, Commit: 2, Path: []string{"v", "r01", "r02"}}, failure.NotReady, 2, false},
+		"entries before a place": {&peerpb.FollowBatch{Echo: 1, Commit: 2, Entries: []*peerpb.LogEntry{entry(1)}}, "", 2, true},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			f := New(Config{Self: relay(1), FreshnessBound: bound}, nil)
+			is.NoErr(f.apply([]*peerpb.LogEntry{entry(1), entry(2)}))
+			l := &link{confirmed: make(chan struct{})}
+			l.pings.sent(1, time.Now())
+			err := f.take(l, test.batch)
+			is.Equal(err == nil, test.code == "")
+			is.True(err == nil || failure.Is(err, test.code))
+			is.Equal(f.State().Index(), test.index)
+			is.Equal(f.Fresh() == nil, test.fresh)
+		})
+	}
+}
+
+// Many instances of one data centre start at once. No instance serves more
+// than its share, the others form a tree below it, and all come to be fresh.
+// Only one follows a voter in another data centre.
+func TestManyFollowersFormATree(t *testing.T) {
+	tests := map[string]struct {
+		voter  string
+		direct int
+	}{
+		"voter in the data centre": {"dc1", feed.MaxFollowers},
+		"voter in another":         {"dc2", 1},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			bubble(t, func(t *testing.T, ctx context.Context) {
+				is.New(t).Equal(directFollowers(t, ctx, test.voter), test.direct)
+			})
+		})
+	}
+}
+
+func directFollowers(t *testing.T, ctx context.Context, voterCentre string) int {
+	is := is.New(t)
+	m := newMesh()
+	v := newVoter(m, "v")
+	known := []Candidate{{Name: "v", DataCentre: voterCentre, Replica: true}}
+	for i := range 40 {
+		known = append(known, relay(i))
+	}
+	var followers []*Follower
+	for _, self := range known[1:] {
+		followers = append(followers, m.start(ctx, self, known...))
+	}
+	pass(2 * improveEvery)
+	v.change()
+	pass(time.Second)
+	direct := 0
+	for _, f := range followers {
+		is.NoErr(f.Fresh())
+		is.Equal(f.State().Revision(), uint64(1))
+		if len(f.Path()) == 2 {
+			direct++
+		}
+	}
+	return direct
+}
+
+func TestRank(t *testing.T) {
+	replica := func(name, dc string) Candidate { return Candidate{Name: name, DataCentre: dc, Replica: true} }
+	plain := func(name, dc string) Candidate { return Candidate{Name: name, DataCentre: dc} }
+	tests := map[string]struct {
+		candidates []Candidate
+		want       []string
+	}{
+		"nothing known":                 {nil, []string{}},
+		"not itself":                    {[]Candidate{plain("m", "dc1")}, []string{}},
+		"near replica before far":       {[]Candidate{replica("a", "dc2"), replica("b", "dc1")}, []string{"b", "a"}},
+		"near relay before far replica": {[]Candidate{replica("a", "dc2"), plain("c", "dc1")}, []string{"c", "a"}},
+		"replica before relay":          {[]Candidate{plain("a", "dc1"), replica("z", "dc1")}, []string{"z", "a"}},
+		"relay after it by name last":   {[]Candidate{plain("n", "dc1"), plain("p", "dc2")}, []string{"p", "n"}},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			is.New(t).Equal(Rank(plain("m", "dc1"), test.candidates), test.want)
+		})
+	}
+}
--- /dev/null
+++ b/internal/coordination/follower/mesh_test.go
@@ -0,0 +1,223 @@
+package follower
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"pinewinch.example/pinewinch/internal/coordination/control"
+	"pinewinch.example/pinewinch/internal/coordination/feed"
+	"pinewinch.example/pinewinch/internal/protocol/controlpb"
+	"pinewinch.example/pinewinch/internal/protocol/failure"
+	"pinewinch.example/pinewinch/internal/protocol/peerpb"
+	"pinewinch.example/pinewinch/internal/state/store"
+)
+
+const bound = 3 * time.Second
+
+// mesh is a network in memory. A cut direction holds what is sent until it
+// heals, as TCP does; nobody is told.
+type mesh struct {
+	mu      sync.Mutex
+	changed chan struct{}
+	nodes   map[string]serving
+	cut     map[[2]string]bool
+	// reply answers calls.
+	reply func(to string) (*peerpb.Reply, error)
+}
+
+type serving interface {
+	ServeFollow(ctx context.Context, follow *peerpb.Follow, stream control.Stream) error
+}
+
+func newMesh() *mesh {
+	return &mesh{changed: make(chan struct{}), nodes: map[string]serving{}, cut: map[[2]string]bool{}}
+}
+
+func (m *mesh) update(change func()) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	change()
+	close(m.changed)
+	m.changed = make(chan struct{})
+}
+
+func (m *mesh) setCut(from, to string, cut bool) {
+	m.update(func() { m.cut[[2]string{from, to}] = cut })
+}
+
+func (m *mesh) setCutBoth(a, b string, cut bool) {
+	m.setCut(a, b, cut)
+	m.setCut(b, a, cut)
+}
+
+// await waits until ready, asked under the lock, reports true.
+func (m *mesh) await(ctx context.Context, ready func() bool) bool {
+	for {
+		m.mu.Lock()
+		done, changed := ready(), m.changed
+		m.mu.Unlock()
+		if done {
+			return true
+		}
+		select {
+		case <-ctx.Done():
+			return false
+		case <-changed:
+		}
+	}
+}
+
+// wire is one direction of a stream.
+type wire[T any] struct {
+	mesh *mesh
+	ctx  context.Context
+	way  [2]string
+	held []T
+	end  error
+}
+
+func (w *wire[T]) put(message T) error {
+	if w.ctx.Err() != nil {
+		return failure.New(failure.Unreachable, "closed")
+	}
+	w.mesh.update(func() { w.held = append(w.held, message) })
+	return nil
+}
+
+func (w *wire[T]) take() (message T, err error) {
+	ready := func() bool { return !w.mesh.cut[w.way] && (len(w.held) > 0 || w.end != nil) }
+	if !w.mesh.await(w.ctx, ready) {
+		return message, failure.New(failure.Unreachable, "closed")
+	}
+	w.mesh.update(func() {
+		if len(w.held) == 0 {
+			err = w.end
+			return
+		}
+		message, w.held = w.held[0], w.held[1:]
+	})
+	return message, err
+}
+
+type stream struct {
+	pings   *wire[*peerpb.FollowPing]
+	batches *wire[*peerpb.FollowBatch]
+	cancel  context.CancelFunc
+}
+
+type servingEnd struct{ *stream }
+
+func (s servingEnd) Send(b *peerpb.FollowBatch) error     { return s.batches.put(b) }
+func (s servingEnd) Receive() (*peerpb.FollowPing, error) { return s.pings.take() }
+func (s *stream) Send(p *peerpb.FollowPing) error         { return s.pings.put(p) }
+func (s *stream) Receive() (*peerpb.FollowBatch, error)   { return s.batches.take() }
+func (s *stream) Close() error                            { s.cancel(); return nil }
+func (e endpoint) both(to string, cut map[[2]string]bool) bool {
+	return cut[[2]string{e.name, to}] || cut[[2]string{to, e.name}]
+}
+
+// endpoint is one instance's side of the mesh.
+type endpoint struct {
+	*mesh
+	name string
+}
+
+func (e endpoint) Follow(ctx context.Context, to string, follow *peerpb.Follow) (control.SourceStream, error) {
+	if !e.await(ctx, func() bool { return !e.both(to, e.cut) && e.nodes[to] != nil }) {
+		return nil, failure.New(failure.Unreachable, "no way to %s", to)
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	s := &stream{cancel: cancel}
+	s.pings = &wire[*peerpb.FollowPing]{mesh: e.mesh, ctx: ctx, way: [2]string{e.name, to}}
+	s.batches = &wire[*peerpb.FollowBatch]{mesh: e.mesh, ctx: ctx, way: [2]string{to, e.name}}
+	e.mu.Lock()
+	node := e.nodes[to]
+	e.mu.Unlock()
+	go func() {
+		err := node.ServeFollow(ctx, follow, servingEnd{s})
+		e.update(func() { s.batches.end = failure.Wrap(failure.Unreachable, err, "ended") })
+	}()
+	return s, nil
+}
+
+func (e endpoint) Call(ctx context.Context, to string, _ *peerpb.Call) (*peerpb.Reply, error) {
+	if !e.await(ctx, func() bool { return !e.both(to, e.cut) }) {
+		return nil, failure.New(failure.Unreachable, "no way to %s", to)
+	}
+	return e.reply(to)
+}
+
+// voter is a leader whose log is in memory.
+type voter struct {
+	*control.Published
+	name string
+	feed *feed.Server
+}
+
+func newVoter(m *mesh, name string) *voter {
+	v := &voter{Published: control.NewPublished(), name: name}
+	v.feed = feed.NewServer(v)
+	m.nodes[name] = v
+	return v
+}
+
+func (v *voter) Age() (time.Duration, error) { return 0, nil }
+func (v *voter) Leader() string              { return v.name }
+func (v *voter) Path() []string              { return []string{v.name} }
+
+func (v *voter) ServeFollow(ctx context.Context, follow *peerpb.Follow, stream control.Stream) error {
+	return v.feed.Serve(ctx, follow, stream)
+}
+
+// change accepts one change of the declarations: revision and index grow by one.
+func (v *voter) change() {
+	entry := &peerpb.LogEntry{Index: v.State().Index() + 1, Command: changeOf(v.State())}
+	state, _ := control.Apply(v.State(), entry)
+	v.feed.Applied(entry)
+	v.Publish(state)
+}
+
+func changeOf(state *store.State) *controlpb.Command {
+	item := &controlpb.Item{
+		Key:  "customer/crews",
+		Body: &controlpb.Item_Customer{Customer: &controlpb.Customer{Name: "crews", Weight: uint32(state.Index()) + 1}},
+	}
+	apply := &controlpb.ApplyItems{ExpectedRevision: state.Revision(), Set: []*controlpb.Item{item}}
+	return &controlpb.Command{Op: &controlpb.Command_Apply{Apply: apply}}
+}
+
+// start runs a follower until ctx ends.
+func (m *mesh) start(ctx context.Context, self Candidate, candidates ...Candidate) *Follower {
+	f := New(Config{
+		Self:           self,
+		Voters:         []string{"v"},
+		FreshnessBound: bound,
+		Candidates:     func() []Candidate { return append([]Candidate(nil), candidates...) },
+		Rand:           rand.New(rand.NewPCG(1, uint64(len(m.nodes)))),
+	}, endpoint{m, self.Name})
+	m.update(func() { m.nodes[self.Name] = f })
+	go func() { _ = f.Run(ctx) }()
+	return f
+}
+
+// bubble runs a test in fake time and ends what it started.
+func bubble(t *testing.T, test func(t *testing.T, ctx context.Context)) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		test(t, ctx)
+	})
+}
+
+// pass lets fake time go on and everything that is due happen.
+func pass(d time.Duration) {
+	time.Sleep(d)
+	synctest.Wait()
+}
+
+func relay(i int) Candidate { return Candidate{Name: fmt.Sprintf("r%02d", i), DataCentre: "dc1"} }
--- /dev/null
+++ b/internal/coordination/follower/model_test.go
@@ -0,0 +1,166 @@
+package follower
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"pinewinch.example/pinewinch/internal/protocol/failure"
+	"pinewinch.example/pinewinch/internal/protocol/peerpb"
+)
+
+// world is a voter and followers under random cuts and changes.
+type world struct {
+	mesh      *mesh
+	voter     *voter
+	followers []*Follower
+	names     []string
+	seen      []uint64
+	accepted  []time.Time
+}
+
+func newWorld(ctx context.Context, count int) *world {
+	w := &world{mesh: newMesh(), names: []string{"v"}, seen: make([]uint64, count)}
+	w.voter = newVoter(w.mesh, "v")
+	known := []Candidate{{Name: "v", DataCentre: "dc0", Replica: true}}
+	for i := range count {
+		self := relay(i)
+		if i%2 == 0 {
+			self.DataCentre = "dc2"
+		}
+		known = append(known, self)
+	}
+	for _, self := range known[1:] {
+		w.names = append(w.names, self.Name)
+		w.followers = append(w.followers, w.mesh.start(ctx, self, known...))
+	}
+	return w
+}
+
+// check: no reader sees a revision go back, and an instance that says it is
+// fresh has every change that was accepted a bound ago or earlier.
+func (w *world) check() string {
+	since := time.Now().Add(-bound)
+	for i, f := range w.followers {
+		revision := f.State().Revision()
+		if revision < w.seen[i] {
+			return fmt.Sprintf("%s went from revision %d back to %d", w.names[i+1], w.seen[i], revision)
+		}
+		w.seen[i] = revision
+		if f.Fresh() != nil {
+			continue
+		}
+		if int(revision) < len(w.accepted) && w.accepted[revision].Before(since) {
+			return fmt.Sprintf("%s admits at revision %d; %d was accepted %s ago", w.names[i+1], revision, revision+1, time.Since(w.accepted[revision]))
+		}
+	}
+	return ""
+}
+
+// Links are cut one way or both and heal, at random, while changes are
+// accepted; relays move between sources meanwhile. Whatever the order, no
+// instance may admit work on rules older than the bound or go back.
+func TestModelFreshAndMonotone(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		steps := rapid.SliceOfN(stepGenerator(), 25, 25).Draw(rt, "steps")
+		wrong := ""
+		bubble(t, func(_ *testing.T, ctx context.Context) { wrong = runSteps(ctx, steps) })
+		if wrong != "" {
+			rt.Fatal(wrong)
+		}
+	})
+}
+
+type action int
+
+const (
+	waitOnly action = iota
+	change
+	cut
+	heal
+)
+
+type step struct {
+	do       action
+	from, to int
+	ms       int
+}
+
+func stepGenerator() *rapid.Generator[step] {
+	return rapid.Custom(func(t *rapid.T) step {
+		return step{
+			do:   rapid.SampledFrom([]action{waitOnly, change, cut, heal}).Draw(t, "do"),
+			from: rapid.IntRange(0, modelFollowers).Draw(t, "from"),
+			to:   rapid.IntRange(0, modelFollowers).Draw(t, "to"),
+			ms:   rapid.IntRange(1, 2500).Draw(t, "ms"),
+		}
+	})
+}
+
+const modelFollowers = 4
+
+func runSteps(ctx context.Context, steps []step) string {
+	w := newWorld(ctx, modelFollowers)
+	for _, s := range steps {
+		switch s.do {
+		case change:
+			w.accepted = append(w.accepted, time.Now())
+			w.voter.change()
+		case cut, heal:
+			w.mesh.setCut(w.names[s.from], w.names[s.to], s.do == cut)
+		}
+		pass(time.Duration(s.ms) * time.Millisecond)
+		if wrong := w.check(); wrong != "" {
+			return wrong
+		}
+	}
+	return ""
+}
+
+// A follower asks an instance that no longer leads, then one that is gone, and
+// then the new leader. A command whose outcome is unknown is not sent again:
+// it may have been committed.
+func TestProposeGoesOnlyWhereItSurelyDidNotRun(t *testing.T) {
+	moved := failure.New(failure.NotLeader, "moved")
+	moved.Leader = "w"
+	tests := map[string]struct {
+		answers map[string][]error
+		want    failure.Code
+		calls   int
+	}{
+		"leader answers":        {map[string][]error{"v": {nil}}, "", 1},
+		"leader moved":          {map[string][]error{"v": {moved}, "w": {nil}}, "", 2},
+		"new leader gone":       {map[string][]error{"v": {moved, nil}, "w": {failure.New(failure.Unreachable, "")}}, "", 3},
+		"outcome unknown":       {map[string][]error{"v": {failure.Ran(failure.OutcomeUnknown, failure.NotRunUnknown, nil, "")}}, failure.OutcomeUnknown, 1},
+		"unreachable, may have": {map[string][]error{"v": {failure.Ran(failure.Unreachable, failure.NotRunUnknown, nil, "")}}, failure.Unreachable, 1},
+		"overloaded":            {map[string][]error{"v": {failure.New(failure.Overloaded, "")}}, failure.Overloaded, 1},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			bubble(t, func(t *testing.T, ctx context.Context) {
+				is := is.New(t)
+				m, calls := newMesh(), 0
+				newVoter(m, "v")
+				m.reply = func(to string) (*peerpb.Reply, error) {
+					calls++
+					if len(test.answers[to]) == 0 {
+						return nil, failure.New(failure.Internal, "asked too often")
+					}
+					answer := test.answers[to][0]
+					test.answers[to] = test.answers[to][1:]
+					return &peerpb.Reply{}, answer
+				}
+				f := m.start(ctx, relay(1))
+				pass(time.Second)
+				_, err := f.Propose(ctx, nil)
+				is.Equal(err == nil, test.want == "")
+				is.True(err == nil || failure.Is(err, test.want))
+				is.Equal(calls, test.calls)
+			})
+		})
+	}
+}
--- a/internal/coordination/follower/rank.go
+++ b/internal/coordination/follower/rank.go
@@ -17,16 +17,18 @@
 }
 
 // Rank orders the candidates for an instance: replicas of its data centre, then
-// relays there, then replicas elsewhere, then relays elsewhere. Within one
-// class a hash of both names decides, so that followers spread.
+// relays there with a lesser name than its own, then replicas elsewhere, relays
+// elsewhere, and last the other relays of its data centre. Within one class a
+// hash of both names decides, so that followers spread.
 //
-// In a data centre only relays with a lesser name than the instance's own are
-// candidates: two relays that both lost their source cannot then choose each
-// other, and one of them keeps the link to another data centre.
+// The order by name keeps two relays that both lost their source from choosing
+// each other: the lesser keeps a link to another data centre. Greater names
+// come last rather than never, or an instance with a small name would find no
+// source at all once the voters serve as many as they may.
 func Rank(self Candidate, candidates []Candidate) []string {
 	var usable []Candidate
 	for _, c := range candidates {
-		if c.Name != self.Name && (c.Replica || c.DataCentre != self.DataCentre || c.Name < self.Name) {
+		if c.Name != self.Name {
 			usable = append(usable, c)
 		}
 	}
@@ -50,8 +52,10 @@
 	switch {
 	case near && c.Replica:
 		return 0
-	case near:
+	case near && c.Name < self.Name:
 		return 1
+	case near:
+		return 4
 	case c.Replica:
 		return 2
 	}
