Drive the replicated log on three voters

Cause: one fixed instance kept the log; its loss lost the control state. Ruled out: a sync goroutine apart from the owner (the owner's sync already makes batches grow, and one owner keeps the order sync, send, apply plain to read); founding with a majority of the voters (two different founding configurations become possible when a disk is wiped in between). Scenarios and quick start now run 3 voters.

--- a/internal/app/control.go
+++ b/internal/app/control.go
@@ -14,8 +14,10 @@
 	"pinewinch.example/pinewinch/internal/coordination/follower"
 	"pinewinch.example/pinewinch/internal/coordination/membership"
 	"pinewinch.example/pinewinch/internal/coordination/replica"
+	"pinewinch.example/pinewinch/internal/coordination/standby"
 	"pinewinch.example/pinewinch/internal/protocol/failure"
 	"pinewinch.example/pinewinch/internal/settings"
+	"pinewinch.example/pinewinch/internal/state/disk"
 	"pinewinch.example/pinewinch/internal/transport/peers"
 )
 
@@ -28,15 +30,34 @@
 	return peers.NewNetwork(s.Instance.Name, s.Peers)
 }
 
-// newNode makes a voter of the first instance named as one, and a follower of
-// every other.
-func newNode(s *settings.Settings, network *peers.Network, registry *membership.Registry) control.Node {
-	if s.Instance.Name == s.Control.Voters[0] {
-		return replica.New(replica.Config{Name: s.Instance.Name, DataFolder: s.Instance.DataFolder, Now: time.Now})
+// newNode makes a follower, and beside it a replica where there is a data folder.
+func newNode(s *settings.Settings, network *peers.Network, registry *membership.Registry, logger *logrus.Logger) control.Node {
+	following := newFollower(s, network, registry)
+	if s.Instance.DataFolder == "" {
+		return following
 	}
-	self := follower.Candidate{Name: s.Instance.Name, DataCentre: s.Instance.DataCentre}
+	return standby.New(newReplica(s, network, logger), following)
+}
+
+func newReplica(s *settings.Settings, network *peers.Network, logger *logrus.Logger) *replica.Replica {
+	return replica.New(replica.Config{
+		Instance:        s.Instance.Name,
+		DataCentre:      s.Instance.DataCentre,
+		Voters:          s.Control.Voters,
+		Peers:           network.Peers(),
+		Files:           disk.OS{},
+		DataFolder:      s.Instance.DataFolder,
+		ElectionTimeout: s.Control.ElectionTimeout,
+		FreshnessBound:  s.Control.FreshnessBound,
+		Rand:            rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+		Now:             time.Now,
+		Logger:          logger,
+	}, network)
+}
+
+func newFollower(s *settings.Settings, network *peers.Network, registry *membership.Registry) *follower.Follower {
 	return follower.New(follower.Config{
-		Self:           self,
+		Self:           follower.Candidate{Name: s.Instance.Name, DataCentre: s.Instance.DataCentre},
 		Voters:         s.Control.Voters,
 		FreshnessBound: s.Control.FreshnessBound,
 		Candidates:     func() []follower.Candidate { return candidates(s, registry) },
--- a/internal/app/softstate.go
+++ b/internal/app/softstate.go
@@ -6,7 +6,7 @@
 
 	"pinewinch.example/pinewinch/internal/coordination/control"
 	"pinewinch.example/pinewinch/internal/coordination/membership"
-	"pinewinch.example/pinewinch/internal/protocol/failure"
+	"pinewinch.example/pinewinch/internal/protocol/consensuspb"
 	"pinewinch.example/pinewinch/internal/protocol/peerpb"
 	"pinewinch.example/pinewinch/internal/settings"
 	"pinewinch.example/pinewinch/internal/transport/peers"
@@ -107,9 +107,12 @@
 		}
 		return &peerpb.Reply{Body: &peerpb.Reply_Ack{Ack: &peerpb.Ack{}}}, nil
 	}
-	return nil, failure.New(failure.BadRequest, "unknown call")
+	return s.node.ServeReplica(ctx, call)
 }
 
+// Deliver takes one consensus message.
+func (s *softState) Deliver(message *consensuspb.Message) { s.node.Deliver(message) }
+
 // Follow sends the log to an instance that has none.
 func (s *softState) Follow(ctx context.Context, follow *peerpb.Follow, stream control.Stream) error {
 	return s.node.ServeFollow(ctx, follow, stream)
--- a/internal/coordination/control/control.go
+++ b/internal/coordination/control/control.go
@@ -66,6 +66,8 @@
 	// ServeReplica answers the calls that replicas make among themselves, and
 	// an operator's change of members.
 	ServeReplica(ctx context.Context, call *peerpb.Call) (*peerpb.Reply, error)
+	// ChangeMembers changes who keeps the log, by way of the leader.
+	ChangeMembers(ctx context.Context, change *peerpb.ChangeMembers) error
 	// Deliver takes one consensus message; it does not wait.
 	Deliver(message *consensuspb.Message)
 }
--- a/scripts/quickstart.sh
+++ b/scripts/quickstart.sh
@@ -32,7 +32,7 @@
 i2 = 127.0.0.1:${ports[4]}
 i3 = 127.0.0.1:${ports[5]}
 [control]
-voters = i1
+voters = i1, i2, i3
 [customers]
 crews = $(hash crews-secret)
 planners = $(hash planners-secret)
--- a/test/scenarios/commands_test.go
+++ b/test/scenarios/commands_test.go
@@ -35,6 +35,7 @@
 	ts.Setenv("SERVERS", servers.String()[1:])
 	ts.Setenv("PINEWINCH_SERVER", fmt.Sprintf("http://127.0.0.1:%d", ports[0]))
 	ts.Setenv("PINEWINCH_TOKEN", operatorToken)
+	voters := []string{"i1", "i2", "i3"}[:min(count, 3)]
 	for i := range count {
 		folder := ts.MkAbs(fmt.Sprintf("data%d", i+1))
 		ts.Check(os.MkdirAll(folder, 0o700))
@@ -46,7 +47,7 @@
 data_folder = %s
 [peers]
 %s[control]
-voters = i1
+voters = %s
 [upstreams]
 announce_every = 200ms
 lease = 2s
@@ -55,7 +56,7 @@
 planners = %s
 [operators]
 operator = %s
-`, i+1, ports[i], ports[count+i], folder, peers.String(), hashOf("crews-secret"), hashOf("planners-secret"), hashOf(operatorToken))
+`, i+1, ports[i], ports[count+i], folder, peers.String(), strings.Join(voters, ", "), hashOf("crews-secret"), hashOf("planners-secret"), hashOf(operatorToken))
 		ts.Check(os.WriteFile(ts.MkAbs(fmt.Sprintf("i%d.ini", i+1)), []byte(text), 0o600))
 	}
 }
