Decide gangs in a pure core: reserve, start, stop under leases that surely run out

Cause: dispatch waited one lease blindly after a failed stop, while an instance with state as old as the freshness bound could still renew it; it renewed leases of jobs that were being stopped; a vanished worker was never noticed; a repeated reserve of a run that had ended was answered as if it held; an instance behind the log told workers to forget ends that the leader had not seen.

Ruled out: measuring a lease from the receipt of a command or of an answer (a message held back in the network gives a new lease to a stopped gang); counting the wait from a time in the log (a new leader's clock says nothing about the old one's); immediate reuse after a worker's silence.

Change: package gang (states, announcements and answers in; commands and one batch of moves out), a thin shell around it; leases run from when the worker sent an announcement, for renewals and commands alike; StopWait derived from freshness bound, lease, drift and delivery; acknowledged stops are in the log; members that vanish fail the run; back-off with jitter from the epoch, parking with evidence; quarantine derived from the log's failures, probed with one job; the stand-in's rules as a pure table that tests can use; throttle and memory guard.

--- a/internal/coordination/dispatch/controller.go
+++ b/internal/coordination/dispatch/controller.go
@@ -5,6 +5,7 @@
 	"sync/atomic"
 	"time"
 
+	"pinewinch.example/pinewinch/internal/coordination/dispatch/quarantine"
 	"pinewinch.example/pinewinch/internal/coordination/inventory"
 	"pinewinch.example/pinewinch/internal/coordination/scheduling"
 	"pinewinch.example/pinewinch/internal/protocol/controlpb"
@@ -30,7 +31,9 @@
 	registry   Registry
 	now        func() time.Time
 	inventory  inventory.Planner
+	passes     passGate
 	waiting    atomic.Pointer[[]scheduling.Reason]
+	led        bool
 }
 
 // NewController makes a controller.
@@ -49,22 +52,36 @@
 	defer ticker.Stop()
 	for {
 		changed := c.log.Changed()
-		if c.log.IsLeader() {
-			c.step(ctx)
-		}
+		c.turn(ctx)
 		select {
 		case <-ctx.Done():
 			return
 		case <-changed:
+		case <-c.dispatcher.Wake():
 		case <-ticker.C:
 		}
 	}
 }
 
+// turn takes one step if this instance leads. What an earlier term remembered is
+// dropped at the first step of a new one.
+func (c *Controller) turn(ctx context.Context) {
+	leads := c.log.IsLeader()
+	if leads && !c.led {
+		c.dispatcher.Reset()
+		c.inventory = inventory.Planner{}
+		c.passes = passGate{}
+	}
+	c.led = leads
+	if leads {
+		c.step(ctx)
+	}
+}
+
 func (c *Controller) step(ctx context.Context) {
 	if due := c.inventory.Due(c.log.State(), c.now()); len(due) > 0 {
 		command := &controlpb.Command{Op: &controlpb.Command_SubmitJobs{SubmitJobs: &controlpb.SubmitJobs{Jobs: due}}}
-		if _, err := c.log.Propose(ctx, command); err != nil {
+		if !c.propose(ctx, command) {
 			return
 		}
 	}
@@ -72,20 +89,72 @@
 	c.dispatcher.Reconcile(ctx)
 }
 
+// propose bounds how long a log without a quorum holds the controller. What was
+// not committed is decided again by a later step.
+func (c *Controller) propose(ctx context.Context, command *controlpb.Command) bool {
+	ctx, cancel := context.WithTimeout(ctx, proposeTimeout)
+	defer cancel()
+	_, err := c.log.Propose(ctx, command)
+	return err == nil
+}
+
 func (c *Controller) schedule(ctx context.Context) {
-	plan := scheduling.Pass(c.snapshot(c.log.State()))
+	state := c.log.State()
+	workers, probing := c.judge(state)
+	if !c.passes.open(state.Index(), workers, c.now()) {
+		return
+	}
+	plan := scheduling.Pass(c.snapshot(state, workers))
 	c.waiting.Store(&plan.Waiting)
-	if len(plan.Assignments) == 0 && len(plan.Preemptions) == 0 {
+	assignments := quarantine.Limit(plan.Assignments, func(worker string) bool { return probing[worker] })
+	if len(assignments) == 0 && len(plan.Preemptions) == 0 {
 		return
 	}
-	commit := &controlpb.CommitPlan{Assignments: plan.Assignments, Preemptions: plan.Preemptions}
-	// A plan that was not committed is made again by the next pass.
-	_, _ = c.log.Propose(ctx, &controlpb.Command{Op: &controlpb.Command_Plan{Plan: commit}})
+	commit := &controlpb.CommitPlan{Assignments: assignments, Preemptions: plan.Preemptions}
+	c.propose(ctx, &controlpb.Command{Op: &controlpb.Command_Plan{Plan: commit}})
 }
 
-func (c *Controller) snapshot(state *store.State) *scheduling.Snapshot {
+// judge lists the live workers as scheduling sees them, and those that may be
+// given one job as a probe: none while such a job is on it.
+func (c *Controller) judge(state *store.State) (workers []scheduling.Worker, probing map[string]bool) {
+	probing = map[string]bool{}
+	for _, worker := range c.registry.Live(peerpb.UpstreamKind_UPSTREAM_KIND_WORKER) {
+		verdict := c.dispatcher.verdict(state, worker.Id)
+		if verdict == quarantine.Probing && holdsTasks(state, worker.Id) {
+			verdict = quarantine.Quarantined
+		}
+		if verdict == quarantine.Probing {
+			probing[worker.Id] = true
+		}
+		refused := verdict == quarantine.CoolingDown || verdict == quarantine.Quarantined
+		workers = append(workers, scheduling.Worker{
+			ID:           worker.Id,
+			DataCentre:   worker.DataCentre,
+			Rack:         worker.Rack,
+			Cores:        worker.Cores,
+			MemoryMB:     worker.MemoryMb,
+			Accelerators: worker.Accelerators,
+			Unavailable:  worker.Leaving || state.Drained(worker.Id) || refused,
+		})
+	}
+	return workers, probing
+}
+
+func holdsTasks(state *store.State, worker string) bool {
+	for _, job := range state.ActiveJobs() {
+		for _, placement := range job.Placements {
+			if placement.Worker == worker {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+func (c *Controller) snapshot(state *store.State, workers []scheduling.Worker) *scheduling.Snapshot {
 	snapshot := &scheduling.Snapshot{
 		Now:       c.now(),
+		Workers:   workers,
 		Jobs:      state.ActiveJobs(),
 		Customers: map[string]*controlpb.Customer{},
 		Rules:     state.Rules(),
@@ -95,16 +164,5 @@
 			snapshot.Customers[customer.Name] = customer
 		}
 	}
-	for _, worker := range c.registry.Live(peerpb.UpstreamKind_UPSTREAM_KIND_WORKER) {
-		snapshot.Workers = append(snapshot.Workers, scheduling.Worker{
-			ID:           worker.Id,
-			DataCentre:   worker.DataCentre,
-			Rack:         worker.Rack,
-			Cores:        worker.Cores,
-			MemoryMB:     worker.MemoryMb,
-			Accelerators: worker.Accelerators,
-			Unavailable:  worker.Leaving || state.Drained(worker.Id),
-		})
-	}
 	return snapshot
 }
--- a/internal/coordination/dispatch/dispatch.go
+++ b/internal/coordination/dispatch/dispatch.go
@@ -1,15 +1,16 @@
 // Package dispatch carries out the plans: it reserves and starts gangs, stops
-// them, and records what became of them. It runs on the leader.
+// them, and records what became of them. It runs on the leader. The decisions
+// are in package gang; here are the sockets, the log and the clock around them.
 package dispatch
 
 import (
 	"context"
-	"slices"
+	"expvar"
 	"sync"
 	"time"
 
-	"golang.org/x/sync/errgroup"
-
+	"pinewinch.example/pinewinch/internal/coordination/dispatch/gang"
+	"pinewinch.example/pinewinch/internal/coordination/dispatch/quarantine"
 	"pinewinch.example/pinewinch/internal/protocol/api"
 	"pinewinch.example/pinewinch/internal/protocol/controlpb"
 	"pinewinch.example/pinewinch/internal/protocol/failure"
@@ -17,9 +18,27 @@
 	"pinewinch.example/pinewinch/internal/state/store"
 )
 
+const (
+	// maxInFlight bounds the commands on their way: two starts of the largest gang
+	// at once, and few enough that their answers are taken in promptly.
+	maxInFlight = 256
+	// proposeTimeout keeps a log without a quorum from holding the controller.
+	proposeTimeout = 2 * time.Second
+)
+
+var (
+	commandsSent   = expvar.NewInt("dispatch_commands")
+	commandsFailed = expvar.NewInt("dispatch_commands_failed")
+	movesProposed  = expvar.NewInt("dispatch_moves")
+	batchesLost    = expvar.NewInt("dispatch_batches_uncommitted")
+)
+
 // Control is the replicated log as dispatch uses it.
 type Control interface {
 	State() *store.State
+	// Fresh fails when this instance's leadership was not confirmed within the
+	// freshness bound.
+	Fresh() error
 	Propose(ctx context.Context, command *controlpb.Command) (*controlpb.Result, error)
 }
 
@@ -36,8 +55,9 @@
 
 // Config of dispatch.
 type Config struct {
-	Lease time.Duration
-	Now   func() time.Time
+	Gang       gang.Config
+	Quarantine quarantine.Config
+	Now        func() time.Time
 }
 
 // Dispatcher brings the workers in line with the control state.
@@ -46,151 +66,123 @@
 	control  Control
 	workers  Workers
 	registry Registry
+	machine  *gang.Machine
+	limit    chan struct{}
+	wake     chan struct{}
 	mu       sync.Mutex
-	// busy holds the epochs that a goroutine is working on.
-	busy map[api.TaskRef]bool
+	answers  []gang.Answer
 }
 
 // New makes a dispatcher.
 func New(config Config, control Control, workers Workers, registry Registry) *Dispatcher {
-	return &Dispatcher{config: config, control: control, workers: workers, registry: registry, busy: map[api.TaskRef]bool{}}
-}
-
-// Reconcile starts what the control state wants next of each active job.
-func (d *Dispatcher) Reconcile(ctx context.Context) {
-	for _, job := range d.control.State().ActiveJobs() {
-		switch job.State {
-		case controlpb.JobState_JOB_STATE_STARTING:
-			d.background(job, func() { d.start(ctx, job) })
-		case controlpb.JobState_JOB_STATE_STOPPING:
-			d.background(job, func() { d.stop(ctx, job) })
-		}
+	return &Dispatcher{
+		config:   config,
+		control:  control,
+		workers:  workers,
+		registry: registry,
+		machine:  gang.New(config.Gang),
+		limit:    make(chan struct{}, maxInFlight),
+		wake:     make(chan struct{}, 1),
 	}
-	d.collect(ctx)
 }
 
-func (d *Dispatcher) background(job *controlpb.Job, work func()) {
-	key := api.TaskRef{Job: job.Id, Epoch: job.Epoch, Task: uint32(job.State)}
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	if d.busy[key] {
-		return
-	}
-	d.busy[key] = true
-	go func() {
-		work()
-		d.mu.Lock()
-		defer d.mu.Unlock()
-		delete(d.busy, key)
-	}()
-}
+// Wake is ready when answers have come that Reconcile should look at.
+func (d *Dispatcher) Wake() <-chan struct{} { return d.wake }
 
-// start reserves every member, and only then starts any: a gang of which one
-// member refuses has run nowhere.
-func (d *Dispatcher) start(ctx context.Context, job *controlpb.Job) {
-	for _, path := range []string{api.PathTaskReserve, api.PathTaskStart} {
-		if err := d.all(ctx, job, path); err != nil {
-			d.move(ctx, job, controlpb.JobState_JOB_STATE_STOPPING, taskFailure(err, d.config.Now()))
-			return
-		}
-	}
-	d.move(ctx, job, controlpb.JobState_JOB_STATE_RUNNING, nil)
+// Reset forgets everything: another instance leads, and what it does in the
+// meantime is seen from the log and the workers' reports.
+func (d *Dispatcher) Reset() {
+	d.machine = gang.New(d.config.Gang)
+	d.takeAnswers()
 }
 
-// stop ends every member; a worker that is gone is waited for until its lease
-// has surely run out.
-func (d *Dispatcher) stop(ctx context.Context, job *controlpb.Job) {
-	if err := d.all(ctx, job, api.PathTaskStop); err != nil {
-		select {
-		case <-ctx.Done():
-			return
-		case <-time.After(d.config.Lease):
-		}
+// Reconcile takes one step for all active jobs: it sends commands without waiting
+// for their answers, and commits all moves in one entry. It is called by one
+// goroutine only.
+func (d *Dispatcher) Reconcile(ctx context.Context) {
+	// The announcements are read before leadership is looked at: gang.StopWait
+	// counts on a command that names an announcement no newer than a moment at
+	// which this instance surely led.
+	workers := d.registry.Live(peerpb.UpstreamKind_UPSTREAM_KIND_WORKER)
+	if d.control.Fresh() != nil {
+		return
+	}
+	state := d.control.State()
+	output := d.machine.Step(&gang.Input{
+		Now:         d.config.Now(),
+		Jobs:        state.ActiveJobs(),
+		Workers:     workers,
+		Answers:     d.takeAnswers(),
+		Quarantined: func(worker string) bool { return d.verdict(state, worker) >= quarantine.Quarantined },
+	})
+	for _, command := range output.Commands {
+		go d.send(ctx, command)
 	}
-	d.move(ctx, job, job.NextState, nil)
+	d.commit(ctx, output.Batch)
 }
 
-type memberError struct {
-	worker string
-	task   uint32
-	err    error
+func (d *Dispatcher) verdict(state *store.State, worker string) quarantine.Verdict {
+	return quarantine.Of(d.config.Quarantine, state.Health(worker), later(d.config.Now(), state.Time()))
 }
 
-// Error tells which worker failed.
-func (e *memberError) Error() string { return e.worker + ": " + e.err.Error() }
-
-// Unwrap gives the failure itself.
-func (e *memberError) Unwrap() error { return e.err }
-
-func (d *Dispatcher) all(ctx context.Context, job *controlpb.Job, path string) error {
-	group, ctx := errgroup.WithContext(ctx)
-	for _, placement := range job.Placements {
-		group.Go(func() error {
-			if err := d.one(ctx, job, placement, path); err != nil {
-				return &memberError{worker: placement.Worker, task: placement.Task, err: err}
-			}
-			return nil
-		})
+// later keeps a leader whose clock is behind from seeing failures in its future.
+func later(a, b time.Time) time.Time {
+	if b.After(a) {
+		return b
 	}
-	return group.Wait()
+	return a
 }
 
-func (d *Dispatcher) one(ctx context.Context, job *controlpb.Job, placement *controlpb.Placement, path string) error {
-	worker, ok := d.registry.Get(placement.Worker)
-	if !ok {
-		return failure.New(failure.Unreachable, "worker has not announced itself")
+func (d *Dispatcher) takeAnswers() []gang.Answer {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	answers := d.answers
+	d.answers = nil
+	return answers
+}
+
+var paths = map[gang.Kind]string{
+	gang.Reserve: api.PathTaskReserve,
+	gang.Start:   api.PathTaskStart,
+	gang.Stop:    api.PathTaskStop,
+}
+
+// send carries one command to its worker and always leaves an answer.
+func (d *Dispatcher) send(ctx context.Context, command gang.Command) {
+	d.limit <- struct{}{}
+	defer func() { <-d.limit }()
+	ctx, cancel := context.WithTimeout(ctx, d.config.Gang.CommandTimeout)
+	defer cancel()
+	commandsSent.Add(1)
+	answer := gang.Answer{Kind: command.Kind, Ref: command.Task.TaskRef}
+	reply, err := d.workers.Command(ctx, command.Address, paths[command.Kind], &command.Task)
+	if err != nil {
+		commandsFailed.Add(1)
+		answer.Err = failure.From(err)
+	} else {
+		answer.Phase = reply.Phase
+		answer.CheckpointedMs = reply.CheckpointedMs
 	}
-	_, err := d.workers.Command(ctx, worker.Address, path, &api.TaskCommand{
-		TaskRef:        api.TaskRef{Job: job.Id, Task: placement.Task, Epoch: job.Epoch},
-		Accelerators:   placement.Accelerators,
-		Cores:          job.Cores,
-		MemoryMB:       job.MemoryMb,
-		RunTimeMs:      job.RunTimeMs,
-		CheckpointedMs: job.CheckpointedMs,
-		LeaseMs:        d.config.Lease.Milliseconds(),
-		Checkpoint:     job.Checkpointable,
-	})
-	return err
-}
-
-func taskFailure(err error, now time.Time) *controlpb.TaskFailure {
-	f := failure.From(err)
-	report := &controlpb.TaskFailure{Code: string(f.Code), Detail: f.Message, TimeMs: now.UnixMilli()}
-	if member, ok := err.(*memberError); ok {
-		report.Worker = member.worker
-		report.Task = member.task
+	d.mu.Lock()
+	d.answers = append(d.answers, answer)
+	d.mu.Unlock()
+	select {
+	case d.wake <- struct{}{}:
+	default:
 	}
-	return report
 }
 
-func (d *Dispatcher) move(ctx context.Context, job *controlpb.Job, state controlpb.JobState, why *controlpb.TaskFailure) {
-	// A failed proposal is tried again by the next Reconcile, from the state.
-	_, _ = d.control.Propose(ctx, &controlpb.Command{Op: &controlpb.Command_Move{Move: &controlpb.MoveJob{
-		Job: job.Id, Epoch: job.Epoch, State: state, Failure: why,
-	}}})
-}
-
-// collect records the tasks that workers report as ended.
-func (d *Dispatcher) collect(ctx context.Context) {
-	state := d.control.State()
-	finish := &controlpb.FinishTasks{}
-	for _, worker := range d.registry.Live(peerpb.UpstreamKind_UPSTREAM_KIND_WORKER) {
-		for _, report := range worker.Tasks {
-			job, ok := state.Job(report.Job)
-			if !ok || job.Epoch != report.Epoch || job.State != controlpb.JobState_JOB_STATE_RUNNING || slices.Contains(job.DoneTasks, report.Task) {
-				continue
-			}
-			switch report.Phase {
-			case peerpb.TaskPhase_TASK_PHASE_COMPLETED:
-				finish.Tasks = append(finish.Tasks, &controlpb.FinishedTask{Job: report.Job, Epoch: report.Epoch, Task: report.Task})
-			case peerpb.TaskPhase_TASK_PHASE_FAILED:
-				d.move(ctx, job, controlpb.JobState_JOB_STATE_STOPPING, &controlpb.TaskFailure{
-					Worker: worker.Id, Task: report.Task, Code: report.Code, Detail: report.Detail, TimeMs: d.config.Now().UnixMilli(),
-				})
-			}
-		}
+// commit proposes the moves. If that fails, the next step makes them again from
+// the state as it is then; epochs and states refuse what came twice.
+func (d *Dispatcher) commit(ctx context.Context, batch *controlpb.BatchMove) {
+	if batch == nil {
+		return
 	}
-	if len(finish.Tasks) > 0 {
-		_, _ = d.control.Propose(ctx, &controlpb.Command{Op: &controlpb.Command_Finish{Finish: finish}})
+	movesProposed.Add(int64(len(batch.Moves)))
+	ctx, cancel := context.WithTimeout(ctx, proposeTimeout)
+	defer cancel()
+	command := &controlpb.Command{Op: &controlpb.Command_BatchMove{BatchMove: batch}}
+	if _, err := d.control.Propose(ctx, command); err != nil {
+		batchesLost.Add(1)
 	}
 }
--- /dev/null
+++ b/internal/coordination/dispatch/gang/machine.go
@@ -0,0 +1,218 @@
+// Package gang decides what to command and what to record so that a job's gang
+// runs as a whole or not at all. It is pure: states, announcements and answers
+// in, commands and moves out, with time as an argument.
+//
+// What it remembers can be lost at any moment. All that matters for safety is in
+// the log (state, epoch, acknowledged stops) or at the workers (leases, newest
+// epochs), so a new leader begins with an empty Machine.
+package gang
+
+import (
+	"time"
+
+	"pinewinch.example/pinewinch/internal/protocol/api"
+	"pinewinch.example/pinewinch/internal/protocol/controlpb"
+	"pinewinch.example/pinewinch/internal/protocol/failure"
+	"pinewinch.example/pinewinch/internal/protocol/peerpb"
+)
+
+// Kind of a command to a worker.
+type Kind int
+
+// The kinds.
+const (
+	Reserve Kind = iota + 1
+	Start
+	Stop
+)
+
+// Command is to be sent to one worker, once; its Answer is expected in any case.
+type Command struct {
+	Kind    Kind
+	Worker  string
+	Address string
+	Task    api.TaskCommand
+}
+
+// Answer is what became of a command; Err is nil where the worker obeyed.
+type Answer struct {
+	Kind           Kind
+	Ref            api.TaskRef
+	Phase          string
+	CheckpointedMs int64
+	Err            *failure.Error
+}
+
+// Input is what one step decides from.
+type Input struct {
+	Now time.Time
+	// Jobs are the active jobs of the newest committed state.
+	Jobs []*controlpb.Job
+	// Workers are those whose announcement stands.
+	Workers []*peerpb.Upstream
+	// Answers came since the last step.
+	Answers []Answer
+	// Quarantined tells the workers that are not healthy.
+	Quarantined func(worker string) bool
+}
+
+// Output is what a step wants done: commands may be sent at once, Batch is to be
+// committed in one entry. An empty batch is nil.
+type Output struct {
+	Commands []Command
+	Batch    *controlpb.BatchMove
+}
+
+// Machine drives every active job of the control state.
+type Machine struct {
+	config  Config
+	leading time.Time
+	scanned time.Time
+	runs    map[string]*run
+	workers map[string]*worker
+}
+
+// worker is a live worker's newest announcement, indexed.
+type worker struct {
+	upstream *peerpb.Upstream
+	reports  map[api.TaskRef]*peerpb.TaskReport
+}
+
+// New makes a machine for a term of leadership.
+func New(config Config) *Machine {
+	return &Machine{config: config, runs: map[string]*run{}, workers: map[string]*worker{}}
+}
+
+// step carries one Step's input and output through the machine.
+type step struct {
+	*Machine
+	in   *Input
+	out  *Output
+	scan bool
+}
+
+// Step decides once for all that is known.
+func (m *Machine) Step(in *Input) *Output {
+	s := &step{Machine: m, in: in, out: &Output{}}
+	s.begin()
+	s.hearWorkers()
+	s.hearAnswers()
+	tracked := make(map[string]*run, len(in.Jobs))
+	for _, job := range in.Jobs {
+		if len(job.Placements) == 0 {
+			continue
+		}
+		r := s.track(job)
+		tracked[job.Id] = r
+		s.drive(job, r)
+	}
+	m.runs = tracked
+	return s.out
+}
+
+// begin notes the start of leadership, and whether members are looked over for
+// absence in this step: once an announcement interval is enough for that.
+func (s *step) begin() {
+	if s.leading.IsZero() {
+		s.leading = s.in.Now
+	}
+	if s.in.Now.Sub(s.scanned) >= s.config.AnnounceEvery {
+		s.scanned = s.in.Now
+		s.scan = true
+	}
+}
+
+// hearWorkers takes in announcements. Only those that are new are read: a leader
+// with 19,000 tasks hears a tenth of them each step.
+func (s *step) hearWorkers() {
+	live := make(map[string]*worker, len(s.in.Workers))
+	for _, upstream := range s.in.Workers {
+		known := s.workers[upstream.Id]
+		if known == nil || known.upstream != upstream {
+			known = indexReports(upstream)
+			s.hearReports(known)
+		}
+		live[upstream.Id] = known
+	}
+	s.workers = live
+}
+
+func indexReports(upstream *peerpb.Upstream) *worker {
+	w := &worker{upstream: upstream, reports: make(map[api.TaskRef]*peerpb.TaskReport, len(upstream.Tasks))}
+	for _, report := range upstream.Tasks {
+		w.reports[api.TaskRef{Job: report.Job, Task: report.Task, Epoch: report.Epoch}] = report
+	}
+	return w
+}
+
+func (s *step) hearReports(w *worker) {
+	for ref, report := range w.reports {
+		r := s.runs[ref.Job]
+		if r == nil || r.epoch != ref.Epoch {
+			continue
+		}
+		if m := r.member(ref.Task); m != nil && m.placement.Worker == w.upstream.Id {
+			m.hear(report, w.upstream.Incarnation)
+			r.news = true
+		}
+	}
+}
+
+func (s *step) hearAnswers() {
+	for _, answer := range s.in.Answers {
+		r := s.runs[answer.Ref.Job]
+		if r == nil || r.epoch != answer.Ref.Epoch {
+			continue
+		}
+		if m := r.member(answer.Ref.Task); m != nil && m.awaiting == answer.Kind {
+			m.take(&answer, s.in.Now)
+			r.news = true
+		}
+	}
+}
+
+func (s *step) drive(job *controlpb.Job, r *run) {
+	switch job.State {
+	case controlpb.JobState_JOB_STATE_STARTING:
+		s.starting(job, r)
+	case controlpb.JobState_JOB_STATE_RUNNING:
+		s.running(job, r)
+	case controlpb.JobState_JOB_STATE_STOPPING:
+		s.stopping(job, r)
+	}
+}
+
+func (s *step) batch() *controlpb.BatchMove {
+	if s.out.Batch == nil {
+		s.out.Batch = &controlpb.BatchMove{}
+	}
+	return s.out.Batch
+}
+
+func (s *step) move(move *controlpb.MoveJob) {
+	s.batch().Moves = append(s.batch().Moves, move)
+}
+
+func (s *step) send(kind Kind, job *controlpb.Job, m *member, w *worker) {
+	m.awaiting = kind
+	if kind == Reserve {
+		m.incarnation = w.upstream.Incarnation
+	}
+	s.out.Commands = append(s.out.Commands, Command{
+		Kind:    kind,
+		Worker:  w.upstream.Id,
+		Address: w.upstream.Address,
+		Task: api.TaskCommand{
+			TaskRef:        api.TaskRef{Job: job.Id, Task: m.placement.Task, Epoch: job.Epoch},
+			Incarnation:    w.upstream.Incarnation,
+			Announced:      w.upstream.Version,
+			Accelerators:   m.placement.Accelerators,
+			Cores:          job.Cores,
+			MemoryMB:       job.MemoryMb,
+			RunTimeMs:      job.RunTimeMs,
+			CheckpointedMs: job.CheckpointedMs,
+			LeaseMs:        s.config.Lease.Milliseconds(),
+			Checkpoint:     job.Checkpointable,
+		},
+	})
+}
--- /dev/null
+++ b/internal/coordination/dispatch/gang/retry.go
@@ -0,0 +1,71 @@
+package gang
+
+import (
+	"encoding/binary"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"pinewinch.example/pinewinch/internal/protocol/api"
+	"pinewinch.example/pinewinch/internal/protocol/controlpb"
+	"pinewinch.example/pinewinch/internal/protocol/failure"
+)
+
+const (
+	firstBackoff = time.Second
+	// lastBackoff caps the pause: work that fails for long is still tried a few
+	// times an hour, until it is parked.
+	lastBackoff = 5 * time.Minute
+	// parkWorkers is on how many distinct healthy workers a job may fail; one or
+	// two may be broken in a way that nobody has noticed yet.
+	parkWorkers = 3
+	// parkFailures is how often a job may fail of itself wherever it ran: on a
+	// small system there are not three workers to try.
+	parkFailures = 8
+	// parkVanished is how many distinct workers may vanish under a job. A worker
+	// that vanishes is not the job's fault until it happens to all of them.
+	parkVanished = 5
+)
+
+// backoff is the pause before the next attempt: exponential, with half of it
+// drawn from the job and epoch, so that a wave of failed jobs does not come back
+// as a wave, and that every leader draws the same.
+func backoff(job *controlpb.Job) time.Duration {
+	pause := lastBackoff
+	if tries := len(job.Failures); tries < 10 {
+		pause = min(firstBackoff<<max(tries-1, 0), lastBackoff)
+	}
+	var epoch [8]byte
+	binary.LittleEndian.PutUint64(epoch[:], job.Epoch)
+	digest := xxhash.New()
+	_, _ = digest.WriteString(job.Id)
+	_, _ = digest.Write(epoch[:])
+	const steps = 1024
+	return pause/2 + pause/2*time.Duration(digest.Sum64()%steps)/steps
+}
+
+// atFault tells a job that fails by itself from one that met bad workers.
+func atFault(job *controlpb.Job, quarantined func(worker string) bool) bool {
+	healthy := map[string]bool{}
+	vanished := map[string]bool{}
+	own := 0
+	for _, failed := range job.Failures {
+		switch code := failure.Code(failed.Code); {
+		case code == failure.WorkerVanished:
+			vanished[failed.Worker] = true
+		case code.Infrastructure():
+		case code == failure.MemoryExceeded:
+			own++
+		default:
+			own++
+			if !quarantined(failed.Worker) {
+				healthy[failed.Worker] = true
+			}
+		}
+	}
+	return len(healthy) >= parkWorkers || own >= parkFailures || len(vanished) >= parkVanished
+}
+
+func refOf(job *controlpb.Job, m *member) api.TaskRef {
+	return api.TaskRef{Job: job.Id, Task: m.placement.Task, Epoch: job.Epoch}
+}
--- /dev/null
+++ b/internal/coordination/dispatch/quarantine/quarantine.go
@@ -0,0 +1,105 @@
+// Package quarantine decides from a worker's failures whether it gets work. The
+// failures are in the log and nothing else is remembered, so every leader
+// decides the same.
+package quarantine
+
+import (
+	"time"
+
+	"pinewinch.example/pinewinch/internal/protocol/controlpb"
+)
+
+// Config of the decision.
+type Config struct {
+	// CoolDown is the pause after one failure: the job that failed, and others,
+	// try elsewhere first. It doubles with each further failure, up to Probe.
+	CoolDown time.Duration
+	// Probe is the pause before a quarantined worker is tried with one job. It
+	// doubles with each probe that fails, up to maxProbe.
+	Probe time.Duration
+}
+
+const (
+	// distinctJobs is how many jobs must fail in a row: fewer may be bad jobs.
+	distinctJobs = 3
+	maxProbe     = time.Hour
+	maxDoublings = 16
+)
+
+// Verdict is what a worker may be given.
+type Verdict int
+
+// The verdicts.
+const (
+	// Healthy workers get any work.
+	Healthy Verdict = iota
+	// CoolingDown workers get none for now.
+	CoolingDown
+	// Quarantined workers failed several jobs in a row, and get none for now.
+	Quarantined
+	// Probing workers are quarantined and may be tried with one job: one that ends
+	// well clears them.
+	Probing
+)
+
+// Of judges a worker; health is nil where nothing has failed since a success.
+func Of(config Config, health *controlpb.WorkerHealth, now time.Time) Verdict {
+	if health == nil || len(health.Failures) == 0 {
+		return Healthy
+	}
+	since := now.Sub(time.UnixMilli(health.Failures[len(health.Failures)-1].TimeMs))
+	failures := int(health.Consecutive)
+	if !quarantined(health) {
+		if since < doubled(config.CoolDown, failures-1, config.Probe) {
+			return CoolingDown
+		}
+		return Healthy
+	}
+	if since < doubled(config.Probe, failures-distinctJobs, maxProbe) {
+		return Quarantined
+	}
+	return Probing
+}
+
+func quarantined(health *controlpb.WorkerHealth) bool {
+	jobs := map[string]bool{}
+	for _, failed := range health.Failures {
+		jobs[failed.Job] = true
+	}
+	return len(jobs) >= distinctJobs
+}
+
+func doubled(base time.Duration, times int, most time.Duration) time.Duration {
+	return min(base<<min(max(times, 0), maxDoublings), most)
+}
+
+// Limit takes out of a plan what would put more than one job on a worker that
+// is probed. What is taken out waits for the next pass.
+func Limit(plan []*controlpb.Assignment, probing func(worker string) bool) []*controlpb.Assignment {
+	taken := map[string]bool{}
+	kept := make([]*controlpb.Assignment, 0, len(plan))
+	for _, assignment := range plan {
+		if !touchesAny(assignment, taken) {
+			kept = append(kept, assignment)
+			markProbed(assignment, probing, taken)
+		}
+	}
+	return kept
+}
+
+func touchesAny(assignment *controlpb.Assignment, workers map[string]bool) bool {
+	for _, placement := range assignment.Placements {
+		if workers[placement.Worker] {
+			return true
+		}
+	}
+	return false
+}
+
+func markProbed(assignment *controlpb.Assignment, probing func(worker string) bool, taken map[string]bool) {
+	for _, placement := range assignment.Placements {
+		if probing(placement.Worker) {
+			taken[placement.Worker] = true
+		}
+	}
+}
--- a/internal/protocol/api/upstream.go
+++ b/internal/protocol/api/upstream.go
@@ -16,6 +16,7 @@
 	PathTaskReserve    = "/v1/tasks/reserve"
 	PathTaskStart      = "/v1/tasks/start"
 	PathTaskStop       = "/v1/tasks/stop"
+	PathTaskThrottle   = "/v1/tasks/throttle"
 	PathServe          = "/v1/serve/"
 )
 
@@ -62,7 +63,11 @@
 }
 
 // AnnounceReply tells an upstream when to announce next, and a worker which of
-// its tasks to keep. A task in neither list keeps running until its lease ends.
+// its tasks to keep. A renewed task may run until LeaseMs after the moment at
+// which the worker SENT the announcement that this answers; counted from the
+// receipt of the answer, a late answer would prolong a lease that the system
+// has taken to be over. A stopped task is checkpointed if it can be, and ended. A
+// task in neither list runs until its lease ends.
 type AnnounceReply struct {
 	NextMs  int64     `json:"next_ms"`
 	LeaseMs int64     `json:"lease_ms"`
@@ -78,9 +83,16 @@
 	Epoch uint64 `json:"epoch"`
 }
 
-// TaskCommand is sent to a worker to reserve, start or stop a task.
+// TaskCommand is sent to a worker to reserve, start, throttle or stop a task.
 type TaskCommand struct {
 	TaskRef
+	// Incarnation and Announced are of the newest announcement of the worker that
+	// the sender has heard. A reserve or start is refused by another incarnation,
+	// and its lease runs from when the worker sent that announcement, so that a
+	// command which the network held back is refused. A worker that starts again
+	// ends what an earlier incarnation left before it announces itself.
+	Incarnation    int64    `json:"incarnation,omitempty"`
+	Announced      uint64   `json:"announced,omitempty"`
 	Accelerators   []uint32 `json:"accelerators,omitempty"`
 	Cores          uint32   `json:"cores,omitempty"`
 	MemoryMB       uint64   `json:"memory_mb,omitempty"`
@@ -89,11 +101,15 @@
 	LeaseMs        int64    `json:"lease_ms,omitempty"`
 	// Checkpoint asks for the work to be kept when a task is stopped.
 	Checkpoint bool `json:"checkpoint,omitempty"`
+	// Percent of its speed that a throttled task may run at, 1 to 100.
+	Percent uint32 `json:"percent,omitempty"`
 }
 
-// TaskAnswer is a worker's answer to a command.
+// TaskAnswer is a worker's answer to a command: the phase that the task is in
+// after it, and the work that a checkpoint has kept.
 type TaskAnswer struct {
-	CheckpointedMs int64 `json:"checkpointed_ms,omitempty"`
+	Phase          string `json:"phase,omitempty"`
+	CheckpointedMs int64  `json:"checkpointed_ms,omitempty"`
 }
 
 // The phases of a task on the wire.
--- a/internal/protocol/failure/failure.go
+++ b/internal/protocol/failure/failure.go
@@ -98,6 +98,28 @@
 	StartTimeout:    {http.StatusGatewayTimeout, 44},
 }
 
+// infrastructure holds the codes of failures that say nothing about the work
+// itself: it met a worker that was out of reach, full, or behind.
+var infrastructure = map[Code]bool{
+	Unreachable:     true,
+	OutcomeUnknown:  true,
+	TruncatedAnswer: true,
+	WrongAnswer:     true,
+	StaleEpoch:      true,
+	StaleState:      true,
+	Overloaded:      true,
+	NotFound:        true,
+	NotReady:        true,
+	DeadlinePassed:  true,
+	LeaseLost:       true,
+	WorkerVanished:  true,
+	StartTimeout:    true,
+}
+
+// Infrastructure tells whether a task's failure counts against no job. A code
+// that a worker made up is the work's own.
+func (c Code) Infrastructure() bool { return infrastructure[c] }
+
 // Codes lists every code; tests check that each has one status and one exit code.
 func Codes() []Code {
 	codes := make([]Code, 0, len(kinds))
--- a/internal/standin/announcer.go
+++ b/internal/standin/announcer.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"pinewinch.example/pinewinch/internal/protocol/api"
+	"pinewinch.example/pinewinch/internal/protocol/failure"
 )
 
 const (
@@ -40,11 +41,12 @@
 }
 
 // run announces until ctx ends.
-func (a *announcer) run(ctx context.Context, describe func() *api.Announcement, take func(*api.AnnounceReply)) {
+func (a *announcer) run(ctx context.Context, describe func() *api.Announcement, take func(*api.Announcement, *api.AnnounceReply)) {
 	for {
 		pause := retryAnnounce
-		if reply, err := a.once(ctx, describe()); err == nil {
-			take(reply)
+		announcement := describe()
+		if reply, err := a.once(ctx, announcement); err == nil {
+			take(announcement, reply)
 			pause = time.Duration(reply.NextMs) * time.Millisecond
 		} else {
 			a.next = (a.next + 1) % len(a.servers)
@@ -74,6 +76,9 @@
 		return nil, err
 	}
 	defer response.Body.Close()
+	if response.StatusCode != http.StatusOK {
+		return nil, failure.Ran(failure.UpstreamFailed, failure.NotRunUnknown, nil, "announcement answered %s", response.Status)
+	}
 	reply := &api.AnnounceReply{}
 	return reply, json.NewDecoder(response.Body).Decode(reply)
 }
--- a/internal/standin/minion.go
+++ b/internal/standin/minion.go
@@ -45,7 +45,7 @@
 
 // Run announces until ctx ends.
 func (m *Minion) Run(ctx context.Context) {
-	m.announcer.run(ctx, m.describe, func(*api.AnnounceReply) {})
+	m.announcer.run(ctx, m.describe, func(*api.Announcement, *api.AnnounceReply) {})
 }
 
 // Leave announces that no new work should come.
--- /dev/null
+++ b/internal/standin/tasks/task.go
@@ -0,0 +1,160 @@
+package tasks
+
+import (
+	"time"
+
+	"pinewinch.example/pinewinch/internal/protocol/api"
+	"pinewinch.example/pinewinch/internal/protocol/failure"
+)
+
+const (
+	wholeSpeed = 100
+	// guardAfter is the share of its run time after which a task that uses more
+	// memory than declared is found out.
+	guardAfter = 0.1
+)
+
+// task is one run. Its work is counted in declared milliseconds.
+type task struct {
+	options  Options
+	command  api.TaskCommand
+	report   api.TaskReport
+	deadline time.Time
+	// done is the work up to since, which then goes on at rate.
+	done  float64
+	since time.Time
+	rate  float64
+}
+
+func newTask(options Options, command *api.TaskCommand, deadline time.Time) *task {
+	return &task{
+		options:  options,
+		command:  *command,
+		deadline: deadline,
+		done:     float64(command.CheckpointedMs),
+		rate:     options.Speed,
+		report: api.TaskReport{
+			Job: command.Job, Task: command.Task, Epoch: command.Epoch,
+			Phase: api.PhaseReserved, CheckpointedMs: command.CheckpointedMs,
+		},
+	}
+}
+
+func (t *task) live() bool {
+	return t.report.Phase == api.PhaseReserved || t.report.Phase == api.PhaseRunning
+}
+
+func (t *task) answer() *api.TaskAnswer {
+	return &api.TaskAnswer{Phase: t.report.Phase, CheckpointedMs: t.report.CheckpointedMs}
+}
+
+// answerIfKept refuses a run that failed or was stopped: it must not look as if
+// this member of the gang could still run.
+func (t *task) answerIfKept() (*api.TaskAnswer, *failure.Error) {
+	if t.live() || t.report.Phase == api.PhaseCompleted {
+		return t.answer(), nil
+	}
+	return nil, failure.New(failure.StaleEpoch, "this run has ended: %s", t.report.Phase)
+}
+
+func (t *task) renew(deadline time.Time) {
+	if deadline.After(t.deadline) {
+		t.deadline = deadline
+	}
+}
+
+func (t *task) start(now time.Time) {
+	t.report.Phase = api.PhaseRunning
+	t.report.MemoryMB = t.memory()
+	t.since = now
+}
+
+func (t *task) memory() uint64 {
+	if t.options.TaskMemoryMB > 0 {
+		return t.options.TaskMemoryMB
+	}
+	return t.command.MemoryMB
+}
+
+func (t *task) throttle(now time.Time, percent uint32) {
+	t.done = t.doneAt(now)
+	t.since = now
+	t.rate = t.options.Speed * float64(percent) / wholeSpeed
+}
+
+func (t *task) doneAt(now time.Time) float64 {
+	return t.done + float64(now.Sub(t.since))/float64(time.Millisecond)*t.rate
+}
+
+// needed is the work after which the run ends, by itself or by its guard.
+func (t *task) needed() float64 {
+	needed := float64(t.command.RunTimeMs)
+	if t.options.Overrun > 0 {
+		needed *= t.options.Overrun
+	}
+	if t.overMemory() {
+		needed *= guardAfter
+	}
+	return needed
+}
+
+func (t *task) overMemory() bool {
+	return t.command.MemoryMB > 0 && t.memory() > t.command.MemoryMB
+}
+
+func (t *task) endsAt() time.Time {
+	left := max((t.needed()-t.done)/t.rate, 0)
+	return t.since.Add(time.Duration(left * float64(time.Millisecond)))
+}
+
+func (t *task) next() time.Time {
+	if !t.live() {
+		return time.Time{}
+	}
+	if t.report.Phase == api.PhaseRunning && t.endsAt().Before(t.deadline) {
+		return t.endsAt()
+	}
+	return t.deadline
+}
+
+func (t *task) advance(now time.Time) (ended bool) {
+	if !t.live() || now.Before(t.next()) {
+		return false
+	}
+	if t.report.Phase == api.PhaseRunning && t.endsAt().Before(t.deadline) {
+		t.end()
+		return true
+	}
+	t.stop(t.deadline, true)
+	t.report.Code = string(failure.LeaseLost)
+	return true
+}
+
+func (t *task) end() {
+	switch {
+	case t.overMemory():
+		t.fail(failure.MemoryExceeded, "used more memory than declared")
+	case t.options.FailAll:
+		t.fail(failure.TaskFailed, "this worker fails everything")
+	default:
+		t.report.Phase = api.PhaseCompleted
+	}
+}
+
+func (t *task) fail(code failure.Code, detail string) {
+	t.report.Phase = api.PhaseFailed
+	t.report.Code = string(code)
+	t.report.Detail = detail
+}
+
+// stop ends a live run, with a checkpoint where the work allows one. The report
+// keeps it, so that a repeated stop is answered alike.
+func (t *task) stop(now time.Time, checkpoint bool) {
+	if !t.live() {
+		return
+	}
+	if checkpoint && t.command.Checkpoint && t.report.Phase == api.PhaseRunning {
+		t.report.CheckpointedMs = int64(t.doneAt(now))
+	}
+	t.report.Phase = api.PhaseStopped
+}
--- a/internal/state/store/health.go
+++ b/internal/state/store/health.go
@@ -19,10 +19,18 @@
 	return health
 }
 
-// recordWorkerFailure keeps a failure against its worker. A task beyond its
-// declared memory says nothing about the worker that stopped it.
+// blameless holds the failures that are not the worker's: a task that outgrew
+// its memory, and a worker that went away. A rack that loses its power takes many
+// jobs with it at once, and would come back to a quarantine.
+var blameless = map[failure.Code]bool{
+	failure.MemoryExceeded: true,
+	failure.WorkerVanished: true,
+	failure.LeaseLost:      true,
+}
+
+// recordWorkerFailure keeps a failure against its worker.
 func (s *State) recordWorkerFailure(job string, failed *controlpb.TaskFailure) {
-	if failed.Worker == "" || failed.Code == string(failure.MemoryExceeded) {
+	if failed.Worker == "" || blameless[failure.Code(failed.Code)] {
 		return
 	}
 	health := &controlpb.WorkerHealth{Worker: failed.Worker}
