Scenario harness: start, crash, freeze, cut, heal; calls to silent peers end with their context

Cause: the harness's own scenario terminated an instance and it did not end within 30 s. yamux lets a read on a stream closed on this side go on, so a follower's read, and any call to a frozen peer, outlived its context. Ruled out: HTTP shutdown (the dump of goroutines shows it past that). Change: a deadline in the past on the stream when the context ends; commands start, crash, freeze, thaw, terminate, ended, cut, heal, http and ready, and 'cluster N [relayed] [FILE]', which puts a relay on each peer link. Before: TestSilentPeerDoesNotOutliveContext never ends (test timeout 15 s), the harness scenario fails. After: both pass, the scenarios took 22 s with -race.

--- a/internal/transport/peers/peers.go
+++ b/internal/transport/peers/peers.go
@@ -137,7 +137,7 @@
 		return nil, err
 	}
 	defer stream.Close()
-	stop := context.AfterFunc(ctx, func() { stream.Close() })
+	stop := endWith(ctx, stream)
 	defer stop()
 	call.From = n.name
 	if err := writeMessage(stream, call); err != nil {
@@ -161,7 +161,7 @@
 		return err
 	}
 	defer stream.Close()
-	stop := context.AfterFunc(ctx, func() { stream.Close() })
+	stop := endWith(ctx, stream)
 	defer stop()
 	call := &peerpb.Call{From: n.name, Body: &peerpb.Call_Follow{Follow: follow}}
 	if err := writeMessage(stream, call); err != nil {
@@ -172,6 +172,10 @@
 		if err := stream.SetReadDeadline(time.Now().Add(idleReadTimeout)); err != nil {
 			return failure.Wrap(failure.Unreachable, err, "follow %s", to)
 		}
+		// Set after the end of ctx, the deadline above undoes that of endWith.
+		if ctx.Err() != nil {
+			return failure.Wrap(failure.Unreachable, ctx.Err(), "follow %s", to)
+		}
 		batch := &peerpb.FollowBatch{}
 		if err := readMessage(reader, batch); err != nil {
 			return failure.Wrap(failure.Unreachable, err, "follow %s", to)
@@ -182,6 +186,15 @@
 	}
 }
 
+// endWith makes reads and writes of a stream fail once ctx ends. Closing is not
+// enough: yamux lets a read on a stream that was closed on this side wait for
+// the other side, and a frozen or cut-off peer never answers. The caller would
+// then outlive its deadline, and a stopping instance its grace. A deadline in the
+// past wakes the reader whatever the peer does.
+func endWith(ctx context.Context, stream *yamux.Stream) (stop func() bool) {
+	return context.AfterFunc(ctx, func() { _ = stream.SetDeadline(time.Unix(1, 0)) })
+}
+
 func (n *Network) open(ctx context.Context, to string) (*yamux.Stream, error) {
 	session, err := n.session(ctx, to)
 	if err != nil {
--- a/test/scenarios/commands_test.go
+++ b/test/scenarios/commands_test.go
@@ -18,35 +18,64 @@
 	operatorToken = "operator-secret"
 	patience      = 30 * time.Second
 	pause         = 50 * time.Millisecond
+	// mostVoters is how many of a cluster's instances form its first quorum.
+	mostVoters = 3
 )
 
-// cluster N writes the settings i1.ini to iN.ini of N instances on reserved
-// ports and sets HTTP1 to HTTPN, SERVERS and the operator's environment.
+// cluster N [relayed] [FILE] writes the settings i1.ini to iN.ini of N
+// instances on reserved ports and sets HTTP1 to HTTPN, SERVERS and the
+// operator's environment. The first three are voters and have a data folder.
+// With relayed every peer link goes through a relay that cut and heal work on;
+// without, a link to a dead instance is refused at once. FILE is added to the
+// settings of each.
 func cluster(ts *testscript.TestScript, _ bool, args []string) {
 	count, err := strconv.Atoi(args[0])
 	ts.Check(err)
+	relayed, extra := false, ""
+	for _, arg := range args[1:] {
+		if arg == "relayed" {
+			relayed = true
+			continue
+		}
+		extra = ts.ReadFile(arg)
+	}
 	ports := reservePorts(ts, 2*count)
-	var peers, servers strings.Builder
-	for i := range count {
-		fmt.Fprintf(&peers, "i%d = 127.0.0.1:%d\n", i+1, ports[count+i])
-		ts.Setenv(fmt.Sprintf("HTTP%d", i+1), fmt.Sprintf("http://127.0.0.1:%d", ports[i]))
-		fmt.Fprintf(&servers, ",http://127.0.0.1:%d", ports[i])
+	web, peer := ports[:count], ports[count:]
+	var servers []string
+	for i, port := range web {
+		servers = append(servers, fmt.Sprintf("http://127.0.0.1:%d", port))
+		ts.Setenv(fmt.Sprintf("HTTP%d", i+1), servers[i])
 	}
-	ts.Setenv("SERVERS", servers.String()[1:])
-	ts.Setenv("PINEWINCH_SERVER", fmt.Sprintf("http://127.0.0.1:%d", ports[0]))
+	ts.Setenv("SERVERS", strings.Join(servers, ","))
+	ts.Setenv("PINEWINCH_SERVER", servers[0])
 	ts.Setenv("PINEWINCH_TOKEN", operatorToken)
 	for i := range count {
-		folder := ts.MkAbs(fmt.Sprintf("data%d", i+1))
-		ts.Check(os.MkdirAll(folder, 0o700))
-		text := fmt.Sprintf(`[instance]
-name = i%d
+		text := instanceSettings(ts, i, web[i], peer[i], count)
+		text += peersSection(ts, i, peer, relayed) + extra
+		ts.Check(os.WriteFile(ts.MkAbs(nameOf(i)+".ini"), []byte(text), 0o600))
+	}
+}
+
+func nameOf(i int) string { return fmt.Sprintf("i%d", i+1) }
+
+func instanceSettings(ts *testscript.TestScript, i, web, peer, count int) string {
+	folder := ""
+	if i < mostVoters {
+		path := ts.MkAbs(fmt.Sprintf("data%d", i+1))
+		ts.Check(os.MkdirAll(path, 0o700))
+		folder = "data_folder = " + path + "\n"
+	}
+	var voters []string
+	for v := range min(count, mostVoters) {
+		voters = append(voters, nameOf(v))
+	}
+	return fmt.Sprintf(`[instance]
+name = %s
 data_centre = dc1
 listen_http = 127.0.0.1:%d
 listen_peer = 127.0.0.1:%d
-data_folder = %s
-[peers]
 %s[control]
-voters = i1
+voters = %s
 [upstreams]
 announce_every = 200ms
 lease = 2s
@@ -55,9 +84,23 @@
 planners = %s
 [operators]
 operator = %s
-`, i+1, ports[i], ports[count+i], folder, peers.String(), hashOf("crews-secret"), hashOf("planners-secret"), hashOf(operatorToken))
-		ts.Check(os.WriteFile(ts.MkAbs(fmt.Sprintf("i%d.ini", i+1)), []byte(text), 0o600))
+`, nameOf(i), web, peer, folder, strings.Join(voters, ", "), hashOf("crews-secret"), hashOf("planners-secret"), hashOf(operatorToken))
+}
+
+func peersSection(ts *testscript.TestScript, self int, ports []int, relayed bool) string {
+	var text strings.Builder
+	text.WriteString("[peers]\n")
+	for i, port := range ports {
+		address := fmt.Sprintf("127.0.0.1:%d", port)
+		if relayed && i != self {
+			r := startRelay(ts, nameOf(self), nameOf(i), address)
+			f := fixtureOf(ts)
+			f.relays = append(f.relays, r)
+			address = r.listener.Addr().String()
+		}
+		fmt.Fprintf(&text, "%s = %s\n", nameOf(i), address)
 	}
+	return text.String()
 }
 
 func hashOf(token string) string {
@@ -78,7 +121,8 @@
 
 // eventually PATTERN PROGRAM ARGS... runs the program until it succeeds with
 // output that matches; it waits for what is bound to come, so that a slow
-// machine changes the time of a run and not its verdict.
+// machine changes the time of a run and not its verdict. With ! it waits for an
+// output that does not match.
 func eventually(ts *testscript.TestScript, neg bool, args []string) {
 	pattern := regexp.MustCompile(args[0])
 	deadline := time.Now().Add(patience)
--- a/test/scenarios/scenario_test.go
+++ b/test/scenarios/scenario_test.go
@@ -30,11 +30,22 @@
 		Setup: func(env *testscript.Env) error {
 			examples, err := filepath.Abs("../../examples")
 			env.Setenv("EXAMPLES", examples)
+			env.Values[fixtureKey{}] = &fixture{processes: map[string]*process{}}
 			return err
 		},
 		Cmds: map[string]func(ts *testscript.TestScript, neg bool, args []string){
 			"cluster":    cluster,
 			"eventually": eventually,
+			"start":      start,
+			"crash":      crash,
+			"freeze":     freeze,
+			"thaw":       thaw,
+			"terminate":  terminate,
+			"ended":      ended,
+			"cut":        cut,
+			"heal":       heal,
+			"http":       httpCommand,
+			"ready":      ready,
 		},
 	})
 }
