--- a/internal/app/main.go
+++ b/internal/app/main.go
@@ -17,6 +17,8 @@
 	flags := flag.NewFlagSet("pinewinchd", flag.ContinueOnError)
 	config := flags.String("config", "", "settings file (INI)")
 	check := flags.Bool("check", false, "check the settings and end")
+	level := flags.String("log-level", "", "goes before [log] level")
+	format := flags.String("log-format", "", "goes before [log] format: text or json")
 	if err := ff.Parse(flags, args, ff.WithEnvVarPrefix("PINEWINCH")); err != nil {
 		if errors.Is(err, flag.ErrHelp) {
 			return 0
@@ -27,6 +29,8 @@
 	if err != nil {
 		return report(err)
 	}
+	override(&loaded.Log.Level, *level)
+	override(&loaded.Log.Format, *format)
 	if *check {
 		return 0
 	}
@@ -38,6 +42,12 @@
 	return 0
 }
 
+func override(value *string, flag string) {
+	if flag != "" {
+		*value = flag
+	}
+}
+
 func report(err error) int {
 	fmt.Fprintln(os.Stderr, err)
 	return failure.From(err).ExitCode()
--- a/internal/protocol/declaration/lines.go
+++ b/internal/protocol/inifile/lines.go
@@ -1,4 +1,4 @@
-package declaration
+package inifile
 
 import (
 	"bufio"
@@ -20,6 +20,7 @@
 func newLineIndex(text []byte) *lineIndex {
 	index := &lineIndex{sections: map[string][]sectionLines{}}
 	scanner := bufio.NewScanner(bytes.NewReader(text))
+	scanner.Buffer(nil, MaxBytes+1)
 	var current map[string]int
 	for number := 1; scanner.Scan(); number++ {
 		line := strings.TrimSpace(scanner.Text())
@@ -31,7 +32,7 @@
 		}
 		key, _, ok := strings.Cut(line, "=")
 		if ok && current != nil {
-			current[strings.TrimSpace(key)] = number
+			current[strings.Trim(key, " \t\"`")] = number
 		}
 	}
 	return index
--- /dev/null
+++ b/internal/settings/settings_test.go
@@ -0,0 +1,99 @@
+package settings
+
+import (
+	"errors"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"pinewinch.example/pinewinch/internal/protocol/failure"
+)
+
+const (
+	hashA = "sha256:aaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaa"
+	hashB = "sha256:bbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbb"
+)
+
+func good(folder string) string {
+	return `[instance]
+name = i1
+data_centre = bangor
+listen_http = 10.0.0.1:7100
+listen_peer = 10.0.0.1:7200
+data_folder = ` + folder + `
+[peers]
+i1 = 10.0.0.1:7200
+i2 = [2001:db8::2]:7200
+[control]
+voters = i1
+[customers]
+crews = ` + hashA + `
+[operators]
+ops = ` + hashB + `
+`
+}
+
+func TestParseGood(t *testing.T) {
+	is := is.New(t)
+	s, err := Parse("f", []byte(good(t.TempDir())))
+	is.NoErr(err)
+	is.Equal(s.Instance.Name, "i1")
+	is.Equal(s.Peers["i2"].Port(), uint16(7200))
+	is.Equal(s.Upstreams.Lease, 10*time.Second)
+	is.Equal(s.Log, Log{Level: "info", Format: "text"})
+	is.Equal(len(s.Customers["crews"]), 32)
+}
+
+// Each case changes one thing of settings that are good, and names every
+// problem that must be reported, with line, section, key and reason.
+func TestParseProblems(t *testing.T) {
+	tests := map[string]struct{ old, new, want string }{
+		"host name":        {"10.0.0.1:7100", "entry1:7100", `f:4: [instance] listen_http: "entry1:7100" is not an IP number and a port`},
+		"no port":          {"10.0.0.1:7100", "10.0.0.1", `f:4: [instance] listen_http: "10.0.0.1" is not an IP number and a port`},
+		"port 0":           {"10.0.0.1:7100", "10.0.0.1:0", `f:4: [instance] listen_http: "10.0.0.1:0" is not an IP number and a port`},
+		"peer's host name": {"[2001:db8::2]:7200", "i2:7200", `f:9: [peers] i2: "i2:7200" is not an IP number and a port`},
+		"no folder":        {"data_folder = ", "data_folder = /nowhere", `f:6: [instance] data_folder: /nowhereFOLDER is not a folder`},
+		"voter, no folder": {"data_folder", "; data_folder", `f:1: [instance] data_folder: missing, and this instance is a voter`},
+		"unknown section":  {"[control]", "[contrl]\n[control]", `f:10: [contrl]: unknown section`},
+		"unknown key":      {"voters = i1", "voters = i1\nvoter = i2", `f:12: [control] voter: unknown key`},
+		"section twice":    {"[customers]", "[control]\n[customers]", `f:12: [control]: the section stands twice`},
+		"key twice":        {"voters = i1", "voters = i1\nvoters = i2", `f:12: [control] voters: set more than once`},
+		"unknown voter":    {"voters = i1", "voters = i1, i9", `f:11: [control] voters: "i9" is not among [peers]`},
+		"voter twice":      {"voters = i1", "voters = i1, i1", `f:11: [control] voters: "i1" stands twice`},
+		"no voters":        {"voters = i1", "", `f:10: [control] voters: missing`},
+		"not among peers":  {"i1 = 10.0.0.1:7200\n", "", `f:7: [peers] i1: this instance is missing` + "\n" + `f:10: [control] voters: "i1" is not among [peers]`},
+		"bad duration":     {"[customers]", "[stop]\ngrace = 30\n[customers]", `f:13: [stop] grace: "30" is not a duration such as 500ms or 10s`},
+		"bad number":       {"[customers]", "[requests]\nqueue_length = many\n[customers]", `f:13: [requests] queue_length: "many" is not a whole number above 0`},
+		"bad log":          {"[customers]", "[log]\nformat = xml\nlevel = loud\n[customers]", `f:13: [log] format: "xml" is not text or json` + "\n" + `f:14: [log] level: "loud" is not info or panic or fatal or error or warning or debug or trace`},
+		"short lease":      {"[customers]", "[upstreams]\nlease = 2s\n[customers]", `f:13: [upstreams] lease: shorter than 3 announcements`},
+		"plain token":      {hashA, "crews-secret", `f:13: [customers] crews: not sha256: and 64 hex digits`},
+		"shared token":     {hashB, hashA, `f:13: [customers] crews: has the same token as "ops"`},
+		"half of TLS":      {"[customers]", "[tls]\nkey = f.key\n[customers]", `f:12: [tls] certificate: missing; the keys of this section are set together` + "\n" + `f:13: [tls] key: open f.key: no such file or directory`},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			folder := t.TempDir()
+			is.True(strings.Contains(good(folder), test.old))
+			_, err := Parse("f", []byte(strings.Replace(good(folder), test.old, test.new, 1)))
+			is.True(failure.Is(err, failure.BadSettings))
+			var problems Problems
+			is.True(errors.As(err, &problems))
+			is.Equal(problems.Error(), strings.ReplaceAll(test.want, "FOLDER", folder))
+		})
+	}
+}
+
+// Whatever the file holds, checking it ends, with settings or with problems.
+func FuzzParse(f *testing.F) {
+	f.Add([]byte(good("")))
+	f.Add([]byte("[instance]\nname = \"\"\"\n[peers]\n"))
+	f.Fuzz(func(t *testing.T, text []byte) {
+		s, err := Parse("f", text)
+		if (s == nil) == (err == nil) {
+			t.Fatalf("settings %v and error %v", s, err)
+		}
+	})
+}
