--- a/internal/transport/peers/peers_test.go
+++ b/internal/transport/peers/peers_test.go
@@ -43,7 +43,11 @@
 		ended <- err
 	}()
 	go func() {
-		ended <- network.Follow(ctx, "b", &peerpb.Follow{}, func(*peerpb.FollowBatch) error { return nil })
+		stream, err := network.Follow(ctx, "b", &peerpb.Follow{})
+		if err == nil {
+			_, err = stream.Receive()
+		}
+		ended <- err
 	}()
 	time.AfterFunc(10*time.Millisecond, cancel)
 	for range 2 {
