TLS for HTTP and mutual TLS between instances, reloaded from files; notice before the listener closes

Cause: tls settings were read and not used; any process that reached the peer port could propose to the log and vote. Change: package tlsfiles (files looked at once a second, last good ones kept, counters tls_reloads and tls_reload_failures), [peers_tls] with an authority of its own, certificates bound to instance names, handshakes with a timeout; [stop] notice keeps the listener open while the balancer turns away. Seen to fail: with NoClientCert the stranger is answered, with a fixed server name another instance is; TestPeersNeedCertificate fails in both. After: TestPeersNeedCertificate and TestReload pass with -race.

--- a/internal/app/control.go
+++ b/internal/app/control.go
@@ -17,6 +17,7 @@
 	"pinewinch.example/pinewinch/internal/protocol/failure"
 	"pinewinch.example/pinewinch/internal/settings"
 	"pinewinch.example/pinewinch/internal/transport/peers"
+	"pinewinch.example/pinewinch/internal/transport/tlsfiles"
 )
 
 var controlModule = fx.Module("control",
@@ -24,8 +25,17 @@
 	fx.Invoke(runPeers, runNode),
 )
 
-func newNetwork(s *settings.Settings) *peers.Network {
-	return peers.NewNetwork(s.Instance.Name, s.Peers)
+func newNetwork(s *settings.Settings) (*peers.Network, error) {
+	network := peers.NewNetwork(s.Instance.Name, s.Peers)
+	if s.PeersTLS.Certificate == "" {
+		return network, nil
+	}
+	source, err := tlsfiles.Open(tlsfiles.Files(s.PeersTLS), time.Now)
+	if err != nil {
+		return nil, err
+	}
+	network.UseTLS(source)
+	return network, nil
 }
 
 // newNode makes a voter of the first instance named as one, and a follower of
--- a/internal/app/http.go
+++ b/internal/app/http.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"errors"
 	"net"
 	"net/http"
@@ -14,6 +15,7 @@
 	"pinewinch.example/pinewinch/internal/settings"
 	"pinewinch.example/pinewinch/internal/transport/counted"
 	"pinewinch.example/pinewinch/internal/transport/httpapi"
+	"pinewinch.example/pinewinch/internal/transport/tlsfiles"
 )
 
 var httpModule = fx.Module("http",
@@ -38,6 +40,14 @@
 	if err != nil {
 		return failure.Wrap(failure.BadSettings, err, "[instance] listen_http")
 	}
+	listener = traffic.Listener(listener)
+	if s.TLS.Certificate != "" {
+		source, err := tlsfiles.Open(tlsfiles.Files{Certificate: s.TLS.Certificate, Key: s.TLS.Key}, time.Now)
+		if err != nil {
+			return err
+		}
+		listener = tls.NewListener(listener, source.Server())
+	}
 	web := &http.Server{
 		Handler:           server.Handler(),
 		ReadHeaderTimeout: readHeaderTimeout,
@@ -48,7 +58,7 @@
 	lifecycle.Append(fx.Hook{
 		OnStart: func(context.Context) error {
 			go func() {
-				if err := web.Serve(traffic.Listener(listener)); !errors.Is(err, http.ErrServerClosed) {
+				if err := web.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
 					logger.WithError(err).Error("http server ended")
 				}
 			}()
@@ -60,8 +70,21 @@
 			logger.Info("stopping")
 			ctx, cancel := context.WithTimeout(ctx, s.Stop.Grace)
 			defer cancel()
+			awaitBalancer(ctx, s.Stop.Notice)
 			return web.Shutdown(ctx)
 		},
 	})
 	return nil
 }
+
+// awaitBalancer leaves the listener open while the platform's balancer finds out
+// that this instance is not ready: a listener closed at once refuses connections
+// that the balancer still sends, and callers would see the stop.
+func awaitBalancer(ctx context.Context, notice time.Duration) {
+	timer := time.NewTimer(notice)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -68,6 +68,9 @@
 
 // Stop bounds a graceful stop.
 type Stop struct {
+	// Notice is how long the instance says that it is not ready before it closes
+	// its listener.
+	Notice time.Duration
 	// Grace is how long requests in flight may take to finish.
 	Grace time.Duration
 }
@@ -147,7 +150,10 @@
 			QueueLength:  r.number("requests", "queue_length", 1024),
 			KeepAnswers:  r.duration("requests", "keep_answers", 10*time.Minute),
 		},
-		Stop: Stop{Grace: r.duration("stop", "grace", 30*time.Second)},
+		Stop: Stop{
+			Notice: r.duration("stop", "notice", time.Second),
+			Grace:  r.duration("stop", "grace", 30*time.Second),
+		},
 		Log: Log{
 			Level:  r.choice("log", "level", "info", "panic", "fatal", "error", "warning", "debug", "trace"),
 			Format: r.choice("log", "format", "text", "json"),
--- a/internal/transport/peers/peers.go
+++ b/internal/transport/peers/peers.go
@@ -21,6 +21,7 @@
 	"pinewinch.example/pinewinch/internal/protocol/failure"
 	"pinewinch.example/pinewinch/internal/protocol/peerpb"
 	"pinewinch.example/pinewinch/internal/transport/counted"
+	"pinewinch.example/pinewinch/internal/transport/tlsfiles"
 )
 
 const (
@@ -46,8 +47,10 @@
 type Network struct {
 	name      string
 	addresses map[string]netip.AddrPort
-	mu        sync.Mutex
-	sessions  map[string]*yamux.Session
+	// tls is nil for plain TCP.
+	tls      *tlsfiles.Source
+	mu       sync.Mutex
+	sessions map[string]*yamux.Session
 }
 
 // NewNetwork makes the network of an instance; addresses are its peers'.
@@ -55,6 +58,9 @@
 	return &Network{name: name, addresses: addresses, sessions: map[string]*yamux.Session{}}
 }
 
+// UseTLS makes every link mutual TLS; call it before the first link.
+func (n *Network) UseTLS(source *tlsfiles.Source) { n.tls = source }
+
 // Peers lists the other instances.
 func (n *Network) Peers() []string {
 	names := make([]string, 0, len(n.addresses))
@@ -81,7 +87,11 @@
 }
 
 func (n *Network) serveConn(ctx context.Context, conn net.Conn, handler Handler) {
-	session, err := yamux.Server(traffic.Conn(conn), sessionConfig())
+	conn, err := n.secureServer(ctx, traffic.Conn(conn))
+	if err != nil {
+		return
+	}
+	session, err := yamux.Server(conn, sessionConfig())
 	if err != nil {
 		conn.Close()
 		return
@@ -192,7 +202,11 @@
 	if err != nil {
 		return nil, failure.Wrap(failure.Unreachable, err, "dial %s", to)
 	}
-	session, err = yamux.Client(traffic.Conn(conn), sessionConfig())
+	conn, err = n.secureClient(ctx, to, traffic.Conn(conn))
+	if err != nil {
+		return nil, err
+	}
+	session, err = yamux.Client(conn, sessionConfig())
 	if err != nil {
 		conn.Close()
 		return nil, failure.Wrap(failure.Unreachable, err, "session with %s", to)
