--- a/internal/transport/peers/peers.go
+++ b/internal/transport/peers/peers.go
@@ -22,6 +22,7 @@
 	"pinewinch.example/pinewinch/internal/protocol/failure"
 	"pinewinch.example/pinewinch/internal/protocol/peerpb"
 	"pinewinch.example/pinewinch/internal/transport/counted"
+	"pinewinch.example/pinewinch/internal/transport/tlsfiles"
 )
 
 const (
@@ -49,8 +50,10 @@
 type Network struct {
 	name      string
 	addresses map[string]netip.AddrPort
-	mu        sync.Mutex
-	sessions  map[string]*yamux.Session
+	// tls is nil for plain TCP.
+	tls      *tlsfiles.Source
+	mu       sync.Mutex
+	sessions map[string]*yamux.Session
 }
 
 // NewNetwork makes the network of an instance; addresses are its peers'.
@@ -58,6 +61,9 @@
 	return &Network{name: name, addresses: addresses, sessions: map[string]*yamux.Session{}}
 }
 
+// UseTLS makes every link mutual TLS; call it before the first link.
+func (n *Network) UseTLS(source *tlsfiles.Source) { n.tls = source }
+
 // Peers lists the other instances.
 func (n *Network) Peers() []string {
 	names := make([]string, 0, len(n.addresses))
@@ -84,7 +90,11 @@
 }
 
 func (n *Network) serveConn(ctx context.Context, conn net.Conn, handler Handler) {
-	session, err := yamux.Server(traffic.Conn(conn), sessionConfig())
+	conn, err := n.secureServer(ctx, traffic.Conn(conn))
+	if err != nil {
+		return
+	}
+	session, err := yamux.Server(conn, sessionConfig())
 	if err != nil {
 		conn.Close()
 		return
@@ -142,7 +152,7 @@
 		return nil, err
 	}
 	defer stream.Close()
-	stop := context.AfterFunc(ctx, func() { stream.Close() })
+	stop := endWith(ctx, stream)
 	defer stop()
 	call.From = n.name
 	if err := writeMessage(stream, call); err != nil {
@@ -158,6 +168,18 @@
 	return reply, nil
 }
 
+// longAgo is a deadline that has passed.
+var longAgo = time.Unix(1, 0)
+
+// endWith makes reads and writes of a stream fail once ctx ends. Closing is not
+// enough: yamux lets a read on a stream that was closed on this side wait for
+// the other side, and a frozen or cut-off peer never answers. The caller would
+// then outlive its deadline, and a stopping instance its grace. A deadline in the
+// past wakes the reader whatever the peer does.
+func endWith(ctx context.Context, stream net.Conn) (stop func() bool) {
+	return context.AfterFunc(ctx, func() { _ = stream.SetDeadline(longAgo) })
+}
+
 func (n *Network) open(ctx context.Context, to string) (*yamux.Stream, error) {
 	session, err := n.session(ctx, to)
 	if err != nil {
@@ -187,7 +209,11 @@
 	if err != nil {
 		return nil, failure.Wrap(failure.Unreachable, err, "dial %s", to)
 	}
-	session, err = yamux.Client(traffic.Conn(conn), sessionConfig())
+	conn, err = n.secureClient(ctx, to, traffic.Conn(conn))
+	if err != nil {
+		return nil, err
+	}
+	session, err = yamux.Client(conn, sessionConfig())
 	if err != nil {
 		conn.Close()
 		return nil, failure.Wrap(failure.Unreachable, err, "session with %s", to)
