--- a/internal/transport/peers/secure_test.go
+++ b/internal/transport/peers/secure_test.go
@@ -11,8 +11,8 @@
 	"github.com/matryer/is"
 
 	"pinewinch.example/pinewinch/internal/coordination/control"
-	"pinewinch.example/pinewinch/internal/protocol/failure"
 	"pinewinch.example/pinewinch/internal/protocol/consensuspb"
+	"pinewinch.example/pinewinch/internal/protocol/failure"
 	"pinewinch.example/pinewinch/internal/protocol/peerpb"
 	"pinewinch.example/pinewinch/internal/testcerts"
 	"pinewinch.example/pinewinch/internal/transport/tlsfiles"
--- a/test/scenarios/scenario_test.go
+++ b/test/scenarios/scenario_test.go
@@ -46,6 +46,9 @@
 			"heal":       heal,
 			"http":       httpCommand,
 			"ready":      ready,
+
+			"killleaders":   killLeaders,
+			"raceoperators": raceOperators,
 		},
 	})
 }
