--- a/internal/coordination/replica/propose.go
+++ b/internal/coordination/replica/propose.go
@@ -18,7 +18,7 @@
 	proposePatience = 10 * time.Second
 	// firstPause and lastPause bound the pauses between two tries.
 	firstPause = 20 * time.Millisecond
-	lastPause  = 500 * time.Millisecond
+	lastPause  = 100 * time.Millisecond
 )
 
 // proposal is a command, or a configuration, on its way through the log.
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -138,7 +138,7 @@
 		Control: Control{
 			Voters:          r.list("control", "voters"),
 			FreshnessBound:  r.duration("control", "freshness_bound", 3*time.Second),
-			ElectionTimeout: r.duration("control", "election_timeout", 600*time.Millisecond),
+			ElectionTimeout: r.duration("control", "election_timeout", 400*time.Millisecond),
 		},
 		Upstreams: Upstreams{
 			AnnounceEvery: r.duration("upstreams", "announce_every", time.Second),
