Test the driver in memory: crashes, wiped disks, cuts, failed syncs, graceful stop

Cause: only whole processes had run the driver. Change: replicas on disktest disks joined by a mesh inside testing/synctest, so virtual time and one verdict.

Seen to fail, each safeguard removed by itself: the check that a cluster exists, the identity check before taking a founding configuration, waiting for every voter (TestWipedDisk..., TestFounding...); the error of a sync; an unknown outcome that a later refusal would hide; retry without a session; hand-over; leading before the own term's commit and before it is applied; age from the quorum; the term check on an applied proposal; reset of the feed's tail.

--- /dev/null
+++ b/internal/coordination/replica/mesh_test.go
@@ -0,0 +1,169 @@
+package replica
+
+import (
+	"context"
+	"io"
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"pinewinch.example/pinewinch/internal/coordination/control"
+	"pinewinch.example/pinewinch/internal/protocol/consensuspb"
+	"pinewinch.example/pinewinch/internal/protocol/controlpb"
+	"pinewinch.example/pinewinch/internal/protocol/failure"
+	"pinewinch.example/pinewinch/internal/protocol/peerpb"
+	"pinewinch.example/pinewinch/internal/state/disk/disktest"
+)
+
+// mesh joins replicas in memory; instances can be cut off and started again.
+type mesh struct {
+	t        *testing.T
+	mu       sync.Mutex
+	replicas map[string]*Replica
+	disks    map[string]*disktest.FS
+	stops    map[string]func() error
+	cut      map[string]bool
+	// entries is Config.SnapshotEntries.
+	entries uint64
+}
+
+var voters = []string{"i1", "i2", "i3"}
+
+func newMesh(t *testing.T) *mesh {
+	m := &mesh{
+		t: t, replicas: map[string]*Replica{}, disks: map[string]*disktest.FS{},
+		stops: map[string]func() error{}, cut: map[string]bool{},
+	}
+	t.Cleanup(func() {
+		for _, stop := range m.stops {
+			_ = stop()
+		}
+	})
+	return m
+}
+
+// start runs an instance on its disk, or on a new one.
+func (m *mesh) start(instance string) *Replica {
+	if m.disks[instance] == nil {
+		m.disks[instance] = disktest.New()
+	}
+	logger := logrus.New()
+	logger.SetOutput(io.Discard)
+	r := New(Config{
+		Instance: instance, Voters: voters, Peers: []string{"i1", "i2", "i3", "i4"},
+		Files: m.disks[instance], DataFolder: "/data",
+		ElectionTimeout: 400 * time.Millisecond, FreshnessBound: 3 * time.Second,
+		SnapshotEntries: m.entries, Now: time.Now, Logger: logger,
+		Rand: rand.New(rand.NewPCG(uint64(instance[1]), 7)),
+	}, endpoint{m, instance})
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan error, 1)
+	go func() { ended <- r.Run(ctx) }()
+	m.stops[instance] = sync.OnceValue(func() error {
+		cancel()
+		return <-ended
+	})
+	m.mu.Lock()
+	m.replicas[instance] = r
+	m.mu.Unlock()
+	return r
+}
+
+// crash ends an instance and leaves on its disk what was synced.
+func (m *mesh) crash(instance string) {
+	m.setCut(instance, true)
+	_ = m.stops[instance]()
+	m.disks[instance] = m.disks[instance].Crash(0)
+	m.setCut(instance, false)
+}
+
+func (m *mesh) setCut(instance string, cut bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.cut[instance] = cut
+}
+
+// reach gives a replica unless a cut lies between.
+func (m *mesh) reach(from, to string) (*Replica, error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.replicas[to] == nil || m.cut[from] || m.cut[to] {
+		return nil, failure.New(failure.Unreachable, "%s is cut off", to)
+	}
+	return m.replicas[to], nil
+}
+
+// leader waits for one that decides.
+func (m *mesh) leader() *Replica {
+	for range 1000 {
+		for _, r := range m.replicas {
+			if r.IsLeader() && !m.cut[r.config.Instance] {
+				return r
+			}
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	m.t.Fatal("no leader")
+	return nil
+}
+
+func (m *mesh) other(than *Replica) *Replica {
+	for _, voter := range voters {
+		if r := m.replicas[voter]; r != than {
+			return r
+		}
+	}
+	return nil
+}
+
+type endpoint struct {
+	mesh *mesh
+	self string
+}
+
+func (e endpoint) Call(ctx context.Context, to string, call *peerpb.Call) (*peerpb.Reply, error) {
+	r, err := e.mesh.reach(e.self, to)
+	if err != nil {
+		return nil, err
+	}
+	if propose := call.GetPropose(); propose != nil {
+		result, err := r.ServePropose(ctx, propose)
+		if err != nil {
+			return nil, err
+		}
+		return &peerpb.Reply{Body: &peerpb.Reply_Result{Result: result}}, nil
+	}
+	return r.ServeReplica(ctx, call)
+}
+
+func (e endpoint) Messages(_ context.Context, to string) (control.MessageStream, error) {
+	return stream{e, to}, nil
+}
+
+type stream struct {
+	endpoint
+	to string
+}
+
+func (s stream) Send(messages ...*consensuspb.Message) error {
+	r, err := s.mesh.reach(s.self, s.to)
+	if err != nil {
+		return err
+	}
+	for _, message := range messages {
+		r.Deliver(message)
+	}
+	return nil
+}
+
+func (s stream) Close() error { return nil }
+
+// drain is a command whose effect is easy to look up.
+func drain(upstream string) *controlpb.Command {
+	return &controlpb.Command{Op: &controlpb.Command_Drain{Drain: &controlpb.SetDrain{Upstream: upstream, Drained: true}}}
+}
+
+func background() context.Context { return context.Background() }
--- /dev/null
+++ b/internal/coordination/replica/replica_test.go
@@ -0,0 +1,267 @@
+package replica
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"pinewinch.example/pinewinch/internal/coordination/consensus"
+	"pinewinch.example/pinewinch/internal/coordination/control"
+	"pinewinch.example/pinewinch/internal/protocol/controlpb"
+	"pinewinch.example/pinewinch/internal/protocol/failure"
+	"pinewinch.example/pinewinch/internal/protocol/peerpb"
+	"pinewinch.example/pinewinch/internal/state/store"
+)
+
+func inBubble(t *testing.T, test func(is *is.I, m *mesh)) {
+	synctest.Test(t, func(t *testing.T) { test(is.New(t), newMesh(t)) })
+}
+
+func startAll(m *mesh) *Replica {
+	for _, voter := range voters {
+		m.start(voter)
+	}
+	return m.leader()
+}
+
+func propose(is *is.I, r *Replica, upstream string) {
+	is.Helper()
+	_, err := r.Propose(background(), drain(upstream))
+	is.NoErr(err)
+}
+
+// The leader loses power right after it answered. What it answered is found at
+// the next leader and, after its restart, at the old one.
+func TestAcknowledgedSurvivesTheLeader(t *testing.T) {
+	inBubble(t, func(is *is.I, m *mesh) {
+		for i := range 6 {
+			old := m.leaderOrStart()
+			propose(is, m.other(old), fmt.Sprint("w", i))
+			m.crash(old.config.Instance)
+			next := m.leader()
+			is.NoErr(next.Read(background()))
+			for j := range i + 1 {
+				is.True(next.State().Drained(fmt.Sprint("w", j)))
+			}
+			m.start(old.config.Instance)
+			time.Sleep(2 * time.Second)
+			is.NoErr(m.replicas[old.config.Instance].Fresh())
+			is.Equal(m.replicas[old.config.Instance].State().Index(), m.leader().State().Index())
+		}
+	})
+}
+
+func (m *mesh) leaderOrStart() *Replica {
+	if len(m.replicas) == 0 {
+		return startAll(m)
+	}
+	return m.leader()
+}
+
+// A disk is wiped while the others run. The instance comes back as another
+// replica: it founds no second cluster and votes in none until an operator adds
+// it, and then it catches up and the old identity leaves. Two of three must be
+// enough to go on all the while.
+func TestWipedDiskJoinsOnlyWhenAdded(t *testing.T) {
+	for _, wiped := range voters {
+		t.Run(wiped, func(t *testing.T) {
+			inBubble(t, func(is *is.I, m *mesh) {
+				m.entries = 20 // so that joining takes a snapshot
+				startAll(m)
+				for i := range 50 {
+					propose(is, m.leader(), fmt.Sprint("w", i))
+				}
+				m.crash(wiped)
+				delete(m.disks, wiped)
+				back := m.start(wiped)
+				time.Sleep(time.Minute)
+				is.True(!back.Member())
+				is.True(back.Fresh() != nil)
+				is.Equal(back.State().Index(), uint64(0))
+				propose(is, m.leader(), "meanwhile")
+
+				change := &peerpb.ChangeMembers{Add: wiped, Remove: wiped}
+				is.NoErr(m.leader().ChangeMembers(background(), change))
+				time.Sleep(2 * time.Second)
+				is.NoErr(back.Fresh())
+				is.True(back.State().Drained("w0"))
+				is.True(back.State().Drained("meanwhile"))
+				is.Equal(len(m.leader().Status().Configuration.Members), 3)
+				is.NoErr(m.leader().ChangeMembers(background(), change)) // again: nothing left to do
+				is.Equal(len(m.leader().Status().Configuration.Members), 3)
+			})
+		})
+	}
+}
+
+// All three start on new disks but one is not there yet: no part of them may
+// found a cluster without it, for it could have been wiped under an old one.
+func TestFoundingWaitsForEveryVoter(t *testing.T) {
+	inBubble(t, func(is *is.I, m *mesh) {
+		first, second := m.start("i1"), m.start("i2")
+		time.Sleep(time.Minute)
+		is.True(!first.Member() && !second.Member())
+		m.start("i3")
+		propose(is, m.leader(), "w")
+	})
+}
+
+// The leader is cut off. It must not answer as fresh beyond the bound, must not
+// acknowledge, and its command's outcome is unknown to the caller until the
+// cut heals; the majority goes on.
+func TestCutOffLeaderNeitherAnswersNorConfirms(t *testing.T) {
+	inBubble(t, func(is *is.I, m *mesh) {
+		old := startAll(m)
+		propose(is, old, "before")
+		m.setCut(old.config.Instance, true)
+		waiting := make(chan error, 1)
+		go func() {
+			_, err := old.submit(background(), drain("replaced"))
+			waiting <- err
+		}()
+		ctx, cancel := context.WithTimeout(background(), time.Second)
+		defer cancel()
+		_, err := old.Propose(ctx, drain("lost"))
+		is.Equal(failure.From(err).NotRun, failure.NotRunUnknown)
+		next := m.leader()
+		is.True(next != old)
+		propose(is, next, "after")
+		refused := make(chan error, 1)
+		go func() {
+			_, err := old.submit(background(), drain("refused"))
+			refused <- err
+		}()
+		time.Sleep(3 * time.Second)
+		is.True(failure.Is(old.Fresh(), failure.StaleState))
+		is.True(old.Read(ctx) != nil)
+		m.setCut(old.config.Instance, false)
+		is.Equal(failure.From(<-refused).NotRun, failure.NotRunTrue)
+		// Another entry has been committed at the index of this one, so it never ran.
+		is.True(failure.Is(<-waiting, failure.NotLeader))
+		time.Sleep(3 * time.Second)
+		is.NoErr(old.Fresh())
+		is.True(old.State().Drained("after"))
+		is.True(!old.State().Drained("lost"))
+	})
+}
+
+// A sync fails on the leader. Its process must end with the disk's failure
+// and not answer the command, and the others go on without it.
+func TestFailedSyncStopsTheReplica(t *testing.T) {
+	inBubble(t, func(is *is.I, m *mesh) {
+		old := startAll(m)
+		propose(is, old, "before")
+		m.disks[old.config.Instance].FailSyncs = 1
+		_, err := old.submit(background(), drain("during"))
+		is.Equal(failure.From(err).NotRun, failure.NotRunUnknown)
+		is.True(failure.Is(m.stops[old.config.Instance](), failure.DiskFailed))
+		m.setCut(old.config.Instance, true)
+		propose(is, m.leader(), "after")
+	})
+}
+
+// A new leader has not heard yet what the last one had committed. Deciding from
+// its state now would repeat that one's decisions, such as a placement; it
+// leads only once its own term's first entry is applied.
+func TestLeadsOnlyWithAllThatWasCommitted(t *testing.T) {
+	is := is.New(t)
+	at := func(index uint64) *store.State { return store.Restore(&controlpb.Snapshot{Index: index}) }
+	c := &core{state: at(5)}
+	status := consensus.Status{Role: consensus.Leader, Term: 3, Commit: 5}
+	is.True(!c.leads(status))
+	status.CommittedInTerm, status.Commit = true, 7
+	is.True(!c.leads(status))
+	c.state = at(7)
+	is.True(c.leads(status))
+	status.Commit = 9 // a command on its way is no reason to stop
+	is.True(c.leads(status))
+	status.Term, status.Commit = 4, 9
+	is.True(!c.leads(status))
+}
+
+// A leader was last recognised by a quorum ten ticks ago. Its state is at least
+// that old; told as fresh, followers would trust it too long.
+func TestLeadersAgeCountsFromTheQuorum(t *testing.T) {
+	is := is.New(t)
+	r := New(Config{FreshnessBound: time.Second}, nil)
+	c := &core{replica: r, tick: 10 * time.Millisecond, lastTick: time.Now()}
+	c.confirmAsLeader(consensus.Status{QuorumAge: 10})
+	age, err := r.Age()
+	is.NoErr(err)
+	is.True(age >= 110*time.Millisecond)
+}
+
+// A leader that is asked to stop hands over first: callers wait milliseconds
+// instead of an election timeout.
+func TestGracefulStopHandsOver(t *testing.T) {
+	inBubble(t, func(is *is.I, m *mesh) {
+		old := startAll(m)
+		propose(is, old, "before")
+		began := time.Now()
+		is.NoErr(m.stops[old.config.Instance]())
+		m.setCut(old.config.Instance, true)
+		propose(is, m.leader(), "after")
+		is.True(time.Since(began) < old.config.ElectionTimeout)
+	})
+}
+
+// A command's answer is lost and a second try is refused as not run. The
+// caller must hear that the outcome is unknown: the first try may have run.
+func TestUnknownStaysUnknown(t *testing.T) {
+	cases := map[string]struct {
+		command *controlpb.Command
+		asked   int
+	}{
+		"without a session it is not tried again": {drain("w"), 1},
+		"under a session it is":                   {&controlpb.Command{Client: "operator", Sequence: 1}, 2},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			inBubble(t, func(is *is.I, m *mesh) {
+				answers := []error{
+					failure.Ran(failure.OutcomeUnknown, failure.NotRunUnknown, nil, "answer lost"),
+					failure.New(failure.Overloaded, "full"),
+				}
+				asked := 0
+				r := New(Config{Instance: "i1"}, refusing(func() error { asked++; return answers[asked-1] }))
+				r.view.Store(&view{leader: "i2"})
+				_, err := r.Propose(background(), c.command)
+				is.Equal(failure.From(err).NotRun, failure.NotRunUnknown)
+				is.Equal(asked, c.asked)
+			})
+		})
+	}
+}
+
+type refusing func() error
+
+func (f refusing) Call(context.Context, string, *peerpb.Call) (*peerpb.Reply, error) { return nil, f() }
+func (f refusing) Messages(context.Context, string) (control.MessageStream, error)   { return nil, f() }
+
+// After 1,000 changes a replica restarts: it stands at a snapshot and a short
+// tail, and all three give the same bytes.
+func TestRestartAfterManyChanges(t *testing.T) {
+	inBubble(t, func(is *is.I, m *mesh) {
+		m.entries = 300
+		leader := startAll(m)
+		for i := range 1000 {
+			propose(is, leader, fmt.Sprint("w", i%70))
+		}
+		m.crash("i2")
+		m.start("i2")
+		time.Sleep(2 * time.Second)
+		want, err := encodeState(m.leader().State())
+		is.NoErr(err)
+		for _, voter := range voters {
+			got, err := encodeState(m.replicas[voter].State())
+			is.NoErr(err)
+			is.Equal(string(got), string(want))
+		}
+		names, _ := m.disks["i2"].Names("/data/snapshots")
+		is.Equal(len(names), 2)
+	})
+}
--- a/internal/state/disk/disktest/disktest.go
+++ b/internal/state/disk/disktest/disktest.go
@@ -7,12 +7,14 @@
 	"io/fs"
 	"path/filepath"
 	"sort"
+	"sync"
 	"syscall"
 
 	"pinewinch.example/pinewinch/internal/state/disk"
 )
 
-// FS is the file system. Its exported fields inject faults.
+// FS is the file system. Its exported fields inject faults; they are set while
+// no other goroutine uses it.
 type FS struct {
 	// Room is how many more bytes fit on the disk; negative for no limit.
 	Room int
@@ -23,6 +25,7 @@
 	SyncCount  int
 	WriteCount int
 
+	mu     sync.Mutex
 	names  map[string]*content
 	synced map[string]*content
 }
@@ -41,6 +44,8 @@
 // synced bytes, and of what was appended since the first kept bytes (a torn
 // write).
 func (f *FS) Crash(kept int) *FS {
+	f.mu.Lock()
+	defer f.mu.Unlock()
 	after := New()
 	for name, c := range f.synced {
 		data := append([]byte(nil), c.durable...)
@@ -55,22 +60,34 @@
 }
 
 // Damage flips a bit of a file.
-func (f *FS) Damage(path string, offset int) { f.names[path].data[offset] ^= 0x10 }
+func (f *FS) Damage(path string, offset int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.names[path].data[offset] ^= 0x10
+}
 
 // Content gives what a file holds now.
-func (f *FS) Content(path string) []byte { return f.names[path].data }
+func (f *FS) Content(path string) []byte {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.names[path].data
+}
 
 // MakeFolder does nothing: every folder exists.
 func (f *FS) MakeFolder(string) error { return nil }
 
 // Create makes an empty file.
 func (f *FS) Create(path string) (disk.File, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
 	f.names[path] = &content{}
 	return &file{fs: f, content: f.names[path]}, nil
 }
 
 // Open opens an existing file.
 func (f *FS) Open(path string) (disk.File, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
 	c, ok := f.names[path]
 	if !ok {
 		return nil, fs.ErrNotExist
@@ -80,6 +97,8 @@
 
 // Names lists the files of a folder.
 func (f *FS) Names(folder string) ([]string, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
 	var names []string
 	for path := range f.names {
 		if filepath.Dir(path) == filepath.Clean(folder) {
@@ -92,6 +111,8 @@
 
 // Rename renames a file.
 func (f *FS) Rename(from, to string) error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
 	c, ok := f.names[from]
 	if !ok {
 		return fs.ErrNotExist
@@ -103,12 +124,16 @@
 
 // Remove removes a file.
 func (f *FS) Remove(path string) error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
 	delete(f.names, path)
 	return nil
 }
 
 // SyncFolder makes the names of a folder last.
 func (f *FS) SyncFolder(folder string) error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
 	for path := range f.synced {
 		if filepath.Dir(path) == filepath.Clean(folder) {
 			delete(f.synced, path)
@@ -128,6 +153,8 @@
 }
 
 func (f *file) Write(p []byte) (int, error) {
+	f.fs.mu.Lock()
+	defer f.fs.mu.Unlock()
 	f.fs.WriteCount++
 	n := len(p)
 	if f.fs.Room >= 0 {
@@ -142,6 +169,8 @@
 }
 
 func (f *file) ReadAt(p []byte, offset int64) (int, error) {
+	f.fs.mu.Lock()
+	defer f.fs.mu.Unlock()
 	if offset >= int64(len(f.content.data)) {
 		return 0, io.EOF
 	}
@@ -152,15 +181,23 @@
 	return n, nil
 }
 
-func (f *file) Size() (int64, error) { return int64(len(f.content.data)), nil }
+func (f *file) Size() (int64, error) {
+	f.fs.mu.Lock()
+	defer f.fs.mu.Unlock()
+	return int64(len(f.content.data)), nil
+}
 
 func (f *file) Truncate(size int64) error {
+	f.fs.mu.Lock()
+	defer f.fs.mu.Unlock()
 	f.content.data = f.content.data[:size:size]
 	f.content.durable = f.content.durable[:min(int(size), len(f.content.durable))]
 	return nil
 }
 
 func (f *file) Sync() error {
+	f.fs.mu.Lock()
+	defer f.fs.mu.Unlock()
 	if f.fs.FailSyncs > 0 {
 		f.fs.FailSyncs--
 		return syscall.EIO
--- a/internal/state/snapshot/snapshot.go
+++ b/internal/state/snapshot/snapshot.go
@@ -45,7 +45,8 @@
 			f.ids = append(f.ids, id)
 		}
 	}
-	return f, nil
+	// A crash can bring back the name of one that was removed.
+	return f, f.prune()
 }
 
 // Empty tells whether there is no snapshot.
@@ -100,6 +101,11 @@
 	}
 	f.ids = append(f.ids, id)
 	sort.Slice(f.ids, func(i, j int) bool { return f.ids[i].Index < f.ids[j].Index })
+	return f.prune()
+}
+
+// prune removes all but the newest.
+func (f *Folder) prune() error {
 	for len(f.ids) > kept {
 		if err := f.files.Remove(f.file(f.ids[0], fileSuffix)); err != nil {
 			return failure.Wrap(failure.DiskFailed, err, "remove an old snapshot")
