Move at-most-once out of routing into coordination/claims

Ruled out: keeping Do in the router with hooks for the claim: the router would need the replicated log, which its policy never reads. Change: claims.Executor has Do, the claim, its settling and the kept answers; routing.Router keeps Send(ctx, request, idempotent) and all below. For the router's owner: Minions.Serve now takes an api.ServeCall; a request carries a Sink (api.AnswerSink) for answers too large to hold. An Answer with Cut set was partly written to the caller: it counts as answered for retries (never try another minion), but the minion did fail. Give no Sink to a hedge.

--- a/internal/app/requests.go
+++ b/internal/app/requests.go
@@ -5,6 +5,7 @@
 
 	"go.uber.org/fx"
 
+	"pinewinch.example/pinewinch/internal/coordination/claims"
 	"pinewinch.example/pinewinch/internal/coordination/membership"
 	"pinewinch.example/pinewinch/internal/coordination/replica"
 	"pinewinch.example/pinewinch/internal/coordination/routing"
@@ -13,10 +14,14 @@
 )
 
 var requestsModule = fx.Module("requests",
-	fx.Provide(upstream.NewClient, newRouter),
+	fx.Provide(upstream.NewClient, newRouter, newExecutor),
 )
 
-func newRouter(s *settings.Settings, control *replica.Replica, registry *membership.Registry, client *upstream.Client) *routing.Router {
-	config := routing.Config{Instance: s.Instance.Name, KeepAnswers: s.Requests.KeepAnswers, Now: time.Now}
-	return routing.New(config, control, registry, client)
+func newRouter(registry *membership.Registry, client *upstream.Client) *routing.Router {
+	return routing.New(registry, client)
+}
+
+func newExecutor(s *settings.Settings, control *replica.Replica, router *routing.Router) *claims.Executor {
+	config := claims.Config{Instance: s.Instance.Name, KeepAnswers: s.Requests.KeepAnswers, Now: time.Now}
+	return claims.New(config, control, router)
 }
--- a/internal/coordination/routing/router.go
+++ b/internal/coordination/routing/router.go
@@ -1,29 +1,22 @@
 // Package routing takes a request from a caller to a minion and its answer
-// back: at most once where that was promised, and "not run" only where that is
-// certain.
+// back, and says "not run" only where that is certain.
 package routing
 
 import (
 	"context"
-	"crypto/sha256"
 	"expvar"
 	"sync"
 	"time"
 
-	"github.com/oklog/ulid/v2"
-
 	"pinewinch.example/pinewinch/internal/protocol/api"
-	"pinewinch.example/pinewinch/internal/protocol/controlpb"
 	"pinewinch.example/pinewinch/internal/protocol/failure"
 	"pinewinch.example/pinewinch/internal/protocol/peerpb"
-	"pinewinch.example/pinewinch/internal/state/store"
 )
 
 var (
 	answered = expvar.NewInt("requests_answered")
 	refused  = expvar.NewInt("requests_refused")
 	retried  = expvar.NewInt("requests_retried")
-	unknown  = expvar.NewInt("requests_unknown")
 )
 
 const (
@@ -33,13 +26,6 @@
 	overloadRetryAfter = time.Second
 )
 
-// Control is the replicated log as routing uses it.
-type Control interface {
-	State() *store.State
-	Fresh() error
-	Propose(ctx context.Context, command *controlpb.Command) (*controlpb.Result, error)
-}
-
 // Registry knows the live minions.
 type Registry interface {
 	Live(kind peerpb.UpstreamKind) []*peerpb.Upstream
@@ -47,14 +33,7 @@
 
 // Minions sends requests.
 type Minions interface {
-	Serve(ctx context.Context, address, service, id string, body []byte) (*api.Answer, error)
-}
-
-// Config of a router.
-type Config struct {
-	Instance    string
-	KeepAnswers time.Duration
-	Now         func() time.Time
+	Serve(ctx context.Context, address string, call *api.ServeCall) (*api.Answer, error)
 }
 
 // Request is one caller's request.
@@ -65,119 +44,35 @@
 	// where the caller gave none.
 	Key  string
 	Body []byte
+	// Sink takes an answer too large to be held whole; see api.AnswerSink.
+	Sink api.AnswerSink
+}
+
+// call gives the request as it goes to a minion.
+func (r *Request) call() *api.ServeCall {
+	return &api.ServeCall{Service: r.Service, ID: r.Key, Body: r.Body, Sink: r.Sink}
 }
 
 // Router sends requests to minions with free slots.
 type Router struct {
-	config   Config
-	control  Control
 	registry Registry
 	minions  Minions
 	mu       sync.Mutex
 	inFlight map[string]uint32
-	answers  map[string]*api.Answer
 }
 
 // New makes a router.
-func New(config Config, control Control, registry Registry, minions Minions) *Router {
+func New(registry Registry, minions Minions) *Router {
 	return &Router{
-		config:   config,
-		control:  control,
 		registry: registry,
 		minions:  minions,
 		inFlight: map[string]uint32{},
-		answers:  map[string]*api.Answer{},
-	}
-}
-
-// Do answers one request.
-func (r *Router) Do(ctx context.Context, request *Request) (*api.Answer, error) {
-	if err := r.control.Fresh(); err != nil {
-		refused.Add(1)
-		return nil, err
-	}
-	service, ok := r.control.State().Service(request.Service)
-	if !ok {
-		return nil, failure.New(failure.NotFound, "no service %q", request.Service)
-	}
-	ctx, cancel := context.WithTimeout(ctx, time.Duration(service.TimeoutMs)*time.Millisecond)
-	defer cancel()
-	if request.Key == "" {
-		request.Key = ulid.Make().String()
-	}
-	if service.Idempotent {
-		return r.send(ctx, request, true)
-	}
-	return r.once(ctx, request)
-}
-
-// once commits a claim before the request leaves; whoever finds the claim of
-// another must not run it.
-func (r *Router) once(ctx context.Context, request *Request) (*api.Answer, error) {
-	hash := sha256.Sum256(request.Body)
-	attempt := ulid.Make().String()
-	claim := &controlpb.Claim{
-		Key:       request.Key,
-		Customer:  request.Customer,
-		Service:   request.Service,
-		BodyHash:  hash[:],
-		Instance:  r.config.Instance + "/" + attempt,
-		ExpiresMs: r.config.Now().Add(r.config.KeepAnswers).UnixMilli(),
-	}
-	result, err := r.control.Propose(ctx, &controlpb.Command{Op: &controlpb.Command_Claim{Claim: &controlpb.ClaimRequest{Claim: claim}}})
-	if err != nil {
-		return nil, claimFailure(err)
-	}
-	if result.Code != "" {
-		return nil, failure.New(failure.Code(result.Code), "%s", result.Detail)
-	}
-	if result.Claim.Instance != claim.Instance {
-		return r.earlier(result.Claim)
-	}
-	answer, err := r.send(ctx, request, false)
-	r.settle(claim, answer, err)
-	return answer, err
-}
-
-// claimFailure says "not run": without a confirmed claim nothing is sent.
-func claimFailure(err error) error {
-	f := failure.From(err)
-	return failure.Wrap(f.Code, err, "the request could not be claimed")
-}
-
-func (r *Router) earlier(claim *controlpb.Claim) (*api.Answer, error) {
-	r.mu.Lock()
-	answer := r.answers[claim.Customer+"/"+claim.Key]
-	r.mu.Unlock()
-	if answer != nil {
-		return answer, nil
-	}
-	unknown.Add(1)
-	return nil, failure.Ran(failure.OutcomeUnknown, failure.NotRunUnknown, nil, "the request was sent before; its answer is not here")
-}
-
-func (r *Router) settle(claim *controlpb.Claim, answer *api.Answer, err error) {
-	settle := &controlpb.SettleClaim{Key: claim.Key, Customer: claim.Customer, Instance: claim.Instance, Holder: r.config.Instance}
-	switch {
-	case err == nil:
-		settle.Outcome = controlpb.ClaimOutcome_CLAIM_OUTCOME_ANSWERED
-		settle.Status = uint32(answer.Status)
-		r.mu.Lock()
-		r.answers[claim.Customer+"/"+claim.Key] = answer
-		r.mu.Unlock()
-	case failure.From(err).NotRun == failure.NotRunTrue:
-		settle.Outcome = controlpb.ClaimOutcome_CLAIM_OUTCOME_NOT_RUN
-	default:
-		settle.Outcome = controlpb.ClaimOutcome_CLAIM_OUTCOME_UNKNOWN
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
-	defer cancel()
-	_, _ = r.control.Propose(ctx, &controlpb.Command{Op: &controlpb.Command_Settle{Settle: settle}})
 }
 
-// send tries minions until one answers. It tries again only what surely did
+// Send tries minions until one answers. It tries again only what surely did
 // not run, or what is idempotent.
-func (r *Router) send(ctx context.Context, request *Request, idempotent bool) (*api.Answer, error) {
+func (r *Router) Send(ctx context.Context, request *Request, idempotent bool) (*api.Answer, error) {
 	var last error
 	tried := map[string]bool{}
 	for range maxAttempts {
@@ -186,7 +81,7 @@
 			break
 		}
 		tried[minion.Id] = true
-		answer, err := r.minions.Serve(ctx, minion.Address, request.Service, request.Key, request.Body)
+		answer, err := r.minions.Serve(ctx, minion.Address, request.call())
 		r.release(minion.Id)
 		if err == nil {
 			answered.Add(1)
--- a/internal/protocol/api/upstream.go
+++ b/internal/protocol/api/upstream.go
@@ -1,6 +1,7 @@
 package api
 
 import (
+	"io"
 	"net/http"
 	"strconv"
 	"time"
@@ -167,9 +168,35 @@
 	return time.Duration(ms) * time.Millisecond, err == nil && ms > 0
 }
 
-// Answer is a minion's whole answer to one request.
+// ServeCall is one request on its way to a minion.
+type ServeCall struct {
+	Service string
+	// ID identifies the request; its answer carries the same.
+	ID   string
+	Body []byte
+	// Sink takes an answer too large to be held whole; with none such an
+	// answer is an error.
+	Sink AnswerSink
+}
+
+// AnswerSink takes a large answer while it arrives. Of the tries of one
+// request only the first that begins may write to it.
+type AnswerSink interface {
+	// Begin announces an answer; ok is false where another try has begun.
+	Begin(answer *Answer) (body io.Writer, ok bool)
+}
+
+// Answer is a minion's answer to one request.
 type Answer struct {
 	Status      int
 	ContentType string
-	Body        []byte
+	// Body is the whole answer, unless it was streamed.
+	Body []byte
+	// Streamed tells that the body went to the request's sink as it came.
+	Streamed bool
+	// Length of a streamed answer where it is known beforehand, else -1.
+	Length int64
+	// Cut is why a streamed answer ended too early, nil for a whole one. A part
+	// has reached the caller by then, so no other minion may be tried.
+	Cut error
 }
--- a/internal/transport/httpapi/requests.go
+++ b/internal/transport/httpapi/requests.go
@@ -36,7 +36,7 @@
 		defer cancel()
 	}
 	request := &routing.Request{Customer: customer, Service: mux.Vars(r)["service"], Key: key, Body: body}
-	answer, err := s.router.Do(ctx, request)
+	answer, err := s.executor.Do(ctx, request)
 	w.Header().Set(api.HeaderKey, request.Key)
 	if err != nil {
 		writeError(w, err)
--- a/internal/transport/httpapi/server.go
+++ b/internal/transport/httpapi/server.go
@@ -17,10 +17,10 @@
 
 	"github.com/gorilla/mux"
 
+	"pinewinch.example/pinewinch/internal/coordination/claims"
 	"pinewinch.example/pinewinch/internal/coordination/dispatch"
 	"pinewinch.example/pinewinch/internal/coordination/membership"
 	"pinewinch.example/pinewinch/internal/coordination/replica"
-	"pinewinch.example/pinewinch/internal/coordination/routing"
 	"pinewinch.example/pinewinch/internal/protocol/api"
 	"pinewinch.example/pinewinch/internal/protocol/failure"
 	"pinewinch.example/pinewinch/internal/settings"
@@ -31,14 +31,14 @@
 	settings   *settings.Settings
 	control    *replica.Replica
 	registry   *membership.Registry
-	router     *routing.Router
+	executor   *claims.Executor
 	controller *dispatch.Controller
 	stopping   atomic.Bool
 }
 
 // New makes a server.
-func New(s *settings.Settings, control *replica.Replica, registry *membership.Registry, router *routing.Router, controller *dispatch.Controller) *Server {
-	return &Server{settings: s, control: control, registry: registry, router: router, controller: controller}
+func New(s *settings.Settings, control *replica.Replica, registry *membership.Registry, executor *claims.Executor, controller *dispatch.Controller) *Server {
+	return &Server{settings: s, control: control, registry: registry, executor: executor, controller: controller}
 }
 
 // Handler gives the routes.
--- a/internal/transport/upstream/client.go
+++ b/internal/transport/upstream/client.go
@@ -97,13 +97,13 @@
 
 // Serve sends one request to a minion and reads its whole answer. An answer
 // that is cut, or that belongs to another request, is an error of its own.
-func (c *Client) Serve(ctx context.Context, address, service, id string, body []byte) (*api.Answer, error) {
-	url := "http://" + address + api.PathServe + service
-	request, err := http.NewRequestWithContext(ctx, http.MethodPost, url, bytes.NewReader(body))
+func (c *Client) Serve(ctx context.Context, address string, call *api.ServeCall) (*api.Answer, error) {
+	url := "http://" + address + api.PathServe + call.Service
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, url, bytes.NewReader(call.Body))
 	if err != nil {
 		return nil, failure.Wrap(failure.BadRequest, err, "address %s", address)
 	}
-	request.Header.Set(api.HeaderRequestID, id)
+	request.Header.Set(api.HeaderRequestID, call.ID)
 	// Go's transport sends a request again on its own where it may; a body that
 	// cannot be rewound and a method that is not idempotent keep it from that.
 	request.GetBody = nil
@@ -122,7 +122,7 @@
 	if response.StatusCode == http.StatusServiceUnavailable && response.Header.Get(api.HeaderNotRun) == string(failure.NotRunTrue) {
 		return nil, failure.New(failure.Overloaded, "%s has no free slot", address)
 	}
-	if response.Header.Get(api.HeaderRequestID) != id {
+	if response.Header.Get(api.HeaderRequestID) != call.ID {
 		return nil, failure.Ran(failure.WrongAnswer, failure.NotRunUnknown, nil, "%s answered another request", address)
 	}
 	return &api.Answer{Status: response.StatusCode, ContentType: response.Header.Get("Content-Type"), Body: text}, nil
