Claims with numbered attempts, batches, kept answers, whole and late answers, graceful stop

Cause: the thin path lost requests' outcomes in five ways: a claim whose proposal had no known end blocked its key for ever; a late settle of one attempt could touch the next; a key ran again once its claim expired; the answers kept grew without bound; answers were held whole however large, and one that ended with its connection passed as whole. Ruled out: deciding a dead claimant by membership (a frozen instance looks dead and sends later: time alone, towards UNKNOWN only, is enough and needs no second source); keeping every key for ever in full (400 bytes each); Idempotency-Key on the way to minions (Go's transport takes it as leave to send twice); GetBody=nil (keeps Go from repairing a stale connection on which nothing was written, which is safe). Change: store/claims.go takes an attempt only right after one that surely did not run; store/keys.go keeps 8 bytes for each expired key without a time; claims and settles share log entries; coordination/claims waits for or returns the first outcome, keeps answers by bytes with the largest customer losing first, and serves them to other instances; transport/upstream/serve.go checks length, end and identity, streams large answers, takes late ones; readyz fails [stop] notice before connections are refused, a second signal ends the grace, what is cut gets a typed answer. A refusal under a caller's own key before its claim was read says unknown: an earlier call with the key may have run. The request id towards minions is customer/key now, so that two customers' equal keys are told apart; newcomer.txtar expects that.

--- a/internal/app/app.go
+++ b/internal/app/app.go
@@ -19,7 +19,7 @@
 	return fx.New(
 		fx.Supply(s),
 		fx.WithLogger(func() fxevent.Logger { return fxevent.NopLogger }),
-		fx.StopTimeout(s.Stop.Grace+stopMargin),
+		fx.StopTimeout(s.Stop.Notice+s.Stop.Grace+stopMargin),
 		fx.Provide(newLogger),
 		controlModule,
 		membershipModule,
@@ -30,7 +30,7 @@
 }
 
 // stopMargin is added to the grace for what follows the last request.
-const stopMargin = 5 * time.Second
+const stopMargin = cutTime + settleTime + 5*time.Second
 
 // background runs work from start to stop of the instance and waits for its end.
 func background(lifecycle fx.Lifecycle, work func(ctx context.Context)) {
--- a/internal/app/http.go
+++ b/internal/app/http.go
@@ -10,6 +10,7 @@
 	"github.com/sirupsen/logrus"
 	"go.uber.org/fx"
 
+	"pinewinch.example/pinewinch/internal/coordination/claims"
 	"pinewinch.example/pinewinch/internal/protocol/failure"
 	"pinewinch.example/pinewinch/internal/settings"
 	"pinewinch.example/pinewinch/internal/transport/counted"
@@ -33,7 +34,7 @@
 // traffic counts callers, operators and announcing upstreams together.
 var traffic = counted.NewCounters("http")
 
-func runHTTP(lifecycle fx.Lifecycle, s *settings.Settings, server *httpapi.Server, logger *logrus.Logger) error {
+func runHTTP(lifecycle fx.Lifecycle, s *settings.Settings, server *httpapi.Server, executor *claims.Executor, logger *logrus.Logger) error {
 	listener, err := net.Listen("tcp", s.Instance.ListenHTTP.String())
 	if err != nil {
 		return failure.Wrap(failure.BadSettings, err, "[instance] listen_http")
@@ -56,11 +57,9 @@
 			return nil
 		},
 		OnStop: func(ctx context.Context) error {
-			server.BeginStop()
-			logger.Info("stopping")
-			ctx, cancel := context.WithTimeout(ctx, s.Stop.Grace)
-			defer cancel()
-			return web.Shutdown(ctx)
+			stop := &gracefulStop{settings: s.Stop, server: server, web: web, executor: executor, logger: logger}
+			stop.run(ctx)
+			return nil
 		},
 	})
 	return nil
--- a/internal/app/requests.go
+++ b/internal/app/requests.go
@@ -1,6 +1,7 @@
 package app
 
 import (
+	"context"
 	"time"
 
 	"go.uber.org/fx"
@@ -10,18 +11,37 @@
 	"pinewinch.example/pinewinch/internal/coordination/replica"
 	"pinewinch.example/pinewinch/internal/coordination/routing"
 	"pinewinch.example/pinewinch/internal/settings"
+	"pinewinch.example/pinewinch/internal/transport/peers"
 	"pinewinch.example/pinewinch/internal/transport/upstream"
 )
 
 var requestsModule = fx.Module("requests",
 	fx.Provide(upstream.NewClient, newRouter, newExecutor),
+	fx.Invoke(stopExecutor),
 )
 
 func newRouter(registry *membership.Registry, client *upstream.Client) *routing.Router {
 	return routing.New(registry, client)
 }
 
-func newExecutor(s *settings.Settings, control *replica.Replica, router *routing.Router) *claims.Executor {
-	config := claims.Config{Instance: s.Instance.Name, KeepAnswers: s.Requests.KeepAnswers, Now: time.Now}
-	return claims.New(config, control, router)
+func newExecutor(s *settings.Settings, control *replica.Replica, router *routing.Router, network *peers.Network) *claims.Executor {
+	config := claims.Config{
+		Instance:    s.Instance.Name,
+		KeepAnswers: s.Requests.KeepAnswers,
+		KeepBytes:   s.Requests.KeepAnswersBytes,
+		Now:         time.Now,
+	}
+	return claims.New(config, control, router, network)
+}
+
+// settleTime bounds the recording of the last outcomes. It comes after the
+// last answer and before the log stops.
+const settleTime = 3 * time.Second
+
+func stopExecutor(lifecycle fx.Lifecycle, executor *claims.Executor) {
+	lifecycle.Append(fx.StopHook(func(ctx context.Context) {
+		ctx, cancel := context.WithTimeout(ctx, settleTime)
+		defer cancel()
+		executor.Stop(ctx)
+	}))
 }
--- a/internal/app/softstate.go
+++ b/internal/app/softstate.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"pinewinch.example/pinewinch/internal/coordination/claims"
 	"pinewinch.example/pinewinch/internal/coordination/membership"
 	"pinewinch.example/pinewinch/internal/coordination/replica"
 	"pinewinch.example/pinewinch/internal/protocol/failure"
@@ -27,10 +28,11 @@
 	control  *replica.Replica
 	registry *membership.Registry
 	network  *peers.Network
+	executor *claims.Executor
 }
 
-func newSoftState(s *settings.Settings, control *replica.Replica, registry *membership.Registry, network *peers.Network) *softState {
-	return &softState{settings: s, control: control, registry: registry, network: network}
+func newSoftState(s *settings.Settings, control *replica.Replica, registry *membership.Registry, network *peers.Network, executor *claims.Executor) *softState {
+	return &softState{settings: s, control: control, registry: registry, network: network, executor: executor}
 }
 
 func (s *softState) run(ctx context.Context) {
@@ -106,6 +108,8 @@
 			s.registry.MergeInstance(body.Soft.Instance)
 		}
 		return &peerpb.Reply{Body: &peerpb.Reply_Ack{Ack: &peerpb.Ack{}}}, nil
+	case *peerpb.Call_Fetch:
+		return s.executor.ServeFetch(body.Fetch)
 	}
 	return nil, failure.New(failure.BadRequest, "unknown call")
 }
--- a/internal/coordination/routing/router.go
+++ b/internal/coordination/routing/router.go
@@ -42,15 +42,16 @@
 	Service  string
 	// Key makes a request that is not idempotent run at most once; made here
 	// where the caller gave none.
-	Key  string
-	Body []byte
+	Key string
+	// KeyGiven tells that the caller made the key, and so may have used it before.
+	KeyGiven bool
+	Body     []byte
 	// Sink takes an answer too large to be held whole; see api.AnswerSink.
 	Sink api.AnswerSink
-}
-
-// call gives the request as it goes to a minion.
-func (r *Request) call() *api.ServeCall {
-	return &api.ServeCall{Service: r.Service, ID: r.Key, Body: r.Body, Sink: r.Sink}
+	// Accepted, if any, is called once a key made here is claimed.
+	Accepted func()
+	// Call is the request as it goes to a minion.
+	Call api.ServeCall
 }
 
 // Router sends requests to minions with free slots.
@@ -81,7 +82,7 @@
 			break
 		}
 		tried[minion.Id] = true
-		answer, err := r.minions.Serve(ctx, minion.Address, request.call())
+		answer, err := r.minions.Serve(ctx, minion.Address, &request.Call)
 		r.release(minion.Id)
 		if err == nil {
 			answered.Add(1)
--- a/internal/protocol/api/upstream.go
+++ b/internal/protocol/api/upstream.go
@@ -174,9 +174,16 @@
 	// ID identifies the request; its answer carries the same.
 	ID   string
 	Body []byte
-	// Sink takes an answer too large to be held whole; with none such an
-	// answer is an error.
+	// Hold is the largest answer, in bytes, that is held whole. A larger one
+	// goes to Sink while it arrives; with no sink it is an error.
+	Hold int64
 	Sink AnswerSink
+	// Dispatched, if any, is told true when a connection is about to carry the
+	// request, for from then on it may run, and false when it surely did not.
+	Dispatched func(at bool)
+	// Late is how long after the end of the caller's wait an answer to a
+	// dispatched request is still taken.
+	Late time.Duration
 }
 
 // AnswerSink takes a large answer while it arrives. Of the tries of one
--- a/internal/protocol/failure/failure.go
+++ b/internal/protocol/failure/failure.go
@@ -48,6 +48,8 @@
 	WrongAnswer     Code = "wrong_answer"
 	UpstreamFailed  Code = "upstream_failed"
 	TooLarge        Code = "too_large"
+	AnswerGone      Code = "answer_gone"
+	KeyExpired      Code = "key_expired"
 	Corrupt         Code = "corrupt_log"
 	DiskFailed      Code = "disk_failed"
 	Internal        Code = "internal"
@@ -82,6 +84,8 @@
 	WrongAnswer:     {http.StatusBadGateway, 22},
 	UpstreamFailed:  {http.StatusBadGateway, 23},
 	TooLarge:        {http.StatusRequestEntityTooLarge, 24},
+	AnswerGone:      {http.StatusGone, 40},
+	KeyExpired:      {http.StatusGone, 41},
 	Corrupt:         {http.StatusInternalServerError, 25},
 	DiskFailed:      {http.StatusInternalServerError, 26},
 	Internal:        {http.StatusInternalServerError, 1},
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -66,10 +66,15 @@
 	QueueLength  int
 	// KeepAnswers is how long an answer can be fetched again.
 	KeepAnswers time.Duration
+	// KeepAnswersBytes bounds the answers that one instance keeps.
+	KeepAnswersBytes int64
 }
 
 // Stop bounds a graceful stop.
 type Stop struct {
+	// Notice is how long the instance still serves after it says that it is not
+	// ready: longer than the balancer takes to see it.
+	Notice time.Duration
 	// Grace is how long requests in flight may take to finish.
 	Grace time.Duration
 }
@@ -158,11 +163,15 @@
 			Lease:         r.duration("upstreams", "lease", 10*time.Second),
 		},
 		Requests: Requests{
-			MaxBodyBytes: int64(r.number("requests", "max_body_bytes", 8<<20)),
-			QueueLength:  r.number("requests", "queue_length", 1024),
-			KeepAnswers:  r.duration("requests", "keep_answers", 10*time.Minute),
+			MaxBodyBytes:     int64(r.number("requests", "max_body_bytes", 8<<20)),
+			QueueLength:      r.number("requests", "queue_length", 1024),
+			KeepAnswers:      r.duration("requests", "keep_answers", 10*time.Minute),
+			KeepAnswersBytes: int64(r.number("requests", "keep_answers_bytes", 32<<20)),
+		},
+		Stop: Stop{
+			Notice: r.duration("stop", "notice", 2*time.Second),
+			Grace:  r.duration("stop", "grace", 30*time.Second),
 		},
-		Stop:      Stop{Grace: r.duration("stop", "grace", 30*time.Second)},
 		Log:       Log{Level: r.text("log", "level", "info"), Format: r.choice("log", "format", "text", "json")},
 		TLS:       TLS{Certificate: r.text("tls", "certificate", ""), Key: r.text("tls", "key", "")},
 		Customers: r.tokens("customers"),
--- a/internal/state/store/apply.go
+++ b/internal/state/store/apply.go
@@ -59,10 +59,10 @@
 		return s.moveJob(op.Move)
 	case *controlpb.Command_Finish:
 		return s.finishTasks(op.Finish)
-	case *controlpb.Command_Claim:
-		return s.claim(op.Claim)
-	case *controlpb.Command_Settle:
-		return s.settle(op.Settle)
+	case *controlpb.Command_Claims:
+		return s.takeClaims(op.Claims)
+	case *controlpb.Command_Settles:
+		return s.settleClaims(op.Settles)
 	case *controlpb.Command_Drain:
 		return s.setDrain(op.Drain)
 	}
@@ -88,7 +88,7 @@
 func (s *State) expire() {
 	oldSession := s.timeMs - sessionLife.Milliseconds()
 	s.sessions = expire(s.sessions, func(v *controlpb.Session) bool { return v.TimeMs < oldSession })
-	s.claims = expire(s.claims, func(c *controlpb.Claim) bool { return c.ExpiresMs < s.timeMs })
+	s.expireClaims(maxExpiredPerApply)
 	oldJob := s.timeMs - endedJobLife.Milliseconds()
 	s.jobs = expire(s.jobs, func(j *controlpb.Job) bool { return Ended(j.State) && j.EndedMs < oldJob })
 }
--- a/internal/state/store/store.go
+++ b/internal/state/store/store.go
@@ -25,19 +25,26 @@
 	jobs     *table[*controlpb.Job]
 	active   *table[*controlpb.Job]
 	claims   *table[*controlpb.Claim]
-	sessions *table[*controlpb.Session]
-	drained  *table[bool]
+	// claimExpiry orders the keys of claims by the time that they expire.
+	claimExpiry *table[[]byte]
+	spent       *table[*controlpb.SpentKeys]
+	spentCounts *table[int]
+	sessions    *table[*controlpb.Session]
+	drained     *table[bool]
 }
 
 // New gives the empty state before the first entry.
 func New() *State {
 	return &State{
-		items:    iradix.New[*controlpb.Item](),
-		jobs:     iradix.New[*controlpb.Job](),
-		active:   iradix.New[*controlpb.Job](),
-		claims:   iradix.New[*controlpb.Claim](),
-		sessions: iradix.New[*controlpb.Session](),
-		drained:  iradix.New[bool](),
+		items:       iradix.New[*controlpb.Item](),
+		jobs:        iradix.New[*controlpb.Job](),
+		active:      iradix.New[*controlpb.Job](),
+		claims:      iradix.New[*controlpb.Claim](),
+		claimExpiry: iradix.New[[]byte](),
+		spent:       iradix.New[*controlpb.SpentKeys](),
+		spentCounts: iradix.New[int](),
+		sessions:    iradix.New[*controlpb.Session](),
+		drained:     iradix.New[bool](),
 	}
 }
 
@@ -101,13 +108,14 @@
 // Snapshot gives the state in its stable form, every list sorted by key.
 func (s *State) Snapshot() *controlpb.Snapshot {
 	snapshot := &controlpb.Snapshot{
-		Index:    s.index,
-		Revision: s.revision,
-		TimeMs:   s.timeMs,
-		Items:    list(s.items),
-		Jobs:     list(s.jobs),
-		Claims:   list(s.claims),
-		Sessions: list(s.sessions),
+		Index:     s.index,
+		Revision:  s.revision,
+		TimeMs:    s.timeMs,
+		Items:     list(s.items),
+		Jobs:      list(s.jobs),
+		Claims:    list(s.claims),
+		SpentKeys: list(s.spent),
+		Sessions:  list(s.sessions),
 	}
 	walk(s.drained, func(key string, _ bool) { snapshot.Drained = append(snapshot.Drained, key) })
 	return snapshot
@@ -121,7 +129,7 @@
 	s.timeMs = snapshot.TimeMs
 	s.items = fill(snapshot.Items, func(i *controlpb.Item) []byte { return []byte(i.Key) })
 	s.jobs = fill(snapshot.Jobs, func(j *controlpb.Job) []byte { return []byte(j.Id) })
-	s.claims = fill(snapshot.Claims, func(c *controlpb.Claim) []byte { return claimKey(c.Customer, c.Key) })
+	s.restoreClaims(snapshot)
 	s.sessions = fill(snapshot.Sessions, func(v *controlpb.Session) []byte { return []byte(v.Client) })
 	active := iradix.New[*controlpb.Job]().Txn()
 	for _, job := range snapshot.Jobs {
--- a/internal/transport/httpapi/server.go
+++ b/internal/transport/httpapi/server.go
@@ -47,6 +47,7 @@
 	routes.HandleFunc(api.PathAnnounceWorker, s.announceWorker).Methods(http.MethodPost)
 	routes.HandleFunc(api.PathAnnounceMinion, s.announceMinion).Methods(http.MethodPost)
 	routes.HandleFunc(api.PathRequests, s.asCustomer(s.request)).Methods(http.MethodPost)
+	routes.HandleFunc(api.PathAnswer, s.asCustomer(s.answer)).Methods(http.MethodGet)
 	routes.HandleFunc(api.PathJobs, s.asCustomer(s.submitJob)).Methods(http.MethodPost)
 	routes.HandleFunc(api.PathJobs, s.asCustomer(s.listJobs)).Methods(http.MethodGet)
 	routes.HandleFunc(api.PathJob, s.asCustomer(s.getJob)).Methods(http.MethodGet)
@@ -61,10 +62,26 @@
 	routes.Handle(api.PathVars, s.asOperator(func(w http.ResponseWriter, r *http.Request, _ string) { expvar.Handler().ServeHTTP(w, r) })).Methods(http.MethodGet)
 	routes.HandleFunc(api.PathHealthy, func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, struct{}{}) })
 	routes.HandleFunc(api.PathReady, s.ready)
-	return http.MaxBytesHandler(routes, s.settings.Requests.MaxBodyBytes)
+	return s.closeWhenStopping(http.MaxBytesHandler(routes, s.settings.Requests.MaxBodyBytes))
 }
 
+// closeWhenStopping gives notice on each connection that it ends with this
+// answer, so that its caller sends the next request elsewhere and none is lost
+// on a connection that is being closed.
+func (s *Server) closeWhenStopping(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if s.stopping.Load() {
+			w.Header().Set("Connection", "close")
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
+// Stopping tells whether the instance has begun to stop.
+func (s *Server) Stopping() bool { return s.stopping.Load() }
+
 // BeginStop makes the instance not ready, so that the balancer turns away.
+// Requests that still come are served.
 func (s *Server) BeginStop() { s.stopping.Store(true) }
 
 func (s *Server) ready(w http.ResponseWriter, _ *http.Request) {
--- a/internal/transport/upstream/client.go
+++ b/internal/transport/upstream/client.go
@@ -5,7 +5,6 @@
 	"bytes"
 	"context"
 	"encoding/json"
-	"errors"
 	"io"
 	"net"
 	"net/http"
@@ -17,10 +16,14 @@
 )
 
 const (
-	dialTimeout    = time.Second
-	maxAnswer      = 1 << 20
-	idlePerUp      = 8
-	idleLife       = 30 * time.Second
+	dialTimeout = time.Second
+	maxAnswer   = 1 << 20
+	// idlePerUp bounds idle connections so that those of 9 instances stay below
+	// the 60 that a minion takes.
+	idlePerUp = 6
+	// idleLife is short: a connection whose far end vanished without a word is
+	// found out only by a request whose outcome is then unknown.
+	idleLife       = 5 * time.Second
 	commandTimeout = 5 * time.Second
 )
 
@@ -80,8 +83,7 @@
 // sendFailure tells a connection that was never opened, which surely ran
 // nothing, from everything later.
 func sendFailure(err error, address string) *failure.Error {
-	var op *net.OpError
-	if errors.As(err, &op) && op.Op == "dial" {
+	if dialFailed(err) {
 		return failure.Wrap(failure.Unreachable, err, "dial %s", address)
 	}
 	return failure.Ran(failure.OutcomeUnknown, failure.NotRunUnknown, err, "send to %s", address)
@@ -94,36 +96,3 @@
 	}
 	return failure.Ran(failure.UpstreamFailed, failure.NotRunFalse, nil, "%s answers %s", address, response.Status)
 }
-
-// Serve sends one request to a minion and reads its whole answer. An answer
-// that is cut, or that belongs to another request, is an error of its own.
-func (c *Client) Serve(ctx context.Context, address string, call *api.ServeCall) (*api.Answer, error) {
-	url := "http://" + address + api.PathServe + call.Service
-	request, err := http.NewRequestWithContext(ctx, http.MethodPost, url, bytes.NewReader(call.Body))
-	if err != nil {
-		return nil, failure.Wrap(failure.BadRequest, err, "address %s", address)
-	}
-	request.Header.Set(api.HeaderRequestID, call.ID)
-	// Go's transport sends a request again on its own where it may; a body that
-	// cannot be rewound and a method that is not idempotent keep it from that.
-	request.GetBody = nil
-	if deadline, ok := ctx.Deadline(); ok {
-		api.SetDeadline(request.Header, time.Until(deadline))
-	}
-	response, err := c.http.Do(request)
-	if err != nil {
-		return nil, sendFailure(err, address)
-	}
-	defer response.Body.Close()
-	text, err := io.ReadAll(response.Body)
-	if err != nil {
-		return nil, failure.Ran(failure.TruncatedAnswer, failure.NotRunFalse, err, "answer of %s", address)
-	}
-	if response.StatusCode == http.StatusServiceUnavailable && response.Header.Get(api.HeaderNotRun) == string(failure.NotRunTrue) {
-		return nil, failure.New(failure.Overloaded, "%s has no free slot", address)
-	}
-	if response.Header.Get(api.HeaderRequestID) != call.ID {
-		return nil, failure.Ran(failure.WrongAnswer, failure.NotRunUnknown, nil, "%s answered another request", address)
-	}
-	return &api.Answer{Status: response.StatusCode, ContentType: response.Header.Get("Content-Type"), Body: text}, nil
-}
