--- a/internal/app/requests.go
+++ b/internal/app/requests.go
@@ -7,8 +7,8 @@
 	"go.uber.org/fx"
 
 	"pinewinch.example/pinewinch/internal/coordination/claims"
+	"pinewinch.example/pinewinch/internal/coordination/control"
 	"pinewinch.example/pinewinch/internal/coordination/membership"
-	"pinewinch.example/pinewinch/internal/coordination/replica"
 	"pinewinch.example/pinewinch/internal/coordination/routing"
 	"pinewinch.example/pinewinch/internal/settings"
 	"pinewinch.example/pinewinch/internal/transport/peers"
@@ -24,14 +24,14 @@
 	return routing.New(registry, client)
 }
 
-func newExecutor(s *settings.Settings, control *replica.Replica, router *routing.Router, network *peers.Network) *claims.Executor {
+func newExecutor(s *settings.Settings, log control.Log, router *routing.Router, network *peers.Network) *claims.Executor {
 	config := claims.Config{
 		Instance:    s.Instance.Name,
 		KeepAnswers: s.Requests.KeepAnswers,
 		KeepBytes:   s.Requests.KeepAnswersBytes,
 		Now:         time.Now,
 	}
-	return claims.New(config, control, router, network)
+	return claims.New(config, log, router, network)
 }
 
 // settleTime bounds the recording of the last outcomes. It comes after the
--- a/internal/state/store/store.go
+++ b/internal/state/store/store.go
@@ -31,6 +31,10 @@
 	spentCounts *table[int]
 	sessions    *table[*controlpb.Session]
 	drained     *table[bool]
+	// health holds the workers with failures, occurrences the last due work of
+	// each entry.
+	health      *table[*controlpb.WorkerHealth]
+	occurrences *table[*controlpb.Occurrence]
 }
 
 // New gives the empty state before the first entry.
@@ -45,6 +49,8 @@
 		spentCounts: iradix.New[int](),
 		sessions:    iradix.New[*controlpb.Session](),
 		drained:     iradix.New[bool](),
+		health:      iradix.New[*controlpb.WorkerHealth](),
+		occurrences: iradix.New[*controlpb.Occurrence](),
 	}
 }
 
@@ -108,14 +114,16 @@
 // Snapshot gives the state in its stable form, every list sorted by key.
 func (s *State) Snapshot() *controlpb.Snapshot {
 	snapshot := &controlpb.Snapshot{
-		Index:     s.index,
-		Revision:  s.revision,
-		TimeMs:    s.timeMs,
-		Items:     list(s.items),
-		Jobs:      list(s.jobs),
-		Claims:    list(s.claims),
-		SpentKeys: list(s.spent),
-		Sessions:  list(s.sessions),
+		Index:       s.index,
+		Revision:    s.revision,
+		TimeMs:      s.timeMs,
+		Items:       list(s.items),
+		Jobs:        list(s.jobs),
+		Claims:      list(s.claims),
+		SpentKeys:   list(s.spent),
+		Sessions:    list(s.sessions),
+		Health:      list(s.health),
+		Occurrences: list(s.occurrences),
 	}
 	walk(s.drained, func(key string, _ bool) { snapshot.Drained = append(snapshot.Drained, key) })
 	return snapshot
@@ -143,6 +151,8 @@
 		drained.Insert([]byte(upstream), true)
 	}
 	s.drained = drained.Commit()
+	s.health = fill(snapshot.Health, func(h *controlpb.WorkerHealth) []byte { return []byte(h.Worker) })
+	s.occurrences = fill(snapshot.Occurrences, func(o *controlpb.Occurrence) []byte { return []byte(o.Entry) })
 	return s
 }
 
--- a/internal/transport/httpapi/server.go
+++ b/internal/transport/httpapi/server.go
@@ -18,9 +18,9 @@
 	"github.com/gorilla/mux"
 
 	"pinewinch.example/pinewinch/internal/coordination/claims"
+	"pinewinch.example/pinewinch/internal/coordination/control"
 	"pinewinch.example/pinewinch/internal/coordination/dispatch"
 	"pinewinch.example/pinewinch/internal/coordination/membership"
-	"pinewinch.example/pinewinch/internal/coordination/replica"
 	"pinewinch.example/pinewinch/internal/protocol/api"
 	"pinewinch.example/pinewinch/internal/protocol/failure"
 	"pinewinch.example/pinewinch/internal/settings"
@@ -29,7 +29,7 @@
 // Server answers the HTTP interfaces of one instance.
 type Server struct {
 	settings   *settings.Settings
-	control    *replica.Replica
+	control    control.Log
 	registry   *membership.Registry
 	executor   *claims.Executor
 	controller *dispatch.Controller
@@ -37,8 +37,8 @@
 }
 
 // New makes a server.
-func New(s *settings.Settings, control *replica.Replica, registry *membership.Registry, executor *claims.Executor, controller *dispatch.Controller) *Server {
-	return &Server{settings: s, control: control, registry: registry, executor: executor, controller: controller}
+func New(s *settings.Settings, log control.Log, registry *membership.Registry, executor *claims.Executor, controller *dispatch.Controller) *Server {
+	return &Server{settings: s, control: log, registry: registry, executor: executor, controller: controller}
 }
 
 // Handler gives the routes.
