--- /dev/null
+++ b/internal/coordination/claims/executor_test.go
@@ -0,0 +1,278 @@
+package claims
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"pinewinch.example/pinewinch/internal/coordination/routing"
+	"pinewinch.example/pinewinch/internal/protocol/api"
+	"pinewinch.example/pinewinch/internal/protocol/controlpb"
+	"pinewinch.example/pinewinch/internal/protocol/failure"
+)
+
+func expect(is *is.I, err error, code failure.Code, notRun failure.NotRun) {
+	is.Helper()
+	f := failure.From(err)
+	is.Equal(f.Code, code)
+	is.Equal(f.NotRun, notRun)
+}
+
+var errLost = failure.Ran(failure.OutcomeUnknown, failure.NotRunUnknown, nil, "the leader died")
+
+// A caller sends a cutting order to one instance and, hearing nothing, to
+// another, while the first still waits for the minion. Both calls get the one
+// answer; the order runs once.
+func TestResendGetsTheFirstAnswer(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		c := newCluster()
+		defer c.stop()
+		var group sync.WaitGroup
+		for _, instance := range []string{"i1", "i2", "i1", "i2"} {
+			group.Go(func() {
+				text, err := c.do(t.Context(), instance, "order-7", "ash")
+				is.NoErr(err)
+				is.Equal(text, "cut crews/order-7")
+			})
+		}
+		group.Wait()
+		is.Equal(c.minion.runs, 1)
+		_, err := c.do(t.Context(), "i2", "order-7", "oak")
+		expect(is, err, failure.KeyReused, failure.NotRunUnknown)
+		_, err = c.executors["i2"].Answer(t.Context(), "planners", "order-7")
+		expect(is, err, failure.NotFound, failure.NotRunUnknown)
+		answer, err := c.executors["i2"].Answer(t.Context(), "crews", "order-7")
+		is.NoErr(err)
+		is.Equal(string(answer.Body), "cut crews/order-7")
+		c.dead["i1"], c.dead["i2"] = true, true
+		claim, _ := c.log.State().Claim("crews", "order-7")
+		other := map[string]string{"i1": "i2", "i2": "i1"}[claim.Instance]
+		_, err = c.executors[other].Answer(t.Context(), "crews", "order-7")
+		expect(is, err, failure.AnswerGone, failure.NotRunFalse)
+	})
+}
+
+// The leader dies after it committed a claim and before it said so. The
+// request must not be sent. A caller that let us make the key is told "not
+// run"; one with its own key may have sent it before, and is told "unknown".
+// The claim that stands must not hold up the resend.
+func TestClaimWithLostResult(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		c := newCluster()
+		defer c.stop()
+		c.log.fail(nil, errLost)
+		_, err := c.do(t.Context(), "i1", "", "ash")
+		expect(is, err, failure.OutcomeUnknown, failure.NotRunTrue)
+		_, err = c.do(t.Context(), "i1", "order-7", "ash")
+		expect(is, err, failure.OutcomeUnknown, failure.NotRunUnknown)
+		is.Equal(c.minion.runs, 0)
+		c.log.fail(nil, nil)
+		time.Sleep(2 * settlePause)
+		text, err := c.do(t.Context(), "i2", "order-7", "ash")
+		is.NoErr(err)
+		is.Equal(text, "cut crews/order-7")
+		is.Equal(c.minion.runs, 1)
+	})
+}
+
+// An instance that is cut off gets a request. Under a key that it made it says
+// "not run". Under the caller's own key it cannot know whether another instance
+// ran the request before, so it doesn't.
+func TestRefusalBeforeTheClaimIsRead(t *testing.T) {
+	cases := []struct {
+		name   string
+		key    string
+		notRun failure.NotRun
+	}{
+		{"key made here", "", failure.NotRunTrue},
+		{"caller's key", "order-7", failure.NotRunUnknown},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			cluster := newCluster()
+			cluster.log.fresh = failure.New(failure.StaleState, "cut off")
+			_, err := cluster.do(t.Context(), "i1", c.key, "ash")
+			expect(is, err, failure.StaleState, c.notRun)
+			cluster.log.fresh = nil
+			cluster.log.fail(failure.New(failure.NoLeader, "no leader"), nil)
+			_, err = cluster.do(t.Context(), "i1", c.key, "ash")
+			expect(is, err, failure.NoLeader, c.notRun)
+			is.Equal(cluster.minion.runs, 0)
+		})
+	}
+}
+
+// A crew hangs up. If no minion has its order yet, it surely doesn't run, and
+// the next call may. If one has, the crew is told "unknown"; the answer that
+// comes late goes to the order's own record, where the next call finds it.
+func TestCallerGone(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		c := newCluster()
+		defer c.stop()
+		run := c.minion.serve
+		c.minion.serve = func(ctx context.Context, _ *routing.Request) (*api.Answer, error) {
+			<-ctx.Done()
+			return nil, failure.Wrap(failure.DeadlinePassed, ctx.Err(), "still queued")
+		}
+		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+		defer cancel()
+		_, err := c.do(ctx, "i1", "order-7", "ash")
+		expect(is, err, failure.DeadlinePassed, failure.NotRunTrue)
+
+		c.minion.serve = run
+		ctx, cancel = context.WithTimeout(t.Context(), 20*time.Millisecond)
+		defer cancel()
+		start := time.Now()
+		_, err = c.do(ctx, "i1", "order-7", "ash")
+		expect(is, err, failure.OutcomeUnknown, failure.NotRunUnknown)
+		is.Equal(time.Since(start), 20*time.Millisecond) // told at once, at its deadline
+		text, err := c.do(t.Context(), "i2", "order-7", "ash")
+		is.NoErr(err)
+		is.Equal(text, "cut crews/order-7")
+		is.Equal(c.minion.runs, 1)
+	})
+}
+
+// An instance dies with a claim. A resend waits only until the instance must
+// have given up, then gets "unknown"; it never runs.
+func TestClaimantDies(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		c := newCluster()
+		defer c.stop()
+		claim := &controlpb.Claim{Customer: "crews", Key: "order-7", Service: "cut-order", Instance: "i1", Id: "dead", Attempt: 1}
+		request := &routing.Request{Customer: "crews", Key: "order-7", Service: "cut-order", Body: []byte("ash")}
+		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+		defer cancel()
+		claim.BodyHash = c.executors["i1"].wanted(ctx, request).BodyHash
+		claim.PendingUntilMs = time.Now().Add(3 * time.Second).UnixMilli()
+		c.log.apply(&controlpb.Command{Op: &controlpb.Command_Claims{Claims: &controlpb.ClaimRequests{Claims: []*controlpb.Claim{claim}}}})
+		start := time.Now()
+		_, err := c.do(t.Context(), "i2", "order-7", "ash")
+		expect(is, err, failure.OutcomeUnknown, failure.NotRunUnknown)
+		is.Equal(time.Since(start), 3*time.Second)
+		is.Equal(c.minion.runs, 0)
+	})
+}
+
+// What a resend of each first outcome gets: the same outcome, or a run where
+// the first surely did not.
+func TestOutcomeIsTheSameForResends(t *testing.T) {
+	cases := []struct {
+		name   string
+		answer *api.Answer
+		err    error
+		code   failure.Code
+		notRun failure.NotRun
+		runs   int
+	}{
+		{"cut answer", nil, failure.Ran(failure.TruncatedAnswer, failure.NotRunFalse, nil, "cut"), failure.TruncatedAnswer, failure.NotRunFalse, 0},
+		{"cut while streaming", &api.Answer{Status: 200, Streamed: true, Cut: errLost}, nil, failure.TruncatedAnswer, failure.NotRunFalse, 0},
+		{"streamed whole", &api.Answer{Status: 200, Streamed: true}, nil, failure.AnswerGone, failure.NotRunFalse, 0},
+		{"connection lost", nil, errLost, failure.OutcomeUnknown, failure.NotRunUnknown, 0},
+		{"refused as not run", nil, failure.New(failure.Overloaded, "full"), "", "", 1},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				cluster := newCluster()
+				defer cluster.stop()
+				run := cluster.minion.serve
+				cluster.minion.serve = func(context.Context, *routing.Request) (*api.Answer, error) { return c.answer, c.err }
+				_, _ = cluster.do(t.Context(), "i1", "order-7", "ash")
+				cluster.minion.serve = run
+				_, err := cluster.do(t.Context(), "i2", "order-7", "ash")
+				if c.runs == 0 {
+					expect(is, err, c.code, c.notRun)
+				} else {
+					is.NoErr(err)
+				}
+				is.Equal(cluster.minion.runs, c.runs)
+			})
+		})
+	}
+}
+
+// The grace of a stop ends. The request that waits for a minion is handed back
+// as not run, the one at a minion is reported as unknown, both at once; their
+// outcomes still reach the log.
+func TestCutAtStop(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		c := newCluster()
+		defer c.stop()
+		c.minion.serve = func(ctx context.Context, request *routing.Request) (*api.Answer, error) {
+			if request.Key == "at-minion" {
+				return c.minion.run(request, 2*time.Second)
+			}
+			<-ctx.Done()
+			return nil, failure.Wrap(failure.DeadlinePassed, ctx.Err(), "still queued")
+		}
+		var group sync.WaitGroup
+		var atMinion, queued error
+		group.Go(func() { _, atMinion = c.do(t.Context(), "i1", "at-minion", "ash") })
+		group.Go(func() { _, queued = c.do(t.Context(), "i1", "queued", "ash") })
+		time.Sleep(time.Second)
+		start := time.Now()
+		c.executors["i1"].Cut()
+		group.Wait()
+		is.Equal(time.Since(start), time.Duration(0))
+		expect(is, atMinion, failure.OutcomeUnknown, failure.NotRunUnknown)
+		expect(is, queued, failure.NotReady, failure.NotRunTrue)
+		c.executors["i1"].Stop(t.Context())
+		for key, outcome := range map[string]controlpb.ClaimOutcome{
+			"at-minion": controlpb.ClaimOutcome_CLAIM_OUTCOME_ANSWERED,
+			"queued":    controlpb.ClaimOutcome_CLAIM_OUTCOME_NOT_RUN,
+		} {
+			claim, _ := c.log.State().Claim("crews", key)
+			is.Equal(claim.Outcome, outcome)
+		}
+	})
+}
+
+// Claims that arrive while others are on their way share a command of the log.
+func TestClaimsShareCommands(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		c := newCluster()
+		defer c.stop()
+		before := c.log.State().Index()
+		var group sync.WaitGroup
+		for i := range 200 {
+			group.Go(func() {
+				_, err := c.do(t.Context(), "i1", fmt.Sprint("order-", i), "ash")
+				is.NoErr(err)
+			})
+		}
+		group.Wait()
+		c.executors["i1"].Stop(t.Context())
+		is.Equal(c.minion.runs, 200)
+		is.True(c.log.State().Index()-before < 20)
+	})
+}
+
+// One busy customer fills the kept answers; another's few stay.
+func TestLargestCustomerLosesAnswersFirst(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(0, 0)
+	answers := NewAnswers(time.Minute, 10<<10)
+	answers.put("planners", &kept{key: "only", answer: &api.Answer{}}, now)
+	for i := range 50 {
+		answers.put("crews", &kept{key: fmt.Sprint(i), answer: &api.Answer{Body: make([]byte, 1<<10)}}, now)
+	}
+	is.True(answers.bytes <= 10<<10)
+	is.True(answers.get("planners", "only", now) != nil)
+	is.True(answers.get("crews", "0", now) == nil)
+	is.True(answers.get("crews", "49", now) != nil)
+	is.True(answers.get("crews", "49", now.Add(time.Minute)) == nil)
+}
--- a/internal/transport/upstream/serve.go
+++ b/internal/transport/upstream/serve.go
@@ -66,7 +66,7 @@
 
 // callerGone ends the exchange: at once, or once a late answer is too late.
 func (x *exchange) callerGone() {
-	if x.call.Late == 0 || !x.dispatched.Load() {
+	if !x.dispatched.Load() {
 		x.cancel()
 		return
 	}
