--- a/test/scenarios/control_test.go
+++ b/test/scenarios/control_test.go
@@ -117,17 +117,25 @@
 // waitAfter waits for an acknowledgement later than a moment.
 func (d *diary) waitAfter(ts *testscript.TestScript, moment time.Time) time.Duration {
 	for deadline := time.Now().Add(patience); time.Now().Before(deadline); time.Sleep(time.Millisecond) {
-		d.mu.Lock()
-		at := slices.IndexFunc(d.entries, func(a accepted) bool { return a.at.After(moment) })
-		d.mu.Unlock()
-		if at >= 0 {
-			return d.entries[at].at.Sub(moment)
+		if at, ok := d.after(moment); ok {
+			return at.Sub(moment)
 		}
 	}
 	ts.Fatalf("no change was acknowledged")
 	return 0
 }
 
+func (d *diary) after(moment time.Time) (time.Time, bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for _, a := range d.entries {
+		if a.at.After(moment) {
+			return a.at, true
+		}
+	}
+	return time.Time{}, false
+}
+
 // killleaders kills the leader again and again while operators race to apply,
 // then compares what they were told with what every instance has.
 func killLeaders(ts *testscript.TestScript, _ bool, _ []string) {
