Members are changed by operators; wiped disk and power loss with real processes

Cause: nothing let an operator put a new replica in a lost one's place. Automatic repair is not here.

--- a/internal/app/softstate.go
+++ b/internal/app/softstate.go
@@ -87,6 +87,7 @@
 		Revision:    state.Revision(),
 		Ready:       s.node.Fresh() == nil,
 		HttpAddress: s.settings.Instance.ListenHTTP.String(),
+		LogRole:     s.node.Role(),
 		Replica:     s.settings.Instance.DataFolder != "",
 	}
 }
--- a/internal/command/command.go
+++ b/internal/command/command.go
@@ -155,6 +155,13 @@
 }
 
 // one gives the single argument of a subcommand.
+func two(args []string, what string) (string, string, error) {
+	if len(args) != 2 {
+		return "", "", failure.New(failure.BadRequest, "give %s", what)
+	}
+	return args[0], args[1], nil
+}
+
 func one(args []string, what string) (string, error) {
 	if len(args) != 1 {
 		return "", failure.New(failure.BadRequest, "give one %s", what)
--- a/internal/command/operate.go
+++ b/internal/command/operate.go
@@ -60,23 +60,6 @@
 	return rows
 }
 
-func (t *Tool) membersCommand() *ffcli.Command {
-	return t.command("members", "", t.flags("members"), func(ctx context.Context, _ []string) error {
-		members := []api.Instance{}
-		if err := t.call(ctx, http.MethodGet, api.PathMembers, nil, &members); err != nil {
-			return err
-		}
-		var rows [][]string
-		for _, member := range members {
-			rows = append(rows, []string{
-				member.Name, member.DataCentre, strconv.FormatUint(member.Revision, 10),
-				strconv.FormatBool(member.Ready), strconv.FormatBool(member.Replica), strconv.FormatBool(member.Leader),
-			})
-		}
-		return t.print(members, []string{"instance", "data centre", "revision", "ready", "replica", "leader"}, rows)
-	})
-}
-
 func (t *Tool) drainCommand() *ffcli.Command {
 	flags := t.flags("drain")
 	undo := flags.Bool("undo", false, "let the upstream receive work again")
--- a/internal/coordination/control/control.go
+++ b/internal/coordination/control/control.go
@@ -68,6 +68,9 @@
 	ServeReplica(ctx context.Context, call *peerpb.Call) (*peerpb.Reply, error)
 	// ChangeMembers changes who keeps the log, by way of the leader.
 	ChangeMembers(ctx context.Context, change *peerpb.ChangeMembers) error
+	// Role is the instance's part in the log: leader, voter, learner, or empty
+	// where it follows.
+	Role() string
 	// Deliver takes one consensus message; it does not wait.
 	Deliver(message *consensuspb.Message)
 }
--- a/internal/coordination/follower/members.go
+++ b/internal/coordination/follower/members.go
@@ -30,5 +30,8 @@
 	return err
 }
 
+// Role is empty: a follower is no member.
+func (f *Follower) Role() string { return "" }
+
 // Deliver drops a consensus message: a follower has no replica.
 func (f *Follower) Deliver(*consensuspb.Message) {}
--- a/internal/coordination/replica/members.go
+++ b/internal/coordination/replica/members.go
@@ -154,11 +154,19 @@
 	c.expect(index, p)
 }
 
-// MemberStates lists the members as the leader sees them; a replica that does
-// not lead knows only who they are.
-func (r *Replica) MemberStates() ([]*consensuspb.Member, []consensus.MemberStatus) {
+// Role is this replica's part in the log.
+func (r *Replica) Role() string {
 	status := r.Status()
-	return status.Configuration.GetMembers(), status.Members
+	member := r.memberOf(status.Identity)
+	switch {
+	case member == nil:
+		return ""
+	case status.Role == consensus.Leader:
+		return "leader"
+	case member.Voter:
+		return "voter"
+	}
+	return "learner"
 }
 
 // ServeReplica answers the calls that replicas make among themselves.
--- a/internal/coordination/standby/standby.go
+++ b/internal/coordination/standby/standby.go
@@ -160,6 +160,9 @@
 	return n.acting().ChangeMembers(ctx, change)
 }
 
+// Role is the replica's part in the log.
+func (n *Node) Role() string { return n.replica.Role() }
+
 // Deliver takes one consensus message.
 func (n *Node) Deliver(message *consensuspb.Message) { n.replica.Deliver(message) }
 
--- a/internal/protocol/api/api.go
+++ b/internal/protocol/api/api.go
@@ -23,6 +23,15 @@
 	PathReady        = "/readyz"
 )
 
+// MembersChange changes who keeps the control log: Add becomes a voter, then
+// Remove leaves. Either may be empty.
+type MembersChange struct {
+	// Add names an instance with a data folder.
+	Add string `json:"add,omitempty"`
+	// Remove names a member by its instance or its identity.
+	Remove string `json:"remove,omitempty"`
+}
+
 // ErrorBody is the body of every answer that is an error.
 type ErrorBody struct {
 	Code         failure.Code   `json:"code"`
@@ -101,7 +110,9 @@
 	Revision   uint64 `json:"revision"`
 	Ready      bool   `json:"ready"`
 	Replica    bool   `json:"replica"`
-	Leader     bool   `json:"leader"`
+	// LogRole is its part in the control log: leader, voter, learner or empty.
+	LogRole string `json:"log_role,omitempty"`
+	Leader  bool   `json:"leader"`
 }
 
 // Explanation says why a job waits.
--- a/internal/transport/httpapi/operators.go
+++ b/internal/transport/httpapi/operators.go
@@ -99,6 +99,7 @@
 			Revision:   instance.Revision,
 			Ready:      instance.Ready,
 			Replica:    instance.Replica,
+			LogRole:    instance.LogRole,
 			Leader:     instance.Name == s.control.Leader(),
 		})
 	}
--- a/internal/transport/httpapi/server.go
+++ b/internal/transport/httpapi/server.go
@@ -29,7 +29,7 @@
 // Server answers the HTTP interfaces of one instance.
 type Server struct {
 	settings   *settings.Settings
-	control    control.Log
+	control    control.Node
 	registry   *membership.Registry
 	executor   *claims.Executor
 	controller *dispatch.Controller
@@ -37,8 +37,8 @@
 }
 
 // New makes a server.
-func New(s *settings.Settings, log control.Log, registry *membership.Registry, executor *claims.Executor, controller *dispatch.Controller) *Server {
-	return &Server{settings: s, control: log, registry: registry, executor: executor, controller: controller}
+func New(s *settings.Settings, node control.Node, registry *membership.Registry, executor *claims.Executor, controller *dispatch.Controller) *Server {
+	return &Server{settings: s, control: node, registry: registry, executor: executor, controller: controller}
 }
 
 // Handler gives the routes.
@@ -57,6 +57,7 @@
 	routes.HandleFunc(api.PathDeclarations, s.asOperator(s.applyDeclarations)).Methods(http.MethodPost)
 	routes.HandleFunc(api.PathStatus, s.asOperator(s.status)).Methods(http.MethodGet)
 	routes.HandleFunc(api.PathMembers, s.asOperator(s.members)).Methods(http.MethodGet)
+	routes.HandleFunc(api.PathMembers, s.asOperator(s.changeMembers)).Methods(http.MethodPost)
 	routes.HandleFunc(api.PathDrain, s.asOperator(s.drain)).Methods(http.MethodPost, http.MethodDelete)
 	routes.HandleFunc(api.PathState, s.asOperator(s.dump)).Methods(http.MethodGet)
 	routes.Handle(api.PathVars, s.asOperator(func(w http.ResponseWriter, r *http.Request, _ string) { expvar.Handler().ServeHTTP(w, r) })).Methods(http.MethodGet)
--- a/test/scenarios/control_test.go
+++ b/test/scenarios/control_test.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"net/http"
 	"slices"
+	"strconv"
 	"strings"
 	"sync"
 	"time"
@@ -251,3 +252,25 @@
 		revision++
 	}
 }
+
+// changeAndCrash applies N changes, kills every instance at once, starts them
+// again and wants every change back everywhere.
+func changeAndCrash(ts *testscript.TestScript, _ bool, args []string) {
+	count, err := strconv.Atoi(args[0])
+	ts.Check(err)
+	writer := newOperator(ts, "writer")
+	var told []accepted
+	for revision := range count {
+		change, code, _ := writer.apply(uint64(revision))
+		if code != "" {
+			ts.Fatalf("change against revision %d: %s", revision, code)
+		}
+		told = append(told, change)
+	}
+	instances := []string{"i1", "i2", "i3"}
+	crash(ts, false, instances)
+	for _, instance := range instances {
+		start(ts, false, []string{instance, "pinewinchd", "-config", instance + ".ini"})
+	}
+	compare(ts, told)
+}
--- a/test/scenarios/scenario_test.go
+++ b/test/scenarios/scenario_test.go
@@ -47,8 +47,9 @@
 			"http":       httpCommand,
 			"ready":      ready,
 
-			"killleaders":   killLeaders,
-			"raceoperators": raceOperators,
+			"killleaders":    killLeaders,
+			"raceoperators":  raceOperators,
+			"changeandcrash": changeAndCrash,
 		},
 	})
 }
