Keep guarantees as cells, place gangs by adjacency, take back what was lent

Cause: the pass counted free accelerators only. It knew no adjacency, cores, guarantees or preemption, so a customer's shape could be given away for good.

Change: cells are places of every guaranteed set, kept from plan to plan and searched afresh when they no longer hold; fixed work keeps every cell takeable, cores and memory counted as accelerator equivalents; owners take back from gangs that only borrow, the least lost work first; urgent work may stop patient borrowers; each plan is verified by a recount, and a breach refuses it (expvar dispatch_plans_refused). Sets that lost workers leave without a place are data. Run times are learned per class from what ended.

--- a/internal/coordination/dispatch/controller.go
+++ b/internal/coordination/dispatch/controller.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"expvar"
 	"sync/atomic"
 	"time"
 
@@ -15,6 +16,9 @@
 // passEvery bounds how long news of an upstream waits for a pass.
 const passEvery = 100 * time.Millisecond
 
+// plansRefused counts plans that would have broken an invariant.
+var plansRefused = expvar.NewInt("dispatch_plans_refused")
+
 // Log is what the controller needs of the replicated log.
 type Log interface {
 	Control
@@ -30,11 +34,16 @@
 	registry   Registry
 	now        func() time.Time
 	waiting    atomic.Pointer[[]scheduling.Reason]
+	// newest is the plan before the next one: its cells stay where they are.
+	newest   *scheduling.Plan
+	runTimes *runTimes
 }
 
 // NewController makes a controller.
 func NewController(log Log, dispatcher *Dispatcher, registry Registry, now func() time.Time) *Controller {
 	c := &Controller{log: log, dispatcher: dispatcher, registry: registry, now: now}
+	c.newest = &scheduling.Plan{}
+	c.runTimes = newRunTimes()
 	c.waiting.Store(&[]scheduling.Reason{})
 	return c
 }
@@ -73,7 +82,11 @@
 
 func (c *Controller) schedule(ctx context.Context) {
 	plan := scheduling.Pass(c.snapshot(c.log.State()))
+	c.newest = plan
 	c.waiting.Store(&plan.Waiting)
+	if plan.Breach != nil {
+		plansRefused.Add(1)
+	}
 	if len(plan.Assignments) == 0 && len(plan.Preemptions) == 0 {
 		return
 	}
@@ -88,6 +101,8 @@
 		Jobs:      state.ActiveJobs(),
 		Customers: map[string]*controlpb.Customer{},
 		Rules:     state.Rules(),
+		Cells:     c.newest.Cells,
+		RunTimes:  c.runTimes.upTo(state),
 	}
 	for _, item := range state.Items() {
 		if customer := item.GetCustomer(); customer != nil {
--- /dev/null
+++ b/internal/coordination/scheduling/pass.go
@@ -0,0 +1,263 @@
+package scheduling
+
+import (
+	"maps"
+	"slices"
+
+	"pinewinch.example/pinewinch/internal/protocol/controlpb"
+)
+
+// pass is the working state of one pass.
+type pass struct {
+	snapshot *Snapshot
+	cluster  *cluster
+	plan     *Plan
+	gangs    []*gang
+	// used is each customer's accelerators, by customerID.
+	used map[customerID]int64
+	// settled jobs have an outcome in this pass.
+	settled map[string]bool
+	// hopeless holds the shapes that found no room: within a pass room only
+	// shrinks, but for what is taken back, which is promised at once.
+	hopeless map[shapeKey]ReasonCode
+	// barred holds, likewise, the shapes that could not take back.
+	barred         map[shapeKey]bool
+	feasibleShapes map[Shape]bool
+	// capacity is every accelerator, weights the sum of customers' weights.
+	capacity int64
+	weights  float64
+	nowMs    int64
+	// cellMoves counts the searches made by startByMovingCells.
+	cellMoves int
+}
+
+// shapeKey is what decides whether an ask finds room.
+type shapeKey struct {
+	customer  customerID
+	tasks     int64
+	each      amount
+	fixed     bool
+	adjacency controlpb.Adjacency
+	urgent    bool
+}
+
+func (a *ask) key() shapeKey {
+	return shapeKey{a.customer, a.tasks, a.each, a.fixed, a.job.Adjacency, a.job.Urgent}
+}
+
+func newPass(snapshot *Snapshot) *pass {
+	p := &pass{
+		snapshot: snapshot,
+		cluster:  newCluster(snapshot.Workers),
+		plan:     &Plan{},
+		used:     map[customerID]int64{},
+		settled:  map[string]bool{},
+		hopeless: map[shapeKey]ReasonCode{},
+		barred:   map[shapeKey]bool{},
+		nowMs:    snapshot.Now.UnixMilli(),
+
+		feasibleShapes: map[Shape]bool{},
+	}
+	p.capacity = p.cluster.free.accelerators
+	for _, customer := range snapshot.Customers {
+		p.weights += max(float64(customer.Weight), 1)
+	}
+	for _, job := range snapshot.Jobs {
+		if len(job.Placements) == 0 {
+			continue
+		}
+		g := p.cluster.hold(job)
+		g.lost = p.lostByStopping(job)
+		p.gangs = append(p.gangs, g)
+		if !g.stopping {
+			p.used[g.customer] += int64(job.Tasks) * int64(job.Accelerators)
+		}
+	}
+	return p
+}
+
+func sortedNames[T any](byName map[string]T) []string {
+	return slices.Sorted(maps.Keys(byName))
+}
+
+// startEntitled serves customers with unclaimed cells. It goes before all other
+// work, urgent work too, so that nothing else takes what is being taken back.
+// The work counts as fixed for the rest of the pass, even if it is preemptible:
+// else it could borrow a cell that its owner asks for in this same pass.
+func (p *pass) startEntitled(queue []*ask) {
+	unclaimed := p.unclaimedByCustomer()
+	for _, a := range queue {
+		if a.each.accelerators == 0 || unclaimed[a.customer] < a.size().accelerators {
+			continue
+		}
+		firm := *a
+		firm.fixed, firm.firm = true, !a.fixed
+		if p.serve(&firm, true) {
+			unclaimed[a.customer] = p.unclaimedOf(a.customer)
+		}
+	}
+}
+
+// startUrgent serves urgent work, which may stop patient borrowers.
+func (p *pass) startUrgent(queue []*ask) {
+	for _, a := range queue {
+		if a.job.Urgent && !p.settled[a.job.Id] {
+			p.serve(a, false)
+		}
+	}
+}
+
+// serve starts a job, or takes room back for it. Room that is free elsewhere
+// goes before a loan, since stopping work loses some of it.
+func (p *pass) serve(a *ask, entitled bool) bool {
+	if p.refusedByLimit(a) || p.barred[a.key()] {
+		return false
+	}
+	if entitled && p.startNow(a, unclaimedOnly(roomNow)) {
+		return true
+	}
+	if p.startNow(a, roomNow) || p.hold(a, entitled) {
+		return true
+	}
+	p.barred[a.key()] = true
+	return false
+}
+
+func (p *pass) unclaimedByCustomer() map[customerID]int64 {
+	unclaimed := map[customerID]int64{}
+	for _, cell := range p.cluster.cells {
+		if _, done := unclaimed[cell.set.customer]; !done {
+			unclaimed[cell.set.customer] = p.unclaimedOf(cell.set.customer)
+		}
+	}
+	return unclaimed
+}
+
+func (p *pass) unclaimedOf(customer customerID) int64 {
+	var sum int64
+	seen := map[*node]bool{}
+	for _, cell := range p.cluster.cells {
+		if cell.set.customer != customer {
+			continue
+		}
+		for _, part := range cell.parts {
+			if !seen[part.node] {
+				seen[part.node] = true
+				sum += part.node.unclaimed(customer)
+			}
+		}
+	}
+	return sum
+}
+
+// startRest serves what is left in order, fairly among customers.
+func (p *pass) startRest(queue []*ask) {
+	due := p.fairQueue(queue)
+	for a := due.next(); a != nil; a = due.next() {
+		if p.refusedByLimit(a) {
+			continue
+		}
+		if code, known := p.hopeless[a.key()]; known {
+			p.wait(a, code)
+			continue
+		}
+		if p.startNow(a, roomNow) || p.startByMovingCells(a) {
+			continue
+		}
+		code := p.whyNot(a)
+		p.hopeless[a.key()] = code
+		p.wait(a, code)
+	}
+}
+
+// refusedByLimit settles a job whose customer would exceed its limit.
+func (p *pass) refusedByLimit(a *ask) bool {
+	customer := p.snapshot.Customers[a.job.Customer]
+	if customer == nil || customer.MaxAccelerators == 0 {
+		return false
+	}
+	if p.used[a.customer]+a.size().accelerators <= int64(customer.MaxAccelerators) {
+		return false
+	}
+	if !p.settled[a.job.Id] {
+		p.wait(a, ReasonLimit)
+	}
+	return true
+}
+
+// startNow assigns the whole gang if there is room at once.
+func (p *pass) startNow(a *ask, room room) bool {
+	spots := p.cluster.fit(a, room)
+	if spots == nil {
+		return false
+	}
+	p.assign(a, spots)
+	return true
+}
+
+func (p *pass) assign(a *ask, spots []spot) {
+	assignment := &controlpb.Assignment{Job: a.job.Id, Epoch: a.job.Epoch}
+	var task uint32
+	for _, s := range spots {
+		for range s.tasks {
+			assignment.Placements = append(assignment.Placements, &controlpb.Placement{
+				Task: task, Worker: s.node.worker.ID, Accelerators: s.node.pick(a.each.accelerators),
+			})
+			task++
+		}
+		size := a.each.times(s.tasks)
+		p.cluster.take(s.node, size)
+		s.node.use(a.customer, size, a.fixed)
+		if a.firm {
+			add(&s.node.firmBy, a.customer, size)
+		}
+	}
+	p.used[a.customer] += a.size().accelerators
+	p.settled[a.job.Id] = true
+	p.plan.Assignments = append(p.plan.Assignments, assignment)
+}
+
+// promise keeps spots for a job whose room is partly ending.
+func (p *pass) promise(a *ask, spots []spot) {
+	for _, s := range spots {
+		size := a.each.times(s.tasks)
+		p.cluster.takeSoon(s.node, size)
+		s.node.use(a.customer, size, a.fixed)
+		if a.fixed {
+			add(&s.node.firmBy, a.customer, size)
+		}
+	}
+	p.used[a.customer] += a.size().accelerators
+	p.wait(a, ReasonPreempting)
+}
+
+func (p *pass) wait(a *ask, code ReasonCode) {
+	p.settled[a.job.Id] = true
+	p.plan.Waiting = append(p.plan.Waiting, Reason{
+		Job:    a.job.Id,
+		Code:   code,
+		Wanted: uint32(a.size().accelerators),
+		Free:   uint32(max(p.cluster.free.accelerators, 0)),
+	})
+}
+
+// whyNot says what keeps a job waiting that found no room.
+func (p *pass) whyNot(a *ask) ReasonCode {
+	switch {
+	case !p.feasible(a):
+		return ReasonNever
+	case p.cluster.fit(a, roomKept) != nil:
+		return ReasonReserved
+	case a.fixed && p.cluster.fit(a, roomWithoutCells) != nil:
+		return ReasonGuarantee
+	}
+	return ReasonNoCapacity
+}
+
+// roomWithoutCells counts what is free as if nothing were guaranteed.
+func roomWithoutCells(n *node, a *ask) int64 {
+	if n.worker.Unavailable {
+		return 0
+	}
+	return min(a.tasks, n.free.tasks(a.each))
+}
--- a/internal/coordination/scheduling/scheduling.go
+++ b/internal/coordination/scheduling/scheduling.go
@@ -1,9 +1,13 @@
 // Package scheduling decides where jobs run: from a snapshot to a plan, with
 // reasons for every job left waiting. It is pure: no clock, socket or goroutine.
+//
+// Guarantees are shapes, kept as cells: disjoint places of free accelerators,
+// or ones lent to preemptible tasks, that hold every customer's whole unclaimed
+// guarantee at once. The idea is that of HiveD (OSDI 2020); docs/design/scheduling.md
+// weighs it against free-form adjacency and quotas.
 package scheduling
 
 import (
-	"sort"
 	"time"
 
 	"pinewinch.example/pinewinch/internal/protocol/controlpb"
@@ -29,6 +33,11 @@
 	Jobs      []*controlpb.Job
 	Customers map[string]*controlpb.Customer
 	Rules     *controlpb.Rules
+	// Cells are those of the plan before this one, or none: they are then
+	// found afresh from what runs.
+	Cells []Cell
+	// RunTimes is what was observed of each class; nil for nothing yet.
+	RunTimes *RunTimes
 }
 
 // ReasonCode says why a job waits.
@@ -43,6 +52,7 @@
 	ReasonReserved   ReasonCode = "kept_for_reservation"
 	ReasonNever      ReasonCode = "never_fits"
 	ReasonPreempting ReasonCode = "taking_back"
+	ReasonRefused    ReasonCode = "plan_refused"
 )
 
 // Reason is why one job was left waiting.
@@ -54,121 +64,60 @@
 	Free   uint32 `json:"free"`
 }
 
+// Unmet is a guaranteed set that no place can be found for, since workers are
+// lost or hold work that can't be stopped. Other guarantees and work go on.
+type Unmet struct {
+	Customer     string              `json:"customer"`
+	Set          int                 `json:"set"`
+	Accelerators uint32              `json:"accelerators"`
+	Adjacency    controlpb.Adjacency `json:"adjacency"`
+}
+
 // Plan is the outcome of one pass.
 type Plan struct {
 	Assignments []*controlpb.Assignment
 	Preemptions []*controlpb.Preemption
 	Waiting     []Reason
+	// Cells go into the next pass's snapshot.
+	Cells []Cell
+	Unmet []Unmet
+	// Breach is set when the plan broke an invariant: it then assigns and
+	// preempts nothing.
+	Breach *Breach
 }
 
 // Pass plans once over the snapshot.
 func Pass(snapshot *Snapshot) *Plan {
-	p := &pass{snapshot: snapshot, free: freeAccelerators(snapshot), plan: &Plan{}}
-	for _, job := range waitingInOrder(snapshot.Jobs) {
-		p.place(job)
+	p := newPass(snapshot)
+	p.keepCells()
+	queue := p.queue()
+	p.startEntitled(queue)
+	p.startUrgent(queue)
+	p.startRest(queue)
+	p.plan.Cells = p.cluster.cellList()
+	if breach := Verify(snapshot, p.plan); breach != nil {
+		return refused(snapshot, p.plan, breach)
 	}
 	return p.plan
 }
 
-type pass struct {
-	snapshot *Snapshot
-	free     map[string][]uint32
-	plan     *Plan
-}
-
-func waitingInOrder(jobs []*controlpb.Job) []*controlpb.Job {
-	var waiting []*controlpb.Job
-	for _, job := range jobs {
-		if job.State == controlpb.JobState_JOB_STATE_WAITING {
-			waiting = append(waiting, job)
-		}
+// refused is the plan that changes nothing. A breach is a fault of this
+// package: starting nothing is safe, for what runs keeps the invariant.
+func refused(snapshot *Snapshot, plan *Plan, breach *Breach) *Plan {
+	safe := &Plan{
+		Waiting: plan.Waiting,
+		Cells:   snapshot.Cells,
+		Unmet:   plan.Unmet,
+		Breach:  breach,
 	}
-	sort.SliceStable(waiting, func(i, j int) bool {
-		a, b := waiting[i], waiting[j]
-		if a.Urgent != b.Urgent {
-			return a.Urgent
-		}
-		return a.SubmittedMs < b.SubmittedMs
-	})
-	return waiting
-}
-
-func freeAccelerators(snapshot *Snapshot) map[string][]uint32 {
-	type accelerator struct {
-		worker string
-		number uint32
+	for _, assignment := range plan.Assignments {
+		safe.Waiting = append(safe.Waiting, Reason{Job: assignment.Job, Code: ReasonRefused})
 	}
-	taken := map[accelerator]bool{}
-	for _, job := range snapshot.Jobs {
-		for _, placement := range job.Placements {
-			for _, number := range placement.Accelerators {
-				taken[accelerator{placement.Worker, number}] = true
-			}
-		}
-	}
-	free := make(map[string][]uint32, len(snapshot.Workers))
-	for _, worker := range snapshot.Workers {
-		if worker.Unavailable {
-			continue
-		}
-		for number := range worker.Accelerators {
-			if !taken[accelerator{worker.ID, number}] {
-				free[worker.ID] = append(free[worker.ID], number)
-			}
-		}
-	}
-	return free
+	return safe
 }
 
-func (p *pass) place(job *controlpb.Job) {
-	if job.NotBeforeMs > p.snapshot.Now.UnixMilli() {
-		p.wait(job, ReasonBackoff)
-		return
-	}
-	placements := p.fit(job)
-	if placements == nil {
-		p.wait(job, ReasonNoCapacity)
-		return
-	}
-	for _, placement := range placements {
-		p.free[placement.Worker] = p.free[placement.Worker][len(placement.Accelerators):]
-	}
-	p.plan.Assignments = append(p.plan.Assignments, &controlpb.Assignment{Job: job.Id, Epoch: job.Epoch, Placements: placements})
-}
-
-// fit gives a place to every task of the gang, or nothing.
-func (p *pass) fit(job *controlpb.Job) []*controlpb.Placement {
-	left := make(map[string][]uint32, len(p.free))
-	for id, numbers := range p.free {
-		left[id] = numbers
-	}
-	var placements []*controlpb.Placement
-	for task := range job.Tasks {
-		placement := p.fitTask(job, task, left)
-		if placement == nil {
-			return nil
-		}
-		placements = append(placements, placement)
-	}
-	return placements
-}
-
-func (p *pass) fitTask(job *controlpb.Job, task uint32, left map[string][]uint32) *controlpb.Placement {
-	for _, worker := range p.snapshot.Workers {
-		numbers := left[worker.ID]
-		if worker.Unavailable || len(numbers) < int(job.Accelerators) {
-			continue
-		}
-		left[worker.ID] = numbers[job.Accelerators:]
-		return &controlpb.Placement{Task: task, Worker: worker.ID, Accelerators: numbers[:job.Accelerators]}
-	}
-	return nil
-}
-
-func (p *pass) wait(job *controlpb.Job, code ReasonCode) {
-	var free uint32
-	for _, numbers := range p.free {
-		free += uint32(len(numbers))
-	}
-	p.plan.Waiting = append(p.plan.Waiting, Reason{Job: job.Id, Code: code, Wanted: job.Tasks * job.Accelerators, Free: free})
+// Preemptible tells whether a job may be stopped and run again: from its
+// checkpoint, or from its start where running it twice does no harm.
+func Preemptible(job *controlpb.Job) bool {
+	return job.Checkpointable || job.Idempotent
 }
--- /dev/null
+++ b/internal/coordination/scheduling/scheduling_test.go
@@ -0,0 +1,199 @@
+package scheduling
+
+import (
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"pinewinch.example/pinewinch/internal/protocol/controlpb"
+)
+
+// passCase is one snapshot and what is to become of each job: the workers it
+// is put on, "stop" for a preemption, or the reason it waits for.
+type passCase struct {
+	name     string
+	snapshot *Snapshot
+	want     map[string]string
+	unmet    int
+}
+
+func outcome(plan *Plan) map[string]string {
+	got := map[string]string{}
+	for _, assignment := range plan.Assignments {
+		var workers []string
+		for _, placement := range assignment.Placements {
+			workers = append(workers, placement.Worker)
+		}
+		slices.Sort(workers)
+		got[assignment.Job] = strings.Join(slices.Compact(workers), " ")
+	}
+	for _, reason := range plan.Waiting {
+		got[reason.Job] = string(reason.Code)
+	}
+	for _, preemption := range plan.Preemptions {
+		got[preemption.Job] = "stop"
+	}
+	return got
+}
+
+func runCases(t *testing.T, cases []passCase) {
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			plan := Pass(c.snapshot)
+			is.NoErr(breachError(plan.Breach))
+			is.Equal(outcome(plan), c.want)
+			is.Equal(len(plan.Unmet), c.unmet)
+		})
+	}
+}
+
+func breachError(b *Breach) error {
+	if b == nil {
+		return nil
+	}
+	return b
+}
+
+func TestPlacement(t *testing.T) {
+	two := testWorkers(1, 2, 2, 8)
+	full := func(id, worker string) *controlpb.Job { return waitingJob(id, "a", 1, 8, running(0, 0, worker)) }
+	runCases(t, []passCase{
+		{name: "a gang goes into one rack", snapshot: snapshotOf(two, nil, waitingJob("j", "a", 4, 4)),
+			want: map[string]string{"j": "d0-r0-w0 d0-r0-w1"}},
+		{name: "a gang waits whole when one rack has room for a part", snapshot: snapshotOf(two, nil,
+			full("x", "d0-r0-w0"), full("y", "d0-r1-w0"), waitingJob("j", "a", 4, 4)),
+			want: map[string]string{"j": "no_free_capacity"}},
+		{name: "a gang that may be in any rack of a data centre is spread", snapshot: snapshotOf(two, nil,
+			full("x", "d0-r0-w0"), full("y", "d0-r1-w0"), waitingJob("j", "a", 4, 4, adjacency(inDataCentre))),
+			want: map[string]string{"j": "d0-r0-w1 d0-r1-w1"}},
+		{name: "data centres are not mixed", snapshot: snapshotOf(testWorkers(2, 1, 1, 8), nil,
+			waitingJob("j", "a", 4, 4, adjacency(inDataCentre))),
+			want: map[string]string{"j": "never_fits"}},
+		{name: "small work fills the used worker and the used rack", snapshot: snapshotOf(two, nil,
+			waitingJob("x", "a", 1, 2, running(0, 0, "d0-r1-w1")), waitingJob("j", "a", 1, 2, adjacency(anywhere))),
+			want: map[string]string{"j": "d0-r1-w1"}},
+		{name: "worker adjacency keeps a gang on one worker", snapshot: snapshotOf(two, nil,
+			waitingJob("x", "a", 1, 5, running(0, 0, "d0-r0-w0")), waitingJob("j", "a", 4, 1, adjacency(onWorker))),
+			want: map[string]string{"j": "d0-r0-w1"}},
+		{name: "cores run out before accelerators", snapshot: snapshotOf(testWorkers(1, 1, 2, 8), nil,
+			waitingJob("j", "a", 2, 1, cores(20))),
+			want: map[string]string{"j": "d0-r0-w0 d0-r0-w1"}},
+		{name: "work without accelerators is held to cores", snapshot: snapshotOf(testWorkers(1, 1, 1, 0), nil,
+			waitingJob("x", "a", 1, 0, cores(30), running(0, 0, "d0-r0-w0")), waitingJob("j", "a", 1, 0, cores(4))),
+			want: map[string]string{"j": "no_free_capacity"}},
+		{name: "a job that waits to retry is left", snapshot: snapshotOf(two, nil,
+			waitingJob("j", "a", 1, 1, func(j *controlpb.Job) { j.NotBeforeMs = start.UnixMilli() + 1 })),
+			want: map[string]string{"j": "waiting_to_retry"}},
+		{name: "a customer's limit holds", snapshot: snapshotOf(two, []*controlpb.Customer{{Name: "a", MaxAccelerators: 9}},
+			full("x", "d0-r0-w0"), waitingJob("j", "a", 1, 2)),
+			want: map[string]string{"j": "customer_limit"}},
+		{name: "more than a rack has never fits", snapshot: snapshotOf(two, nil, waitingJob("j", "a", 3, 8)),
+			want: map[string]string{"j": "never_fits"}},
+	})
+}
+
+func TestGuarantees(t *testing.T) {
+	two := testWorkers(1, 2, 1, 8)
+	owner := []*controlpb.Customer{guarantee("own", 1, 8, inRack)}
+	lost := testWorkers(1, 1, 1, 4)
+	runCases(t, []passCase{
+		{name: "fixed work does not borrow a cell", snapshot: snapshotOf(two, owner,
+			waitingJob("x", "b", 1, 8, running(0, 0, "d0-r1-w0")), waitingJob("j", "b", 1, 1)),
+			want: map[string]string{"j": "kept_for_guarantee"}},
+		{name: "a cell moves out of the way of fixed work", snapshot: func() *Snapshot {
+			s := snapshotOf(two, []*controlpb.Customer{guarantee("own", 1, 4, inRack)},
+				waitingJob("x", "b", 1, 4, running(0, 0, "d0-r1-w0")), waitingJob("j", "b", 1, 8))
+			s.Cells = []Cell{{Customer: "own", Parts: []CellPart{{"d0-r0-w0", 4}}}}
+			return s
+		}(), want: map[string]string{"j": "d0-r0-w0"}},
+		{name: "preemptible work borrows it", snapshot: snapshotOf(two, owner,
+			waitingJob("x", "b", 1, 8, running(0, 0, "d0-r1-w0")), waitingJob("j", "b", 1, 1, checkpointable)),
+			want: map[string]string{"j": "d0-r0-w0"}},
+		{name: "cores of a cell are not taken by fixed work without accelerators", snapshot: snapshotOf(two[:1], owner,
+			waitingJob("j", "b", 1, 0, cores(1), func(j *controlpb.Job) { j.MemoryMb = 0 })),
+			want: map[string]string{"j": "kept_for_guarantee"}},
+		{name: "the owner takes back what it was lent", snapshot: snapshotOf(two, owner,
+			waitingJob("x", "b", 1, 8, running(0, 0, "d0-r1-w0")),
+			waitingJob("y", "b", 1, 8, checkpointable, running(0, 0, "d0-r0-w0")), waitingJob("j", "own", 2, 4)),
+			want: map[string]string{"y": "stop", "j": "taking_back"}},
+		{name: "of two loans the one that loses less is stopped", snapshot: snapshotOf(two[:1],
+			[]*controlpb.Customer{guarantee("own", 1, 4, inRack)},
+			waitingJob("x", "b", 1, 4, stoppable, running(time.Hour, 0, "d0-r0-w0")),
+			waitingJob("y", "b", 1, 4, stoppable, running(time.Minute, 4, "d0-r0-w0")), waitingJob("j", "own", 1, 4)),
+			want: map[string]string{"y": "stop", "j": "taking_back"}},
+		{name: "a second pass stops nothing more", snapshot: snapshotOf(two[:1],
+			[]*controlpb.Customer{guarantee("own", 1, 4, inRack)},
+			waitingJob("x", "b", 1, 4, stoppable, running(time.Hour, 0, "d0-r0-w0")),
+			waitingJob("y", "b", 1, 4, stoppable, running(0, 4, "d0-r0-w0"), func(j *controlpb.Job) {
+				j.State = controlpb.JobState_JOB_STATE_STOPPING
+			}), waitingJob("j", "own", 1, 4), waitingJob("k", "b", 1, 4, stoppable)),
+			want: map[string]string{"j": "taking_back", "k": "no_free_capacity"}},
+		{name: "urgent work stops patient borrowers", snapshot: snapshotOf(two[:1], nil,
+			waitingJob("x", "b", 1, 8, checkpointable, running(0, 0, "d0-r0-w0")), waitingJob("j", "c", 1, 4, urgent)),
+			want: map[string]string{"x": "stop", "j": "taking_back"}},
+		{name: "urgent work does not stop what its owner is guaranteed", snapshot: snapshotOf(two[:1], owner,
+			waitingJob("x", "own", 1, 8, checkpointable, running(0, 0, "d0-r0-w0")), waitingJob("j", "c", 1, 4, urgent)),
+			want: map[string]string{"j": "no_free_capacity"}},
+		{name: "a lost worker leaves a guarantee unmet and work goes on", snapshot: snapshotOf(lost, owner,
+			waitingJob("j", "b", 1, 4)),
+			want: map[string]string{"j": "d0-r0-w0"}, unmet: 1},
+	})
+}
+
+// A cell that stands in the way of another set moves when nothing holds it:
+// the earlier plan kept 4 of each rack, a lost worker leaves room for 8 only if
+// both cells share a rack.
+func TestCellsMoveWhenTheyBlockAnotherSet(t *testing.T) {
+	is := is.New(t)
+	s := snapshotOf(testWorkers(1, 2, 1, 8), []*controlpb.Customer{guarantee("a", 2, 4, inRack), guarantee("b", 1, 8, inRack)})
+	s.Cells = []Cell{
+		{Customer: "a", Set: 0, Parts: []CellPart{{"d0-r0-w0", 4}}},
+		{Customer: "a", Set: 1, Parts: []CellPart{{"d0-r1-w0", 4}}},
+	}
+	plan := Pass(s)
+	is.NoErr(breachError(plan.Breach))
+	is.Equal(len(plan.Unmet), 0)
+}
+
+// A fault in the index would hand out a plan that gives an accelerator twice or
+// a guarantee away. The check counts afresh and refuses it.
+func TestVerifyRefuses(t *testing.T) {
+	two := testWorkers(1, 2, 1, 8)
+	owner := []*controlpb.Customer{guarantee("own", 1, 8, inRack)}
+	cell := []Cell{{Customer: "own", Parts: []CellPart{{"d0-r0-w0", 8}}}}
+	place := func(worker string, numbers ...uint32) *controlpb.Placement {
+		return &controlpb.Placement{Worker: worker, Accelerators: numbers}
+	}
+	cases := []struct {
+		name  string
+		cells []Cell
+		place []*controlpb.Placement
+		want  BreachKind
+	}{
+		{"a part of a gang", cell, []*controlpb.Placement{place("d0-r1-w0", 0)}, BreachGang},
+		{"two racks", cell, []*controlpb.Placement{place("d0-r1-w0", 0), place("d0-r0-w0", 0)}, BreachAdjacency},
+		{"an accelerator twice", cell, []*controlpb.Placement{place("d0-r1-w0", 0), place("d0-r1-w0", 0)}, BreachTwice},
+		{"an accelerator that runs work", cell, []*controlpb.Placement{place("d0-r1-w0", 0), place("d0-r1-w0", 7)}, BreachTwice},
+		{"an unknown worker", cell, []*controlpb.Placement{place("gone", 0), place("gone", 1)}, BreachUnknown},
+		{"too many cores", cell, []*controlpb.Placement{place("d0-r1-w0", 0), place("d0-r1-w0", 1)}, BreachOverfull},
+		{"fixed work in a cell", cell, []*controlpb.Placement{place("d0-r0-w0", 0), place("d0-r0-w0", 1)}, BreachCell},
+		{"a guarantee without a cell", nil, nil, BreachCellMissed},
+		{"a cell too small", []Cell{{Customer: "own", Parts: []CellPart{{"d0-r0-w0", 7}}}}, nil, BreachCellShape},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			s := snapshotOf(two, owner, waitingJob("j", "b", 2, 1, cores(10)),
+				waitingJob("x", "b", 1, 1, cores(20), running(0, 7, "d0-r1-w0")))
+			plan := &Plan{Cells: c.cells}
+			if c.place != nil {
+				plan.Assignments = []*controlpb.Assignment{{Job: "j", Placements: c.place}}
+			}
+			is.Equal(Verify(s, plan).Kind, c.want)
+		})
+	}
+}
