--- a/internal/protocol/failure/failure.go
+++ b/internal/protocol/failure/failure.go
@@ -42,6 +42,9 @@
 	StaleState      Code = "stale_state"
 	NotLeader       Code = "not_leader"
 	NoLeader        Code = "no_leader"
+	NoQuorum        Code = "no_quorum"
+	ChangePending   Code = "change_pending"
+	NotCaughtUp     Code = "not_caught_up"
 	Unreachable     Code = "unreachable"
 	OutcomeUnknown  Code = "outcome_unknown"
 	TruncatedAnswer Code = "truncated_answer"
@@ -50,7 +53,14 @@
 	TooLarge        Code = "too_large"
 	Corrupt         Code = "corrupt_log"
 	DiskFailed      Code = "disk_failed"
+	FolderInUse     Code = "data_folder_in_use"
 	Internal        Code = "internal"
+	// Codes of tasks.
+	MemoryExceeded Code = "memory_exceeded"
+	TaskFailed     Code = "task_failed"
+	LeaseLost      Code = "lease_lost"
+	WorkerVanished Code = "worker_vanished"
+	StartTimeout   Code = "start_timeout"
 )
 
 type kind struct {
@@ -76,6 +86,9 @@
 	StaleState:      {http.StatusServiceUnavailable, 16},
 	NotLeader:       {http.StatusMisdirectedRequest, 17},
 	NoLeader:        {http.StatusServiceUnavailable, 18},
+	NoQuorum:        {http.StatusPreconditionFailed, 40},
+	ChangePending:   {http.StatusConflict, 41},
+	NotCaughtUp:     {http.StatusConflict, 42},
 	Unreachable:     {http.StatusServiceUnavailable, 19},
 	OutcomeUnknown:  {http.StatusBadGateway, 20},
 	TruncatedAnswer: {http.StatusBadGateway, 21},
@@ -84,7 +97,13 @@
 	TooLarge:        {http.StatusRequestEntityTooLarge, 24},
 	Corrupt:         {http.StatusInternalServerError, 25},
 	DiskFailed:      {http.StatusInternalServerError, 26},
+	FolderInUse:     {http.StatusInternalServerError, 27},
 	Internal:        {http.StatusInternalServerError, 1},
+	MemoryExceeded:  {http.StatusInsufficientStorage, 40},
+	TaskFailed:      {http.StatusBadGateway, 41},
+	LeaseLost:       {http.StatusBadGateway, 42},
+	WorkerVanished:  {http.StatusBadGateway, 43},
+	StartTimeout:    {http.StatusGatewayTimeout, 44},
 }
 
 // Codes lists every code; tests check that each has one status and one exit code.
