Client sessions take commands in any order and are bounded by count; newer fields are kept

Ruled out: dropping the oldest session when full (a resend of it would run twice); refusing all sequences below the newest (the fault itself). A stale sequence is told as outcome unknown.

--- a/internal/coordination/follower/take.go
+++ b/internal/coordination/follower/take.go
@@ -73,6 +73,9 @@
 		if entry.Index != state.Index()+1 {
 			return failure.New(failure.WrongAnswer, "entry %d after %d", entry.Index, state.Index())
 		}
+		if entry.Command != nil && !store.Understands(entry.Command) {
+			return failure.New(failure.CommandTooNew, "command %d is of a newer process", entry.Index)
+		}
 		state, _ = control.Apply(state, entry)
 		applied = append(applied, entry)
 	}
--- a/internal/coordination/replica/core.go
+++ b/internal/coordination/replica/core.go
@@ -258,6 +258,9 @@
 	if err := proto.Unmarshal(entry.Data, logEntry.Command); err != nil {
 		return nil, failure.Wrap(failure.Corrupt, err, "command %d does not decode", entry.Index)
 	}
+	if !store.Understands(logEntry.Command) {
+		return nil, failure.New(failure.CommandTooNew, "command %d is of a newer process", entry.Index)
+	}
 	return logEntry, nil
 }
 
--- a/internal/protocol/failure/failure.go
+++ b/internal/protocol/failure/failure.go
@@ -56,6 +56,7 @@
 	Corrupt         Code = "corrupt_log"
 	DiskFailed      Code = "disk_failed"
 	FolderInUse     Code = "data_folder_in_use"
+	CommandTooNew   Code = "command_too_new"
 	Internal        Code = "internal"
 	// Codes of tasks.
 	MemoryExceeded Code = "memory_exceeded"
@@ -102,6 +103,7 @@
 	Corrupt:         {http.StatusInternalServerError, 25},
 	DiskFailed:      {http.StatusInternalServerError, 26},
 	FolderInUse:     {http.StatusInternalServerError, 27},
+	CommandTooNew:   {http.StatusInternalServerError, 45},
 	Internal:        {http.StatusInternalServerError, 1},
 	MemoryExceeded:  {http.StatusInsufficientStorage, 40},
 	TaskFailed:      {http.StatusBadGateway, 41},
--- a/internal/state/store/apply.go
+++ b/internal/state/store/apply.go
@@ -9,9 +9,6 @@
 
 // Bounds of what the state keeps; each ends by a command's time, never by a clock.
 const (
-	// sessionLife is how long the result of a client's newest command is kept
-	// for a resend.
-	sessionLife = time.Hour
 	// endedJobLife is how long an ended job can be looked up.
 	endedJobLife = 24 * time.Hour
 	// healthLife is how long a worker's failures stand after the newest.
@@ -32,13 +29,8 @@
 	next := *s
 	next.index = index
 	next.timeMs = max(s.timeMs, command.TimeMs)
-	if earlier, seen := s.sessions.Get([]byte(command.Client)); seen && command.Client != "" {
-		if command.Sequence == earlier.Sequence {
-			return &next, earlier.Result
-		}
-		if command.Sequence < earlier.Sequence {
-			return &next, refusal(index, failure.StaleSequence, "a later command of this client was applied")
-		}
+	if result, done := next.resent(index, command); done {
+		return &next, result
 	}
 	result := next.apply(command)
 	result.Index = index
@@ -50,6 +42,14 @@
 	return &next, result
 }
 
+// Understands tells whether this process knows what the command does. A newer
+// process may have proposed it; to pass over it here would make this state
+// differ from the others' for good, so that the caller must stop instead. New
+// fields of known commands must not change what an older process makes of them.
+func Understands(command *controlpb.Command) bool {
+	return command.Op != nil || len(command.ProtoReflect().GetUnknown()) == 0
+}
+
 func (s *State) apply(command *controlpb.Command) *controlpb.Result {
 	switch op := command.Op.(type) {
 	case *controlpb.Command_Apply:
@@ -78,25 +78,9 @@
 	return &controlpb.Result{}
 }
 
-// remember keeps the result for a resend and lets old sessions go.
-func (s *State) remember(command *controlpb.Command, result *controlpb.Result) {
-	if command.Client == "" {
-		return
-	}
-	txn := s.sessions.Txn()
-	txn.Insert([]byte(command.Client), &controlpb.Session{
-		Client:   command.Client,
-		Sequence: command.Sequence,
-		Result:   result,
-		TimeMs:   s.timeMs,
-	})
-	s.sessions = txn.Commit()
-}
-
 // expire drops sessions, claims and ended jobs past their life.
 func (s *State) expire() {
-	oldSession := s.timeMs - sessionLife.Milliseconds()
-	s.sessions = expire(s.sessions, func(v *controlpb.Session) bool { return v.TimeMs < oldSession })
+	s.expireSessions()
 	s.expireClaims(maxExpiredPerApply)
 	oldJob := s.timeMs - endedJobLife.Milliseconds()
 	s.jobs = expire(s.jobs, func(j *controlpb.Job) bool { return Ended(j.State) && j.EndedMs < oldJob })
--- a/internal/state/store/store.go
+++ b/internal/state/store/store.go
@@ -30,7 +30,11 @@
 	spent       *table[*controlpb.SpentKeys]
 	spentCounts *table[int]
 	sessions    *table[*controlpb.Session]
-	drained     *table[bool]
+	// sessionAges orders the clients by the index of their newest command.
+	sessionAges *table[string]
+	// unknown are the fields that a newer process put into a snapshot.
+	unknown []byte
+	drained *table[bool]
 	// health holds the workers with failures, occurrences the last due work of
 	// each entry.
 	health      *table[*controlpb.WorkerHealth]
@@ -48,6 +52,7 @@
 		spent:       iradix.New[*controlpb.SpentKeys](),
 		spentCounts: iradix.New[int](),
 		sessions:    iradix.New[*controlpb.Session](),
+		sessionAges: iradix.New[string](),
 		drained:     iradix.New[bool](),
 		health:      iradix.New[*controlpb.WorkerHealth](),
 		occurrences: iradix.New[*controlpb.Occurrence](),
@@ -126,6 +131,7 @@
 		Occurrences: list(s.occurrences),
 	}
 	walk(s.drained, func(key string, _ bool) { snapshot.Drained = append(snapshot.Drained, key) })
+	snapshot.ProtoReflect().SetUnknown(s.unknown)
 	return snapshot
 }
 
@@ -138,6 +144,8 @@
 	s.items = fill(snapshot.Items, func(i *controlpb.Item) []byte { return []byte(i.Key) })
 	s.jobs = fill(snapshot.Jobs, func(j *controlpb.Job) []byte { return []byte(j.Id) })
 	s.restoreClaims(snapshot)
+	s.unknown = snapshot.ProtoReflect().GetUnknown()
+	s.sessionAges = fillSessionAges(snapshot.Sessions)
 	s.sessions = fill(snapshot.Sessions, func(v *controlpb.Session) []byte { return []byte(v.Client) })
 	active := iradix.New[*controlpb.Job]().Txn()
 	for _, job := range snapshot.Jobs {
--- a/internal/transport/httpapi/jobs.go
+++ b/internal/transport/httpapi/jobs.go
@@ -89,6 +89,10 @@
 	if result.Code != "" {
 		f := failure.New(failure.Code(result.Code), "%s", result.Detail)
 		f.Revision = result.Revision
+		if f.Code == failure.StaleSequence {
+			// Its result is forgotten; it may have run.
+			f.NotRun = failure.NotRunUnknown
+		}
 		return nil, f
 	}
 	return result, nil
