--- /dev/null
+++ b/internal/app/explain.go
@@ -0,0 +1,65 @@
+package app
+
+import (
+	"context"
+	"time"
+
+	"pinewinch.example/pinewinch/internal/coordination/control"
+	"pinewinch.example/pinewinch/internal/coordination/dispatch"
+	"pinewinch.example/pinewinch/internal/protocol/failure"
+	"pinewinch.example/pinewinch/internal/protocol/peerpb"
+	"pinewinch.example/pinewinch/internal/transport/httpapi"
+	"pinewinch.example/pinewinch/internal/transport/peers"
+)
+
+// explainTimeout bounds the question to the leader.
+const explainTimeout = 2 * time.Second
+
+// explainer asks the newest scheduling pass, which only the leader has.
+type explainer struct {
+	log        control.Log
+	controller *dispatch.Controller
+	network    *peers.Network
+}
+
+func newExplainer(log control.Log, controller *dispatch.Controller, network *peers.Network) *explainer {
+	return &explainer{log: log, controller: controller, network: network}
+}
+
+func newHTTPExplainer(e *explainer) httpapi.Explainer { return e }
+
+// Explain answers on the leader and asks it elsewhere.
+func (e *explainer) Explain(ctx context.Context, job string) (*peerpb.Explanation, error) {
+	if e.log.IsLeader() {
+		return e.local(job), nil
+	}
+	leader := e.log.Leader()
+	if leader == "" {
+		return nil, failure.New(failure.NoLeader, "no leader is known")
+	}
+	ctx, cancel := context.WithTimeout(ctx, explainTimeout)
+	defer cancel()
+	reply, err := e.network.Call(ctx, leader, &peerpb.Call{Body: &peerpb.Call_Explain{Explain: &peerpb.Explain{Job: job}}})
+	if err != nil {
+		return nil, err
+	}
+	return reply.GetExplanation(), nil
+}
+
+// serve answers another instance; it does not pass the question on, or two
+// instances that each take the other for the leader would ask in a circle.
+func (e *explainer) serve(question *peerpb.Explain) (*peerpb.Reply, error) {
+	if !e.log.IsLeader() {
+		return nil, &failure.Error{Code: failure.NotLeader, Message: "another instance leads", NotRun: failure.NotRunTrue, Leader: e.log.Leader()}
+	}
+	return &peerpb.Reply{Body: &peerpb.Reply_Explanation{Explanation: e.local(question.Job)}}, nil
+}
+
+func (e *explainer) local(job string) *peerpb.Explanation {
+	for _, reason := range e.controller.Waiting() {
+		if reason.Job == job {
+			return &peerpb.Explanation{Code: string(reason.Code), Wanted: reason.Wanted, Free: reason.Free}
+		}
+	}
+	return &peerpb.Explanation{}
+}
--- a/internal/app/softstate.go
+++ b/internal/app/softstate.go
@@ -27,10 +27,11 @@
 	node     control.Node
 	registry *membership.Registry
 	network  *peers.Network
+	explain  *explainer
 }
 
-func newSoftState(s *settings.Settings, node control.Node, registry *membership.Registry, network *peers.Network) *softState {
-	return &softState{settings: s, node: node, registry: registry, network: network}
+func newSoftState(s *settings.Settings, node control.Node, registry *membership.Registry, network *peers.Network, explain *explainer) *softState {
+	return &softState{settings: s, node: node, registry: registry, network: network, explain: explain}
 }
 
 func (s *softState) run(ctx context.Context) {
@@ -106,6 +107,8 @@
 			s.registry.MergeInstance(body.Soft.Instance)
 		}
 		return &peerpb.Reply{Body: &peerpb.Reply_Ack{Ack: &peerpb.Ack{}}}, nil
+	case *peerpb.Call_Explain:
+		return s.explain.serve(body.Explain)
 	}
 	return nil, failure.New(failure.BadRequest, "unknown call")
 }
--- a/internal/app/work.go
+++ b/internal/app/work.go
@@ -26,7 +26,7 @@
 )
 
 var workModule = fx.Module("work",
-	fx.Provide(newDispatcher, newController),
+	fx.Provide(newDispatcher, newController, newExplainer, newHTTPExplainer),
 	fx.Invoke(runController),
 )
 
--- a/internal/command/apply.go
+++ b/internal/command/apply.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"crypto/sha256"
+	"encoding/hex"
 	"fmt"
 	"net/http"
 	"time"
@@ -9,6 +11,7 @@
 	"github.com/oklog/ulid/v2"
 	"github.com/peterbourgon/ff/v3/ffcli"
 	"google.golang.org/protobuf/encoding/protojson"
+	"google.golang.org/protobuf/proto"
 
 	"pinewinch.example/pinewinch/internal/protocol/api"
 	"pinewinch.example/pinewinch/internal/protocol/controlpb"
@@ -21,16 +24,40 @@
 	waitPause = 50 * time.Millisecond
 )
 
+// applyOptions are the flags of apply.
+type applyOptions struct {
+	wait            bool
+	client          string
+	allowInfeasible bool
+	expected        int64
+}
+
+// applied is the outcome of an apply as JSON.
+type applied struct {
+	Set       []string `json:"set,omitempty"`
+	Remove    []string `json:"remove,omitempty"`
+	Revision  uint64   `json:"revision"`
+	Instances int      `json:"instances_in_force,omitempty"`
+	// Earlier is set when this was a resend: the revision is the first outcome.
+	Earlier bool `json:"earlier,omitempty"`
+}
+
+// anyRevision stands for the revision that the tool has read itself.
+const anyRevision = -1
+
 func (t *Tool) applyCommand() *ffcli.Command {
 	flags := t.flags("apply")
-	wait := flags.Bool("wait", false, "return once every live instance has the revision")
-	client := flags.String("client", "", "name of this apply, for a resend after a lost answer")
+	options := &applyOptions{}
+	flags.BoolVar(&options.wait, "wait", false, "return once every live instance has the revision")
+	flags.StringVar(&options.client, "client", "", "name of this apply: given again with the same files it prints the first outcome")
+	flags.BoolVar(&options.allowInfeasible, "allow-infeasible", false, "accept classes that no known worker could run")
+	flags.Int64Var(&options.expected, "revision", anyRevision, "the revision that the change was made from; refused if there is a newer one")
 	return t.command("apply", "FILE|FOLDER", flags, func(ctx context.Context, args []string) error {
 		path, err := one(args, "file or folder")
 		if err != nil {
 			return err
 		}
-		return t.apply(ctx, path, *client, *wait)
+		return t.apply(ctx, path, options)
 	})
 }
 
@@ -40,30 +67,44 @@
 		if err != nil {
 			return err
 		}
-		change, _, err := t.compare(ctx, path)
+		compared, err := t.compare(ctx, path)
 		if err != nil {
 			return err
 		}
-		t.printChange(change)
-		return nil
+		return t.printChange(compared.change, compared.outcome())
 	})
 }
 
-func (t *Tool) compare(ctx context.Context, path string) (declaration.Change, uint64, error) {
+// comparison is what an apply would do to the declarations in force.
+type comparison struct {
+	wanted   []*controlpb.Item
+	change   declaration.Change
+	revision uint64
+}
+
+func (c *comparison) outcome() *applied {
+	outcome := &applied{Remove: c.change.Remove, Revision: c.revision}
+	for _, item := range c.change.Set {
+		outcome.Set = append(outcome.Set, item.Key)
+	}
+	return outcome
+}
+
+func (t *Tool) compare(ctx context.Context, path string) (*comparison, error) {
 	wanted, err := declaration.Load(path)
 	if err != nil {
-		return declaration.Change{}, 0, err
+		return nil, err
 	}
 	current, revision, err := t.declarations(ctx)
 	if err != nil {
-		return declaration.Change{}, 0, err
+		return nil, err
 	}
-	return declaration.Diff(current, wanted), revision, nil
+	return &comparison{wanted: wanted, change: declaration.Diff(current, wanted), revision: revision}, nil
 }
 
 func (t *Tool) declarations(ctx context.Context) ([]*controlpb.Item, uint64, error) {
 	answer := api.Declarations{}
-	if err := t.call(ctx, http.MethodGet, api.PathDeclarations, nil, &answer); err != nil {
+	if err := t.get(ctx, api.PathDeclarations, &answer); err != nil {
 		return nil, 0, err
 	}
 	snapshot := &controlpb.Snapshot{}
@@ -73,38 +114,107 @@
 	return snapshot.Items, answer.Revision, nil
 }
 
-func (t *Tool) apply(ctx context.Context, path, client string, wait bool) error {
-	change, revision, err := t.compare(ctx, path)
+func (t *Tool) apply(ctx context.Context, path string, options *applyOptions) error {
+	compared, err := t.compare(ctx, path)
 	if err != nil {
 		return err
 	}
-	t.printChange(change)
-	if change.Empty() {
-		return nil
+	outcome := compared.outcome()
+	if t.format == formatTable {
+		if err := t.printChange(compared.change, outcome); err != nil {
+			return err
+		}
 	}
-	if client == "" {
-		client = ulid.Make().String()
+	// A named apply is sent even if nothing differs: it may be the resend of one
+	// that was accepted, whose outcome the log still holds.
+	if compared.change.Empty() && options.client == "" {
+		return t.finishApply(ctx, outcome, options)
 	}
-	request := api.ApplyRequest{Client: client, Sequence: 1, ExpectedRevision: revision, Remove: change.Remove}
-	for _, item := range change.Set {
+	request, err := applyRequest(compared, options)
+	if err != nil {
+		return err
+	}
+	reply := api.ApplyReply{}
+	call := &exchange{method: http.MethodPost, path: api.PathDeclarations, repeatable: true}
+	if err := t.call(ctx, call, request, &reply); err != nil {
+		return err
+	}
+	outcome.Earlier = reply.Revision <= compared.revision
+	outcome.Revision = reply.Revision
+	if outcome.Earlier && !compared.change.Empty() {
+		return &failure.Error{
+			Code: failure.Conflict, NotRun: failure.NotRunFalse, Revision: compared.revision,
+			Message: fmt.Sprintf("accepted before as revision %d, and changed by others since", reply.Revision),
+		}
+	}
+	return t.finishApply(ctx, outcome, options)
+}
+
+func applyRequest(compared *comparison, options *applyOptions) (*api.ApplyRequest, error) {
+	request := &api.ApplyRequest{
+		Client:           clientName(compared.wanted, options.client),
+		Sequence:         1,
+		ExpectedRevision: compared.revision,
+		Remove:           compared.change.Remove,
+		AllowInfeasible:  options.allowInfeasible,
+	}
+	if options.expected != anyRevision {
+		request.ExpectedRevision = uint64(options.expected)
+	}
+	for _, item := range compared.change.Set {
 		text, err := protojson.Marshal(item)
 		if err != nil {
-			return failure.Wrap(failure.Internal, err, "encode %s", item.Key)
+			return nil, failure.Wrap(failure.Internal, err, "encode %s", item.Key)
 		}
 		request.Set = append(request.Set, text)
 	}
-	reply := api.ApplyReply{}
-	if err := t.call(ctx, http.MethodPost, api.PathDeclarations, &request, &reply); err != nil {
-		return err
+	return request, nil
+}
+
+// clientName ties a named apply to what it declares. The name alone would give
+// the outcome of an earlier apply to one with other contents.
+func clientName(wanted []*controlpb.Item, name string) string {
+	if name == "" {
+		return ulid.Make().String()
 	}
-	fmt.Fprintf(t.out, "accepted as revision %d\n", reply.Revision)
-	if !wait {
-		return nil
+	hash := sha256.New()
+	for _, item := range wanted {
+		text, err := proto.MarshalOptions{Deterministic: true}.Marshal(item)
+		if err != nil {
+			continue
+		}
+		fmt.Fprintf(hash, "%d:", len(text))
+		hash.Write(text)
 	}
-	return t.awaitRevision(ctx, reply.Revision)
+	return name + "/" + hex.EncodeToString(hash.Sum(nil))
 }
 
-func (t *Tool) printChange(change declaration.Change) {
+func (t *Tool) finishApply(ctx context.Context, outcome *applied, options *applyOptions) error {
+	if options.wait {
+		instances, err := t.awaitRevision(ctx, outcome.Revision)
+		if err != nil {
+			return err
+		}
+		outcome.Instances = instances
+	}
+	if t.format == formatJSON {
+		return t.printJSON(outcome)
+	}
+	if outcome.Earlier {
+		fmt.Fprintf(t.out, "accepted before as revision %d\n", outcome.Revision)
+	} else if len(outcome.Set)+len(outcome.Remove) > 0 {
+		fmt.Fprintf(t.out, "accepted as revision %d\n", outcome.Revision)
+	}
+	if outcome.Instances > 0 {
+		fmt.Fprintf(t.out, "in force on %d instances\n", outcome.Instances)
+	}
+	return nil
+}
+
+func (t *Tool) printChange(change declaration.Change, outcome *applied) error {
+	if t.format == formatJSON {
+		return t.printJSON(outcome)
+	}
 	for _, item := range change.Set {
 		fmt.Fprintln(t.out, "set", item.Key)
 	}
@@ -114,23 +224,24 @@
 	if change.Empty() {
 		fmt.Fprintln(t.out, "no change")
 	}
+	return nil
 }
 
-func (t *Tool) awaitRevision(ctx context.Context, revision uint64) error {
+// awaitRevision returns the number of live instances once all have the revision.
+func (t *Tool) awaitRevision(ctx context.Context, revision uint64) (int, error) {
 	ctx, cancel := context.WithTimeout(ctx, waitLimit)
 	defer cancel()
 	for {
 		members := []api.Instance{}
-		if err := t.call(ctx, http.MethodGet, api.PathMembers, nil, &members); err != nil {
-			return err
+		if err := t.get(ctx, api.PathMembers, &members); err != nil {
+			return 0, failure.Ran(failure.From(err).Code, failure.NotRunFalse, err, "revision %d is accepted", revision)
 		}
 		if allAt(members, revision) {
-			fmt.Fprintf(t.out, "in force on %d instances\n", len(members))
-			return nil
+			return len(members), nil
 		}
 		select {
 		case <-ctx.Done():
-			return failure.Ran(failure.OutcomeUnknown, failure.NotRunFalse, ctx.Err(), "revision %d is accepted but not yet everywhere", revision)
+			return 0, failure.Ran(failure.OutcomeUnknown, failure.NotRunFalse, ctx.Err(), "revision %d is accepted but not yet everywhere", revision)
 		case <-time.After(waitPause):
 		}
 	}
--- a/internal/command/command.go
+++ b/internal/command/command.go
@@ -2,7 +2,6 @@
 package command
 
 import (
-	"bytes"
 	"context"
 	"encoding/json"
 	"errors"
@@ -10,42 +9,65 @@
 	"fmt"
 	"io"
 	"net/http"
-	"strings"
+	"os"
+	"os/signal"
+	"syscall"
 	"time"
 
 	"github.com/peterbourgon/ff/v3"
 	"github.com/peterbourgon/ff/v3/ffcli"
 
-	"pinewinch.example/pinewinch/internal/protocol/api"
 	"pinewinch.example/pinewinch/internal/protocol/failure"
 )
 
-const requestTimeout = 30 * time.Second
+// defaultPatience outlasts the election of a new leader.
+const defaultPatience = 5 * time.Second
 
 // Tool is what every subcommand shares.
 type Tool struct {
-	out    io.Writer
-	server string
-	token  string
-	format string
+	out       io.Writer
+	servers   string
+	token     string
+	authority string
+	format    string
+	patience  time.Duration
+	client    *client
 }
 
 // Run parses the arguments, runs one subcommand and gives the exit code.
 func Run(args []string, out, errors io.Writer) int {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
 	tool := &Tool{out: out}
 	root := tool.root()
-	if err := root.ParseAndRun(context.Background(), args); err != nil {
+	if err := root.Parse(args); err != nil {
+		if !isHelp(err) {
+			err = failure.Wrap(failure.BadRequest, err, "command line")
+		}
+		return reportTo(errors, err)
+	}
+	if err := root.Run(ctx); err != nil {
 		return reportTo(errors, err)
 	}
 	return 0
 }
 
+func isHelp(err error) bool { return errors.Is(err, flag.ErrHelp) }
+
 func reportTo(w io.Writer, err error) int {
-	if errors.Is(err, flag.ErrHelp) {
+	if isHelp(err) {
 		return 0
 	}
-	fmt.Fprintln(w, err)
-	return failure.From(err).ExitCode()
+	f := failure.From(err)
+	fmt.Fprintln(w, f.Error())
+	if f.Code == failure.Conflict {
+		fmt.Fprintf(w, "the declarations are at revision %d now\n", f.Revision)
+	}
+	if f.RetryAfter > 0 {
+		fmt.Fprintf(w, "come back in %s\n", f.RetryAfter)
+	}
+	fmt.Fprintf(w, "not run: %s\n", f.NotRun)
+	return f.ExitCode()
 }
 
 func (t *Tool) root() *ffcli.Command {
@@ -57,6 +79,7 @@
 			t.diffCommand(),
 			t.getCommand(),
 			t.statusCommand(),
+			t.watchCommand(),
 			t.submitCommand(),
 			t.cancelCommand(),
 			t.requestCommand(),
@@ -72,9 +95,11 @@
 // flags gives the flag set of a subcommand with the flags that all share.
 func (t *Tool) flags(name string) *flag.FlagSet {
 	flags := flag.NewFlagSet("pinewinch "+name, flag.ContinueOnError)
-	flags.StringVar(&t.server, "server", "http://127.0.0.1:7100", "address of any instance")
+	flags.StringVar(&t.servers, "server", "http://127.0.0.1:7100", "addresses of any instances, separated by commas")
 	flags.StringVar(&t.token, "token", "", "token of the operator or customer")
-	flags.StringVar(&t.format, "o", "table", "table or json")
+	flags.StringVar(&t.authority, "authority", "", "file with the certificates to trust, for https")
+	flags.StringVar(&t.format, "o", formatTable, "table or json")
+	flags.DurationVar(&t.patience, "patience", defaultPatience, "how long to go on trying where that is safe")
 	return flags
 }
 
@@ -88,20 +113,29 @@
 		ShortUsage: "pinewinch " + name + " [flags] " + usage,
 		FlagSet:    flags,
 		Options:    options(),
-		Exec:       exec,
+		Exec: func(ctx context.Context, args []string) error {
+			if t.format != formatTable && t.format != formatJSON {
+				return failure.New(failure.BadRequest, "-o is table or json, not %q", t.format)
+			}
+			return exec(ctx, args)
+		},
 	}
 }
 
-// call sends one request and decodes its answer; into may be nil.
-func (t *Tool) call(ctx context.Context, method, path string, body, into any) error {
-	var content []byte
+// get reads a path and decodes the answer.
+func (t *Tool) get(ctx context.Context, path string, into any) error {
+	return t.call(ctx, &exchange{method: http.MethodGet, path: path, repeatable: true}, nil, into)
+}
+
+// call sends one message and decodes its answer; body and into may be nil.
+func (t *Tool) call(ctx context.Context, e *exchange, body, into any) error {
 	if body != nil {
 		var err error
-		if content, err = json.Marshal(body); err != nil {
+		if e.body, err = json.Marshal(body); err != nil {
 			return failure.Wrap(failure.Internal, err, "encode")
 		}
 	}
-	text, _, err := t.raw(ctx, method, path, content, nil)
+	text, err := t.send(ctx, e)
 	if err != nil {
 		return err
 	}
@@ -109,49 +143,20 @@
 		return nil
 	}
 	if err := json.Unmarshal(text, into); err != nil {
-		return failure.Ran(failure.WrongAnswer, failure.NotRunUnknown, err, "answer of %s", path)
+		return failure.Ran(failure.WrongAnswer, failure.NotRunUnknown, err, "answer of %s", e.path)
 	}
 	return nil
 }
 
-func (t *Tool) raw(ctx context.Context, method, path string, body []byte, header http.Header) ([]byte, http.Header, error) {
-	ctx, cancel := context.WithTimeout(ctx, requestTimeout)
-	defer cancel()
-	request, err := http.NewRequestWithContext(ctx, method, strings.TrimSuffix(t.server, "/")+path, bytes.NewReader(body))
-	if err != nil {
-		return nil, nil, failure.Wrap(failure.BadRequest, err, "address %s", t.server)
-	}
-	for name, values := range header {
-		request.Header[name] = values
-	}
-	request.Header.Set("Authorization", "Bearer "+t.token)
-	response, err := http.DefaultClient.Do(request)
-	if err != nil {
-		return nil, nil, failure.Ran(failure.Unreachable, failure.NotRunUnknown, err, "%s %s", method, path)
-	}
-	defer response.Body.Close()
-	text, err := io.ReadAll(response.Body)
-	if err != nil {
-		return nil, nil, failure.Ran(failure.TruncatedAnswer, failure.NotRunUnknown, err, "%s %s", method, path)
-	}
-	if response.StatusCode >= http.StatusBadRequest {
-		return nil, nil, decodeError(response, text)
-	}
-	return text, response.Header, nil
-}
-
-func decodeError(response *http.Response, text []byte) error {
-	body := api.ErrorBody{}
-	if err := json.Unmarshal(text, &body); err != nil || body.Code == "" {
-		return failure.Ran(failure.UpstreamFailed, failure.NotRunUnknown, nil, "%s: %s", response.Status, text)
-	}
-	return &failure.Error{
-		Code:       body.Code,
-		Message:    body.Message,
-		NotRun:     body.NotRun,
-		Revision:   body.Revision,
-		RetryAfter: time.Duration(body.RetryAfterMs) * time.Millisecond,
+func (t *Tool) send(ctx context.Context, e *exchange) ([]byte, error) {
+	if t.client == nil {
+		c, err := newClient(t.servers, t.token, t.authority, t.patience)
+		if err != nil {
+			return nil, err
+		}
+		t.client = c
 	}
+	return t.client.send(ctx, e)
 }
 
 // one gives the single argument of a subcommand.
--- a/internal/command/operate.go
+++ b/internal/command/operate.go
@@ -5,7 +5,6 @@
 	"fmt"
 	"net/http"
 	"net/url"
-	"sort"
 	"strconv"
 	"strings"
 
@@ -13,57 +12,72 @@
 	"google.golang.org/protobuf/encoding/protojson"
 
 	"pinewinch.example/pinewinch/internal/protocol/api"
+	"pinewinch.example/pinewinch/internal/protocol/controlpb"
+	"pinewinch.example/pinewinch/internal/protocol/failure"
 )
 
+// getJobs is the argument of get that lists jobs instead of declarations.
+const getJobs = "jobs"
+
 func (t *Tool) getCommand() *ffcli.Command {
-	return t.command("get", "", t.flags("get"), func(ctx context.Context, _ []string) error {
+	return t.command("get", "[jobs | KIND[/NAME]]", t.flags("get"), func(ctx context.Context, args []string) error {
+		prefix := ""
+		if len(args) > 0 {
+			prefix = args[0]
+		}
+		if prefix == getJobs {
+			return t.listJobs(ctx)
+		}
 		items, revision, err := t.declarations(ctx)
 		if err != nil {
 			return err
 		}
-		fmt.Fprintf(t.out, "revision %d\n", revision)
-		for _, item := range items {
-			fmt.Fprintln(t.out, protojson.Format(item))
-		}
-		return nil
+		return t.printItems(selectItems(items, prefix), revision)
 	})
 }
 
-func (t *Tool) statusCommand() *ffcli.Command {
-	return t.command("status", "", t.flags("status"), func(ctx context.Context, _ []string) error {
-		status := api.Status{}
-		if err := t.call(ctx, http.MethodGet, api.PathStatus, nil, &status); err != nil {
-			return err
-		}
-		return t.print(status, []string{"measure", "value"}, statusRows(&status))
-	})
+func (t *Tool) listJobs(ctx context.Context) error {
+	jobs := []api.Job{}
+	if err := t.get(ctx, api.PathJobs, &jobs); err != nil {
+		return err
+	}
+	return t.printJobs(jobs)
 }
 
-func statusRows(status *api.Status) [][]string {
-	rows := [][]string{
-		{"revision", strconv.FormatUint(status.Revision, 10)},
-		{"leader", status.Leader},
-		{"mean completion", fmt.Sprintf("%.2f s", status.MeanSeconds)},
-		{"workers", strconv.Itoa(status.Workers)},
-		{"minions", strconv.Itoa(status.Minions)},
-		{"accelerators used", fmt.Sprintf("%d of %d", status.Used, status.Accelerators)},
-		{"work lost", fmt.Sprintf("%.2f s", status.LostSeconds)},
+func selectItems(items []*controlpb.Item, prefix string) []*controlpb.Item {
+	selected := []*controlpb.Item{}
+	for _, item := range items {
+		if prefix == "" || item.Key == prefix || strings.HasPrefix(item.Key, prefix+"/") {
+			selected = append(selected, item)
+		}
 	}
-	states := make([]string, 0, len(status.Jobs))
-	for state := range status.Jobs {
-		states = append(states, state)
+	return selected
+}
+
+func (t *Tool) printItems(items []*controlpb.Item, revision uint64) error {
+	if t.format == formatJSON {
+		text, err := protojson.MarshalOptions{Multiline: true}.Marshal(&controlpb.Snapshot{Revision: revision, Items: items})
+		if err != nil {
+			return failure.Wrap(failure.Internal, err, "encode declarations")
+		}
+		_, err = fmt.Fprintf(t.out, "%s\n", text)
+		return wrapOutput(err)
 	}
-	sort.Strings(states)
-	for _, state := range states {
-		rows = append(rows, []string{"jobs " + state, strconv.Itoa(status.Jobs[state])})
+	rows := [][]string{{"revision", strconv.FormatUint(revision, 10)}}
+	for _, item := range items {
+		text, err := protojson.Marshal(item)
+		if err != nil {
+			return failure.Wrap(failure.Internal, err, "encode %s", item.Key)
+		}
+		rows = append(rows, []string{item.Key, string(text)})
 	}
-	return rows
+	return t.print(items, []string{"key", "declaration"}, rows)
 }
 
 func (t *Tool) membersCommand() *ffcli.Command {
 	return t.command("members", "", t.flags("members"), func(ctx context.Context, _ []string) error {
 		members := []api.Instance{}
-		if err := t.call(ctx, http.MethodGet, api.PathMembers, nil, &members); err != nil {
+		if err := t.get(ctx, api.PathMembers, &members); err != nil {
 			return err
 		}
 		var rows [][]string
@@ -77,6 +91,12 @@
 	})
 }
 
+// drained is the outcome of drain as JSON.
+type drained struct {
+	Upstream string `json:"upstream"`
+	Drained  bool   `json:"drained"`
+}
+
 func (t *Tool) drainCommand() *ffcli.Command {
 	flags := t.flags("drain")
 	undo := flags.Bool("undo", false, "let the upstream receive work again")
@@ -85,17 +105,22 @@
 		if err != nil {
 			return err
 		}
-		method := http.MethodPost
+		call := &exchange{method: http.MethodPost, path: withID(api.PathDrain, id), repeatable: true}
 		if *undo {
-			method = http.MethodDelete
+			call.method = http.MethodDelete
+		}
+		if err := t.call(ctx, call, nil, nil); err != nil {
+			return err
 		}
-		return t.call(ctx, method, withID(api.PathDrain, id), nil, nil)
+		outcome := drained{Upstream: id, Drained: !*undo}
+		return t.print(outcome, []string{"upstream", "drained"}, [][]string{{id, strconv.FormatBool(outcome.Drained)}})
 	})
 }
 
+// dump has one form: JSON.
 func (t *Tool) dumpCommand() *ffcli.Command {
 	return t.command("dump", "", t.flags("dump"), func(ctx context.Context, _ []string) error {
-		text, _, err := t.raw(ctx, http.MethodGet, api.PathState, nil, nil)
+		text, err := t.send(ctx, &exchange{method: http.MethodGet, path: api.PathState, repeatable: true})
 		if err != nil {
 			return err
 		}
--- a/internal/command/output.go
+++ b/internal/command/output.go
@@ -8,14 +8,16 @@
 	"pinewinch.example/pinewinch/internal/protocol/failure"
 )
 
-const formatJSON = "json"
+// The values of -o.
+const (
+	formatTable = "table"
+	formatJSON  = "json"
+)
 
 // print shows a value as JSON, or rows as a table for people.
 func (t *Tool) print(value any, header []string, rows [][]string) error {
 	if t.format == formatJSON {
-		encoder := json.NewEncoder(t.out)
-		encoder.SetIndent("", "  ")
-		return wrapOutput(encoder.Encode(value))
+		return t.printJSON(value)
 	}
 	table := tablewriter.NewWriter(t.out)
 	table.Header(header)
@@ -25,6 +27,12 @@
 	return wrapOutput(table.Render())
 }
 
+func (t *Tool) printJSON(value any) error {
+	encoder := json.NewEncoder(t.out)
+	encoder.SetIndent("", "  ")
+	return wrapOutput(encoder.Encode(value))
+}
+
 func wrapOutput(err error) error {
 	if err == nil {
 		return nil
--- a/internal/protocol/api/api.go
+++ b/internal/protocol/api/api.go
@@ -55,6 +55,19 @@
 	Failures    []string `json:"failures,omitempty"`
 }
 
+// States of a job, as Job.State names them.
+const (
+	JobWaiting   = "waiting"
+	JobCompleted = "completed"
+	JobCancelled = "cancelled"
+	JobParked    = "parked"
+)
+
+// Ended tells whether the job will not run again.
+func (j *Job) Ended() bool {
+	return j.State == JobCompleted || j.State == JobCancelled || j.State == JobParked
+}
+
 // Declarations is the accepted declarations and their revision; items are in
 // protobuf's JSON form.
 type Declarations struct {
@@ -70,6 +83,9 @@
 	ExpectedRevision uint64   `json:"expected_revision"`
 	Set              [][]byte `json:"set,omitempty"`
 	Remove           []string `json:"remove,omitempty"`
+	// AllowInfeasible accepts classes that no known worker could run, for
+	// workers that are still to come.
+	AllowInfeasible bool `json:"allow_infeasible,omitempty"`
 }
 
 // ApplyReply says what was accepted.
@@ -78,21 +94,6 @@
 	Index    uint64 `json:"index"`
 }
 
-// Status is completion and waste at a glance.
-type Status struct {
-	Revision      uint64         `json:"revision"`
-	Leader        string         `json:"leader"`
-	Jobs          map[string]int `json:"jobs"`
-	MeanSeconds   float64        `json:"mean_completion_seconds"`
-	Workers       int            `json:"workers"`
-	Minions       int            `json:"minions"`
-	Accelerators  int            `json:"accelerators"`
-	Used          int            `json:"accelerators_used"`
-	Idle          int            `json:"accelerators_idle"`
-	LostSeconds   float64        `json:"lost_seconds"`
-	Fragmentation float64        `json:"fragmentation"`
-}
-
 // Instance is one instance of the system as another sees it.
 type Instance struct {
 	Name       string `json:"name"`
@@ -104,7 +105,8 @@
 	Leader     bool   `json:"leader"`
 }
 
-// Explanation says why a job waits.
+// Explanation says why a job waits: the scheduler's own reason of its newest
+// pass, empty if the job does not wait.
 type Explanation struct {
 	Job    Job    `json:"job"`
 	Reason string `json:"reason,omitempty"`
--- a/internal/protocol/failure/failure.go
+++ b/internal/protocol/failure/failure.go
@@ -30,6 +30,7 @@
 	BadRequest      Code = "bad_request"
 	Unauthorized    Code = "unauthorized"
 	NotFound        Code = "not_found"
+	WrongMethod     Code = "method_not_allowed"
 	Conflict        Code = "revision_conflict"
 	KeyReused       Code = "key_reused"
 	StaleSequence   Code = "stale_sequence"
@@ -74,6 +75,7 @@
 	BadRequest:      {http.StatusBadRequest, 4},
 	Unauthorized:    {http.StatusUnauthorized, 5},
 	NotFound:        {http.StatusNotFound, 6},
+	WrongMethod:     {http.StatusMethodNotAllowed, 50},
 	Conflict:        {http.StatusConflict, 7},
 	KeyReused:       {http.StatusConflict, 8},
 	StaleSequence:   {http.StatusConflict, 9},
--- a/internal/standin/announcer.go
+++ b/internal/standin/announcer.go
@@ -24,13 +24,15 @@
 type announcer struct {
 	path    string
 	servers []string
-	next    int
+	// token is the upstreams' token, where the instances want one.
+	token string
+	next  int
 	// kick asks for an announcement now: a task ended.
 	kick chan struct{}
 }
 
-func newAnnouncer(path string, servers []string) *announcer {
-	return &announcer{path: path, servers: servers, kick: make(chan struct{}, 1)}
+func newAnnouncer(path string, servers []string, token string) *announcer {
+	return &announcer{path: path, servers: servers, token: token, kick: make(chan struct{}, 1)}
 }
 
 func (a *announcer) hurry() {
@@ -71,6 +73,7 @@
 	if err != nil {
 		return nil, err
 	}
+	request.Header.Set("Authorization", "Bearer "+a.token)
 	response, err := http.DefaultClient.Do(request)
 	if err != nil {
 		return nil, err
--- a/internal/standin/minion.go
+++ b/internal/standin/minion.go
@@ -16,6 +16,7 @@
 type MinionOptions struct {
 	Announcement api.Announcement
 	Servers      []string
+	Token        string
 	// Delay is how long one request takes.
 	Delay time.Duration
 	// CutEvery cuts each nth answer in the middle; 0 cuts none.
@@ -38,7 +39,7 @@
 func NewMinion(options MinionOptions) *Minion {
 	return &Minion{
 		options:   options,
-		announcer: newAnnouncer(api.PathAnnounceMinion, options.Servers),
+		announcer: newAnnouncer(api.PathAnnounceMinion, options.Servers, options.Token),
 		runs:      map[string]int{},
 	}
 }
--- a/internal/standin/standincmd/main.go
+++ b/internal/standin/standincmd/main.go
@@ -41,6 +41,7 @@
 type common struct {
 	announcement api.Announcement
 	servers      string
+	token        string
 	count        int
 }
 
@@ -48,6 +49,7 @@
 	c := &common{}
 	flags := flag.NewFlagSet(name, flag.ContinueOnError)
 	flags.StringVar(&c.servers, "servers", "http://127.0.0.1:7100", "instances, separated by commas")
+	flags.StringVar(&c.token, "token", "", "token that upstreams show")
 	flags.StringVar(&c.announcement.ID, "id", name, "name of the first; others get a number")
 	flags.StringVar(&c.announcement.DataCentre, "data-centre", "dc1", "data centre")
 	flags.StringVar(&c.announcement.Rack, "rack", "rack1", "rack")
@@ -92,6 +94,7 @@
 			own := options
 			own.Announcement = announcement
 			own.Servers = c.serverList()
+			own.Token = c.token
 			worker := standin.NewWorker(own)
 			go func() { _ = http.Serve(listener, worker.Handler()) }()
 			worker.Run(ctx)
@@ -113,6 +116,7 @@
 			own := options
 			own.Announcement = announcement
 			own.Servers = c.serverList()
+			own.Token = c.token
 			minion := standin.NewMinion(own)
 			go func() { _ = http.Serve(listener, minion.Handler()) }()
 			minion.Run(ctx)
--- a/internal/standin/worker.go
+++ b/internal/standin/worker.go
@@ -16,6 +16,7 @@
 type WorkerOptions struct {
 	Announcement api.Announcement
 	Servers      []string
+	Token        string
 	Tasks        tasks.Options
 }
 
@@ -34,7 +35,7 @@
 	options.Tasks.Incarnation = options.Announcement.Incarnation
 	return &Worker{
 		announcement: options.Announcement,
-		announcer:    newAnnouncer(api.PathAnnounceWorker, options.Servers),
+		announcer:    newAnnouncer(api.PathAnnounceWorker, options.Servers, options.Token),
 		table:        tasks.New(options.Tasks),
 		wake:         make(chan struct{}, 1),
 	}
--- a/internal/transport/httpapi/jobs.go
+++ b/internal/transport/httpapi/jobs.go
@@ -1,21 +1,30 @@
 package httpapi
 
 import (
+	"context"
 	"net/http"
-	"strings"
+	"regexp"
+	"time"
 
 	"github.com/gorilla/mux"
+	"github.com/oklog/ulid/v2"
 
 	"pinewinch.example/pinewinch/internal/coordination/inventory"
+	"pinewinch.example/pinewinch/internal/coordination/report"
 	"pinewinch.example/pinewinch/internal/protocol/api"
 	"pinewinch.example/pinewinch/internal/protocol/controlpb"
 	"pinewinch.example/pinewinch/internal/protocol/failure"
-
-	"github.com/oklog/ulid/v2"
-	"time"
+	"pinewinch.example/pinewinch/internal/protocol/peerpb"
 )
 
-const statePrefix = "JOB_STATE_"
+// jobKeyPattern keeps job ids, which end in the key, fit for paths and tables.
+var jobKeyPattern = regexp.MustCompile(`^[A-Za-z0-9._:-]{0,128}$`)
+
+// Explainer knows why jobs wait, wherever the newest pass was made.
+type Explainer interface {
+	// Explain gives a reason without a code for a job that no pass left waiting.
+	Explain(ctx context.Context, job string) (*peerpb.Explanation, error)
+}
 
 func describe(job *controlpb.Job) api.Job {
 	described := api.Job{
@@ -23,7 +32,7 @@
 		Customer:    job.Customer,
 		WorkClass:   job.WorkClass,
 		Entry:       job.Entry,
-		State:       stateName(job.State),
+		State:       report.StateName(job.State),
 		Tasks:       job.Tasks,
 		Attempts:    job.Attempts,
 		SubmittedMs: job.SubmittedMs,
@@ -39,10 +48,6 @@
 	return described
 }
 
-func stateName(state controlpb.JobState) string {
-	return strings.ToLower(strings.TrimPrefix(state.String(), statePrefix))
-}
-
 func (s *Server) submitJob(w http.ResponseWriter, r *http.Request, customer string) {
 	submit := api.SubmitRequest{}
 	if err := readJSON(r, &submit); err != nil {
@@ -58,6 +63,10 @@
 		writeError(w, failure.New(failure.NotFound, "no class of work %q", submit.WorkClass))
 		return
 	}
+	if !jobKeyPattern.MatchString(submit.Key) {
+		writeError(w, failure.New(failure.BadRequest, "a key is at most %d letters, digits and '.', '_', ':', '-'", maxKeyLength))
+		return
+	}
 	key := submit.Key
 	if key == "" {
 		key = ulid.Make().String()
@@ -97,7 +106,7 @@
 func (s *Server) listJobs(w http.ResponseWriter, _ *http.Request, customer string) {
 	jobs := []api.Job{}
 	for _, job := range s.control.State().Jobs() {
-		if job.Customer == customer {
+		if customer == everyCustomer || job.Customer == customer {
 			jobs = append(jobs, describe(job))
 		}
 	}
@@ -116,7 +125,7 @@
 // ownJob finds a job of the customer; another's is as unknown as none.
 func (s *Server) ownJob(r *http.Request, customer string) (*controlpb.Job, error) {
 	job, ok := s.control.State().Job(mux.Vars(r)["id"])
-	if !ok || job.Customer != customer {
+	if !ok || (customer != everyCustomer && job.Customer != customer) {
 		return nil, failure.New(failure.NotFound, "no such job")
 	}
 	return job, nil
@@ -129,12 +138,17 @@
 		return
 	}
 	explanation := api.Explanation{Job: describe(job)}
-	for _, reason := range s.controller.Waiting() {
-		if reason.Job == job.Id {
-			explanation.Reason = string(reason.Code)
-			explanation.Wanted = reason.Wanted
-			explanation.Free = reason.Free
-		}
+	if job.State != controlpb.JobState_JOB_STATE_WAITING {
+		writeJSON(w, explanation)
+		return
+	}
+	reason, err := s.explainer.Explain(r.Context(), job.Id)
+	if err != nil {
+		writeError(w, err)
+		return
 	}
+	explanation.Reason = reason.Code
+	explanation.Wanted = reason.Wanted
+	explanation.Free = reason.Free
 	writeJSON(w, explanation)
 }
--- a/internal/transport/httpapi/operators.go
+++ b/internal/transport/httpapi/operators.go
@@ -1,94 +1,64 @@
 package httpapi
 
 import (
+	"context"
 	"net/http"
+	"strconv"
+	"time"
 
 	"github.com/gorilla/mux"
-	"google.golang.org/protobuf/encoding/protojson"
 
+	"pinewinch.example/pinewinch/internal/coordination/report"
 	"pinewinch.example/pinewinch/internal/protocol/api"
 	"pinewinch.example/pinewinch/internal/protocol/controlpb"
 	"pinewinch.example/pinewinch/internal/protocol/failure"
 	"pinewinch.example/pinewinch/internal/protocol/peerpb"
 )
 
-func (s *Server) getDeclarations(w http.ResponseWriter, _ *http.Request, _ string) {
-	state := s.control.State()
-	items, err := protojson.Marshal(&controlpb.Snapshot{Items: state.Items()})
-	if err != nil {
-		writeError(w, failure.Wrap(failure.Internal, err, "encode declarations"))
-		return
-	}
-	writeJSON(w, api.Declarations{Revision: state.Revision(), Items: items})
-}
+// statusWait bounds how long a status asked for with ?after=INDEX waits for
+// something newer.
+const statusWait = 20 * time.Second
 
-func (s *Server) applyDeclarations(w http.ResponseWriter, r *http.Request, operator string) {
-	apply := api.ApplyRequest{}
-	if err := readJSON(r, &apply); err != nil {
+func (s *Server) status(w http.ResponseWriter, r *http.Request, _ string) {
+	if err := s.awaitIndex(r); err != nil {
 		writeError(w, err)
 		return
 	}
-	op := &controlpb.ApplyItems{ExpectedRevision: apply.ExpectedRevision, Remove: apply.Remove}
-	for _, text := range apply.Set {
-		item := &controlpb.Item{}
-		if err := protojson.Unmarshal(text, item); err != nil {
-			writeError(w, failure.Wrap(failure.BadDeclaration, err, "item does not decode"))
-			return
-		}
-		op.Set = append(op.Set, item)
-	}
-	command := &controlpb.Command{Op: &controlpb.Command_Apply{Apply: op}}
-	if apply.Client != "" {
-		command.Client = operator + "/" + apply.Client
-		command.Sequence = apply.Sequence
-	}
-	result, err := s.propose(r, command)
-	if err != nil {
-		writeError(w, err)
-		return
-	}
-	writeJSON(w, api.ApplyReply{Revision: result.Revision, Index: result.Index})
-}
-
-func (s *Server) status(w http.ResponseWriter, _ *http.Request, _ string) {
 	state := s.control.State()
-	status := api.Status{
-		Revision: state.Revision(),
-		Leader:   s.control.Leader(),
-		Jobs:     map[string]int{},
-		Minions:  len(s.registry.Live(peerpb.UpstreamKind_UPSTREAM_KIND_MINION)),
-	}
-	s.countJobs(&status, state.Jobs())
-	for _, worker := range s.registry.Live(peerpb.UpstreamKind_UPSTREAM_KIND_WORKER) {
-		status.Workers++
-		status.Accelerators += int(worker.Accelerators)
-	}
-	status.Idle = status.Accelerators - status.Used
+	status := report.Of(state, s.registry.Live(peerpb.UpstreamKind_UPSTREAM_KIND_WORKER))
+	status.Revision = state.Revision()
+	status.Index = state.Index()
+	status.Leader = s.control.Leader()
+	status.Minions = len(s.registry.Live(peerpb.UpstreamKind_UPSTREAM_KIND_MINION))
 	writeJSON(w, status)
 }
 
-func (s *Server) countJobs(status *api.Status, jobs []*controlpb.Job) {
-	var total, lost int64
-	completed := 0
-	for _, job := range jobs {
-		status.Jobs[stateName(job.State)]++
-		lost += job.LostMs
-		for _, placement := range job.Placements {
-			status.Used += len(placement.Accelerators)
+// awaitIndex holds the answer until the state is newer than the index that the
+// caller has, so that watching costs nothing while nothing happens.
+func (s *Server) awaitIndex(r *http.Request) error {
+	text := r.URL.Query().Get("after")
+	if text == "" {
+		return nil
+	}
+	after, err := strconv.ParseUint(text, 10, 64)
+	if err != nil {
+		return failure.New(failure.BadRequest, "after is a log index, not %q", text)
+	}
+	ctx, cancel := context.WithTimeout(r.Context(), statusWait)
+	defer cancel()
+	for {
+		changed := s.control.Changed()
+		if s.control.State().Index() > after || s.stopping.Load() {
+			return nil
 		}
-		if job.State == controlpb.JobState_JOB_STATE_COMPLETED {
-			total += job.EndedMs - job.SubmittedMs
-			completed++
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return nil
 		}
 	}
-	status.LostSeconds = float64(lost) / msPerSecond
-	if completed > 0 {
-		status.MeanSeconds = float64(total) / float64(completed) / msPerSecond
-	}
 }
 
-const msPerSecond = 1000
-
 func (s *Server) members(w http.ResponseWriter, _ *http.Request, _ string) {
 	members := []api.Instance{}
 	for _, instance := range s.registry.Instances(s.settings.Control.FreshnessBound + announceGrace) {
--- a/internal/transport/httpapi/server.go
+++ b/internal/transport/httpapi/server.go
@@ -3,22 +3,18 @@
 package httpapi
 
 import (
-	"crypto/sha256"
-	"crypto/subtle"
 	"encoding/json"
 	"errors"
 	"expvar"
 	"io"
 	"net/http"
 	"strconv"
-	"strings"
 	"sync/atomic"
 	"time"
 
 	"github.com/gorilla/mux"
 
 	"pinewinch.example/pinewinch/internal/coordination/control"
-	"pinewinch.example/pinewinch/internal/coordination/dispatch"
 	"pinewinch.example/pinewinch/internal/coordination/membership"
 	"pinewinch.example/pinewinch/internal/coordination/routing"
 	"pinewinch.example/pinewinch/internal/protocol/api"
@@ -28,40 +24,65 @@
 
 // Server answers the HTTP interfaces of one instance.
 type Server struct {
-	settings   *settings.Settings
-	control    control.Log
-	registry   *membership.Registry
-	router     *routing.Router
-	controller *dispatch.Controller
-	stopping   atomic.Bool
+	settings  *settings.Settings
+	control   control.Log
+	registry  *membership.Registry
+	router    *routing.Router
+	explainer Explainer
+	stopping  atomic.Bool
 }
 
 // New makes a server.
-func New(s *settings.Settings, log control.Log, registry *membership.Registry, router *routing.Router, controller *dispatch.Controller) *Server {
-	return &Server{settings: s, control: log, registry: registry, router: router, controller: controller}
+func New(s *settings.Settings, log control.Log, registry *membership.Registry, router *routing.Router, explainer Explainer) *Server {
+	return &Server{settings: s, control: log, registry: registry, router: router, explainer: explainer}
 }
 
 // Handler gives the routes.
 func (s *Server) Handler() http.Handler {
 	routes := mux.NewRouter()
-	routes.HandleFunc(api.PathAnnounceWorker, s.announceWorker).Methods(http.MethodPost)
-	routes.HandleFunc(api.PathAnnounceMinion, s.announceMinion).Methods(http.MethodPost)
+	routes.NotFoundHandler = refuse(failure.NotFound, "no such path")
+	routes.MethodNotAllowedHandler = refuse(failure.WrongMethod, "the path has no such method")
+	s.upstreamRoutes(routes)
+	s.customerRoutes(routes)
+	s.operatorRoutes(routes)
+	routes.HandleFunc(api.PathHealthy, func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, struct{}{}) })
+	routes.HandleFunc(api.PathReady, s.ready)
+	return http.MaxBytesHandler(routes, s.settings.Requests.MaxBodyBytes)
+}
+
+func (s *Server) upstreamRoutes(routes *mux.Router) {
+	routes.HandleFunc(api.PathAnnounceWorker, s.asUpstream(s.announceWorker)).Methods(http.MethodPost)
+	routes.HandleFunc(api.PathAnnounceMinion, s.asUpstream(s.announceMinion)).Methods(http.MethodPost)
+}
+
+// customerRoutes serve one customer what is its own. Operators may look at jobs
+// of all customers, and cancel them.
+func (s *Server) customerRoutes(routes *mux.Router) {
 	routes.HandleFunc(api.PathRequests, s.asCustomer(s.request)).Methods(http.MethodPost)
 	routes.HandleFunc(api.PathJobs, s.asCustomer(s.submitJob)).Methods(http.MethodPost)
-	routes.HandleFunc(api.PathJobs, s.asCustomer(s.listJobs)).Methods(http.MethodGet)
-	routes.HandleFunc(api.PathJob, s.asCustomer(s.getJob)).Methods(http.MethodGet)
-	routes.HandleFunc(api.PathJob, s.asCustomer(s.cancelJob)).Methods(http.MethodDelete)
-	routes.HandleFunc(api.PathExplain, s.asCustomer(s.explain)).Methods(http.MethodGet)
+	routes.HandleFunc(api.PathJobs, s.asAny(s.listJobs)).Methods(http.MethodGet)
+	routes.HandleFunc(api.PathJob, s.asAny(s.getJob)).Methods(http.MethodGet)
+	routes.HandleFunc(api.PathJob, s.asAny(s.cancelJob)).Methods(http.MethodDelete)
+	routes.HandleFunc(api.PathExplain, s.asAny(s.explain)).Methods(http.MethodGet)
+}
+
+func (s *Server) operatorRoutes(routes *mux.Router) {
 	routes.HandleFunc(api.PathDeclarations, s.asOperator(s.getDeclarations)).Methods(http.MethodGet)
 	routes.HandleFunc(api.PathDeclarations, s.asOperator(s.applyDeclarations)).Methods(http.MethodPost)
 	routes.HandleFunc(api.PathStatus, s.asOperator(s.status)).Methods(http.MethodGet)
 	routes.HandleFunc(api.PathMembers, s.asOperator(s.members)).Methods(http.MethodGet)
 	routes.HandleFunc(api.PathDrain, s.asOperator(s.drain)).Methods(http.MethodPost, http.MethodDelete)
 	routes.HandleFunc(api.PathState, s.asOperator(s.dump)).Methods(http.MethodGet)
-	routes.Handle(api.PathVars, s.asOperator(func(w http.ResponseWriter, r *http.Request, _ string) { expvar.Handler().ServeHTTP(w, r) })).Methods(http.MethodGet)
-	routes.HandleFunc(api.PathHealthy, func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, struct{}{}) })
-	routes.HandleFunc(api.PathReady, s.ready)
-	return http.MaxBytesHandler(routes, s.settings.Requests.MaxBodyBytes)
+	routes.HandleFunc(api.PathVars, s.asOperator(vars)).Methods(http.MethodGet)
+}
+
+func vars(w http.ResponseWriter, r *http.Request, _ string) { expvar.Handler().ServeHTTP(w, r) }
+
+// refuse gives the router's own errors the body of every other.
+func refuse(code failure.Code, message string) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		writeError(w, failure.New(code, "%s: %s %s", message, r.Method, r.URL.Path))
+	})
 }
 
 // BeginStop makes the instance not ready, so that the balancer turns away.
@@ -79,37 +100,6 @@
 	writeJSON(w, struct{}{})
 }
 
-// named is a handler that knows who asks.
-type named func(w http.ResponseWriter, r *http.Request, who string)
-
-func (s *Server) asCustomer(handle named) http.HandlerFunc {
-	return authenticated(s.settings.Customers, handle)
-}
-
-func (s *Server) asOperator(handle named) http.HandlerFunc {
-	return authenticated(s.settings.Operators, handle)
-}
-
-// authenticated finds whose token came. Every stored hash is compared, each in
-// constant time, so that timing tells nothing of which came near.
-func authenticated(hashes map[string][]byte, handle named) http.HandlerFunc {
-	return func(w http.ResponseWriter, r *http.Request) {
-		token, _ := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
-		given := sha256.Sum256([]byte(token))
-		who := ""
-		for name, hash := range hashes {
-			if subtle.ConstantTimeCompare(given[:], hash) == 1 {
-				who = name
-			}
-		}
-		if who == "" {
-			writeError(w, failure.New(failure.Unauthorized, "no such token"))
-			return
-		}
-		handle(w, r, who)
-	}
-}
-
 func readJSON(r *http.Request, into any) error {
 	err := json.NewDecoder(r.Body).Decode(into)
 	if err == nil {
--- /dev/null
+++ b/internal/transport/httpapi/server_test.go
@@ -0,0 +1,182 @@
+package httpapi
+
+import (
+	"bytes"
+	"context"
+	"crypto/sha256"
+	"encoding/json"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"google.golang.org/protobuf/encoding/protojson"
+
+	"pinewinch.example/pinewinch/internal/coordination/membership"
+	"pinewinch.example/pinewinch/internal/protocol/api"
+	"pinewinch.example/pinewinch/internal/protocol/controlpb"
+	"pinewinch.example/pinewinch/internal/protocol/declaration"
+	"pinewinch.example/pinewinch/internal/protocol/failure"
+	"pinewinch.example/pinewinch/internal/protocol/peerpb"
+	"pinewinch.example/pinewinch/internal/settings"
+	"pinewinch.example/pinewinch/internal/state/store"
+)
+
+// log applies commands at once, as the only voter would.
+type log struct {
+	state   *store.State
+	changed chan struct{}
+}
+
+func (l *log) State() *store.State      { return l.state }
+func (l *log) Fresh() error             { return nil }
+func (l *log) Changed() <-chan struct{} { return l.changed }
+func (l *log) Leader() string           { return "i1" }
+func (l *log) IsLeader() bool           { return true }
+
+func (l *log) Propose(_ context.Context, command *controlpb.Command) (*controlpb.Result, error) {
+	state, result := l.state.Apply(l.state.Index()+1, command)
+	l.state = state
+	return result, nil
+}
+
+type noReasons struct{}
+
+func (noReasons) Explain(context.Context, string) (*peerpb.Explanation, error) {
+	return &peerpb.Explanation{}, nil
+}
+
+const declared = `[customer crews]
+[customer planners]
+[class survey]
+accelerators = 4
+run_time = 1m
+`
+
+func newServer(t *testing.T) (*Server, *log) {
+	is := is.New(t)
+	items, err := declaration.Parse("f", []byte(declared))
+	is.NoErr(err)
+	l := &log{state: store.New(), changed: make(chan struct{})}
+	_, err = l.Propose(context.Background(), &controlpb.Command{Op: &controlpb.Command_Apply{Apply: &controlpb.ApplyItems{Set: items}}})
+	is.NoErr(err)
+	hash := func(token string) []byte {
+		sum := sha256.Sum256([]byte(token))
+		return sum[:]
+	}
+	s := &settings.Settings{
+		Customers: map[string][]byte{"crews": hash("crews-secret"), "planners": hash("planners-secret")},
+		Operators: map[string][]byte{"ops": hash("ops-secret")},
+		Upstreams: settings.Upstreams{AnnounceEvery: time.Second, Lease: 10 * time.Second, Token: hash("upstream-secret")},
+		Requests:  settings.Requests{MaxBodyBytes: 4096},
+	}
+	return New(s, l, membership.NewRegistry(time.Now), nil, noReasons{}), l
+}
+
+// answer sends one call and decodes an error's body.
+func answer(t *testing.T, handler http.Handler, method, path, token string, body []byte) (*httptest.ResponseRecorder, api.ErrorBody) {
+	request := httptest.NewRequest(method, path, bytes.NewReader(body))
+	request.Header.Set("Authorization", "Bearer "+token)
+	recorder := httptest.NewRecorder()
+	handler.ServeHTTP(recorder, request)
+	refusal := api.ErrorBody{}
+	if recorder.Code >= http.StatusBadRequest {
+		is.New(t).NoErr(json.Unmarshal(recorder.Body.Bytes(), &refusal))
+	}
+	return recorder, refusal
+}
+
+// Every call without the right token, to a path that is none or with too much
+// in it gets a typed body, and another customer's job is as unknown as none.
+func TestRefusals(t *testing.T) {
+	server, _ := newServer(t)
+	handler := server.Handler()
+	submit := []byte(`{"class":"survey","key":"k1"}`)
+	recorder, _ := answer(t, handler, http.MethodPost, "/v1/jobs", "crews-secret", submit)
+	is.New(t).Equal(recorder.Code, http.StatusOK)
+	announcement := []byte(`{"id":"w1","address":"127.0.0.1:1"}`)
+	large := []byte(`{"key":"` + strings.Repeat("x", 8192) + `"}`)
+	tests := map[string]struct {
+		method, path, token string
+		body                []byte
+		want                failure.Code
+	}{
+		"no token":                   {"POST", "/v1/jobs", "", submit, failure.Unauthorized},
+		"operator submits":           {"POST", "/v1/jobs", "ops-secret", submit, failure.Unauthorized},
+		"customer reads status":      {"GET", "/v1/status", "crews-secret", nil, failure.Unauthorized},
+		"customer reads state":       {"GET", "/debug/state", "crews-secret", nil, failure.Unauthorized},
+		"customer reads vars":        {"GET", "/debug/vars", "crews-secret", nil, failure.Unauthorized},
+		"customer applies":           {"POST", "/v1/declarations", "crews-secret", []byte("{}"), failure.Unauthorized},
+		"own job":                    {"GET", "/v1/jobs/crews:k1", "crews-secret", nil, ""},
+		"operator sees job":          {"GET", "/v1/jobs/crews:k1", "ops-secret", nil, ""},
+		"another's job":              {"GET", "/v1/jobs/crews:k1", "planners-secret", nil, failure.NotFound},
+		"another's job explained":    {"GET", "/v1/explain/crews:k1", "planners-secret", nil, failure.NotFound},
+		"another's job cancelled":    {"DELETE", "/v1/jobs/crews:k1", "planners-secret", nil, failure.NotFound},
+		"announce, token":            {"POST", "/v1/workers/announce", "upstream-secret", announcement, ""},
+		"announce, no token":         {"POST", "/v1/workers/announce", "", announcement, failure.Unauthorized},
+		"announce, customer's token": {"POST", "/v1/minions/announce", "crews-secret", announcement, failure.Unauthorized},
+		"unknown path":               {"GET", "/v2/jobs", "ops-secret", nil, failure.NotFound},
+		"unknown method":             {"PATCH", "/v1/jobs", "crews-secret", nil, failure.WrongMethod},
+		"body too large":             {"POST", "/v1/jobs", "crews-secret", large, failure.TooLarge},
+		"not JSON":                   {"POST", "/v1/jobs", "crews-secret", []byte("{"), failure.BadRequest},
+		"key not fit for a path":     {"POST", "/v1/jobs", "crews-secret", []byte(`{"class":"survey","key":"a/b"}`), failure.BadRequest},
+		"unknown class":              {"POST", "/v1/jobs", "crews-secret", []byte(`{"class":"none"}`), failure.NotFound},
+		"bad index":                  {"GET", "/v1/status?after=x", "ops-secret", nil, failure.BadRequest},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			recorder, refusal := answer(t, handler, test.method, test.path, test.token, test.body)
+			is.Equal(refusal.Code, test.want)
+			if test.want != "" {
+				is.Equal(refusal.NotRun, failure.NotRunTrue)
+				is.Equal(recorder.Code, failure.New(test.want, "").HTTPStatus())
+			}
+		})
+	}
+	recorder, _ = answer(t, handler, http.MethodGet, "/v1/jobs", "planners-secret", nil)
+	is.New(t).Equal(strings.TrimSpace(recorder.Body.String()), "[]")
+}
+
+// An operator calls the interface without the tool. A change that breaks the
+// rules is refused whole; a resend of an accepted one gets its first outcome,
+// though the same change would be a conflict now.
+func TestApply(t *testing.T) {
+	server, l := newServer(t)
+	handler := server.Handler()
+	apply := func(t *testing.T, request api.ApplyRequest, items ...*controlpb.Item) (api.ApplyReply, api.ErrorBody) {
+		is := is.New(t)
+		for _, item := range items {
+			text, err := protojson.Marshal(item)
+			is.NoErr(err)
+			request.Set = append(request.Set, text)
+		}
+		body, err := json.Marshal(request)
+		is.NoErr(err)
+		recorder, refusal := answer(t, handler, http.MethodPost, "/v1/declarations", "ops-secret", body)
+		reply := api.ApplyReply{}
+		is.NoErr(json.Unmarshal(recorder.Body.Bytes(), &reply))
+		return reply, refusal
+	}
+	entry := func(class string) *controlpb.Item {
+		return &controlpb.Item{Key: "entry/e", Body: &controlpb.Item_Entry{Entry: &controlpb.Entry{Name: "e", Customer: "crews", WorkClass: class}}}
+	}
+	is := is.New(t)
+	_, refusal := apply(t, api.ApplyRequest{ExpectedRevision: 1}, entry("survey"), &controlpb.Item{Key: "customer/x"})
+	is.Equal(refusal.Code, failure.BadDeclaration)
+	is.True(strings.Contains(refusal.Message, "[customer/x]"))
+	_, refusal = apply(t, api.ApplyRequest{ExpectedRevision: 1}, entry("none"))
+	is.Equal(refusal.Code, failure.BadDeclaration)
+	is.Equal(l.state.Revision(), uint64(1))
+
+	first := api.ApplyRequest{Client: "c", Sequence: 1, ExpectedRevision: 1}
+	reply, _ := apply(t, first, entry("survey"))
+	is.Equal(reply.Revision, uint64(2))
+	again, _ := apply(t, first, entry("survey"))
+	is.Equal(again, reply)
+	_, refusal = apply(t, api.ApplyRequest{ExpectedRevision: 1}, entry("survey"))
+	is.Equal(refusal.Code, failure.Conflict)
+	is.Equal(refusal.Revision, uint64(2))
+}
