--- a/internal/app/softstate.go
+++ b/internal/app/softstate.go
@@ -4,9 +4,10 @@
 	"context"
 	"time"
 
+	"pinewinch.example/pinewinch/internal/coordination/claims"
 	"pinewinch.example/pinewinch/internal/coordination/control"
 	"pinewinch.example/pinewinch/internal/coordination/membership"
-	"pinewinch.example/pinewinch/internal/protocol/failure"
+	"pinewinch.example/pinewinch/internal/protocol/consensuspb"
 	"pinewinch.example/pinewinch/internal/protocol/peerpb"
 	"pinewinch.example/pinewinch/internal/settings"
 	"pinewinch.example/pinewinch/internal/transport/peers"
@@ -27,11 +28,12 @@
 	node     control.Node
 	registry *membership.Registry
 	network  *peers.Network
+	executor *claims.Executor
 	explain  *explainer
 }
 
-func newSoftState(s *settings.Settings, node control.Node, registry *membership.Registry, network *peers.Network, explain *explainer) *softState {
-	return &softState{settings: s, node: node, registry: registry, network: network, explain: explain}
+func newSoftState(s *settings.Settings, node control.Node, registry *membership.Registry, network *peers.Network, executor *claims.Executor, explain *explainer) *softState {
+	return &softState{settings: s, node: node, registry: registry, network: network, executor: executor, explain: explain}
 }
 
 func (s *softState) run(ctx context.Context) {
@@ -109,10 +111,15 @@
 		return &peerpb.Reply{Body: &peerpb.Reply_Ack{Ack: &peerpb.Ack{}}}, nil
 	case *peerpb.Call_Explain:
 		return s.explain.serve(body.Explain)
+	case *peerpb.Call_Fetch:
+		return s.executor.ServeFetch(body.Fetch)
 	}
-	return nil, failure.New(failure.BadRequest, "unknown call")
+	return s.node.ServeReplica(ctx, call)
 }
 
+// Deliver takes one consensus message.
+func (s *softState) Deliver(message *consensuspb.Message) { s.node.Deliver(message) }
+
 // Follow sends the log to an instance that has none.
 func (s *softState) Follow(ctx context.Context, follow *peerpb.Follow, stream control.Stream) error {
 	return s.node.ServeFollow(ctx, follow, stream)
--- a/internal/transport/httpapi/server.go
+++ b/internal/transport/httpapi/server.go
@@ -14,9 +14,9 @@
 
 	"github.com/gorilla/mux"
 
+	"pinewinch.example/pinewinch/internal/coordination/claims"
 	"pinewinch.example/pinewinch/internal/coordination/control"
 	"pinewinch.example/pinewinch/internal/coordination/membership"
-	"pinewinch.example/pinewinch/internal/coordination/routing"
 	"pinewinch.example/pinewinch/internal/protocol/api"
 	"pinewinch.example/pinewinch/internal/protocol/failure"
 	"pinewinch.example/pinewinch/internal/settings"
@@ -27,14 +27,14 @@
 	settings  *settings.Settings
 	control   control.Log
 	registry  *membership.Registry
-	router    *routing.Router
+	executor  *claims.Executor
 	explainer Explainer
 	stopping  atomic.Bool
 }
 
 // New makes a server.
-func New(s *settings.Settings, log control.Log, registry *membership.Registry, router *routing.Router, explainer Explainer) *Server {
-	return &Server{settings: s, control: log, registry: registry, router: router, explainer: explainer}
+func New(s *settings.Settings, log control.Log, registry *membership.Registry, executor *claims.Executor, explainer Explainer) *Server {
+	return &Server{settings: s, control: log, registry: registry, executor: executor, explainer: explainer}
 }
 
 // Handler gives the routes.
@@ -47,7 +47,7 @@
 	s.operatorRoutes(routes)
 	routes.HandleFunc(api.PathHealthy, func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, struct{}{}) })
 	routes.HandleFunc(api.PathReady, s.ready)
-	return http.MaxBytesHandler(routes, s.settings.Requests.MaxBodyBytes)
+	return s.closeWhenStopping(http.MaxBytesHandler(routes, s.settings.Requests.MaxBodyBytes))
 }
 
 func (s *Server) upstreamRoutes(routes *mux.Router) {
@@ -59,6 +59,7 @@
 // of all customers, and cancel them.
 func (s *Server) customerRoutes(routes *mux.Router) {
 	routes.HandleFunc(api.PathRequests, s.asCustomer(s.request)).Methods(http.MethodPost)
+	routes.HandleFunc(api.PathAnswer, s.asCustomer(s.answer)).Methods(http.MethodGet)
 	routes.HandleFunc(api.PathJobs, s.asCustomer(s.submitJob)).Methods(http.MethodPost)
 	routes.HandleFunc(api.PathJobs, s.asAny(s.listJobs)).Methods(http.MethodGet)
 	routes.HandleFunc(api.PathJob, s.asAny(s.getJob)).Methods(http.MethodGet)
@@ -85,7 +86,23 @@
 	})
 }
 
+// closeWhenStopping gives notice on each connection that it ends with this
+// answer, so that its caller sends the next request elsewhere and none is lost
+// on a connection that is being closed.
+func (s *Server) closeWhenStopping(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if s.stopping.Load() {
+			w.Header().Set("Connection", "close")
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
+// Stopping tells whether the instance has begun to stop.
+func (s *Server) Stopping() bool { return s.stopping.Load() }
+
 // BeginStop makes the instance not ready, so that the balancer turns away.
+// Requests that still come are served.
 func (s *Server) BeginStop() { s.stopping.Store(true) }
 
 func (s *Server) ready(w http.ResponseWriter, _ *http.Request) {
