--- a/internal/command/operate.go
+++ b/internal/command/operate.go
@@ -119,8 +119,14 @@
 
 // dump has one form: JSON.
 func (t *Tool) dumpCommand() *ffcli.Command {
-	return t.command("dump", "", t.flags("dump"), func(ctx context.Context, _ []string) error {
-		text, err := t.send(ctx, &exchange{method: http.MethodGet, path: api.PathState, repeatable: true})
+	flags := t.flags("dump")
+	vars := flags.Bool("vars", false, "the counters instead of the state")
+	return t.command("dump", "", flags, func(ctx context.Context, _ []string) error {
+		path := api.PathState
+		if *vars {
+			path = api.PathVars
+		}
+		text, err := t.send(ctx, &exchange{method: http.MethodGet, path: path, repeatable: true})
 		if err != nil {
 			return err
 		}
--- a/internal/standin/minion.go
+++ b/internal/standin/minion.go
@@ -17,6 +17,8 @@
 	Announcement api.Announcement
 	Servers      []string
 	Token        string
+	// Record takes a line for each request that was begun; nil for none.
+	Record *Record
 	// Delay is how long one request takes.
 	Delay time.Duration
 	// CutEvery cuts each nth answer in the middle; 0 cuts none.
@@ -109,6 +111,7 @@
 	m.busy++
 	m.served++
 	m.runs[id]++
+	m.options.Record.once("request", id, m.served)
 	return m.served, true
 }
 
--- a/internal/standin/standincmd/main.go
+++ b/internal/standin/standincmd/main.go
@@ -42,13 +42,16 @@
 	announcement api.Announcement
 	servers      string
 	token        string
+	record       string
 	count        int
+	done         *standin.Record
 }
 
 func commonFlags(name string) (*flag.FlagSet, *common) {
 	c := &common{}
 	flags := flag.NewFlagSet(name, flag.ContinueOnError)
 	flags.StringVar(&c.servers, "servers", "http://127.0.0.1:7100", "instances, separated by commas")
+	flags.StringVar(&c.record, "record", "", "file that takes a line for each thing done")
 	flags.StringVar(&c.token, "token", "", "token that upstreams show")
 	flags.StringVar(&c.announcement.ID, "id", name, "name of the first; others get a number")
 	flags.StringVar(&c.announcement.DataCentre, "data-centre", "dc1", "data centre")
@@ -58,6 +61,9 @@
 }
 
 func (c *common) each(ctx context.Context, run func(ctx context.Context, announcement api.Announcement, listener net.Listener)) error {
+	if err := c.openRecord(); err != nil {
+		return err
+	}
 	for i := range c.count {
 		listener, err := net.Listen("tcp", "127.0.0.1:0")
 		if err != nil {
@@ -73,6 +79,18 @@
 	return nil
 }
 
+func (c *common) openRecord() error {
+	if c.record == "" {
+		return nil
+	}
+	file, err := os.OpenFile(c.record, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	if err != nil {
+		return failure.Wrap(failure.BadSettings, err, "record")
+	}
+	c.done = standin.NewRecord(file)
+	return nil
+}
+
 func (c *common) serverList() []string { return strings.Split(c.servers, ",") }
 
 func workerCommand() *ffcli.Command {
@@ -95,6 +113,7 @@
 			own.Announcement = announcement
 			own.Servers = c.serverList()
 			own.Token = c.token
+			own.Record = c.done
 			worker := standin.NewWorker(own)
 			go func() { _ = http.Serve(listener, worker.Handler()) }()
 			worker.Run(ctx)
@@ -117,6 +136,7 @@
 			own.Announcement = announcement
 			own.Servers = c.serverList()
 			own.Token = c.token
+			own.Record = c.done
 			minion := standin.NewMinion(own)
 			go func() { _ = http.Serve(listener, minion.Handler()) }()
 			minion.Run(ctx)
--- a/internal/standin/worker.go
+++ b/internal/standin/worker.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
 	"net/http"
 	"sync"
 	"time"
@@ -17,13 +18,16 @@
 	Announcement api.Announcement
 	Servers      []string
 	Token        string
-	Tasks        tasks.Options
+	// Record takes a line for each task that completed; nil for none.
+	Record *Record
+	Tasks  tasks.Options
 }
 
 // Worker is a stand-in worker: the sockets around a table of tasks.
 type Worker struct {
 	announcement api.Announcement
 	announcer    *announcer
+	record       *Record
 	mu           sync.Mutex
 	table        *tasks.Table
 	// wake tells the clock that the next end may have moved.
@@ -36,6 +40,7 @@
 	return &Worker{
 		announcement: options.Announcement,
 		announcer:    newAnnouncer(api.PathAnnounceWorker, options.Servers, options.Token),
+		record:       options.Record,
 		table:        tasks.New(options.Tasks),
 		wake:         make(chan struct{}, 1),
 	}
@@ -128,6 +133,11 @@
 	defer w.mu.Unlock()
 	announcement := w.announcement
 	announcement.Version, announcement.Tasks = w.table.Announce(time.Now())
+	for _, task := range announcement.Tasks {
+		if task.Phase == api.PhaseCompleted {
+			w.record.once("task", fmt.Sprintf("%s %d", task.Job, task.Task), task.Epoch)
+		}
+	}
 	return &announcement
 }
 
--- a/scripts/cluster.sh
+++ b/scripts/cluster.sh
@@ -75,3 +75,41 @@
   echo "'$pattern' never came from: $*" >&2
   return 1
 }
+
+# counter SERVER NAME: one counter of one instance; 0 where it has none.
+counter() {
+  local value
+  value=$(pinewinch dump -vars -server "$1" | tr -d ' ",' | grep "^$2:" | cut -d: -f2)
+  echo "${value:-0}"
+}
+
+# cpu_ticks PID: processor time so far, in ticks of the kernel's clock.
+cpu_ticks() { sed 's/.*) //' "/proc/$1/stat" | awk '{ print $12 + $13 }'; }
+
+# idle_cost SECONDS PIDS...: what the instances i1... cost while nothing happens.
+idle_cost() {
+  local over=$1 i pid server ticks=() sent=() received=() hertz
+  shift
+  hertz=$(getconf CLK_TCK)
+  i=0
+  for pid in "$@"; do
+    server="http://127.0.0.1:${http_ports[$i]}"
+    sent+=("$(counter "$server" peer_bytes_sent)")
+    received+=("$(counter "$server" peer_bytes_received)")
+    ticks+=("$(cpu_ticks "$pid")")
+    i=$((i + 1))
+  done
+  sleep "$over"
+  i=0
+  for pid in "$@"; do
+    server="http://127.0.0.1:${http_ports[$i]}"
+    awk -v name="i$((i + 1))" -v over="$over" -v hertz="$hertz" \
+      -v ticks=$(($(cpu_ticks "$pid") - ticks[i])) \
+      -v kb="$(awk '/^VmRSS/ { print $2 }' "/proc/$pid/status")" \
+      -v sent=$(($(counter "$server" peer_bytes_sent) - sent[i])) \
+      -v received=$(($(counter "$server" peer_bytes_received) - received[i])) \
+      'BEGIN { printf "idle %s: %.2f%% of a core, %.0f MB, %.0f B/s sent, %.0f B/s received (over %d s)\n",
+               name, 100 * ticks / hertz / over, kb / 1024, sent / over, received / over, over }'
+    i=$((i + 1))
+  done
+}
--- a/scripts/quickstart.sh
+++ b/scripts/quickstart.sh
@@ -1,62 +1,69 @@
 #!/usr/bin/env bash
-# Starts three instances, workers and a minion on loopback, applies a small
-# example, waits until it is complete, prints what it cost, and stops
-# everything that it started, by process id.
+# The quick start: three instances, two workers and two minions on loopback. It
+# applies a small example, waits until all of it is complete, sends requests, and
+# prints completion, fragmentation, waste and what an idle instance costs. It
+# stops everything that it started, and fails if the stand-ins' own records show
+# that anything was lost or done twice.
 set -euo pipefail
 cd "$(dirname "$0")/.."
-work=$(mktemp -d)
-pids=()
-finish() {
-  for pid in "${pids[@]}"; do kill "$pid" 2>/dev/null || true; done
-  for pid in "${pids[@]}"; do wait "$pid" 2>/dev/null || true; done
-  rm -rf "$work"
-}
-trap finish EXIT
-
-go build -o bin/ ./cmd/...
+echo "building"
+go build -o bin/ ./cmd/pinewinchd ./cmd/pinewinch ./cmd/pinewinch-standin
 export PATH="$PWD/bin:$PATH"
-hash() { printf 'sha256:%s' "$(printf %s "$1" | sha256sum | cut -d' ' -f1)"; }
-mapfile -t ports < <(pinewinch-standin ports -count 6)
-servers="http://127.0.0.1:${ports[0]},http://127.0.0.1:${ports[1]},http://127.0.0.1:${ports[2]}"
+. scripts/cluster.sh
+
+began=$SECONDS
+new_cluster 3 3
+instance_pids=()
 for i in 1 2 3; do
-  mkdir "$work/data$i"
-  cat > "$work/i$i.ini" <<INI
-[instance]
-name = i$i
-data_centre = dc$i
-listen_http = 127.0.0.1:${ports[$((i - 1))]}
-listen_peer = 127.0.0.1:${ports[$((i + 2))]}
-data_folder = $work/data$i
-[peers]
-i1 = 127.0.0.1:${ports[3]}
-i2 = 127.0.0.1:${ports[4]}
-i3 = 127.0.0.1:${ports[5]}
-[control]
-voters = i1, i2, i3
-[customers]
-crews = $(hash crews-secret)
-planners = $(hash planners-secret)
-[operators]
-operator = $(hash operator-secret)
-INI
-  pinewinchd -config "$work/i$i.ini" 2> "$work/i$i.log" & pids+=($!)
+  start_instance "$i"
+  instance_pids+=("$started")
 done
-pinewinch-standin worker -servers "$servers" -count 2 -speed 1000 & pids+=($!)
-pinewinch-standin minion -servers "$servers" -services report,cut-order & pids+=($!)
+start pinewinch-standin worker -servers "$servers" -count 2 -speed 600 -record "$work/tasks"
+start pinewinch-standin minion -servers "$servers" -count 2 -services report,cut-order -record "$work/requests"
+export PINEWINCH_SERVER="$servers"
 
-export PINEWINCH_SERVER="http://127.0.0.1:${ports[0]}" PINEWINCH_TOKEN=operator-secret
-await() {
-  for _ in $(seq 300); do
-    if "${@:2}" 2>/dev/null | grep -q "$1"; then return 0; fi
-    sleep 0.1
-  done
-  echo "quick start: '$1' never came" >&2
-  return 1
-}
+await '"name": "i3"' pinewinch members -o json
 await '"workers": 2' pinewinch status -o json
-await '"minions": 1' pinewinch status -o json
-pinewinch apply -wait examples/coedlinell-small
-await '"completed": 3' pinewinch status -o json
-pinewinch request -token crews-secret report
-pinewinch request -token crews-secret -key order-7 cut-order
+await '"minions": 2' pinewinch status -o json
+echo "three instances, two workers and two minions are up"
+
+example=examples/coedlinell-small
+pinewinch apply -wait "$example"
+pinewinch watch -until-done -every 500ms
+
+jobs=$(grep -c '^\[entry ' "$example"/*.ini)
+tasks=$((jobs * $(awk '/^tasks/ { print $3 }' "$example"/*.ini)))
+await "\"completed\": $jobs" pinewinch status -o json
+
+# Ten reports, and five orders of a cutting crew, each sent twice.
+for i in 1 2 3 4 5 6 7 8 9 10; do
+  pinewinch request -token crews-secret report > /dev/null
+done
+for i in 1 2 3 4 5; do
+  first=$(pinewinch request -token crews-secret -key "order-$i" cut-order)
+  again=$(pinewinch request -token crews-secret -key "order-$i" cut-order)
+  if [ "$first" != "$again" ]; then
+    echo "order-$i was answered in two ways: '$first' and '$again'" >&2
+    exit 1
+  fi
+done
+
 pinewinch status
+sleep 2
+idle_cost 5 "${instance_pids[@]}"
+stop_all
+
+# exactly NAME EXPECTED FILE: each line once, and as many as expected.
+exactly() {
+  local done_once twice
+  done_once=$(sort -u "$3" | wc -l)
+  twice=$(sort "$3" | uniq -d)
+  if [ "$done_once" -ne "$2" ] || [ -n "$twice" ]; then
+    echo "$1: $done_once of $2 done; done twice: ${twice:-none}" >&2
+    exit 1
+  fi
+  echo "$1: $2 of $2 done, each once"
+}
+exactly "tasks of $jobs jobs" "$tasks" "$work/tasks"
+exactly "requests" 15 "$work/requests"
+echo "quick start: done in $((SECONDS - began)) s after the build"
