Refuse impossible classes and guarantees at apply and submit, with what would fit

Change: httpapi asks scheduling.Feasible for classes and a pass over empty workers for guarantees; nothing is refused until the fleet has had time to announce itself; -allow-infeasible accepts.

--- a/internal/protocol/declaration/check.go
+++ b/internal/protocol/declaration/check.go
@@ -40,11 +40,7 @@
 // CheckChange gives what is wrong with the items that a change leads to, and
 // with the change itself. The tool checks before it sends; the server checks
 // again, because an operator may call the interface without the tool.
-func CheckChange(current []*controlpb.Item, set []*controlpb.Item, remove []string) []Violation {
-	items := make(map[string]*controlpb.Item, len(current)+len(set))
-	for _, item := range current {
-		items[item.Key] = item
-	}
+func CheckChange(current, set []*controlpb.Item, remove []string) []Violation {
 	var violations []Violation
 	changed := map[string]bool{}
 	for _, item := range set {
@@ -52,16 +48,29 @@
 			violations = append(violations, Violation{Item: item.Key, Reason: "set twice"})
 		}
 		changed[item.Key] = true
-		items[item.Key] = item
 	}
 	for _, key := range remove {
 		if changed[key] {
 			violations = append(violations, Violation{Item: key, Reason: "set and removed, or removed twice"})
 		}
 		changed[key] = true
+	}
+	return append(violations, Check(Changed(current, set, remove))...)
+}
+
+// Changed gives the items that a change leads to.
+func Changed(current, set []*controlpb.Item, remove []string) []*controlpb.Item {
+	items := make(map[string]*controlpb.Item, len(current)+len(set))
+	for _, item := range current {
+		items[item.Key] = item
+	}
+	for _, item := range set {
+		items[item.Key] = item
+	}
+	for _, key := range remove {
 		delete(items, key)
 	}
-	return append(violations, Check(Sorted(items))...)
+	return Sorted(items)
 }
 
 // Check lists every rule that the items break together.
--- a/internal/transport/httpapi/declarations.go
+++ b/internal/transport/httpapi/declarations.go
@@ -76,7 +76,7 @@
 	if violations := declaration.CheckChange(state.Items(), op.Set, op.Remove); len(violations) > 0 {
 		return failure.Wrap(failure.BadDeclaration, problems(violations), "%d problems", len(violations))
 	}
-	return s.checkFeasible(op.Set, allowInfeasible)
+	return s.checkFeasible(state.Items(), op.Set, allowInfeasible)
 }
 
 func problems(violations []declaration.Violation) declaration.Problems {
--- a/internal/transport/httpapi/jobs.go
+++ b/internal/transport/httpapi/jobs.go
@@ -63,6 +63,10 @@
 		writeError(w, failure.New(failure.NotFound, "no class of work %q", submit.WorkClass))
 		return
 	}
+	if err := s.checkSubmit(class); err != nil {
+		writeError(w, err)
+		return
+	}
 	if !jobKeyPattern.MatchString(submit.Key) {
 		writeError(w, failure.New(failure.BadRequest, "a key is at most %d letters, digits and '.', '_', ':', '-'", maxKeyLength))
 		return
--- a/internal/transport/httpapi/server.go
+++ b/internal/transport/httpapi/server.go
@@ -29,12 +29,14 @@
 	registry  *membership.Registry
 	executor  *claims.Executor
 	explainer Explainer
-	stopping  atomic.Bool
+	// started is when this instance began to hear upstreams.
+	started  time.Time
+	stopping atomic.Bool
 }
 
 // New makes a server.
 func New(s *settings.Settings, log control.Log, registry *membership.Registry, executor *claims.Executor, explainer Explainer) *Server {
-	return &Server{settings: s, control: log, registry: registry, executor: executor, explainer: explainer}
+	return &Server{settings: s, control: log, registry: registry, executor: executor, explainer: explainer, started: time.Now()}
 }
 
 // Handler gives the routes.
