--- a/internal/standin/minion.go
+++ b/internal/standin/minion.go
@@ -16,6 +16,9 @@
 type MinionOptions struct {
 	Announcement api.Announcement
 	Servers      []string
+	Token        string
+	// Record takes a line for each request that was begun; nil for none.
+	Record *Record
 	// Delay is how long one request takes.
 	Delay time.Duration
 	// CutEvery cuts each nth answer in the middle; 0 cuts none.
@@ -38,7 +41,7 @@
 func NewMinion(options MinionOptions) *Minion {
 	return &Minion{
 		options:   options,
-		announcer: newAnnouncer(api.PathAnnounceMinion, options.Servers),
+		announcer: newAnnouncer(api.PathAnnounceMinion, options.Servers, options.Token),
 		runs:      map[string]int{},
 	}
 }
@@ -108,6 +111,7 @@
 	m.busy++
 	m.served++
 	m.runs[id]++
+	m.options.Record.once("request", id, m.served)
 	return m.served, true
 }
 
--- a/internal/standin/worker.go
+++ b/internal/standin/worker.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
 	"net/http"
 	"sync"
 	"time"
@@ -16,13 +17,17 @@
 type WorkerOptions struct {
 	Announcement api.Announcement
 	Servers      []string
-	Tasks        tasks.Options
+	Token        string
+	// Record takes a line for each task that completed; nil for none.
+	Record *Record
+	Tasks  tasks.Options
 }
 
 // Worker is a stand-in worker: the sockets around a table of tasks.
 type Worker struct {
 	announcement api.Announcement
 	announcer    *announcer
+	record       *Record
 	mu           sync.Mutex
 	table        *tasks.Table
 	// wake tells the clock that the next end may have moved.
@@ -34,7 +39,8 @@
 	options.Tasks.Incarnation = options.Announcement.Incarnation
 	return &Worker{
 		announcement: options.Announcement,
-		announcer:    newAnnouncer(api.PathAnnounceWorker, options.Servers),
+		announcer:    newAnnouncer(api.PathAnnounceWorker, options.Servers, options.Token),
+		record:       options.Record,
 		table:        tasks.New(options.Tasks),
 		wake:         make(chan struct{}, 1),
 	}
@@ -127,6 +133,11 @@
 	defer w.mu.Unlock()
 	announcement := w.announcement
 	announcement.Version, announcement.Tasks = w.table.Announce(time.Now())
+	for _, task := range announcement.Tasks {
+		if task.Phase == api.PhaseCompleted {
+			w.record.once("task", fmt.Sprintf("%s %d", task.Job, task.Task), task.Epoch)
+		}
+	}
 	return &announcement
 }
 
