Conservation check: callers against minions' records while instances die

Cause: at most once, honest "not run" and whole answers hold between processes, which unit tests of one package cannot show. Ruled out: counting inside the instances (they are what is judged); a simulator (the check is of real processes and sockets). Change: experiment/conservation has callers that hang up, resend elsewhere and fetch answers, and a ledger that is compared with what minions recorded; test/conservation runs instances as processes, kills them with SIGKILL, drains and restarts them; stand-in minions cut, chunk, swap and stall answers.

--- a/internal/standin/minion.go
+++ b/internal/standin/minion.go
@@ -4,7 +4,9 @@
 	"context"
 	"fmt"
 	"io"
+	"maps"
 	"net/http"
+	"strconv"
 	"sync"
 	"time"
 
@@ -20,8 +22,18 @@
 	Delay time.Duration
 	// CutEvery cuts each nth answer in the middle; 0 cuts none.
 	CutEvery uint64
+	// ChunkEvery sends each nth answer in chunks, without a length.
+	ChunkEvery uint64
+	// SwapEvery gives each nth answer the identity of another request.
+	SwapEvery uint64
+	// StallEvery holds each nth answer back for Stall.
+	StallEvery uint64
+	Stall      time.Duration
 }
 
+// every tells whether a misbehaviour is due at this request.
+func every(nth, number uint64) bool { return nth > 0 && number%nth == 0 }
+
 // Minion is a stand-in minion. It records every execution by request id.
 type Minion struct {
 	options   MinionOptions
@@ -49,9 +61,14 @@
 }
 
 // Leave announces that no new work should come.
-func (m *Minion) Leave() {
+func (m *Minion) Leave() { m.setLeaving(true) }
+
+// Return announces that work may come again.
+func (m *Minion) Return() { m.setLeaving(false) }
+
+func (m *Minion) setLeaving(leaving bool) {
 	m.mu.Lock()
-	m.leaving = true
+	m.leaving = leaving
 	m.mu.Unlock()
 	m.announcer.hurry()
 }
@@ -89,16 +106,44 @@
 	}
 	defer m.finish()
 	time.Sleep(m.options.Delay)
+	if every(m.options.StallEvery, number) {
+		time.Sleep(m.options.Stall)
+	}
 	answer := fmt.Sprintf("%s did %s for %s: %s\n", m.options.Announcement.ID, r.PathValue("service"), id, body)
+	if every(m.options.SwapEvery, number) {
+		id = "another"
+	}
 	w.Header().Set(api.HeaderRequestID, id)
 	w.Header().Set("Content-Type", "text/plain; charset=utf-8")
-	w.Header().Set("Content-Length", fmt.Sprint(len(answer)))
-	if m.options.CutEvery > 0 && number%m.options.CutEvery == 0 {
+	m.write(w, answer, number)
+}
+
+// write sends the answer with its length or in chunks, whole or cut.
+func (m *Minion) write(w http.ResponseWriter, answer string, number uint64) {
+	cut := every(m.options.CutEvery, number)
+	if every(m.options.ChunkEvery, number) {
+		_, _ = io.WriteString(w, answer[:len(answer)/2])
+		_ = http.NewResponseController(w).Flush()
+		if cut {
+			panic(http.ErrAbortHandler)
+		}
+		_, _ = io.WriteString(w, answer[len(answer)/2:])
+		return
+	}
+	w.Header().Set("Content-Length", strconv.Itoa(len(answer)))
+	if cut {
 		answer = answer[:len(answer)/2]
 	}
 	_, _ = io.WriteString(w, answer)
 }
 
+// Runs gives how often each request was executed, by its id.
+func (m *Minion) Runs() map[string]int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return maps.Clone(m.runs)
+}
+
 func (m *Minion) begin(id string) (uint64, bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -118,9 +163,7 @@
 }
 
 func (m *Minion) listRuns(w http.ResponseWriter, _ *http.Request) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	for id, count := range m.runs {
+	for id, count := range m.Runs() {
 		fmt.Fprintln(w, id, count)
 	}
 }
--- /dev/null
+++ b/test/conservation/conservation_test.go
@@ -0,0 +1,109 @@
+// Package conservation runs requests through real instances that die, and
+// checks that none is lost, doubled, cut or given to the wrong caller.
+package conservation
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"os"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"pinewinch.example/pinewinch/internal/app"
+	"pinewinch.example/pinewinch/internal/experiment/conservation"
+	"pinewinch.example/pinewinch/internal/protocol/api"
+	"pinewinch.example/pinewinch/internal/standin"
+)
+
+var (
+	requests  = flag.Int("requests", 400, "requests to send")
+	instances = flag.Int("instances", 3, "instances to run")
+	minions   = flag.Int("minions", 6, "minions to run")
+	callers   = flag.Int("callers", 24, "callers at once")
+	seed      = flag.Uint64("seed", 1, "seed of callers and disturbances")
+)
+
+// voters is how many instances keep the log on disk.
+const voters = 1
+
+func TestMain(m *testing.M) {
+	if os.Getenv(roleVariable) == "pinewinchd" {
+		os.Exit(app.Main(os.Args[1:]))
+	}
+	os.Exit(m.Run())
+}
+
+// startMinions starts minions that cut, chunk, swap and stall answers.
+func startMinions(t *testing.T, running []*instance) []*standin.Minion {
+	var servers []string
+	for _, i := range running {
+		servers = append(servers, i.url)
+	}
+	ctx, cancel := context.WithCancel(t.Context())
+	t.Cleanup(cancel)
+	var started []*standin.Minion
+	for n := range *minions {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		is.New(t).NoErr(err)
+		t.Cleanup(func() { listener.Close() })
+		minion := standin.NewMinion(standin.MinionOptions{
+			Announcement: api.Announcement{
+				ID: fmt.Sprintf("minion-%d", n+1), Address: listener.Addr().String(), Incarnation: 1,
+				Services: []string{"report", "cut-order"}, Slots: 8, Connections: 60,
+			},
+			Servers: servers, Delay: 5 * time.Millisecond,
+			CutEvery: 23, ChunkEvery: 2, SwapEvery: 41, StallEvery: 101, Stall: 4 * time.Second,
+		})
+		go func() { _ = http.Serve(listener, minion.Handler()) }()
+		go minion.Run(ctx)
+		started = append(started, minion)
+	}
+	return started
+}
+
+// Callers send cutting orders and reports to instances that are killed,
+// restarted and drained, to minions that cut, swap and stall answers, hang up,
+// and send again elsewhere. Whatever each was told must fit what the minions
+// recorded: a resend finds the first claim, and nothing uncertain is called
+// "not run".
+func TestConservation(t *testing.T) {
+	is := is.New(t)
+	running := startInstances(t, *instances)
+	started := startMinions(t, running)
+	time.Sleep(time.Second) // let the minions announce themselves
+	load := &conservation.Load{
+		Tokens: tokens, Once: "cut-order", Repeatable: "report",
+		Requests: *requests, Callers: *callers, Seed: *seed,
+	}
+	for _, i := range running {
+		load.Servers = append(load.Servers, i.url)
+	}
+	stop, disturbed := make(chan struct{}), make(chan string, 1)
+	go func() {
+		kills, drains := disturb(t, running, rand.New(rand.NewPCG(*seed, 0)), stop)
+		disturbed <- fmt.Sprintf("%d kills, %d drains", kills, drains)
+	}()
+	began := time.Now()
+	ledger := load.Run(t.Context())
+	close(stop)
+	t.Logf("%d instances, %d minions, %s in %s", *instances, *minions, <-disturbed, time.Since(began).Round(time.Second))
+	runs := map[string]int{}
+	for _, minion := range started {
+		for id, count := range minion.Runs() {
+			runs[id] += count
+		}
+	}
+	report := ledger.Check(runs)
+	t.Log(report)
+	if report.Violations() > 0 {
+		t.Fatal(strings.Join(report.Examples, "\n"))
+	}
+	is.True(report.Answered > report.Requests/2)
+}
