--- a/internal/app/app.go
+++ b/internal/app/app.go
@@ -14,7 +14,10 @@
 	"pinewinch.example/pinewinch/internal/settings"
 )
 
-// New makes the instance that the settings describe.
+// New makes the instance that the settings describe. Modules stop in reverse
+// order: HTTP first, so that no request is left, then the work, then the last
+// outcomes of requests, and only after these the log and the other instances,
+// which they need.
 func New(s *settings.Settings) *fx.App {
 	return fx.New(
 		fx.Supply(s),
--- a/test/conservation/conservation_test.go
+++ b/test/conservation/conservation_test.go
@@ -3,7 +3,6 @@
 package conservation
 
 import (
-	"context"
 	"flag"
 	"fmt"
 	"math/rand/v2"
@@ -40,32 +39,31 @@
 	os.Exit(m.Run())
 }
 
-// startMinions starts minions that cut, chunk, swap and stall answers.
-func startMinions(t *testing.T, running []*instance) []*standin.Minion {
-	var servers []string
-	for _, i := range running {
-		servers = append(servers, i.url)
+// roughMinion cuts, chunks, swaps and stalls answers.
+func roughMinion() standin.MinionOptions {
+	return standin.MinionOptions{
+		Delay: 5 * time.Millisecond, CutEvery: 23, ChunkEvery: 2, SwapEvery: 41, StallEvery: 101, Stall: 4 * time.Second,
 	}
-	ctx, cancel := context.WithCancel(t.Context())
-	t.Cleanup(cancel)
-	var started []*standin.Minion
-	for n := range *minions {
-		listener, err := net.Listen("tcp", "127.0.0.1:0")
-		is.New(t).NoErr(err)
-		t.Cleanup(func() { listener.Close() })
-		minion := standin.NewMinion(standin.MinionOptions{
-			Announcement: api.Announcement{
-				ID: fmt.Sprintf("minion-%d", n+1), Address: listener.Addr().String(), Incarnation: 1,
-				Services: []string{"report", "cut-order"}, Slots: 8, Connections: 60,
-			},
-			Servers: servers, Delay: 5 * time.Millisecond,
-			CutEvery: 23, ChunkEvery: 2, SwapEvery: 41, StallEvery: 101, Stall: 4 * time.Second,
-		})
-		go func() { _ = http.Serve(listener, minion.Handler()) }()
-		go minion.Run(ctx)
-		started = append(started, minion)
+}
+
+// slowMinion takes slowTime for each request.
+func slowMinion() standin.MinionOptions { return standin.MinionOptions{Delay: slowTime} }
+
+func startMinion(t *testing.T, running []*instance, options standin.MinionOptions) *standin.Minion {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	is.New(t).NoErr(err)
+	t.Cleanup(func() { listener.Close() })
+	options.Announcement = api.Announcement{
+		ID: "minion-" + listener.Addr().String(), Address: listener.Addr().String(), DataCentre: "dc1", Incarnation: 1,
+		Services: []string{"report", "cut-order"}, Slots: 8, Connections: 60,
 	}
-	return started
+	for _, i := range running {
+		options.Servers = append(options.Servers, i.url)
+	}
+	minion := standin.NewMinion(options)
+	go func() { _ = http.Serve(listener, minion.Handler()) }()
+	go minion.Run(t.Context())
+	return minion
 }
 
 // Callers send cutting orders and reports to instances that are killed,
@@ -75,8 +73,11 @@
 // "not run".
 func TestConservation(t *testing.T) {
 	is := is.New(t)
-	running := startInstances(t, *instances)
-	started := startMinions(t, running)
+	running := startInstances(t, *instances, "notice = 200ms\ngrace = 5s\n")
+	var started []*standin.Minion
+	for range *minions {
+		started = append(started, startMinion(t, running, roughMinion()))
+	}
 	time.Sleep(time.Second) // let the minions announce themselves
 	load := &conservation.Load{
 		Tokens: tokens, Once: "cut-order", Repeatable: "report",
--- a/test/conservation/instances_test.go
+++ b/test/conservation/instances_test.go
@@ -83,8 +83,8 @@
 const operatorToken = "operator-secret"
 
 // startInstances starts the instances, of which the first few are voters, and
-// declares the services.
-func startInstances(t *testing.T, count int) []*instance {
+// declares the services; stop is their [stop] section.
+func startInstances(t *testing.T, count int, stop string) []*instance {
 	folder := t.TempDir()
 	addresses := ports(t, 2*count)
 	var peers strings.Builder
@@ -101,9 +101,9 @@
 			is.New(t).NoErr(os.Mkdir(data, 0o700))
 		}
 		text := fmt.Sprintf("[instance]\nname = %s\ndata_centre = dc%d\nlisten_http = %s\nlisten_peer = %s\ndata_folder = %s\n[peers]\n%s"+
-			"[control]\nvoters = %s\n[upstreams]\nannounce_every = 200ms\n[stop]\nnotice = 200ms\ngrace = 5s\n"+
+			"[control]\nvoters = %s\n[upstreams]\nannounce_every = 200ms\n[stop]\n%s"+
 			"[customers]\ncrews = %s\nplanners = %s\n[operators]\noperator = %s\n",
-			i.name, n%3+1, addresses[n], addresses[count+n], data, peers.String(), voterNames(),
+			i.name, n%3+1, addresses[n], addresses[count+n], data, peers.String(), voterNames(), stop,
 			hashOf(tokens["crews"]), hashOf(tokens["planners"]), hashOf(operatorToken))
 		is.New(t).NoErr(os.WriteFile(i.config, []byte(text), 0o600))
 		i.start(t)
--- /dev/null
+++ b/test/conservation/stop_test.go
@@ -0,0 +1,113 @@
+package conservation
+
+import (
+	"encoding/json"
+	"io"
+	"net/http"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"pinewinch.example/pinewinch/internal/protocol/api"
+	"pinewinch.example/pinewinch/internal/protocol/failure"
+)
+
+// slowTime is how long the minion of these tests takes.
+const slowTime = 800 * time.Millisecond
+
+type reply struct {
+	status int
+	close  bool
+	text   string
+	err    error
+}
+
+func order(url, key string) reply {
+	request, err := http.NewRequest(http.MethodPost, url+"/v1/requests/cut-order", strings.NewReader("ash"))
+	if err != nil {
+		return reply{err: err}
+	}
+	request.Header.Set("Authorization", "Bearer "+tokens["crews"])
+	request.Header.Set(api.HeaderKey, key)
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return reply{err: err}
+	}
+	defer response.Body.Close()
+	text, err := io.ReadAll(response.Body)
+	return reply{response.StatusCode, response.Close, string(text), err}
+}
+
+// startSlow starts one instance and one slow minion with one slot, and sends
+// an order that is at the minion when it returns.
+func startSlow(t *testing.T, stop string) (*instance, <-chan reply) {
+	i := startInstances(t, 1, stop)[0]
+	minion := startMinion(t, []*instance{i}, slowMinion())
+	await(t, "minion", func() bool { return order(i.url, "first").status == http.StatusOK })
+	slow := make(chan reply, 1)
+	go func() { slow <- order(i.url, "slow") }()
+	await(t, "order at the minion", func() bool { return minion.Runs()["crews/slow"] == 1 })
+	return i, slow
+}
+
+// An instance is told to stop while an order is at a minion. First it says
+// that it is not ready, and still serves what comes, with notice that the
+// connection ends; the order in flight gets its whole answer; then it leaves.
+func TestStopCutsOffNothing(t *testing.T) {
+	is := is.New(t)
+	i, slow := startSlow(t, "notice = 1s\ngrace = 20s\n")
+	is.NoErr(i.command.Process.Signal(syscall.SIGTERM))
+	await(t, "not ready", func() bool { return !i.ready() })
+	again := order(i.url, "again")
+	is.NoErr(again.err)
+	is.Equal(again.status, http.StatusOK)
+	is.True(again.close)
+	first := <-slow
+	is.NoErr(first.err)
+	is.Equal(first.status, http.StatusOK)
+	is.True(strings.HasSuffix(first.text, "crews/slow: ash\n"))
+	<-i.exited
+	is.Equal(i.command.ProcessState.ExitCode(), 0)
+	is.True(order(i.url, "late").err != nil)
+
+	// The last outcomes are in the log: a resend after a restart finds them.
+	i.start(t)
+	await(t, "restart", i.ready)
+	for _, key := range []string{"slow", "again"} {
+		body := api.ErrorBody{}
+		is.NoErr(json.Unmarshal([]byte(order(i.url, key).text), &body))
+		is.Equal(body.Code, failure.AnswerGone)
+		is.Equal(body.NotRun, failure.NotRunFalse)
+	}
+}
+
+// The grace ends while an order is at a minion: its caller gets a typed answer
+// that says the outcome is unknown, not a broken connection. A second signal
+// ends the grace at once.
+func TestStopAtItsBound(t *testing.T) {
+	for name, stop := range map[string]string{
+		"grace over":    "notice = 10ms\ngrace = 50ms\n",
+		"second signal": "notice = 1h\ngrace = 1h\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			i, slow := startSlow(t, stop)
+			is.NoErr(i.command.Process.Signal(syscall.SIGTERM))
+			await(t, "not ready", func() bool { return !i.ready() })
+			if name == "second signal" {
+				is.NoErr(i.command.Process.Signal(syscall.SIGTERM))
+			}
+			cut := <-slow
+			is.NoErr(cut.err)
+			body := api.ErrorBody{}
+			is.NoErr(json.Unmarshal([]byte(cut.text), &body))
+			is.Equal(body.Code, failure.OutcomeUnknown)
+			is.Equal(body.NotRun, failure.NotRunUnknown)
+			<-i.exited
+			is.Equal(i.command.ProcessState.ExitCode(), 0)
+		})
+	}
+}
