Prove gangs under any order of events; pin a task to one start of its worker

Cause: the model test, with the real store, the stand-in's task table and clocks 1% apart, found work that is not idempotent done twice: a worker that had completed it started again, knew of no such task, and its 'no such task' counted as a stop that said how the task ended; and a new leader could have reserved the same epoch again at the new start.

Ruled out: asking every member again (the new start cannot know); parking every job whose leader was lost while it started (a reserve is harmless to repeat at the same start of the worker).

Change: Placement carries the worker's incarnation, in the log, and no other is asked to run the task; an answer names its incarnation, and one from another start is an acknowledgement with the outcome unknown, which parks work that is not idempotent.

--- a/internal/coordination/dispatch/controller.go
+++ b/internal/coordination/dispatch/controller.go
@@ -123,6 +123,7 @@
 	if len(assignments) == 0 && len(plan.Preemptions) == 0 {
 		return
 	}
+	c.addressStarts(assignments)
 	commit := &controlpb.CommitPlan{Assignments: assignments, Preemptions: plan.Preemptions}
 	c.propose(ctx, &controlpb.Command{Op: &controlpb.Command_Plan{Plan: commit}})
 }
@@ -153,6 +154,17 @@
 	return workers, probing
 }
 
+// addressStarts notes for which start of its worker each task is meant.
+func (c *Controller) addressStarts(assignments []*controlpb.Assignment) {
+	for _, assignment := range assignments {
+		for _, placement := range assignment.Placements {
+			if worker, ok := c.registry.Get(placement.Worker); ok {
+				placement.Incarnation = worker.Incarnation
+			}
+		}
+	}
+}
+
 func holdsTasks(state *store.State, worker string) bool {
 	for _, job := range state.ActiveJobs() {
 		for _, placement := range job.Placements {
--- a/internal/coordination/dispatch/dispatch.go
+++ b/internal/coordination/dispatch/dispatch.go
@@ -161,6 +161,7 @@
 		answer.Err = failure.From(err)
 	} else {
 		answer.Phase = reply.Phase
+		answer.Incarnation = reply.Incarnation
 		answer.CheckpointedMs = reply.CheckpointedMs
 	}
 	d.mu.Lock()
--- a/internal/coordination/dispatch/gang/machine.go
+++ b/internal/coordination/dispatch/gang/machine.go
@@ -39,6 +39,7 @@
 	Kind           Kind
 	Ref            api.TaskRef
 	Phase          string
+	Incarnation    int64
 	CheckpointedMs int64
 	Err            *failure.Error
 }
@@ -152,7 +153,7 @@
 			continue
 		}
 		if m := r.member(ref.Task); m != nil && m.placement.Worker == w.upstream.Id {
-			m.hear(report, w.upstream.Incarnation)
+			m.hear(report)
 			r.news = true
 		}
 	}
@@ -195,16 +196,13 @@
 
 func (s *step) send(kind Kind, job *controlpb.Job, m *member, w *worker) {
 	m.awaiting = kind
-	if kind == Reserve {
-		m.incarnation = w.upstream.Incarnation
-	}
 	s.out.Commands = append(s.out.Commands, Command{
 		Kind:    kind,
 		Worker:  w.upstream.Id,
 		Address: w.upstream.Address,
 		Task: api.TaskCommand{
 			TaskRef:        api.TaskRef{Job: job.Id, Task: m.placement.Task, Epoch: job.Epoch},
-			Incarnation:    w.upstream.Incarnation,
+			Incarnation:    m.placement.Incarnation,
 			Announced:      w.upstream.Version,
 			Accelerators:   m.placement.Accelerators,
 			Cores:          job.Cores,
--- a/internal/coordination/dispatch/gang/run.go
+++ b/internal/coordination/dispatch/gang/run.go
@@ -51,8 +51,9 @@
 	// report of the task's end.
 	report         *peerpb.TaskReport
 	checkpointedMs int64
-	// incarnation of the worker that was asked to reserve, or reported the task.
-	incarnation int64
+	// unknown is set where the worker has started again since it was given the
+	// task: it runs no more, and nobody can say how it ended.
+	unknown bool
 	// absent is since when a live worker has not reported the task.
 	absent time.Time
 	// retry is when a stop may be sent again.
@@ -85,7 +86,7 @@
 		m := &member{placement: placement, checkpointedMs: job.CheckpointedMs}
 		ref := api.TaskRef{Job: job.Id, Task: placement.Task, Epoch: job.Epoch}
 		if w := s.workers[placement.Worker]; w != nil && w.reports[ref] != nil {
-			m.hear(w.reports[ref], w.upstream.Incarnation)
+			m.hear(w.reports[ref])
 		}
 		r.members = append(r.members, m)
 	}
@@ -127,9 +128,8 @@
 }
 
 // hear takes what the worker reports of the task.
-func (m *member) hear(report *peerpb.TaskReport, incarnation int64) {
+func (m *member) hear(report *peerpb.TaskReport) {
 	m.absent = time.Time{}
-	m.incarnation = incarnation
 	m.advance(reportedPhases[report.Phase], report.CheckpointedMs)
 	if m.phase.ended() && m.report == nil {
 		m.report = report
@@ -139,6 +139,13 @@
 // take handles the answer to a command.
 func (m *member) take(answer *Answer, now time.Time) {
 	m.awaiting = 0
+	if answer.Err == nil && answer.Kind == Stop && answer.Phase == "" {
+		// The start of the worker that was given the task would know of it, had it
+		// ever run there.
+		m.unknown = answer.Incarnation != m.placement.Incarnation
+		m.advance(phaseStopped, 0)
+		return
+	}
 	if answer.Err == nil {
 		m.advance(answeredPhases[answer.Phase], answer.CheckpointedMs)
 		return
--- a/internal/coordination/dispatch/gang/running.go
+++ b/internal/coordination/dispatch/gang/running.go
@@ -62,7 +62,7 @@
 	if w.reports[refOf(job, m)] != nil {
 		return false
 	}
-	if m.incarnation != 0 && w.upstream.Incarnation > m.incarnation {
+	if w.upstream.Incarnation > m.placement.Incarnation {
 		return true
 	}
 	if m.absent.IsZero() {
--- a/internal/coordination/dispatch/gang/starting.go
+++ b/internal/coordination/dispatch/gang/starting.go
@@ -28,7 +28,7 @@
 func (s *step) sendEach(kind Kind, from phase, job *controlpb.Job, r *run) {
 	for _, m := range r.members {
 		w := s.workers[m.placement.Worker]
-		if m.phase == from && m.awaiting == 0 && w != nil {
+		if m.phase == from && m.awaiting == 0 && w != nil && w.upstream.Incarnation == m.placement.Incarnation {
 			s.send(kind, job, m, w)
 		}
 	}
@@ -39,9 +39,13 @@
 		if failed := s.memberFailure(m); failed != nil {
 			return failed
 		}
-		if s.workers[m.placement.Worker] == nil && s.knowsWorkers() {
+		w := s.workers[m.placement.Worker]
+		if w == nil && s.knowsWorkers() {
 			return s.infrastructure(m, failure.Unreachable, "the worker does not announce itself")
 		}
+		if w != nil && w.upstream.Incarnation > m.placement.Incarnation {
+			return s.infrastructure(m, failure.WorkerVanished, "the worker has started again")
+		}
 	}
 	if s.in.Now.Sub(r.since) > s.config.startTimeout() {
 		return s.infrastructure(slowest(r), failure.StartTimeout, "the gang did not start in time")
--- a/internal/coordination/dispatch/gang/stopping.go
+++ b/internal/coordination/dispatch/gang/stopping.go
@@ -1,6 +1,7 @@
 package gang
 
 import (
+	"slices"
 	"time"
 
 	"pinewinch.example/pinewinch/internal/protocol/controlpb"
@@ -52,7 +53,7 @@
 		}
 		s.batch().Stopped = append(s.batch().Stopped, &controlpb.StopAcknowledged{
 			Job: job.Id, Epoch: job.Epoch,
-			Stopped: &controlpb.StoppedTask{Task: m.placement.Task, CheckpointedMs: m.checkpointedMs},
+			Stopped: &controlpb.StoppedTask{Task: m.placement.Task, CheckpointedMs: m.checkpointedMs, OutcomeUnknown: m.unknown},
 		})
 	}
 }
@@ -121,8 +122,13 @@
 			return "a part of work that is not idempotent was done before the gang was stopped"
 		}
 	}
-	if silent > 0 && r.mayHaveStarted {
-		return "work that is not idempotent ran on a worker that never said how it ended"
+	if r.mayHaveStarted && (silent > 0 || r.outcomeUnknown(job)) {
+		return "work that is not idempotent ran on a worker that cannot say how it ended"
 	}
 	return ""
 }
+
+func (r *run) outcomeUnknown(job *controlpb.Job) bool {
+	return slices.ContainsFunc(r.members, func(m *member) bool { return m.unknown }) ||
+		slices.ContainsFunc(job.StoppedTasks, func(t *controlpb.StoppedTask) bool { return t.OutcomeUnknown })
+}
--- a/internal/protocol/api/upstream.go
+++ b/internal/protocol/api/upstream.go
@@ -107,8 +107,10 @@
 }
 
 // TaskAnswer is a worker's answer to a command: the phase that the task is in
-// after it, and the work that a checkpoint has kept.
+// after it, empty where the worker knows of no such task, the work that a
+// checkpoint has kept, and which start of the worker answers.
 type TaskAnswer struct {
+	Incarnation    int64  `json:"incarnation,omitempty"`
 	Phase          string `json:"phase,omitempty"`
 	CheckpointedMs int64  `json:"checkpointed_ms,omitempty"`
 }
--- a/internal/standin/tasks/table.go
+++ b/internal/standin/tasks/table.go
@@ -68,14 +68,20 @@
 // reports that go with it. It must be called before the announcement is sent:
 // leases that an instance gives for it run from this moment.
 func (t *Table) Announce(now time.Time) (version uint64, reports []api.TaskReport) {
-	t.Advance(now)
 	t.prune(now)
 	t.version++
 	t.sent[t.version] = now
+	return t.version, t.Reports(now)
+}
+
+// Reports gives what the worker knows of its tasks.
+func (t *Table) Reports(now time.Time) []api.TaskReport {
+	t.Advance(now)
+	reports := make([]api.TaskReport, 0, len(t.tasks))
 	for _, task := range t.tasks {
 		reports = append(reports, task.report)
 	}
-	return t.version, reports
+	return reports
 }
 
 // Take carries out the answer to the announcement of that version. Leases run
@@ -125,7 +131,7 @@
 	}
 	t.fences[nameOf(command.TaskRef)] = fence{epoch: command.Epoch, set: now}
 	t.tasks[command.TaskRef] = newTask(t.options, command, lease)
-	return &api.TaskAnswer{Phase: api.PhaseReserved}, nil
+	return t.tasks[command.TaskRef].answer(), nil
 }
 
 // Start runs a reserved task; a task that runs or has completed is left alone.
@@ -151,7 +157,7 @@
 	t.raiseFence(command.TaskRef, now)
 	task, ok := t.tasks[command.TaskRef]
 	if !ok {
-		return &api.TaskAnswer{Phase: api.PhaseStopped}, nil
+		return &api.TaskAnswer{Incarnation: t.options.Incarnation}, nil
 	}
 	if task.live() && t.options.IgnoreStop {
 		return nil, failure.Ran(failure.UpstreamFailed, failure.NotRunFalse, nil, "this worker ignores stops")
@@ -194,18 +200,6 @@
 	return next
 }
 
-// Live lists the runs that hold accelerators here.
-func (t *Table) Live(now time.Time) []api.TaskRef {
-	t.Advance(now)
-	var live []api.TaskRef
-	for ref, task := range t.tasks {
-		if task.live() {
-			live = append(live, ref)
-		}
-	}
-	return live
-}
-
 // leaseOf gives the end of the lease that a command may give. The command names
 // an announcement that its sender had heard of; the lease runs from when that
 // was sent. Measured from receipt, a command that the network held back for a
--- a/internal/standin/tasks/task.go
+++ b/internal/standin/tasks/task.go
@@ -45,7 +45,7 @@
 }
 
 func (t *task) answer() *api.TaskAnswer {
-	return &api.TaskAnswer{Phase: t.report.Phase, CheckpointedMs: t.report.CheckpointedMs}
+	return &api.TaskAnswer{Incarnation: t.options.Incarnation, Phase: t.report.Phase, CheckpointedMs: t.report.CheckpointedMs}
 }
 
 // answerIfKept refuses a run that failed or was stopped: it must not look as if
