--- a/internal/coordination/dispatch/controller.go
+++ b/internal/coordination/dispatch/controller.go
@@ -17,6 +17,9 @@
 // passEvery bounds how long news of an upstream waits for a pass.
 const passEvery = 100 * time.Millisecond
 
+// gatherFor is how long answers of workers wait for others before a step.
+const gatherFor = 2 * time.Millisecond
+
 // plansRefused counts plans that would have broken an invariant.
 var plansRefused = expvar.NewInt("dispatch_plans_refused")
 
@@ -67,11 +70,21 @@
 			return
 		case <-changed:
 		case <-c.dispatcher.Wake():
+			gather(ctx)
 		case <-ticker.C:
 		}
 	}
 }
 
+// gather lets the answers of one gang, or of a wave of jobs, come in together, so
+// that they cost one entry.
+func gather(ctx context.Context) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(gatherFor):
+	}
+}
+
 // turn takes one step if this instance leads. What an earlier term remembered is
 // dropped at the first step of a new one.
 func (c *Controller) turn(ctx context.Context) {
--- /dev/null
+++ b/internal/coordination/dispatch/dispatch_test.go
@@ -0,0 +1,130 @@
+package dispatch_test
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"pinewinch.example/pinewinch/internal/coordination/dispatch"
+	"pinewinch.example/pinewinch/internal/coordination/dispatch/gang"
+	"pinewinch.example/pinewinch/internal/protocol/api"
+	"pinewinch.example/pinewinch/internal/protocol/controlpb"
+	"pinewinch.example/pinewinch/internal/protocol/failure"
+	"pinewinch.example/pinewinch/internal/protocol/peerpb"
+	"pinewinch.example/pinewinch/internal/state/store"
+)
+
+// fakeLog is a log of one instance, in memory.
+type fakeLog struct {
+	state     *store.State
+	stale     bool
+	proposals int
+	changed   chan struct{}
+}
+
+func (l *fakeLog) State() *store.State      { return l.state }
+func (l *fakeLog) IsLeader() bool           { return true }
+func (l *fakeLog) Changed() <-chan struct{} { return l.changed }
+
+func (l *fakeLog) Fresh() error {
+	if l.stale {
+		return failure.New(failure.StaleState, "nobody confirms")
+	}
+	return nil
+}
+
+func (l *fakeLog) Propose(_ context.Context, command *controlpb.Command) (*controlpb.Result, error) {
+	l.proposals++
+	command.TimeMs = time.Now().UnixMilli()
+	var result *controlpb.Result
+	l.state, result = l.state.Apply(l.state.Index()+1, command)
+	return result, nil
+}
+
+// fakeWorkers obey at once and count.
+type fakeWorkers struct {
+	mu       sync.Mutex
+	commands map[string]int
+}
+
+func (w *fakeWorkers) Command(_ context.Context, _, path string, _ *api.TaskCommand) (*api.TaskAnswer, error) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.commands[path]++
+	phases := map[string]string{api.PathTaskReserve: api.PhaseReserved, api.PathTaskStart: api.PhaseRunning}
+	return &api.TaskAnswer{Phase: phases[path]}, nil
+}
+
+type fakeRegistry struct{ upstream *peerpb.Upstream }
+
+func (r *fakeRegistry) Get(string) (*peerpb.Upstream, bool) { return r.upstream, true }
+
+func (r *fakeRegistry) Live(peerpb.UpstreamKind) []*peerpb.Upstream {
+	return []*peerpb.Upstream{r.upstream}
+}
+
+func control() (*fakeLog, *fakeWorkers, *dispatch.Dispatcher, *dispatch.Controller) {
+	log := &fakeLog{state: store.New(), changed: make(chan struct{})}
+	workers := &fakeWorkers{commands: map[string]int{}}
+	registry := &fakeRegistry{upstream: &peerpb.Upstream{Id: "w", Cores: 8, MemoryMb: 1000, Accelerators: 8, Version: 1}}
+	config := dispatch.Config{Now: time.Now, Gang: gang.Config{
+		Lease: 10 * time.Second, FreshnessBound: 3 * time.Second, AnnounceEvery: time.Second, CommandTimeout: 2 * time.Second,
+	}}
+	dispatcher := dispatch.New(config, log, workers, registry)
+	return log, workers, dispatcher, dispatch.NewController(log, dispatcher, registry, time.Now)
+}
+
+func submit(log *fakeLog, jobs ...string) {
+	op := &controlpb.SubmitJobs{}
+	for _, id := range jobs {
+		op.Jobs = append(op.Jobs, &controlpb.Job{Id: id, Tasks: 1, Accelerators: 1})
+	}
+	_, _ = log.Propose(context.Background(), &controlpb.Command{Op: &controlpb.Command_SubmitJobs{SubmitJobs: op}})
+}
+
+func assign(log *fakeLog) {
+	_, _ = log.Propose(context.Background(), &controlpb.Command{Op: &controlpb.Command_Plan{Plan: &controlpb.CommitPlan{
+		Assignments: []*controlpb.Assignment{{Job: "j", Placements: []*controlpb.Placement{{Worker: "w", Accelerators: []uint32{0}}}}},
+	}}})
+}
+
+// An instance leads until it notices that no quorum confirms it. Its commands in
+// that time would be outside of what the wait for leases counts on.
+func TestUnconfirmedLeaderSendsNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		log, workers, dispatcher, _ := control()
+		submit(log, "j")
+		assign(log)
+		log.stale = true
+		dispatcher.Reconcile(t.Context())
+		synctest.Wait()
+		is.Equal(len(workers.commands), 0)
+		log.stale = false
+		dispatcher.Reconcile(t.Context())
+		synctest.Wait()
+		is.Equal(workers.commands[api.PathTaskReserve], 1)
+	})
+}
+
+// A wave of jobs arrives at once: one entry places them all, and one records
+// that they run, whatever their number.
+func TestWaveCostsFewEntries(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		log, workers, _, controller := control()
+		submit(log, "a", "b", "c", "d", "e", "f", "g", "h")
+		before := log.proposals
+		go controller.Run(t.Context())
+		time.Sleep(3 * time.Second)
+		for _, job := range log.state.ActiveJobs() {
+			is.Equal(job.State, controlpb.JobState_JOB_STATE_RUNNING)
+		}
+		is.Equal(workers.commands[api.PathTaskStart], 8)
+		is.True(log.proposals-before <= 3)
+	})
+}
--- /dev/null
+++ b/internal/coordination/dispatch/quarantine/quarantine_test.go
@@ -0,0 +1,65 @@
+package quarantine_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"pinewinch.example/pinewinch/internal/coordination/dispatch/quarantine"
+	"pinewinch.example/pinewinch/internal/protocol/controlpb"
+)
+
+var config = quarantine.Config{CoolDown: 2 * time.Second, Probe: 30 * time.Second}
+
+func health(consecutive uint32, jobs ...string) *controlpb.WorkerHealth {
+	h := &controlpb.WorkerHealth{Worker: "w", Consecutive: consecutive}
+	for _, job := range jobs {
+		h.Failures = append(h.Failures, &controlpb.WorkerFailure{Job: job, TimeMs: 0})
+	}
+	return h
+}
+
+func TestVerdicts(t *testing.T) {
+	cases := []struct {
+		name   string
+		health *controlpb.WorkerHealth
+		after  time.Duration
+		want   quarantine.Verdict
+	}{
+		{"nothing failed", nil, 0, quarantine.Healthy},
+		{"one failure, at once", health(1, "a"), time.Second, quarantine.CoolingDown},
+		{"one failure, later", health(1, "a"), 3 * time.Second, quarantine.Healthy},
+		{"one job failed thrice", health(3, "a", "a", "a"), 5 * time.Second, quarantine.CoolingDown},
+		{"one job failed thrice, later", health(3, "a", "a", "a"), 9 * time.Second, quarantine.Healthy},
+		{"three jobs failed", health(3, "a", "b", "c"), 29 * time.Second, quarantine.Quarantined},
+		{"three jobs failed, later", health(3, "a", "b", "c"), 31 * time.Second, quarantine.Probing},
+		{"a probe failed too", health(4, "a", "b", "c", "d"), 59 * time.Second, quarantine.Quarantined},
+		{"a probe failed too, later", health(4, "a", "b", "c", "d"), 61 * time.Second, quarantine.Probing},
+		{"a hundred probes failed", health(100, "a", "b", "c", "d"), 61 * time.Minute, quarantine.Probing},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			is.Equal(quarantine.Of(config, c.health, time.UnixMilli(0).Add(c.after)), c.want)
+		})
+	}
+}
+
+// A pass that knows nothing of probes puts three jobs on a worker that is tried
+// again; two of them would fail with the first.
+func TestOneJobProbesAWorker(t *testing.T) {
+	is := is.New(t)
+	on := func(job string, workers ...string) *controlpb.Assignment {
+		a := &controlpb.Assignment{Job: job}
+		for _, worker := range workers {
+			a.Placements = append(a.Placements, &controlpb.Placement{Worker: worker})
+		}
+		return a
+	}
+	plan := []*controlpb.Assignment{on("a", "good", "bad"), on("b", "bad"), on("c", "good"), on("d", "bad", "good")}
+	kept := quarantine.Limit(plan, func(worker string) bool { return worker == "bad" })
+	is.Equal(len(kept), 2)
+	is.Equal(kept[0].Job, "a")
+	is.Equal(kept[1].Job, "c")
+}
