--- a/internal/coordination/dispatch/dispatch_test.go
+++ b/internal/coordination/dispatch/dispatch_test.go
@@ -121,6 +121,7 @@
 		before := log.proposals
 		go controller.Run(t.Context())
 		time.Sleep(3 * time.Second)
+		synctest.Wait()
 		for _, job := range log.state.ActiveJobs() {
 			is.Equal(job.State, controlpb.JobState_JOB_STATE_RUNNING)
 		}
