--- a/internal/coordination/dispatch/controller.go
+++ b/internal/coordination/dispatch/controller.go
@@ -17,6 +17,9 @@
 // passEvery bounds how long news of an upstream waits for a pass.
 const passEvery = 100 * time.Millisecond
 
+// gatherFor is how long answers of workers wait for others before a step.
+const gatherFor = 2 * time.Millisecond
+
 // plansRefused counts plans that would have broken an invariant.
 var plansRefused = expvar.NewInt("dispatch_plans_refused")
 
@@ -67,11 +70,21 @@
 			return
 		case <-changed:
 		case <-c.dispatcher.Wake():
+			gather(ctx)
 		case <-ticker.C:
 		}
 	}
 }
 
+// gather lets the answers of one gang, or of a wave of jobs, come in together, so
+// that they cost one entry.
+func gather(ctx context.Context) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(gatherFor):
+	}
+}
+
 // turn takes one step if this instance leads. What an earlier term remembered is
 // dropped at the first step of a new one.
 func (c *Controller) turn(ctx context.Context) {
@@ -123,6 +136,7 @@
 	if len(assignments) == 0 && len(plan.Preemptions) == 0 {
 		return
 	}
+	c.addressStarts(assignments)
 	commit := &controlpb.CommitPlan{Assignments: assignments, Preemptions: plan.Preemptions}
 	c.propose(ctx, &controlpb.Command{Op: &controlpb.Command_Plan{Plan: commit}})
 }
@@ -153,6 +167,17 @@
 	return workers, probing
 }
 
+// addressStarts notes for which start of its worker each task is meant.
+func (c *Controller) addressStarts(assignments []*controlpb.Assignment) {
+	for _, assignment := range assignments {
+		for _, placement := range assignment.Placements {
+			if worker, ok := c.registry.Get(placement.Worker); ok {
+				placement.Incarnation = worker.Incarnation
+			}
+		}
+	}
+}
+
 func holdsTasks(state *store.State, worker string) bool {
 	for _, job := range state.ActiveJobs() {
 		for _, placement := range job.Placements {
