--- a/internal/standin/standincmd/main.go
+++ b/internal/standin/standincmd/main.go
@@ -19,6 +19,7 @@
 	"pinewinch.example/pinewinch/internal/protocol/api"
 	"pinewinch.example/pinewinch/internal/protocol/failure"
 	"pinewinch.example/pinewinch/internal/standin"
+	"pinewinch.example/pinewinch/internal/standin/loopback"
 )
 
 // Main runs one stand-in command and gives the exit code.
@@ -26,8 +27,8 @@
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
 	root := &ffcli.Command{
-		ShortUsage:  "pinewinch-standin worker|minion|ports [flags]",
-		Subcommands: []*ffcli.Command{workerCommand(), minionCommand(), portsCommand()},
+		ShortUsage:  "pinewinch-standin worker|minion|addresses [flags]",
+		Subcommands: []*ffcli.Command{workerCommand(), minionCommand(), addressesCommand()},
 		Exec:        func(context.Context, []string) error { return flag.ErrHelp },
 	}
 	err := root.ParseAndRun(ctx, args)
@@ -144,18 +145,17 @@
 	}}
 }
 
-// portsCommand prints free ports, all reserved at once so that none comes twice.
-func portsCommand() *ffcli.Command {
-	flags := flag.NewFlagSet("ports", flag.ContinueOnError)
+// addressesCommand prints free addresses for a cluster, one a line.
+func addressesCommand() *ffcli.Command {
+	flags := flag.NewFlagSet("addresses", flag.ContinueOnError)
 	count := flags.Int("count", 1, "how many")
-	return &ffcli.Command{Name: "ports", FlagSet: flags, Exec: func(context.Context, []string) error {
-		for range *count {
-			listener, err := net.Listen("tcp", "127.0.0.1:0")
-			if err != nil {
-				return failure.Wrap(failure.BadSettings, err, "listen")
-			}
-			defer listener.Close()
-			fmt.Println(listener.Addr().(*net.TCPAddr).Port)
+	return &ffcli.Command{Name: "addresses", FlagSet: flags, Exec: func(context.Context, []string) error {
+		addresses, err := loopback.Reserve(*count)
+		if err != nil {
+			return err
+		}
+		for _, address := range addresses {
+			fmt.Println(address)
 		}
 		return nil
 	}}
--- a/test/scenarios/commands_test.go
+++ b/test/scenarios/commands_test.go
@@ -4,7 +4,7 @@
 	"crypto/sha256"
 	"encoding/hex"
 	"fmt"
-	"net"
+	"net/netip"
 	"os"
 	"regexp"
 	"strconv"
@@ -12,6 +12,8 @@
 	"time"
 
 	"github.com/rogpeppe/go-internal/testscript"
+
+	"pinewinch.example/pinewinch/internal/standin/loopback"
 )
 
 const (
@@ -23,7 +25,7 @@
 )
 
 // cluster N [relayed] [FILE] writes the settings i1.ini to iN.ini of N
-// instances on reserved ports and sets HTTP1 to HTTPN, SERVERS and the
+// instances on reserved addresses and sets HTTP1 to HTTPN, SERVERS and the
 // operator's environment. The first three are voters and have a data folder.
 // With relayed every peer link goes through a relay that cut and heal work on;
 // without, a link to a dead instance is refused at once. FILE is added to the
@@ -39,11 +41,12 @@
 		}
 		extra = ts.ReadFile(arg)
 	}
-	ports := reservePorts(ts, 2*count)
-	web, peer := ports[:count], ports[count:]
+	addresses, err := loopback.Reserve(2 * count)
+	ts.Check(err)
+	web, peer := addresses[:count], addresses[count:]
 	var servers []string
-	for i, port := range web {
-		servers = append(servers, fmt.Sprintf("http://127.0.0.1:%d", port))
+	for i, address := range web {
+		servers = append(servers, "http://"+address.String())
 		ts.Setenv(fmt.Sprintf("HTTP%d", i+1), servers[i])
 	}
 	ts.Setenv("SERVERS", strings.Join(servers, ","))
@@ -64,7 +67,7 @@
 
 func nameOf(i int) string { return fmt.Sprintf("i%d", i+1) }
 
-func instanceSettings(ts *testscript.TestScript, i, web, peer, count int) string {
+func instanceSettings(ts *testscript.TestScript, i int, web, peer netip.AddrPort, count int) string {
 	folder := ""
 	if i < mostVoters {
 		path := ts.MkAbs(fmt.Sprintf("data%d", i+1))
@@ -78,8 +81,8 @@
 	return fmt.Sprintf(`[instance]
 name = %s
 data_centre = dc1
-listen_http = 127.0.0.1:%d
-listen_peer = 127.0.0.1:%d
+listen_http = %s
+listen_peer = %s
 %s[control]
 voters = %s
 [customers]
@@ -90,11 +93,11 @@
 `, nameOf(i), web, peer, folder, strings.Join(voters, ", "), hashOf("crews-secret"), hashOf("planners-secret"), hashOf(operatorToken))
 }
 
-func peersSection(ts *testscript.TestScript, self int, ports []int, relayed bool) string {
+func peersSection(ts *testscript.TestScript, self int, peer []netip.AddrPort, relayed bool) string {
 	var text strings.Builder
 	text.WriteString("[peers]\n")
-	for i, port := range ports {
-		address := fmt.Sprintf("127.0.0.1:%d", port)
+	for i := range peer {
+		address := peer[i].String()
 		if relayed && i != self {
 			r := startRelay(ts, nameOf(self), nameOf(i), address)
 			f := fixtureOf(ts)
@@ -111,17 +114,6 @@
 	return "sha256:" + hex.EncodeToString(hash[:])
 }
 
-func reservePorts(ts *testscript.TestScript, count int) []int {
-	var ports []int
-	for range count {
-		listener, err := net.Listen("tcp", "127.0.0.1:0")
-		ts.Check(err)
-		defer listener.Close()
-		ports = append(ports, listener.Addr().(*net.TCPAddr).Port)
-	}
-	return ports
-}
-
 // eventually PATTERN PROGRAM ARGS... runs the program until it succeeds with
 // output that matches; it waits for what is bound to come, so that a slow
 // machine changes the time of a run and not its verdict. With ! it waits for an
