Conservation check: take an interim key without a race

Ruled out: a fault of the product; no violation was counted. Change: the trace stores the key apart; the caller takes what has come by then.

--- a/internal/experiment/conservation/load.go
+++ b/internal/experiment/conservation/load.go
@@ -136,22 +136,30 @@
 	if c.chance(10) {
 		patience = time.Duration(c.rand.Int64N(int64(shortTime)))
 	}
-	ctx, cancel := context.WithTimeout(c.learnKey(ctx), patience)
+	learned := &learnedKey{}
+	ctx, cancel := context.WithTimeout(learned.watch(ctx), patience)
 	defer cancel()
 	path := strings.Replace(api.PathRequests, "{service}", c.request.service, 1)
 	response, text, err := c.send(ctx, http.MethodPost, path, c.request.body, c.request.customer)
+	if key := learned.key.Load(); key != nil {
+		c.request.key = *key
+	}
 	if err != nil {
 		return Unknown
 	}
 	return c.judge(response, text)
 }
 
-// learnKey takes the key that an instance makes from its interim answer.
-func (c *caller) learnKey(ctx context.Context) context.Context {
+// learnedKey is the key that an instance makes, from its interim answer. The
+// answer may come on the connection's goroutine after the caller has given up;
+// the caller takes what has come by then.
+type learnedKey struct{ key atomic.Pointer[string] }
+
+func (l *learnedKey) watch(ctx context.Context) context.Context {
 	return httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
 		Got1xxResponse: func(_ int, header textproto.MIMEHeader) error {
 			if key := header.Get(api.HeaderKey); key != "" {
-				c.request.key = key
+				l.key.Store(&key)
 			}
 			return nil
 		},
