Consensus: the checker notices every safeguard that is taken away

Cause: 400 green schedules say little until the checker is seen to fail. Ruled out: random schedules alone; 20,000 of them found neither commit by counting of older terms nor rival membership changes (none in 20,000 each), so these have scripted scenarios that pass with and fail without the safeguard. A leader that counts its own entries before its sync is no fault that the Ready order lets out; its hook is gone. Change: scenarios for pre-vote, stickiness, removed replica, deaf leader, figure 8, a voter's restart, rival changes, repair then second loss, a leader that removes itself, transfer.

--- a/internal/coordination/consensus/election.go
+++ b/internal/coordination/consensus/election.go
@@ -170,7 +170,7 @@
 // election timeout. A leader that can send but not hear would otherwise keep
 // the others from electing one and commit nothing, for as long as the cut lasts.
 func (n *Node) tickLeader() {
-	if n.quorumAge() >= n.config.ElectionTicks && !n.disabled.quorumContact {
+	if n.silence() >= n.config.ElectionTicks && !n.disabled.quorumContact {
 		n.becomeFollower(n.term, "")
 		return
 	}
@@ -180,3 +180,7 @@
 		n.startRound()
 	}
 }
+
+// silence is how long this leader has heard no quorum: since its election at
+// most, as the votes may have been long on their way.
+func (n *Node) silence() int { return min(n.quorumAge(), n.elapsed) }
--- a/internal/coordination/consensus/node.go
+++ b/internal/coordination/consensus/node.go
@@ -66,7 +66,6 @@
 	quorumContact bool
 	ownTermCommit bool
 	ownTermChange bool
-	ownSync       bool
 	majority      bool
 	readRounds    bool
 }
--- a/internal/coordination/consensus/replication.go
+++ b/internal/coordination/consensus/replication.go
@@ -11,9 +11,6 @@
 	for i, d := range data {
 		n.log.extend(&consensuspb.Entry{Index: first + uint64(i), Term: n.term, Kind: kind, Data: d})
 	}
-	if n.disabled.ownSync {
-		n.commitCounted()
-	}
 	return first
 }
 
@@ -189,11 +186,7 @@
 // term is committed by counting: one of an older term that a quorum holds can
 // still be replaced by a later leader (Raft, figure 8).
 func (n *Node) commitCounted() {
-	own := n.log.durable
-	if n.disabled.ownSync {
-		own = n.log.last()
-	}
-	index := n.quorumValue(own, func(p *progress) uint64 { return p.match })
+	index := n.quorumValue(n.log.durable, func(p *progress) uint64 { return p.match })
 	if index <= n.log.commit {
 		return
 	}
--- /dev/null
+++ b/internal/coordination/consensus/scenario_test.go
@@ -0,0 +1,284 @@
+package consensus
+
+import (
+	"slices"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"pinewinch.example/pinewinch/internal/protocol/consensuspb"
+	"pinewinch.example/pinewinch/internal/protocol/failure"
+)
+
+// elections is a time in shortest election timeouts.
+func (w *world) elections(count int) {
+	for range count * w.config.ElectionTicks {
+		w.round()
+	}
+}
+
+// until runs until done holds after some message; the rest on the network is lost.
+func (w *world) until(done func() bool) {
+	w.stop = done
+	for range 20 * w.config.ElectionTicks {
+		if w.round(); done() {
+			break
+		}
+	}
+	if !done() {
+		w.fail("the scenario did not come about")
+	}
+	w.stop, w.network = nil, nil
+}
+
+// partition lets only replicas of the same group hear each other.
+func (w *world) partition(groups ...[]*replica) {
+	clear(w.cut)
+	for _, r := range w.replicas {
+		w.isolate(r)
+	}
+	for _, group := range groups {
+		for _, a := range group {
+			for _, b := range group {
+				delete(w.cut, [2]string{a.identity, b.identity})
+			}
+		}
+	}
+}
+
+// led elects a leader that has committed, and gives it and the others.
+func (w *world) led() (*replica, []*replica) {
+	w.until(func() bool { return w.leader() != nil && w.leader().node.committedInTerm() })
+	w.elections(1)
+	return w.leader(), w.without(w.leader())
+}
+
+func (w *world) without(gone ...*replica) []*replica {
+	return slices.DeleteFunc(slices.Clone(w.replicas), func(r *replica) bool { return slices.Contains(gone, r) })
+}
+
+// member proposes a change of one member: removes it, or adds or promotes it as voter says.
+func (w *world) member(leader *replica, identity string, remove, voter bool) error {
+	members := slices.Clone(leader.node.configurations.newest().GetMembers())
+	members = slices.DeleteFunc(members, func(m *consensuspb.Member) bool { return m.Identity == identity })
+	if !remove {
+		members = append(members, &consensuspb.Member{Identity: identity, Voter: voter})
+	}
+	_, err := leader.node.ProposeConfiguration(&consensuspb.Configuration{Members: members})
+	return err
+}
+
+// undisturbed fails when leader does not lead the same term any more.
+func (w *world) undisturbed(leader *replica, term uint64) {
+	if leader.node.role != Leader || leader.node.term != term {
+		w.fail("%s led term %d and was disturbed", leader.identity, term)
+	}
+}
+
+// A replica is cut off for long and then comes back: the others' term and
+// their leader stay. Without pre-vote it returns with a term raised at every
+// timeout, and the leader steps down before it.
+func longCut(w *world) {
+	leader, others := w.led()
+	term := leader.node.term
+	w.isolate(others[0])
+	w.elections(20)
+	w.propose(leader)
+	clear(w.cut)
+	w.elections(5)
+	w.undisturbed(leader, term)
+}
+
+// A follower no longer hears the leader but reaches everybody, and its log is
+// as good as theirs. The voters that hear the leader must not elect it.
+func lostLink(w *world) {
+	leader, others := w.led()
+	term := leader.node.term
+	w.cut[[2]string{leader.identity, others[0].identity}] = true
+	w.elections(5)
+	w.undisturbed(leader, term)
+}
+
+// A replica is removed while it is cut off, and comes back believing that it
+// is a member: the leader that is left stays.
+func removedReplica(w *world) {
+	leader, others := w.led()
+	w.isolate(others[0])
+	_ = w.member(leader, others[0].identity, true, false)
+	w.elections(3)
+	term := leader.node.term
+	clear(w.cut)
+	w.elections(5)
+	w.undisturbed(leader, term)
+}
+
+// The leader's heartbeats get out but no answer gets in. It must step down, or
+// the others follow a leader that can commit nothing.
+func deafLeader(w *world) {
+	leader, others := w.led()
+	for _, r := range others {
+		w.cut[[2]string{r.identity, leader.identity}] = true
+	}
+	w.elections(6)
+	if next := w.leader(); next == leader || !w.propose(next) {
+		w.fail("a leader that hears nobody still leads")
+	}
+}
+
+// Raft's figure 8: a leader spreads an entry of an older term to a quorum and
+// is lost before one of its own gets out. The rival with a newer last term may
+// still replace that entry, so nobody may have been told that it is committed.
+func olderTerm(w *world) {
+	first, others := w.led()
+	friend, rest := others[0], others[1:]
+	w.partition([]*replica{first, friend}, rest)
+	w.propose(first)
+	index := first.node.log.last()
+	w.drain()
+	w.until(func() bool { return slices.Contains(rest, w.leader()) })
+	rival := w.leader()
+	w.partition()
+	w.drain()
+	w.partition(w.without(rival))
+	w.until(func() bool { return w.leader() == first || w.leader() == friend })
+	next := w.leader()
+	w.until(func() bool {
+		return next.node.quorumValue(next.node.log.last(), func(p *progress) uint64 { return p.match }) == index
+	})
+	w.partition()
+	w.drain()
+	w.partition(rest)
+	w.until(func() bool { return w.leader() == rival && rival.node.committedInTerm() })
+}
+
+// Two leaders change the same configuration, the second before it has
+// committed in its term: a quorum of its three voters and a quorum of the
+// first one's five have no replica in common.
+func rivalChanges(w *world) {
+	w.add()
+	w.start(w.replicas[4])
+	first, _ := w.led()
+	learner := w.replicas[4]
+	_ = w.member(first, learner.identity, false, false)
+	w.elections(1)
+	rest := w.without(first, learner)
+	w.partition([]*replica{first, learner}, rest)
+	_ = w.member(first, learner.identity, false, true)
+	w.drain()
+	w.until(func() bool { return slices.Contains(rest, w.leader()) })
+	second := w.leader()
+	rest = slices.DeleteFunc(rest, func(r *replica) bool { return r == second })
+	w.partition([]*replica{second, rest[0]})
+	w.round()
+	w.round()
+	_ = w.member(second, first.identity, true, false)
+	w.elections(3)
+	w.partition([]*replica{first, learner, rest[1]})
+	w.elections(6)
+}
+
+// oneEntry sends every entry in its own append.
+var oneEntry = Config{ElectionTicks: 10, HeartbeatTicks: 2, MaxAppendBytes: 1, MaxInflight: 4}
+
+// Two candidates of one term, and the voter between them restarts after it has
+// voted for the first: it must still know of that vote.
+func restartedVoter(w *world) {
+	first, second, voter := w.replicas[0], w.replicas[1], w.replicas[2]
+	w.partition([]*replica{first, voter}, []*replica{second, voter})
+	first.node.elect(false)
+	w.stop = func() bool { return first.node.role == Leader }
+	w.drain()
+	w.stop, w.network = nil, nil
+	w.partition([]*replica{second, voter})
+	w.start(voter)
+	second.node.elect(false)
+	w.drain()
+}
+
+// Each scenario holds, and breaks once its safeguard is taken away.
+func TestScenarios(t *testing.T) {
+	cases := []struct {
+		name   string
+		size   int
+		run    func(*world)
+		faults planted
+	}{
+		{"long cut, pre-vote", 3, longCut, planted{safeguards: safeguards{preVote: true}}},
+		{"lost link, stickiness", 3, lostLink, planted{safeguards: safeguards{stickiness: true}}},
+		{"removed replica, pre-vote and stickiness", 3, removedReplica, planted{safeguards: safeguards{preVote: true, stickiness: true}}},
+		{"deaf leader, quorum contact", 3, deafLeader, planted{safeguards: safeguards{quorumContact: true}}},
+		{"older term, commit by counting", 5, olderTerm, planted{safeguards: safeguards{ownTermCommit: true}}},
+		{"restarted voter, vote on disk", 3, restartedVoter, planted{forgetVote: true}},
+		{"rival changes, own commit first", 4, rivalChanges, planted{safeguards: safeguards{ownTermChange: true}}},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			for seed := range uint64(20) {
+				w := newWorld(seed, c.size, oneEntry, planted{})
+				c.run(w)
+				w.settle()
+				is.Equal(w.violation, "") // with the safeguard
+			}
+			w := newWorld(1, c.size, oneEntry, c.faults)
+			c.run(w)
+			w.settle()
+			t.Log(w.violation)
+			is.True(w.violation != "" && w.violation != "the scenario did not come about") // without it
+		})
+	}
+}
+
+// A voter's disk is lost, a spare takes its place, and at once a second voter
+// is lost: two of three are left, so commands go on. A change that would leave
+// no quorum is refused and says so.
+func TestRepairThenSecondLoss(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(1, 3, calm, planted{})
+	leader, others := w.led()
+	spare := w.add()
+	w.start(spare)
+	others[0].lost, others[0].down = true, true
+	is.NoErr(w.member(leader, spare.identity, false, false))
+	is.True(failure.Is(w.member(leader, others[1].identity, true, false), failure.ChangePending))
+	w.elections(2)
+	is.True(failure.Is(w.member(leader, others[1].identity, true, false), failure.NoQuorum)) // one of two would be live
+	is.NoErr(w.member(leader, spare.identity, false, true))
+	w.elections(1)
+	is.NoErr(w.member(leader, others[0].identity, true, false))
+	w.round()
+	is.Equal(leader.node.Status().ConfigurationPending, false)
+	others[1].lost, others[1].down = true, true
+	is.True(w.settle())
+	is.Equal(w.violation, "")
+}
+
+// The leader removes itself: it leads until that is committed, then a voter
+// that stays takes over without waiting for an election timeout.
+func TestLeaderRemovesItself(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(1, 3, calm, planted{})
+	leader, _ := w.led()
+	is.NoErr(w.member(leader, leader.identity, true, false))
+	w.round()
+	is.True(w.leader() != nil && w.leader() != leader)
+	is.Equal(len(w.leader().node.Status().Configuration.Members), 2)
+	w.elections(3)
+	is.Equal(leader.node.Status().Role, Follower)
+	is.Equal(w.violation, "")
+}
+
+// A leader that stops hands over: no proposal is taken meanwhile, and the
+// target leads within the same tick although the voters hear a live leader.
+func TestTransfer(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(1, 3, calm, planted{})
+	leader, others := w.led()
+	is.NoErr(leader.node.Transfer(others[1].identity))
+	_, err := leader.node.Propose([]byte("late"))
+	is.True(failure.Is(err, failure.NotReady))
+	w.drain()
+	is.Equal(w.leader(), others[1])
+	_, err = leader.node.Propose([]byte("late"))
+	is.True(failure.Is(err, failure.NotLeader))
+}
