--- a/internal/protocol/failure/failure.go
+++ b/internal/protocol/failure/failure.go
@@ -30,6 +30,7 @@
 	BadRequest      Code = "bad_request"
 	Unauthorized    Code = "unauthorized"
 	NotFound        Code = "not_found"
+	WrongMethod     Code = "method_not_allowed"
 	Conflict        Code = "revision_conflict"
 	KeyReused       Code = "key_reused"
 	StaleSequence   Code = "stale_sequence"
@@ -76,6 +77,7 @@
 	BadRequest:      {http.StatusBadRequest, 4},
 	Unauthorized:    {http.StatusUnauthorized, 5},
 	NotFound:        {http.StatusNotFound, 6},
+	WrongMethod:     {http.StatusMethodNotAllowed, 50},
 	Conflict:        {http.StatusConflict, 7},
 	KeyReused:       {http.StatusConflict, 8},
 	StaleSequence:   {http.StatusConflict, 9},
@@ -97,17 +99,17 @@
 	WrongAnswer:     {http.StatusBadGateway, 22},
 	UpstreamFailed:  {http.StatusBadGateway, 23},
 	TooLarge:        {http.StatusRequestEntityTooLarge, 24},
-	AnswerGone:      {http.StatusGone, 40},
-	KeyExpired:      {http.StatusGone, 41},
+	AnswerGone:      {http.StatusGone, 43},
+	KeyExpired:      {http.StatusGone, 44},
 	Corrupt:         {http.StatusInternalServerError, 25},
 	DiskFailed:      {http.StatusInternalServerError, 26},
 	FolderInUse:     {http.StatusInternalServerError, 27},
 	Internal:        {http.StatusInternalServerError, 1},
-	MemoryExceeded:  {http.StatusInsufficientStorage, 40},
-	TaskFailed:      {http.StatusBadGateway, 41},
-	LeaseLost:       {http.StatusBadGateway, 42},
-	WorkerVanished:  {http.StatusBadGateway, 43},
-	StartTimeout:    {http.StatusGatewayTimeout, 44},
+	MemoryExceeded:  {http.StatusInsufficientStorage, 45},
+	TaskFailed:      {http.StatusBadGateway, 46},
+	LeaseLost:       {http.StatusBadGateway, 47},
+	WorkerVanished:  {http.StatusBadGateway, 48},
+	StartTimeout:    {http.StatusGatewayTimeout, 49},
 }
 
 // infrastructure holds the codes of failures that say nothing about the work
