--- a/internal/coordination/follower/link.go
+++ b/internal/coordination/follower/link.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"pinewinch.example/pinewinch/internal/coordination/control"
+	"pinewinch.example/pinewinch/internal/coordination/echo"
 	"pinewinch.example/pinewinch/internal/coordination/feed"
 	"pinewinch.example/pinewinch/internal/protocol/failure"
 	"pinewinch.example/pinewinch/internal/protocol/peerpb"
@@ -16,7 +17,7 @@
 	source string
 	stream control.SourceStream
 	cancel context.CancelFunc
-	pings  pingTimes
+	pings  echo.Times
 	// Owned by the goroutine that receives, under Follower.mu.
 	leader   string
 	path     []string
@@ -37,15 +38,13 @@
 	// silentPings is how many pings long a source may say nothing: half the
 	// bound is then left to find another. A cut link gives no error for minutes.
 	silentPings = pingsPerBound / 2
-	// maxPingTimes bounds the pings whose answer is still of use.
-	maxPingTimes = 4 * pingsPerBound
 )
 
 // attach opens a stream and waits until it confirms the state.
 func (f *Follower) attach(ctx context.Context, source string) (*link, error) {
 	streamCtx, cancel := context.WithCancel(ctx)
 	l := &link{source: source, cancel: cancel, confirmed: make(chan struct{}), ended: make(chan struct{})}
-	l.pings.sent(1, time.Now())
+	l.pings.Sent(1, time.Now())
 	follow := &peerpb.Follow{After: f.State().Index(), Instance: f.config.Self.Name, DataCentre: f.config.Self.DataCentre}
 	opening := time.AfterFunc(f.silence(), cancel)
 	stream, err := f.peers.Follow(streamCtx, source, follow)
@@ -83,7 +82,7 @@
 			return
 		}
 		silent.Reset(f.silence())
-		l.pings.answered(batch.Echo)
+		l.pings.Answered(batch.Echo)
 	}
 }
 
@@ -97,7 +96,7 @@
 			return
 		case <-ticker.C:
 		}
-		l.pings.sent(number, time.Now())
+		l.pings.Sent(number, time.Now())
 		if err := l.stream.Send(&peerpb.FollowPing{Number: number}); err != nil {
 			l.close()
 			return
@@ -113,44 +112,3 @@
 	l.cancel()
 	_ = l.stream.Close()
 }
-
-// pingTimes keeps when the newest pings were sent.
-type pingTimes struct {
-	mu    sync.Mutex
-	times []pingTime
-}
-
-type pingTime struct {
-	number uint64
-	at     time.Time
-}
-
-func (p *pingTimes) sent(number uint64, at time.Time) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.times = append(p.times, pingTime{number: number, at: at})
-	if len(p.times) > maxPingTimes {
-		p.times = p.times[1:]
-	}
-}
-
-// answered forgets the pings before the echoed one; that one stays, for later
-// batches may carry the same number.
-func (p *pingTimes) answered(number uint64) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	for len(p.times) > 1 && p.times[0].number < number {
-		p.times = p.times[1:]
-	}
-}
-
-func (p *pingTimes) sentAt(number uint64) (time.Time, bool) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	for _, ping := range p.times {
-		if ping.number == number {
-			return ping.at, true
-		}
-	}
-	return time.Time{}, false
-}
--- /dev/null
+++ b/internal/coordination/membership/held.go
@@ -0,0 +1,172 @@
+package membership
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"pinewinch.example/pinewinch/internal/protocol/peerpb"
+)
+
+const (
+	// minorEvery is how often load and usage of one upstream are passed on;
+	// every other change is passed on at once.
+	minorEvery = 5 * time.Second
+	// minorPerUpstream stretches that where many upstreams announce here, so
+	// that usage of all of them costs at most ten updates a second.
+	minorPerUpstream = 100 * time.Millisecond
+)
+
+// held is what this instance hears first hand, with its changes in order.
+type held struct {
+	upstreams map[string]*heldUpstream
+	sequence  uint64
+	gone      []removal
+	// forgotten is the newest removal that is no longer kept.
+	forgotten uint64
+}
+
+type heldUpstream struct {
+	upstream *peerpb.Upstream
+	expires  time.Time
+	// sequence is that of the newest change passed on, whole that of the newest
+	// change of more than leaving, tasks and load.
+	sequence uint64
+	whole    uint64
+	// passed is the upstream as last passed on.
+	passed   *peerpb.Upstream
+	passedAt time.Time
+}
+
+type removal struct {
+	id       string
+	sequence uint64
+}
+
+// take keeps an announcement and tells whether it is passed on.
+func (h *held) take(known *heldUpstream, upstream *peerpb.Upstream, expires, now time.Time) bool {
+	known.upstream = upstream
+	known.expires = expires
+	switch {
+	case known.passed == nil || !proto.Equal(fixed(known.passed), fixed(upstream)):
+		h.sequence++
+		known.whole = h.sequence
+	case !proto.Equal(urgent(known.passed), urgent(upstream)):
+		h.sequence++
+	case now.Sub(known.passedAt) >= h.minorPause() && !proto.Equal(minor(known.passed), minor(upstream)):
+		h.sequence++
+	default:
+		return false
+	}
+	known.sequence = h.sequence
+	known.passed = upstream
+	known.passedAt = now
+	return true
+}
+
+func (h *held) minorPause() time.Duration {
+	return max(minorEvery, time.Duration(len(h.upstreams))*minorPerUpstream)
+}
+
+// fixed is what stays the same while an upstream runs.
+func fixed(u *peerpb.Upstream) *peerpb.Upstream {
+	u = proto.CloneOf(u)
+	u.Leaving, u.Version, u.Tasks, u.Busy, u.TtlMs = false, 0, nil, 0, 0
+	return u
+}
+
+// urgent is what others decide by: leaving and the phases of tasks.
+func urgent(u *peerpb.Upstream) *peerpb.Upstream {
+	reduced := &peerpb.Upstream{Leaving: u.Leaving}
+	for _, task := range u.Tasks {
+		reduced.Tasks = append(reduced.Tasks, &peerpb.TaskReport{
+			Job: task.Job, Task: task.Task, Epoch: task.Epoch, Phase: task.Phase, Code: task.Code,
+		})
+	}
+	return reduced
+}
+
+// minor is the rest that changes: load and usage.
+func minor(u *peerpb.Upstream) *peerpb.Upstream {
+	return &peerpb.Upstream{Busy: u.Busy, Tasks: u.Tasks}
+}
+
+// drop forgets an upstream and keeps its removal for watchers.
+func (h *held) drop(id string) {
+	delete(h.upstreams, id)
+	h.sequence++
+	h.gone = append(h.gone, removal{id: id, sequence: h.sequence})
+	if len(h.gone) > maxGone {
+		h.forgotten = h.gone[0].sequence
+		h.gone = h.gone[1:]
+	}
+}
+
+// change is one upstream or one removal on its way to a watcher.
+type change struct {
+	sequence uint64
+	upstream *peerpb.Upstream
+}
+
+// after lists the changes after a sequence in their order.
+func (h *held) after(sequence uint64) []change {
+	var changes []change
+	for _, known := range h.upstreams {
+		if known.sequence > sequence {
+			changes = append(changes, change{known.sequence, wire(known, sequence)})
+		}
+	}
+	for _, removed := range h.gone {
+		if removed.sequence > sequence {
+			changes = append(changes, change{removed.sequence, &peerpb.Upstream{Id: removed.id, Gone: true}})
+		}
+	}
+	slices.SortFunc(changes, func(a, b change) int { return cmp.Compare(a.sequence, b.sequence) })
+	return changes
+}
+
+// wire gives what a watcher at that sequence lacks of an upstream.
+func wire(known *heldUpstream, sequence uint64) *peerpb.Upstream {
+	if known.whole > sequence {
+		whole := proto.CloneOf(known.passed)
+		whole.TtlMs = 0
+		return whole
+	}
+	passed := known.passed
+	return &peerpb.Upstream{
+		Id:      passed.Id,
+		Version: passed.Version,
+		Leaving: passed.Leaving,
+		Tasks:   passed.Tasks,
+		Busy:    passed.Busy,
+		Partial: true,
+	}
+}
+
+// Changes gives what a watcher lacks that holds this instance's changes of that
+// incarnation up to the sequence, in at most about maxBytes. A watcher that
+// holds nothing, or something this process can't continue, gets a whole copy:
+// so does one that has restarted, without waiting for new announcements.
+func (r *Registry) Changes(incarnation int64, after uint64, maxBytes int) *peerpb.SoftBatch {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	batch := &peerpb.SoftBatch{From: after}
+	if incarnation != r.config.Incarnation || after == 0 || after > r.held.sequence || after < r.held.forgotten {
+		batch.From, batch.Reset_ = 0, true
+	}
+	batch.To = r.held.sequence
+	size := 0
+	for i, change := range r.held.after(batch.From) {
+		size += proto.Size(change.upstream)
+		if size > maxBytes && i > 0 {
+			return batch
+		}
+		batch.Upstreams = append(batch.Upstreams, change.upstream)
+		batch.To = change.sequence
+	}
+	batch.To = r.held.sequence
+	batch.Complete = true
+	return batch
+}
--- a/internal/coordination/membership/registry.go
+++ b/internal/coordination/membership/registry.go
@@ -1,134 +1,182 @@
 // Package membership keeps the soft state about upstreams and instances: who
 // announced itself, where, and until when that stands. Nothing here is in the
 // log; it is rebuilt from announcements after a restart.
+//
+// An instance that hears an upstream first hand vouches for it: it tells the
+// others only what changed, in the order of its own sequence, and while it
+// lives everything that it has told and not taken back stands. Renewals cost
+// nothing that way, however many upstreams there are. When the instance is
+// silent for Config.OriginTTL, all it vouched for goes; by then its upstreams
+// have turned to another.
 package membership
 
 import (
-	"sort"
+	"expvar"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"google.golang.org/protobuf/proto"
 
+	"pinewinch.example/pinewinch/internal/protocol/failure"
 	"pinewinch.example/pinewinch/internal/protocol/peerpb"
 )
 
-// Registry is one instance's view of upstreams. It is bounded: an upstream
-// that stops announcing is dropped after its time to live.
-type Registry struct {
-	mu        sync.Mutex
-	now       func() time.Time
-	upstreams map[string]*known
-	instances map[string]*knownInstance
-	sequence  uint64
-}
+// Bounds of what one instance keeps.
+const (
+	// MaxHeld bounds the upstreams that one instance hears first hand.
+	MaxHeld = 8192
+	// MaxUpstreamBytes bounds one upstream's encoded soft state.
+	MaxUpstreamBytes = 64 << 10
+	// maxGone bounds the removals kept for watchers; one that is further
+	// behind gets a whole copy.
+	maxGone = 4096
+	// floorLife is how long the newest version of an upstream is remembered
+	// after the last news of it; older news that comes meanwhile is passed over.
+	floorLife = time.Minute
+)
 
-type known struct {
-	upstream *peerpb.Upstream
-	expires  time.Time
-	// sequence orders local changes, for deltas.
-	sequence uint64
-}
+var (
+	announcements  = expvar.NewInt("membership_announcements")
+	changes        = expvar.NewInt("membership_changes")
+	upstreamsGone  = expvar.NewInt("membership_upstreams_gone")
+	instancesMade  = expvar.NewInt("membership_instances_joined")
+	instancesAnew  = expvar.NewInt("membership_instances_replaced")
+	copiesReceived = expvar.NewInt("membership_copies_received")
+)
 
-type knownInstance struct {
-	state *peerpb.InstanceState
-	heard time.Time
+// Config of a registry.
+type Config struct {
+	// Self names this instance.
+	Self string
+	// Incarnation grows with each start of this instance.
+	Incarnation int64
+	// OriginTTL is how long the upstreams of a silent instance stand.
+	OriginTTL time.Duration
+	Now       func() time.Time
 }
 
-// NewRegistry makes an empty registry.
-func NewRegistry(now func() time.Time) *Registry {
-	return &Registry{now: now, upstreams: map[string]*known{}, instances: map[string]*knownInstance{}}
+// Registry is one instance's view of upstreams and instances.
+type Registry struct {
+	config  Config
+	mu      sync.Mutex
+	held    held
+	origins map[string]*origin
+	floors  map[string]floor
+	self    *peerpb.InstanceState
+	leaving bool
+	changed chan struct{}
+	view    atomic.Pointer[view]
 }
 
-// Merge takes an announcement, straight from the upstream or by way of another
-// instance. Older news of the same incarnation is ignored, so that late and
-// swapped messages do no harm.
-func (r *Registry) Merge(upstream *peerpb.Upstream) bool {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if old, ok := r.upstreams[upstream.Id]; ok && !newer(upstream, old.upstream) {
-		return false
-	}
-	r.sequence++
-	ttl := time.Duration(upstream.TtlMs) * time.Millisecond
-	r.upstreams[upstream.Id] = &known{upstream: upstream, expires: r.now().Add(ttl), sequence: r.sequence}
-	return true
+// floor is the newest version known of an upstream.
+type floor struct {
+	newest *peerpb.Upstream
+	until  time.Time
 }
 
-func newer(a, b *peerpb.Upstream) bool {
-	if a.Incarnation != b.Incarnation {
-		return a.Incarnation > b.Incarnation
+// NewRegistry makes an empty registry.
+func NewRegistry(config Config) *Registry {
+	return &Registry{
+		config:  config,
+		held:    held{upstreams: map[string]*heldUpstream{}},
+		origins: map[string]*origin{},
+		floors:  map[string]floor{},
+		self:    &peerpb.InstanceState{Name: config.Self, Incarnation: config.Incarnation},
+		changed: make(chan struct{}),
 	}
-	return a.Version > b.Version
 }
 
-// MergeInstance takes what an instance says of itself.
-func (r *Registry) MergeInstance(state *peerpb.InstanceState) {
+// Changed gives a channel that is closed when there is news for watchers.
+func (r *Registry) Changed() <-chan struct{} {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.instances[state.Name] = &knownInstance{state: state, heard: r.now()}
+	return r.changed
+}
+
+// notify wakes the watchers' sessions and the readers of the view.
+func (r *Registry) notify() {
+	r.view.Store(nil)
+	close(r.changed)
+	r.changed = make(chan struct{})
 }
 
-// Instances lists the instances heard within the window, by name.
-func (r *Registry) Instances(window time.Duration) []*peerpb.InstanceState {
+// Merge takes an announcement, first hand from the upstream. Older news than
+// what is known from anywhere is passed over, so that late and swapped messages
+// do no harm: above all, nothing undoes that an upstream is leaving. It fails
+// where a bound of this instance is reached.
+func (r *Registry) Merge(upstream *peerpb.Upstream) error {
+	if proto.Size(upstream) > MaxUpstreamBytes {
+		return failure.New(failure.TooLarge, "an announcement of over %d bytes", MaxUpstreamBytes)
+	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	var live []*peerpb.InstanceState
-	oldest := r.now().Add(-window)
-	for _, instance := range r.instances {
-		if instance.heard.After(oldest) {
-			live = append(live, instance.state)
+	announcements.Add(1)
+	if older(upstream, r.newest(upstream.Id)) {
+		return nil
+	}
+	now := r.config.Now()
+	expires := now.Add(time.Duration(upstream.TtlMs) * time.Millisecond)
+	known, ok := r.held.upstreams[upstream.Id]
+	if !ok {
+		if len(r.held.upstreams) >= MaxHeld {
+			return failure.New(failure.Overloaded, "%d upstreams announce here already", MaxHeld)
 		}
+		known = &heldUpstream{}
+		r.held.upstreams[upstream.Id] = known
+	}
+	r.raise(upstream, now)
+	published := r.held.take(known, upstream, expires, now)
+	if published {
+		changes.Add(1)
+		r.notify()
 	}
-	sort.Slice(live, func(i, j int) bool { return live[i].Name < live[j].Name })
-	return live
+	return nil
 }
 
-// Live lists the upstreams of a kind whose announcement stands, by id.
-func (r *Registry) Live(kind peerpb.UpstreamKind) []*peerpb.Upstream {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	now := r.now()
-	var live []*peerpb.Upstream
-	for id, k := range r.upstreams {
-		if !now.Before(k.expires) {
-			delete(r.upstreams, id)
-			continue
-		}
-		if k.upstream.Kind == kind {
-			live = append(live, k.upstream)
-		}
+// newest is the newest version known of an upstream, from anywhere, or nil.
+func (r *Registry) newest(id string) *peerpb.Upstream { return r.floors[id].newest }
+
+// raise remembers the newest version known.
+func (r *Registry) raise(upstream *peerpb.Upstream, now time.Time) {
+	newest := upstream
+	if known := r.newest(upstream.Id); known != nil && older(upstream, known) {
+		newest = known
 	}
-	sort.Slice(live, func(i, j int) bool { return live[i].Id < live[j].Id })
-	return live
+	r.floors[upstream.Id] = floor{newest: newest, until: now.Add(floorLife)}
 }
 
-// Get looks up a live upstream.
-func (r *Registry) Get(id string) (*peerpb.Upstream, bool) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	k, ok := r.upstreams[id]
-	if !ok || !r.now().Before(k.expires) {
-		return nil, false
+// older orders the announcements of one upstream by incarnation and version.
+func older(a, b *peerpb.Upstream) bool {
+	if b == nil {
+		return false
+	}
+	if a.Incarnation != b.Incarnation {
+		return a.Incarnation < b.Incarnation
 	}
-	return k.upstream, true
+	return a.Version < b.Version
 }
 
-// Delta gives what changed after the sequence, and the sequence to ask with
-// next. Times to live shrink by the time an announcement has been held here.
-func (r *Registry) Delta(after uint64) ([]*peerpb.Upstream, uint64) {
+// Sweep drops what has expired. It is called at a fixed pace.
+func (r *Registry) Sweep() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	now := r.now()
-	var changed []*peerpb.Upstream
-	for _, k := range r.upstreams {
-		left := k.expires.Sub(now)
-		if k.sequence <= after || left <= 0 {
-			continue
+	now := r.config.Now()
+	expired := 0
+	for id, known := range r.held.upstreams {
+		if !now.Before(known.expires) {
+			r.held.drop(id)
+			expired++
 		}
-		upstream := proto.CloneOf(k.upstream)
-		upstream.TtlMs = left.Milliseconds()
-		changed = append(changed, upstream)
 	}
-	return changed, r.sequence
+	for id, floor := range r.floors {
+		if now.After(floor.until) {
+			delete(r.floors, id)
+		}
+	}
+	r.sweepOrigins(now)
+	if expired > 0 {
+		upstreamsGone.Add(int64(expired))
+		r.notify()
+	}
 }
--- /dev/null
+++ b/internal/coordination/softstate/watch.go
@@ -0,0 +1,88 @@
+package softstate
+
+import (
+	"context"
+	"time"
+
+	"pinewinch.example/pinewinch/internal/coordination/echo"
+	"pinewinch.example/pinewinch/internal/protocol/failure"
+	"pinewinch.example/pinewinch/internal/protocol/peerpb"
+)
+
+// firstRetry and lastRetry bound the pause before a lost stream is opened anew.
+const (
+	firstRetry = 50 * time.Millisecond
+	lastRetry  = 2 * time.Second
+)
+
+// watch keeps a stream to one peer until ctx ends. Pauses grow and are spread,
+// so that the streams of a restarted peer do not all come back at once.
+func (x *Exchange) watch(ctx context.Context, peer string) {
+	retry := firstRetry
+	for ctx.Err() == nil {
+		if heard := x.stay(ctx, peer); heard {
+			retry = firstRetry
+		}
+		streamsLost.Add(1)
+		pause(ctx, x.spread(retry))
+		retry = min(2*retry, lastRetry)
+	}
+}
+
+// stay receives from a peer until the stream ends or the peer is silent for
+// longer than its timeout. It reports whether anything came.
+func (x *Exchange) stay(ctx context.Context, peer string) bool {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	silent := time.AfterFunc(x.observer.Timeout(peer), cancel)
+	defer silent.Stop()
+	pings := &echo.Times{}
+	pings.Sent(1, time.Now())
+	incarnation, after := x.registry.Position(peer)
+	stream, err := x.peers.Watch(ctx, peer, &peerpb.Watch{Instance: x.config.Self, Incarnation: incarnation, After: after})
+	if err != nil {
+		return false
+	}
+	defer stream.Close()
+	go x.ping(ctx, stream, pings)
+	heard := false
+	for {
+		batch, err := stream.Receive()
+		if err == nil {
+			err = x.take(peer, batch, pings)
+		}
+		if err != nil {
+			return heard
+		}
+		heard = true
+		silent.Reset(x.observer.Timeout(peer))
+	}
+}
+
+func (x *Exchange) take(peer string, batch *peerpb.SoftBatch, pings *echo.Times) error {
+	at, ok := pings.At(batch.Echo)
+	if !ok {
+		return failure.New(failure.WrongAnswer, "%s answered ping %d, which is not kept", peer, batch.Echo)
+	}
+	batchesReceived.Add(1)
+	pings.Answered(batch.Echo)
+	x.observer.Heard(peer, at)
+	return x.registry.Receive(peer, batch, at)
+}
+
+// ping asks for a sign of life at a fixed pace.
+func (x *Exchange) ping(ctx context.Context, stream SourceStream, pings *echo.Times) {
+	ticker := time.NewTicker(x.config.PingEvery)
+	defer ticker.Stop()
+	for number := uint64(2); ; number++ {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		pings.Sent(number, time.Now())
+		if stream.Send(&peerpb.WatchPing{Number: number}) != nil {
+			return
+		}
+	}
+}
--- a/internal/transport/peers/peers.go
+++ b/internal/transport/peers/peers.go
@@ -18,6 +18,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"pinewinch.example/pinewinch/internal/coordination/control"
+	"pinewinch.example/pinewinch/internal/coordination/softstate"
 	"pinewinch.example/pinewinch/internal/protocol/failure"
 	"pinewinch.example/pinewinch/internal/protocol/peerpb"
 	"pinewinch.example/pinewinch/internal/transport/counted"
@@ -40,6 +41,8 @@
 	Call(ctx context.Context, call *peerpb.Call) (*peerpb.Reply, error)
 	// Follow sends batches until ctx or the stream ends.
 	Follow(ctx context.Context, call *peerpb.Follow, stream control.Stream) error
+	// Watch sends soft state until ctx or the stream ends.
+	Watch(ctx context.Context, call *peerpb.Watch, stream softstate.Stream) error
 }
 
 // Network dials the other instances and serves their calls.
@@ -107,8 +110,12 @@
 	if err := readMessage(reader, call); err != nil {
 		return
 	}
-	if follow := call.GetFollow(); follow != nil {
-		serveFollow(ctx, follow, &servingStream{stream: stream, reader: reader}, handler)
+	switch call.Body.(type) {
+	case *peerpb.Call_Follow:
+		serveFollow(ctx, call, stream, reader, handler)
+		return
+	case *peerpb.Call_Watch:
+		serveWatch(ctx, call, stream, reader, handler)
 		return
 	}
 	reply, err := handler.Call(ctx, call)
--- /dev/null
+++ b/internal/transport/peers/streams.go
@@ -0,0 +1,115 @@
+package peers
+
+import (
+	"bufio"
+	"context"
+	"net"
+
+	"google.golang.org/protobuf/proto"
+
+	"pinewinch.example/pinewinch/internal/coordination/control"
+	"pinewinch.example/pinewinch/internal/coordination/softstate"
+	"pinewinch.example/pinewinch/internal/protocol/failure"
+	"pinewinch.example/pinewinch/internal/protocol/peerpb"
+)
+
+// duplex is one end of a stream that carries messages both ways: batches from
+// the instance that was asked, pings from the one that asked.
+type duplex[Out proto.Message, In any, InMessage interface {
+	*In
+	proto.Message
+}] struct {
+	other  string
+	stream net.Conn
+	reader *bufio.Reader
+	// refused finds the failure with which the other side ends the stream.
+	refused func(InMessage) *peerpb.Failure
+	stop    func() bool
+}
+
+// Send writes one message.
+func (d *duplex[Out, In, InMessage]) Send(message Out) error {
+	if err := writeMessage(d.stream, message); err != nil {
+		return failure.Wrap(failure.Unreachable, err, "send to %s", d.other)
+	}
+	return nil
+}
+
+// Receive reads the next message.
+func (d *duplex[Out, In, InMessage]) Receive() (InMessage, error) {
+	message := InMessage(new(In))
+	if err := readMessage(d.reader, message); err != nil {
+		return nil, failure.Wrap(failure.Unreachable, err, "receive from %s", d.other)
+	}
+	if d.refused != nil {
+		if f := d.refused(message); f != nil {
+			return nil, decodeFailure(f)
+		}
+	}
+	return message, nil
+}
+
+// Close ends the stream.
+func (d *duplex[Out, In, InMessage]) Close() error {
+	d.stop()
+	return d.stream.Close()
+}
+
+type (
+	followServing = duplex[*peerpb.FollowBatch, peerpb.FollowPing, *peerpb.FollowPing]
+	followAsking  = duplex[*peerpb.FollowPing, peerpb.FollowBatch, *peerpb.FollowBatch]
+	watchServing  = duplex[*peerpb.SoftBatch, peerpb.WatchPing, *peerpb.WatchPing]
+	watchAsking   = duplex[*peerpb.WatchPing, peerpb.SoftBatch, *peerpb.SoftBatch]
+)
+
+// serveFollow tells the follower why its stream ends, so that it goes to the
+// next source at once.
+func serveFollow(ctx context.Context, call *peerpb.Call, stream net.Conn, reader *bufio.Reader, handler Handler) {
+	serving := &followServing{other: call.From, stream: stream, reader: reader}
+	if err := handler.Follow(ctx, call.GetFollow(), serving); err != nil {
+		_ = serving.Send(&peerpb.FollowBatch{Failure: encodeFailure(failure.From(err))})
+	}
+}
+
+func serveWatch(ctx context.Context, call *peerpb.Call, stream net.Conn, reader *bufio.Reader, handler Handler) {
+	serving := &watchServing{other: call.From, stream: stream, reader: reader}
+	if err := handler.Watch(ctx, call.GetWatch(), serving); err != nil {
+		_ = serving.Send(&peerpb.SoftBatch{Failure: encodeFailure(failure.From(err))})
+	}
+}
+
+// Follow asks an instance for its log. The stream ends with ctx or by Close.
+func (n *Network) Follow(ctx context.Context, to string, follow *peerpb.Follow) (control.SourceStream, error) {
+	stream, stop, err := n.ask(ctx, to, &peerpb.Call{Body: &peerpb.Call_Follow{Follow: follow}})
+	if err != nil {
+		return nil, err
+	}
+	return &followAsking{
+		other: to, stream: stream, reader: bufio.NewReader(stream), stop: stop, refused: (*peerpb.FollowBatch).GetFailure,
+	}, nil
+}
+
+// Watch asks an instance for its soft state. The stream ends with ctx or by Close.
+func (n *Network) Watch(ctx context.Context, to string, watch *peerpb.Watch) (softstate.SourceStream, error) {
+	stream, stop, err := n.ask(ctx, to, &peerpb.Call{Body: &peerpb.Call_Watch{Watch: watch}})
+	if err != nil {
+		return nil, err
+	}
+	return &watchAsking{
+		other: to, stream: stream, reader: bufio.NewReader(stream), stop: stop, refused: (*peerpb.SoftBatch).GetFailure,
+	}, nil
+}
+
+// ask opens a stream with a call that batches answer.
+func (n *Network) ask(ctx context.Context, to string, call *peerpb.Call) (net.Conn, func() bool, error) {
+	stream, err := n.open(ctx, to)
+	if err != nil {
+		return nil, nil, err
+	}
+	call.From = n.name
+	if err := writeMessage(stream, call); err != nil {
+		stream.Close()
+		return nil, nil, failure.Wrap(failure.Unreachable, err, "ask %s", to)
+	}
+	return stream, context.AfterFunc(ctx, func() { stream.Close() }), nil
+}
