--- a/internal/protocol/failure/failure.go
+++ b/internal/protocol/failure/failure.go
@@ -53,6 +53,7 @@
 	TooLarge        Code = "too_large"
 	Corrupt         Code = "corrupt_log"
 	DiskFailed      Code = "disk_failed"
+	FolderInUse     Code = "data_folder_in_use"
 	Internal        Code = "internal"
 	// Codes of tasks.
 	MemoryExceeded Code = "memory_exceeded"
@@ -96,6 +97,7 @@
 	TooLarge:        {http.StatusRequestEntityTooLarge, 24},
 	Corrupt:         {http.StatusInternalServerError, 25},
 	DiskFailed:      {http.StatusInternalServerError, 26},
+	FolderInUse:     {http.StatusInternalServerError, 27},
 	Internal:        {http.StatusInternalServerError, 1},
 	MemoryExceeded:  {http.StatusInsufficientStorage, 40},
 	TaskFailed:      {http.StatusBadGateway, 41},
@@ -104,6 +106,28 @@
 	StartTimeout:    {http.StatusGatewayTimeout, 44},
 }
 
+// infrastructure holds the codes of failures that say nothing about the work
+// itself: it met a worker that was out of reach, full, or behind.
+var infrastructure = map[Code]bool{
+	Unreachable:     true,
+	OutcomeUnknown:  true,
+	TruncatedAnswer: true,
+	WrongAnswer:     true,
+	StaleEpoch:      true,
+	StaleState:      true,
+	Overloaded:      true,
+	NotFound:        true,
+	NotReady:        true,
+	DeadlinePassed:  true,
+	LeaseLost:       true,
+	WorkerVanished:  true,
+	StartTimeout:    true,
+}
+
+// Infrastructure tells whether a task's failure counts against no job. A code
+// that a worker made up is the work's own.
+func (c Code) Infrastructure() bool { return infrastructure[c] }
+
 // Codes lists every code; tests check that each has one status and one exit code.
 func Codes() []Code {
 	codes := make([]Code, 0, len(kinds))
