Instances watch each other: the one that hears an upstream vouches for it

Cause: each instance pushed every announcement on in full, as a new call per peer and 200 ms, and kept per peer what it believed to be delivered; a peer that restarted got nothing old until the upstreams announced again, and at 1,900 workers every renewal would go to 11 instances.

Change: membership.Registry keeps what is heard first hand with its changes in one sequence, and per other instance what that one vouches for. softstate keeps one stream per watched instance: changes as they come (leaving at once, load every 5 s or slower), nothing for renewals, pings every 2 s. The watcher names incarnation and sequence that it holds, so a restart of either side leads to a whole copy. News counts from when the answered ping left. Older news never replaces newer, and a minute after an upstream is gone an older version held elsewhere stays hidden. Everything kept is bounded. An instance that stops says so first.

Ruled out: renewals as short messages (1,900 workers at 1 s to 11 peers are over 400 KB/s in all even at 20 bytes each); gossip at second hand, which needs versions per origin anyway and sends news back to where it came from.

Run: go test -race ./test/scenarios ./internal/coordination/... passes.

--- a/internal/app/control.go
+++ b/internal/app/control.go
@@ -47,8 +47,8 @@
 // candidates lists the live instances that could serve the log.
 func candidates(s *settings.Settings, registry *membership.Registry) []follower.Candidate {
 	var found []follower.Candidate
-	for _, instance := range registry.Instances(s.Control.FreshnessBound) {
-		if instance.Ready {
+	for _, instance := range registry.Instances(originTTL) {
+		if instance.Ready && !instance.Leaving {
 			found = append(found, follower.Candidate{
 				Name:       instance.Name,
 				DataCentre: instance.DataCentre,
--- a/internal/app/http.go
+++ b/internal/app/http.go
@@ -18,7 +18,7 @@
 
 var httpModule = fx.Module("http",
 	fx.Provide(httpapi.New),
-	fx.Invoke(runHTTP),
+	fx.Invoke(runHTTP, runLeave),
 )
 
 // Timeouts of the HTTP server: a caller that sends or reads slowly must not
--- a/internal/app/membership.go
+++ b/internal/app/membership.go
@@ -1,20 +1,71 @@
 package app
 
 import (
+	"context"
+	"math/rand/v2"
 	"time"
 
 	"go.uber.org/fx"
 
 	"pinewinch.example/pinewinch/internal/coordination/membership"
+	"pinewinch.example/pinewinch/internal/coordination/softstate"
+	"pinewinch.example/pinewinch/internal/settings"
+	"pinewinch.example/pinewinch/internal/transport/httpapi"
+	"pinewinch.example/pinewinch/internal/transport/peers"
+)
+
+const (
+	// peerPingEvery is the pace of signs of life between instances.
+	peerPingEvery = 2 * time.Second
+	// peerTimeout is how long a peer may be silent before its stream is opened
+	// anew.
+	peerTimeout = 3 * peerPingEvery
+	// originTTL is how long the upstreams that a silent instance heard stand;
+	// they have turned to another instance by then.
+	originTTL = peerTimeout + peerPingEvery
 )
 
 var membershipModule = fx.Module("membership",
-	fx.Provide(newRegistry, newSoftState),
+	fx.Provide(newRegistry, newExchange, newSoftState),
 	fx.Invoke(runSoftState),
 )
 
-func newRegistry() *membership.Registry { return membership.NewRegistry(time.Now) }
+func newRegistry(s *settings.Settings) *membership.Registry {
+	return membership.NewRegistry(membership.Config{
+		Self:        s.Instance.Name,
+		Incarnation: time.Now().UnixNano(),
+		OriginTTL:   originTTL,
+		Now:         time.Now,
+	})
+}
+
+// fixedTimeout gives every peer the same.
+type fixedTimeout time.Duration
+
+func (fixedTimeout) Heard(string, time.Time) {}
+
+func (t fixedTimeout) Timeout(string) time.Duration { return time.Duration(t) }
+
+func newExchange(s *settings.Settings, registry *membership.Registry, network *peers.Network) *softstate.Exchange {
+	config := softstate.Config{
+		Self:      s.Instance.Name,
+		PingEvery: peerPingEvery,
+		Rand:      rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+	}
+	return softstate.New(config, registry, network, fixedTimeout(peerTimeout))
+}
 
 func runSoftState(lifecycle fx.Lifecycle, soft *softState) {
-	background(lifecycle, soft.run)
+	background(lifecycle, soft.describe)
+	background(lifecycle, soft.exchange.Run)
+}
+
+// runLeave tells balancer and peers first when the instance stops, while
+// requests in flight still finish.
+func runLeave(lifecycle fx.Lifecycle, server *httpapi.Server, exchange *softstate.Exchange) {
+	lifecycle.Append(fx.Hook{OnStop: func(ctx context.Context) error {
+		server.BeginStop()
+		exchange.Leave(ctx)
+		return nil
+	}})
 }
--- a/internal/app/softstate.go
+++ b/internal/app/softstate.go
@@ -6,72 +6,45 @@
 
 	"pinewinch.example/pinewinch/internal/coordination/control"
 	"pinewinch.example/pinewinch/internal/coordination/membership"
+	"pinewinch.example/pinewinch/internal/coordination/softstate"
 	"pinewinch.example/pinewinch/internal/protocol/failure"
 	"pinewinch.example/pinewinch/internal/protocol/peerpb"
 	"pinewinch.example/pinewinch/internal/settings"
-	"pinewinch.example/pinewinch/internal/transport/peers"
 )
 
 const (
-	// deltaEvery is how often news of upstreams goes to the other instances.
-	deltaEvery = 200 * time.Millisecond
-	// helloEvery is how often an instance without news says that it lives.
-	helloEvery = time.Second
-	// deltaTimeout keeps one dead peer from holding its sender.
-	deltaTimeout = 2 * time.Second
+	// describeEvery bounds how often this instance's own state is looked at;
+	// commits may come faster than anyone needs to hear of them.
+	describeEvery = 20 * time.Millisecond
+	// describeIdle is how long a loss of freshness may go unsaid.
+	describeIdle = 200 * time.Millisecond
 )
 
-// softState exchanges soft state with the other instances and answers calls.
+// softState keeps this instance's own state told and answers calls.
 type softState struct {
 	settings *settings.Settings
 	node     control.Node
 	registry *membership.Registry
-	network  *peers.Network
+	exchange *softstate.Exchange
 }
 
-func newSoftState(s *settings.Settings, node control.Node, registry *membership.Registry, network *peers.Network) *softState {
-	return &softState{settings: s, node: node, registry: registry, network: network}
+func newSoftState(s *settings.Settings, node control.Node, registry *membership.Registry, exchange *softstate.Exchange) *softState {
+	return &softState{settings: s, node: node, registry: registry, exchange: exchange}
 }
 
-func (s *softState) run(ctx context.Context) {
-	for _, peer := range s.network.Peers() {
-		go s.feed(ctx, peer)
-	}
-	ticker := time.NewTicker(helloEvery)
-	defer ticker.Stop()
-	for {
-		s.registry.MergeInstance(s.self())
+// describe tells the registry what this instance is, as that changes.
+func (s *softState) describe(ctx context.Context) {
+	for ctx.Err() == nil {
+		changed := s.node.Changed()
+		s.registry.SetSelf(s.self())
 		select {
 		case <-ctx.Done():
-			return
-		case <-ticker.C:
+		case <-changed:
+		case <-time.After(describeIdle):
 		}
-	}
-}
-
-// feed sends one peer what this instance has heard since the last delivery.
-func (s *softState) feed(ctx context.Context, peer string) {
-	ticker := time.NewTicker(deltaEvery)
-	defer ticker.Stop()
-	var sent uint64
-	var last time.Time
-	for {
 		select {
 		case <-ctx.Done():
-			return
-		case <-ticker.C:
-		}
-		upstreams, sequence := s.registry.Delta(sent)
-		if len(upstreams) == 0 && time.Since(last) < helloEvery {
-			continue
-		}
-		last = time.Now()
-		call := &peerpb.Call{Body: &peerpb.Call_Soft{Soft: &peerpb.SoftDelta{Upstreams: upstreams, Instance: s.self()}}}
-		callCtx, cancel := context.WithTimeout(ctx, deltaTimeout)
-		_, err := s.network.Call(callCtx, peer, call)
-		cancel()
-		if err == nil {
-			sent = sequence
+		case <-time.After(describeEvery):
 		}
 	}
 }
@@ -98,14 +71,6 @@
 			return nil, err
 		}
 		return &peerpb.Reply{Body: &peerpb.Reply_Result{Result: result}}, nil
-	case *peerpb.Call_Soft:
-		for _, upstream := range body.Soft.Upstreams {
-			s.registry.Merge(upstream)
-		}
-		if body.Soft.Instance != nil {
-			s.registry.MergeInstance(body.Soft.Instance)
-		}
-		return &peerpb.Reply{Body: &peerpb.Reply_Ack{Ack: &peerpb.Ack{}}}, nil
 	}
 	return nil, failure.New(failure.BadRequest, "unknown call")
 }
@@ -114,3 +79,8 @@
 func (s *softState) Follow(ctx context.Context, follow *peerpb.Follow, stream control.Stream) error {
 	return s.node.ServeFollow(ctx, follow, stream)
 }
+
+// Watch sends soft state to another instance.
+func (s *softState) Watch(ctx context.Context, watch *peerpb.Watch, stream softstate.Stream) error {
+	return s.exchange.Serve(ctx, watch, stream)
+}
--- a/internal/transport/httpapi/upstreams.go
+++ b/internal/transport/httpapi/upstreams.go
@@ -41,8 +41,7 @@
 		return nil, failure.New(failure.BadRequest, "an announcement names id and address")
 	}
 	ttl := s.settings.Upstreams.AnnounceEvery * announcementsMissed
-	s.registry.Merge(announcement.Upstream(kind, ttl))
-	return announcement, nil
+	return announcement, s.registry.Merge(announcement.Upstream(kind, ttl))
 }
 
 // tellWorker renews the leases of the tasks that the control state wants on
