--- a/internal/app/softstate.go
+++ b/internal/app/softstate.go
@@ -4,10 +4,11 @@
 	"context"
 	"time"
 
+	"pinewinch.example/pinewinch/internal/coordination/claims"
 	"pinewinch.example/pinewinch/internal/coordination/control"
 	"pinewinch.example/pinewinch/internal/coordination/membership"
 	"pinewinch.example/pinewinch/internal/coordination/softstate"
-	"pinewinch.example/pinewinch/internal/protocol/failure"
+	"pinewinch.example/pinewinch/internal/protocol/consensuspb"
 	"pinewinch.example/pinewinch/internal/protocol/peerpb"
 	"pinewinch.example/pinewinch/internal/settings"
 )
@@ -26,10 +27,11 @@
 	node     control.Node
 	registry *membership.Registry
 	exchange *softstate.Exchange
+	executor *claims.Executor
 }
 
-func newSoftState(s *settings.Settings, node control.Node, registry *membership.Registry, exchange *softstate.Exchange) *softState {
-	return &softState{settings: s, node: node, registry: registry, exchange: exchange}
+func newSoftState(s *settings.Settings, node control.Node, registry *membership.Registry, exchange *softstate.Exchange, executor *claims.Executor) *softState {
+	return &softState{settings: s, node: node, registry: registry, exchange: exchange, executor: executor}
 }
 
 // describe tells the registry what this instance is, as that changes.
@@ -71,10 +73,15 @@
 			return nil, err
 		}
 		return &peerpb.Reply{Body: &peerpb.Reply_Result{Result: result}}, nil
+	case *peerpb.Call_Fetch:
+		return s.executor.ServeFetch(body.Fetch)
 	}
-	return nil, failure.New(failure.BadRequest, "unknown call")
+	return s.node.ServeReplica(ctx, call)
 }
 
+// Deliver takes one consensus message.
+func (s *softState) Deliver(message *consensuspb.Message) { s.node.Deliver(message) }
+
 // Follow sends the log to an instance that has none.
 func (s *softState) Follow(ctx context.Context, follow *peerpb.Follow, stream control.Stream) error {
 	return s.node.ServeFollow(ctx, follow, stream)
--- a/internal/transport/peers/peers.go
+++ b/internal/transport/peers/peers.go
@@ -19,6 +19,7 @@
 
 	"pinewinch.example/pinewinch/internal/coordination/control"
 	"pinewinch.example/pinewinch/internal/coordination/softstate"
+	"pinewinch.example/pinewinch/internal/protocol/consensuspb"
 	"pinewinch.example/pinewinch/internal/protocol/failure"
 	"pinewinch.example/pinewinch/internal/protocol/peerpb"
 	"pinewinch.example/pinewinch/internal/transport/counted"
@@ -43,6 +44,8 @@
 	Follow(ctx context.Context, call *peerpb.Follow, stream control.Stream) error
 	// Watch sends soft state until ctx or the stream ends.
 	Watch(ctx context.Context, call *peerpb.Watch, stream softstate.Stream) error
+	// Deliver takes one consensus message; it does not wait.
+	Deliver(message *consensuspb.Message)
 }
 
 // Network dials the other instances and serves their calls.
@@ -118,6 +121,10 @@
 		serveWatch(ctx, call, stream, reader, handler)
 		return
 	}
+	if call.GetReplicate() != nil {
+		serveReplicate(ctx, reader, handler)
+		return
+	}
 	reply, err := handler.Call(ctx, call)
 	if err != nil {
 		reply = &peerpb.Reply{Failure: encodeFailure(failure.From(err))}
