Tell the leader the versions of announcements that changed nothing

A lease that dispatch gives runs from the newest announcement that the leader knows of. Since renewals are no longer passed on, that was the worker's first, and the worker rightly refused each command as older than its lease (stale_epoch).

Ruled out: passing every announcement on to everyone, as only the instance that sends commands needs them; counting the lease from receipt, which dispatch's own test forbids.

Change: a watcher says in its pings whether it leads. Then it gets, every 200 ms, handle and version of the upstreams that announced since: about 5 bytes each. TestLeaderKnowsTheNewestAnnouncement fails without it, and fails where the others get them too.

--- a/internal/app/membership.go
+++ b/internal/app/membership.go
@@ -7,6 +7,7 @@
 
 	"go.uber.org/fx"
 
+	"pinewinch.example/pinewinch/internal/coordination/control"
 	"pinewinch.example/pinewinch/internal/coordination/membership"
 	"pinewinch.example/pinewinch/internal/coordination/softstate"
 	"pinewinch.example/pinewinch/internal/settings"
@@ -46,10 +47,11 @@
 
 func (t fixedTimeout) Timeout(string) time.Duration { return time.Duration(t) }
 
-func newExchange(s *settings.Settings, registry *membership.Registry, network *peers.Network) *softstate.Exchange {
+func newExchange(s *settings.Settings, registry *membership.Registry, network *peers.Network, log control.Log) *softstate.Exchange {
 	config := softstate.Config{
 		Self:      s.Instance.Name,
 		PingEvery: peerPingEvery,
+		Renewals:  log.IsLeader,
 		Rand:      rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 	}
 	return softstate.New(config, registry, network, fixedTimeout(peerTimeout))
--- a/internal/coordination/membership/held.go
+++ b/internal/coordination/membership/held.go
@@ -26,10 +26,13 @@
 	gone      []removal
 	// forgotten is the newest removal that is no longer kept.
 	forgotten uint64
+	// handle is the newest given to an upstream.
+	handle uint32
 }
 
 type heldUpstream struct {
 	upstream *peerpb.Upstream
+	handle   uint32
 	expires  time.Time
 	// sequence is that of the newest change passed on, whole that of the newest
 	// change of more than leaving, tasks and load.
@@ -141,6 +144,7 @@
 func (k *heldUpstream) wire() *peerpb.Upstream {
 	whole := proto.CloneOf(k.passed)
 	whole.TtlMs = 0
+	whole.Handle = k.handle
 	return whole
 }
 
@@ -181,3 +185,21 @@
 	batch.Complete = true
 	return batch
 }
+
+// Renewals lists the upstreams whose newest announcement is later than the
+// version that the watcher has by their handle, and notes it there.
+func (r *Registry) Renewals(has map[uint32]uint64) (handles []uint32, versions []uint64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, known := range r.held.upstreams {
+		if has[known.handle] != known.upstream.Version {
+			has[known.handle] = known.upstream.Version
+			handles = append(handles, known.handle)
+			versions = append(versions, known.upstream.Version)
+		}
+	}
+	if len(has) > 2*len(r.held.upstreams)+maxGone {
+		clear(has)
+	}
+	return handles, versions
+}
--- a/internal/coordination/membership/origin.go
+++ b/internal/coordination/membership/origin.go
@@ -53,12 +53,35 @@
 	if err := r.applyChanges(o, batch); err != nil {
 		return err
 	}
-	if known || len(batch.Upstreams) > 0 || batch.Complete {
+	r.renew(o, batch)
+	if known || len(batch.Upstreams) > 0 || batch.Complete || len(batch.Renewed) > 0 {
 		r.view.Store(nil)
 	}
 	return nil
 }
 
+// renew takes newer versions of upstreams that said nothing else. A handle that
+// is not known belongs to a change that is still to come, or to one taken back.
+func (r *Registry) renew(o *origin, batch *peerpb.SoftBatch) {
+	if len(batch.Renewed) != len(batch.Versions) || len(batch.Renewed) == 0 {
+		return
+	}
+	byHandle := make(map[uint32]*peerpb.Upstream, len(o.upstreams))
+	for _, upstream := range o.upstreams {
+		byHandle[upstream.Handle] = upstream
+	}
+	for i, handle := range batch.Renewed {
+		known, ok := byHandle[handle]
+		if !ok || batch.Versions[i] <= known.Version {
+			continue
+		}
+		renewed := proto.CloneOf(known)
+		renewed.Version = batch.Versions[i]
+		o.upstreams[known.Id] = renewed
+		r.raise(renewed, r.config.Now())
+	}
+}
+
 // origin finds the instance's record. A new incarnation is another process
 // under the same name; what the earlier one vouched for stands until the new
 // one has told all it hears, or until its time runs out.
--- a/internal/coordination/membership/registry.go
+++ b/internal/coordination/membership/registry.go
@@ -121,7 +121,8 @@
 		if len(r.held.upstreams) >= MaxHeld {
 			return failure.New(failure.Overloaded, "%d upstreams announce here already", MaxHeld)
 		}
-		known = &heldUpstream{}
+		r.held.handle++
+		known = &heldUpstream{handle: r.held.handle}
 		r.held.upstreams[upstream.Id] = known
 	}
 	r.raise(upstream, now)
--- a/internal/coordination/softstate/exchange_test.go
+++ b/internal/coordination/softstate/exchange_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -39,6 +40,7 @@
 	exchange *Exchange
 	ctx      context.Context
 	stop     context.CancelFunc
+	leads    atomic.Bool
 }
 
 func newCluster(ctx context.Context, count int) *cluster {
@@ -57,7 +59,7 @@
 	ctx, stop := context.WithCancel(ctx)
 	i := &instance{cluster: c, name: name, ctx: ctx, stop: stop}
 	i.registry = membership.NewRegistry(membership.Config{Self: name, Incarnation: incarnation, OriginTTL: originTTL, Now: time.Now})
-	config := Config{Self: name, PingEvery: pingEvery, Rand: rand.New(rand.NewPCG(1, uint64(incarnation)))}
+	config := Config{Self: name, PingEvery: pingEvery, Renewals: i.leads.Load, Rand: rand.New(rand.NewPCG(1, uint64(incarnation)))}
 	i.exchange = New(config, i.registry, i, fixed(timeout))
 	c.mu.Lock()
 	c.instances[name] = i
@@ -254,3 +256,23 @@
 		}
 	})
 }
+
+// The leader sends commands to workers, and a lease that it gives runs from the
+// newest announcement that it knows of. It must know one of the last moment
+// even where a worker has said the same for long; the others are spared that.
+func TestLeaderKnowsTheNewestAnnouncement(t *testing.T) {
+	bubble(t, func(is *is.I, ctx context.Context) {
+		c := newCluster(ctx, 3)
+		pass(time.Second)
+		for version := range uint64(20) {
+			c.instances["i0"].announce(is, upstream(version+1, false))
+			pass(time.Second)
+			c.instances["i1"].leads.Store(version >= 10)
+		}
+		pass(2 * renewEvery)
+		atLeader, _ := c.instances["i1"].registry.Get("w")
+		is.Equal(atLeader.Version, uint64(20))
+		elsewhere, _ := c.instances["i2"].registry.Get("w")
+		is.Equal(elsewhere.Version, uint64(1))
+	})
+}
--- a/internal/coordination/softstate/serve.go
+++ b/internal/coordination/softstate/serve.go
@@ -22,7 +22,11 @@
 	pinged      chan struct{}
 	// answered is the newest ping that a batch has named, told the newest
 	// state of this instance that one has carried.
-	answered    uint64
+	answered uint64
+	// renewals tells whether the watcher wants versions of announcements that
+	// changed nothing; has is what it was sent of them.
+	renewals    atomic.Bool
+	has         map[uint32]uint64
 	told        *peerpb.InstanceState
 	leavingTold atomic.Bool
 }
@@ -31,7 +35,9 @@
 // ends.
 func (x *Exchange) Serve(ctx context.Context, watch *peerpb.Watch, stream Stream) error {
 	s := &session{exchange: x, stream: stream, incarnation: watch.Incarnation, after: watch.After, pinged: make(chan struct{}, 1)}
+	s.has = map[uint32]uint64{}
 	s.ping.Store(1)
+	s.renewals.Store(watch.Renewals)
 	if err := x.admit(s); err != nil {
 		return err
 	}
@@ -69,6 +75,7 @@
 			return
 		}
 		s.ping.Store(ping.Number)
+		s.renewals.Store(ping.Renewals)
 		select {
 		case s.pinged <- struct{}{}:
 		default:
@@ -91,11 +98,20 @@
 		case <-ctx.Done():
 		case <-changed:
 		case <-s.pinged:
+		case <-s.renewalDue():
 		}
 	}
 	return nil
 }
 
+// renewalDue never comes for a watcher that wants no renewals.
+func (s *session) renewalDue() <-chan time.Time {
+	if !s.renewals.Load() {
+		return nil
+	}
+	return time.After(renewEvery)
+}
+
 // step sends one batch where there is something to say.
 func (s *session) step() (bool, error) {
 	first := s.answered == 0
@@ -105,8 +121,11 @@
 		batch = &peerpb.SoftBatch{}
 	}
 	batch.Echo = s.ping.Load()
+	if s.renewals.Load() && !first {
+		batch.Renewed, batch.Versions = s.exchange.registry.Renewals(s.has)
+	}
 	self := s.describe(batch, first)
-	if !news && batch.Echo == s.answered && batch.Instance == nil && batch.Progress == nil {
+	if !news && batch.Echo == s.answered && batch.Instance == nil && batch.Progress == nil && len(batch.Renewed) == 0 {
 		return false, nil
 	}
 	if err := s.stream.Send(batch); err != nil {
--- a/internal/coordination/softstate/softstate.go
+++ b/internal/coordination/softstate/softstate.go
@@ -22,6 +22,9 @@
 	// coalesce is the least time between two batches to one watcher, so that a
 	// burst of announcements costs one.
 	coalesce = 20 * time.Millisecond
+	// renewEvery is how often a watcher that sends commands to workers gets the
+	// versions of their announcements.
+	renewEvery = 200 * time.Millisecond
 	// sweepEvery is how often expired upstreams are looked for.
 	sweepEvery = 200 * time.Millisecond
 	// leavePatience bounds the wait for watchers to be told of a stop.
@@ -69,6 +72,8 @@
 	Self string
 	// PingEvery is the pace of pings on a stream without changes.
 	PingEvery time.Duration
+	// Renewals tells whether this instance sends commands to workers now.
+	Renewals func() bool
 	// Rand drives backoff; the caller seeds it.
 	Rand *rand.Rand
 }
--- a/internal/coordination/softstate/watch.go
+++ b/internal/coordination/softstate/watch.go
@@ -39,12 +39,13 @@
 	pings := &echo.Times{}
 	pings.Sent(1, time.Now())
 	incarnation, after := x.registry.Position(peer)
-	stream, err := x.peers.Watch(ctx, peer, &peerpb.Watch{Instance: x.config.Self, Incarnation: incarnation, After: after})
+	watch := &peerpb.Watch{Instance: x.config.Self, Incarnation: incarnation, After: after, Renewals: x.config.Renewals()}
+	stream, err := x.peers.Watch(ctx, peer, watch)
 	if err != nil {
 		return false
 	}
 	defer stream.Close()
-	go x.ping(ctx, stream, pings)
+	go x.ping(ctx, stream, pings, watch.Renewals)
 	heard := false
 	for {
 		batch, err := stream.Receive()
@@ -70,19 +71,27 @@
 	return x.registry.Receive(peer, batch, at)
 }
 
-// ping asks for a sign of life at a fixed pace.
-func (x *Exchange) ping(ctx context.Context, stream SourceStream, pings *echo.Times) {
-	ticker := time.NewTicker(x.config.PingEvery)
+// ping asks for a sign of life at a fixed pace, and at once where this instance
+// begins or ceases to want renewals.
+func (x *Exchange) ping(ctx context.Context, stream SourceStream, pings *echo.Times, renewals bool) {
+	ticker := time.NewTicker(renewEvery)
 	defer ticker.Stop()
-	for number := uint64(2); ; number++ {
+	last := time.Now()
+	for number := uint64(2); ; {
 		select {
 		case <-ctx.Done():
 			return
 		case <-ticker.C:
 		}
-		pings.Sent(number, time.Now())
-		if stream.Send(&peerpb.WatchPing{Number: number}) != nil {
+		wanted := x.config.Renewals()
+		if wanted == renewals && time.Since(last) < x.config.PingEvery {
+			continue
+		}
+		renewals, last = wanted, time.Now()
+		pings.Sent(number, last)
+		if stream.Send(&peerpb.WatchPing{Number: number, Renewals: wanted}) != nil {
 			return
 		}
+		number++
 	}
 }
