--- a/internal/app/http.go
+++ b/internal/app/http.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"errors"
 	"net"
 	"net/http"
@@ -15,6 +16,7 @@
 	"pinewinch.example/pinewinch/internal/settings"
 	"pinewinch.example/pinewinch/internal/transport/counted"
 	"pinewinch.example/pinewinch/internal/transport/httpapi"
+	"pinewinch.example/pinewinch/internal/transport/tlsfiles"
 )
 
 var httpModule = fx.Module("http",
@@ -39,6 +41,14 @@
 	if err != nil {
 		return failure.Wrap(failure.BadSettings, err, "[instance] listen_http")
 	}
+	listener = traffic.Listener(listener)
+	if s.TLS.Certificate != "" {
+		source, err := tlsfiles.Open(tlsfiles.Files{Certificate: s.TLS.Certificate, Key: s.TLS.Key}, time.Now)
+		if err != nil {
+			return err
+		}
+		listener = tls.NewListener(listener, source.Server())
+	}
 	web := &http.Server{
 		Handler:           server.Handler(),
 		ReadHeaderTimeout: readHeaderTimeout,
@@ -49,7 +59,7 @@
 	lifecycle.Append(fx.Hook{
 		OnStart: func(context.Context) error {
 			go func() {
-				if err := web.Serve(traffic.Listener(listener)); !errors.Is(err, http.ErrServerClosed) {
+				if err := web.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
 					logger.WithError(err).Error("http server ended")
 				}
 			}()
--- a/internal/app/softstate.go
+++ b/internal/app/softstate.go
@@ -28,10 +28,11 @@
 	registry *membership.Registry
 	exchange *softstate.Exchange
 	executor *claims.Executor
+	explain  *explainer
 }
 
-func newSoftState(s *settings.Settings, node control.Node, registry *membership.Registry, exchange *softstate.Exchange, executor *claims.Executor) *softState {
-	return &softState{settings: s, node: node, registry: registry, exchange: exchange, executor: executor}
+func newSoftState(s *settings.Settings, node control.Node, registry *membership.Registry, exchange *softstate.Exchange, executor *claims.Executor, explain *explainer) *softState {
+	return &softState{settings: s, node: node, registry: registry, exchange: exchange, executor: executor, explain: explain}
 }
 
 // describe tells the registry what this instance is, as that changes.
@@ -73,6 +74,8 @@
 			return nil, err
 		}
 		return &peerpb.Reply{Body: &peerpb.Reply_Result{Result: result}}, nil
+	case *peerpb.Call_Explain:
+		return s.explain.serve(body.Explain)
 	case *peerpb.Call_Fetch:
 		return s.executor.ServeFetch(body.Fetch)
 	}
--- a/internal/standin/standincmd/main.go
+++ b/internal/standin/standincmd/main.go
@@ -19,6 +19,7 @@
 	"pinewinch.example/pinewinch/internal/protocol/api"
 	"pinewinch.example/pinewinch/internal/protocol/failure"
 	"pinewinch.example/pinewinch/internal/standin"
+	"pinewinch.example/pinewinch/internal/standin/loopback"
 )
 
 // Main runs one stand-in command and gives the exit code.
@@ -26,8 +27,8 @@
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
 	root := &ffcli.Command{
-		ShortUsage:  "pinewinch-standin worker|minion|ports [flags]",
-		Subcommands: []*ffcli.Command{workerCommand(), minionCommand(), portsCommand()},
+		ShortUsage:  "pinewinch-standin worker|minion|addresses [flags]",
+		Subcommands: []*ffcli.Command{workerCommand(), minionCommand(), addressesCommand()},
 		Exec:        func(context.Context, []string) error { return flag.ErrHelp },
 	}
 	err := root.ParseAndRun(ctx, args)
@@ -41,13 +42,18 @@
 type common struct {
 	announcement api.Announcement
 	servers      string
+	token        string
+	record       string
 	count        int
+	done         *standin.Record
 }
 
 func commonFlags(name string) (*flag.FlagSet, *common) {
 	c := &common{}
 	flags := flag.NewFlagSet(name, flag.ContinueOnError)
 	flags.StringVar(&c.servers, "servers", "http://127.0.0.1:7100", "instances, separated by commas")
+	flags.StringVar(&c.record, "record", "", "file that takes a line for each thing done")
+	flags.StringVar(&c.token, "token", "", "token that upstreams show")
 	flags.StringVar(&c.announcement.ID, "id", name, "name of the first; others get a number")
 	flags.StringVar(&c.announcement.DataCentre, "data-centre", "dc1", "data centre")
 	flags.StringVar(&c.announcement.Rack, "rack", "rack1", "rack")
@@ -56,6 +62,9 @@
 }
 
 func (c *common) each(ctx context.Context, run func(ctx context.Context, announcement api.Announcement, listener net.Listener)) error {
+	if err := c.openRecord(); err != nil {
+		return err
+	}
 	for i := range c.count {
 		listener, err := net.Listen("tcp", "127.0.0.1:0")
 		if err != nil {
@@ -71,6 +80,18 @@
 	return nil
 }
 
+func (c *common) openRecord() error {
+	if c.record == "" {
+		return nil
+	}
+	file, err := os.OpenFile(c.record, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	if err != nil {
+		return failure.Wrap(failure.BadSettings, err, "record")
+	}
+	c.done = standin.NewRecord(file)
+	return nil
+}
+
 func (c *common) serverList() []string { return strings.Split(c.servers, ",") }
 
 func workerCommand() *ffcli.Command {
@@ -92,6 +113,8 @@
 			own := options
 			own.Announcement = announcement
 			own.Servers = c.serverList()
+			own.Token = c.token
+			own.Record = c.done
 			worker := standin.NewWorker(own)
 			go func() { _ = http.Serve(listener, worker.Handler()) }()
 			worker.Run(ctx)
@@ -113,6 +136,8 @@
 			own := options
 			own.Announcement = announcement
 			own.Servers = c.serverList()
+			own.Token = c.token
+			own.Record = c.done
 			minion := standin.NewMinion(own)
 			go func() { _ = http.Serve(listener, minion.Handler()) }()
 			minion.Run(ctx)
@@ -120,18 +145,17 @@
 	}}
 }
 
-// portsCommand prints free ports, all reserved at once so that none comes twice.
-func portsCommand() *ffcli.Command {
-	flags := flag.NewFlagSet("ports", flag.ContinueOnError)
+// addressesCommand prints free addresses for a cluster, one a line.
+func addressesCommand() *ffcli.Command {
+	flags := flag.NewFlagSet("addresses", flag.ContinueOnError)
 	count := flags.Int("count", 1, "how many")
-	return &ffcli.Command{Name: "ports", FlagSet: flags, Exec: func(context.Context, []string) error {
-		for range *count {
-			listener, err := net.Listen("tcp", "127.0.0.1:0")
-			if err != nil {
-				return failure.Wrap(failure.BadSettings, err, "listen")
-			}
-			defer listener.Close()
-			fmt.Println(listener.Addr().(*net.TCPAddr).Port)
+	return &ffcli.Command{Name: "addresses", FlagSet: flags, Exec: func(context.Context, []string) error {
+		addresses, err := loopback.Reserve(*count)
+		if err != nil {
+			return err
+		}
+		for _, address := range addresses {
+			fmt.Println(address)
 		}
 		return nil
 	}}
--- a/internal/transport/peers/streams.go
+++ b/internal/transport/peers/streams.go
@@ -49,9 +49,10 @@
 	return message, nil
 }
 
-// Close ends the stream.
+// Close ends the stream, and a Receive that waits on it: see endWith.
 func (d *duplex[Out, In, InMessage]) Close() error {
 	d.stop()
+	_ = d.stream.SetDeadline(longAgo)
 	return d.stream.Close()
 }
 
@@ -63,8 +64,9 @@
 )
 
 // serveFollow tells the follower why its stream ends, so that it goes to the
-// next source at once.
+// next source at once. The deadline at the end frees the reader of its pings.
 func serveFollow(ctx context.Context, call *peerpb.Call, stream net.Conn, reader *bufio.Reader, handler Handler) {
+	defer stream.SetDeadline(longAgo)
 	serving := &followServing{other: call.From, stream: stream, reader: reader}
 	if err := handler.Follow(ctx, call.GetFollow(), serving); err != nil {
 		_ = serving.Send(&peerpb.FollowBatch{Failure: encodeFailure(failure.From(err))})
@@ -72,6 +74,7 @@
 }
 
 func serveWatch(ctx context.Context, call *peerpb.Call, stream net.Conn, reader *bufio.Reader, handler Handler) {
+	defer stream.SetDeadline(longAgo)
 	serving := &watchServing{other: call.From, stream: stream, reader: reader}
 	if err := handler.Watch(ctx, call.GetWatch(), serving); err != nil {
 		_ = serving.Send(&peerpb.SoftBatch{Failure: encodeFailure(failure.From(err))})
@@ -111,5 +114,5 @@
 		stream.Close()
 		return nil, nil, failure.Wrap(failure.Unreachable, err, "ask %s", to)
 	}
-	return stream, context.AfterFunc(ctx, func() { stream.Close() }), nil
+	return stream, endWith(ctx, stream), nil
 }
