--- a/internal/transport/httpapi/server_test.go
+++ b/internal/transport/httpapi/server_test.go
@@ -72,7 +72,7 @@
 		Upstreams: settings.Upstreams{AnnounceEvery: time.Second, Lease: 10 * time.Second, Token: hash("upstream-secret")},
 		Requests:  settings.Requests{MaxBodyBytes: 4096},
 	}
-	return New(s, l, membership.NewRegistry(time.Now), nil, noReasons{}), l
+	return New(s, l, membership.NewRegistry(membership.Config{Now: time.Now}), nil, noReasons{}), l
 }
 
 // answer sends one call and decodes an error's body.
