--- a/internal/transport/peers/follow.go
+++ b/internal/transport/peers/follow.go
@@ -54,7 +54,7 @@
 		stream.Close()
 		return nil, failure.Wrap(failure.Unreachable, err, "follow %s", to)
 	}
-	stop := context.AfterFunc(ctx, func() { stream.Close() })
+	stop := endWith(ctx, stream)
 	return &followingStream{to: to, stream: stream, reader: bufio.NewReader(stream), stop: stop}, nil
 }
 
@@ -78,8 +78,9 @@
 	return batch, nil
 }
 
-// Close ends the stream.
+// Close ends the stream, and a Receive that waits on it: see endWith.
 func (s *followingStream) Close() error {
 	s.stop()
+	_ = s.stream.SetDeadline(longAgo)
 	return s.stream.Close()
 }
--- a/scripts/capacity.sh
+++ b/scripts/capacity.sh
@@ -63,7 +63,7 @@
     local role=follower
     ((i <= $2)) && role=voter
     [ "i$i" = "$leader" ] && role=leader
-    targets+="${targets:+,}$role=${instance_pids[$((i - 1))]}@http://127.0.0.1:${http_ports[$((i - 1))]}"
+    targets+="${targets:+,}$role=${instance_pids[$((i - 1))]}@http://${http_addresses[$((i - 1))]}"
   done
 }
 
