--- a/internal/coordination/dispatch/controller.go
+++ b/internal/coordination/dispatch/controller.go
@@ -64,7 +64,7 @@
 	defer ticker.Stop()
 	for {
 		changed := c.log.Changed()
-		c.turn(ctx)
+		c.Turn(ctx)
 		select {
 		case <-ctx.Done():
 			return
@@ -85,9 +85,9 @@
 	}
 }
 
-// turn takes one step if this instance leads. What an earlier term remembered is
+// Turn takes one step if this instance leads. What an earlier term remembered is
 // dropped at the first step of a new one.
-func (c *Controller) turn(ctx context.Context) {
+func (c *Controller) Turn(ctx context.Context) {
 	leads := c.log.IsLeader()
 	if leads && !c.led {
 		c.dispatcher.Reset()
@@ -145,7 +145,9 @@
 // given one job as a probe: none while such a job is on it.
 func (c *Controller) judge(state *store.State) (workers []scheduling.Worker, probing map[string]bool) {
 	probing = map[string]bool{}
-	for _, worker := range c.registry.Live(peerpb.UpstreamKind_UPSTREAM_KIND_WORKER) {
+	live := c.registry.Live(peerpb.UpstreamKind_UPSTREAM_KIND_WORKER)
+	workers = make([]scheduling.Worker, 0, len(live))
+	for _, worker := range live {
 		verdict := c.dispatcher.verdict(state, worker.Id)
 		if verdict == quarantine.Probing && holdsTasks(state, worker.Id) {
 			verdict = quarantine.Quarantined
--- a/internal/coordination/dispatch/dispatch_test.go
+++ b/internal/coordination/dispatch/dispatch_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -129,3 +130,30 @@
 		is.True(log.proposals-before <= 3)
 	})
 }
+
+// manyWorkers is a registry of idle workers.
+type manyWorkers struct{ list []*peerpb.Upstream }
+
+func (r *manyWorkers) Get(string) (*peerpb.Upstream, bool)         { return r.list[0], true }
+func (r *manyWorkers) Live(peerpb.UpstreamKind) []*peerpb.Upstream { return r.list }
+
+// BenchmarkIdleTurn is one turn of a leader that has nothing to do; it takes ten a
+// second.
+func BenchmarkIdleTurn(b *testing.B) {
+	for _, size := range []int{50, 1900} {
+		b.Run(fmt.Sprint("workers=", size), func(b *testing.B) {
+			registry := &manyWorkers{}
+			for i := range size {
+				registry.list = append(registry.list, &peerpb.Upstream{Id: fmt.Sprint("w", i), Accelerators: 1})
+			}
+			log := &fakeLog{state: store.New(), changed: make(chan struct{})}
+			config := dispatch.Config{Now: time.Now, Gang: gang.Config{AnnounceEvery: time.Second}}
+			dispatcher := dispatch.New(config, log, nil, registry)
+			controller := dispatch.NewController(log, dispatcher, registry, time.Now)
+			b.ReportAllocs()
+			for b.Loop() {
+				controller.Turn(b.Context())
+			}
+		})
+	}
+}
--- a/internal/coordination/dispatch/gang/machine.go
+++ b/internal/coordination/dispatch/gang/machine.go
@@ -69,14 +69,16 @@
 	config  Config
 	leading time.Time
 	scanned time.Time
+	steps   uint64
 	runs    map[string]*run
 	workers map[string]*worker
 }
 
-// worker is a live worker's newest announcement, indexed.
+// worker is a live worker's newest announcement.
 type worker struct {
 	upstream *peerpb.Upstream
-	reports  map[api.TaskRef]*peerpb.TaskReport
+	// step is the last one in which the announcement stood.
+	step uint64
 }
 
 // New makes a machine for a term of leadership.
@@ -114,6 +116,7 @@
 // begin notes the start of leadership, and whether members are looked over for
 // absence in this step: once an announcement interval is enough for that.
 func (s *step) begin() {
+	s.steps++
 	if s.leading.IsZero() {
 		s.leading = s.in.Now
 	}
@@ -126,39 +129,51 @@
 // hearWorkers takes in announcements. Only those that are new are read: a leader
 // with 19,000 tasks hears a tenth of them each step.
 func (s *step) hearWorkers() {
-	live := make(map[string]*worker, len(s.in.Workers))
 	for _, upstream := range s.in.Workers {
 		known := s.workers[upstream.Id]
-		if known == nil || known.upstream != upstream {
-			known = indexReports(upstream)
-			s.hearReports(known)
+		if known == nil {
+			known = &worker{}
+			s.workers[upstream.Id] = known
+		}
+		known.step = s.steps
+		if known.upstream != upstream {
+			known.upstream = upstream
+			s.hearReports(upstream)
 		}
-		live[upstream.Id] = known
 	}
-	s.workers = live
-}
-
-func indexReports(upstream *peerpb.Upstream) *worker {
-	w := &worker{upstream: upstream, reports: make(map[api.TaskRef]*peerpb.TaskReport, len(upstream.Tasks))}
-	for _, report := range upstream.Tasks {
-		w.reports[api.TaskRef{Job: report.Job, Task: report.Task, Epoch: report.Epoch}] = report
+	if len(s.workers) == len(s.in.Workers) {
+		return
+	}
+	for id, known := range s.workers {
+		if known.step != s.steps {
+			delete(s.workers, id)
+		}
 	}
-	return w
 }
 
-func (s *step) hearReports(w *worker) {
-	for ref, report := range w.reports {
-		r := s.runs[ref.Job]
-		if r == nil || r.epoch != ref.Epoch {
+func (s *step) hearReports(upstream *peerpb.Upstream) {
+	for _, report := range upstream.Tasks {
+		r := s.runs[report.Job]
+		if r == nil || r.epoch != report.Epoch {
 			continue
 		}
-		if m := r.member(ref.Task); m != nil && m.placement.Worker == w.upstream.Id {
-			m.hear(report)
+		m := r.member(report.Task)
+		if m != nil && m.placement.Worker == upstream.Id && m.hear(report, upstream) {
 			r.news = true
 		}
 	}
 }
 
+// reportOf finds a task in its worker's announcement; nil where it has none.
+func (w *worker) reportOf(job string, epoch uint64, task uint32) *peerpb.TaskReport {
+	for _, report := range w.upstream.Tasks {
+		if report.Task == task && report.Epoch == epoch && report.Job == job {
+			return report
+		}
+	}
+	return nil
+}
+
 func (s *step) hearAnswers() {
 	for _, answer := range s.in.Answers {
 		r := s.runs[answer.Ref.Job]
--- a/internal/coordination/dispatch/gang/retry.go
+++ b/internal/coordination/dispatch/gang/retry.go
@@ -6,7 +6,6 @@
 
 	"github.com/cespare/xxhash/v2"
 
-	"pinewinch.example/pinewinch/internal/protocol/api"
 	"pinewinch.example/pinewinch/internal/protocol/controlpb"
 	"pinewinch.example/pinewinch/internal/protocol/failure"
 )
@@ -65,7 +64,3 @@
 	}
 	return len(healthy) >= parkWorkers || own >= parkFailures || len(vanished) >= parkVanished
 }
-
-func refOf(job *controlpb.Job, m *member) api.TaskRef {
-	return api.TaskRef{Job: job.Id, Task: m.placement.Task, Epoch: job.Epoch}
-}
--- a/internal/coordination/dispatch/gang/run.go
+++ b/internal/coordination/dispatch/gang/run.go
@@ -48,6 +48,8 @@
 	awaiting Kind
 	// refused is why a reserve or start failed.
 	refused *failure.Error
+	// heardIn is the newest announcement that reported the task.
+	heardIn *peerpb.Upstream
 	// report of the task's end.
 	report         *peerpb.TaskReport
 	checkpointedMs int64
@@ -84,9 +86,10 @@
 	r := &run{epoch: job.Epoch, mayHaveStarted: job.StartedMs > 0 || !s.knowsWorkers()}
 	for _, placement := range job.Placements {
 		m := &member{placement: placement, checkpointedMs: job.CheckpointedMs}
-		ref := api.TaskRef{Job: job.Id, Task: placement.Task, Epoch: job.Epoch}
-		if w := s.workers[placement.Worker]; w != nil && w.reports[ref] != nil {
-			m.hear(w.reports[ref])
+		if w := s.workers[placement.Worker]; w != nil {
+			if report := w.reportOf(job.Id, job.Epoch, placement.Task); report != nil {
+				m.hear(report, w.upstream)
+			}
 		}
 		r.members = append(r.members, m)
 	}
@@ -127,13 +130,17 @@
 	api.PhaseCompleted: phaseCompleted,
 }
 
-// hear takes what the worker reports of the task.
-func (m *member) hear(report *peerpb.TaskReport) {
+// hear takes what the worker reports of the task, and tells whether it is news.
+func (m *member) hear(report *peerpb.TaskReport, in *peerpb.Upstream) bool {
 	m.absent = time.Time{}
+	m.heardIn = in
+	before := m.phase
 	m.advance(reportedPhases[report.Phase], report.CheckpointedMs)
 	if m.phase.ended() && m.report == nil {
 		m.report = report
+		return true
 	}
+	return m.phase != before
 }
 
 // take handles the answer to a command.
--- a/internal/coordination/dispatch/gang/running.go
+++ b/internal/coordination/dispatch/gang/running.go
@@ -42,7 +42,7 @@
 		if failed := s.memberFailure(m); failed != nil {
 			return failed
 		}
-		if s.scan && s.vanished(job, m) {
+		if s.scan && s.vanished(m) {
 			return s.infrastructure(m, failure.WorkerVanished, "the worker or its task is gone")
 		}
 	}
@@ -54,12 +54,12 @@
 // hears, so a worker that only the leader cannot reach is not vanished. A worker
 // that has started again says so by its incarnation; one that has not may have
 // sent the announcement before it took the task, so absence has to last.
-func (s *step) vanished(job *controlpb.Job, m *member) bool {
+func (s *step) vanished(m *member) bool {
 	w := s.workers[m.placement.Worker]
 	if w == nil {
 		return s.knowsWorkers()
 	}
-	if w.reports[refOf(job, m)] != nil {
+	if m.heardIn == w.upstream {
 		return false
 	}
 	if w.upstream.Incarnation > m.placement.Incarnation {
--- a/internal/coordination/dispatch/passgate.go
+++ b/internal/coordination/dispatch/passgate.go
@@ -29,17 +29,22 @@
 
 // open tells whether a pass is due, and takes note that it is made now.
 func (g *passGate) open(index uint64, workers []scheduling.Worker, now time.Time) bool {
-	facts := make([]workerFacts, len(workers))
-	for i, w := range workers {
-		facts[i] = workerFacts{
-			id: w.ID, dataCentre: w.DataCentre, rack: w.Rack,
-			cores: w.Cores, accelerators: w.Accelerators, memoryMB: w.MemoryMB,
-			unavailable: w.Unavailable,
-		}
+	if index == g.index && now.Sub(g.made) < passAnyway && slices.EqualFunc(workers, g.workers, unchanged) {
+		return false
 	}
-	due := index != g.index || !slices.Equal(facts, g.workers) || now.Sub(g.made) >= passAnyway
-	if due {
-		*g = passGate{index: index, workers: facts, made: now}
+	g.index, g.made, g.workers = index, now, g.workers[:0]
+	for i := range workers {
+		g.workers = append(g.workers, factsOf(workers[i]))
+	}
+	return true
+}
+
+func unchanged(worker scheduling.Worker, facts workerFacts) bool { return factsOf(worker) == facts }
+
+func factsOf(w scheduling.Worker) workerFacts {
+	return workerFacts{
+		id: w.ID, dataCentre: w.DataCentre, rack: w.Rack,
+		cores: w.Cores, accelerators: w.Accelerators, memoryMB: w.MemoryMB,
+		unavailable: w.Unavailable,
 	}
-	return due
 }
--- a/internal/state/store/health.go
+++ b/internal/state/store/health.go
@@ -15,6 +15,9 @@
 // Health gives the failures of a worker since it last completed a task; nil for
 // a worker without any.
 func (s *State) Health(worker string) *controlpb.WorkerHealth {
+	if s.health.Len() == 0 {
+		return nil
+	}
 	health, _ := s.health.Get([]byte(worker))
 	return health
 }
--- /dev/null
+++ b/scripts/dispatch.sh
@@ -0,0 +1,74 @@
+#!/usr/bin/env bash
+# Measures dispatch on real processes: how long an urgent job waits for
+# accelerators that have to be taken back for it, and how long a gang of 128 takes
+# to start. Three instances, 16 stand-in workers of 8 accelerators in 2 racks.
+# Usage: scripts/dispatch.sh [RUNS]
+set -euo pipefail
+cd "$(dirname "$0")/.."
+runs=${1:-20}
+go build -o bin/ ./cmd/...
+export PATH="$PWD/bin:$PATH"
+. scripts/cluster.sh
+
+cat > "$work/rules.ini" <<'INI'
+[customer crews]
+guarantee = 2x8 rack
+
+[customer planners]
+
+[class background]
+tasks = 128
+accelerators = 1
+run_time = 10h
+idempotent = yes
+checkpointable = yes
+
+[class urgent]
+tasks = 16
+accelerators = 1
+adjacency = rack
+run_time = 100ms
+idempotent = yes
+urgent = yes
+
+[class wide]
+tasks = 128
+accelerators = 1
+run_time = 100ms
+idempotent = yes
+INI
+
+new_cluster 3 3
+for i in 1 2 3; do start_instance "$i"; done
+start pinewinch-standin worker -id near -rack rack1 -count 8 -servers "$servers"
+start pinewinch-standin worker -id far -rack rack2 -count 8 -servers "$servers"
+await '"workers": 16' pinewinch status -o json
+pinewinch apply -wait "$work/rules.ini" > /dev/null
+
+job() { pinewinch explain -token "$1" -o json "$2"; }
+field() { tr -d ' ",' | grep "^$1:" | head -1 | cut -d: -f2; }
+# waited TOKEN JOB: milliseconds from submission to the start of every task.
+waited() {
+  local text
+  text=$(job "$1" "$2")
+  echo $(($(field started_ms <<< "$text") - $(field submitted_ms <<< "$text")))
+}
+# report NAME: median and worst of the numbers on standard input.
+report() {
+  sort -n | awk -v name="$1" '{ v[NR] = $1 } END {
+    printf "%s: median %d ms, worst %d ms, %d runs\n", name, v[int((NR + 1) / 2)], v[NR], NR }'
+}
+
+for ((i = 1; i <= runs; i++)); do
+  pinewinch submit -token crews-secret -key "wide-$i" wide > /dev/null
+  await '"state": "completed"' job crews-secret "crews:wide-$i"
+  waited crews-secret "crews:wide-$i"
+done | report "start of a gang of 128 on 16 workers"
+
+pinewinch submit -token planners-secret -key fill background > /dev/null
+for ((i = 1; i <= runs; i++)); do
+  await '"state": "running"' job planners-secret planners:fill
+  pinewinch submit -token crews-secret -key "urgent-$i" urgent > /dev/null
+  await '"state": "completed"' job crews-secret "crews:urgent-$i"
+  waited crews-secret "crews:urgent-$i"
+done | report "urgent gang of 16, taken back from a gang of 128"
