--- a/internal/coordination/claims/batch.go
+++ b/internal/coordination/claims/batch.go
@@ -8,18 +8,23 @@
 const (
 	// maxBatch bounds the items that share one command of the log.
 	maxBatch = 256
-	// maxFlights is how many batches are on their way at once. While all are,
-	// items gather: one at a time needs no waiting, many share a round trip.
-	maxFlights = 4
+	// claimFlights is how many batches of claims are on their way at once. While
+	// all are, claims gather: one at a time needs no waiting, many share a round
+	// trip.
+	claimFlights = 4
+	// settleFlights is less, for nobody waits for an outcome to be recorded.
+	settleFlights = 1
 )
 
 // batcher gathers items of many requests into few proposals.
 type batcher[I, O any] struct {
 	// flush sends items and gives a result for each, or an error for all.
-	flush   func(items []I) ([]O, error)
-	mu      sync.Mutex
-	waiting []*batched[I, O]
-	flights int
+	flush func(items []I) ([]O, error)
+	// maxFlights bounds the batches on their way.
+	maxFlights int
+	mu         sync.Mutex
+	waiting    []*batched[I, O]
+	flights    int
 }
 
 type batched[I, O any] struct {
@@ -46,7 +51,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.waiting = append(b.waiting, entry)
-	if b.flights < maxFlights {
+	if b.flights < b.maxFlights {
 		b.flights++
 		go b.fly()
 	}
--- a/internal/coordination/claims/executor.go
+++ b/internal/coordination/claims/executor.go
@@ -105,8 +105,8 @@
 		log:     log,
 		endLog:  endLog,
 	}
-	e.claims.flush = e.proposeClaims
-	e.settles.flush = e.proposeSettles
+	e.claims.flush, e.claims.maxFlights = e.proposeClaims, claimFlights
+	e.settles.flush, e.settles.maxFlights = e.proposeSettles, settleFlights
 	return e
 }
 
