--- a/internal/app/softstate.go
+++ b/internal/app/softstate.go
@@ -29,10 +29,11 @@
 	registry *membership.Registry
 	network  *peers.Network
 	executor *claims.Executor
+	explain  *explainer
 }
 
-func newSoftState(s *settings.Settings, node control.Node, registry *membership.Registry, network *peers.Network, executor *claims.Executor) *softState {
-	return &softState{settings: s, node: node, registry: registry, network: network, executor: executor}
+func newSoftState(s *settings.Settings, node control.Node, registry *membership.Registry, network *peers.Network, executor *claims.Executor, explain *explainer) *softState {
+	return &softState{settings: s, node: node, registry: registry, network: network, executor: executor, explain: explain}
 }
 
 func (s *softState) run(ctx context.Context) {
@@ -108,6 +109,8 @@
 			s.registry.MergeInstance(body.Soft.Instance)
 		}
 		return &peerpb.Reply{Body: &peerpb.Reply_Ack{Ack: &peerpb.Ack{}}}, nil
+	case *peerpb.Call_Explain:
+		return s.explain.serve(body.Explain)
 	case *peerpb.Call_Fetch:
 		return s.executor.ServeFetch(body.Fetch)
 	}
--- a/scripts/cluster.sh
+++ b/scripts/cluster.sh
@@ -21,21 +21,21 @@
 
 # new_cluster COUNT VOTERS [EXTRA]: settings for COUNT instances, of which the
 # first VOTERS keep the log; EXTRA is a file with further sections. Sets servers,
-# http_ports and the tool's environment.
+# http_addresses and the tool's environment.
 new_cluster() {
   local count=$1 voters=$2 extra=${3:-/dev/null} i peers="" names=""
-  mapfile -t ports < <(pinewinch-standin ports -count $((2 * count)))
+  mapfile -t addresses < <(pinewinch-standin addresses -count $((2 * count)))
   servers=""
   for ((i = 1; i <= count; i++)); do
-    peers+="i$i = 127.0.0.1:${ports[$((count + i - 1))]}"$'\n'
-    servers+="${servers:+,}http://127.0.0.1:${ports[$((i - 1))]}"
+    peers+="i$i = ${addresses[$((count + i - 1))]}"$'\n'
+    servers+="${servers:+,}http://${addresses[$((i - 1))]}"
   done
   for ((i = 1; i <= voters; i++)); do names+="${names:+, }i$i"; done
   for ((i = 1; i <= count; i++)); do
     {
       printf '[instance]\nname = i%d\ndata_centre = dc%d\n' "$i" $(((i - 1) % 3 + 1))
-      printf 'listen_http = 127.0.0.1:%d\n' "${ports[$((i - 1))]}"
-      printf 'listen_peer = 127.0.0.1:%d\n' "${ports[$((count + i - 1))]}"
+      printf 'listen_http = %s\n' "${addresses[$((i - 1))]}"
+      printf 'listen_peer = %s\n' "${addresses[$((count + i - 1))]}"
       if ((i <= voters)); then
         mkdir -p "$work/data$i"
         printf 'data_folder = %s\n' "$work/data$i"
@@ -46,8 +46,8 @@
       cat "$extra"
     } > "$work/i$i.ini"
   done
-  http_ports=("${ports[@]:0:$count}")
-  export PINEWINCH_SERVER="http://127.0.0.1:${ports[0]}" PINEWINCH_TOKEN=operator-secret
+  http_addresses=("${addresses[@]:0:$count}")
+  export PINEWINCH_SERVER="http://${addresses[0]}" PINEWINCH_TOKEN=operator-secret
 }
 
 # start_instance I: sets started to its process id.
@@ -75,3 +75,41 @@
   echo "'$pattern' never came from: $*" >&2
   return 1
 }
+
+# counter SERVER NAME: one counter of one instance; 0 where it has none.
+counter() {
+  local value
+  value=$(pinewinch dump -vars -server "$1" | tr -d ' ",' | grep "^$2:" | cut -d: -f2)
+  echo "${value:-0}"
+}
+
+# cpu_ticks PID: processor time so far, in ticks of the kernel's clock.
+cpu_ticks() { sed 's/.*) //' "/proc/$1/stat" | awk '{ print $12 + $13 }'; }
+
+# idle_cost SECONDS PIDS...: what the instances i1... cost while nothing happens.
+idle_cost() {
+  local over=$1 i pid server ticks=() sent=() received=() hertz
+  shift
+  hertz=$(getconf CLK_TCK)
+  i=0
+  for pid in "$@"; do
+    server="http://${http_addresses[$i]}"
+    sent+=("$(counter "$server" peer_bytes_sent)")
+    received+=("$(counter "$server" peer_bytes_received)")
+    ticks+=("$(cpu_ticks "$pid")")
+    i=$((i + 1))
+  done
+  sleep "$over"
+  i=0
+  for pid in "$@"; do
+    server="http://${http_addresses[$i]}"
+    awk -v name="i$((i + 1))" -v over="$over" -v hertz="$hertz" \
+      -v ticks=$(($(cpu_ticks "$pid") - ticks[i])) \
+      -v kb="$(awk '/^VmRSS/ { print $2 }' "/proc/$pid/status")" \
+      -v sent=$(($(counter "$server" peer_bytes_sent) - sent[i])) \
+      -v received=$(($(counter "$server" peer_bytes_received) - received[i])) \
+      'BEGIN { printf "idle %s: %.2f%% of a core, %.0f MB, %.0f B/s sent, %.0f B/s received (over %d s)\n",
+               name, 100 * ticks / hertz / over, kb / 1024, sent / over, received / over, over }'
+    i=$((i + 1))
+  done
+}
