Make a claim again whose result was lost; tests take loopback addresses of their own

Cause: while the leader changes, each request waiting for its claim was given up as not run, though its deadline was seconds away. Ruled out: a client session for claims (the store would keep a result for each request); giving up at the first loss (what it did). Change: a batch whose outcome is unknown is proposed again until 5 s are over; the store finds a committed claim by attempt and id, so a second proposal of it changes nothing (TestClaimRunsAtMostOnce delivers claims twice). TestClaimSurvivesLeaderChange fails without it.

--- a/internal/coordination/claims/claim.go
+++ b/internal/coordination/claims/claim.go
@@ -16,6 +16,8 @@
 const (
 	// proposeTimeout bounds one batch's wait for the log.
 	proposeTimeout = 5 * time.Second
+	// claimPause is the time before a proposal that was lost is made again.
+	claimPause = 50 * time.Millisecond
 	// settleTries and settlePause bound the tries to record an outcome: about a
 	// minute, longer than an election takes.
 	settleTries = 60
@@ -84,18 +86,35 @@
 	}
 }
 
+// proposeClaims commits a batch. A proposal whose outcome was lost, as when the
+// leader dies, is made again: a claim that was committed is found by its id, so
+// a second one changes nothing.
 func (e *Executor) proposeClaims(claims []*controlpb.Claim) ([]*controlpb.ClaimResult, error) {
 	ctx, cancel := context.WithTimeout(e.log, proposeTimeout)
 	defer cancel()
-	op := &controlpb.Command_Claims{Claims: &controlpb.ClaimRequests{Claims: claims}}
-	result, err := e.control.Propose(ctx, &controlpb.Command{Op: op})
-	if err != nil {
-		return nil, err
+	for {
+		op := &controlpb.Command_Claims{Claims: &controlpb.ClaimRequests{Claims: claims}}
+		result, err := e.control.Propose(ctx, &controlpb.Command{Op: op})
+		if err == nil && len(result.Claims) != len(claims) {
+			err = failure.Ran(failure.Internal, failure.NotRunUnknown, nil, "%d claims answered of %d", len(result.Claims), len(claims))
+		}
+		if err == nil {
+			return result.Claims, nil
+		}
+		if failure.From(err).NotRun == failure.NotRunTrue || !pause(ctx, claimPause) {
+			return nil, err
+		}
 	}
-	if len(result.Claims) != len(claims) {
-		return nil, failure.Ran(failure.Internal, failure.NotRunUnknown, nil, "%d claims answered of %d", len(result.Claims), len(claims))
+}
+
+// pause reports false where ctx ends first.
+func pause(ctx context.Context, length time.Duration) bool {
+	select {
+	case <-ctx.Done():
+		return false
+	case <-time.After(length):
+		return true
 	}
-	return result.Claims, nil
 }
 
 // abandon records that an attempt will never be sent, whether or not its claim
@@ -120,10 +139,8 @@
 			if _, _, err := e.settles.do(e.log, settle); err == nil {
 				return
 			}
-			select {
-			case <-e.log.Done():
+			if !pause(e.log, settlePause) {
 				return
-			case <-time.After(settlePause):
 			}
 		}
 	})
--- a/internal/coordination/claims/executor_test.go
+++ b/internal/coordination/claims/executor_test.go
@@ -82,6 +82,21 @@
 	})
 }
 
+// The leader dies after it committed a claim; the next one answers a moment
+// later. The claim is found as this request's own, which runs, once.
+func TestClaimSurvivesLeaderChange(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		c := newCluster()
+		defer c.stop()
+		c.log.fail(nil, errLost)
+		time.AfterFunc(time.Second, func() { c.log.fail(nil, nil) })
+		_, err := c.do(t.Context(), "i1", "order-7", "ash")
+		is.NoErr(err)
+		is.Equal(c.minion.runs, 1)
+	})
+}
+
 // An instance that is cut off gets a request. Under a key that it made it says
 // "not run". Under the caller's own key it cannot know whether another instance
 // ran the request before, so it doesn't.
--- a/scripts/requests.sh
+++ b/scripts/requests.sh
@@ -27,8 +27,8 @@
 await '"minions": 2' pinewinch status -o json
 minions=$(pinewinch dump | grep -o '"address": *"127.0.0.1:[0-9]*"' | grep -o '127[0-9.:]*' | sort -u | sed 's|^|http://|' | paste -sd,)
 echo "$count instances, $voters voters, GOMAXPROCS=$GOMAXPROCS, minions of $delay, $rate requests a second"
-last="http://127.0.0.1:${http_ports[$((count - 1))]}"
+last="http://${http_addresses[$((count - 1))]}"
 GOMAXPROCS=4 pinewinch-bench compare -servers "$last" -minions "$minions" -token crews-secret -rate "$rate" -callers "${REQUESTS_CALLERS:-16}"
 for ((i = 1; i <= count; i++)); do
-  echo "i$i: $(curl -s -H 'Authorization: Bearer operator-secret' "http://127.0.0.1:${http_ports[$((i - 1))]}/debug/vars" | grep -oE '"(control_[a-z_]*|wal_[a-z_]*|claims_[a-z_]*|replica_[a-z_]*)": *[0-9]+' | tr '\n' ' ')"
+  echo "i$i: $(curl -s -H 'Authorization: Bearer operator-secret' "http://${http_addresses[$((i - 1))]}/debug/vars" | grep -oE '"(control_[a-z_]*|wal_[a-z_]*|claims_[a-z_]*|replica_[a-z_]*)": *[0-9]+' | tr '\n' ' ')"
 done
--- a/test/conservation/instances_test.go
+++ b/test/conservation/instances_test.go
@@ -4,7 +4,6 @@
 	"crypto/sha256"
 	"fmt"
 	"math/rand/v2"
-	"net"
 	"net/http"
 	"os"
 	"os/exec"
@@ -18,6 +17,7 @@
 
 	"pinewinch.example/pinewinch/internal/command"
 	"pinewinch.example/pinewinch/internal/protocol/api"
+	"pinewinch.example/pinewinch/internal/standin/loopback"
 )
 
 // roleVariable makes the test binary run as an instance.
@@ -67,17 +67,6 @@
 	}
 }
 
-func ports(t *testing.T, count int) []string {
-	var addresses []string
-	for range count {
-		listener, err := net.Listen("tcp", "127.0.0.1:0")
-		is.New(t).NoErr(err)
-		defer listener.Close()
-		addresses = append(addresses, listener.Addr().String())
-	}
-	return addresses
-}
-
 var tokens = map[string]string{"crews": "crews-secret", "planners": "planners-secret"}
 
 const operatorToken = "operator-secret"
@@ -86,14 +75,15 @@
 // declares the services; stop is their [stop] section.
 func startInstances(t *testing.T, count int, stop string) []*instance {
 	folder := t.TempDir()
-	addresses := ports(t, 2*count)
+	addresses, err := loopback.Reserve(2 * count)
+	is.New(t).NoErr(err)
 	var peers strings.Builder
 	for n := range count {
 		fmt.Fprintf(&peers, "i%d = %s\n", n+1, addresses[count+n])
 	}
 	var instances []*instance
 	for n := range count {
-		i := &instance{name: fmt.Sprintf("i%d", n+1), url: "http://" + addresses[n]}
+		i := &instance{name: fmt.Sprintf("i%d", n+1), url: "http://" + addresses[n].String()}
 		i.config = filepath.Join(folder, i.name+".ini")
 		data := ""
 		if n < voters {
