--- a/test/scenarios/commands_test.go
+++ b/test/scenarios/commands_test.go
@@ -29,7 +29,7 @@
 // operator's environment. The first three are voters and have a data folder.
 // With relayed every peer link goes through a relay that cut and heal work on;
 // without, a link to a dead instance is refused at once. FILE is added to the
-// settings of each.
+// settings of each, which end with [upstreams].
 func cluster(ts *testscript.TestScript, _ bool, args []string) {
 	count, err := strconv.Atoi(args[0])
 	ts.Check(err)
@@ -54,11 +54,17 @@
 	ts.Setenv("PINEWINCH_TOKEN", operatorToken)
 	for i := range count {
 		text := instanceSettings(ts, i, web[i], peer[i], count)
-		text += peersSection(ts, i, peer, relayed) + extra
+		text += peersSection(ts, i, peer, relayed) + upstreamsSection + extra
 		ts.Check(os.WriteFile(ts.MkAbs(nameOf(i)+".ini"), []byte(text), 0o600))
 	}
 }
 
+// upstreamsSection comes last, so that FILE may begin with more of its keys.
+const upstreamsSection = `[upstreams]
+announce_every = 200ms
+lease = 2s
+`
+
 func nameOf(i int) string { return fmt.Sprintf("i%d", i+1) }
 
 func instanceSettings(ts *testscript.TestScript, i int, web, peer netip.AddrPort, count int) string {
@@ -79,9 +85,6 @@
 listen_peer = %s
 %s[control]
 voters = %s
-[upstreams]
-announce_every = 200ms
-lease = 2s
 [customers]
 crews = %s
 planners = %s
