--- a/internal/protocol/declaration/declaration_test.go
+++ b/internal/protocol/declaration/declaration_test.go
@@ -4,6 +4,7 @@
 	"errors"
 	"os"
 	"path/filepath"
+	"regexp"
 	"strings"
 	"testing"
 
@@ -11,6 +12,7 @@
 
 	"pinewinch.example/pinewinch/internal/protocol/controlpb"
 	"pinewinch.example/pinewinch/internal/protocol/failure"
+	"pinewinch.example/pinewinch/internal/protocol/inifile"
 )
 
 const good = `[customer crews]
@@ -136,3 +138,23 @@
 		}
 	})
 }
+
+// The page for operators lists every key of every kind of section, and no other.
+func TestKeysAreDocumented(t *testing.T) {
+	is := is.New(t)
+	page, err := os.ReadFile("../../../docs/DECLARATIONS.md")
+	is.NoErr(err)
+	keys := 0
+	for kind, name := range map[string]string{"customer": "x", "class": "x", "service": "x", "entry": "x", "rules": ""} {
+		s := newSectionReader("f", inifile.Section{Header: kind})
+		s.item(kind, name)
+		for key := range s.used {
+			keys++
+			if !strings.Contains(string(page), "\n| `"+kind+"."+key+"` |") {
+				t.Errorf("docs/DECLARATIONS.md has no row for %s.%s", kind, key)
+			}
+		}
+	}
+	rows := regexp.MustCompile("\n\\| `[a-z]+\\.[a-z_]+` \\|").FindAllString(string(page), -1)
+	is.Equal(len(rows), keys)
+}
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"errors"
+	"os"
+	"regexp"
 	"strings"
 	"testing"
 	"time"
@@ -97,3 +99,35 @@
 		}
 	})
 }
+
+// The page for operators lists every key that the code reads, and no other.
+func TestKeysAreDocumented(t *testing.T) {
+	is := is.New(t)
+	page, err := os.ReadFile("../../docs/SETTINGS.md")
+	is.NoErr(err)
+	r := newReader("f", nil, nil)
+	r.settings()
+	keys := 0
+	for section, known := range r.known {
+		for key := range known {
+			keys++
+			if !strings.Contains(string(page), "\n| `"+section+"."+key+"` |") {
+				t.Errorf("docs/SETTINGS.md has no row for %s.%s", section, key)
+			}
+		}
+	}
+	rows := regexp.MustCompile("\n\\| `[a-z_]+\\.[a-z_]+` \\|").FindAllString(string(page), -1)
+	is.Equal(len(rows), keys)
+}
+
+// The page's example is one that the program takes, but for its folder.
+func TestExampleOfThePage(t *testing.T) {
+	is := is.New(t)
+	page, err := os.ReadFile("../../docs/SETTINGS.md")
+	is.NoErr(err)
+	_, example, found := strings.Cut(string(page), "```ini\n")
+	is.True(found)
+	example, _, _ = strings.Cut(example, "```")
+	_, err = Parse("f", []byte(strings.Replace(example, "= data\n", "= "+t.TempDir()+"\n", 1)))
+	is.NoErr(err)
+}
