Status uses the dispatcher's count of waste; members -add and -remove

Cause: waste was counted in two places (report, dispatch/waste); replacing a replica had no way in for operators. Change: report groups jobs and asks waste.Of; POST /v1/members and the tool's flags reach ChangeMembers, for operators only. After: tests of report, httpapi and command pass with -race. Not run: a replacement through the tool against real processes (next).

--- a/internal/app/control.go
+++ b/internal/app/control.go
@@ -18,12 +18,13 @@
 	"pinewinch.example/pinewinch/internal/protocol/failure"
 	"pinewinch.example/pinewinch/internal/settings"
 	"pinewinch.example/pinewinch/internal/state/disk"
+	"pinewinch.example/pinewinch/internal/transport/httpapi"
 	"pinewinch.example/pinewinch/internal/transport/peers"
 	"pinewinch.example/pinewinch/internal/transport/tlsfiles"
 )
 
 var controlModule = fx.Module("control",
-	fx.Provide(newNetwork, newNode, newLog),
+	fx.Provide(newNetwork, newNode, newLog, newVoters),
 	fx.Invoke(runPeers, runNode),
 )
 
@@ -93,6 +94,8 @@
 // newLog is the node as every part sees it that does not serve other instances.
 func newLog(node control.Node) control.Log { return node }
 
+func newVoters(node control.Node) httpapi.Voters { return node }
+
 func runPeers(lifecycle fx.Lifecycle, s *settings.Settings, network *peers.Network, soft *softState) error {
 	listener, err := net.Listen("tcp", s.Instance.ListenPeer.String())
 	if err != nil {
--- a/internal/command/operate.go
+++ b/internal/command/operate.go
@@ -89,22 +89,36 @@
 }
 
 func (t *Tool) membersCommand() *ffcli.Command {
-	return t.command("members", "", t.flags("members"), func(ctx context.Context, _ []string) error {
-		members := []api.Instance{}
-		if err := t.get(ctx, api.PathMembers, &members); err != nil {
-			return err
-		}
-		var rows [][]string
-		for _, member := range members {
-			rows = append(rows, []string{
-				member.Name, member.DataCentre, strconv.FormatUint(member.Revision, 10),
-				strconv.FormatBool(member.Ready), strconv.FormatBool(member.Replica), strconv.FormatBool(member.Leader),
-			})
+	flags := t.flags("members")
+	change := api.ChangeMembers{}
+	flags.StringVar(&change.Add, "add", "", "instance whose replica becomes a voter")
+	flags.StringVar(&change.Remove, "remove", "", "instance, or identity of a replica, that leaves the voters")
+	return t.command("members", "", flags, func(ctx context.Context, _ []string) error {
+		if change != (api.ChangeMembers{}) {
+			call := &exchange{method: http.MethodPost, path: api.PathMembers, repeatable: true}
+			if err := t.call(ctx, call, &change, nil); err != nil {
+				return err
+			}
 		}
-		return t.print(members, []string{"instance", "data centre", "revision", "ready", "replica", "leader"}, rows)
+		return t.listMembers(ctx)
 	})
 }
 
+func (t *Tool) listMembers(ctx context.Context) error {
+	members := []api.Instance{}
+	if err := t.get(ctx, api.PathMembers, &members); err != nil {
+		return err
+	}
+	var rows [][]string
+	for _, member := range members {
+		rows = append(rows, []string{
+			member.Name, member.DataCentre, strconv.FormatUint(member.Revision, 10),
+			strconv.FormatBool(member.Ready), strconv.FormatBool(member.Replica), strconv.FormatBool(member.Leader),
+		})
+	}
+	return t.print(members, []string{"instance", "data centre", "revision", "ready", "replica", "leader"}, rows)
+}
+
 // drained is the outcome of drain as JSON.
 type drained struct {
 	Upstream string `json:"upstream"`
--- a/internal/coordination/report/report.go
+++ b/internal/coordination/report/report.go
@@ -3,11 +3,12 @@
 package report
 
 import (
+	"maps"
 	"math"
 	"slices"
-	"sort"
 	"strings"
 
+	"pinewinch.example/pinewinch/internal/coordination/dispatch/waste"
 	"pinewinch.example/pinewinch/internal/coordination/fragmentation"
 	"pinewinch.example/pinewinch/internal/protocol/api"
 	"pinewinch.example/pinewinch/internal/protocol/controlpb"
@@ -24,42 +25,50 @@
 
 // Of reports on the state, with the live workers.
 func Of(state State, workers []*peerpb.Upstream) *api.Status {
-	status := &api.Status{Jobs: map[string]int{}, Workers: len(workers)}
-	for _, worker := range workers {
-		status.Accelerators += int(worker.Accelerators)
-	}
-	customers := map[string]*customer{}
-	total := &customer{}
-	held := map[string]uint32{}
-	for _, item := range state.Items() {
-		if declared := item.GetCustomer(); declared != nil {
-			customers[declared.Name] = &customer{guaranteed: guaranteed(declared)}
+	jobs := state.Jobs()
+	customers := byCustomer(state.Items(), jobs)
+	status := &api.Status{Jobs: map[string]int{}, Workers: len(workers), Customers: []api.CustomerStatus{}}
+	total := &customer{jobs: jobs}
+	for _, name := range slices.Sorted(maps.Keys(customers)) {
+		c := customers[name]
+		status.Customers = append(status.Customers, c.describe(name, workers))
+		if c.declared != nil {
+			total.guarantees = append(total.guarantees, c.declared)
 		}
 	}
-	for _, job := range state.Jobs() {
+	held := map[string]uint32{}
+	for _, job := range jobs {
 		status.Jobs[StateName(job.State)]++
-		if customers[job.Customer] == nil {
-			customers[job.Customer] = &customer{}
-		}
-		customers[job.Customer].add(job)
-		total.add(job)
 		for _, placement := range job.Placements {
 			held[placement.Worker] += uint32(len(placement.Accelerators))
 		}
 	}
-	status.Used = total.used
-	status.Idle = max(status.Accelerators-status.Used, 0)
+	counted := waste.Of(jobs, workers, total.guarantees)
+	status.Accelerators = int(counted.Total)
+	status.Idle = int(counted.Idle)
+	status.Used = status.Accelerators - status.Idle
+	status.Waste = total.waste(&counted)
 	status.Completion = total.completion()
-	status.Waste = total.waste
-	status.Customers = describe(customers)
-	for _, c := range status.Customers {
-		status.Waste.IdleInGuarantee += c.Waste.IdleInGuarantee
-	}
-	status.Waste.IdleInGuarantee = min(status.Waste.IdleInGuarantee, status.Idle)
 	status.Fragmentation = fragmentation.Of(idle(workers, held), demands(state.Items()))
 	return status
 }
 
+func byCustomer(items []*controlpb.Item, jobs []*controlpb.Job) map[string]*customer {
+	customers := map[string]*customer{}
+	for _, item := range items {
+		if declared := item.GetCustomer(); declared != nil {
+			customers[declared.Name] = &customer{declared: declared, guarantees: []*controlpb.Customer{declared}}
+		}
+	}
+	for _, job := range jobs {
+		if customers[job.Customer] == nil {
+			customers[job.Customer] = &customer{}
+		}
+		customers[job.Customer].jobs = append(customers[job.Customer].jobs, job)
+	}
+	return customers
+}
+
 const statePrefix = "JOB_STATE_"
 
 // StateName is the name of a job's state in JSON and tables.
@@ -67,70 +76,74 @@
 	return strings.ToLower(strings.TrimPrefix(state.String(), statePrefix))
 }
 
-func guaranteed(customer *controlpb.Customer) int {
-	sum := 0
-	for _, shape := range customer.Guarantee {
-		sum += int(shape.Sets * shape.Accelerators)
-	}
-	return sum
-}
-
-// customer sums up the jobs of one customer, or of all.
+// customer is what is known of one customer, or of all together. A customer
+// whose declaration is gone may still have jobs.
 type customer struct {
-	guaranteed int
-	used       int
-	waiting    int
-	running    int
-	met        int
-	missed     int
-	waste      api.Waste
-	// took holds milliseconds from submission to the end.
-	took []int64
+	declared   *controlpb.Customer
+	guarantees []*controlpb.Customer
+	jobs       []*controlpb.Job
 }
 
-func (c *customer) add(job *controlpb.Job) {
-	switch job.State {
-	case controlpb.JobState_JOB_STATE_WAITING:
-		c.waiting++
-	case controlpb.JobState_JOB_STATE_RUNNING:
-		c.running++
-	case controlpb.JobState_JOB_STATE_COMPLETED:
-		c.took = append(c.took, job.EndedMs-job.SubmittedMs)
-		c.countDeadline(job)
+func (c *customer) describe(name string, workers []*peerpb.Upstream) api.CustomerStatus {
+	counted := waste.Of(c.jobs, workers, c.guarantees)
+	described := api.CustomerStatus{
+		Name:       name,
+		Used:       int(counted.Total - counted.Idle),
+		Completion: c.completion(),
+		Waste:      c.waste(&counted),
+	}
+	for _, shape := range c.declared.GetGuarantee() {
+		described.Guaranteed += int(shape.Sets * shape.Accelerators)
 	}
-	for _, placement := range job.Placements {
-		c.used += len(placement.Accelerators)
+	for _, job := range c.jobs {
+		switch job.State {
+		case controlpb.JobState_JOB_STATE_WAITING:
+			described.Waiting++
+		case controlpb.JobState_JOB_STATE_RUNNING:
+			described.Running++
+		}
 	}
-	accelerators := float64(job.Tasks) * float64(job.Accelerators) / msPerSecond
-	c.waste.Run += float64(job.RanMs) * accelerators
-	c.waste.Reserved += float64(job.ReservedMs) * accelerators
-	c.waste.Preempted += float64(job.LostPreemptedMs) * accelerators
-	c.waste.Retried += float64(job.LostMs-job.LostPreemptedMs) * accelerators
+	return described
 }
 
-func (c *customer) countDeadline(job *controlpb.Job) {
-	switch {
-	case job.DeadlineMs == 0:
-	case job.EndedMs <= job.DeadlineMs:
-		c.met++
-	default:
-		c.missed++
+func (c *customer) waste(counted *waste.Waste) api.Waste {
+	described := api.Waste{
+		Reserved:        counted.ReservedSeconds,
+		Preempted:       counted.LostToPreemptionSeconds,
+		Retried:         counted.LostToRetriesSeconds,
+		ReservedNow:     int(counted.ReservedUnused),
+		IdleInGuarantee: int(counted.IdleInGuarantee),
+	}
+	for _, job := range c.jobs {
+		described.Run += float64(job.RanMs) * float64(job.Tasks*job.Accelerators) / msPerSecond
 	}
+	return described
 }
 
 func (c *customer) completion() api.Completion {
-	done := api.Completion{Jobs: len(c.took), DeadlinesMet: c.met, DeadlinesMissed: c.missed}
-	if len(c.took) == 0 {
-		return done
-	}
-	slices.Sort(c.took)
+	var done api.Completion
+	var took []int64
 	var sum int64
-	for _, ms := range c.took {
-		sum += ms
+	for _, job := range c.jobs {
+		if job.State != controlpb.JobState_JOB_STATE_COMPLETED {
+			continue
+		}
+		took = append(took, job.EndedMs-job.SubmittedMs)
+		sum += job.EndedMs - job.SubmittedMs
+		if job.DeadlineMs != 0 && job.EndedMs <= job.DeadlineMs {
+			done.DeadlinesMet++
+		} else if job.DeadlineMs != 0 {
+			done.DeadlinesMissed++
+		}
+	}
+	if len(took) == 0 {
+		return done
 	}
-	done.MeanSeconds = float64(sum) / float64(len(c.took)) / msPerSecond
-	done.MedianSeconds = quantile(c.took, 0.5)
-	done.P99Seconds = quantile(c.took, 0.99)
+	slices.Sort(took)
+	done.Jobs = len(took)
+	done.MeanSeconds = float64(sum) / float64(len(took)) / msPerSecond
+	done.MedianSeconds = quantile(took, 0.5)
+	done.P99Seconds = quantile(took, 0.99)
 	return done
 }
 
@@ -140,24 +153,6 @@
 	return float64(sorted[rank-1]) / msPerSecond
 }
 
-func describe(customers map[string]*customer) []api.CustomerStatus {
-	described := make([]api.CustomerStatus, 0, len(customers))
-	for name, c := range customers {
-		c.waste.IdleInGuarantee = max(c.guaranteed-c.used, 0)
-		described = append(described, api.CustomerStatus{
-			Name:       name,
-			Waiting:    c.waiting,
-			Running:    c.running,
-			Guaranteed: c.guaranteed,
-			Used:       c.used,
-			Completion: c.completion(),
-			Waste:      c.waste,
-		})
-	}
-	sort.Slice(described, func(i, j int) bool { return described[i].Name < described[j].Name })
-	return described
-}
-
 func idle(workers []*peerpb.Upstream, held map[string]uint32) []fragmentation.Worker {
 	parts := make([]fragmentation.Worker, 0, len(workers))
 	for _, worker := range workers {
--- a/internal/protocol/api/api.go
+++ b/internal/protocol/api/api.go
@@ -105,6 +105,13 @@
 	Leader     bool   `json:"leader"`
 }
 
+// ChangeMembers changes who keeps the log: an instance whose replica becomes a
+// voter, one whose replica leaves, or both to replace a replica.
+type ChangeMembers struct {
+	Add    string `json:"add,omitempty"`
+	Remove string `json:"remove,omitempty"`
+}
+
 // Explanation says why a job waits: the scheduler's own reason of its newest
 // pass, empty if the job does not wait.
 type Explanation struct {
--- a/internal/protocol/api/status.go
+++ b/internal/protocol/api/status.go
@@ -43,6 +43,8 @@
 	// Preempted and Retried were run and lost.
 	Preempted float64 `json:"lost_to_preemption_accelerator_seconds"`
 	Retried   float64 `json:"lost_to_retries_accelerator_seconds"`
+	// ReservedNow counts accelerators held without running now.
+	ReservedNow int `json:"reserved_unused_accelerators"`
 	// IdleInGuarantee counts accelerators idle now that a guarantee claims.
 	IdleInGuarantee int `json:"idle_in_guarantee_accelerators"`
 }
--- a/internal/transport/httpapi/operators.go
+++ b/internal/transport/httpapi/operators.go
@@ -75,6 +75,28 @@
 	writeJSON(w, members)
 }
 
+// Voters changes who keeps the log.
+type Voters interface {
+	ChangeMembers(ctx context.Context, change *peerpb.ChangeMembers) error
+}
+
+func (s *Server) changeMembers(w http.ResponseWriter, r *http.Request, _ string) {
+	change := api.ChangeMembers{}
+	if err := readJSON(r, &change); err != nil {
+		writeError(w, err)
+		return
+	}
+	if change.Add == "" && change.Remove == "" {
+		writeError(w, failure.New(failure.BadRequest, "name a replica to add, to remove, or both"))
+		return
+	}
+	if err := s.voters.ChangeMembers(r.Context(), &peerpb.ChangeMembers{Add: change.Add, Remove: change.Remove}); err != nil {
+		writeError(w, err)
+		return
+	}
+	writeJSON(w, change)
+}
+
 func (s *Server) drain(w http.ResponseWriter, r *http.Request, _ string) {
 	drain := &controlpb.SetDrain{Upstream: mux.Vars(r)["id"], Drained: r.Method == http.MethodPost}
 	if _, err := s.propose(r, &controlpb.Command{Op: &controlpb.Command_Drain{Drain: drain}}); err != nil {
--- a/internal/transport/httpapi/server.go
+++ b/internal/transport/httpapi/server.go
@@ -29,14 +29,15 @@
 	registry  *membership.Registry
 	executor  *claims.Executor
 	explainer Explainer
+	voters    Voters
 	// started is when this instance began to hear upstreams.
 	started  time.Time
 	stopping atomic.Bool
 }
 
 // New makes a server.
-func New(s *settings.Settings, log control.Log, registry *membership.Registry, executor *claims.Executor, explainer Explainer) *Server {
-	return &Server{settings: s, control: log, registry: registry, executor: executor, explainer: explainer, started: time.Now()}
+func New(s *settings.Settings, log control.Log, registry *membership.Registry, executor *claims.Executor, explainer Explainer, voters Voters) *Server {
+	return &Server{settings: s, control: log, registry: registry, executor: executor, explainer: explainer, voters: voters, started: time.Now()}
 }
 
 // Handler gives the routes.
@@ -74,6 +75,7 @@
 	routes.HandleFunc(api.PathDeclarations, s.asOperator(s.applyDeclarations)).Methods(http.MethodPost)
 	routes.HandleFunc(api.PathStatus, s.asOperator(s.status)).Methods(http.MethodGet)
 	routes.HandleFunc(api.PathMembers, s.asOperator(s.members)).Methods(http.MethodGet)
+	routes.HandleFunc(api.PathMembers, s.asOperator(s.changeMembers)).Methods(http.MethodPost)
 	routes.HandleFunc(api.PathDrain, s.asOperator(s.drain)).Methods(http.MethodPost, http.MethodDelete)
 	routes.HandleFunc(api.PathState, s.asOperator(s.dump)).Methods(http.MethodGet)
 	routes.HandleFunc(api.PathVars, s.asOperator(vars)).Methods(http.MethodGet)
--- a/internal/transport/httpapi/server_test.go
+++ b/internal/transport/httpapi/server_test.go
@@ -72,7 +72,7 @@
 		Upstreams: settings.Upstreams{AnnounceEvery: time.Second, Lease: 10 * time.Second, Token: hash("upstream-secret")},
 		Requests:  settings.Requests{MaxBodyBytes: 4096},
 	}
-	return New(s, l, membership.NewRegistry(time.Now), nil, noReasons{}), l
+	return New(s, l, membership.NewRegistry(time.Now), nil, noReasons{}, nil), l
 }
 
 // answer sends one call and decodes an error's body.
@@ -123,6 +123,8 @@
 		"not JSON":                   {"POST", "/v1/jobs", "crews-secret", []byte("{"), failure.BadRequest},
 		"key not fit for a path":     {"POST", "/v1/jobs", "crews-secret", []byte(`{"class":"survey","key":"a/b"}`), failure.BadRequest},
 		"unknown class":              {"POST", "/v1/jobs", "crews-secret", []byte(`{"class":"none"}`), failure.NotFound},
+		"customer changes members":   {"POST", "/v1/members", "crews-secret", []byte(`{"add":"i4"}`), failure.Unauthorized},
+		"no member named":            {"POST", "/v1/members", "ops-secret", []byte(`{}`), failure.BadRequest},
 		"bad index":                  {"GET", "/v1/status?after=x", "ops-secret", nil, failure.BadRequest},
 	}
 	for name, test := range tests {
