--- a/internal/experiment/benchcmd/benchcmd.go
+++ b/internal/experiment/benchcmd/benchcmd.go
@@ -19,6 +19,8 @@
 	sampleCommand,
 	fitCommand,
 	loadCommand,
+	detectorCommand,
+	compareCommand,
 }
 
 // Run runs one experiment and gives the exit code.
