--- a/internal/coordination/replica/mesh_test.go
+++ b/internal/coordination/replica/mesh_test.go
@@ -1,9 +1,11 @@
 package replica
 
 import (
+	"cmp"
 	"context"
 	"io"
 	"math/rand/v2"
+	"path/filepath"
 	"sync"
 	"testing"
 	"time"
@@ -15,12 +17,13 @@
 	"pinewinch.example/pinewinch/internal/protocol/controlpb"
 	"pinewinch.example/pinewinch/internal/protocol/failure"
 	"pinewinch.example/pinewinch/internal/protocol/peerpb"
+	"pinewinch.example/pinewinch/internal/state/disk"
 	"pinewinch.example/pinewinch/internal/state/disk/disktest"
 )
 
 // mesh joins replicas in memory; instances can be cut off and started again.
 type mesh struct {
-	t        *testing.T
+	t        testing.TB
 	mu       sync.Mutex
 	replicas map[string]*Replica
 	disks    map[string]*disktest.FS
@@ -28,11 +31,15 @@
 	cut      map[string]bool
 	// entries is Config.SnapshotEntries.
 	entries uint64
+	// folder is where the data folders are; empty for disks in memory.
+	folder string
+	// syncDelay is added to each sync there.
+	syncDelay time.Duration
 }
 
 var voters = []string{"i1", "i2", "i3"}
 
-func newMesh(t *testing.T) *mesh {
+func newMesh(t testing.TB) *mesh {
 	m := &mesh{
 		t: t, replicas: map[string]*Replica{}, disks: map[string]*disktest.FS{},
 		stops: map[string]func() error{}, cut: map[string]bool{},
@@ -54,7 +61,7 @@
 	logger.SetOutput(io.Discard)
 	r := New(Config{
 		Instance: instance, Voters: voters, Peers: []string{"i1", "i2", "i3", "i4"},
-		Files: m.disks[instance], DataFolder: "/data",
+		Files: m.files(instance), DataFolder: filepath.Join(cmp.Or(m.folder, "/data"), instance),
 		ElectionTimeout: 400 * time.Millisecond, FreshnessBound: 3 * time.Second,
 		SnapshotEntries: m.entries, Now: time.Now, Logger: logger,
 		Rand: rand.New(rand.NewPCG(uint64(instance[1]), 7)),
@@ -72,6 +79,13 @@
 	return r
 }
 
+func (m *mesh) files(instance string) disk.FS {
+	if m.folder != "" {
+		return slowDisk{delay: m.syncDelay}
+	}
+	return m.disks[instance]
+}
+
 // crash ends an instance and leaves on its disk what was synced.
 func (m *mesh) crash(instance string) {
 	m.setCut(instance, true)
--- a/internal/coordination/replica/replica_test.go
+++ b/internal/coordination/replica/replica_test.go
@@ -261,7 +261,7 @@
 			is.NoErr(err)
 			is.Equal(string(got), string(want))
 		}
-		names, _ := m.disks["i2"].Names("/data/snapshots")
+		names, _ := m.disks["i2"].Names("/data/i2/snapshots")
 		is.Equal(len(names), 2)
 	})
 }
