A command accepted here can be read back here

Cause: example-api.txtar failed once under load: a job submitted at a follower answered 200 and explain at the same instance 404, the entry not yet applied there. Ruled out: asking the leader for every read, which puts all reads in one place. Change: an accepted command waits, for a second at most, until the own state holds its index. Test seen to fail without the wait, then pass.

--- a/internal/coordination/control/control.go
+++ b/internal/coordination/control/control.go
@@ -9,6 +9,7 @@
 
 	"pinewinch.example/pinewinch/internal/protocol/consensuspb"
 	"pinewinch.example/pinewinch/internal/protocol/controlpb"
+	"pinewinch.example/pinewinch/internal/protocol/failure"
 	"pinewinch.example/pinewinch/internal/protocol/peerpb"
 	"pinewinch.example/pinewinch/internal/state/store"
 )
@@ -72,6 +73,28 @@
 	Deliver(message *consensuspb.Message)
 }
 
+// Reader is the reading part of a Log.
+type Reader interface {
+	State() *store.State
+	Changed() <-chan struct{}
+}
+
+// Await waits until the instance's own state holds a log index, and fails with
+// stale_state when ctx ends first.
+func Await(ctx context.Context, log Reader, index uint64) error {
+	for {
+		changed := log.Changed()
+		if log.State().Index() >= index {
+			return nil
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return failure.Wrap(failure.StaleState, ctx.Err(), "entry %d has not been applied", index)
+		}
+	}
+}
+
 // Published is the newest state of a node. One goroutine publishes; any reads.
 type Published struct {
 	state   atomic.Pointer[store.State]
--- a/internal/coordination/replica/confirm.go
+++ b/internal/coordination/replica/confirm.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"pinewinch.example/pinewinch/internal/coordination/consensus"
+	"pinewinch.example/pinewinch/internal/coordination/control"
 	"pinewinch.example/pinewinch/internal/protocol/failure"
 	"pinewinch.example/pinewinch/internal/protocol/peerpb"
 )
@@ -87,7 +88,7 @@
 		return err
 	}
 	confirmation := reply.GetConfirmation()
-	if err := r.waitApplied(ctx, confirmation.GetIndex()); err != nil {
+	if err := control.Await(ctx, r, confirmation.GetIndex()); err != nil {
 		return err
 	}
 	r.confirm(sent.Add(-time.Duration(confirmation.GetAgeMs()) * time.Millisecond))
--- a/internal/coordination/replica/replica.go
+++ b/internal/coordination/replica/replica.go
@@ -225,18 +225,3 @@
 	<-done
 	return nil
 }
-
-// waitApplied waits until the published state has applied an index.
-func (r *Replica) waitApplied(ctx context.Context, index uint64) error {
-	for {
-		changed := r.Changed()
-		if r.State().Index() >= index {
-			return nil
-		}
-		select {
-		case <-changed:
-		case <-ctx.Done():
-			return failure.Wrap(failure.StaleState, ctx.Err(), "entry %d has not been applied", index)
-		}
-	}
-}
--- a/internal/transport/httpapi/jobs.go
+++ b/internal/transport/httpapi/jobs.go
@@ -9,6 +9,7 @@
 	"github.com/gorilla/mux"
 	"github.com/oklog/ulid/v2"
 
+	"pinewinch.example/pinewinch/internal/coordination/control"
 	"pinewinch.example/pinewinch/internal/coordination/inventory"
 	"pinewinch.example/pinewinch/internal/coordination/report"
 	"pinewinch.example/pinewinch/internal/protocol/api"
@@ -104,9 +105,23 @@
 		f.Revision = result.Revision
 		return nil, f
 	}
+	s.awaitOwn(r.Context(), result.Index)
 	return result, nil
 }
 
+// ownStateWait bounds how long an accepted command waits to be seen here.
+const ownStateWait = time.Second
+
+// awaitOwn lets this instance's state catch up with what it has just had
+// accepted: a caller that submits a job and asks for it at the same instance
+// would otherwise be told now and then that there is none. A command is
+// accepted whether or not the state catches up in time.
+func (s *Server) awaitOwn(ctx context.Context, index uint64) {
+	ctx, cancel := context.WithTimeout(ctx, ownStateWait)
+	defer cancel()
+	_ = control.Await(ctx, s.control, index)
+}
+
 func (s *Server) listJobs(w http.ResponseWriter, _ *http.Request, customer string) {
 	jobs := []api.Job{}
 	for _, job := range s.control.State().Jobs() {
