Consensus: a member that is added again gets the log

Ruled out: the network model and the settle bound (the leader had no progress entry for the learner at all). Change: a member that the configuration has is not leaving. TestAddedAgain fails without it.

--- a/internal/coordination/consensus/progress.go
+++ b/internal/coordination/consensus/progress.go
@@ -68,6 +68,8 @@
 		if p == nil {
 			p = &progress{identity: m.Identity, next: n.log.last() + 1}
 		}
+		// One that was removed and is added again may not have left yet.
+		p.leaving = false
 		list = append(list, p)
 	}
 	for _, p := range n.progress {
--- a/internal/coordination/consensus/scenario_test.go
+++ b/internal/coordination/consensus/scenario_test.go
@@ -354,3 +354,18 @@
 	removedReplica(w)
 	is.New(t).Equal(w.violation, "")
 }
+
+// A member is removed and added again before it has heard of the removal: it
+// gets the log as any other (found at seed 1000992).
+func TestAddedAgain(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(1, 3, calm, planted{})
+	leader, others := w.led()
+	w.isolate(others[0])
+	is.NoErr(w.member(leader, others[0].identity, true, false))
+	w.drain()
+	is.NoErr(w.member(leader, others[0].identity, false, false))
+	clear(w.cut)
+	is.True(w.settle())
+	is.Equal(w.violation, "")
+}
