--- a/internal/transport/httpapi/upstreams.go
+++ b/internal/transport/httpapi/upstreams.go
@@ -40,8 +40,7 @@
 		return nil, failure.New(failure.BadRequest, "an announcement names id and address")
 	}
 	ttl := s.settings.Upstreams.AnnounceEvery * announcementsMissed
-	s.registry.Merge(announcement.Upstream(kind, ttl))
-	return announcement, nil
+	return announcement, s.registry.Merge(announcement.Upstream(kind, ttl))
 }
 
 // tellWorker renews leases as far as this instance's state is fresh enough.
--- a/internal/transport/peers/secure_test.go
+++ b/internal/transport/peers/secure_test.go
@@ -11,6 +11,7 @@
 	"github.com/matryer/is"
 
 	"pinewinch.example/pinewinch/internal/coordination/control"
+	"pinewinch.example/pinewinch/internal/coordination/softstate"
 	"pinewinch.example/pinewinch/internal/protocol/consensuspb"
 	"pinewinch.example/pinewinch/internal/protocol/failure"
 	"pinewinch.example/pinewinch/internal/protocol/peerpb"
@@ -28,6 +29,8 @@
 
 func (acknowledging) Follow(context.Context, *peerpb.Follow, control.Stream) error { return nil }
 
+func (acknowledging) Watch(context.Context, *peerpb.Watch, softstate.Stream) error { return nil }
+
 // Instance b serves its peers with mutual TLS. One with a certificate of the
 // authority is answered. One without TLS, with a stranger's certificate, or that
 // finds another instance at the address, gets no answer, and surely ran nothing.
