--- a/internal/coordination/consensus/node.go
+++ b/internal/coordination/consensus/node.go
@@ -39,7 +39,7 @@
 	Hard     *consensuspb.HardState
 	Snapshot *consensuspb.SnapshotMeta // nil before the first
 	Entries  []*consensuspb.Entry      // after the snapshot
-	Applied  uint64                    // index the state machine stands at
+	Applied  uint64                    // index the state machine stands at, the snapshot's or a later one
 }
 
 // bootstrapIndex is where the first configuration stands on every first voter.
--- a/internal/coordination/consensus/status.go
+++ b/internal/coordination/consensus/status.go
@@ -30,7 +30,8 @@
 	// Commit is the newest committed index, Applied the newest handed over in
 	// Ready.Committed or installed.
 	Commit, Applied uint64
-	// Configuration is the newest in the log, in force from its append on.
+	// Configuration is the newest in the log, in force from its append on. It
+	// is shared and must not be changed.
 	Configuration *consensuspb.Configuration
 	// ConfigurationPending tells that it is not committed yet.
 	ConfigurationPending bool
