--- a/internal/coordination/dispatch/gang/run.go
+++ b/internal/coordination/dispatch/gang/run.go
@@ -48,11 +48,14 @@
 	awaiting Kind
 	// refused is why a reserve or start failed.
 	refused *failure.Error
+	// heardIn is the newest announcement that reported the task.
+	heardIn *peerpb.Upstream
 	// report of the task's end.
 	report         *peerpb.TaskReport
 	checkpointedMs int64
-	// incarnation of the worker that was asked to reserve, or reported the task.
-	incarnation int64
+	// unknown is set where the worker has started again since it was given the
+	// task: it runs no more, and nobody can say how it ended.
+	unknown bool
 	// absent is since when a live worker has not reported the task.
 	absent time.Time
 	// retry is when a stop may be sent again.
@@ -83,9 +86,10 @@
 	r := &run{epoch: job.Epoch, mayHaveStarted: job.StartedMs > 0 || !s.knowsWorkers()}
 	for _, placement := range job.Placements {
 		m := &member{placement: placement, checkpointedMs: job.CheckpointedMs}
-		ref := api.TaskRef{Job: job.Id, Task: placement.Task, Epoch: job.Epoch}
-		if w := s.workers[placement.Worker]; w != nil && w.reports[ref] != nil {
-			m.hear(w.reports[ref], w.upstream.Incarnation)
+		if w := s.workers[placement.Worker]; w != nil {
+			if report := w.reportOf(job.Id, job.Epoch, placement.Task); report != nil {
+				m.hear(report, w.upstream)
+			}
 		}
 		r.members = append(r.members, m)
 	}
@@ -126,19 +130,29 @@
 	api.PhaseCompleted: phaseCompleted,
 }
 
-// hear takes what the worker reports of the task.
-func (m *member) hear(report *peerpb.TaskReport, incarnation int64) {
+// hear takes what the worker reports of the task, and tells whether it is news.
+func (m *member) hear(report *peerpb.TaskReport, in *peerpb.Upstream) bool {
 	m.absent = time.Time{}
-	m.incarnation = incarnation
+	m.heardIn = in
+	before := m.phase
 	m.advance(reportedPhases[report.Phase], report.CheckpointedMs)
 	if m.phase.ended() && m.report == nil {
 		m.report = report
+		return true
 	}
+	return m.phase != before
 }
 
 // take handles the answer to a command.
 func (m *member) take(answer *Answer, now time.Time) {
 	m.awaiting = 0
+	if answer.Err == nil && answer.Kind == Stop && answer.Phase == "" {
+		// The start of the worker that was given the task would know of it, had it
+		// ever run there.
+		m.unknown = answer.Incarnation != m.placement.Incarnation
+		m.advance(phaseStopped, 0)
+		return
+	}
 	if answer.Err == nil {
 		m.advance(answeredPhases[answer.Phase], answer.CheckpointedMs)
 		return
