--- a/internal/app/http.go
+++ b/internal/app/http.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"errors"
 	"net"
 	"net/http"
@@ -10,15 +11,17 @@
 	"github.com/sirupsen/logrus"
 	"go.uber.org/fx"
 
+	"pinewinch.example/pinewinch/internal/coordination/claims"
 	"pinewinch.example/pinewinch/internal/protocol/failure"
 	"pinewinch.example/pinewinch/internal/settings"
 	"pinewinch.example/pinewinch/internal/transport/counted"
 	"pinewinch.example/pinewinch/internal/transport/httpapi"
+	"pinewinch.example/pinewinch/internal/transport/tlsfiles"
 )
 
 var httpModule = fx.Module("http",
 	fx.Provide(httpapi.New),
-	fx.Invoke(runHTTP),
+	fx.Invoke(runHTTP, runLeave),
 )
 
 // Timeouts of the HTTP server: a caller that sends or reads slowly must not
@@ -33,11 +36,19 @@
 // traffic counts callers, operators and announcing upstreams together.
 var traffic = counted.NewCounters("http")
 
-func runHTTP(lifecycle fx.Lifecycle, s *settings.Settings, server *httpapi.Server, logger *logrus.Logger) error {
+func runHTTP(lifecycle fx.Lifecycle, s *settings.Settings, server *httpapi.Server, executor *claims.Executor, logger *logrus.Logger) error {
 	listener, err := net.Listen("tcp", s.Instance.ListenHTTP.String())
 	if err != nil {
 		return failure.Wrap(failure.BadSettings, err, "[instance] listen_http")
 	}
+	listener = traffic.Listener(listener)
+	if s.TLS.Certificate != "" {
+		source, err := tlsfiles.Open(tlsfiles.Files{Certificate: s.TLS.Certificate, Key: s.TLS.Key}, time.Now)
+		if err != nil {
+			return err
+		}
+		listener = tls.NewListener(listener, source.Server())
+	}
 	web := &http.Server{
 		Handler:           server.Handler(),
 		ReadHeaderTimeout: readHeaderTimeout,
@@ -48,7 +59,7 @@
 	lifecycle.Append(fx.Hook{
 		OnStart: func(context.Context) error {
 			go func() {
-				if err := web.Serve(traffic.Listener(listener)); !errors.Is(err, http.ErrServerClosed) {
+				if err := web.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
 					logger.WithError(err).Error("http server ended")
 				}
 			}()
@@ -56,11 +67,9 @@
 			return nil
 		},
 		OnStop: func(ctx context.Context) error {
-			server.BeginStop()
-			logger.Info("stopping")
-			ctx, cancel := context.WithTimeout(ctx, s.Stop.Grace)
-			defer cancel()
-			return web.Shutdown(ctx)
+			stop := &gracefulStop{settings: s.Stop, server: server, web: web, executor: executor, logger: logger}
+			stop.run(ctx)
+			return nil
 		},
 	})
 	return nil
--- a/internal/coordination/dispatch/controller.go
+++ b/internal/coordination/dispatch/controller.go
@@ -6,6 +6,7 @@
 	"sync/atomic"
 	"time"
 
+	"pinewinch.example/pinewinch/internal/coordination/dispatch/quarantine"
 	"pinewinch.example/pinewinch/internal/coordination/inventory"
 	"pinewinch.example/pinewinch/internal/coordination/scheduling"
 	"pinewinch.example/pinewinch/internal/protocol/controlpb"
@@ -16,6 +17,9 @@
 // passEvery bounds how long news of an upstream waits for a pass.
 const passEvery = 100 * time.Millisecond
 
+// gatherFor is how long answers of workers wait for others before a step.
+const gatherFor = 2 * time.Millisecond
+
 // plansRefused counts plans that would have broken an invariant.
 var plansRefused = expvar.NewInt("dispatch_plans_refused")
 
@@ -34,7 +38,9 @@
 	registry   Registry
 	now        func() time.Time
 	inventory  inventory.Planner
+	passes     passGate
 	waiting    atomic.Pointer[[]scheduling.Reason]
+	led        bool
 	// newest is the plan before the next one: its cells stay where they are.
 	newest   *scheduling.Plan
 	runTimes *runTimes
@@ -58,22 +64,46 @@
 	defer ticker.Stop()
 	for {
 		changed := c.log.Changed()
-		if c.log.IsLeader() {
-			c.step(ctx)
-		}
+		c.Turn(ctx)
 		select {
 		case <-ctx.Done():
 			return
 		case <-changed:
+		case <-c.dispatcher.Wake():
+			gather(ctx)
 		case <-ticker.C:
 		}
 	}
 }
 
+// gather lets the answers of one gang, or of a wave of jobs, come in together, so
+// that they cost one entry.
+func gather(ctx context.Context) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(gatherFor):
+	}
+}
+
+// Turn takes one step if this instance leads. What an earlier term remembered is
+// dropped at the first step of a new one.
+func (c *Controller) Turn(ctx context.Context) {
+	leads := c.log.IsLeader()
+	if leads && !c.led {
+		c.dispatcher.Reset()
+		c.inventory = inventory.Planner{}
+		c.passes = passGate{}
+	}
+	c.led = leads
+	if leads {
+		c.step(ctx)
+	}
+}
+
 func (c *Controller) step(ctx context.Context) {
 	if due := c.inventory.Due(c.log.State(), c.now()); len(due) > 0 {
 		command := &controlpb.Command{Op: &controlpb.Command_SubmitJobs{SubmitJobs: &controlpb.SubmitJobs{Jobs: due}}}
-		if _, err := c.log.Propose(ctx, command); err != nil {
+		if !c.propose(ctx, command) {
 			return
 		}
 	}
@@ -81,24 +111,90 @@
 	c.dispatcher.Reconcile(ctx)
 }
 
+// propose bounds how long a log without a quorum holds the controller. What was
+// not committed is decided again by a later step.
+func (c *Controller) propose(ctx context.Context, command *controlpb.Command) bool {
+	ctx, cancel := context.WithTimeout(ctx, proposeTimeout)
+	defer cancel()
+	_, err := c.log.Propose(ctx, command)
+	return err == nil
+}
+
 func (c *Controller) schedule(ctx context.Context) {
-	plan := scheduling.Pass(c.snapshot(c.log.State()))
+	state := c.log.State()
+	workers, probing := c.judge(state)
+	if !c.passes.open(state.Index(), workers, c.now()) {
+		return
+	}
+	plan := scheduling.Pass(c.snapshot(state, workers))
 	c.newest = plan
 	c.waiting.Store(&plan.Waiting)
 	if plan.Breach != nil {
 		plansRefused.Add(1)
 	}
-	if len(plan.Assignments) == 0 && len(plan.Preemptions) == 0 {
+	assignments := quarantine.Limit(plan.Assignments, func(worker string) bool { return probing[worker] })
+	if len(assignments) == 0 && len(plan.Preemptions) == 0 {
 		return
 	}
-	commit := &controlpb.CommitPlan{Assignments: plan.Assignments, Preemptions: plan.Preemptions}
-	// A plan that was not committed is made again by the next pass.
-	_, _ = c.log.Propose(ctx, &controlpb.Command{Op: &controlpb.Command_Plan{Plan: commit}})
+	c.addressStarts(assignments)
+	commit := &controlpb.CommitPlan{Assignments: assignments, Preemptions: plan.Preemptions}
+	c.propose(ctx, &controlpb.Command{Op: &controlpb.Command_Plan{Plan: commit}})
 }
 
-func (c *Controller) snapshot(state *store.State) *scheduling.Snapshot {
+// judge lists the live workers as scheduling sees them, and those that may be
+// given one job as a probe: none while such a job is on it.
+func (c *Controller) judge(state *store.State) (workers []scheduling.Worker, probing map[string]bool) {
+	probing = map[string]bool{}
+	live := c.registry.Live(peerpb.UpstreamKind_UPSTREAM_KIND_WORKER)
+	workers = make([]scheduling.Worker, 0, len(live))
+	for _, worker := range live {
+		verdict := c.dispatcher.verdict(state, worker.Id)
+		if verdict == quarantine.Probing && holdsTasks(state, worker.Id) {
+			verdict = quarantine.Quarantined
+		}
+		if verdict == quarantine.Probing {
+			probing[worker.Id] = true
+		}
+		refused := verdict == quarantine.CoolingDown || verdict == quarantine.Quarantined
+		workers = append(workers, scheduling.Worker{
+			ID:           worker.Id,
+			DataCentre:   worker.DataCentre,
+			Rack:         worker.Rack,
+			Cores:        worker.Cores,
+			MemoryMB:     worker.MemoryMb,
+			Accelerators: worker.Accelerators,
+			Unavailable:  worker.Leaving || state.Drained(worker.Id) || refused,
+		})
+	}
+	return workers, probing
+}
+
+// addressStarts notes for which start of its worker each task is meant.
+func (c *Controller) addressStarts(assignments []*controlpb.Assignment) {
+	for _, assignment := range assignments {
+		for _, placement := range assignment.Placements {
+			if worker, ok := c.registry.Get(placement.Worker); ok {
+				placement.Incarnation = worker.Incarnation
+			}
+		}
+	}
+}
+
+func holdsTasks(state *store.State, worker string) bool {
+	for _, job := range state.ActiveJobs() {
+		for _, placement := range job.Placements {
+			if placement.Worker == worker {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+func (c *Controller) snapshot(state *store.State, workers []scheduling.Worker) *scheduling.Snapshot {
 	snapshot := &scheduling.Snapshot{
 		Now:          c.now(),
+		Workers:      workers,
 		Jobs:         state.ActiveJobs(),
 		Customers:    map[string]*controlpb.Customer{},
 		Rules:        state.Rules(),
@@ -111,16 +207,5 @@
 			snapshot.Customers[customer.Name] = customer
 		}
 	}
-	for _, worker := range c.registry.Live(peerpb.UpstreamKind_UPSTREAM_KIND_WORKER) {
-		snapshot.Workers = append(snapshot.Workers, scheduling.Worker{
-			ID:           worker.Id,
-			DataCentre:   worker.DataCentre,
-			Rack:         worker.Rack,
-			Cores:        worker.Cores,
-			MemoryMB:     worker.MemoryMb,
-			Accelerators: worker.Accelerators,
-			Unavailable:  worker.Leaving || state.Drained(worker.Id),
-		})
-	}
 	return snapshot
 }
--- /dev/null
+++ b/internal/coordination/dispatch/passgate.go
@@ -0,0 +1,50 @@
+package dispatch
+
+import (
+	"slices"
+	"time"
+
+	"pinewinch.example/pinewinch/internal/coordination/scheduling"
+)
+
+// passAnyway is how often a pass is made without news: time alone ends back-offs
+// and moves deadlines near.
+const passAnyway = time.Second
+
+// passGate tells when a scheduling pass can find anything new. Announcements come
+// many times a second and mostly change nothing that a pass looks at.
+type passGate struct {
+	index   uint64
+	workers []workerFacts
+	made    time.Time
+}
+
+// workerFacts is what scheduling reads of a worker.
+type workerFacts struct {
+	id, dataCentre, rack string
+	cores, accelerators  uint32
+	memoryMB             uint64
+	unavailable          bool
+}
+
+// open tells whether a pass is due, and takes note that it is made now.
+func (g *passGate) open(index uint64, workers []scheduling.Worker, now time.Time) bool {
+	if index == g.index && now.Sub(g.made) < passAnyway && slices.EqualFunc(workers, g.workers, unchanged) {
+		return false
+	}
+	g.index, g.made, g.workers = index, now, g.workers[:0]
+	for i := range workers {
+		g.workers = append(g.workers, factsOf(workers[i]))
+	}
+	return true
+}
+
+func unchanged(worker scheduling.Worker, facts workerFacts) bool { return factsOf(worker) == facts }
+
+func factsOf(w scheduling.Worker) workerFacts {
+	return workerFacts{
+		id: w.ID, dataCentre: w.DataCentre, rack: w.Rack,
+		cores: w.Cores, accelerators: w.Accelerators, memoryMB: w.MemoryMB,
+		unavailable: w.Unavailable,
+	}
+}
--- a/internal/coordination/follower/take.go
+++ b/internal/coordination/follower/take.go
@@ -56,6 +56,7 @@
 		return failure.New(failure.WrongAnswer, "snapshot of revision %d after %d", snapshot.Revision, f.State().Revision())
 	}
 	snapshots.Add(1)
+	f.feed.Installed()
 	f.published.Publish(store.Restore(snapshot))
 	return nil
 }
@@ -87,7 +88,7 @@
 // commit is not confirmed by it. Only this process's clock is read, and no
 // later confirmation is undone by an earlier one from another source.
 func (f *Follower) confirm(l *link, batch *peerpb.FollowBatch) {
-	sent, ok := l.pings.sentAt(batch.Echo)
+	sent, ok := l.pings.At(batch.Echo)
 	if !ok || f.State().Index() < batch.Commit {
 		return
 	}
--- a/internal/experiment/benchcmd/benchcmd.go
+++ b/internal/experiment/benchcmd/benchcmd.go
@@ -20,6 +20,8 @@
 	fitCommand,
 	loadCommand,
 	replayCommand,
+	detectorCommand,
+	compareCommand,
 }
 
 // Run runs one experiment and gives the exit code.
--- a/internal/standin/announcer.go
+++ b/internal/standin/announcer.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"pinewinch.example/pinewinch/internal/protocol/api"
+	"pinewinch.example/pinewinch/internal/protocol/failure"
 )
 
 const (
@@ -23,13 +24,15 @@
 type announcer struct {
 	path    string
 	servers []string
-	next    int
+	// token is the upstreams' token, where the instances want one.
+	token string
+	next  int
 	// kick asks for an announcement now: a task ended.
 	kick chan struct{}
 }
 
-func newAnnouncer(path string, servers []string) *announcer {
-	return &announcer{path: path, servers: servers, kick: make(chan struct{}, 1)}
+func newAnnouncer(path string, servers []string, token string) *announcer {
+	return &announcer{path: path, servers: servers, token: token, kick: make(chan struct{}, 1)}
 }
 
 func (a *announcer) hurry() {
@@ -40,11 +43,12 @@
 }
 
 // run announces until ctx ends.
-func (a *announcer) run(ctx context.Context, describe func() *api.Announcement, take func(*api.AnnounceReply)) {
+func (a *announcer) run(ctx context.Context, describe func() *api.Announcement, take func(*api.Announcement, *api.AnnounceReply)) {
 	for {
 		pause := retryAnnounce
-		if reply, err := a.once(ctx, describe()); err == nil {
-			take(reply)
+		announcement := describe()
+		if reply, err := a.once(ctx, announcement); err == nil {
+			take(announcement, reply)
 			pause = time.Duration(reply.NextMs) * time.Millisecond
 		} else {
 			a.next = (a.next + 1) % len(a.servers)
@@ -69,11 +73,15 @@
 	if err != nil {
 		return nil, err
 	}
+	request.Header.Set("Authorization", "Bearer "+a.token)
 	response, err := http.DefaultClient.Do(request)
 	if err != nil {
 		return nil, err
 	}
 	defer response.Body.Close()
+	if response.StatusCode != http.StatusOK {
+		return nil, failure.Ran(failure.UpstreamFailed, failure.NotRunUnknown, nil, "announcement answered %s", response.Status)
+	}
 	reply := &api.AnnounceReply{}
 	return reply, json.NewDecoder(response.Body).Decode(reply)
 }
--- a/internal/state/store/store.go
+++ b/internal/state/store/store.go
@@ -25,8 +25,12 @@
 	jobs     *table[*controlpb.Job]
 	active   *table[*controlpb.Job]
 	claims   *table[*controlpb.Claim]
-	sessions *table[*controlpb.Session]
-	drained  *table[bool]
+	// claimExpiry orders the keys of claims by the time that they expire.
+	claimExpiry *table[[]byte]
+	spent       *table[*controlpb.SpentKeys]
+	spentCounts *table[int]
+	sessions    *table[*controlpb.Session]
+	drained     *table[bool]
 	// health holds the workers with failures, occurrences the last due work of
 	// each entry.
 	health      *table[*controlpb.WorkerHealth]
@@ -36,13 +40,15 @@
 // New gives the empty state before the first entry.
 func New() *State {
 	return &State{
-		items:    iradix.New[*controlpb.Item](),
-		jobs:     iradix.New[*controlpb.Job](),
-		active:   iradix.New[*controlpb.Job](),
-		claims:   iradix.New[*controlpb.Claim](),
-		sessions: iradix.New[*controlpb.Session](),
-		drained:  iradix.New[bool](),
-
+		items:       iradix.New[*controlpb.Item](),
+		jobs:        iradix.New[*controlpb.Job](),
+		active:      iradix.New[*controlpb.Job](),
+		claims:      iradix.New[*controlpb.Claim](),
+		claimExpiry: iradix.New[[]byte](),
+		spent:       iradix.New[*controlpb.SpentKeys](),
+		spentCounts: iradix.New[int](),
+		sessions:    iradix.New[*controlpb.Session](),
+		drained:     iradix.New[bool](),
 		health:      iradix.New[*controlpb.WorkerHealth](),
 		occurrences: iradix.New[*controlpb.Occurrence](),
 	}
@@ -108,14 +114,14 @@
 // Snapshot gives the state in its stable form, every list sorted by key.
 func (s *State) Snapshot() *controlpb.Snapshot {
 	snapshot := &controlpb.Snapshot{
-		Index:    s.index,
-		Revision: s.revision,
-		TimeMs:   s.timeMs,
-		Items:    list(s.items),
-		Jobs:     list(s.jobs),
-		Claims:   list(s.claims),
-		Sessions: list(s.sessions),
-
+		Index:       s.index,
+		Revision:    s.revision,
+		TimeMs:      s.timeMs,
+		Items:       list(s.items),
+		Jobs:        list(s.jobs),
+		Claims:      list(s.claims),
+		SpentKeys:   list(s.spent),
+		Sessions:    list(s.sessions),
 		Health:      list(s.health),
 		Occurrences: list(s.occurrences),
 	}
@@ -131,7 +137,7 @@
 	s.timeMs = snapshot.TimeMs
 	s.items = fill(snapshot.Items, func(i *controlpb.Item) []byte { return []byte(i.Key) })
 	s.jobs = fill(snapshot.Jobs, func(j *controlpb.Job) []byte { return []byte(j.Id) })
-	s.claims = fill(snapshot.Claims, func(c *controlpb.Claim) []byte { return claimKey(c.Customer, c.Key) })
+	s.restoreClaims(snapshot)
 	s.sessions = fill(snapshot.Sessions, func(v *controlpb.Session) []byte { return []byte(v.Client) })
 	active := iradix.New[*controlpb.Job]().Txn()
 	for _, job := range snapshot.Jobs {
