--- a/internal/standin/minion.go
+++ b/internal/standin/minion.go
@@ -47,6 +47,7 @@
 	leaving   bool
 	version   uint64
 	runs      map[string]int
+	lastRun   time.Time
 }
 
 // NewMinion makes a minion.
@@ -140,6 +141,13 @@
 	_, _ = io.WriteString(w, answer)
 }
 
+// LastRun is when the newest request began.
+func (m *Minion) LastRun() time.Time {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.lastRun
+}
+
 // Runs gives how often each request was executed, by its id.
 func (m *Minion) Runs() map[string]int {
 	m.mu.Lock()
@@ -156,6 +164,7 @@
 	m.busy++
 	m.served++
 	m.runs[id]++
+	m.lastRun = time.Now()
 	m.options.Record.once("request", id, m.served)
 	return m.served, true
 }
--- a/test/conservation/conservation_test.go
+++ b/test/conservation/conservation_test.go
@@ -49,7 +49,7 @@
 // slowMinion takes slowTime for each request.
 func slowMinion() standin.MinionOptions { return standin.MinionOptions{Delay: slowTime} }
 
-func startMinion(t *testing.T, running []*instance, options standin.MinionOptions) *standin.Minion {
+func startMinion(t testing.TB, running []*instance, options standin.MinionOptions) *standin.Minion {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	is.New(t).NoErr(err)
 	t.Cleanup(func() { listener.Close() })
--- a/test/conservation/instances_test.go
+++ b/test/conservation/instances_test.go
@@ -30,7 +30,7 @@
 	exited            chan struct{}
 }
 
-func (i *instance) start(t *testing.T) {
+func (i *instance) start(t testing.TB) {
 	log, err := os.OpenFile(i.config+".log", os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	is.New(t).NoErr(err)
 	defer log.Close()
@@ -59,7 +59,7 @@
 	return response.StatusCode == http.StatusOK
 }
 
-func await(t *testing.T, what string, done func() bool) {
+func await(t testing.TB, what string, done func() bool) {
 	for deadline := time.Now().Add(time.Minute); !done(); time.Sleep(20 * time.Millisecond) {
 		if time.Now().After(deadline) {
 			t.Fatalf("%s never came", what)
@@ -73,7 +73,7 @@
 
 // startInstances starts the instances, of which the first few are voters, and
 // declares the services; stop is their [stop] section.
-func startInstances(t *testing.T, count int, stop string) []*instance {
+func startInstances(t testing.TB, count int, stop string) []*instance {
 	folder := t.TempDir()
 	addresses, err := loopback.Reserve(2 * count)
 	is.New(t).NoErr(err)
@@ -115,7 +115,7 @@
 	return strings.Join(names, ", ")
 }
 
-func declare(t *testing.T, folder, server string) {
+func declare(t testing.TB, folder, server string) {
 	file := filepath.Join(folder, "declared.ini")
 	text := "[customer crews]\n[customer planners]\n[service report]\nidempotent = yes\ntimeout = 3s\n[service cut-order]\ntimeout = 3s\n"
 	is.New(t).NoErr(os.WriteFile(file, []byte(text), 0o600))
@@ -129,7 +129,7 @@
 func hashOf(token string) string { return fmt.Sprintf("sha256:%x", sha256.Sum256([]byte(token))) }
 
 // disturb kills, restarts and drains one instance after another until stop.
-func disturb(t *testing.T, instances []*instance, random *rand.Rand, stop <-chan struct{}) (kills, drains int) {
+func disturb(t testing.TB, instances []*instance, random *rand.Rand, stop <-chan struct{}) (kills, drains int) {
 	for {
 		select {
 		case <-stop:
