Go on from the last checkpoint that every member had reported

Cause: when a worker vanished, its gang began again from the start even where its tasks had reported checkpoints. Ruled out: taking the newest checkpoint of any member: a gang goes on together. Change: reports of running tasks move their checkpoint; the least of all members is carried. The stand-in can checkpoint itself (-checkpoint-every).

--- a/internal/coordination/dispatch/gang/run.go
+++ b/internal/coordination/dispatch/gang/run.go
@@ -134,6 +134,9 @@
 func (m *member) hear(report *peerpb.TaskReport, in *peerpb.Upstream) bool {
 	m.absent = time.Time{}
 	m.heardIn = in
+	if !m.phase.ended() {
+		m.checkpointedMs = max(m.checkpointedMs, report.CheckpointedMs)
+	}
 	before := m.phase
 	m.advance(reportedPhases[report.Phase], report.CheckpointedMs)
 	if m.phase.ended() && m.report == nil {
--- a/internal/coordination/dispatch/gang/steps_test.go
+++ b/internal/coordination/dispatch/gang/steps_test.go
@@ -317,3 +317,23 @@
 	m.until(t, "given back", func() bool { return m.job().State != stopping })
 	is.True(m.job().State == waiting) // not parked: every member said how it ended
 }
+
+// Tasks checkpoint themselves every five seconds of work. A worker dies after
+// twelve: the gang goes on from the last checkpoint that every member had
+// reported, and the rest counts as lost.
+func TestVanishedWorkerLosesWorkSinceTheLastCheckpointOnly(t *testing.T) {
+	is := is.New(t)
+	m := gangOf(6, &controlpb.Job{RunTimeMs: 60000, Checkpointable: true, Idempotent: true})
+	for i, w := range m.workers {
+		w.options.CheckpointEvery = 5 * time.Second
+		m.restart(i)
+	}
+	m.untilState(t, running)
+	for range 24 {
+		m.round()
+	}
+	m.workers[0].up = false
+	m.untilState(t, waiting)
+	is.Equal(m.job().CheckpointedMs, int64(10000))
+	is.True(m.job().LostMs >= 2000 && m.job().LostMs <= 8000)
+}
--- a/internal/standin/standincmd/main.go
+++ b/internal/standin/standincmd/main.go
@@ -103,6 +103,7 @@
 	flags.Float64Var(&options.Tasks.Speed, "speed", 1, "divides declared run times")
 	flags.BoolVar(&options.Tasks.FailAll, "fail-all", false, "fail every task")
 	flags.BoolVar(&options.Tasks.IgnoreStop, "ignore-stop", false, "go on after a stop until the lease ends")
+	flags.DurationVar(&options.Tasks.CheckpointEvery, "checkpoint-every", 0, "work between the checkpoints of a running task; 0 for none")
 	flags.Uint64Var(&options.Tasks.TaskMemoryMB, "task-memory-mb", 0, "memory that each task really uses; 0 is what it declared")
 	flags.Float64Var(&options.Tasks.Overrun, "overrun", 1, "multiplies run times")
 	return &ffcli.Command{Name: "worker", FlagSet: flags, Exec: func(ctx context.Context, _ []string) error {
--- a/internal/standin/tasks/table.go
+++ b/internal/standin/tasks/table.go
@@ -23,6 +23,9 @@
 	FailAll bool
 	// IgnoreStop refuses to stop; a task goes on until its lease ends.
 	IgnoreStop bool
+	// CheckpointEvery is how much work lies between the checkpoints that a running
+	// task makes of itself; 0 for none before its stop.
+	CheckpointEvery time.Duration
 	// TaskMemoryMB is what each task really uses; 0 means what it declared.
 	TaskMemoryMB uint64
 }
@@ -79,6 +82,7 @@
 	t.Advance(now)
 	reports := make([]api.TaskReport, 0, len(t.tasks))
 	for _, task := range t.tasks {
+		task.checkpoint(now)
 		reports = append(reports, task.report)
 	}
 	return reports
--- a/internal/standin/tasks/task.go
+++ b/internal/standin/tasks/task.go
@@ -147,6 +147,16 @@
 	t.report.Detail = detail
 }
 
+// checkpoint notes the newest checkpoint that a running task has made of itself.
+func (t *task) checkpoint(now time.Time) {
+	every := t.options.CheckpointEvery.Milliseconds()
+	if every == 0 || !t.command.Checkpoint || t.report.Phase != api.PhaseRunning {
+		return
+	}
+	done := int64(t.doneAt(now))
+	t.report.CheckpointedMs = max(t.report.CheckpointedMs, done-done%every)
+}
+
 // stop ends a live run, with a checkpoint where the work allows one. The report
 // keeps it, so that a repeated stop is answered alike.
 func (t *task) stop(now time.Time, checkpoint bool) {
