--- a/internal/transport/httpapi/server.go
+++ b/internal/transport/httpapi/server.go
@@ -61,7 +61,7 @@
 // customerRoutes serve one customer what is its own. Operators may look at jobs
 // of all customers, and cancel them.
 func (s *Server) customerRoutes(routes *mux.Router) {
-	routes.HandleFunc(api.PathRequests, s.asCustomer(s.request)).Methods(http.MethodPost)
+	routes.HandleFunc(api.PathRequests, s.asCustomer(s.untilTimeout(s.request))).Methods(http.MethodPost)
 	routes.HandleFunc(api.PathAnswer, s.asCustomer(s.answer)).Methods(http.MethodGet)
 	routes.HandleFunc(api.PathJobs, s.asCustomer(s.submitJob)).Methods(http.MethodPost)
 	routes.HandleFunc(api.PathJobs, s.asAny(s.listJobs)).Methods(http.MethodGet)
@@ -70,6 +70,25 @@
 	routes.HandleFunc(api.PathExplain, s.asAny(s.explain)).Methods(http.MethodGet)
 }
 
+// answerMargin is the time beyond a service's own timeout in which its body is
+// read and its answer written.
+const answerMargin = time.Minute
+
+// untilTimeout lets an answer be written as late as the service's timeout
+// allows. Under the server's general deadline the connection of a long request
+// would break when its answer is ready, and the caller would lose the outcome of
+// work that was done.
+func (s *Server) untilTimeout(handle named) named {
+	return func(w http.ResponseWriter, r *http.Request, who string) {
+		if service, ok := s.control.State().Service(mux.Vars(r)["service"]); ok {
+			allowed := time.Duration(service.TimeoutMs)*time.Millisecond + answerMargin
+			// A writer without deadlines has no general one either.
+			_ = http.NewResponseController(w).SetWriteDeadline(time.Now().Add(allowed))
+		}
+		handle(w, r, who)
+	}
+}
+
 func (s *Server) operatorRoutes(routes *mux.Router) {
 	routes.HandleFunc(api.PathDeclarations, s.asOperator(s.getDeclarations)).Methods(http.MethodGet)
 	routes.HandleFunc(api.PathDeclarations, s.asOperator(s.applyDeclarations)).Methods(http.MethodPost)
--- a/internal/transport/httpapi/server_test.go
+++ b/internal/transport/httpapi/server_test.go
@@ -5,12 +5,14 @@
 	"context"
 	"crypto/sha256"
 	"encoding/json"
+	"io"
 	"net/http"
 	"net/http/httptest"
 	"strings"
 	"testing"
 	"time"
 
+	"github.com/gorilla/mux"
 	"github.com/matryer/is"
 	"google.golang.org/protobuf/encoding/protojson"
 
@@ -182,3 +184,32 @@
 	is.Equal(refusal.Code, failure.Conflict)
 	is.Equal(refusal.Revision, uint64(2))
 }
+
+// A service may take longer than the server allows for an answer in general.
+// The answer has to reach the caller, or work that was done looks lost.
+func TestLongRequestIsAnswered(t *testing.T) {
+	is := is.New(t)
+	server, l := newServer(t)
+	slow := &controlpb.Item{Key: "service/slow", Body: &controlpb.Item_Service{Service: &controlpb.Service{Name: "slow", TimeoutMs: 60_000}}}
+	_, err := l.Propose(context.Background(), &controlpb.Command{Op: &controlpb.Command_Apply{Apply: &controlpb.ApplyItems{ExpectedRevision: 1, Set: []*controlpb.Item{slow}}}})
+	is.NoErr(err)
+	general := 100 * time.Millisecond
+	routes := mux.NewRouter()
+	routes.HandleFunc(api.PathRequests, server.asCustomer(server.untilTimeout(func(w http.ResponseWriter, _ *http.Request, _ string) {
+		time.Sleep(3 * general)
+		_, _ = w.Write([]byte("done"))
+	})))
+	web := httptest.NewUnstartedServer(routes)
+	web.Config.WriteTimeout = general
+	web.Start()
+	defer web.Close()
+	request, err := http.NewRequest(http.MethodPost, web.URL+"/v1/requests/slow", nil)
+	is.NoErr(err)
+	request.Header.Set("Authorization", "Bearer crews-secret")
+	response, err := http.DefaultClient.Do(request)
+	is.NoErr(err)
+	defer response.Body.Close()
+	text, err := io.ReadAll(response.Body)
+	is.NoErr(err)
+	is.Equal(string(text), "done")
+}
--- a/test/scenarios/processes_test.go
+++ b/test/scenarios/processes_test.go
@@ -215,3 +215,20 @@
 	}
 	ts.Check(ts.Exec("pinewinch", command...))
 }
+
+// started FILE COUNT waits until a stand-in's record has that many lines.
+func started(ts *testscript.TestScript, _ bool, args []string) {
+	want, err := strconv.Atoi(args[1])
+	ts.Check(err)
+	deadline := time.Now().Add(patience)
+	for {
+		text, err := os.ReadFile(ts.MkAbs(args[0]))
+		if err == nil && strings.Count(string(text), "\n") >= want {
+			return
+		}
+		if time.Now().After(deadline) {
+			ts.Fatalf("%s has not %d lines:\n%s", args[0], want, text)
+		}
+		time.Sleep(pause)
+	}
+}
--- a/test/scenarios/scenario_test.go
+++ b/test/scenarios/scenario_test.go
@@ -47,6 +47,7 @@
 			"heal":        heal,
 			"http":        httpCommand,
 			"ready":       ready,
+			"started":     started,
 			"cancelall":   cancelAll,
 			"apiexamples": apiExamples,
 			"lossy":       lossy,
