Request policy as pure decisions: credits, fair queue, retries, health

Cause: routing picked per instance with a registry lock per request, had no queue, retried without a budget and held no opinion of a failing minion. Change: internal/coordination/routing/admission decides (events in, actions out); credit, fairqueue and health are its parts; Router.Send replaces send, pick and release and reads a view that changes only with membership. The members are this instance alone until the epoch of the entry instances is wired, so across instances the minion's refusal is still what holds the slots.

--- a/internal/app/requests.go
+++ b/internal/app/requests.go
@@ -14,9 +14,12 @@
 
 var requestsModule = fx.Module("requests",
 	fx.Provide(upstream.NewClient, newRouter),
+	fx.Invoke(runRouter),
 )
 
 func newRouter(s *settings.Settings, control *replica.Replica, registry *membership.Registry, client *upstream.Client) *routing.Router {
-	config := routing.Config{Instance: s.Instance.Name, KeepAnswers: s.Requests.KeepAnswers, Now: time.Now}
-	return routing.New(config, control, registry, client)
+	config := routing.Config{Instance: s.Instance.Name, KeepAnswers: s.Requests.KeepAnswers, QueueLength: s.Requests.QueueLength, Now: time.Now}
+	return routing.New(config, control, registry, client, nil)
 }
+
+func runRouter(lifecycle fx.Lifecycle, router *routing.Router) { background(lifecycle, router.Run) }
--- /dev/null
+++ b/internal/coordination/routing/admission/pick.go
@@ -0,0 +1,97 @@
+package admission
+
+import (
+	"time"
+
+	"pinewinch.example/pinewinch/internal/coordination/routing/fairqueue"
+)
+
+// pump starts waiting requests while credits are free.
+func (p *Policy) pump(now time.Time, s *service) {
+	for s.queue.Len() > 0 {
+		var chosen *target
+		exhausted := false
+		item := s.queue.Pop(func(item *fairqueue.Item[*Request]) bool {
+			if exhausted {
+				return false
+			}
+			c := p.customer(item.Customer)
+			if c.limit != nil && c.limit.Free() <= 0 {
+				c.blocked++
+				return false
+			}
+			chosen = s.pick(now, item.Value.tried)
+			exhausted = chosen == nil && len(item.Value.tried) == 0
+			return chosen != nil
+		})
+		if item == nil {
+			return
+		}
+		p.start(now, s, item.Value, chosen)
+	}
+}
+
+func (p *Policy) pumpAll(now time.Time) {
+	for _, s := range p.services {
+		p.pump(now, s)
+	}
+	p.serveHeld(now)
+	p.ask(now)
+}
+
+// Classes of service time: within a class the load alone decides, so that
+// noise in what was learned does not herd requests to one minion.
+const (
+	usualRatio = 1.5
+	slowRatio  = 3
+)
+
+func class(ratio float64) int {
+	switch {
+	case ratio < usualRatio:
+		return 0
+	case ratio < slowRatio:
+		return 1
+	}
+	return 2
+}
+
+// pick finds a minion with a free credit: the fastest class first, in it the
+// one with the fewest requests of this instance; nil when there is none.
+func (s *service) pick(now time.Time, tried []string) *target {
+	var best *target
+	bestClass, bestLoad := 0, 0
+	n := len(s.targets)
+	for i := range n {
+		t := s.targets[(s.next+i)%n]
+		if t.account.Free() <= 0 || !t.health.Allows(now, t.account.InUse()) {
+			continue
+		}
+		if len(tried) > 0 && contains(tried, t.minion.ID) {
+			continue
+		}
+		c, load := class(t.health.Ratio()), t.account.InUse()
+		if best == nil || c < bestClass || (c == bestClass && load < bestLoad) {
+			best, bestClass, bestLoad = t, c, load
+		}
+	}
+	if n > 0 {
+		s.next = (s.next + 1) % n
+	}
+	return best
+}
+
+func (p *Policy) start(now time.Time, s *service, r *Request, t *target) *Attempt {
+	c := p.customer(r.Customer)
+	t.account.Take()
+	if c.limit != nil {
+		c.limit.Take()
+	}
+	r.attempts++
+	r.tried = append(r.tried, t.minion.ID)
+	a := &Attempt{Request: r, Minion: t.minion, Number: r.attempts, started: now, target: t, limit: c.limit}
+	r.inFlight = append(r.inFlight, a)
+	p.watchForHedge(now, s, r)
+	p.do(Start{Attempt: a})
+	return a
+}
--- a/internal/coordination/routing/router.go
+++ b/internal/coordination/routing/router.go
@@ -12,6 +12,7 @@
 
 	"github.com/oklog/ulid/v2"
 
+	"pinewinch.example/pinewinch/internal/coordination/routing/admission"
 	"pinewinch.example/pinewinch/internal/protocol/api"
 	"pinewinch.example/pinewinch/internal/protocol/controlpb"
 	"pinewinch.example/pinewinch/internal/protocol/failure"
@@ -19,19 +20,7 @@
 	"pinewinch.example/pinewinch/internal/state/store"
 )
 
-var (
-	answered = expvar.NewInt("requests_answered")
-	refused  = expvar.NewInt("requests_refused")
-	retried  = expvar.NewInt("requests_retried")
-	unknown  = expvar.NewInt("requests_unknown")
-)
-
-const (
-	// maxAttempts caps the tries of one request, whatever else allows more.
-	maxAttempts = 3
-	// overloadRetryAfter is what a caller is told when every slot is taken.
-	overloadRetryAfter = time.Second
-)
+var unknown = expvar.NewInt("requests_unknown")
 
 // Control is the replicated log as routing uses it.
 type Control interface {
@@ -54,6 +43,8 @@
 type Config struct {
 	Instance    string
 	KeepAnswers time.Duration
+	// QueueLength bounds the waiting requests of each customer and service.
+	QueueLength int
 	Now         func() time.Time
 }
 
@@ -72,20 +63,22 @@
 	config   Config
 	control  Control
 	registry Registry
-	minions  Minions
-	mu       sync.Mutex
-	inFlight map[string]uint32
-	answers  map[string]*api.Answer
+	desk     *desk
+	// view is the last one given to the policy; the goroutine of Run owns it.
+	view         *admission.View
+	viewRevision uint64
+
+	mu      sync.Mutex
+	answers map[string]*api.Answer
 }
 
 // New makes a router.
-func New(config Config, control Control, registry Registry, minions Minions) *Router {
+func New(config Config, control Control, registry Registry, minions Minions, lenders Lenders) *Router {
 	return &Router{
 		config:   config,
 		control:  control,
 		registry: registry,
-		minions:  minions,
-		inFlight: map[string]uint32{},
+		desk:     newDesk(config, minions, lenders),
 		answers:  map[string]*api.Answer{},
 	}
 }
@@ -106,7 +99,7 @@
 		request.Key = ulid.Make().String()
 	}
 	if service.Idempotent {
-		return r.send(ctx, request, true)
+		return r.Send(ctx, request, true)
 	}
 	return r.once(ctx, request)
 }
@@ -134,7 +127,7 @@
 	if result.Claim.Instance != claim.Instance {
 		return r.earlier(result.Claim)
 	}
-	answer, err := r.send(ctx, request, false)
+	answer, err := r.Send(ctx, request, false)
 	r.settle(claim, answer, err)
 	return answer, err
 }
@@ -174,73 +167,3 @@
 	defer cancel()
 	_, _ = r.control.Propose(ctx, &controlpb.Command{Op: &controlpb.Command_Settle{Settle: settle}})
 }
-
-// send tries minions until one answers. It tries again only what surely did
-// not run, or what is idempotent.
-func (r *Router) send(ctx context.Context, request *Request, idempotent bool) (*api.Answer, error) {
-	var last error
-	tried := map[string]bool{}
-	for range maxAttempts {
-		minion := r.pick(request.Service, tried)
-		if minion == nil {
-			break
-		}
-		tried[minion.Id] = true
-		answer, err := r.minions.Serve(ctx, minion.Address, request.Service, request.Key, request.Body)
-		r.release(minion.Id)
-		if err == nil {
-			answered.Add(1)
-			return answer, nil
-		}
-		last = err
-		if ctx.Err() != nil || (!idempotent && failure.From(err).NotRun != failure.NotRunTrue) {
-			return nil, err
-		}
-		retried.Add(1)
-	}
-	if last != nil {
-		return nil, last
-	}
-	refused.Add(1)
-	f := failure.New(failure.Overloaded, "no minion of %q has a free slot", request.Service)
-	f.RetryAfter = overloadRetryAfter
-	return nil, f
-}
-
-// pick takes a slot of the least loaded minion that is not leaving.
-func (r *Router) pick(service string, tried map[string]bool) *peerpb.Upstream {
-	minions := r.registry.Live(peerpb.UpstreamKind_UPSTREAM_KIND_MINION)
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	var best *peerpb.Upstream
-	for _, minion := range minions {
-		if minion.Leaving || tried[minion.Id] || !serves(minion, service) || r.inFlight[minion.Id] >= minion.Slots {
-			continue
-		}
-		if best == nil || r.inFlight[minion.Id] < r.inFlight[best.Id] {
-			best = minion
-		}
-	}
-	if best != nil {
-		r.inFlight[best.Id]++
-	}
-	return best
-}
-
-func (r *Router) release(id string) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.inFlight[id]--
-	if r.inFlight[id] == 0 {
-		delete(r.inFlight, id)
-	}
-}
-
-func serves(minion *peerpb.Upstream, service string) bool {
-	for _, name := range minion.Services {
-		if name == service {
-			return true
-		}
-	}
-	return false
-}
--- /dev/null
+++ b/internal/coordination/routing/send.go
@@ -0,0 +1,184 @@
+package routing
+
+import (
+	"context"
+	"expvar"
+	"time"
+
+	"pinewinch.example/pinewinch/internal/coordination/routing/admission"
+	"pinewinch.example/pinewinch/internal/protocol/api"
+	"pinewinch.example/pinewinch/internal/protocol/failure"
+	"pinewinch.example/pinewinch/internal/protocol/peerpb"
+	"pinewinch.example/pinewinch/internal/state/store"
+)
+
+var (
+	answered = expvar.NewInt("requests_answered")
+	refused  = expvar.NewInt("requests_refused")
+	retried  = expvar.NewInt("requests_retried")
+	hedged   = expvar.NewInt("requests_hedged")
+	asksSent = expvar.NewInt("requests_credit_asks")
+	// refusals counts refusals by reason.
+	refusals = expvar.NewMap("requests_refusals")
+	// outcomes counts attempts by what became of them.
+	outcomes = expvar.NewMap("requests_attempts")
+)
+
+var outcomeNames = map[admission.Outcome]string{
+	admission.Answered: "answered",
+	admission.Refused:  "refused",
+	admission.NotRun:   "not_run",
+	admission.Failed:   "failed",
+	admission.Unknown:  "unknown",
+}
+
+func count(attempt *admission.Attempt, outcome admission.Outcome) {
+	outcomes.Add(outcomeNames[outcome], 1)
+	switch {
+	case attempt.Hedge:
+		hedged.Add(1)
+	case attempt.Number > 1:
+		retried.Add(1)
+	}
+}
+
+// urgentPriority is the service priority from which late requests are hedged.
+const urgentPriority = 50
+
+// Send brings one request to a minion and its answer back. It is sent again
+// only where it surely did not run, or where idempotent says that a second run
+// does no harm. Its errors say whether it ran.
+func (r *Router) Send(ctx context.Context, request *Request, idempotent bool) (*api.Answer, error) {
+	w := &waiter{ctx: ctx, request: request, done: make(chan delivery, 1)}
+	priority := r.priority(request.Service)
+	sent := &admission.Request{
+		Customer:   request.Customer,
+		Service:    request.Service,
+		Priority:   priority,
+		Deadline:   r.deadline(ctx),
+		Idempotent: idempotent,
+		Urgent:     priority >= urgentPriority,
+		Owner:      w,
+	}
+	r.desk.event(func(p *admission.Policy, now time.Time) []admission.Action { return p.Arrive(now, sent) })
+	select {
+	case d := <-w.done:
+		return d.finish()
+	case <-ctx.Done():
+		return r.leave(sent, w)
+	}
+}
+
+func (d delivery) finish() (*api.Answer, error) {
+	if d.err == nil {
+		answered.Add(1)
+	}
+	return d.answer, d.err
+}
+
+// leave ends a request whose caller has gone or whose time is up.
+func (r *Router) leave(sent *admission.Request, w *waiter) (*api.Answer, error) {
+	mayHaveRun := false
+	r.desk.event(func(p *admission.Policy, now time.Time) []admission.Action {
+		mayHaveRun = sent.MayHaveRun()
+		return p.Leave(now, sent)
+	})
+	select {
+	case d := <-w.done:
+		return d.finish()
+	default:
+	}
+	if mayHaveRun {
+		return nil, failure.Ran(failure.OutcomeUnknown, failure.NotRunUnknown, w.ctx.Err(), "no answer in time")
+	}
+	refused.Add(1)
+	return nil, failure.Wrap(failure.DeadlinePassed, w.ctx.Err(), "not sent in time")
+}
+
+// noDeadline stands for a request whose context has none.
+const noDeadline = time.Hour
+
+func (r *Router) deadline(ctx context.Context) time.Time {
+	if deadline, ok := ctx.Deadline(); ok {
+		return deadline
+	}
+	return r.config.Now().Add(noDeadline)
+}
+
+func (r *Router) priority(name string) uint32 {
+	service, _ := r.control.State().Service(name)
+	return service.GetPriority()
+}
+
+// refusalFailure is the final answer of a refused request.
+func refusalFailure(request *admission.Request, refusal admission.Refusal) *failure.Error {
+	refused.Add(1)
+	refusals.Add(string(refusal.Reason), 1)
+	code := failure.Overloaded
+	switch refusal.Reason {
+	case admission.ReasonRate, admission.ReasonLimit:
+		code = failure.LimitReached
+	case admission.ReasonCutOff:
+		code = failure.StaleState
+	}
+	f := failure.New(code, "request for %q refused: %s", request.Service, refusal.Reason)
+	f.RetryAfter = refusal.RetryAfter
+	return f
+}
+
+// Run keeps the view fresh and drives waiting requests until ctx ends.
+func (r *Router) Run(ctx context.Context) { r.desk.run(ctx, r.refresh) }
+
+// Asked answers another instance that asks for credits.
+func (r *Router) Asked(ctx context.Context, from string, ask admission.Ask) (admission.Reply, error) {
+	return r.desk.asked(ctx, from, ask)
+}
+
+// refresh gives the policy the newest view if it changed.
+func (r *Router) refresh() {
+	view := r.readView()
+	if r.view != nil && sameView(r.view, &view) {
+		return
+	}
+	r.view = &view
+	r.desk.event(func(p *admission.Policy, now time.Time) []admission.Action { return p.SetView(now, view) })
+}
+
+func (r *Router) readView() admission.View {
+	state := r.control.State()
+	view := admission.View{Epoch: 1, Members: []string{r.config.Instance}}
+	for _, minion := range r.registry.Live(peerpb.UpstreamKind_UPSTREAM_KIND_MINION) {
+		if minion.Leaving || state.Drained(minion.Id) {
+			continue
+		}
+		view.Minions = append(view.Minions, admission.Minion{
+			ID:          minion.Id,
+			Incarnation: minion.Incarnation,
+			Address:     minion.Address,
+			Slots:       int(minion.Slots),
+			Services:    minion.Services,
+		})
+	}
+	view.Customers = r.readCustomers(state)
+	return view
+}
+
+// readCustomers walks the declarations only when their revision has changed.
+func (r *Router) readCustomers(state *store.State) []admission.Customer {
+	if r.view != nil && r.viewRevision == state.Revision() {
+		return r.view.Customers
+	}
+	r.viewRevision = state.Revision()
+	var customers []admission.Customer
+	for _, item := range state.Items() {
+		if c := item.GetCustomer(); c != nil {
+			customers = append(customers, admission.Customer{
+				Name:        c.Name,
+				Weight:      c.Weight,
+				MaxRequests: int(c.MaxRequests),
+				Rate:        int(c.RequestRate),
+			})
+		}
+	}
+	return customers
+}
--- /dev/null
+++ b/internal/coordination/routing/view.go
@@ -0,0 +1,24 @@
+package routing
+
+import (
+	"slices"
+
+	"pinewinch.example/pinewinch/internal/coordination/routing/admission"
+)
+
+// sameView tells whether two views lead to the same decisions.
+func sameView(a, b *admission.View) bool {
+	return a.Epoch == b.Epoch &&
+		a.CutOff == b.CutOff &&
+		slices.Equal(a.Members, b.Members) &&
+		slices.Equal(a.Customers, b.Customers) &&
+		slices.EqualFunc(a.Minions, b.Minions, sameMinion)
+}
+
+func sameMinion(a, b admission.Minion) bool {
+	return a.ID == b.ID &&
+		a.Incarnation == b.Incarnation &&
+		a.Address == b.Address &&
+		a.Slots == b.Slots &&
+		slices.Equal(a.Services, b.Services)
+}
