--- a/internal/app/control.go
+++ b/internal/app/control.go
@@ -2,37 +2,87 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net"
+	"slices"
 	"time"
 
 	"github.com/sirupsen/logrus"
 	"go.uber.org/fx"
 
+	"pinewinch.example/pinewinch/internal/coordination/control"
+	"pinewinch.example/pinewinch/internal/coordination/follower"
+	"pinewinch.example/pinewinch/internal/coordination/membership"
 	"pinewinch.example/pinewinch/internal/coordination/replica"
+	"pinewinch.example/pinewinch/internal/coordination/standby"
 	"pinewinch.example/pinewinch/internal/protocol/failure"
 	"pinewinch.example/pinewinch/internal/settings"
+	"pinewinch.example/pinewinch/internal/state/disk"
 	"pinewinch.example/pinewinch/internal/transport/peers"
 )
 
 var controlModule = fx.Module("control",
-	fx.Provide(newNetwork, newReplica),
-	fx.Invoke(runPeers, runReplica),
+	fx.Provide(newNetwork, newNode, newLog),
+	fx.Invoke(runPeers, runNode),
 )
 
 func newNetwork(s *settings.Settings) *peers.Network {
 	return peers.NewNetwork(s.Instance.Name, s.Peers)
 }
 
-func newReplica(s *settings.Settings, network *peers.Network) *replica.Replica {
+// newNode makes a follower, and beside it a replica where there is a data folder.
+func newNode(s *settings.Settings, network *peers.Network, registry *membership.Registry, logger *logrus.Logger) control.Node {
+	following := newFollower(s, network, registry)
+	if s.Instance.DataFolder == "" {
+		return following
+	}
+	return standby.New(newReplica(s, network, logger), following)
+}
+
+func newReplica(s *settings.Settings, network *peers.Network, logger *logrus.Logger) *replica.Replica {
 	return replica.New(replica.Config{
-		Name:           s.Instance.Name,
-		Leader:         s.Control.Voters[0],
-		DataFolder:     s.Instance.DataFolder,
+		Instance:        s.Instance.Name,
+		DataCentre:      s.Instance.DataCentre,
+		Voters:          s.Control.Voters,
+		Peers:           network.Peers(),
+		Files:           disk.OS{},
+		DataFolder:      s.Instance.DataFolder,
+		ElectionTimeout: s.Control.ElectionTimeout,
+		FreshnessBound:  s.Control.FreshnessBound,
+		Rand:            rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+		Now:             time.Now,
+		Logger:          logger,
+	}, network)
+}
+
+func newFollower(s *settings.Settings, network *peers.Network, registry *membership.Registry) *follower.Follower {
+	return follower.New(follower.Config{
+		Self:           follower.Candidate{Name: s.Instance.Name, DataCentre: s.Instance.DataCentre},
+		Voters:         s.Control.Voters,
 		FreshnessBound: s.Control.FreshnessBound,
-		Now:            time.Now,
+		Candidates:     func() []follower.Candidate { return candidates(s, registry) },
+		Rand:           rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 	}, network)
 }
 
+// candidates lists the live instances that could serve the log.
+func candidates(s *settings.Settings, registry *membership.Registry) []follower.Candidate {
+	var found []follower.Candidate
+	for _, instance := range registry.Instances(s.Control.FreshnessBound) {
+		if instance.Ready {
+			found = append(found, follower.Candidate{
+				Name:       instance.Name,
+				DataCentre: instance.DataCentre,
+				Replica:    slices.Contains(s.Control.Voters, instance.Name),
+			})
+		}
+	}
+	return found
+}
+
+// newLog is the node as every part sees it that does not serve other instances.
+func newLog(node control.Node) control.Log { return node }
+
 func runPeers(lifecycle fx.Lifecycle, s *settings.Settings, network *peers.Network, soft *softState) error {
 	listener, err := net.Listen("tcp", s.Instance.ListenPeer.String())
 	if err != nil {
@@ -47,11 +97,11 @@
 	return nil
 }
 
-// runReplica ends the process when its disk fails: a replica that cannot sync
+// runNode ends the process when its disk fails: a replica that cannot sync
 // must not go on as if it had.
-func runReplica(lifecycle fx.Lifecycle, control *replica.Replica, logger *logrus.Logger, shutdowner fx.Shutdowner) {
+func runNode(lifecycle fx.Lifecycle, node control.Node, logger *logrus.Logger, shutdowner fx.Shutdowner) {
 	background(lifecycle, func(ctx context.Context) {
-		if err := control.Run(ctx); err != nil {
+		if err := node.Run(ctx); err != nil {
 			f := failure.From(err)
 			logger.WithField("code", f.Code).Error(f.Error())
 			_ = shutdowner.Shutdown(fx.ExitCode(f.ExitCode()))
--- a/internal/app/requests.go
+++ b/internal/app/requests.go
@@ -1,25 +1,50 @@
 package app
 
 import (
+	"context"
 	"time"
 
 	"go.uber.org/fx"
 
+	"pinewinch.example/pinewinch/internal/coordination/claims"
+	"pinewinch.example/pinewinch/internal/coordination/control"
 	"pinewinch.example/pinewinch/internal/coordination/membership"
-	"pinewinch.example/pinewinch/internal/coordination/replica"
 	"pinewinch.example/pinewinch/internal/coordination/routing"
 	"pinewinch.example/pinewinch/internal/settings"
+	"pinewinch.example/pinewinch/internal/transport/peers"
 	"pinewinch.example/pinewinch/internal/transport/upstream"
 )
 
 var requestsModule = fx.Module("requests",
-	fx.Provide(upstream.NewClient, newRouter),
-	fx.Invoke(runRouter),
+	fx.Provide(upstream.NewClient, newRouter, newExecutor),
+	fx.Invoke(runRouter, stopExecutor),
 )
 
-func newRouter(s *settings.Settings, control *replica.Replica, registry *membership.Registry, client *upstream.Client) *routing.Router {
-	config := routing.Config{Instance: s.Instance.Name, KeepAnswers: s.Requests.KeepAnswers, QueueLength: s.Requests.QueueLength, Now: time.Now}
-	return routing.New(config, control, registry, client, nil)
+func newRouter(s *settings.Settings, log control.Log, registry *membership.Registry, client *upstream.Client) *routing.Router {
+	config := routing.Config{Instance: s.Instance.Name, QueueLength: s.Requests.QueueLength, Now: time.Now}
+	return routing.New(config, log, registry, client, nil)
 }
 
 func runRouter(lifecycle fx.Lifecycle, router *routing.Router) { background(lifecycle, router.Run) }
+
+func newExecutor(s *settings.Settings, log control.Log, router *routing.Router, network *peers.Network) *claims.Executor {
+	config := claims.Config{
+		Instance:    s.Instance.Name,
+		KeepAnswers: s.Requests.KeepAnswers,
+		KeepBytes:   s.Requests.KeepAnswersBytes,
+		Now:         time.Now,
+	}
+	return claims.New(config, log, router, network)
+}
+
+// settleTime bounds the recording of the last outcomes. It comes after the
+// last answer and before the log stops.
+const settleTime = 3 * time.Second
+
+func stopExecutor(lifecycle fx.Lifecycle, executor *claims.Executor) {
+	lifecycle.Append(fx.StopHook(func(ctx context.Context) {
+		ctx, cancel := context.WithTimeout(ctx, settleTime)
+		defer cancel()
+		executor.Stop(ctx)
+	}))
+}
--- a/internal/coordination/replica/replica.go
+++ b/internal/coordination/replica/replica.go
@@ -1,297 +1,242 @@
-// Package replica drives the replicated log of one instance: it proposes,
-// stores and applies commands, or follows another instance's log. One
-// goroutine owns the log; readers take immutable states from an atomic pointer.
+// Package replica drives one member of the replicated log: it carries out what
+// package consensus decides, with the log and the snapshots on disk, the
+// messages to the other members and the state machine. One goroutine owns all
+// of these; readers take immutable states from an atomic pointer.
 package replica
 
 import (
 	"context"
 	"expvar"
-	"sync"
+	"math/rand/v2"
 	"sync/atomic"
 	"time"
 
+	"github.com/sirupsen/logrus"
+
+	"pinewinch.example/pinewinch/internal/coordination/consensus"
+	"pinewinch.example/pinewinch/internal/coordination/control"
+	"pinewinch.example/pinewinch/internal/coordination/feed"
+	"pinewinch.example/pinewinch/internal/protocol/consensuspb"
 	"pinewinch.example/pinewinch/internal/protocol/controlpb"
 	"pinewinch.example/pinewinch/internal/protocol/failure"
 	"pinewinch.example/pinewinch/internal/protocol/peerpb"
+	"pinewinch.example/pinewinch/internal/state/disk"
 	"pinewinch.example/pinewinch/internal/state/store"
-	"pinewinch.example/pinewinch/internal/state/wal"
 )
 
 const (
-	// maxBatch bounds the commands that share one sync.
-	maxBatch = 256
-	// followEvery is how often an idle stream renews the freshness of followers.
-	followEvery = 500 * time.Millisecond
-	// retryFollow is the pause before another try to follow.
-	retryFollow = 200 * time.Millisecond
+	// electionTicks divides the shortest election timeout.
+	electionTicks = 10
+	// heartbeatTicks lets three heartbeats be lost before an election.
+	heartbeatTicks = 3
+	// maxAppendBytes and maxInflight bound what is on its way to one member.
+	maxAppendBytes = 128 << 10
+	maxInflight    = 32
+	// queueLength bounds the proposals that wait for the owner; more are refused.
+	queueLength = 4096
+	// inboxLength bounds the messages that wait for it; more are dropped, which
+	// consensus takes like a loss on the link.
+	inboxLength = 1024
 )
 
 var (
-	commits   = expvar.NewInt("control_commits")
-	syncs     = expvar.NewInt("control_syncs")
-	forwarded = expvar.NewInt("control_forwarded")
+	commits         = expvar.NewInt("control_commits")
+	syncs           = expvar.NewInt("control_syncs")
+	forwarded       = expvar.NewInt("control_forwarded")
+	elections       = expvar.NewInt("control_leader_changes")
+	messagesDropped = expvar.NewInt("control_messages_dropped")
+	messagesRefused = expvar.NewInt("control_messages_refused")
+	snapshotsMade   = expvar.NewInt("control_snapshots_made")
+	snapshotsGot    = expvar.NewInt("control_snapshots_installed")
+	currentTerm     = expvar.NewInt("control_term")
+	currentIndex    = expvar.NewInt("control_applied_index")
 )
 
-// Peers carries calls to other instances.
+// Peers carries calls and messages to other instances.
 type Peers interface {
 	Call(ctx context.Context, to string, call *peerpb.Call) (*peerpb.Reply, error)
-	Follow(ctx context.Context, to string, follow *peerpb.Follow, handle func(*peerpb.FollowBatch) error) error
+	Messages(ctx context.Context, to string) (control.MessageStream, error)
 }
 
 // Config of a replica.
 type Config struct {
-	Name           string
-	Leader         string
-	DataFolder     string
-	FreshnessBound time.Duration
-	Now            func() time.Time
-}
-
-// Replica is one instance's part in the replicated log.
+	Instance   string
+	DataCentre string
+	// Voters are the instances that found the cluster; the first of them
+	// decides with which identities.
+	Voters []string
+	// Peers lists all other instances.
+	Peers      []string
+	Files      disk.FS
+	DataFolder string
+	// ElectionTimeout is the shortest time without a leader's word before an
+	// election; the longest is twice that.
+	ElectionTimeout time.Duration
+	FreshnessBound  time.Duration
+	// SnapshotEntries and SnapshotBytes are how much log lies between two
+	// snapshots at most; the defaults where 0.
+	SnapshotEntries uint64
+	SnapshotBytes   int64
+	Rand            *rand.Rand
+	// Now stamps commands; no decision is made by it.
+	Now    func() time.Time
+	Logger *logrus.Logger
+}
+
+// Replica is one member of the replicated log.
 type Replica struct {
 	config    Config
 	peers     Peers
-	state     atomic.Pointer[store.State]
-	heard     atomic.Int64
-	proposals chan proposal
-	mu        sync.Mutex
-	changed   chan struct{}
-	entries   []*peerpb.LogEntry
-}
-
-type proposal struct {
-	command *controlpb.Command
-	done    chan outcome
-}
-
-type outcome struct {
-	result *controlpb.Result
-	err    error
-}
-
-// New makes a replica that has applied nothing yet.
+	published *control.Published
+	feed      *feed.Server
+	view      atomic.Pointer[view]
+	// confirmed is a time of this process's clock at which the published state
+	// held everything committed.
+	confirmed atomic.Pointer[time.Time]
+	proposals chan *proposal
+	inbox     chan *consensuspb.Message
+	// requests run on the goroutine that owns the log.
+	requests chan func(*core)
+	// opened is closed when the log is open; disk is set before.
+	opened chan struct{}
+	disk   *storage
+	// foundedWith is the first configuration, where this replica founded.
+	foundedWith atomic.Pointer[consensuspb.Configuration]
+	// ended is closed when Run ends.
+	ended chan struct{}
+}
+
+// view is what readers may know of the owner's state.
+type view struct {
+	status consensus.Status
+	// leading tells that this replica leads and has applied its own term's
+	// first entry, hence everything that earlier leaders committed.
+	leading bool
+	leader  string
+	member  bool
+}
+
+// New makes a replica; Run opens its log.
 func New(config Config, peers Peers) *Replica {
+	if config.SnapshotEntries == 0 {
+		config.SnapshotEntries = defaultSnapshotEntries
+	}
+	if config.SnapshotBytes == 0 {
+		config.SnapshotBytes = defaultSnapshotBytes
+	}
 	r := &Replica{
 		config:    config,
 		peers:     peers,
-		proposals: make(chan proposal, maxBatch),
-		changed:   make(chan struct{}),
-	}
-	r.state.Store(store.New())
+		published: control.NewPublished(),
+		proposals: make(chan *proposal, queueLength),
+		inbox:     make(chan *consensuspb.Message, inboxLength),
+		requests:  make(chan func(*core)),
+		opened:    make(chan struct{}),
+		ended:     make(chan struct{}),
+	}
+	r.feed = feed.NewServer(r)
+	r.view.Store(&view{})
 	return r
 }
 
 // State is the newest applied state.
-func (r *Replica) State() *store.State { return r.state.Load() }
+func (r *Replica) State() *store.State { return r.published.State() }
 
-// Leader names the instance that accepts commands.
-func (r *Replica) Leader() string { return r.config.Leader }
+// Changed gives a channel that is closed when the state next changes.
+func (r *Replica) Changed() <-chan struct{} { return r.published.Changed() }
 
-// IsLeader tells whether this instance accepts commands.
-func (r *Replica) IsLeader() bool { return r.config.Leader == r.config.Name }
+// Leader names the instance that leads, as far as is known.
+func (r *Replica) Leader() string { return r.view.Load().leader }
 
-// Changed gives a channel that is closed when the state next changes.
-func (r *Replica) Changed() <-chan struct{} {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return r.changed
-}
+// IsLeader tells whether this instance leads and has applied everything that
+// earlier leaders committed: a decision made before that would repeat theirs.
+func (r *Replica) IsLeader() bool { return r.view.Load().leading }
 
-// Fresh fails when the control state is older than the freshness bound: an
-// instance that is cut off would admit work under rules since replaced.
-func (r *Replica) Fresh() error {
-	if r.IsLeader() {
-		return nil
-	}
-	age := r.config.Now().Sub(time.UnixMilli(r.heard.Load()))
-	if r.heard.Load() == 0 || age > r.config.FreshnessBound {
-		return failure.New(failure.StaleState, "control state is not confirmed")
-	}
-	return nil
-}
+// Member tells whether this replica is a member of the newest configuration.
+func (r *Replica) Member() bool { return r.view.Load().member }
 
-// Run opens the log or follows the leader until ctx ends.
-func (r *Replica) Run(ctx context.Context) error {
-	if r.IsLeader() {
-		return r.lead(ctx)
-	}
-	r.follow(ctx)
-	return nil
-}
+// Status is what this replica knows of the log.
+func (r *Replica) Status() consensus.Status { return r.view.Load().status }
 
-// Propose commits one command and gives its result; from another instance it
-// is sent to the leader.
-func (r *Replica) Propose(ctx context.Context, command *controlpb.Command) (*controlpb.Result, error) {
-	if !r.IsLeader() {
-		return r.forward(ctx, command)
-	}
-	p := proposal{command: command, done: make(chan outcome, 1)}
-	select {
-	case r.proposals <- p:
-	case <-ctx.Done():
-		return nil, failure.Wrap(failure.Overloaded, ctx.Err(), "the log takes no more commands now")
-	}
+// Path implements feed.Source.
+func (r *Replica) Path() []string { return []string{r.config.Instance} }
+
+// Deliver takes one consensus message; where the owner is behind it is dropped.
+func (r *Replica) Deliver(message *consensuspb.Message) {
 	select {
-	case o := <-p.done:
-		return o.result, o.err
-	case <-ctx.Done():
-		return nil, failure.Ran(failure.OutcomeUnknown, failure.NotRunUnknown, ctx.Err(), "command not confirmed")
+	case r.inbox <- message:
+	default:
+		messagesDropped.Add(1)
 	}
 }
 
-func (r *Replica) forward(ctx context.Context, command *controlpb.Command) (*controlpb.Result, error) {
-	forwarded.Add(1)
-	call := &peerpb.Call{Body: &peerpb.Call_Propose{Propose: &peerpb.Propose{Command: command}}}
-	reply, err := r.peers.Call(ctx, r.config.Leader, call)
-	if err != nil {
-		return nil, err
-	}
-	return reply.GetResult(), nil
+// ServeFollow sends the log to another instance.
+func (r *Replica) ServeFollow(ctx context.Context, follow *peerpb.Follow, stream control.Stream) error {
+	return r.feed.Serve(ctx, follow, stream)
 }
 
-func (r *Replica) lead(ctx context.Context) error {
-	log, entries, err := wal.Open(r.config.DataFolder)
-	if err != nil {
-		return err
-	}
-	defer log.Close()
-	r.apply(entries)
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case first := <-r.proposals:
-			if err := r.commit(log, r.gather(first)); err != nil {
-				return err
-			}
-		}
-	}
-}
-
-// gather takes what waits behind the first proposal, so that one sync serves
-// all: under load batches grow by themselves.
-func (r *Replica) gather(first proposal) []proposal {
-	batch := []proposal{first}
-	for len(batch) < maxBatch {
-		select {
-		case next := <-r.proposals:
-			batch = append(batch, next)
-		default:
-			return batch
-		}
-	}
-	return batch
+// ServePropose answers a command that another instance sent. It is not sent on:
+// a command could go round for ever between two that each take the other for
+// the leader.
+func (r *Replica) ServePropose(ctx context.Context, propose *peerpb.Propose) (*controlpb.Result, error) {
+	ctx, cancel := context.WithTimeout(ctx, proposePatience)
+	defer cancel()
+	return r.submit(ctx, propose.Command)
 }
 
-func (r *Replica) commit(log *wal.Log, batch []proposal) error {
-	now := r.config.Now().UnixMilli()
-	index := r.State().Index()
-	entries := make([]*peerpb.LogEntry, len(batch))
-	for i, p := range batch {
-		p.command.TimeMs = now
-		entries[i] = &peerpb.LogEntry{Index: index + uint64(i) + 1, Term: 1, Command: p.command}
-	}
-	err := log.Append(entries)
+// Run takes part in the log until ctx ends; it fails when the disk does. A
+// leader hands over before it ends.
+func (r *Replica) Run(ctx context.Context) error {
+	defer close(r.ended)
+	storage, recovered, err := openStorage(&r.config)
 	if err != nil {
-		for _, p := range batch {
-			p.done <- outcome{err: failure.Ran(failure.DiskFailed, failure.NotRunUnknown, err, "log")}
-		}
 		return err
 	}
-	syncs.Add(1)
-	commits.Add(int64(len(batch)))
-	results := r.apply(entries)
-	for i, p := range batch {
-		p.done <- outcome{result: results[i]}
-	}
-	return nil
-}
-
-// apply moves the state over the entries and wakes everyone who waits for it.
-func (r *Replica) apply(entries []*peerpb.LogEntry) []*controlpb.Result {
-	state := r.State()
-	results := make([]*controlpb.Result, 0, len(entries))
-	for _, entry := range entries {
-		var result *controlpb.Result
-		state, result = state.Apply(entry.Index, entry.Command)
-		results = append(results, result)
-	}
-	r.mu.Lock()
-	r.entries = append(r.entries, entries...)
-	r.mu.Unlock()
-	r.publish(state)
-	return results
-}
-
-func (r *Replica) publish(state *store.State) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.state.Store(state)
-	close(r.changed)
-	r.changed = make(chan struct{})
-}
-
-func (r *Replica) follow(ctx context.Context) {
-	for ctx.Err() == nil {
-		follow := &peerpb.Follow{After: r.State().Index(), Instance: r.config.Name}
-		_ = r.peers.Follow(ctx, r.config.Leader, follow, r.take)
-		select {
-		case <-ctx.Done():
-		case <-time.After(retryFollow):
-		}
+	defer storage.close()
+	core, err := newCore(r, storage, recovered)
+	if err != nil {
+		return err
 	}
+	r.disk = storage
+	r.foundedWith.Store(storage.first)
+	close(r.opened)
+	working, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+	core.links.start(working, r.peers)
+	go r.confirmFromLeader(working)
+	go r.found(working)
+	return core.run(ctx, working)
 }
 
-func (r *Replica) take(batch *peerpb.FollowBatch) error {
-	if batch.Snapshot != nil {
-		r.publish(store.Restore(batch.Snapshot))
+// ask runs a request on the owner's goroutine and waits for its end.
+func (r *Replica) ask(ctx context.Context, request func(*core)) error {
+	done := make(chan struct{})
+	wrapped := func(c *core) {
+		request(c)
+		close(done)
 	}
-	if len(batch.Entries) > 0 {
-		r.apply(batch.Entries)
+	select {
+	case r.requests <- wrapped:
+	case <-ctx.Done():
+		return failure.Wrap(failure.Overloaded, ctx.Err(), "the log did not take the request")
+	case <-r.ended:
+		return failure.New(failure.NotReady, "the log is closed")
 	}
-	r.heard.Store(r.config.Now().UnixMilli() - batch.AgeMs)
+	<-done
 	return nil
 }
 
-// ServePropose answers a command that another instance sent.
-func (r *Replica) ServePropose(ctx context.Context, propose *peerpb.Propose) (*controlpb.Result, error) {
-	if !r.IsLeader() {
-		f := failure.New(failure.NotLeader, "another instance leads")
-		f.Leader = r.config.Leader
-		return nil, f
-	}
-	return r.Propose(ctx, propose.Command)
-}
-
-// ServeFollow sends the log from after the asked index, then each new batch.
-func (r *Replica) ServeFollow(ctx context.Context, follow *peerpb.Follow, send func(*peerpb.FollowBatch) error) error {
-	after := follow.After
+// waitApplied waits until the published state has applied an index.
+func (r *Replica) waitApplied(ctx context.Context, index uint64) error {
 	for {
 		changed := r.Changed()
-		entries := r.entriesAfter(after)
-		if err := r.Fresh(); err != nil {
-			return err
-		}
-		batch := &peerpb.FollowBatch{Commit: r.State().Index(), Leader: r.config.Leader, Entries: entries}
-		if err := send(batch); err != nil {
-			return err
+		if r.State().Index() >= index {
+			return nil
 		}
-		after += uint64(len(entries))
 		select {
-		case <-ctx.Done():
-			return nil
 		case <-changed:
-		case <-time.After(followEvery):
+		case <-ctx.Done():
+			return failure.Wrap(failure.StaleState, ctx.Err(), "entry %d has not been applied", index)
 		}
 	}
 }
-
-func (r *Replica) entriesAfter(after uint64) []*peerpb.LogEntry {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if after >= uint64(len(r.entries)) {
-		return nil
-	}
-	rest := r.entries[after:]
-	return rest[:min(len(rest), maxBatch)]
-}
--- a/internal/coordination/routing/admission/policy.go
+++ b/internal/coordination/routing/admission/policy.go
@@ -233,14 +233,17 @@
 	p.do(Finish{Request: r, Result: result})
 }
 
-// Leave takes back a request whose caller has gone.
+// Leave notes that a request's caller has gone or that its time is up. One that
+// waits ends at once; one in flight gets no other attempt, and ends with the
+// outcome of the one it has.
 func (p *Policy) Leave(now time.Time, r *Request) []Action {
-	if !r.ended {
-		r.ended = true
+	if r.ended {
+		return nil
+	}
+	r.gone = true
+	if len(r.inFlight) == 0 {
 		p.service(r.Service).queue.Remove(&r.item)
-		for _, attempt := range r.inFlight {
-			p.do(Cancel{Attempt: attempt})
-		}
+		p.giveUp(r, Refusal{Reason: ReasonLeft})
 	}
 	return p.take()
 }
@@ -284,7 +287,8 @@
 // late already counts as failed, or a minion that hangs would look healthy.
 func (p *Policy) judge(now time.Time, s *service, a *Attempt, result Result) {
 	took := now.Sub(a.started)
-	if a.Request.ended && result.Outcome != Answered && took <= s.learned.late() {
+	over := a.Request.ended || a.Request.gone
+	if over && result.Outcome != Answered && took <= s.learned.late() {
 		return
 	}
 	h := a.target.health
@@ -306,6 +310,10 @@
 	if len(r.inFlight) > 0 {
 		return
 	}
+	if r.gone || r.last.Final {
+		p.finish(r, r.last)
+		return
+	}
 	safe := r.Idempotent || r.last.Outcome == Refused || r.last.Outcome == NotRun
 	if !safe || r.attempts >= maxAttempts || !now.Before(r.Deadline) || !c.budget.spend() {
 		p.finish(r, r.last)
--- a/internal/coordination/routing/admission/types.go
+++ b/internal/coordination/routing/admission/types.go
@@ -68,14 +68,8 @@
 	last     Result
 	hedgeAt  time.Time
 	ended    bool
-}
-
-// MayHaveRun tells whether some attempt may have run the request.
-func (r *Request) MayHaveRun() bool {
-	if len(r.inFlight) > 0 {
-		return true
-	}
-	return r.attempts > 0 && (r.last.Outcome == Failed || r.last.Outcome == Unknown)
+	// gone is set when the caller has left; no attempt follows then.
+	gone bool
 }
 
 // Attempt is one sending of a request to a minion.
@@ -108,6 +102,8 @@
 // Result is the outcome of an attempt with what belongs to it.
 type Result struct {
 	Outcome Outcome
+	// Final forbids another attempt: the caller has part of the answer.
+	Final bool
 	// Owner is the caller's own, such as the answer or the error.
 	Owner any
 }
@@ -124,6 +120,9 @@
 	ReasonLimit     Reason = "customer_limit"
 	ReasonRate      Reason = "customer_rate"
 	ReasonCutOff    Reason = "cut_off"
+	// ReasonLeft means that the caller left, or its time ran out, before the
+	// request was sent.
+	ReasonLeft Reason = "caller_left"
 )
 
 // Refusal is a final answer without a run.
--- a/internal/coordination/routing/desk.go
+++ b/internal/coordination/routing/desk.go
@@ -135,8 +135,8 @@
 // send makes one attempt and tells the policy what became of it.
 func (d *desk) send(ctx context.Context, attempt *admission.Attempt) {
 	w := attempt.Request.Owner.(*waiter)
-	answer, err := d.minions.Serve(ctx, attempt.Minion.Address, w.request.Service, w.request.Key, w.request.Body)
-	result := admission.Result{Outcome: outcomeOf(answer, err), Owner: delivery{answer: answer, err: err}}
+	answer, err := d.minions.Serve(ctx, attempt.Minion.Address, &w.request.Call)
+	result := admission.Result{Outcome: outcomeOf(answer, err), Final: begun(answer), Owner: delivery{answer: answer, err: err}}
 	count(attempt, result.Outcome)
 	d.mu.Lock()
 	d.cancels[attempt]()
@@ -148,9 +148,13 @@
 // serverError is the first status that counts as the minion's failure.
 const serverError = 500
 
+// begun tells whether the caller has some of the answer already, so that no
+// other attempt may answer.
+func begun(answer *api.Answer) bool { return answer != nil && answer.Streamed }
+
 func outcomeOf(answer *api.Answer, err error) admission.Outcome {
 	if err == nil {
-		if answer.Status >= serverError {
+		if answer.Status >= serverError || answer.Cut != nil {
 			return admission.Failed
 		}
 		return admission.Answered
--- a/internal/coordination/routing/send.go
+++ b/internal/coordination/routing/send.go
@@ -47,7 +47,8 @@
 
 // Send brings one request to a minion and its answer back. It is sent again
 // only where it surely did not run, or where idempotent says that a second run
-// does no harm. Its errors say whether it ran.
+// does no harm. Its errors say whether it ran. Where an attempt is out when ctx
+// ends, Send returns with that attempt's outcome.
 func (r *Router) Send(ctx context.Context, request *Request, idempotent bool) (*api.Answer, error) {
 	w := &waiter{ctx: ctx, request: request, done: make(chan delivery, 1)}
 	priority := r.priority(request.Service)
@@ -61,40 +62,19 @@
 		Owner:      w,
 	}
 	r.desk.event(func(p *admission.Policy, now time.Time) []admission.Action { return p.Arrive(now, sent) })
+	var d delivery
 	select {
-	case d := <-w.done:
-		return d.finish()
+	case d = <-w.done:
 	case <-ctx.Done():
-		return r.leave(sent, w)
+		r.desk.event(func(p *admission.Policy, now time.Time) []admission.Action { return p.Leave(now, sent) })
+		d = <-w.done
 	}
-}
-
-func (d delivery) finish() (*api.Answer, error) {
 	if d.err == nil {
 		answered.Add(1)
 	}
 	return d.answer, d.err
 }
 
-// leave ends a request whose caller has gone or whose time is up.
-func (r *Router) leave(sent *admission.Request, w *waiter) (*api.Answer, error) {
-	mayHaveRun := false
-	r.desk.event(func(p *admission.Policy, now time.Time) []admission.Action {
-		mayHaveRun = sent.MayHaveRun()
-		return p.Leave(now, sent)
-	})
-	select {
-	case d := <-w.done:
-		return d.finish()
-	default:
-	}
-	if mayHaveRun {
-		return nil, failure.Ran(failure.OutcomeUnknown, failure.NotRunUnknown, w.ctx.Err(), "no answer in time")
-	}
-	refused.Add(1)
-	return nil, failure.Wrap(failure.DeadlinePassed, w.ctx.Err(), "not sent in time")
-}
-
 // noDeadline stands for a request whose context has none.
 const noDeadline = time.Hour
 
@@ -120,6 +100,8 @@
 		code = failure.LimitReached
 	case admission.ReasonCutOff:
 		code = failure.StaleState
+	case admission.ReasonLeft:
+		code = failure.DeadlinePassed
 	}
 	f := failure.New(code, "request for %q refused: %s", request.Service, refusal.Reason)
 	f.RetryAfter = refusal.RetryAfter
--- a/internal/protocol/api/upstream.go
+++ b/internal/protocol/api/upstream.go
@@ -1,6 +1,7 @@
 package api
 
 import (
+	"io"
 	"net/http"
 	"strconv"
 	"time"
@@ -16,6 +17,7 @@
 	PathTaskReserve    = "/v1/tasks/reserve"
 	PathTaskStart      = "/v1/tasks/start"
 	PathTaskStop       = "/v1/tasks/stop"
+	PathTaskThrottle   = "/v1/tasks/throttle"
 	PathServe          = "/v1/serve/"
 )
 
@@ -62,7 +64,11 @@
 }
 
 // AnnounceReply tells an upstream when to announce next, and a worker which of
-// its tasks to keep. A task in neither list keeps running until its lease ends.
+// its tasks to keep. A renewed task may run until LeaseMs after the moment at
+// which the worker SENT the announcement that this answers; counted from the
+// receipt of the answer, a late answer would prolong a lease that the system
+// has taken to be over. A stopped task is checkpointed if it can be, and ended. A
+// task in neither list runs until its lease ends.
 type AnnounceReply struct {
 	NextMs  int64     `json:"next_ms"`
 	LeaseMs int64     `json:"lease_ms"`
@@ -78,9 +84,16 @@
 	Epoch uint64 `json:"epoch"`
 }
 
-// TaskCommand is sent to a worker to reserve, start or stop a task.
+// TaskCommand is sent to a worker to reserve, start, throttle or stop a task.
 type TaskCommand struct {
 	TaskRef
+	// Incarnation and Announced are of the newest announcement of the worker that
+	// the sender has heard. A reserve or start is refused by another incarnation,
+	// and its lease runs from when the worker sent that announcement, so that a
+	// command which the network held back is refused. A worker that starts again
+	// ends what an earlier incarnation left before it announces itself.
+	Incarnation    int64    `json:"incarnation,omitempty"`
+	Announced      uint64   `json:"announced,omitempty"`
 	Accelerators   []uint32 `json:"accelerators,omitempty"`
 	Cores          uint32   `json:"cores,omitempty"`
 	MemoryMB       uint64   `json:"memory_mb,omitempty"`
@@ -89,11 +102,15 @@
 	LeaseMs        int64    `json:"lease_ms,omitempty"`
 	// Checkpoint asks for the work to be kept when a task is stopped.
 	Checkpoint bool `json:"checkpoint,omitempty"`
+	// Percent of its speed that a throttled task may run at, 1 to 100.
+	Percent uint32 `json:"percent,omitempty"`
 }
 
-// TaskAnswer is a worker's answer to a command.
+// TaskAnswer is a worker's answer to a command: the phase that the task is in
+// after it, and the work that a checkpoint has kept.
 type TaskAnswer struct {
-	CheckpointedMs int64 `json:"checkpointed_ms,omitempty"`
+	Phase          string `json:"phase,omitempty"`
+	CheckpointedMs int64  `json:"checkpointed_ms,omitempty"`
 }
 
 // The phases of a task on the wire.
@@ -167,9 +184,42 @@
 	return time.Duration(ms) * time.Millisecond, err == nil && ms > 0
 }
 
-// Answer is a minion's whole answer to one request.
+// ServeCall is one request on its way to a minion.
+type ServeCall struct {
+	Service string
+	// ID identifies the request; its answer carries the same.
+	ID   string
+	Body []byte
+	// Hold is the largest answer, in bytes, that is held whole. A larger one
+	// goes to Sink while it arrives; with no sink it is an error.
+	Hold int64
+	Sink AnswerSink
+	// Dispatched, if any, is told true when a connection is about to carry the
+	// request, for from then on it may run, and false when it surely did not.
+	Dispatched func(at bool)
+	// Late is how long after the end of the caller's wait an answer to a
+	// dispatched request is still taken.
+	Late time.Duration
+}
+
+// AnswerSink takes a large answer while it arrives. Of the tries of one
+// request only the first that begins may write to it.
+type AnswerSink interface {
+	// Begin announces an answer; ok is false where another try has begun.
+	Begin(answer *Answer) (body io.Writer, ok bool)
+}
+
+// Answer is a minion's answer to one request.
 type Answer struct {
 	Status      int
 	ContentType string
-	Body        []byte
+	// Body is the whole answer, unless it was streamed.
+	Body []byte
+	// Streamed tells that the body went to the request's sink as it came.
+	Streamed bool
+	// Length of a streamed answer where it is known beforehand, else -1.
+	Length int64
+	// Cut is why a streamed answer ended too early, nil for a whole one. A part
+	// has reached the caller by then, so no other minion may be tried.
+	Cut error
 }
--- a/internal/protocol/failure/failure.go
+++ b/internal/protocol/failure/failure.go
@@ -42,15 +42,27 @@
 	StaleState      Code = "stale_state"
 	NotLeader       Code = "not_leader"
 	NoLeader        Code = "no_leader"
+	NoQuorum        Code = "no_quorum"
+	ChangePending   Code = "change_pending"
+	NotCaughtUp     Code = "not_caught_up"
 	Unreachable     Code = "unreachable"
 	OutcomeUnknown  Code = "outcome_unknown"
 	TruncatedAnswer Code = "truncated_answer"
 	WrongAnswer     Code = "wrong_answer"
 	UpstreamFailed  Code = "upstream_failed"
 	TooLarge        Code = "too_large"
+	AnswerGone      Code = "answer_gone"
+	KeyExpired      Code = "key_expired"
 	Corrupt         Code = "corrupt_log"
 	DiskFailed      Code = "disk_failed"
+	FolderInUse     Code = "data_folder_in_use"
 	Internal        Code = "internal"
+	// Codes of tasks.
+	MemoryExceeded Code = "memory_exceeded"
+	TaskFailed     Code = "task_failed"
+	LeaseLost      Code = "lease_lost"
+	WorkerVanished Code = "worker_vanished"
+	StartTimeout   Code = "start_timeout"
 )
 
 type kind struct {
@@ -76,17 +88,50 @@
 	StaleState:      {http.StatusServiceUnavailable, 16},
 	NotLeader:       {http.StatusMisdirectedRequest, 17},
 	NoLeader:        {http.StatusServiceUnavailable, 18},
+	NoQuorum:        {http.StatusPreconditionFailed, 40},
+	ChangePending:   {http.StatusConflict, 41},
+	NotCaughtUp:     {http.StatusConflict, 42},
 	Unreachable:     {http.StatusServiceUnavailable, 19},
 	OutcomeUnknown:  {http.StatusBadGateway, 20},
 	TruncatedAnswer: {http.StatusBadGateway, 21},
 	WrongAnswer:     {http.StatusBadGateway, 22},
 	UpstreamFailed:  {http.StatusBadGateway, 23},
 	TooLarge:        {http.StatusRequestEntityTooLarge, 24},
+	AnswerGone:      {http.StatusGone, 40},
+	KeyExpired:      {http.StatusGone, 41},
 	Corrupt:         {http.StatusInternalServerError, 25},
 	DiskFailed:      {http.StatusInternalServerError, 26},
+	FolderInUse:     {http.StatusInternalServerError, 27},
 	Internal:        {http.StatusInternalServerError, 1},
+	MemoryExceeded:  {http.StatusInsufficientStorage, 40},
+	TaskFailed:      {http.StatusBadGateway, 41},
+	LeaseLost:       {http.StatusBadGateway, 42},
+	WorkerVanished:  {http.StatusBadGateway, 43},
+	StartTimeout:    {http.StatusGatewayTimeout, 44},
 }
 
+// infrastructure holds the codes of failures that say nothing about the work
+// itself: it met a worker that was out of reach, full, or behind.
+var infrastructure = map[Code]bool{
+	Unreachable:     true,
+	OutcomeUnknown:  true,
+	TruncatedAnswer: true,
+	WrongAnswer:     true,
+	StaleEpoch:      true,
+	StaleState:      true,
+	Overloaded:      true,
+	NotFound:        true,
+	NotReady:        true,
+	DeadlinePassed:  true,
+	LeaseLost:       true,
+	WorkerVanished:  true,
+	StartTimeout:    true,
+}
+
+// Infrastructure tells whether a task's failure counts against no job. A code
+// that a worker made up is the work's own.
+func (c Code) Infrastructure() bool { return infrastructure[c] }
+
 // Codes lists every code; tests check that each has one status and one exit code.
 func Codes() []Code {
 	codes := make([]Code, 0, len(kinds))
--- a/internal/state/store/apply.go
+++ b/internal/state/store/apply.go
@@ -14,6 +14,11 @@
 	sessionLife = time.Hour
 	// endedJobLife is how long an ended job can be looked up.
 	endedJobLife = 24 * time.Hour
+	// healthLife is how long a worker's failures stand after the newest.
+	healthLife = 24 * time.Hour
+	// occurrenceLife is how long a removed entry's last occurrence is kept, in
+	// case the entry is declared again.
+	occurrenceLife = 45 * 24 * time.Hour
 	// expireEvery is how many entries lie between two clean-ups; it counts
 	// indexes, so that every replica cleans up at the same ones.
 	expireEvery = 256
@@ -59,12 +64,16 @@
 		return s.moveJob(op.Move)
 	case *controlpb.Command_Finish:
 		return s.finishTasks(op.Finish)
-	case *controlpb.Command_Claim:
-		return s.claim(op.Claim)
-	case *controlpb.Command_Settle:
-		return s.settle(op.Settle)
+	case *controlpb.Command_Claims:
+		return s.takeClaims(op.Claims)
+	case *controlpb.Command_Settles:
+		return s.settleClaims(op.Settles)
 	case *controlpb.Command_Drain:
 		return s.setDrain(op.Drain)
+	case *controlpb.Command_BatchMove:
+		return s.batchMove(op.BatchMove)
+	case *controlpb.Command_SubmitJobs:
+		return s.submitJobs(op.SubmitJobs)
 	}
 	return &controlpb.Result{}
 }
@@ -88,9 +97,11 @@
 func (s *State) expire() {
 	oldSession := s.timeMs - sessionLife.Milliseconds()
 	s.sessions = expire(s.sessions, func(v *controlpb.Session) bool { return v.TimeMs < oldSession })
-	s.claims = expire(s.claims, func(c *controlpb.Claim) bool { return c.ExpiresMs < s.timeMs })
+	s.expireClaims(maxExpiredPerApply)
 	oldJob := s.timeMs - endedJobLife.Milliseconds()
 	s.jobs = expire(s.jobs, func(j *controlpb.Job) bool { return Ended(j.State) && j.EndedMs < oldJob })
+	s.health = expire(s.health, s.oldHealth)
+	s.occurrences = expire(s.occurrences, s.oldOccurrence)
 }
 
 func expire[T any](t *table[T], old func(T) bool) *table[T] {
