Share minions' slots as credits by an agreed epoch, with a lease and loans

Cause: each instance counted only its own requests, so nine of them could send nine times a minion's slots. Change: the leader keeps the entry instances as credit members in the control log; shares follow by rendezvous rank, gained parts are taken up once every member confirms the epoch, a removed member's part stays nobody's for the lease, idle credits are lent on ask. A cut off instance serves what is idempotent on its own credits for one freshness bound more (3 s at defaults), then nothing. Ruled out: removal by silence alone. Two instances that disagree on who is alive would both use a slot; the log orders removals and the state's own age is the lease. Run: go test -race of routing, store and scenarios, all ok.

--- /dev/null
+++ b/internal/app/credits.go
@@ -0,0 +1,99 @@
+package app
+
+import (
+	"context"
+	"time"
+
+	"go.uber.org/fx"
+
+	"pinewinch.example/pinewinch/internal/coordination/control"
+	"pinewinch.example/pinewinch/internal/coordination/membership"
+	"pinewinch.example/pinewinch/internal/coordination/routing"
+	"pinewinch.example/pinewinch/internal/coordination/routing/admission"
+	"pinewinch.example/pinewinch/internal/coordination/routing/creditmembers"
+	"pinewinch.example/pinewinch/internal/protocol/controlpb"
+	"pinewinch.example/pinewinch/internal/protocol/failure"
+	"pinewinch.example/pinewinch/internal/protocol/peerpb"
+	"pinewinch.example/pinewinch/internal/settings"
+	"pinewinch.example/pinewinch/internal/transport/peers"
+)
+
+const (
+	// keepEvery is how often the leader looks whether the credit members change.
+	keepEvery = 200 * time.Millisecond
+	// heardWithin is how lately an instance must have been heard to be alive.
+	heardWithin = 2500 * time.Millisecond
+	// leaseBounds is the length of the lease on credits in freshness bounds: for
+	// one of them a cut off instance still serves what is idempotent.
+	leaseBounds = 2
+)
+
+func creditLease(s *settings.Settings) time.Duration { return leaseBounds * s.Control.FreshnessBound }
+
+// runCreditMembers keeps the members while this instance leads.
+func runCreditMembers(lifecycle fx.Lifecycle, s *settings.Settings, log control.Log, registry *membership.Registry) {
+	keeper := creditmembers.NewKeeper(creditLease(s))
+	background(lifecycle, func(ctx context.Context) {
+		ticker := time.NewTicker(keepEvery)
+		defer ticker.Stop()
+		for {
+			select {
+			case <-ctx.Done():
+				return
+			case <-ticker.C:
+			}
+			if !log.IsLeader() || log.Fresh() != nil {
+				keeper.Forget()
+				continue
+			}
+			next := keeper.Next(time.Now(), log.State().CreditMembers(), aliveInstances(registry))
+			if next != nil {
+				proposeCreditMembers(ctx, log, next)
+			}
+		}
+	})
+}
+
+// proposeCreditMembers may fail: the next look decides again.
+func proposeCreditMembers(ctx context.Context, log control.Log, next *controlpb.CreditMembers) {
+	ctx, cancel := context.WithTimeout(ctx, time.Second)
+	defer cancel()
+	_, _ = log.Propose(ctx, &controlpb.Command{Op: &controlpb.Command_CreditMembers{CreditMembers: next}})
+}
+
+func aliveInstances(registry *membership.Registry) []string {
+	var alive []string
+	for _, instance := range registry.Instances(heardWithin) {
+		if instance.Ready {
+			alive = append(alive, instance.Name)
+		}
+	}
+	return alive
+}
+
+// lenders carries asks for credits to other instances.
+type lenders struct{ network *peers.Network }
+
+// Ask implements routing.Lenders.
+func (l lenders) Ask(ctx context.Context, to string, ask admission.Ask) (admission.Reply, error) {
+	call := &peerpb.Call{Body: &peerpb.Call_CreditAsk{CreditAsk: routing.EncodeAsk(ask)}}
+	reply, err := l.network.Call(ctx, to, call)
+	if err != nil {
+		return admission.Reply{}, err
+	}
+	granted := reply.GetCreditReply()
+	if granted == nil {
+		return admission.Reply{}, failure.New(failure.WrongAnswer, "%s answered no credits", to)
+	}
+	return admission.Reply{Sequence: granted.Sequence, Granted: routing.DecodeAmounts(granted.Granted), Idle: int(granted.Idle)}, nil
+}
+
+// serveCreditAsk answers another instance that asks for credits.
+func serveCreditAsk(ctx context.Context, router *routing.Router, from string, ask *peerpb.CreditAsk) (*peerpb.Reply, error) {
+	granted, err := router.Asked(ctx, from, routing.DecodeAsk(ask))
+	if err != nil {
+		return nil, err
+	}
+	reply := &peerpb.CreditReply{Sequence: granted.Sequence, Granted: routing.EncodeAmounts(granted.Granted), Idle: uint32(granted.Idle)}
+	return &peerpb.Reply{Body: &peerpb.Reply_CreditReply{CreditReply: reply}}, nil
+}
--- a/internal/app/requests.go
+++ b/internal/app/requests.go
@@ -17,12 +17,18 @@
 
 var requestsModule = fx.Module("requests",
 	fx.Provide(upstream.NewClient, newRouter, newExecutor),
-	fx.Invoke(runRouter, stopExecutor),
+	fx.Invoke(runRouter, runCreditMembers, stopExecutor),
 )
 
-func newRouter(s *settings.Settings, log control.Log, registry *membership.Registry, client *upstream.Client) *routing.Router {
-	config := routing.Config{Instance: s.Instance.Name, QueueLength: s.Requests.QueueLength, Now: time.Now}
-	return routing.New(config, log, registry, client, nil)
+func newRouter(s *settings.Settings, log control.Log, registry *membership.Registry, client *upstream.Client, network *peers.Network) *routing.Router {
+	config := routing.Config{
+		Instance:       s.Instance.Name,
+		QueueLength:    s.Requests.QueueLength,
+		FreshnessBound: s.Control.FreshnessBound,
+		Lease:          creditLease(s),
+		Now:            time.Now,
+	}
+	return routing.New(config, log, registry, client, lenders{network})
 }
 
 func runRouter(lifecycle fx.Lifecycle, router *routing.Router) { background(lifecycle, router.Run) }
--- a/internal/app/softstate.go
+++ b/internal/app/softstate.go
@@ -7,6 +7,7 @@
 	"pinewinch.example/pinewinch/internal/coordination/claims"
 	"pinewinch.example/pinewinch/internal/coordination/control"
 	"pinewinch.example/pinewinch/internal/coordination/membership"
+	"pinewinch.example/pinewinch/internal/coordination/routing"
 	"pinewinch.example/pinewinch/internal/protocol/consensuspb"
 	"pinewinch.example/pinewinch/internal/protocol/peerpb"
 	"pinewinch.example/pinewinch/internal/settings"
@@ -29,10 +30,11 @@
 	registry *membership.Registry
 	network  *peers.Network
 	executor *claims.Executor
+	router   *routing.Router
 }
 
-func newSoftState(s *settings.Settings, node control.Node, registry *membership.Registry, network *peers.Network, executor *claims.Executor) *softState {
-	return &softState{settings: s, node: node, registry: registry, network: network, executor: executor}
+func newSoftState(s *settings.Settings, node control.Node, registry *membership.Registry, network *peers.Network, executor *claims.Executor, router *routing.Router) *softState {
+	return &softState{settings: s, node: node, registry: registry, network: network, executor: executor, router: router}
 }
 
 func (s *softState) run(ctx context.Context) {
@@ -80,7 +82,7 @@
 
 func (s *softState) self() *peerpb.InstanceState {
 	state := s.node.State()
-	return &peerpb.InstanceState{
+	self := &peerpb.InstanceState{
 		Name:        s.settings.Instance.Name,
 		DataCentre:  s.settings.Instance.DataCentre,
 		Applied:     state.Index(),
@@ -89,6 +91,8 @@
 		HttpAddress: s.settings.Instance.ListenHTTP.String(),
 		Replica:     s.settings.Instance.DataFolder != "",
 	}
+	s.router.Describe(self)
+	return self
 }
 
 // Call answers one call of another instance.
@@ -110,6 +114,8 @@
 		return &peerpb.Reply{Body: &peerpb.Reply_Ack{Ack: &peerpb.Ack{}}}, nil
 	case *peerpb.Call_Fetch:
 		return s.executor.ServeFetch(body.Fetch)
+	case *peerpb.Call_CreditAsk:
+		return serveCreditAsk(ctx, s.router, call.From, body.CreditAsk)
 	}
 	return s.node.ServeReplica(ctx, call)
 }
--- a/internal/coordination/routing/admission/hedge.go
+++ b/internal/coordination/routing/admission/hedge.go
@@ -33,7 +33,7 @@
 
 func (p *Policy) hedgeOne(now time.Time, s *service, r *Request) {
 	c := p.customer(r.Customer)
-	if s.queue.Len() > 0 || (c.limit != nil && c.limit.Free() <= 0) {
+	if p.view.Expired || s.queue.Len() > 0 || (c.limit != nil && c.limit.Free() <= 0) {
 		return
 	}
 	t := s.pick(now, r.tried)
--- a/internal/coordination/routing/admission/loans.go
+++ b/internal/coordination/routing/admission/loans.go
@@ -30,6 +30,8 @@
 	// heard orders the asks of each borrower.
 	heard      map[string]order
 	nextReturn time.Time
+	// unsure is whether any member is unsure as a lender.
+	unsure bool
 }
 
 // lender is another instance as one to borrow from.
@@ -141,6 +143,7 @@
 		l.idle = reply.Idle
 		p.book.Borrow(from, reply.Granted)
 	}
+	p.noteUnsure()
 	p.pumpAll(now)
 	return p.take()
 }
@@ -184,7 +187,7 @@
 
 // serveHeld lends idle credits to the instances that asked, oldest ask first.
 func (p *Policy) serveHeld(now time.Time) {
-	if p.view.CutOff {
+	if p.view.CutOff || p.view.Expired {
 		return
 	}
 	for _, held := range append([]*heldAsk(nil), p.loans.held...) {
@@ -304,7 +307,7 @@
 // Busy tells whether anything here waits for time to pass; a policy that is
 // not busy needs no tick.
 func (p *Policy) Busy() bool {
-	if len(p.loans.held) > 0 || p.owing() {
+	if len(p.loans.held) > 0 || p.book.Borrowed() > 0 || p.loans.unsure {
 		return true
 	}
 	for _, s := range p.services {
@@ -315,14 +318,12 @@
 	return false
 }
 
-func (p *Policy) owing() bool {
-	if len(p.book.Lenders()) > 0 {
-		return true
-	}
+// noteUnsure looks whether some lender's count of loans is in doubt.
+func (p *Policy) noteUnsure() {
+	p.loans.unsure = false
 	for _, name := range p.view.Members {
 		if name != p.config.Self && p.loans.lender(name).unsure {
-			return true
+			p.loans.unsure = true
 		}
 	}
-	return false
 }
--- a/internal/coordination/routing/admission/pick.go
+++ b/internal/coordination/routing/admission/pick.go
@@ -8,7 +8,7 @@
 
 // pump starts waiting requests while credits are free.
 func (p *Policy) pump(now time.Time, s *service) {
-	for s.queue.Len() > 0 {
+	for s.queue.Len() > 0 && !p.view.Expired {
 		var chosen *target
 		exhausted := false
 		item := s.queue.Pop(func(item *fairqueue.Item[*Request]) bool {
--- a/internal/coordination/routing/admission/policy.go
+++ b/internal/coordination/routing/admission/policy.go
@@ -82,7 +82,7 @@
 // SetView takes what is known of the system now.
 func (p *Policy) SetView(now time.Time, view View) []Action {
 	p.view = view
-	p.book.SetMembers(view.Epoch, view.Members)
+	p.book.SetMembers(view.Epoch, view.Members, view.Departed)
 	resources := make([]credit.Resource, 0, len(view.Minions)+len(view.Customers))
 	for i := range view.Minions {
 		resources = append(resources, credit.Resource{ID: resourceOf(&view.Minions[i]), Slots: view.Minions[i].Slots})
@@ -98,6 +98,7 @@
 	if view.CutOff {
 		p.book.DropLoans()
 	}
+	p.noteUnsure()
 	p.pumpAll(now)
 	p.sweep(now)
 	return p.take()
@@ -167,7 +168,7 @@
 func (p *Policy) Arrive(now time.Time, r *Request) []Action {
 	s := p.service(r.Service)
 	c := p.customer(r.Customer)
-	if p.view.CutOff && !r.Idempotent {
+	if p.view.Expired || p.view.CutOff && !r.Idempotent {
 		p.refuse(r, Refusal{Reason: ReasonCutOff, RetryAfter: noMinionRetry})
 		return p.take()
 	}
--- a/internal/coordination/routing/admission/types.go
+++ b/internal/coordination/routing/admission/types.go
@@ -40,13 +40,18 @@
 // View is what a policy knows of the system.
 type View struct {
 	// Epoch numbers the members; the same epoch has the same members everywhere.
-	Epoch     uint64
-	Members   []string
+	Epoch   uint64
+	Members []string
+	// Departed were members, and may not know yet that they are none.
+	Departed  []string
 	Minions   []Minion
 	Customers []Customer
 	// CutOff is set while the control state is not confirmed: only the
 	// instance's own credits count then.
 	CutOff bool
+	// Expired is set once the control state has been unconfirmed for the length
+	// of the lease: others may have this instance's credits now.
+	Expired bool
 }
 
 // Request is one request on its way through the policy.
--- a/internal/coordination/routing/admission/wait.go
+++ b/internal/coordination/routing/admission/wait.go
@@ -71,6 +71,9 @@
 		if s.queue.Len() == 0 {
 			continue
 		}
+		if p.view.CutOff || p.view.Expired {
+			p.giveUpCutOff(s)
+		}
 		if len(s.targets) == 0 {
 			p.giveUpAll(s, Refusal{Reason: ReasonNoMinion, RetryAfter: noMinionRetry})
 			continue
@@ -79,6 +82,16 @@
 	}
 }
 
+// giveUpCutOff refuses what a cut off instance may not start any more.
+func (p *Policy) giveUpCutOff(s *service) {
+	barred := s.queue.Review(func(item *fairqueue.Item[*Request], _ fairqueue.Standing) bool {
+		return p.view.Expired || !item.Value.Idempotent
+	})
+	for _, item := range barred {
+		p.giveUp(item.Value, Refusal{Reason: ReasonCutOff, RetryAfter: noMinionRetry})
+	}
+}
+
 func (p *Policy) giveUpAll(s *service, refusal Refusal) {
 	all := s.queue.Review(func(*fairqueue.Item[*Request], fairqueue.Standing) bool { return true })
 	for _, item := range all {
--- a/internal/coordination/routing/credit/book.go
+++ b/internal/coordination/routing/credit/book.go
@@ -72,9 +72,13 @@
 // what it gained only after every member has confirmed the new epoch: two
 // members that stand in different epochs never count the same slot as theirs.
 type Book struct {
-	self     string
-	epoch    uint64
-	members  []string
+	self    string
+	epoch   uint64
+	members []string
+	// departed were removed and may not know it yet.
+	departed []string
+	// borrowed is the sum of all loans taken.
+	borrowed int
 	accounts map[string]*Account
 	peers    map[string]*peerState
 }
@@ -99,31 +103,36 @@
 // Account looks up a resource; nil for an unknown one.
 func (b *Book) Account(resource string) *Account { return b.accounts[resource] }
 
-// SetMembers moves to a newer epoch. Credits lent to a member that left come
-// back: it was removed only after its lease had run out.
-func (b *Book) SetMembers(epoch uint64, members []string) {
+// SetMembers moves to a newer epoch. What a departed member had stays untouched
+// until an epoch no longer names it: by then its lease has run out. Without
+// that, one that is cut off and one that took over would both use its slots.
+func (b *Book) SetMembers(epoch uint64, members, departed []string) {
 	if epoch <= b.epoch {
 		return
 	}
 	b.epoch = epoch
 	b.members = members
+	b.departed = departed
 	present := map[string]bool{}
 	for _, member := range members {
 		present[member] = true
 	}
+	for _, member := range departed {
+		present[member] = true
+	}
 	for name := range b.peers {
 		if !present[name] {
 			delete(b.peers, name)
 		}
 	}
 	for _, a := range b.accounts {
-		a.forget(present)
+		b.forget(a, present)
 		b.aim(a)
 	}
 	b.raise()
 }
 
-func (a *Account) forget(present map[string]bool) {
+func (b *Book) forget(a *Account, present map[string]bool) {
 	for name, count := range a.lent {
 		if !present[name] {
 			a.lentSum -= count
@@ -133,6 +142,7 @@
 	for name, count := range a.borrowed {
 		if !present[name] {
 			a.borrowedSum -= count
+			b.borrowed -= count
 			delete(a.borrowed, name)
 		}
 	}
@@ -197,13 +207,18 @@
 	}
 }
 
-// settled tells whether every member has confirmed this epoch.
+// settled tells whether every member stands in this very epoch and nobody is
+// departing. A member that is further on has dropped shares of this epoch that
+// others may have taken up since.
 func (b *Book) settled() bool {
+	if len(b.departed) > 0 {
+		return false
+	}
 	for _, member := range b.members {
 		if member == b.self {
 			continue
 		}
-		if state := b.peers[member]; state == nil || state.epoch < b.epoch {
+		if state := b.peers[member]; state == nil || state.epoch != b.epoch {
 			return false
 		}
 	}
--- a/internal/coordination/routing/credit/loan.go
+++ b/internal/coordination/routing/credit/loan.go
@@ -60,6 +60,7 @@
 		}
 		a.borrowed[from] += amount.Count
 		a.borrowedSum += amount.Count
+		b.borrowed += amount.Count
 	}
 }
 
@@ -74,6 +75,7 @@
 		return 0
 	}
 	a.borrowedSum -= given
+	b.borrowed -= given
 	a.borrowed[from] -= given
 	if a.borrowed[from] == 0 {
 		delete(a.borrowed, from)
@@ -109,11 +111,15 @@
 	return names
 }
 
-// DropLoans forgets every loan taken: an instance that is cut off keeps only
-// its own credits, because its lenders may take theirs back.
+// Borrowed is the number of credits held of all lenders.
+func (b *Book) Borrowed() int { return b.borrowed }
+
+// DropLoans gives up every loan that is not in use: an instance that is cut off
+// keeps only its own credits, because its lenders will take theirs back.
 func (b *Book) DropLoans() {
-	for _, a := range b.accounts {
-		clear(a.borrowed)
-		a.borrowedSum = 0
+	for _, lender := range b.Lenders() {
+		for _, amount := range b.Holding(lender) {
+			b.GiveBack(lender, amount.Resource, amount.Count)
+		}
 	}
 }
--- a/internal/coordination/routing/desk.go
+++ b/internal/coordination/routing/desk.go
@@ -37,6 +37,9 @@
 	cancels map[*admission.Attempt]context.CancelFunc
 	replies map[string]*askWaiter
 	context context.Context
+	// demands are the last counted arrivals.
+	demands   []admission.Demand
+	demandsAt time.Time
 }
 
 // waiter is a caller's goroutine that waits for the end of its request.
--- a/internal/coordination/routing/router.go
+++ b/internal/coordination/routing/router.go
@@ -15,6 +15,8 @@
 // Registry knows the live minions.
 type Registry interface {
 	Live(kind peerpb.UpstreamKind) []*peerpb.Upstream
+	// Instances lists the entry instances heard within the window.
+	Instances(window time.Duration) []*peerpb.InstanceState
 }
 
 // Minions sends requests.
@@ -43,6 +45,7 @@
 // Control is the control state as routing reads it.
 type Control interface {
 	State() *store.State
+	Fresh() error
 }
 
 // Config of a router.
@@ -50,7 +53,12 @@
 	Instance string
 	// QueueLength bounds the waiting requests of each customer and service.
 	QueueLength int
-	Now         func() time.Time
+	// FreshnessBound is how old control state is at most while Fresh holds.
+	FreshnessBound time.Duration
+	// Lease is how long this instance may use its credits after the newest
+	// confirmation of its control state; longer than FreshnessBound.
+	Lease time.Duration
+	Now   func() time.Time
 }
 
 // Router sends requests to minions with free slots.
@@ -63,6 +71,7 @@
 	// that it was read from; the goroutine of Run owns both.
 	view         *admission.View
 	viewRevision uint64
+	lease        lease
 }
 
 // New makes a router.
--- a/internal/coordination/routing/send.go
+++ b/internal/coordination/routing/send.go
@@ -118,6 +118,8 @@
 
 // refresh gives the policy the newest view if it changed.
 func (r *Router) refresh() {
+	r.hear()
+	r.desk.countDemand()
 	view := r.readView()
 	if r.view != nil && sameView(r.view, &view) {
 		return
@@ -128,7 +130,9 @@
 
 func (r *Router) readView() admission.View {
 	state := r.control.State()
-	view := admission.View{Epoch: 1, Members: []string{r.config.Instance}}
+	members := state.CreditMembers()
+	view := admission.View{Epoch: members.Epoch, Members: members.Members, Departed: members.Departed}
+	r.lease.look(r.config, r.control.Fresh() == nil, &view)
 	for _, minion := range r.registry.Live(peerpb.UpstreamKind_UPSTREAM_KIND_MINION) {
 		if minion.Leaving || state.Drained(minion.Id) {
 			continue
--- a/internal/coordination/routing/view.go
+++ b/internal/coordination/routing/view.go
@@ -10,6 +10,7 @@
 func sameView(a, b *admission.View) bool {
 	return a.Epoch == b.Epoch &&
 		a.CutOff == b.CutOff &&
+		a.Expired == b.Expired &&
 		slices.Equal(a.Members, b.Members) &&
 		slices.Equal(a.Customers, b.Customers) &&
 		slices.EqualFunc(a.Minions, b.Minions, sameMinion)
--- a/internal/state/store/apply.go
+++ b/internal/state/store/apply.go
@@ -72,6 +72,8 @@
 		return s.setDrain(op.Drain)
 	case *controlpb.Command_BatchMove:
 		return s.batchMove(op.BatchMove)
+	case *controlpb.Command_CreditMembers:
+		return s.setCreditMembers(op.CreditMembers)
 	case *controlpb.Command_SubmitJobs:
 		return s.submitJobs(op.SubmitJobs)
 	}
--- a/internal/state/store/store.go
+++ b/internal/state/store/store.go
@@ -35,6 +35,8 @@
 	// each entry.
 	health      *table[*controlpb.WorkerHealth]
 	occurrences *table[*controlpb.Occurrence]
+	// creditMembers is never nil.
+	creditMembers *controlpb.CreditMembers
 }
 
 // New gives the empty state before the first entry.
@@ -51,6 +53,8 @@
 		drained:     iradix.New[bool](),
 		health:      iradix.New[*controlpb.WorkerHealth](),
 		occurrences: iradix.New[*controlpb.Occurrence](),
+
+		creditMembers: &controlpb.CreditMembers{},
 	}
 }
 
@@ -124,6 +128,8 @@
 		Sessions:    list(s.sessions),
 		Health:      list(s.health),
 		Occurrences: list(s.occurrences),
+
+		CreditMembers: s.creditMembers,
 	}
 	walk(s.drained, func(key string, _ bool) { snapshot.Drained = append(snapshot.Drained, key) })
 	return snapshot
@@ -152,6 +158,9 @@
 	}
 	s.drained = drained.Commit()
 	s.health = fill(snapshot.Health, func(h *controlpb.WorkerHealth) []byte { return []byte(h.Worker) })
+	if snapshot.CreditMembers != nil {
+		s.creditMembers = snapshot.CreditMembers
+	}
 	s.occurrences = fill(snapshot.Occurrences, func(o *controlpb.Occurrence) []byte { return []byte(o.Entry) })
 	return s
 }
