--- a/internal/app/credits.go
+++ b/internal/app/credits.go
@@ -85,7 +85,7 @@
 	if granted == nil {
 		return admission.Reply{}, failure.New(failure.WrongAnswer, "%s answered no credits", to)
 	}
-	return admission.Reply{Sequence: granted.Sequence, Granted: routing.DecodeAmounts(granted.Granted), Idle: int(granted.Idle)}, nil
+	return routing.DecodeReply(granted), nil
 }
 
 // serveCreditAsk answers another instance that asks for credits.
@@ -94,6 +94,5 @@
 	if err != nil {
 		return nil, err
 	}
-	reply := &peerpb.CreditReply{Sequence: granted.Sequence, Granted: routing.EncodeAmounts(granted.Granted), Idle: uint32(granted.Idle)}
-	return &peerpb.Reply{Body: &peerpb.Reply_CreditReply{CreditReply: reply}}, nil
+	return &peerpb.Reply{Body: &peerpb.Reply_CreditReply{CreditReply: routing.EncodeReply(granted)}}, nil
 }
--- a/internal/coordination/routing/admission/loans.go
+++ b/internal/coordination/routing/admission/loans.go
@@ -136,12 +136,17 @@
 	}
 	l.open = false
 	l.idle = 0
-	l.unsure = !ok || p.view.CutOff
+	if ok {
+		p.book.Meet(from, reply.Owed)
+	}
+	// A reply of a process that has since been replaced lends nothing: its
+	// successor does not know of the loan.
+	ok = ok && reply.Boot >= p.loans.heard[from].boot
+	l.unsure = !ok || p.view.CutOff || !p.book.Borrow(from, reply.Granted)
 	if l.unsure {
 		l.askAgain = now.Add(repairPause)
 	} else {
 		l.idle = reply.Idle
-		p.book.Borrow(from, reply.Granted)
 	}
 	p.noteUnsure()
 	p.pumpAll(now)
@@ -179,7 +184,13 @@
 func (p *Policy) answerHeld(from string, granted []credit.Amount) {
 	for _, held := range p.loans.held {
 		if held.from == from {
-			p.do(SendReply{To: from, Reply: Reply{Sequence: held.ask.Sequence, Granted: granted, Idle: p.idle()}})
+			p.do(SendReply{To: from, Reply: Reply{
+				Boot:     p.loans.boot,
+				Sequence: held.ask.Sequence,
+				Granted:  granted,
+				Owed:     p.book.Holding(from),
+				Idle:     p.idle(),
+			}})
 		}
 	}
 	p.dropHeld(from)
--- a/internal/coordination/routing/admission/policy.go
+++ b/internal/coordination/routing/admission/policy.go
@@ -273,9 +273,9 @@
 }
 
 func (p *Policy) release(a *Attempt) {
-	a.target.account.Release()
+	p.book.Release(a.target.account)
 	if a.limit != nil {
-		a.limit.Release()
+		p.book.Release(a.limit)
 	}
 	if p.view.CutOff {
 		p.book.DropLoans()
--- a/internal/coordination/routing/admission/types.go
+++ b/internal/coordination/routing/admission/types.go
@@ -195,8 +195,12 @@
 
 // Reply grants credits.
 type Reply struct {
+	// Boot is the lender's process.
+	Boot     int64
 	Sequence uint64
 	Granted  []credit.Amount
+	// Owed is what the lender has itself borrowed from the asker.
+	Owed []credit.Amount
 	// Idle is what the lender has left to lend.
 	Idle int
 }
--- a/internal/coordination/routing/credit/book.go
+++ b/internal/coordination/routing/credit/book.go
@@ -1,6 +1,9 @@
 package credit
 
-import "sort"
+import (
+	"slices"
+	"sort"
+)
 
 // Amount is a number of credits on one resource.
 type Amount struct {
@@ -48,9 +51,6 @@
 	return true
 }
 
-// Release ends the use of one credit.
-func (a *Account) Release() { a.inUse-- }
-
 // held is what stands to this instance's own account: its share, or what is
 // still in use or lent of an earlier, larger share.
 func (a *Account) held() int { return max(a.own, a.inUse-a.borrowedSum+a.lentSum) }
@@ -81,6 +81,9 @@
 	borrowed int
 	accounts map[string]*Account
 	peers    map[string]*peerState
+	// met are the members that have told this process what they have borrowed
+	// from an earlier process of this instance.
+	met map[string]bool
 }
 
 // peerState is what another member last said of itself.
@@ -91,7 +94,7 @@
 
 // NewBook makes the book of one instance with no credits.
 func NewBook(self string) *Book {
-	return &Book{self: self, accounts: map[string]*Account{}, peers: map[string]*peerState{}}
+	return &Book{self: self, accounts: map[string]*Account{}, peers: map[string]*peerState{}, met: map[string]bool{}}
 }
 
 // Epoch is the epoch of the members that the shares are computed from.
@@ -129,9 +132,27 @@
 		b.forget(a, present)
 		b.aim(a)
 	}
+	b.dropOutside()
 	b.raise()
 }
 
+// Inside tells whether this instance is a member of the epoch.
+func (b *Book) Inside() bool { return slices.Contains(b.members, b.self) }
+
+// dropOutside gives up the idle loans of an instance that is no member: its
+// lenders take them back when its lease is over, which it does not wait for.
+func (b *Book) dropOutside() {
+	if b.borrowed > 0 && !b.Inside() {
+		b.DropLoans()
+	}
+}
+
+// Release ends the use of one credit.
+func (b *Book) Release(a *Account) {
+	a.inUse--
+	b.dropOutside()
+}
+
 func (b *Book) forget(a *Account, present map[string]bool) {
 	for name, count := range a.lent {
 		if !present[name] {
@@ -164,11 +185,7 @@
 		a.gone = true
 	}
 	for _, resource := range resources {
-		a := b.accounts[resource.ID]
-		if a == nil {
-			a = &Account{resource: resource.ID, lent: map[string]int{}, borrowed: map[string]int{}}
-			b.accounts[resource.ID] = a
-		}
+		a := b.open(resource.ID)
 		a.gone = false
 		a.slots = resource.Slots
 	}
@@ -181,6 +198,16 @@
 	b.raise()
 }
 
+// open finds or makes the account of a resource.
+func (b *Book) open(resource string) *Account {
+	a := b.accounts[resource]
+	if a == nil {
+		a = &Account{resource: resource, gone: true, lent: map[string]int{}, borrowed: map[string]int{}}
+		b.accounts[resource] = a
+	}
+	return a
+}
+
 // Confirm notes the epoch that a member stands in, and where it still holds
 // more than its share of that epoch.
 func (b *Book) Confirm(member string, epoch uint64, overhang []Amount) {
@@ -195,6 +222,23 @@
 	b.raise()
 }
 
+// Meet takes a member's word for what it has borrowed from an earlier process
+// of this instance. Until every member has been met nothing is taken up: a
+// lender that forgot its loans over a restart would use the same slots beside
+// their borrowers.
+func (b *Book) Meet(member string, owed []Amount) {
+	if b.met[member] {
+		return
+	}
+	b.met[member] = true
+	for _, amount := range owed {
+		a := b.open(amount.Resource)
+		a.lent[member] += amount.Count
+		a.lentSum += amount.Count
+	}
+	b.raise()
+}
+
 // raise takes up the gained part of each share where nobody holds it any more.
 func (b *Book) raise() {
 	if !b.settled() {
@@ -208,8 +252,8 @@
 }
 
 // settled tells whether every member stands in this very epoch and nobody is
-// departing. A member that is further on has dropped shares of this epoch that
-// others may have taken up since.
+// departing. A member that is further on tells its overhang by the shares of
+// its own epoch: by those of this one it may hold too much unseen.
 func (b *Book) settled() bool {
 	if len(b.departed) > 0 {
 		return false
@@ -218,7 +262,8 @@
 		if member == b.self {
 			continue
 		}
-		if state := b.peers[member]; state == nil || state.epoch != b.epoch {
+		state := b.peers[member]
+		if state == nil || state.epoch != b.epoch || !b.met[member] {
 			return false
 		}
 	}
--- a/internal/coordination/routing/credit/loan.go
+++ b/internal/coordination/routing/credit/loan.go
@@ -39,6 +39,7 @@
 			delete(a.lent, to)
 		}
 	}
+	b.dropOutside()
 }
 
 // Lent is what a member has borrowed of a resource here.
@@ -49,19 +50,20 @@
 	return 0
 }
 
-// Borrow takes what a lender granted. Credits on a resource unknown here are
-// kept too, so that they are given back.
-func (b *Book) Borrow(from string, granted []Amount) {
+// Borrow takes what a lender granted; false where this instance is no member
+// and takes nothing. Credits on a resource unknown here are kept too, so that
+// they are given back.
+func (b *Book) Borrow(from string, granted []Amount) bool {
+	if !b.Inside() {
+		return false
+	}
 	for _, amount := range granted {
-		a := b.accounts[amount.Resource]
-		if a == nil {
-			a = &Account{resource: amount.Resource, gone: true, lent: map[string]int{}, borrowed: map[string]int{}}
-			b.accounts[amount.Resource] = a
-		}
+		a := b.open(amount.Resource)
 		a.borrowed[from] += amount.Count
 		a.borrowedSum += amount.Count
 		b.borrowed += amount.Count
 	}
+	return true
 }
 
 // GiveBack ends up to count loans of a resource that are not in use.
