--- a/internal/coordination/consensus/network_test.go
+++ b/internal/coordination/consensus/network_test.go
@@ -3,16 +3,15 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 
 	"pinewinch.example/pinewinch/internal/protocol/consensuspb"
 )
 
-const (
-	electionTicks = 10
-	// settleTicks bounds the time to a leader and a commit everywhere once
-	// faults have stopped: a few elections, and a snapshot for the slowest.
-	settleTicks = 12 * electionTicks
-)
+// settleElections bounds, in shortest election timeouts, the time to a leader
+// and a commit everywhere once faults have stopped: a few elections, and a
+// snapshot for the slowest.
+const settleElections = 12
 
 // planted are faults that the checker must notice.
 type planted struct {
@@ -23,6 +22,7 @@
 }
 
 type disk struct {
+	none     bool // benchmarks
 	hard     *consensuspb.HardState
 	snapshot *consensuspb.SnapshotMeta
 	entries  []*consensuspb.Entry
@@ -47,6 +47,7 @@
 	beforeSync
 	tornSync
 	beforeSend
+	afterSend
 	crashPoints
 )
 
@@ -55,17 +56,19 @@
 type world struct {
 	rng      *rand.Rand
 	faults   planted
+	config   Config
 	replicas []*replica
 	network  []*consensuspb.Message
 	cut      map[[2]string]bool
 	started  int
 	proposed int
-	bytes    func(*consensuspb.Message) // sees every message sent, where set
+	stop     func() bool                // ends a drain early, where set
+	sent     func(*consensuspb.Message) // sees every message sent, where set
 	checker
 }
 
-func newWorld(seed uint64, size int, faults planted) *world {
-	w := &world{rng: rand.New(rand.NewPCG(seed, 1)), faults: faults, cut: map[[2]string]bool{}}
+func newWorld(seed uint64, size int, config Config, faults planted) *world {
+	w := &world{rng: rand.New(rand.NewPCG(seed, 1)), faults: faults, config: config, cut: map[[2]string]bool{}}
 	w.checker = newChecker()
 	var members []*consensuspb.Member
 	for range size {
@@ -88,10 +91,8 @@
 
 func (w *world) start(r *replica) {
 	r.down, r.frozen, r.crashAt, r.pending, r.fetch = false, false, noCrash, nil, nil
-	config := Config{
-		Identity: r.identity, ElectionTicks: electionTicks, HeartbeatTicks: 2,
-		MaxAppendBytes: 64, MaxInflight: 4, Rand: rand.New(rand.NewPCG(w.rng.Uint64(), 2)),
-	}
+	config := w.config
+	config.Identity, config.Rand = r.identity, rand.New(rand.NewPCG(w.rng.Uint64(), 2))
 	recovered := Recovered{Hard: r.disk.hard, Snapshot: r.disk.snapshot, Entries: r.disk.entries, Applied: r.disk.snapshot.GetIndex()}
 	if w.faults.forgetVote && recovered.Hard != nil {
 		recovered.Hard = &consensuspb.HardState{Term: recovered.Hard.Term, Commit: recovered.Hard.Commit}
@@ -162,11 +163,12 @@
 		r.fetch = ready.Fetch
 	}
 	r.node.Advance()
+	r.down = r.crashAt == afterSend
 }
 
 // write replaces the tail from the first entry on, as a log on disk does.
 func (d *disk) write(entries []*consensuspb.Entry) {
-	if len(entries) == 0 {
+	if len(entries) == 0 || d.none {
 		return
 	}
 	kept := 0
@@ -178,9 +180,9 @@
 
 func (w *world) deliverLater(messages []*consensuspb.Message) {
 	w.network = append(w.network, messages...)
-	if w.bytes != nil {
+	if w.sent != nil {
 		for _, m := range messages {
-			w.bytes(m)
+			w.sent(m)
 		}
 	}
 }
@@ -220,6 +222,7 @@
 	r.disk.snapshot = meta
 	r.view.applied = meta.Index
 	r.node.Installed(meta)
+	w.installs++
 }
 
 func (w *world) snapshot(r *replica) {
@@ -242,9 +245,15 @@
 	r.view.acknowledgedAt = append(r.view.acknowledgedAt, w.acknowledgedTerm)
 }
 
-func (w *world) propose(r *replica) bool {
-	w.proposed++
-	_, err := r.node.Propose([]byte(fmt.Sprint("command ", w.proposed)))
+func (w *world) propose(r *replica) bool { return w.proposeAll(r, 1) }
+
+func (w *world) proposeAll(r *replica, count int) bool {
+	commands := make([][]byte, count)
+	for i := range commands {
+		w.proposed++
+		commands[i] = []byte(fmt.Sprint("command ", w.proposed))
+	}
+	_, err := r.node.Propose(commands...)
 	return err == nil
 }
 
@@ -263,7 +272,7 @@
 			w.pump(r, true)
 			w.checkReplica(r)
 		}
-		if len(w.network) == 0 {
+		if !slices.ContainsFunc(w.network, func(m *consensuspb.Message) bool { r := w.find(m.To); return r == nil || !r.frozen }) {
 			return
 		}
 		if budget == 0 {
@@ -272,7 +281,9 @@
 		messages := w.network
 		w.network = nil
 		for _, m := range messages {
-			w.hand(m)
+			if w.hand(m); w.stop != nil && w.stop() {
+				return
+			}
 		}
 	}
 }
--- a/internal/transport/peers/peers.go
+++ b/internal/transport/peers/peers.go
@@ -18,10 +18,12 @@
 	"google.golang.org/protobuf/proto"
 
 	"pinewinch.example/pinewinch/internal/coordination/control"
+	"pinewinch.example/pinewinch/internal/coordination/softstate"
 	"pinewinch.example/pinewinch/internal/protocol/consensuspb"
 	"pinewinch.example/pinewinch/internal/protocol/failure"
 	"pinewinch.example/pinewinch/internal/protocol/peerpb"
 	"pinewinch.example/pinewinch/internal/transport/counted"
+	"pinewinch.example/pinewinch/internal/transport/tlsfiles"
 )
 
 const (
@@ -41,6 +43,8 @@
 	Call(ctx context.Context, call *peerpb.Call) (*peerpb.Reply, error)
 	// Follow sends batches until ctx or the stream ends.
 	Follow(ctx context.Context, call *peerpb.Follow, stream control.Stream) error
+	// Watch sends soft state until ctx or the stream ends.
+	Watch(ctx context.Context, call *peerpb.Watch, stream softstate.Stream) error
 	// Deliver takes one consensus message; it does not wait.
 	Deliver(message *consensuspb.Message)
 }
@@ -49,8 +53,10 @@
 type Network struct {
 	name      string
 	addresses map[string]netip.AddrPort
-	mu        sync.Mutex
-	sessions  map[string]*yamux.Session
+	// tls is nil for plain TCP.
+	tls      *tlsfiles.Source
+	mu       sync.Mutex
+	sessions map[string]*yamux.Session
 }
 
 // NewNetwork makes the network of an instance; addresses are its peers'.
@@ -58,6 +64,9 @@
 	return &Network{name: name, addresses: addresses, sessions: map[string]*yamux.Session{}}
 }
 
+// UseTLS makes every link mutual TLS; call it before the first link.
+func (n *Network) UseTLS(source *tlsfiles.Source) { n.tls = source }
+
 // Peers lists the other instances.
 func (n *Network) Peers() []string {
 	names := make([]string, 0, len(n.addresses))
@@ -84,7 +93,11 @@
 }
 
 func (n *Network) serveConn(ctx context.Context, conn net.Conn, handler Handler) {
-	session, err := yamux.Server(traffic.Conn(conn), sessionConfig())
+	conn, err := n.secureServer(ctx, traffic.Conn(conn))
+	if err != nil {
+		return
+	}
+	session, err := yamux.Server(conn, sessionConfig())
 	if err != nil {
 		conn.Close()
 		return
@@ -110,8 +123,12 @@
 	if err := readMessage(reader, call); err != nil {
 		return
 	}
-	if follow := call.GetFollow(); follow != nil {
-		serveFollow(ctx, follow, &servingStream{stream: stream, reader: reader}, handler)
+	switch call.Body.(type) {
+	case *peerpb.Call_Follow:
+		serveFollow(ctx, call, stream, reader, handler)
+		return
+	case *peerpb.Call_Watch:
+		serveWatch(ctx, call, stream, reader, handler)
 		return
 	}
 	if call.GetReplicate() != nil {
@@ -142,7 +159,7 @@
 		return nil, err
 	}
 	defer stream.Close()
-	stop := context.AfterFunc(ctx, func() { stream.Close() })
+	stop := endWith(ctx, stream)
 	defer stop()
 	call.From = n.name
 	if err := writeMessage(stream, call); err != nil {
@@ -158,6 +175,18 @@
 	return reply, nil
 }
 
+// longAgo is a deadline that has passed.
+var longAgo = time.Unix(1, 0)
+
+// endWith makes reads and writes of a stream fail once ctx ends. Closing is not
+// enough: yamux lets a read on a stream that was closed on this side wait for
+// the other side, and a frozen or cut-off peer never answers. The caller would
+// then outlive its deadline, and a stopping instance its grace. A deadline in the
+// past wakes the reader whatever the peer does.
+func endWith(ctx context.Context, stream net.Conn) (stop func() bool) {
+	return context.AfterFunc(ctx, func() { _ = stream.SetDeadline(longAgo) })
+}
+
 func (n *Network) open(ctx context.Context, to string) (*yamux.Stream, error) {
 	session, err := n.session(ctx, to)
 	if err != nil {
@@ -187,7 +216,11 @@
 	if err != nil {
 		return nil, failure.Wrap(failure.Unreachable, err, "dial %s", to)
 	}
-	session, err = yamux.Client(traffic.Conn(conn), sessionConfig())
+	conn, err = n.secureClient(ctx, to, traffic.Conn(conn))
+	if err != nil {
+		return nil, err
+	}
+	session, err = yamux.Client(conn, sessionConfig())
 	if err != nil {
 		conn.Close()
 		return nil, failure.Wrap(failure.Unreachable, err, "session with %s", to)
