--- a/internal/coordination/softstate/serve.go
+++ b/internal/coordination/softstate/serve.go
@@ -152,7 +152,7 @@
 		batch.Instance = self
 	case self.Revision != s.told.Revision || self.Ready != s.told.Ready || self.Leaving != s.told.Leaving,
 		batch.Echo != s.answered && self.Applied != s.told.Applied:
-		batch.Progress = &peerpb.Progress{Applied: self.Applied, Revision: self.Revision, Ready: self.Ready, Leaving: self.Leaving}
+		batch.Progress = &peerpb.Progress{Applied: self.Applied, Revision: self.Revision, Ready: self.Ready, Leaving: self.Leaving, LogRole: self.LogRole}
 	default:
 		return s.told
 	}
--- a/test/scenarios/scenario_test.go
+++ b/test/scenarios/scenario_test.go
@@ -54,6 +54,10 @@
 			"tally":       tally,
 			"ask":         ask,
 			"asked":       asked,
+
+			"killleaders":    killLeaders,
+			"raceoperators":  raceOperators,
+			"changeandcrash": changeAndCrash,
 		},
 	})
 }
