Mend two faults of the log's driver: a wrong 'not run', a mark that went back

Cause 1: a proposal whose index was taken by a later one of the same leader was answered 'not run', though another replica may still commit its entry; it would then be sent again and could run twice. Change: the outcome is unknown; only another term's committed entry at the index proves 'not run'. Change: an older mark is passed over in wal.Log.Mark, for every caller alike. Ruled out: ordering the two in the driver only.

--- a/internal/coordination/replica/propose.go
+++ b/internal/coordination/replica/propose.go
@@ -163,11 +163,13 @@
 	}
 }
 
-// expect keeps a proposal until its index is applied. An earlier one there was
-// replaced, for a newer term's entry stands at its index.
+// expect keeps a proposal until its index is applied. An earlier one there gave
+// way in this replica's log only: another replica may still hold its entry, win
+// the next term and commit it. To call it not run would have the command sent
+// again and perhaps run twice.
 func (c *core) expect(index uint64, p *proposal) {
 	if earlier := c.pending[index]; earlier != nil {
-		c.replaced(earlier)
+		earlier.finish(nil, failure.Ran(failure.OutcomeUnknown, failure.NotRunUnknown, nil, "entry %d gave way before it was committed", index))
 	}
 	c.pending[index] = p
 }
--- a/internal/state/wal/wal.go
+++ b/internal/state/wal/wal.go
@@ -130,8 +130,14 @@
 }
 
 // Mark notes a durable snapshot. A log without that entry, or with another one
-// there, is emptied: the snapshot came from the leader and replaces it.
+// there, is emptied: the snapshot came from the leader and replaces it. An older
+// mark is passed over: a save that ends after a newer snapshot was installed
+// would set the mark before the log's first entry, and the next start would
+// refuse the log as having a gap.
 func (l *Log) Mark(meta *consensuspb.SnapshotMeta) error {
+	if meta.Index < l.mark.GetIndex() {
+		return nil
+	}
 	return l.write(&consensuspb.LogRecord{Snapshot: meta})
 }
 
--- a/internal/state/wal/wal_test.go
+++ b/internal/state/wal/wal_test.go
@@ -59,6 +59,22 @@
 	}
 }
 
+// A replica saves its own snapshot at 50 while it fetches one at 100 from the
+// leader. The fetched one is installed first, and the mark of the older save
+// comes after it. The log must open again with what was appended since.
+func TestAnOlderMarkIsPassedOver(t *testing.T) {
+	is := is.New(t)
+	files := disktest.New()
+	log, _ := open(t, files, 0)
+	is.NoErr(log.Append(&consensuspb.HardState{Term: 1}, entries(1, 1, 2, 3)))
+	is.NoErr(log.Mark(&consensuspb.SnapshotMeta{Index: 100, Term: 1}))
+	is.NoErr(log.Mark(&consensuspb.SnapshotMeta{Index: 2, Term: 1}))
+	is.NoErr(log.Append(nil, entries(1, 101)))
+	_, contents := open(t, files.Crash(0), 0)
+	is.Equal(contents.Snapshot.Index, uint64(100))
+	is.Equal(len(contents.Entries), 1)
+}
+
 func sampleRecord(t is.T) []byte {
 	files := disktest.New()
 	log, _ := open(t, files, 0)
