--- a/internal/experiment/benchcmd/benchcmd.go
+++ b/internal/experiment/benchcmd/benchcmd.go
@@ -20,6 +20,7 @@
 	fitCommand,
 	loadCommand,
 	detectorCommand,
+	inforceCommand,
 }
 
 // Run runs one experiment and gives the exit code.
--- a/internal/experiment/load/changes.go
+++ b/internal/experiment/load/changes.go
@@ -44,6 +44,13 @@
 	return &Changer{client: client, customer: customer, class: class, revision: current.Revision}, nil
 }
 
+// Revision is that of the newest change applied.
+func (c *Changer) Revision() uint64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.revision
+}
+
 // Do applies one change.
 func (c *Changer) Do(ctx context.Context, server string, number int) error {
 	c.mu.Lock()
