--- a/internal/coordination/membership/held.go
+++ b/internal/coordination/membership/held.go
@@ -15,8 +15,9 @@
 	// every other change is passed on at once.
 	minorEvery = 5 * time.Second
 	// minorPerUpstream stretches that where many upstreams announce here, so
-	// that usage of all of them costs at most ten updates a second.
-	minorPerUpstream = 100 * time.Millisecond
+	// that usage of all of them costs at most two updates a second: a worker of
+	// ten tasks is about 400 bytes, and goes to every instance.
+	minorPerUpstream = 500 * time.Millisecond
 )
 
 // held is what this instance hears first hand, with its changes in order.
