--- a/internal/experiment/benchcmd/benchcmd.go
+++ b/internal/experiment/benchcmd/benchcmd.go
@@ -19,8 +19,10 @@
 	sampleCommand,
 	fitCommand,
 	loadCommand,
+	replayCommand,
 	detectorCommand,
 	inforceCommand,
+	compareCommand,
 }
 
 // Run runs one experiment and gives the exit code.
--- a/internal/transport/httpapi/server_test.go
+++ b/internal/transport/httpapi/server_test.go
@@ -5,12 +5,14 @@
 	"context"
 	"crypto/sha256"
 	"encoding/json"
+	"io"
 	"net/http"
 	"net/http/httptest"
 	"strings"
 	"testing"
 	"time"
 
+	"github.com/gorilla/mux"
 	"github.com/matryer/is"
 	"google.golang.org/protobuf/encoding/protojson"
 
@@ -72,7 +74,7 @@
 		Upstreams: settings.Upstreams{AnnounceEvery: time.Second, Lease: 10 * time.Second, Token: hash("upstream-secret")},
 		Requests:  settings.Requests{MaxBodyBytes: 4096},
 	}
-	return New(s, l, membership.NewRegistry(membership.Config{Now: time.Now}), nil, noReasons{}), l
+	return New(s, l, membership.NewRegistry(membership.Config{Now: time.Now}), nil, noReasons{}, nil), l
 }
 
 // answer sends one call and decodes an error's body.
@@ -123,6 +125,8 @@
 		"not JSON":                   {"POST", "/v1/jobs", "crews-secret", []byte("{"), failure.BadRequest},
 		"key not fit for a path":     {"POST", "/v1/jobs", "crews-secret", []byte(`{"class":"survey","key":"a/b"}`), failure.BadRequest},
 		"unknown class":              {"POST", "/v1/jobs", "crews-secret", []byte(`{"class":"none"}`), failure.NotFound},
+		"customer changes members":   {"POST", "/v1/members", "crews-secret", []byte(`{"add":"i4"}`), failure.Unauthorized},
+		"no member named":            {"POST", "/v1/members", "ops-secret", []byte(`{}`), failure.BadRequest},
 		"bad index":                  {"GET", "/v1/status?after=x", "ops-secret", nil, failure.BadRequest},
 	}
 	for name, test := range tests {
@@ -180,3 +184,32 @@
 	is.Equal(refusal.Code, failure.Conflict)
 	is.Equal(refusal.Revision, uint64(2))
 }
+
+// A service may take longer than the server allows for an answer in general.
+// The answer has to reach the caller, or work that was done looks lost.
+func TestLongRequestIsAnswered(t *testing.T) {
+	is := is.New(t)
+	server, l := newServer(t)
+	slow := &controlpb.Item{Key: "service/slow", Body: &controlpb.Item_Service{Service: &controlpb.Service{Name: "slow", TimeoutMs: 60_000}}}
+	_, err := l.Propose(context.Background(), &controlpb.Command{Op: &controlpb.Command_Apply{Apply: &controlpb.ApplyItems{ExpectedRevision: 1, Set: []*controlpb.Item{slow}}}})
+	is.NoErr(err)
+	general := 100 * time.Millisecond
+	routes := mux.NewRouter()
+	routes.HandleFunc(api.PathRequests, server.asCustomer(server.untilTimeout(func(w http.ResponseWriter, _ *http.Request, _ string) {
+		time.Sleep(3 * general)
+		_, _ = w.Write([]byte("done"))
+	})))
+	web := httptest.NewUnstartedServer(routes)
+	web.Config.WriteTimeout = general
+	web.Start()
+	defer web.Close()
+	request, err := http.NewRequest(http.MethodPost, web.URL+"/v1/requests/slow", nil)
+	is.NoErr(err)
+	request.Header.Set("Authorization", "Bearer crews-secret")
+	response, err := http.DefaultClient.Do(request)
+	is.NoErr(err)
+	defer response.Body.Close()
+	text, err := io.ReadAll(response.Body)
+	is.NoErr(err)
+	is.Equal(string(text), "done")
+}
--- a/test/conservation/instances_test.go
+++ b/test/conservation/instances_test.go
@@ -4,7 +4,6 @@
 	"crypto/sha256"
 	"fmt"
 	"math/rand/v2"
-	"net"
 	"net/http"
 	"os"
 	"os/exec"
@@ -18,6 +17,7 @@
 
 	"pinewinch.example/pinewinch/internal/command"
 	"pinewinch.example/pinewinch/internal/protocol/api"
+	"pinewinch.example/pinewinch/internal/standin/loopback"
 )
 
 // roleVariable makes the test binary run as an instance.
@@ -30,7 +30,7 @@
 	exited            chan struct{}
 }
 
-func (i *instance) start(t *testing.T) {
+func (i *instance) start(t testing.TB) {
 	log, err := os.OpenFile(i.config+".log", os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	is.New(t).NoErr(err)
 	defer log.Close()
@@ -59,7 +59,7 @@
 	return response.StatusCode == http.StatusOK
 }
 
-func await(t *testing.T, what string, done func() bool) {
+func await(t testing.TB, what string, done func() bool) {
 	for deadline := time.Now().Add(time.Minute); !done(); time.Sleep(20 * time.Millisecond) {
 		if time.Now().After(deadline) {
 			t.Fatalf("%s never came", what)
@@ -67,33 +67,23 @@
 	}
 }
 
-func ports(t *testing.T, count int) []string {
-	var addresses []string
-	for range count {
-		listener, err := net.Listen("tcp", "127.0.0.1:0")
-		is.New(t).NoErr(err)
-		defer listener.Close()
-		addresses = append(addresses, listener.Addr().String())
-	}
-	return addresses
-}
-
 var tokens = map[string]string{"crews": "crews-secret", "planners": "planners-secret"}
 
 const operatorToken = "operator-secret"
 
 // startInstances starts the instances, of which the first few are voters, and
 // declares the services; stop is their [stop] section.
-func startInstances(t *testing.T, count int, stop string) []*instance {
+func startInstances(t testing.TB, count int, stop string) []*instance {
 	folder := t.TempDir()
-	addresses := ports(t, 2*count)
+	addresses, err := loopback.Reserve(2 * count)
+	is.New(t).NoErr(err)
 	var peers strings.Builder
 	for n := range count {
 		fmt.Fprintf(&peers, "i%d = %s\n", n+1, addresses[count+n])
 	}
 	var instances []*instance
 	for n := range count {
-		i := &instance{name: fmt.Sprintf("i%d", n+1), url: "http://" + addresses[n]}
+		i := &instance{name: fmt.Sprintf("i%d", n+1), url: "http://" + addresses[n].String()}
 		i.config = filepath.Join(folder, i.name+".ini")
 		data := ""
 		if n < voters {
@@ -125,7 +115,7 @@
 	return strings.Join(names, ", ")
 }
 
-func declare(t *testing.T, folder, server string) {
+func declare(t testing.TB, folder, server string) {
 	file := filepath.Join(folder, "declared.ini")
 	text := "[customer crews]\n[customer planners]\n[service report]\nidempotent = yes\ntimeout = 3s\n[service cut-order]\ntimeout = 3s\n"
 	is.New(t).NoErr(os.WriteFile(file, []byte(text), 0o600))
@@ -139,7 +129,7 @@
 func hashOf(token string) string { return fmt.Sprintf("sha256:%x", sha256.Sum256([]byte(token))) }
 
 // disturb kills, restarts and drains one instance after another until stop.
-func disturb(t *testing.T, instances []*instance, random *rand.Rand, stop <-chan struct{}) (kills, drains int) {
+func disturb(t testing.TB, instances []*instance, random *rand.Rand, stop <-chan struct{}) (kills, drains int) {
 	for {
 		select {
 		case <-stop:
