--- a/internal/experiment/benchcmd/benchcmd.go
+++ b/internal/experiment/benchcmd/benchcmd.go
@@ -21,6 +21,7 @@
 	loadCommand,
 	replayCommand,
 	detectorCommand,
+	inforceCommand,
 	compareCommand,
 }
 
