--- a/internal/app/softstate.go
+++ b/internal/app/softstate.go
@@ -7,6 +7,7 @@
 	"pinewinch.example/pinewinch/internal/coordination/claims"
 	"pinewinch.example/pinewinch/internal/coordination/control"
 	"pinewinch.example/pinewinch/internal/coordination/membership"
+	"pinewinch.example/pinewinch/internal/coordination/routing"
 	"pinewinch.example/pinewinch/internal/coordination/softstate"
 	"pinewinch.example/pinewinch/internal/protocol/consensuspb"
 	"pinewinch.example/pinewinch/internal/protocol/peerpb"
@@ -29,10 +30,11 @@
 	exchange *softstate.Exchange
 	executor *claims.Executor
 	explain  *explainer
+	router   *routing.Router
 }
 
-func newSoftState(s *settings.Settings, node control.Node, registry *membership.Registry, exchange *softstate.Exchange, executor *claims.Executor, explain *explainer) *softState {
-	return &softState{settings: s, node: node, registry: registry, exchange: exchange, executor: executor, explain: explain}
+func newSoftState(s *settings.Settings, node control.Node, registry *membership.Registry, exchange *softstate.Exchange, executor *claims.Executor, explain *explainer, router *routing.Router) *softState {
+	return &softState{settings: s, node: node, registry: registry, exchange: exchange, executor: executor, explain: explain, router: router}
 }
 
 // describe tells the registry what this instance is, as that changes.
@@ -54,7 +56,7 @@
 
 func (s *softState) self() *peerpb.InstanceState {
 	state := s.node.State()
-	return &peerpb.InstanceState{
+	self := &peerpb.InstanceState{
 		Name:        s.settings.Instance.Name,
 		DataCentre:  s.settings.Instance.DataCentre,
 		Applied:     state.Index(),
@@ -63,7 +65,16 @@
 		HttpAddress: s.settings.Instance.ListenHTTP.String(),
 		LogRole:     s.node.Role(),
 		Replica:     s.settings.Instance.DataFolder != "",
+		Voter:       isMember(s.node),
 	}
+	s.router.Describe(self)
+	return self
+}
+
+// isMember tells whether the node keeps the log; a follower has no say in it.
+func isMember(node control.Node) bool {
+	replica, ok := node.(interface{ Member() bool })
+	return ok && replica.Member()
 }
 
 // Call answers one call of another instance.
@@ -79,6 +90,8 @@
 		return s.explain.serve(body.Explain)
 	case *peerpb.Call_Fetch:
 		return s.executor.ServeFetch(body.Fetch)
+	case *peerpb.Call_CreditAsk:
+		return serveCreditAsk(ctx, s.router, call.From, body.CreditAsk)
 	}
 	return s.node.ServeReplica(ctx, call)
 }
--- a/internal/coordination/routing/router.go
+++ b/internal/coordination/routing/router.go
@@ -4,31 +4,19 @@
 
 import (
 	"context"
-	"expvar"
-	"sync"
 	"time"
 
+	"pinewinch.example/pinewinch/internal/coordination/routing/admission"
 	"pinewinch.example/pinewinch/internal/protocol/api"
-	"pinewinch.example/pinewinch/internal/protocol/failure"
 	"pinewinch.example/pinewinch/internal/protocol/peerpb"
-)
-
-var (
-	answered = expvar.NewInt("requests_answered")
-	refused  = expvar.NewInt("requests_refused")
-	retried  = expvar.NewInt("requests_retried")
-)
-
-const (
-	// maxAttempts caps the tries of one request, whatever else allows more.
-	maxAttempts = 3
-	// overloadRetryAfter is what a caller is told when every slot is taken.
-	overloadRetryAfter = time.Second
+	"pinewinch.example/pinewinch/internal/state/store"
 )
 
 // Registry knows the live minions.
 type Registry interface {
 	Live(kind peerpb.UpstreamKind) []*peerpb.Upstream
+	// Instances lists the entry instances heard within the window.
+	Instances(window time.Duration) []*peerpb.InstanceState
 }
 
 // Minions sends requests.
@@ -54,89 +42,44 @@
 	Call api.ServeCall
 }
 
+// Control is the control state as routing reads it.
+type Control interface {
+	State() *store.State
+	Fresh() error
+}
+
+// Config of a router.
+type Config struct {
+	Instance string
+	// QueueLength bounds the waiting requests of each customer and service.
+	QueueLength int
+	// FreshnessBound is how old control state is at most while Fresh holds.
+	FreshnessBound time.Duration
+	// Lease is how long this instance may use its credits after the newest
+	// confirmation of its control state; longer than FreshnessBound.
+	Lease time.Duration
+	Now   func() time.Time
+}
+
 // Router sends requests to minions with free slots.
 type Router struct {
+	config   Config
+	control  Control
 	registry Registry
-	minions  Minions
-	mu       sync.Mutex
-	inFlight map[string]uint32
+	desk     *desk
+	// view is the last one given to the policy, and viewRevision the revision
+	// that it was read from; the goroutine of Run owns both.
+	view         *admission.View
+	viewRevision uint64
+	lease        lease
 }
 
 // New makes a router.
-func New(registry Registry, minions Minions) *Router {
+func New(config Config, control Control, registry Registry, minions Minions, lenders Lenders) *Router {
 	return &Router{
+		config:   config,
+		control:  control,
 		registry: registry,
-		minions:  minions,
-		inFlight: map[string]uint32{},
-	}
-}
-
-// Send tries minions until one answers. It tries again only what surely did
-// not run, or what is idempotent.
-func (r *Router) Send(ctx context.Context, request *Request, idempotent bool) (*api.Answer, error) {
-	var last error
-	tried := map[string]bool{}
-	for range maxAttempts {
-		minion := r.pick(request.Service, tried)
-		if minion == nil {
-			break
-		}
-		tried[minion.Id] = true
-		answer, err := r.minions.Serve(ctx, minion.Address, &request.Call)
-		r.release(minion.Id)
-		if err == nil {
-			answered.Add(1)
-			return answer, nil
-		}
-		last = err
-		if ctx.Err() != nil || (!idempotent && failure.From(err).NotRun != failure.NotRunTrue) {
-			return nil, err
-		}
-		retried.Add(1)
-	}
-	if last != nil {
-		return nil, last
-	}
-	refused.Add(1)
-	f := failure.New(failure.Overloaded, "no minion of %q has a free slot", request.Service)
-	f.RetryAfter = overloadRetryAfter
-	return nil, f
-}
-
-// pick takes a slot of the least loaded minion that is not leaving.
-func (r *Router) pick(service string, tried map[string]bool) *peerpb.Upstream {
-	minions := r.registry.Live(peerpb.UpstreamKind_UPSTREAM_KIND_MINION)
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	var best *peerpb.Upstream
-	for _, minion := range minions {
-		if minion.Leaving || tried[minion.Id] || !serves(minion, service) || r.inFlight[minion.Id] >= minion.Slots {
-			continue
-		}
-		if best == nil || r.inFlight[minion.Id] < r.inFlight[best.Id] {
-			best = minion
-		}
-	}
-	if best != nil {
-		r.inFlight[best.Id]++
-	}
-	return best
-}
-
-func (r *Router) release(id string) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.inFlight[id]--
-	if r.inFlight[id] == 0 {
-		delete(r.inFlight, id)
-	}
-}
-
-func serves(minion *peerpb.Upstream, service string) bool {
-	for _, name := range minion.Services {
-		if name == service {
-			return true
-		}
+		desk:     newDesk(config, minions, lenders),
 	}
-	return false
 }
--- a/test/scenarios/scenario_test.go
+++ b/test/scenarios/scenario_test.go
@@ -31,7 +31,7 @@
 			examples, err := filepath.Abs("../../examples")
 			env.Setenv("EXAMPLES", examples)
 			env.Setenv("DOCS", filepath.Join(examples, "../docs"))
-			env.Values[fixtureKey{}] = &fixture{processes: map[string]*process{}}
+			env.Values[fixtureKey{}] = &fixture{processes: map[string]*process{}, asked: map[string]chan int{}}
 			return err
 		},
 		Cmds: map[string]func(ts *testscript.TestScript, neg bool, args []string){
@@ -47,10 +47,13 @@
 			"heal":        heal,
 			"http":        httpCommand,
 			"ready":       ready,
+			"started":     started,
 			"cancelall":   cancelAll,
 			"apiexamples": apiExamples,
 			"lossy":       lossy,
 			"tally":       tally,
+			"ask":         ask,
+			"asked":       asked,
 
 			"killleaders":    killLeaders,
 			"raceoperators":  raceOperators,
