--- a/internal/app/main.go
+++ b/internal/app/main.go
@@ -5,6 +5,7 @@
 	"flag"
 	"fmt"
 	"os"
+	"runtime"
 
 	"github.com/peterbourgon/ff/v3"
 
@@ -34,6 +35,9 @@
 	if *check {
 		return 0
 	}
+	if loaded.Instance.DataFolder != "" {
+		runtime.GOMAXPROCS(max(replicaThreads, runtime.GOMAXPROCS(0)))
+	}
 	instance := New(loaded)
 	if err := instance.Err(); err != nil {
 		return report(err)
@@ -42,6 +46,13 @@
 	return 0
 }
 
+// replicaThreads is the fewest threads that may run Go code in a process that
+// syncs. With one, on a machine of one core, each sync holds up every request
+// until the runtime notices that the thread is blocked, up to 10 ms later: an
+// instance answered 335 claimed requests a second, with two 3,620 (docs/
+// MEASUREMENTS.md). It takes no more of the core.
+const replicaThreads = 2
+
 func override(value *string, flag string) {
 	if flag != "" {
 		*value = flag
--- a/internal/state/store/keys.go
+++ b/internal/state/store/keys.go
@@ -20,7 +20,7 @@
 const (
 	// claimLife is how long a claim and its outcome can be looked up.
 	claimLife = time.Hour
-	// maxSpentKeys bounds the hashes kept for one customer: 8 MB.
+	// maxSpentKeys bounds the hashes kept for one customer, 8 bytes each.
 	maxSpentKeys = 1 << 20
 	// expiredPerClaim is how many old claims each new one may push out: more
 	// than one, so that the list shrinks after a burst, and few, so that no
@@ -62,7 +62,7 @@
 	claim = proto.CloneOf(claim)
 	claim.ExpiresMs = max(s.timeMs, claim.PendingUntilMs) + claimLife.Milliseconds()
 	s.putClaim(claim)
-	s.claimExpiry, _, _ = s.claimExpiry.Insert(expiryKey(claim), claimKey(claim.Customer, claim.Key))
+	s.claimExpiry, _, _ = s.claimExpiry.Insert(expiryKey(claim), struct{}{})
 	return claim
 }
 
@@ -74,17 +74,17 @@
 // that of the expired ones, not of all that are kept.
 func (s *State) expireClaims(limit int) {
 	var old [][]byte
-	s.claimExpiry.Root().Walk(func(at, key []byte) bool {
-		if int64(binary.BigEndian.Uint64(at)) >= s.timeMs || len(old) == limit {
+	s.claimExpiry.Root().Walk(func(key []byte, _ struct{}) bool {
+		if int64(binary.BigEndian.Uint64(key)) >= s.timeMs || len(old) == limit {
 			return true
 		}
 		old = append(old, key)
 		return false
 	})
 	for _, key := range old {
-		claim, _ := s.claims.Get(key)
-		s.claims, _, _ = s.claims.Delete(key)
-		s.claimExpiry, _, _ = s.claimExpiry.Delete(expiryKey(claim))
+		claim, _ := s.claims.Get(key[expiryTimeBytes:])
+		s.claims, _, _ = s.claims.Delete(key[expiryTimeBytes:])
+		s.claimExpiry, _, _ = s.claimExpiry.Delete(key)
 		s.spend(claim)
 	}
 }
@@ -111,7 +111,7 @@
 func (s *State) restoreClaims(snapshot *controlpb.Snapshot) {
 	s.claims = fill(snapshot.Claims, func(c *controlpb.Claim) []byte { return claimKey(c.Customer, c.Key) })
 	for _, claim := range snapshot.Claims {
-		s.claimExpiry, _, _ = s.claimExpiry.Insert(expiryKey(claim), claimKey(claim.Customer, claim.Key))
+		s.claimExpiry, _, _ = s.claimExpiry.Insert(expiryKey(claim), struct{}{})
 	}
 	s.spent = fill(snapshot.SpentKeys, func(k *controlpb.SpentKeys) []byte {
 		return bucketKey(k.Customer, uint64(k.Bucket)<<bucketShift)
@@ -131,6 +131,10 @@
 	return binary.BigEndian.AppendUint16([]byte(customer+"/"), uint16(hash>>bucketShift))
 }
 
+// expiryTimeBytes is the length of the time that an expiry key opens with; the
+// key of the claim follows.
+const expiryTimeBytes = 8
+
 func expiryKey(claim *controlpb.Claim) []byte {
 	at := binary.BigEndian.AppendUint64(nil, uint64(claim.ExpiresMs))
 	return append(at, claimKey(claim.Customer, claim.Key)...)
--- a/internal/state/store/store.go
+++ b/internal/state/store/store.go
@@ -26,7 +26,7 @@
 	active   *table[*controlpb.Job]
 	claims   *table[*controlpb.Claim]
 	// claimExpiry orders the keys of claims by the time that they expire.
-	claimExpiry *table[[]byte]
+	claimExpiry *table[struct{}]
 	spent       *table[*controlpb.SpentKeys]
 	spentCounts *table[int]
 	sessions    *table[*controlpb.Session]
@@ -44,7 +44,7 @@
 		jobs:        iradix.New[*controlpb.Job](),
 		active:      iradix.New[*controlpb.Job](),
 		claims:      iradix.New[*controlpb.Claim](),
-		claimExpiry: iradix.New[[]byte](),
+		claimExpiry: iradix.New[struct{}](),
 		spent:       iradix.New[*controlpb.SpentKeys](),
 		spentCounts: iradix.New[int](),
 		sessions:    iradix.New[*controlpb.Session](),
