--- a/internal/coordination/softstate/serve.go
+++ b/internal/coordination/softstate/serve.go
@@ -140,19 +140,19 @@
 	return true, nil
 }
 
-// describe adds what changed of this instance: the whole at first, then its
-// progress. The applied index alone waits for the next ping.
+// describe adds what changed of this instance: the whole at first and when more
+// than its progress changed, else its progress. The applied index alone waits for the next ping.
 func (s *session) describe(batch *peerpb.SoftBatch, first bool) *peerpb.InstanceState {
 	self := s.exchange.registry.Self()
 	switch {
 	case first:
 		batch.Incarnation = self.Incarnation
 		batch.Instance = self
-	case self.Revision != s.told.Revision || self.Ready != s.told.Ready || self.Leaving != s.told.Leaving,
-		batch.Echo != s.answered && self.Applied != s.told.Applied:
-		batch.Progress = &peerpb.Progress{Applied: self.Applied, Revision: self.Revision, Ready: self.Ready, Leaving: self.Leaving}
 	case !proto.Equal(fixedState(self), fixedState(s.told)):
 		batch.Instance = self
+	case self.Revision != s.told.Revision || self.Ready != s.told.Ready || self.Leaving != s.told.Leaving,
+		batch.Echo != s.answered && self.Applied != s.told.Applied:
+		batch.Progress = &peerpb.Progress{Applied: self.Applied, Revision: self.Revision, Ready: self.Ready, Leaving: self.Leaving, LogRole: self.LogRole}
 	default:
 		return s.told
 	}
@@ -162,6 +162,9 @@
 func fixedState(state *peerpb.InstanceState) *peerpb.InstanceState {
 	state = proto.CloneOf(state)
 	state.Applied = 0
+	state.Revision = 0
+	state.Ready = false
+	state.Leaving = false
 	return state
 }
 
