--- a/internal/app/membership.go
+++ b/internal/app/membership.go
@@ -28,7 +28,7 @@
 
 var membershipModule = fx.Module("membership",
 	fx.Provide(newRegistry, newExchange, newSoftState),
-	fx.Invoke(runSoftState),
+	fx.Invoke(runSoftState, runChanges),
 )
 
 func newRegistry(s *settings.Settings) *membership.Registry {
