--- a/scripts/dispatch.sh
+++ b/scripts/dispatch.sh
@@ -1,7 +1,8 @@
 #!/usr/bin/env bash
 # Measures dispatch on real processes: how long an urgent job waits for
-# accelerators that have to be taken back for it, and how long a gang of 128 takes
-# to start. Three instances, 16 stand-in workers of 8 accelerators in 2 racks.
+# accelerators that have to be taken back for it, how long a gang of 128 takes to
+# start, and how long work of a killed worker takes to run elsewhere. Three
+# instances, 16 stand-in workers of 8 accelerators in 2 racks, default leases.
 # Usage: scripts/dispatch.sh [RUNS]
 set -euo pipefail
 cd "$(dirname "$0")/.."
@@ -31,6 +32,12 @@
 idempotent = yes
 urgent = yes
 
+[class large]
+tasks = 1
+accelerators = 16
+run_time = 10h
+idempotent = yes
+
 [class wide]
 tasks = 128
 accelerators = 1
@@ -72,3 +79,20 @@
   await '"state": "completed"' job crews-secret "crews:urgent-$i"
   waited crews-secret "crews:urgent-$i"
 done | report "urgent gang of 16, taken back from a gang of 128"
+
+# A worker of 16 accelerators is killed; another is there for its work.
+for i in 1 2 3; do
+  start pinewinch-standin worker -id "victim$i" -accelerators 16 -servers "$servers"
+  victim=$started
+  await "victim$i-1" pinewinch dump
+  pinewinch submit -token crews-secret -key "large-$i" large > /dev/null
+  await '"state": "running"' job crews-secret "crews:large-$i"
+  start pinewinch-standin worker -id "heir$i" -accelerators 16 -servers "$servers"
+  killed=$(date +%s%3N)
+  kill -KILL "$victim"
+  wait "$victim" 2> /dev/null || true
+  forget "$victim"
+  await '"attempts": 2' job crews-secret "crews:large-$i"
+  await '"state": "running"' job crews-secret "crews:large-$i"
+  echo $(($(job crews-secret "crews:large-$i" | field started_ms) - killed))
+done | report "work of a killed worker runs elsewhere after"
