--- a/internal/protocol/failure/failure.go
+++ b/internal/protocol/failure/failure.go
@@ -105,7 +105,7 @@
 	Corrupt:         {http.StatusInternalServerError, 25},
 	DiskFailed:      {http.StatusInternalServerError, 26},
 	FolderInUse:     {http.StatusInternalServerError, 27},
-	CommandTooNew:   {http.StatusInternalServerError, 45},
+	CommandTooNew:   {http.StatusInternalServerError, 51},
 	Internal:        {http.StatusInternalServerError, 1},
 	MemoryExceeded:  {http.StatusInsufficientStorage, 45},
 	TaskFailed:      {http.StatusBadGateway, 46},
