A member's own standstill starts no election

Cause: in a scenario run at load average 100, the leader changed three times in two seconds with nobody killed. A member that stood still for 400 ms made up for all its ticks at once and campaigned, its leader's heartbeats still in the inbox. Ruled out: a longer election timeout (the standstill is not bounded, and a real loss would be noticed later). Change: messages are taken before ticks, and a member that doesn't lead counts at most one heartbeat's worth of missed ticks; a leader still counts all, for its ages are told in ticks. Seen to fail: TestOwnStandstillIsNoSilenceOfTheLeader with all ticks counted.

--- a/internal/coordination/replica/core.go
+++ b/internal/coordination/replica/core.go
@@ -100,6 +100,7 @@
 		case <-stop.ended:
 			return nil
 		case <-ticker.C:
+			c.takeWaiting()
 			c.passTime(time.Now())
 		case message := <-c.replica.inbox:
 			c.step(message)
@@ -142,12 +143,19 @@
 	}
 }
 
-// passTime makes up for every tick since the last call: after the process stood
-// still, ages that are counted in ticks must not be understated.
+// passTime makes up for the ticks since the last call. On a leader all of them
+// count: its ages are told in ticks and must not be understated. Elsewhere a
+// long standstill was this process's own and says nothing of the leader, whose
+// heartbeats may still be on their way in: counted in full, it would start an
+// election after every pause of a busy machine.
 func (c *core) passTime(now time.Time) {
 	missed := int(now.Sub(c.lastTick) / c.tick)
 	c.lastTick = c.lastTick.Add(time.Duration(missed) * c.tick)
-	for range min(missed, maxMissedTicks) {
+	most := heartbeatTicks
+	if c.node.Status().Role == consensus.Leader {
+		most = maxMissedTicks
+	}
+	for range min(missed, most) {
 		c.node.Tick()
 	}
 }
--- a/internal/coordination/replica/replica_test.go
+++ b/internal/coordination/replica/replica_test.go
@@ -195,6 +195,27 @@
 	is.True(age >= 110*time.Millisecond)
 }
 
+// A busy machine lets a member stand still for seconds, and its leader's
+// heartbeats wait in the inbox. It must not campaign for that: the cluster
+// would lose a healthy leader whenever the machine is busy. Silence that it was
+// awake for still makes it campaign.
+func TestOwnStandstillIsNoSilenceOfTheLeader(t *testing.T) {
+	inBubble(t, func(is *is.I, m *mesh) {
+		follower := m.other(startAll(m))
+		var stood, silent consensus.Role
+		is.NoErr(follower.ask(background(), func(c *core) {
+			c.passTime(c.lastTick.Add(10 * time.Second))
+			stood = c.node.Status().Role
+			for range 2 * electionTicks {
+				c.passTime(c.lastTick.Add(c.tick))
+			}
+			silent = c.node.Status().Role
+		}))
+		is.Equal(stood, consensus.Follower)
+		is.Equal(silent, consensus.PreCandidate)
+	})
+}
+
 // A leader that is asked to stop hands over first: callers wait milliseconds
 // instead of an election timeout.
 func TestGracefulStopHandsOver(t *testing.T) {
