Stale instances refuse to give declarations; scenario of TLS

Cause: an instance that had joined nothing answered 'get' with revision 0, and diff and apply compared with that. Change: GET /v1/declarations is refused by a stale instance (the tool asks the next one); status says whether its figures are fresh. scenarios/tls: https, a stranger's certificate refused, renewal without a restart.

--- a/internal/command/status.go
+++ b/internal/command/status.go
@@ -33,6 +33,7 @@
 	rows := [][]string{
 		{"revision", strconv.FormatUint(status.Revision, 10)},
 		{"leader", status.Leader},
+		{"figures are fresh", strconv.FormatBool(status.Fresh)},
 		{"workers, minions", fmt.Sprintf("%d, %d", status.Workers, status.Minions)},
 		{"accelerators used", fmt.Sprintf("%d of %d", status.Used, status.Accelerators)},
 		{"fragmentation", fmt.Sprintf("%.2f", status.Fragmentation)},
--- a/internal/protocol/api/status.go
+++ b/internal/protocol/api/status.go
@@ -5,8 +5,10 @@
 	Revision uint64 `json:"revision"`
 	// Index is the log index that the figures were taken at; it never goes back
 	// on one instance.
-	Index        uint64         `json:"index"`
-	Leader       string         `json:"leader"`
+	Index  uint64 `json:"index"`
+	Leader string `json:"leader"`
+	// Fresh is false where the figures may be older than the freshness bound.
+	Fresh        bool           `json:"fresh"`
 	Jobs         map[string]int `json:"jobs"`
 	Workers      int            `json:"workers"`
 	Minions      int            `json:"minions"`
--- a/internal/testcerts/testcerts.go
+++ b/internal/testcerts/testcerts.go
@@ -44,13 +44,15 @@
 	return a, write(filepath.Join(folder, name+".pem"), "CERTIFICATE", der)
 }
 
-// Issue writes NAME.pem and NAME.key, good for that name and for 127.0.0.1.
-func (a *Authority) Issue(folder, name string) error {
+// Issue writes NAME.pem and NAME.key, good for that name and the addresses.
+func (a *Authority) Issue(folder, name string, addresses ...net.IP) error {
 	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
 	if err != nil {
 		return err
 	}
-	der, err := x509.CreateCertificate(rand.Reader, template(name), a.certificate, &key.PublicKey, a.key)
+	wanted := template(name)
+	wanted.IPAddresses = addresses
+	der, err := x509.CreateCertificate(rand.Reader, wanted, a.certificate, &key.PublicKey, a.key)
 	if err != nil {
 		return err
 	}
@@ -70,7 +72,6 @@
 		SerialNumber: big.NewInt(now.UnixNano()),
 		Subject:      pkix.Name{CommonName: name},
 		DNSNames:     []string{name},
-		IPAddresses:  []net.IP{net.IPv4(127, 0, 0, 1)},
 		NotBefore:    now.Add(-time.Hour),
 		NotAfter:     now.Add(validity),
 		KeyUsage:     x509.KeyUsageDigitalSignature,
--- a/internal/transport/httpapi/declarations.go
+++ b/internal/transport/httpapi/declarations.go
@@ -18,7 +18,13 @@
 // that the operator read elsewhere.
 const catchUp = 2 * time.Second
 
+// getDeclarations is refused by an instance whose state is old: an operator
+// would compare with what is no longer in force, or with nothing at all.
 func (s *Server) getDeclarations(w http.ResponseWriter, _ *http.Request, _ string) {
+	if err := s.control.Fresh(); err != nil {
+		writeError(w, err)
+		return
+	}
 	state := s.control.State()
 	items, err := protojson.Marshal(&controlpb.Snapshot{Items: state.Items()})
 	if err != nil {
--- a/internal/transport/httpapi/operators.go
+++ b/internal/transport/httpapi/operators.go
@@ -29,6 +29,7 @@
 	status.Revision = state.Revision()
 	status.Index = state.Index()
 	status.Leader = s.control.Leader()
+	status.Fresh = s.control.Fresh() == nil
 	status.Minions = len(s.registry.Live(peerpb.UpstreamKind_UPSTREAM_KIND_MINION))
 	writeJSON(w, status)
 }
--- a/internal/transport/httpapi/server_test.go
+++ b/internal/transport/httpapi/server_test.go
@@ -30,10 +30,11 @@
 type log struct {
 	state   *store.State
 	changed chan struct{}
+	stale   error
 }
 
 func (l *log) State() *store.State      { return l.state }
-func (l *log) Fresh() error             { return nil }
+func (l *log) Fresh() error             { return l.stale }
 func (l *log) Changed() <-chan struct{} { return l.changed }
 func (l *log) Leader() string           { return "i1" }
 func (l *log) IsLeader() bool           { return true }
@@ -185,6 +186,18 @@
 	is.Equal(refusal.Revision, uint64(2))
 }
 
+// An instance is cut off. An operator that asks it is sent elsewhere instead of
+// comparing with declarations that are no longer in force.
+func TestStaleDeclarationsAreRefused(t *testing.T) {
+	is := is.New(t)
+	server, l := newServer(t)
+	recorder, _ := answer(t, server.Handler(), http.MethodGet, "/v1/declarations", "ops-secret", nil)
+	is.Equal(recorder.Code, http.StatusOK)
+	l.stale = failure.New(failure.StaleState, "cut off")
+	_, refusal := answer(t, server.Handler(), http.MethodGet, "/v1/declarations", "ops-secret", nil)
+	is.Equal(refusal.Code, failure.StaleState)
+}
+
 // A service may take longer than the server allows for an answer in general.
 // The answer has to reach the caller, or work that was done looks lost.
 func TestLongRequestIsAnswered(t *testing.T) {
--- a/test/scenarios/commands_test.go
+++ b/test/scenarios/commands_test.go
@@ -29,7 +29,7 @@
 // operator's environment. The first three are voters and have a data folder.
 // With relayed every peer link goes through a relay that cut and heal work on;
 // without, a link to a dead instance is refused at once. FILE is added to the
-// settings of each, which end with [upstreams].
+// settings of each, which end with [upstreams]; $NAME in it is the instance's name.
 func cluster(ts *testscript.TestScript, _ bool, args []string) {
 	count, err := strconv.Atoi(args[0])
 	ts.Check(err)
@@ -48,13 +48,14 @@
 	for i, address := range web {
 		servers = append(servers, "http://"+address.String())
 		ts.Setenv(fmt.Sprintf("HTTP%d", i+1), servers[i])
+		ts.Setenv(fmt.Sprintf("HTTPS%d", i+1), "https://"+address.String())
 	}
 	ts.Setenv("SERVERS", strings.Join(servers, ","))
 	ts.Setenv("PINEWINCH_SERVER", servers[0])
 	ts.Setenv("PINEWINCH_TOKEN", operatorToken)
 	for i := range count {
 		text := instanceSettings(ts, i, web[i], peer[i], count)
-		text += peersSection(ts, i, peer, relayed) + upstreamsSection + extra
+		text += peersSection(ts, i, peer, relayed) + upstreamsSection + strings.ReplaceAll(extra, "$NAME", nameOf(i))
 		ts.Check(os.WriteFile(ts.MkAbs(nameOf(i)+".ini"), []byte(text), 0o600))
 	}
 }
--- a/test/scenarios/lossy_test.go
+++ b/test/scenarios/lossy_test.go
@@ -3,13 +3,17 @@
 import (
 	"bytes"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
+	"net/url"
 	"strconv"
 	"strings"
 	"sync/atomic"
 
 	"github.com/rogpeppe/go-internal/testscript"
+
+	"pinewinch.example/pinewinch/internal/testcerts"
 )
 
 // lossy VARIABLE URL COUNT serves what the instance at URL serves, but drops the
@@ -78,3 +82,16 @@
 		}
 	}
 }
+
+// certificates AUTHORITY INSTANCE... makes an authority, AUTHORITY.pem, and with
+// it NAME.pem and NAME.key for each instance of the cluster, over those that are
+// there.
+func certificates(ts *testscript.TestScript, _ bool, args []string) {
+	authority, err := testcerts.New(ts.MkAbs("."), args[0])
+	ts.Check(err)
+	for _, name := range args[1:] {
+		address, err := url.Parse(ts.Getenv("HTTP" + strings.TrimPrefix(name, "i")))
+		ts.Check(err)
+		ts.Check(authority.Issue(ts.MkAbs("."), name, net.ParseIP(address.Hostname())))
+	}
+}
