--- a/internal/coordination/replica/core.go
+++ b/internal/coordination/replica/core.go
@@ -12,7 +12,6 @@
 	"pinewinch.example/pinewinch/internal/protocol/controlpb"
 	"pinewinch.example/pinewinch/internal/protocol/failure"
 	"pinewinch.example/pinewinch/internal/protocol/peerpb"
-	"pinewinch.example/pinewinch/internal/state/disk"
 	"pinewinch.example/pinewinch/internal/state/store"
 )
 
@@ -25,11 +24,6 @@
 	// maxMissedTicks bounds the ticks made up for after the process stood still.
 	// Long before, a leader has stepped down, so no age is understated.
 	maxMissedTicks = 4 * electionTicks
-	// lingerTicks is how long messages may take to leave after a hand-over.
-	lingerTicks = 2
-	// handOverTimeouts bounds, in election timeouts, how long a stop waits for
-	// another leader.
-	handOverTimeouts = 2
 )
 
 // core is what the owner's goroutine owns.
@@ -52,13 +46,6 @@
 	fetching bool
 }
 
-// leaderTerm is from which applied index on this replica may decide as the
-// leader of a term.
-type leaderTerm struct {
-	term  uint64
-	ready uint64
-}
-
 func newCore(r *Replica, storage *storage, recovered *recovery) (*core, error) {
 	c := &core{
 		replica:  r,
@@ -118,31 +105,6 @@
 	}
 }
 
-// stopping is a graceful end: a leader hands over first, and its last messages,
-// its vote for the next leader among them, get time to leave.
-type stopping struct {
-	asked   <-chan struct{}
-	ended   <-chan time.Time
-	handing bool
-}
-
-func (s *stopping) begin(c *core) {
-	s.asked = nil
-	s.handing = c.handOver()
-	if s.handing {
-		s.ended = time.After(handOverTimeouts * c.replica.config.ElectionTimeout)
-		return
-	}
-	s.ended = time.After(0)
-}
-
-func (s *stopping) check(c *core) {
-	if s.handing && c.node.Status().Role != consensus.Leader {
-		s.handing = false
-		s.ended = time.After(lingerTicks * c.tick)
-	}
-}
-
 // passTime makes up for the ticks since the last call. On a leader all of them
 // count: its ages are told in ticks and must not be understated. Elsewhere a
 // long standstill was this process's own and says nothing of the leader, whose
@@ -272,64 +234,6 @@
 	return logEntry, nil
 }
 
-// publishView shows readers what has changed.
-func (c *core) publishView() {
-	status := c.node.Status()
-	v := &view{status: status, leader: c.instanceOf(status.Leader)}
-	for _, member := range status.Configuration.GetMembers() {
-		v.member = v.member || member.Identity == c.disk.identity
-	}
-	v.leading = c.leads(status)
-	if v.leading {
-		c.confirmAsLeader(status)
-	}
-	earlier := c.replica.view.Swap(v)
-	currentTerm.Set(int64(status.Term))
-	currentIndex.Set(int64(c.state.Index()))
-	c.report(earlier, v)
-}
-
-// leads tells whether this replica leads and has applied everything that
-// earlier leaders committed.
-func (c *core) leads(status consensus.Status) bool {
-	if status.Role != consensus.Leader || !status.CommittedInTerm {
-		return false
-	}
-	if c.leaderOf.term != status.Term {
-		c.leaderOf = leaderTerm{term: status.Term, ready: status.Commit}
-	}
-	return c.state.Index() >= c.leaderOf.ready
-}
-
-func (c *core) instanceOf(identity string) string {
-	if identity == "" {
-		return ""
-	}
-	return disk.Instance(identity)
-}
-
-func (c *core) report(earlier, now *view) {
-	if earlier.leader == now.leader && earlier.status.Term == now.status.Term && earlier.member == now.member {
-		return
-	}
-	elections.Add(1)
-	c.replica.config.Logger.WithField("leader", now.leader).WithField("term", now.status.Term).
-		WithField("role", now.status.Role.String()).WithField("member", now.member).Info("control log")
-}
-
-// handOver asks the voter with most of the log to lead; false where there is none.
-func (c *core) handOver() bool {
-	status := c.node.Status()
-	best := ""
-	var match uint64
-	for _, member := range status.Members {
-		if member.Voter && member.Live && (best == "" || member.Match > match) {
-			best, match = member.Identity, member.Match
-		}
-	}
-	return best != "" && c.node.Transfer(best) == nil
-}
-
 // abandon ends what waits when the disk has failed: nobody can tell what
 // became of it.
 func (c *core) abandon() {
--- a/internal/coordination/replica/replica.go
+++ b/internal/coordination/replica/replica.go
@@ -17,7 +17,6 @@
 	"pinewinch.example/pinewinch/internal/coordination/control"
 	"pinewinch.example/pinewinch/internal/coordination/feed"
 	"pinewinch.example/pinewinch/internal/protocol/consensuspb"
-	"pinewinch.example/pinewinch/internal/protocol/controlpb"
 	"pinewinch.example/pinewinch/internal/protocol/failure"
 	"pinewinch.example/pinewinch/internal/protocol/peerpb"
 	"pinewinch.example/pinewinch/internal/state/disk"
@@ -106,16 +105,6 @@
 	ended chan struct{}
 }
 
-// view is what readers may know of the owner's state.
-type view struct {
-	status consensus.Status
-	// leading tells that this replica leads and has applied its own term's
-	// first entry, hence everything that earlier leaders committed.
-	leading bool
-	leader  string
-	member  bool
-}
-
 // New makes a replica; Run opens its log.
 func New(config Config, peers Peers) *Replica {
 	if config.SnapshotEntries == 0 {
@@ -170,20 +159,6 @@
 	}
 }
 
-// ServeFollow sends the log to another instance.
-func (r *Replica) ServeFollow(ctx context.Context, follow *peerpb.Follow, stream control.Stream) error {
-	return r.feed.Serve(ctx, follow, stream)
-}
-
-// ServePropose answers a command that another instance sent. It is not sent on:
-// a command could go round for ever between two that each take the other for
-// the leader.
-func (r *Replica) ServePropose(ctx context.Context, propose *peerpb.Propose) (*controlpb.Result, error) {
-	ctx, cancel := context.WithTimeout(ctx, proposePatience)
-	defer cancel()
-	return r.submit(ctx, propose.Command)
-}
-
 // Run takes part in the log until ctx ends; it fails when the disk does. A
 // leader hands over before it ends.
 func (r *Replica) Run(ctx context.Context) error {
