A leader without open jobs takes one turn a second

Ruled out: waking on announcements only (there are more of them than turns).

Change: one turn a second while no job is open; submissions come by way of the log, which wakes at once. The registry is read once a turn, before leadership is looked at.

--- a/internal/app/work.go
+++ b/internal/app/work.go
@@ -30,7 +30,7 @@
 	fx.Invoke(runController),
 )
 
-func newDispatcher(s *settings.Settings, log control.Log, client *upstream.Client, registry *membership.Registry) *dispatch.Dispatcher {
+func newDispatcher(s *settings.Settings, log control.Log, client *upstream.Client) *dispatch.Dispatcher {
 	return dispatch.New(dispatch.Config{
 		Gang: gang.Config{
 			Lease:          s.Upstreams.Lease,
@@ -43,7 +43,7 @@
 			Probe:    s.Upstreams.Lease * leasesPerProbe,
 		},
 		Now: time.Now,
-	}, log, client, registry)
+	}, log, client)
 }
 
 func newController(log control.Log, dispatcher *dispatch.Dispatcher, registry *membership.Registry) *dispatch.Controller {
--- a/internal/coordination/dispatch/controller.go
+++ b/internal/coordination/dispatch/controller.go
@@ -14,8 +14,13 @@
 	"pinewinch.example/pinewinch/internal/state/store"
 )
 
-// passEvery bounds how long news of an upstream waits for a pass.
-const passEvery = 100 * time.Millisecond
+const (
+	// passEvery bounds how long news of an upstream waits for a pass.
+	passEvery = 100 * time.Millisecond
+	// idleEvery is the pause while no job is open: then only the inventory can
+	// come due, and everything else comes by way of the log, which wakes at once.
+	idleEvery = time.Second
+)
 
 // gatherFor is how long answers of workers wait for others before a step.
 const gatherFor = 2 * time.Millisecond
@@ -60,22 +65,30 @@
 
 // Run decides until ctx ends.
 func (c *Controller) Run(ctx context.Context) {
-	ticker := time.NewTicker(passEvery)
-	defer ticker.Stop()
+	timer := time.NewTimer(0)
+	defer timer.Stop()
 	for {
 		changed := c.log.Changed()
 		c.Turn(ctx)
+		timer.Reset(c.pause())
 		select {
 		case <-ctx.Done():
 			return
 		case <-changed:
 		case <-c.dispatcher.Wake():
 			gather(ctx)
-		case <-ticker.C:
+		case <-timer.C:
 		}
 	}
 }
 
+func (c *Controller) pause() time.Duration {
+	if c.led && c.log.State().Active() == 0 {
+		return idleEvery
+	}
+	return passEvery
+}
+
 // gather lets the answers of one gang, or of a wave of jobs, come in together, so
 // that they cost one entry.
 func gather(ctx context.Context) {
@@ -107,8 +120,11 @@
 			return
 		}
 	}
-	c.schedule(ctx)
-	c.dispatcher.Reconcile(ctx)
+	// The announcements are read before leadership is confirmed, which Reconcile
+	// counts on.
+	live := c.registry.Live(peerpb.UpstreamKind_UPSTREAM_KIND_WORKER)
+	c.schedule(ctx, live)
+	c.dispatcher.Reconcile(ctx, live)
 }
 
 // propose bounds how long a log without a quorum holds the controller. What was
@@ -120,9 +136,9 @@
 	return err == nil
 }
 
-func (c *Controller) schedule(ctx context.Context) {
+func (c *Controller) schedule(ctx context.Context, live []*peerpb.Upstream) {
 	state := c.log.State()
-	workers, probing := c.judge(state)
+	workers, probing := c.judge(state, live)
 	if !c.passes.open(state.Index(), workers, c.now()) {
 		return
 	}
@@ -143,9 +159,8 @@
 
 // judge lists the live workers as scheduling sees them, and those that may be
 // given one job as a probe: none while such a job is on it.
-func (c *Controller) judge(state *store.State) (workers []scheduling.Worker, probing map[string]bool) {
+func (c *Controller) judge(state *store.State, live []*peerpb.Upstream) (workers []scheduling.Worker, probing map[string]bool) {
 	probing = map[string]bool{}
-	live := c.registry.Live(peerpb.UpstreamKind_UPSTREAM_KIND_WORKER)
 	workers = make([]scheduling.Worker, 0, len(live))
 	for _, worker := range live {
 		verdict := c.dispatcher.verdict(state, worker.Id)
--- a/internal/coordination/dispatch/dispatch.go
+++ b/internal/coordination/dispatch/dispatch.go
@@ -62,27 +62,25 @@
 
 // Dispatcher brings the workers in line with the control state.
 type Dispatcher struct {
-	config   Config
-	control  Control
-	workers  Workers
-	registry Registry
-	machine  *gang.Machine
-	limit    chan struct{}
-	wake     chan struct{}
-	mu       sync.Mutex
-	answers  []gang.Answer
+	config  Config
+	control Control
+	workers Workers
+	machine *gang.Machine
+	limit   chan struct{}
+	wake    chan struct{}
+	mu      sync.Mutex
+	answers []gang.Answer
 }
 
 // New makes a dispatcher.
-func New(config Config, control Control, workers Workers, registry Registry) *Dispatcher {
+func New(config Config, control Control, workers Workers) *Dispatcher {
 	return &Dispatcher{
-		config:   config,
-		control:  control,
-		workers:  workers,
-		registry: registry,
-		machine:  gang.New(config.Gang),
-		limit:    make(chan struct{}, maxInFlight),
-		wake:     make(chan struct{}, 1),
+		config:  config,
+		control: control,
+		workers: workers,
+		machine: gang.New(config.Gang),
+		limit:   make(chan struct{}, maxInFlight),
+		wake:    make(chan struct{}, 1),
 	}
 }
 
@@ -98,12 +96,10 @@
 
 // Reconcile takes one step for all active jobs: it sends commands without waiting
 // for their answers, and commits all moves in one entry. It is called by one
-// goroutine only.
-func (d *Dispatcher) Reconcile(ctx context.Context) {
-	// The announcements are read before leadership is looked at: gang.StopWait
-	// counts on a command that names an announcement no newer than a moment at
-	// which this instance surely led.
-	workers := d.registry.Live(peerpb.UpstreamKind_UPSTREAM_KIND_WORKER)
+// goroutine only. The workers' announcements must have been read before the call:
+// leadership is looked at after them, and gang.StopWait counts on a command that
+// names an announcement no newer than a moment at which this instance surely led.
+func (d *Dispatcher) Reconcile(ctx context.Context, workers []*peerpb.Upstream) {
 	if d.control.Fresh() != nil {
 		return
 	}
--- a/internal/coordination/dispatch/dispatch_test.go
+++ b/internal/coordination/dispatch/dispatch_test.go
@@ -75,7 +75,7 @@
 	config := dispatch.Config{Now: time.Now, Gang: gang.Config{
 		Lease: 10 * time.Second, FreshnessBound: 3 * time.Second, AnnounceEvery: time.Second, CommandTimeout: 2 * time.Second,
 	}}
-	dispatcher := dispatch.New(config, log, workers, registry)
+	dispatcher := dispatch.New(config, log, workers)
 	return log, workers, dispatcher, dispatch.NewController(log, dispatcher, registry, time.Now)
 }
 
@@ -99,14 +99,15 @@
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		log, workers, dispatcher, _ := control()
+		live := []*peerpb.Upstream{{Id: "w", Version: 1}}
 		submit(log, "j")
 		assign(log)
 		log.stale = true
-		dispatcher.Reconcile(t.Context())
+		dispatcher.Reconcile(t.Context(), live)
 		synctest.Wait()
 		is.Equal(len(workers.commands), 0)
 		log.stale = false
-		dispatcher.Reconcile(t.Context())
+		dispatcher.Reconcile(t.Context(), live)
 		synctest.Wait()
 		is.Equal(workers.commands[api.PathTaskReserve], 1)
 	})
@@ -148,7 +149,7 @@
 			}
 			log := &fakeLog{state: store.New(), changed: make(chan struct{})}
 			config := dispatch.Config{Now: time.Now, Gang: gang.Config{AnnounceEvery: time.Second}}
-			dispatcher := dispatch.New(config, log, nil, registry)
+			dispatcher := dispatch.New(config, log, nil)
 			controller := dispatch.NewController(log, dispatcher, registry, time.Now)
 			b.ReportAllocs()
 			for b.Loop() {
--- a/internal/state/store/store.go
+++ b/internal/state/store/store.go
@@ -104,6 +104,9 @@
 // what is open, not what has ever run.
 func (s *State) ActiveJobs() []*controlpb.Job { return list(s.active) }
 
+// Active counts the jobs that have not ended.
+func (s *State) Active() int { return s.active.Len() }
+
 // Claim looks up the claim on a customer's request key.
 func (s *State) Claim(customer, key string) (*controlpb.Claim, bool) {
 	return s.claims.Get(claimKey(customer, key))
