--- a/internal/experiment/benchcmd/benchcmd.go
+++ b/internal/experiment/benchcmd/benchcmd.go
@@ -20,7 +20,9 @@
 	fitCommand,
 	loadCommand,
 	replayCommand,
+	slotsCommand,
 	detectorCommand,
+	inforceCommand,
 	compareCommand,
 }
 
--- a/internal/protocol/api/api.go
+++ b/internal/protocol/api/api.go
@@ -102,7 +102,9 @@
 	Revision   uint64 `json:"revision"`
 	Ready      bool   `json:"ready"`
 	Replica    bool   `json:"replica"`
-	Leader     bool   `json:"leader"`
+	// LogRole is its part in the control log: leader, voter, learner or empty.
+	LogRole string `json:"log_role,omitempty"`
+	Leader  bool   `json:"leader"`
 }
 
 // ChangeMembers changes who keeps the log: an instance whose replica becomes a
