--- a/internal/coordination/routing/admission/loans.go
+++ b/internal/coordination/routing/admission/loans.go
@@ -235,7 +235,7 @@
 
 // serveHeld lends idle credits to the instances that asked, oldest ask first.
 func (p *Policy) serveHeld(now time.Time) {
-	if p.view.CutOff || p.view.Expired {
+	if p.view.CutOff {
 		return
 	}
 	for _, held := range append([]*heldAsk(nil), p.loans.held...) {
--- a/internal/coordination/standby/standby.go
+++ b/internal/coordination/standby/standby.go
@@ -137,6 +137,9 @@
 // IsLeader tells whether this instance leads.
 func (n *Node) IsLeader() bool { return n.replica.IsLeader() }
 
+// Member tells whether the replica is a member of the newest configuration.
+func (n *Node) Member() bool { return n.replica.Member() }
+
 // ServePropose answers a command that another instance sent.
 func (n *Node) ServePropose(ctx context.Context, propose *peerpb.Propose) (*controlpb.Result, error) {
 	return n.acting().ServePropose(ctx, propose)
@@ -160,6 +163,9 @@
 	return n.acting().ChangeMembers(ctx, change)
 }
 
+// Role is the replica's part in the log.
+func (n *Node) Role() string { return n.replica.Role() }
+
 // Deliver takes one consensus message.
 func (n *Node) Deliver(message *consensuspb.Message) { n.replica.Deliver(message) }
 
--- a/internal/experiment/benchcmd/benchcmd.go
+++ b/internal/experiment/benchcmd/benchcmd.go
@@ -20,7 +20,10 @@
 	fitCommand,
 	loadCommand,
 	slotsCommand,
+	replayCommand,
 	detectorCommand,
+	inforceCommand,
+	compareCommand,
 }
 
 // Run runs one experiment and gives the exit code.
--- a/internal/protocol/api/api.go
+++ b/internal/protocol/api/api.go
@@ -102,7 +102,16 @@
 	Revision   uint64 `json:"revision"`
 	Ready      bool   `json:"ready"`
 	Replica    bool   `json:"replica"`
-	Leader     bool   `json:"leader"`
+	// LogRole is its part in the control log: leader, voter, learner or empty.
+	LogRole string `json:"log_role,omitempty"`
+	Leader  bool   `json:"leader"`
+}
+
+// ChangeMembers changes who keeps the log: an instance whose replica becomes a
+// voter, one whose replica leaves, or both to replace a replica.
+type ChangeMembers struct {
+	Add    string `json:"add,omitempty"`
+	Remove string `json:"remove,omitempty"`
 }
 
 // Explanation says why a job waits: the scheduler's own reason of its newest
--- a/internal/state/store/store.go
+++ b/internal/state/store/store.go
@@ -26,11 +26,15 @@
 	active   *table[*controlpb.Job]
 	claims   *table[*controlpb.Claim]
 	// claimExpiry orders the keys of claims by the time that they expire.
-	claimExpiry *table[[]byte]
+	claimExpiry *table[struct{}]
 	spent       *table[*controlpb.SpentKeys]
 	spentCounts *table[int]
 	sessions    *table[*controlpb.Session]
-	drained     *table[bool]
+	// sessionAges orders the clients by the index of their newest command.
+	sessionAges *table[string]
+	// unknown are the fields that a newer process put into a snapshot.
+	unknown []byte
+	drained *table[bool]
 	// health holds the workers with failures, occurrences the last due work of
 	// each entry.
 	health      *table[*controlpb.WorkerHealth]
@@ -46,10 +50,11 @@
 		jobs:        iradix.New[*controlpb.Job](),
 		active:      iradix.New[*controlpb.Job](),
 		claims:      iradix.New[*controlpb.Claim](),
-		claimExpiry: iradix.New[[]byte](),
+		claimExpiry: iradix.New[struct{}](),
 		spent:       iradix.New[*controlpb.SpentKeys](),
 		spentCounts: iradix.New[int](),
 		sessions:    iradix.New[*controlpb.Session](),
+		sessionAges: iradix.New[string](),
 		drained:     iradix.New[bool](),
 		health:      iradix.New[*controlpb.WorkerHealth](),
 		occurrences: iradix.New[*controlpb.Occurrence](),
@@ -132,6 +137,7 @@
 		CreditMembers: s.creditMembers,
 	}
 	walk(s.drained, func(key string, _ bool) { snapshot.Drained = append(snapshot.Drained, key) })
+	snapshot.ProtoReflect().SetUnknown(s.unknown)
 	return snapshot
 }
 
@@ -144,6 +150,8 @@
 	s.items = fill(snapshot.Items, func(i *controlpb.Item) []byte { return []byte(i.Key) })
 	s.jobs = fill(snapshot.Jobs, func(j *controlpb.Job) []byte { return []byte(j.Id) })
 	s.restoreClaims(snapshot)
+	s.unknown = snapshot.ProtoReflect().GetUnknown()
+	s.sessionAges = fillSessionAges(snapshot.Sessions)
 	s.sessions = fill(snapshot.Sessions, func(v *controlpb.Session) []byte { return []byte(v.Client) })
 	active := iradix.New[*controlpb.Job]().Txn()
 	for _, job := range snapshot.Jobs {
