--- a/internal/command/operate.go
+++ b/internal/command/operate.go
@@ -113,10 +113,10 @@
 	for _, member := range members {
 		rows = append(rows, []string{
 			member.Name, member.DataCentre, strconv.FormatUint(member.Revision, 10),
-			strconv.FormatBool(member.Ready), strconv.FormatBool(member.Replica), strconv.FormatBool(member.Leader),
+			strconv.FormatBool(member.Ready), strconv.FormatBool(member.Replica), member.LogRole,
 		})
 	}
-	return t.print(members, []string{"instance", "data centre", "revision", "ready", "replica", "leader"}, rows)
+	return t.print(members, []string{"instance", "data centre", "revision", "ready", "replica", "log"}, rows)
 }
 
 // drained is the outcome of drain as JSON.
--- a/internal/coordination/dispatch/controller.go
+++ b/internal/coordination/dispatch/controller.go
@@ -193,13 +193,14 @@
 
 func (c *Controller) snapshot(state *store.State, workers []scheduling.Worker) *scheduling.Snapshot {
 	snapshot := &scheduling.Snapshot{
-		Now:       c.now(),
-		Workers:   workers,
-		Jobs:      state.ActiveJobs(),
-		Customers: map[string]*controlpb.Customer{},
-		Rules:     state.Rules(),
-		Cells:     c.newest.Cells,
-		RunTimes:  c.runTimes.upTo(state),
+		Now:          c.now(),
+		Workers:      workers,
+		Jobs:         state.ActiveJobs(),
+		Customers:    map[string]*controlpb.Customer{},
+		Rules:        state.Rules(),
+		Cells:        c.newest.Cells,
+		Reservations: c.newest.Reservations,
+		RunTimes:     c.runTimes.upTo(state),
 	}
 	for _, item := range state.Items() {
 		if customer := item.GetCustomer(); customer != nil {
--- a/internal/coordination/membership/origin.go
+++ b/internal/coordination/membership/origin.go
@@ -114,6 +114,7 @@
 		state.Revision = batch.Progress.Revision
 		state.Ready = batch.Progress.Ready
 		state.Leaving = batch.Progress.Leaving
+		state.LogRole = batch.Progress.LogRole
 		o.state = state
 	}
 	return batch.Instance != nil || batch.Progress != nil
--- a/internal/experiment/benchcmd/benchcmd.go
+++ b/internal/experiment/benchcmd/benchcmd.go
@@ -19,7 +19,9 @@
 	sampleCommand,
 	fitCommand,
 	loadCommand,
+	replayCommand,
 	detectorCommand,
+	inforceCommand,
 	compareCommand,
 }
 
--- a/internal/state/store/store.go
+++ b/internal/state/store/store.go
@@ -26,15 +26,21 @@
 	active   *table[*controlpb.Job]
 	claims   *table[*controlpb.Claim]
 	// claimExpiry orders the keys of claims by the time that they expire.
-	claimExpiry *table[[]byte]
+	claimExpiry *table[struct{}]
 	spent       *table[*controlpb.SpentKeys]
 	spentCounts *table[int]
 	sessions    *table[*controlpb.Session]
-	drained     *table[bool]
+	// sessionAges orders the clients by the index of their newest command.
+	sessionAges *table[string]
+	// unknown are the fields that a newer process put into a snapshot.
+	unknown []byte
+	drained *table[bool]
 	// health holds the workers with failures, occurrences the last due work of
 	// each entry.
 	health      *table[*controlpb.WorkerHealth]
 	occurrences *table[*controlpb.Occurrence]
+	// creditMembers is never nil.
+	creditMembers *controlpb.CreditMembers
 }
 
 // New gives the empty state before the first entry.
@@ -44,13 +50,16 @@
 		jobs:        iradix.New[*controlpb.Job](),
 		active:      iradix.New[*controlpb.Job](),
 		claims:      iradix.New[*controlpb.Claim](),
-		claimExpiry: iradix.New[[]byte](),
+		claimExpiry: iradix.New[struct{}](),
 		spent:       iradix.New[*controlpb.SpentKeys](),
 		spentCounts: iradix.New[int](),
 		sessions:    iradix.New[*controlpb.Session](),
+		sessionAges: iradix.New[string](),
 		drained:     iradix.New[bool](),
 		health:      iradix.New[*controlpb.WorkerHealth](),
 		occurrences: iradix.New[*controlpb.Occurrence](),
+
+		creditMembers: &controlpb.CreditMembers{},
 	}
 }
 
@@ -124,8 +133,11 @@
 		Sessions:    list(s.sessions),
 		Health:      list(s.health),
 		Occurrences: list(s.occurrences),
+
+		CreditMembers: s.creditMembers,
 	}
 	walk(s.drained, func(key string, _ bool) { snapshot.Drained = append(snapshot.Drained, key) })
+	snapshot.ProtoReflect().SetUnknown(s.unknown)
 	return snapshot
 }
 
@@ -138,6 +150,8 @@
 	s.items = fill(snapshot.Items, func(i *controlpb.Item) []byte { return []byte(i.Key) })
 	s.jobs = fill(snapshot.Jobs, func(j *controlpb.Job) []byte { return []byte(j.Id) })
 	s.restoreClaims(snapshot)
+	s.unknown = snapshot.ProtoReflect().GetUnknown()
+	s.sessionAges = fillSessionAges(snapshot.Sessions)
 	s.sessions = fill(snapshot.Sessions, func(v *controlpb.Session) []byte { return []byte(v.Client) })
 	active := iradix.New[*controlpb.Job]().Txn()
 	for _, job := range snapshot.Jobs {
@@ -152,6 +166,9 @@
 	}
 	s.drained = drained.Commit()
 	s.health = fill(snapshot.Health, func(h *controlpb.WorkerHealth) []byte { return []byte(h.Worker) })
+	if snapshot.CreditMembers != nil {
+		s.creditMembers = snapshot.CreditMembers
+	}
 	s.occurrences = fill(snapshot.Occurrences, func(o *controlpb.Occurrence) []byte { return []byte(o.Entry) })
 	return s
 }
--- a/test/scenarios/scenario_test.go
+++ b/test/scenarios/scenario_test.go
@@ -31,7 +31,7 @@
 			examples, err := filepath.Abs("../../examples")
 			env.Setenv("EXAMPLES", examples)
 			env.Setenv("DOCS", filepath.Join(examples, "../docs"))
-			env.Values[fixtureKey{}] = &fixture{processes: map[string]*process{}}
+			env.Values[fixtureKey{}] = &fixture{processes: map[string]*process{}, asked: map[string]chan int{}}
 			return err
 		},
 		Cmds: map[string]func(ts *testscript.TestScript, neg bool, args []string){
@@ -53,6 +53,12 @@
 			"certificates": certificates,
 			"lossy":        lossy,
 			"tally":        tally,
+			"ask":          ask,
+			"asked":        asked,
+
+			"killleaders":    killLeaders,
+			"raceoperators":  raceOperators,
+			"changeandcrash": changeAndCrash,
 		},
 	})
 }
