--- a/internal/app/main.go
+++ b/internal/app/main.go
@@ -26,6 +26,9 @@
 		}
 		return report(failure.Wrap(failure.BadSettings, err, "command line"))
 	}
+	if *config == "" {
+		return report(failure.New(failure.BadSettings, "give a settings file: -config FILE"))
+	}
 	loaded, err := settings.Load(*config)
 	if err != nil {
 		return report(err)
--- a/internal/command/client.go
+++ b/internal/command/client.go
@@ -47,7 +47,11 @@
 func newClient(servers, token, authority string, patience time.Duration) (*client, error) {
 	c := &client{token: token, patience: patience, http: &http.Client{Timeout: requestTimeout}}
 	for _, server := range strings.Split(servers, ",") {
-		c.servers = append(c.servers, strings.TrimSuffix(strings.TrimSpace(server), "/"))
+		server = strings.TrimSuffix(strings.TrimSpace(server), "/")
+		if !strings.Contains(server, "://") {
+			server = "http://" + server
+		}
+		c.servers = append(c.servers, server)
 	}
 	if authority == "" {
 		return c, nil
--- a/internal/command/command.go
+++ b/internal/command/command.go
@@ -89,7 +89,12 @@
 			t.dumpCommand(),
 			t.membersCommand(),
 		},
-		Exec: func(context.Context, []string) error { return flag.ErrHelp },
+		Exec: func(_ context.Context, args []string) error {
+			if len(args) > 0 {
+				return failure.New(failure.BadRequest, "no subcommand %q", args[0])
+			}
+			return flag.ErrHelp
+		},
 	}
 }
 
@@ -104,6 +109,22 @@
 	return flags
 }
 
+// help is the line for each subcommand in the list of all.
+var help = map[string]string{
+	"apply":   "bring declarations into force",
+	"diff":    "show what an apply would change",
+	"get":     "show the declarations in force, or jobs",
+	"status":  "completion, fragmentation and waste",
+	"watch":   "the same, a line for each change",
+	"submit":  "submit jobs of a class",
+	"cancel":  "cancel jobs",
+	"request": "send a request to a minion and print its answer",
+	"explain": "why a job waits",
+	"drain":   "give an upstream no new work",
+	"dump":    "what one process knows",
+	"members": "instances, and who keeps the log",
+}
+
 func options() []ff.Option {
 	return []ff.Option{ff.WithEnvVarPrefix("PINEWINCH")}
 }
@@ -111,6 +132,7 @@
 func (t *Tool) command(name, usage string, flags *flag.FlagSet, exec func(context.Context, []string) error) *ffcli.Command {
 	return &ffcli.Command{
 		Name:       name,
+		ShortHelp:  help[name],
 		ShortUsage: "pinewinch " + name + " [flags] " + usage,
 		FlagSet:    flags,
 		Options:    options(),
