--- a/internal/app/control.go
+++ b/internal/app/control.go
@@ -24,7 +24,7 @@
 
 var controlModule = fx.Module("control",
 	fx.Provide(newNetwork, newNode, newLog, newVoters),
-	fx.Invoke(runPeers, runNode),
+	fx.Invoke(runPeers, runNode, runRepairer),
 )
 
 func newNetwork(s *settings.Settings) (*peers.Network, error) {
--- a/internal/coordination/standby/standby.go
+++ b/internal/coordination/standby/standby.go
@@ -9,6 +9,7 @@
 	"sync"
 	"time"
 
+	"pinewinch.example/pinewinch/internal/coordination/consensus"
 	"pinewinch.example/pinewinch/internal/coordination/control"
 	"pinewinch.example/pinewinch/internal/protocol/consensuspb"
 	"pinewinch.example/pinewinch/internal/protocol/controlpb"
@@ -24,6 +25,8 @@
 	control.Node
 	// Member tells whether it is a member of the newest configuration.
 	Member() bool
+	// Status is the log's own view of itself.
+	Status() consensus.Status
 }
 
 // Node joins both.
@@ -140,6 +143,9 @@
 // Member tells whether the replica is a member of the newest configuration.
 func (n *Node) Member() bool { return n.replica.Member() }
 
+// Status is the replica's own view of the log.
+func (n *Node) Status() consensus.Status { return n.replica.Status() }
+
 // ServePropose answers a command that another instance sent.
 func (n *Node) ServePropose(ctx context.Context, propose *peerpb.Propose) (*controlpb.Result, error) {
 	return n.acting().ServePropose(ctx, propose)
--- a/internal/experiment/benchcmd/detector.go
+++ b/internal/experiment/benchcmd/detector.go
@@ -87,9 +87,13 @@
 	for _, c := range candidates() {
 		var sum detector.Outcome
 		var equivalent time.Duration
-		sooner := 0
+		sooner, count := 0, 0
 		for _, trace := range traces {
 			o := detector.Replay(c.make(), trace, teachShare)
+			if o.Losses == 0 {
+				continue
+			}
+			count++
 			fixed := detector.Equivalent(trace, teachShare, o.Needless)
 			if o.MeanDelay < fixed {
 				sooner++
@@ -97,11 +101,11 @@
 			sum.Add(o)
 			equivalent += fixed
 		}
-		count := time.Duration(len(traces))
+		traced := time.Duration(max(count, 1))
 		err := table.Append([]string{
 			c.name, fmt.Sprint(sum.Silences - sum.Losses), fmt.Sprint(sum.Losses), fmt.Sprint(sum.Needless),
-			(sum.MeanDelay / count).Round(time.Second).String(), (sum.MedianDelay / count).Round(time.Second).String(),
-			(equivalent / count).Round(time.Second).String(), fmt.Sprintf("%d of %d", sooner, len(traces)),
+			(sum.MeanDelay / traced).Round(time.Second).String(), (sum.MedianDelay / traced).Round(time.Second).String(),
+			(equivalent / traced).Round(time.Second).String(), fmt.Sprintf("%d of %d", sooner, count),
 		})
 		if err != nil {
 			return err
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -46,6 +46,11 @@
 	FreshnessBound time.Duration
 	// ElectionTimeout is the shortest time without a leader's word.
 	ElectionTimeout time.Duration
+	// AutomaticRepair lets the leader replace a lost voter on its own.
+	AutomaticRepair bool
+	// RepairAfter is how long a voter may be silent before it is replaced, while
+	// too little is known of how long its silences last.
+	RepairAfter time.Duration
 }
 
 // Upstreams configures what workers and minions are told.
@@ -141,6 +146,8 @@
 			Voters:          r.list("control", "voters"),
 			FreshnessBound:  r.duration("control", "freshness_bound", 3*time.Second),
 			ElectionTimeout: r.duration("control", "election_timeout", 600*time.Millisecond),
+			AutomaticRepair: r.choice("control", "repair", "manual", "automatic") == "automatic",
+			RepairAfter:     r.duration("control", "repair_after", 10*time.Minute),
 		},
 		Upstreams: Upstreams{
 			AnnounceEvery: r.duration("upstreams", "announce_every", time.Second),
