--- a/internal/coordination/routing/router.go
+++ b/internal/coordination/routing/router.go
@@ -53,12 +53,10 @@
 	Instance string
 	// QueueLength bounds the waiting requests of each customer and service.
 	QueueLength int
-	// FreshnessBound is how old control state is at most while Fresh holds.
+	// FreshnessBound is how old control state is at most while Fresh holds. It is
+	// the length of the lease on credits.
 	FreshnessBound time.Duration
-	// Lease is how long this instance may use its credits after the newest
-	// confirmation of its control state; longer than FreshnessBound.
-	Lease time.Duration
-	Now   func() time.Time
+	Now            func() time.Time
 }
 
 // Router sends requests to minions with free slots.
