--- a/internal/coordination/routing/admission/types.go
+++ b/internal/coordination/routing/admission/types.go
@@ -46,12 +46,9 @@
 	Departed  []string
 	Minions   []Minion
 	Customers []Customer
-	// CutOff is set while the control state is not confirmed: only the
-	// instance's own credits count then.
+	// CutOff is set while the control state is not confirmed: the rules may have
+	// been replaced, and others may have this instance's credits by now.
 	CutOff bool
-	// Expired is set once the control state has been unconfirmed for the length
-	// of the lease: others may have this instance's credits now.
-	Expired bool
 }
 
 // Request is one request on its way through the policy.
--- a/internal/coordination/routing/lease.go
+++ b/internal/coordination/routing/lease.go
@@ -8,13 +8,11 @@
 )
 
 // lease is this instance's right to use its credits. It rests on the control
-// log: state that was confirmed within the lease would tell of a removal, and
-// the others leave a removed instance's credits alone for the length of it.
+// log: state that is fresh would tell of a removal, and the others leave a
+// removed instance's credits alone for longer than state stays fresh.
 type lease struct {
 	started time.Time
-	// confirmed is a time at which the control state was surely the newest.
-	confirmed time.Time
-	joined    bool
+	joined  bool
 	// waiting is set while an instance that came back to its own place has not
 	// outlived what an earlier process of it may have known.
 	waiting bool
@@ -26,12 +24,7 @@
 	if l.started.IsZero() {
 		l.started = now
 	}
-	if fresh {
-		l.confirmed = now.Add(-config.FreshnessBound)
-	}
-	unconfirmed := now.Sub(l.confirmed)
-	view.CutOff = unconfirmed > config.FreshnessBound
-	view.Expired = l.confirmed.IsZero() || unconfirmed+refreshEvery > config.Lease
+	view.CutOff = !fresh
 	l.settle(config, now, fresh, view)
 }
 
--- a/internal/experiment/benchcmd/benchcmd.go
+++ b/internal/experiment/benchcmd/benchcmd.go
@@ -21,6 +21,8 @@
 	loadCommand,
 	replayCommand,
 	slotsCommand,
+	slotsCommand,
+	replayCommand,
 	detectorCommand,
 	inforceCommand,
 	compareCommand,
