--- a/internal/coordination/routing/admission/loans.go
+++ b/internal/coordination/routing/admission/loans.go
@@ -80,7 +80,8 @@
 }
 
 // ask sends out asks while requests wait for credits: to the lenders that had
-// most to lend, one open ask to each.
+// most to lend, then to those asked longest ago, one open ask to each. Without
+// the second the same few would be asked again and again.
 func (p *Policy) ask(now time.Time) {
 	if p.view.CutOff {
 		return
@@ -140,7 +141,12 @@
 			open = append(open, l)
 		}
 	}
-	sort.SliceStable(open, func(i, j int) bool { return open[i].idle > open[j].idle })
+	sort.SliceStable(open, func(i, j int) bool {
+		if open[i].idle != open[j].idle {
+			return open[i].idle > open[j].idle
+		}
+		return open[i].askAgain.Before(open[j].askAgain)
+	})
 	return open
 }
 
@@ -331,7 +337,7 @@
 // giveBack returns borrowed credits that are idle, and puts right what a lost
 // reply left unsure.
 func (p *Policy) giveBack(now time.Time) {
-	if now.Before(p.loans.nextReturn) || p.view.CutOff {
+	if now.Before(p.loans.nextReturn) || p.view.CutOff || (p.book.Borrowed() == 0 && !p.loans.unsure) {
 		return
 	}
 	p.loans.nextReturn = now.Add(max(returnEvery, p.pace()))
--- a/internal/coordination/routing/admission/pick.go
+++ b/internal/coordination/routing/admission/pick.go
@@ -74,6 +74,9 @@
 		if best == nil || c < bestClass || (c == bestClass && load < bestLoad) {
 			best, bestClass, bestLoad = t, c, load
 		}
+		if bestClass == 0 && bestLoad == 0 {
+			break
+		}
 	}
 	if n > 0 {
 		s.next = (s.next + 1) % n
--- /dev/null
+++ b/internal/coordination/routing/creditmembers/creditmembers_test.go
@@ -0,0 +1,52 @@
+package creditmembers
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"pinewinch.example/pinewinch/internal/protocol/controlpb"
+)
+
+func TestRemovedStaysDepartedForTheLease(t *testing.T) {
+	// One instance falls silent. Its credits go to the others only after it was
+	// listed as departed for the whole lease, counted anew by each leader: an
+	// instance that is merely cut off may use them that long.
+	is := is.New(t)
+	const lease = 3 * time.Second
+	now := time.Unix(1000, 0)
+	keeper := NewKeeper(lease)
+	current := &controlpb.CreditMembers{Epoch: 4, Members: []string{"a", "b"}}
+	step := func(d time.Duration, alive ...string) *controlpb.CreditMembers {
+		now = now.Add(d)
+		next := keeper.Next(now, current, alive)
+		if next != nil {
+			is.Equal(next.Epoch, current.Epoch+1)
+			current = next
+		}
+		return next
+	}
+	is.True(step(0, "a") == nil) // a short silence is no loss
+	is.True(step(2*time.Second, "a") == nil)
+	is.Equal(step(time.Second, "a").Departed, []string{"b"})
+	is.True(step(0, "a") == nil)
+	keeper.Forget() // another leader counts anew
+	is.True(step(lease, "a") == nil)
+	is.True(step(lease, "a") == nil)
+	is.True(step(clockMargin, "a") != nil)
+	is.Equal(current.Members, []string{"a"})
+	is.Equal(len(current.Departed), 0)
+	is.Equal(step(0, "a", "b").Members, []string{"a", "b"}) // it comes back as a new member
+}
+
+func TestReturnEndsDeparture(t *testing.T) {
+	// A departed instance is heard again before its lease is over: it joins the
+	// next epoch, which it must confirm like any other member.
+	is := is.New(t)
+	keeper := NewKeeper(time.Second)
+	current := &controlpb.CreditMembers{Epoch: 1, Members: []string{"a"}, Departed: []string{"b"}}
+	next := keeper.Next(time.Unix(1, 0), current, []string{"a", "b"})
+	is.Equal(next.Members, []string{"a", "b"})
+	is.Equal(len(next.Departed), 0)
+}
--- a/internal/coordination/routing/health/health.go
+++ b/internal/coordination/routing/health/health.go
@@ -43,7 +43,7 @@
 	if now.Before(s.pausedUntil) || now.Before(s.ejectedTo) {
 		return false
 	}
-	return float64(inFlight) < s.ceiling
+	return float64(inFlight)+1 <= s.ceiling
 }
 
 // Ratio is the smoothed service time relative to the usual one.
--- a/internal/transport/upstream/client.go
+++ b/internal/transport/upstream/client.go
@@ -18,9 +18,9 @@
 const (
 	dialTimeout = time.Second
 	maxAnswer   = 1 << 20
-	// idlePerUp bounds idle connections so that those of 9 instances stay below
-	// the 60 that a minion takes.
-	idlePerUp = 6
+	// idlePerUp bounds idle connections so that those of 9 instances, and one for
+	// each of a minion's 8 slots in use, stay within the 60 that a minion takes.
+	idlePerUp = 5
 	// idleLife is short: a connection whose far end vanished without a word is
 	// found out only by a request whose outcome is then unknown.
 	idleLife       = 5 * time.Second
