--- a/internal/experiment/benchcmd/benchcmd.go
+++ b/internal/experiment/benchcmd/benchcmd.go
@@ -19,6 +19,8 @@
 	sampleCommand,
 	fitCommand,
 	loadCommand,
+	replayCommand,
+	slotsCommand,
 	slotsCommand,
 	replayCommand,
 	detectorCommand,
