--- a/internal/coordination/routing/admission/health_test.go
+++ b/internal/coordination/routing/admission/health_test.go
@@ -75,6 +75,57 @@
 	is.Equal(len(b.started), 4)
 }
 
+func TestWaveOfCancellationsUnderOverloadMakesNoOutliers(t *testing.T) {
+	// The service is slower than it was, and callers lose patience and hang up in
+	// waves, each later than an answer was due. The minions do their best: the
+	// next caller must find them.
+	is := is.New(t)
+	b := newBench(4, 8)
+	b.learn()
+	for range 5 {
+		var wave []*Request
+		for range 32 {
+			wave = append(wave, b.arrive("a", time.Hour, true))
+		}
+		b.now = b.now.Add(20 * mean)
+		for _, r := range wave {
+			b.note(b.Leave(b.now, r))
+		}
+		for _, a := range b.started {
+			b.done(a, Unknown)
+		}
+		b.started = nil
+	}
+	for _, t := range b.service("s").targets {
+		is.True(!t.health.Ejected(b.now))
+	}
+	b.arrive("a", time.Minute, true)
+	is.Equal(len(b.started), 1)
+}
+
+func TestNoMoreThanHalfAreOutliers(t *testing.T) {
+	// Every minion fails what it gets, as when a shared store is down. Half of
+	// them stay in use, so that callers are served when it is back.
+	is := is.New(t)
+	b := newBench(10, 8)
+	b.learn()
+	for range 200 {
+		b.now = b.now.Add(500 * time.Millisecond)
+		b.arrive("a", time.Hour, false)
+		for _, a := range b.started {
+			b.done(a, Failed)
+		}
+		b.started = nil
+		ejected := 0
+		for _, t := range b.service("s").targets {
+			if t.health.Ejected(b.now) {
+				ejected++
+			}
+		}
+		is.True(ejected <= 5)
+	}
+}
+
 func TestNewIncarnationStartsClean(t *testing.T) {
 	// A minion vanished while it was ejected and came back as a new process.
 	is := is.New(t)
--- a/internal/coordination/routing/admission/policy.go
+++ b/internal/coordination/routing/admission/policy.go
@@ -284,24 +284,37 @@
 
 // judge lets the minion's standing and the learned service time follow the
 // outcome. Only answers teach: a quick failure must not look like a quick
-// minion. An attempt cancelled early says nothing; one cancelled when it was
-// late already counts as failed, or a minion that hangs would look healthy.
+// minion. A caller that hangs up says nothing of the minion but that it was not
+// quicker: a wave of cancellations must not make outliers of all minions. A
+// deadline that passes later than an answer is due counts as failed, or a minion
+// that hangs would look healthy.
 func (p *Policy) judge(now time.Time, s *service, a *Attempt, result Result) {
 	took := now.Sub(a.started)
-	over := a.Request.ended || a.Request.gone
-	if over && result.Outcome != Answered && took <= s.learned.late() {
-		return
-	}
 	h := a.target.health
-	switch result.Outcome {
-	case Answered:
+	over := a.Request.ended || a.Request.gone
+	switch {
+	case result.Outcome == Answered:
 		h.Answered(s.learned.ratio(took), a.Minion.Slots)
 		s.learned.add(took)
-	case Refused:
+	case result.Outcome == Refused:
 		h.Refused(now, a.target.account.InUse())
+	case over && (now.Before(a.Request.Deadline) || took <= s.learned.late()):
+		h.Abandoned(s.learned.ratio(took))
 	default:
-		h.Failed(now, s.learned.usual())
+		h.Failed(now, s.learned.usual(), s.mayEject(now))
+	}
+}
+
+// mayEject bounds the outliers to half of a service's minions: where more fail,
+// the fault lies elsewhere, and without them nothing could be served.
+func (s *service) mayEject(now time.Time) bool {
+	ejected := 0
+	for _, t := range s.targets {
+		if t.health.Ejected(now) {
+			ejected++
+		}
 	}
+	return ejected < (len(s.targets)+1)/2
 }
 
 // retry sends a request again where that is safe: it surely did not run, or
--- a/internal/coordination/routing/admission/policy_test.go
+++ b/internal/coordination/routing/admission/policy_test.go
@@ -169,3 +169,17 @@
 		is.Equal(refusal.Reason, ReasonNoMinion)
 	}
 }
+
+func TestCallerThatLeavesTheQueueIsDoneAtOnce(t *testing.T) {
+	// A caller goes away while its request waits, with an hour to its deadline.
+	// The request ends as not run and never starts when the slot is free.
+	is := is.New(t)
+	b := newBench(1, 1)
+	b.learn()
+	b.arrive("a", time.Hour, false)
+	gone := b.arrive("a", time.Hour, false)
+	b.note(b.Leave(b.now, gone))
+	is.Equal(b.refused[gone].Reason, ReasonLeft)
+	b.done(b.started[0], Answered)
+	is.Equal(len(b.started), 1)
+}
--- a/internal/coordination/routing/health/health.go
+++ b/internal/coordination/routing/health/health.go
@@ -76,6 +76,14 @@
 	s.ceiling += 1 / max(s.ceiling, 1)
 }
 
+// Abandoned notes an attempt that nobody waited for any longer: it would have
+// taken at least that ratio.
+func (s *State) Abandoned(ratio float64) {
+	if ratio > s.ratio {
+		s.ratio += smoothing * (ratio - s.ratio)
+	}
+}
+
 // Refused notes that the minion had no slot although a credit was free: its
 // declared slots are not there. What is in flight now is all it can take.
 func (s *State) Refused(now time.Time, inFlight int) {
@@ -85,11 +93,12 @@
 
 // Failed notes a failed attempt. A minion that fails at once looks idle and
 // would draw every request to itself; the pause is at least one usual service
-// time, so that it takes no more attempts than a healthy minion would.
-func (s *State) Failed(now time.Time, usual time.Duration) {
+// time, so that it takes no more attempts than a healthy minion would. mayEject
+// is false where too many others are outliers already.
+func (s *State) Failed(now time.Time, usual time.Duration, mayEject bool) {
 	s.failures++
 	s.wait(now, usual)
-	if s.failures < ejectAfter && !s.ejected {
+	if !mayEject || (s.failures < ejectAfter && !s.ejected) {
 		return
 	}
 	s.ejected = true
