--- a/internal/experiment/benchcmd/benchcmd.go
+++ b/internal/experiment/benchcmd/benchcmd.go
@@ -21,8 +21,6 @@
 	loadCommand,
 	replayCommand,
 	slotsCommand,
-	slotsCommand,
-	replayCommand,
 	detectorCommand,
 	inforceCommand,
 	compareCommand,
