Proof that gangs hold their promises on real processes under failure

Cause: the promises about gangs were proved on the pure decisions and by scripts of one failure each; nothing showed them together on real processes.

Change: test/gangs runs 5 instances (3 voters, every link through a relay), 8 stand-in workers of 8 accelerators in 2 racks, two customers, gangs of 1 to 16 tasks, cancel waves, changed entries and urgent work of a guarantee, while one stream kills, freezes and cuts off instances (half of the time the leader) and another isolates, crashes and spoils workers. Then internal/experiment/gangs compares the workers' own records with what callers are told; its table test spoils a sound record in 20 ways, one or more for each check. The stand-in worker keeps a record of every run (GET /runs with -keep-runs) and can be isolated, crashed and made to fail everything. The relay moved out of test/scenarios to be used by both; its commands are unchanged.

A refused reserve ("an accelerator is taken") counts as two runs on one accelerator: the worker's guard would otherwise hide a lease not waited for.

--- /dev/null
+++ b/internal/experiment/gangs/check_test.go
@@ -0,0 +1,91 @@
+package gangs
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"pinewinch.example/pinewinch/internal/protocol/api"
+	"pinewinch.example/pinewinch/internal/standin/tasks"
+)
+
+var epochStart = time.UnixMilli(1_000_000)
+
+func at(s float64) time.Time { return epochStart.Add(time.Duration(s * float64(time.Second))) }
+
+func run(task uint32, epoch uint64, worker string, from, to float64, ending tasks.Ending) tasks.Run {
+	return tasks.Run{
+		TaskRef: api.TaskRef{Job: "j", Task: task, Epoch: epoch}, Worker: worker, Accelerators: []uint32{0},
+		Reserved: at(from), Began: at(from + 0.1), Ended: at(to), Ending: ending,
+	}
+}
+
+// sound is a gang of two that was stopped once, and then ran as a whole.
+func sound() *Evidence {
+	return &Evidence{
+		Bounds:  Bounds{Alone: time.Second, TakeBack: 5 * time.Second},
+		Classes: map[string]Class{"pair": {Name: "pair", Tasks: 2}},
+		Submitted: []Submitted{
+			{ID: "j", Class: "pair", Asked: at(0), Guaranteed: true},
+		},
+		Jobs: []api.Job{{ID: "j", WorkClass: "pair", State: api.JobCompleted, EndedMs: at(6).UnixMilli()}},
+		Runs: []tasks.Run{
+			run(0, 1, "a", 1, 2, tasks.Stopped), run(1, 1, "b", 1, 2.5, tasks.LeaseEnded),
+			run(0, 2, "a", 3, 5, tasks.Completed), run(1, 2, "b", 3, 5, tasks.Completed),
+		},
+	}
+}
+
+// Each case spoils a sound record in one way that a caller would be harmed by,
+// and wants the check to name it.
+func TestCheck(t *testing.T) {
+	cases := map[string]struct {
+		spoil func(e *Evidence)
+		want  Kind
+	}{
+		"sound":                       {spoil: func(*Evidence) {}},
+		"two runs on an accelerator":  {func(e *Evidence) { e.Runs[0].Ended = at(3.2) }, TwoRuns},
+		"a worker refused":            {func(e *Evidence) { e.Runs = append(e.Runs, run(0, 9, "a", 4, 4, tasks.Refused)) }, TwoRuns},
+		"part alone after a stop":     {func(e *Evidence) { e.Runs[0].Ended, e.Runs[1].Ended = at(1.5), at(2.8) }, PartAlone},
+		"part alone from the start":   {func(e *Evidence) { e.Runs[0].Began, e.Runs[1].Ended = time.Time{}, at(2.9) }, PartAlone},
+		"started far apart":           {func(e *Evidence) { e.Runs[3].Began = at(4.5) }, PartAlone},
+		"started before all reserved": {func(e *Evidence) { e.Runs[3].Reserved = at(3.2) }, PartStarted},
+		"started without a member":    {func(e *Evidence) { e.Runs = e.Runs[1:] }, PartStarted},
+		"forgotten":                   {func(e *Evidence) { e.Jobs = nil }, Forgotten},
+		"without an end":              {func(e *Evidence) { e.Jobs[0].State = api.JobWaiting }, Forgotten},
+		"parked without evidence":     {func(e *Evidence) { e.Jobs[0].State = api.JobParked }, NoEvidence},
+		"completed over two epochs":   {func(e *Evidence) { e.Runs[0].Ending, e.Runs[2].Ending = tasks.Completed, tasks.Stopped }, NotWhole},
+		"run after its end":           {func(e *Evidence) { e.Runs = append(e.Runs, run(0, 3, "a", 5, 6, tasks.Stopped)) }, RunAgain},
+		"done twice":                  {func(e *Evidence) { e.Runs[0].Ending = tasks.Completed }, DoneTwice},
+		"work invented":               {func(e *Evidence) { e.Runs[2].From = 700 }, WorkInvented},
+		"taken back late":             {func(e *Evidence) { e.Submitted[0].Asked = at(-4) }, TakeBackLate},
+		"never taken back":            {func(e *Evidence) { e.Runs = nil }, TakeBackLate},
+		"cancellation without effect": {func(e *Evidence) { e.Submitted[0].Cancelled, e.Jobs[0].State = true, api.JobWaiting }, CancelIgnored},
+		"entry without its job":       {func(e *Evidence) { e.Occurrences = []string{"mill@c1"} }, EntryNotOnce},
+		"entry never due":             {func(e *Evidence) { e.Jobs[0].Entry = "mill" }, EntryNotOnce},
+		"runs on after its end":       {func(e *Evidence) { e.Jobs[0].EndedMs = at(4).UnixMilli() }, RunsAfterEnded},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			evidence := sound()
+			c.spoil(evidence)
+			found := map[Kind]bool{}
+			for _, violation := range Check(evidence).Violations {
+				found[violation.Kind] = true
+			}
+			is.Equal(found[c.want], c.want != "")
+			is.True(c.want != "" || len(found) == 0)
+		})
+	}
+}
+
+// A failure gives the take-back time only while it lasts, and two that overlap
+// do not count twice.
+func TestFailingTimeCountsOnce(t *testing.T) {
+	is := is.New(t)
+	c := &check{Evidence: &Evidence{Failures: []Span{{at(9), at(20)}, {at(2), at(4)}, {at(1), at(3)}}}}
+	is.Equal(c.failing(at(0), at(10)), 4*time.Second)
+	is.Equal(c.failing(at(5), at(8)), time.Duration(0))
+}
--- /dev/null
+++ b/internal/experiment/gangs/client.go
@@ -0,0 +1,108 @@
+package gangs
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"pinewinch.example/pinewinch/internal/protocol/api"
+	"pinewinch.example/pinewinch/internal/protocol/failure"
+)
+
+const (
+	callTime  = 2 * time.Second
+	retryWait = 50 * time.Millisecond
+)
+
+// Client asks any instance, as behind a balancer, and asks the next one for as
+// long as it has no answer. It is safe for several goroutines.
+type Client struct {
+	// Servers are the instances.
+	Servers []string
+	turn    atomic.Uint64
+}
+
+// Submit submits one job until it is accepted; the same key gets the same job
+// however often it is sent. A refusal that waiting can't change ends it.
+func (c *Client) Submit(ctx context.Context, token, class, key string) (*api.Job, error) {
+	return c.insist(ctx, http.MethodPost, api.PathJobs, token, api.SubmitRequest{Key: key, WorkClass: class})
+}
+
+// Cancel cancels a job.
+func (c *Client) Cancel(ctx context.Context, token, id string) (*api.Job, error) {
+	return c.insist(ctx, http.MethodDelete, jobPath(id), token, nil)
+}
+
+// Job gives one job.
+func (c *Client) Job(ctx context.Context, token, id string) (*api.Job, error) {
+	return c.insist(ctx, http.MethodGet, jobPath(id), token, nil)
+}
+
+// Jobs lists every job that an instance knows of.
+func (c *Client) Jobs(ctx context.Context, token string) ([]api.Job, error) {
+	var jobs []api.Job
+	return jobs, c.call(ctx, http.MethodGet, api.PathJobs, token, nil, &jobs)
+}
+
+// Leader names the instance that leads, as the next instance sees it.
+func (c *Client) Leader(ctx context.Context, token string) (string, error) {
+	status := api.Status{}
+	err := c.call(ctx, http.MethodGet, api.PathStatus, token, nil, &status)
+	return status.Leader, err
+}
+
+func jobPath(id string) string { return strings.Replace(api.PathJob, "{id}", id, 1) }
+
+func (c *Client) insist(ctx context.Context, method, path, token string, body any) (*api.Job, error) {
+	for {
+		job := &api.Job{}
+		err := c.call(ctx, method, path, token, body, job)
+		if err == nil {
+			return job, nil
+		}
+		switch failure.From(err).Code {
+		case failure.Infeasible, failure.BadRequest, failure.Conflict:
+			return nil, err
+		}
+		select {
+		case <-ctx.Done():
+			return nil, err
+		case <-time.After(retryWait):
+		}
+	}
+}
+
+func (c *Client) call(ctx context.Context, method, path, token string, body, reply any) error {
+	ctx, cancel := context.WithTimeout(ctx, callTime)
+	defer cancel()
+	text, err := json.Marshal(body)
+	if err != nil {
+		return failure.Wrap(failure.BadRequest, err, "body")
+	}
+	server := c.Servers[c.turn.Add(1)%uint64(len(c.Servers))]
+	request, err := http.NewRequestWithContext(ctx, method, server+path, bytes.NewReader(text))
+	if err != nil {
+		return failure.Wrap(failure.BadRequest, err, "request")
+	}
+	request.Header.Set("Authorization", "Bearer "+token)
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return failure.Ran(failure.Unreachable, failure.NotRunUnknown, err, "%s", server)
+	}
+	defer response.Body.Close()
+	if response.StatusCode == http.StatusOK {
+		if err := json.NewDecoder(response.Body).Decode(reply); err != nil {
+			return failure.Ran(failure.TruncatedAnswer, failure.NotRunUnknown, err, "%s", server)
+		}
+		return nil
+	}
+	refused := api.ErrorBody{}
+	if err := json.NewDecoder(response.Body).Decode(&refused); err != nil {
+		return failure.Ran(failure.TruncatedAnswer, failure.NotRunUnknown, err, "%s", server)
+	}
+	return failure.New(refused.Code, "%s", refused.Message)
+}
--- /dev/null
+++ b/internal/experiment/gangs/ends.go
@@ -0,0 +1,174 @@
+package gangs
+
+import (
+	"slices"
+	"time"
+
+	"pinewinch.example/pinewinch/internal/protocol/api"
+	"pinewinch.example/pinewinch/internal/standin/tasks"
+)
+
+// clockGrain is what a time in whole milliseconds may be off.
+const clockGrain = 2 * time.Millisecond
+
+// ended compares the end that callers are told of with what ran.
+func (c *check) ended(job api.Job) {
+	c.Report.Jobs++
+	epochs := c.byName[job.ID]
+	switch job.State {
+	case api.JobCompleted:
+		c.Completed++
+	case api.JobCancelled:
+		c.Cancelled++
+	case api.JobParked:
+		c.Parked++
+		if len(job.Failures) == 0 {
+			c.add(NoEvidence, "%s", job.ID)
+		}
+	default:
+		c.add(Forgotten, "%s is %s after %d attempts: %v", job.ID, job.State, job.Attempts, job.Failures)
+		return
+	}
+	c.wholeOnce(job, epochs)
+	c.doneTwice(job, epochs)
+	c.checkpoints(job, epochs)
+	c.quiet(job, epochs)
+}
+
+// wholeOnce wants one whole run of a completed job, and nothing after it.
+func (c *check) wholeOnce(job api.Job, epochs []*epoch) {
+	var whole *epoch
+	for _, e := range epochs {
+		if whole != nil {
+			c.add(RunAgain, "after a whole run: %s", e)
+		}
+		if whole == nil && e.whole(c.size(job.ID)) {
+			whole = e
+		}
+	}
+	if job.State == api.JobCompleted && whole == nil {
+		c.add(NotWhole, "%s after %d epochs: %v", job.ID, len(epochs), epochs)
+	}
+}
+
+// doneTwice wants no task of work that is not idempotent to end well twice, or
+// to begin again after it has.
+func (c *check) doneTwice(job api.Job, epochs []*epoch) {
+	if c.Classes[job.WorkClass].Idempotent {
+		return
+	}
+	done := map[uint32]bool{}
+	for _, e := range epochs {
+		for task, run := range e.runs {
+			if done[task] && !run.Began.IsZero() {
+				c.add(DoneTwice, "task %d again: %s", task, e)
+			}
+		}
+		for task, run := range e.runs {
+			done[task] = done[task] || run.Ending == tasks.Completed
+		}
+	}
+}
+
+// checkpoints wants each run to go on from work that its own task had kept.
+func (c *check) checkpoints(job api.Job, epochs []*epoch) {
+	kept := map[uint32]int64{}
+	for _, e := range epochs {
+		for task, run := range e.runs {
+			if run.From > kept[task] {
+				c.add(WorkInvented, "task %d of %s epoch %d goes on from %d ms; %d ms were kept", task, job.ID, e.number, run.From, kept[task])
+			}
+		}
+		for task, run := range e.runs {
+			if run.Ending == tasks.Completed {
+				// It has all the work there is, and repeats what the others need.
+				run.Kept = maxWork
+			}
+			kept[task] = max(kept[task], run.Kept)
+		}
+	}
+}
+
+const maxWork = int64(1 << 62)
+
+// quiet wants nothing of a job to run when callers have been told of its end.
+func (c *check) quiet(job api.Job, epochs []*epoch) {
+	over := time.UnixMilli(job.EndedMs).Add(clockGrain)
+	for _, e := range epochs {
+		for task, run := range e.runs {
+			if run.Ended.IsZero() || run.Ended.After(over) {
+				c.add(RunsAfterEnded, "task %d of %s, which was %s at %s: %s", task, job.ID, job.State, clock(over), e)
+			}
+		}
+	}
+}
+
+// submitted looks for what callers were promised on acceptance.
+func (c *check) submitted(s Submitted) {
+	job, ok := c.jobs[s.ID]
+	if !ok {
+		c.add(Forgotten, "%s was accepted and is unknown", s.ID)
+		return
+	}
+	if s.Cancelled && !job.Ended() {
+		c.add(CancelIgnored, "%s is %s", s.ID, job.State)
+	}
+	if s.Guaranteed {
+		c.takenBack(s)
+	}
+}
+
+// occurrences wants one job for each occurrence of an entry, and no other job
+// of an entry.
+func (c *check) occurrences() {
+	wanted := map[string]bool{}
+	for _, id := range c.Occurrences {
+		wanted[id] = true
+	}
+	for _, job := range c.Evidence.Jobs {
+		if job.Entry != "" && !wanted[job.ID] {
+			c.add(EntryNotOnce, "%s was never due", job.ID)
+		}
+		delete(wanted, job.ID)
+	}
+	for id := range wanted {
+		c.add(EntryNotOnce, "%s is missing", id)
+	}
+}
+
+// takenBack wants guaranteed work started within the bound, and what failed
+// meanwhile on top of it.
+func (c *check) takenBack(s Submitted) {
+	for _, e := range c.byName[s.ID] {
+		_, last, ok := e.began(c.size(s.ID))
+		if !ok {
+			continue
+		}
+		lasted := last.Sub(s.Asked)
+		c.LongestTakeBack = max(c.LongestTakeBack, lasted)
+		if bound := c.Bounds.TakeBack + c.failing(s.Asked, last); lasted > bound {
+			c.add(TakeBackLate, "%s after %s, bound %s", s.ID, lasted, bound)
+		}
+		return
+	}
+	c.add(TakeBackLate, "%s never started", s.ID)
+}
+
+// failing sums the time between two moments in which something was failing or
+// recovering from it.
+func (c *check) failing(from, to time.Time) time.Duration {
+	var sum time.Duration
+	at := from
+	inOrder := slices.SortedFunc(slices.Values(c.Failures), func(a, b Span) int { return a.From.Compare(b.From) })
+	for _, span := range inOrder {
+		begin, end := later(span.From, at), span.To.Add(c.Bounds.Recovery)
+		if end.After(to) {
+			end = to
+		}
+		if end.After(begin) {
+			sum += end.Sub(begin)
+			at = end
+		}
+	}
+	return sum
+}
--- /dev/null
+++ b/internal/experiment/gangs/load.go
@@ -0,0 +1,121 @@
+package gangs
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"time"
+)
+
+// Customer is one customer with its token and the classes that it submits.
+type Customer struct {
+	Token   string
+	Classes []string
+}
+
+// Load is callers that submit gangs, cancel some in waves, and now and then ask
+// for guaranteed work.
+type Load struct {
+	Client *Client
+	// Borrower floods the workers; Owner asks for Urgent, which its guarantee
+	// covers, one job at a time.
+	Borrower, Owner Customer
+	Urgent          string
+	// Over is how long jobs are submitted, one about every Every.
+	Over, Every time.Duration
+	Seed        uint64
+
+	mu        sync.Mutex
+	submitted []Submitted
+}
+
+const (
+	waveEvery = 2500 * time.Millisecond
+	waveSize  = 6
+	// urgentPause lets borrowers come in between.
+	urgentPause = time.Second
+	pollEvery   = 50 * time.Millisecond
+)
+
+// Run submits until the load is over, and gives every job that was accepted.
+func (l *Load) Run(ctx context.Context) []Submitted {
+	ends, cancel := context.WithTimeout(ctx, l.Over)
+	defer cancel()
+	var group sync.WaitGroup
+	for number, stream := range []func(ctx, ends context.Context, random *rand.Rand){l.flood, l.waves, l.urgent} {
+		random := rand.New(rand.NewPCG(l.Seed, uint64(number)))
+		group.Go(func() { stream(ctx, ends, random) })
+	}
+	group.Wait()
+	return l.submitted
+}
+
+func (l *Load) flood(ctx, ends context.Context, random *rand.Rand) {
+	for number := 0; ends.Err() == nil; number++ {
+		class := l.Borrower.Classes[random.IntN(len(l.Borrower.Classes))]
+		l.submit(ctx, l.Borrower, class, fmt.Sprintf("flood-%d", number))
+		pause(ends, time.Duration(random.Int64N(int64(2*l.Every))))
+	}
+}
+
+// waves cancels most jobs of a wave soon after it has come.
+func (l *Load) waves(ctx, ends context.Context, random *rand.Rand) {
+	for wave := 0; ends.Err() == nil; wave++ {
+		var ids []string
+		for number := range waveSize {
+			class := l.Owner.Classes[random.IntN(len(l.Owner.Classes))]
+			if id := l.submit(ctx, l.Owner, class, fmt.Sprintf("wave-%d-%d", wave, number)); id != "" {
+				ids = append(ids, id)
+			}
+		}
+		pause(ends, time.Duration(random.Int64N(int64(time.Second))))
+		for _, id := range ids[:len(ids)*3/4] {
+			l.cancel(ctx, id)
+		}
+		pause(ends, waveEvery)
+	}
+}
+
+func (l *Load) cancel(ctx context.Context, id string) {
+	if _, err := l.Client.Cancel(ctx, l.Owner.Token, id); err != nil {
+		return
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	at := slices.IndexFunc(l.submitted, func(s Submitted) bool { return s.ID == id })
+	l.submitted[at].Cancelled = true
+}
+
+func (l *Load) urgent(ctx, ends context.Context, _ *rand.Rand) {
+	for number := 0; ends.Err() == nil; number++ {
+		pause(ends, urgentPause)
+		id := l.submit(ctx, l.Owner, l.Urgent, fmt.Sprintf("urgent-%d", number))
+		for id != "" && ctx.Err() == nil {
+			if job, err := l.Client.Job(ctx, l.Owner.Token, id); err == nil && job.Ended() {
+				break
+			}
+			pause(ctx, pollEvery)
+		}
+	}
+}
+
+func (l *Load) submit(ctx context.Context, customer Customer, class, key string) string {
+	asked := time.Now()
+	job, err := l.Client.Submit(ctx, customer.Token, class, key)
+	if err != nil {
+		return ""
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.submitted = append(l.submitted, Submitted{ID: job.ID, Class: class, Asked: asked, Guaranteed: class == l.Urgent})
+	return job.ID
+}
+
+func pause(ctx context.Context, length time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(length):
+	}
+}
--- a/internal/standin/announcer.go
+++ b/internal/standin/announcer.go
@@ -7,6 +7,7 @@
 	"context"
 	"encoding/json"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"pinewinch.example/pinewinch/internal/protocol/api"
@@ -27,6 +28,8 @@
 	// token is the upstreams' token, where the instances want one.
 	token string
 	next  int
+	// muted drops announcements and their answers, as a cut network does.
+	muted atomic.Bool
 	// kick asks for an announcement now: a task ended.
 	kick chan struct{}
 }
@@ -47,7 +50,7 @@
 	for {
 		pause := retryAnnounce
 		announcement := describe()
-		if reply, err := a.once(ctx, announcement); err == nil {
+		if reply, err := a.once(ctx, announcement); err == nil && !a.muted.Load() {
 			take(announcement, reply)
 			pause = time.Duration(reply.NextMs) * time.Millisecond
 		} else {
@@ -63,6 +66,9 @@
 }
 
 func (a *announcer) once(ctx context.Context, announcement *api.Announcement) (*api.AnnounceReply, error) {
+	if a.muted.Load() {
+		return nil, failure.New(failure.Unreachable, "cut off")
+	}
 	ctx, cancel := context.WithTimeout(ctx, announceTimeout)
 	defer cancel()
 	body, err := json.Marshal(announcement)
--- a/internal/standin/standincmd/main.go
+++ b/internal/standin/standincmd/main.go
@@ -105,6 +105,7 @@
 	flags.BoolVar(&options.Tasks.IgnoreStop, "ignore-stop", false, "go on after a stop until the lease ends")
 	flags.DurationVar(&options.Tasks.CheckpointEvery, "checkpoint-every", 0, "work between the checkpoints of a running task; 0 for none")
 	flags.Uint64Var(&options.Tasks.TaskMemoryMB, "task-memory-mb", 0, "memory that each task really uses; 0 is what it declared")
+	flags.BoolVar(&options.Tasks.KeepRuns, "keep-runs", false, "keep the record of every run, served as /runs")
 	flags.Float64Var(&options.Tasks.Overrun, "overrun", 1, "multiplies run times")
 	return &ffcli.Command{Name: "worker", FlagSet: flags, Exec: func(ctx context.Context, _ []string) error {
 		c.announcement.Accelerators = uint32(*accelerators)
--- a/internal/standin/tasks/table.go
+++ b/internal/standin/tasks/table.go
@@ -28,6 +28,8 @@
 	CheckpointEvery time.Duration
 	// TaskMemoryMB is what each task really uses; 0 means what it declared.
 	TaskMemoryMB uint64
+	// KeepRuns keeps the record of every run.
+	KeepRuns bool
 }
 
 // fenceLeases is for how many leases the newest epoch of a task is remembered
@@ -44,6 +46,7 @@
 	version uint64
 	sent    map[uint64]time.Time
 	lease   time.Duration
+	runs    []*Run
 }
 
 type name struct {
@@ -104,6 +107,7 @@
 		t.raiseFence(ref, now)
 		if task, ok := t.tasks[ref]; ok && !t.options.IgnoreStop {
 			task.stop(now, true)
+			task.run.end(now, Stopped, task.report.CheckpointedMs)
 		}
 	}
 	for _, ref := range reply.Forget {
@@ -130,11 +134,13 @@
 	if old, ok := t.tasks[command.TaskRef]; ok {
 		return old.answerIfKept()
 	}
+	run := t.record(now, command)
 	if t.overlaps(command) {
+		run.end(now, Refused, 0)
 		return nil, failure.New(failure.Overloaded, "an accelerator is taken")
 	}
 	t.fences[nameOf(command.TaskRef)] = fence{epoch: command.Epoch, set: now}
-	t.tasks[command.TaskRef] = newTask(t.options, command, lease)
+	t.tasks[command.TaskRef] = newTask(t.options, command, lease, run)
 	return t.tasks[command.TaskRef].answer(), nil
 }
 
@@ -167,6 +173,7 @@
 		return nil, failure.Ran(failure.UpstreamFailed, failure.NotRunFalse, nil, "this worker ignores stops")
 	}
 	task.stop(now, command.Checkpoint)
+	task.run.end(now, Stopped, task.report.CheckpointedMs)
 	return task.answer(), nil
 }
 
--- a/internal/standin/tasks/task.go
+++ b/internal/standin/tasks/task.go
@@ -19,6 +19,7 @@
 	options  Options
 	command  api.TaskCommand
 	report   api.TaskReport
+	run      *Run
 	deadline time.Time
 	// done is the work up to since, which then goes on at rate.
 	done  float64
@@ -26,10 +27,11 @@
 	rate  float64
 }
 
-func newTask(options Options, command *api.TaskCommand, deadline time.Time) *task {
+func newTask(options Options, command *api.TaskCommand, deadline time.Time, run *Run) *task {
 	return &task{
 		options:  options,
 		command:  *command,
+		run:      run,
 		deadline: deadline,
 		done:     float64(command.CheckpointedMs),
 		rate:     options.Speed,
@@ -67,6 +69,7 @@
 	t.report.Phase = api.PhaseRunning
 	t.report.MemoryMB = t.memory()
 	t.since = now
+	t.run.Began = now
 }
 
 func (t *task) memory() uint64 {
@@ -123,10 +126,12 @@
 	}
 	if t.report.Phase == api.PhaseRunning && t.endsAt().Before(t.deadline) {
 		t.end()
+		t.run.end(now, Ending(t.report.Phase), t.report.CheckpointedMs)
 		return true
 	}
 	t.stop(t.deadline, true)
 	t.report.Code = string(failure.LeaseLost)
+	t.run.end(now, LeaseEnded, t.report.CheckpointedMs)
 	return true
 }
 
--- a/internal/standin/worker.go
+++ b/internal/standin/worker.go
@@ -32,12 +32,17 @@
 	table        *tasks.Table
 	// wake tells the clock that the next end may have moved.
 	wake chan struct{}
+	// passage is closed while commands come through.
+	passage chan struct{}
 }
 
 // NewWorker makes a worker.
 func NewWorker(options WorkerOptions) *Worker {
 	options.Tasks.Incarnation = options.Announcement.Incarnation
+	passage := make(chan struct{})
+	close(passage)
 	return &Worker{
+		passage:      passage,
 		announcement: options.Announcement,
 		announcer:    newAnnouncer(api.PathAnnounceWorker, options.Servers, options.Token),
 		record:       options.Record,
@@ -59,6 +64,7 @@
 	routes.HandleFunc("POST "+api.PathTaskStart, w.command(w.table.Start))
 	routes.HandleFunc("POST "+api.PathTaskStop, w.command(w.table.Stop))
 	routes.HandleFunc("POST "+api.PathTaskThrottle, w.command(w.table.Throttle))
+	routes.HandleFunc("GET /runs", w.listRuns)
 	return routes
 }
 
@@ -71,6 +77,7 @@
 			writeFailure(rw, failure.Wrap(failure.BadRequest, err, "command"))
 			return
 		}
+		<-w.passageNow()
 		w.mu.Lock()
 		answer, err := do(time.Now(), command)
 		w.mu.Unlock()
--- /dev/null
+++ b/test/gangs/disturb_test.go
@@ -0,0 +1,128 @@
+package gangs
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"pinewinch.example/pinewinch/internal/experiment/gangs"
+)
+
+// failures keeps when something was failing, and counts it by what it was.
+type failures struct {
+	mu     sync.Mutex
+	spans  []gangs.Span
+	counts map[string]int
+}
+
+func (f *failures) during(t *testing.T, what, whom string, fail func()) {
+	from := time.Now()
+	fail()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.spans = append(f.spans, gangs.Span{From: from, To: time.Now()})
+	f.counts[what]++
+	t.Logf("%s-%s %s %s", from.Format("05.000"), time.Now().Format("05.000"), what, whom)
+}
+
+// disturber fails one thing after another.
+type disturber struct {
+	t       *testing.T
+	cluster *cluster
+	hosts   []*host
+	client  *gangs.Client
+	random  *rand.Rand
+	found   *failures
+}
+
+// between draws a time.
+func (d *disturber) between(low, high time.Duration) time.Duration {
+	return low + time.Duration(d.random.Int64N(int64(high-low)))
+}
+
+// run calls one failure after another, with pauses, until stop.
+func (d *disturber) run(stop <-chan struct{}, fail func()) {
+	for {
+		select {
+		case <-stop:
+			return
+		case <-time.After(d.between(200*time.Millisecond, time.Second)):
+			fail()
+		}
+	}
+}
+
+// failInstance kills, freezes or cuts off one instance: the leader half of the time.
+func (d *disturber) failInstance() {
+	i := d.cluster.instances[d.random.IntN(len(d.cluster.instances))]
+	if d.random.IntN(2) == 0 {
+		i = d.leaderOr(i)
+	}
+	switch d.random.IntN(4) {
+	case 0, 1:
+		d.found.during(d.t, "kill", i.name, func() {
+			i.kill()
+			time.Sleep(d.between(0, time.Second))
+			i.start(d.t)
+			await(d.t, i.name, i.ready)
+		})
+	case 2:
+		d.found.during(d.t, "freeze", i.name, func() {
+			i.signal(syscall.SIGSTOP)
+			time.Sleep(d.between(300*time.Millisecond, 4*time.Second))
+			i.signal(syscall.SIGCONT)
+		})
+	case 3:
+		other := ""
+		if d.random.IntN(2) == 0 {
+			other = d.cluster.instances[d.random.IntN(len(d.cluster.instances))].name
+		}
+		d.found.during(d.t, "cut", fmt.Sprintf("%s %s", i.name, other), func() {
+			d.cluster.cut(i.name, other)
+			time.Sleep(d.between(300*time.Millisecond, 4*time.Second))
+			d.cluster.heal()
+		})
+	}
+}
+
+func (d *disturber) leaderOr(other *instance) *instance {
+	leader, err := d.client.Leader(d.t.Context(), operatorToken)
+	if err != nil {
+		return other
+	}
+	for _, i := range d.cluster.instances {
+		if i.name == leader {
+			return i
+		}
+	}
+	return other
+}
+
+// failWorker cuts off, crashes or spoils one worker.
+func (d *disturber) failWorker() {
+	h := d.hosts[d.random.IntN(len(d.hosts))]
+	switch d.random.IntN(4) {
+	case 0, 1:
+		d.found.during(d.t, "isolate", h.name, func() {
+			worker := h.newest()
+			worker.Isolate()
+			time.Sleep(d.between(200*time.Millisecond, 4*time.Second))
+			worker.Rejoin()
+		})
+	case 2:
+		d.found.during(d.t, "crash", h.name, func() {
+			h.crash()
+			time.Sleep(d.between(0, 2*time.Second))
+			h.start(d.t)
+		})
+	case 3:
+		d.found.during(d.t, "spoil", h.name, func() {
+			h.newest().FailAll(true)
+			time.Sleep(d.between(time.Second, 2*time.Second))
+			h.newest().FailAll(false)
+		})
+	}
+}
--- /dev/null
+++ b/test/gangs/gangs_test.go
@@ -0,0 +1,194 @@
+// Package gangs runs gang jobs on real instances and stand-in workers that fail,
+// and checks from the workers' records that the promises about gangs held.
+package gangs
+
+import (
+	"flag"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"pinewinch.example/pinewinch/internal/app"
+	"pinewinch.example/pinewinch/internal/coordination/dispatch/gang"
+	"pinewinch.example/pinewinch/internal/experiment/gangs"
+	"pinewinch.example/pinewinch/internal/protocol/api"
+)
+
+var (
+	over = flag.Duration("over", 8*time.Second, "time during which jobs come and things fail")
+	seed = flag.Uint64("seed", 1, "seed of jobs and failures")
+)
+
+func TestMain(m *testing.M) {
+	if os.Getenv(roleVariable) == "pinewinchd" {
+		os.Exit(app.Main(os.Args[1:]))
+	}
+	os.Exit(m.Run())
+}
+
+// config is the bounds that the instances are set to; the daemon's own is the
+// timeout of a command.
+var config = gang.Config{
+	Lease:          time.Second,
+	FreshnessBound: time.Second,
+	AnnounceEvery:  200 * time.Millisecond,
+	CommandTimeout: 2 * time.Second,
+}
+
+// bounds are those of docs/design/dispatch.md. A part runs alone at the worst
+// until a dead worker's announcement has expired, and one look, and then for
+// StopWait. A take-back is a pass (at most one second apart), StopWait, and a
+// start of two commands.
+func bounds() gangs.Bounds {
+	return gangs.Bounds{
+		Alone:    4*config.AnnounceEvery + config.StopWait(),
+		TakeBack: time.Second + config.StopWait() + 2*config.CommandTimeout,
+		Recovery: 2 * time.Second,
+	}
+}
+
+const declarations = `[customer crews]
+[customer planners]
+guarantee = 2x8 worker
+[class one]
+accelerators = 1
+run_time = 1s
+idempotent = yes
+checkpointable = yes
+[class four]
+tasks = 4
+accelerators = 1
+run_time = 1s
+idempotent = yes
+checkpointable = yes
+[class halves]
+tasks = 2
+accelerators = 4
+adjacency = rack
+run_time = 2s
+idempotent = yes
+[class sixteen]
+tasks = 16
+accelerators = 1
+run_time = 2s
+adjacency = data_centre
+idempotent = yes
+checkpointable = yes
+[class order]
+tasks = 3
+accelerators = 1
+run_time = 1s
+[class urgent]
+tasks = 2
+accelerators = 8
+run_time = 1s
+urgent = yes
+idempotent = yes
+`
+
+var classes = map[string]gangs.Class{
+	"one":     {Name: "one", Tasks: 1, Idempotent: true},
+	"four":    {Name: "four", Tasks: 4, Idempotent: true},
+	"halves":  {Name: "halves", Tasks: 2, Idempotent: true},
+	"sixteen": {Name: "sixteen", Tasks: 16, Idempotent: true},
+	"order":   {Name: "order", Tasks: 3},
+	"urgent":  {Name: "urgent", Tasks: 2, Idempotent: true},
+}
+
+const entryCount = 4
+
+// entries declares assets whose work is due once for each change.
+func entries(change int) string {
+	var text strings.Builder
+	for n := range entryCount {
+		fmt.Fprintf(&text, "[entry span%d]\ncustomer = crews\nclass = order\nchange = v%d\n", n, change)
+	}
+	return text.String()
+}
+
+// Gangs come in, are cancelled and taken back from, while instances are killed,
+// frozen and cut off, and workers are cut off, crash and fail what they start.
+// Afterwards the workers' own records must show that no accelerator was in two
+// runs, no part of a gang ran alone beyond the bound, and every accepted job
+// came to the end that callers are told of, once.
+func TestGangsUnderFailure(t *testing.T) {
+	is := is.New(t)
+	c := startCluster(t)
+	hosts := startHosts(t, c.urls())
+	client := &gangs.Client{Servers: c.urls()}
+	c.apply(t, declarations)
+	found := &failures{counts: map[string]int{}}
+	stop := make(chan struct{})
+	var failing sync.WaitGroup
+	for stream := range uint64(2) {
+		d := &disturber{t: t, cluster: c, hosts: hosts, client: client, found: found}
+		d.random = rand.New(rand.NewPCG(*seed, stream))
+		failing.Go(func() { d.run(stop, []func(){d.failInstance, d.failWorker}[stream]) })
+	}
+	var occurrences []string
+	changed := make(chan struct{})
+	go func() {
+		defer close(changed)
+		for change := range 2 {
+			c.apply(t, declarations+entries(change))
+			for n := range entryCount {
+				id := fmt.Sprintf("span%d@cv%d", n, change)
+				occurrences = append(occurrences, id)
+				_, _ = client.Job(t.Context(), operatorToken, id)
+			}
+		}
+	}()
+	load := &gangs.Load{
+		Client:   client,
+		Borrower: gangs.Customer{Token: tokens["crews"], Classes: []string{"one", "four", "halves", "sixteen", "order"}},
+		Owner:    gangs.Customer{Token: tokens["planners"], Classes: []string{"one", "four"}},
+		Urgent:   "urgent",
+		Over:     *over, Every: 150 * time.Millisecond, Seed: *seed,
+	}
+	evidence := &gangs.Evidence{Bounds: bounds(), Classes: classes}
+	evidence.Submitted = load.Run(t.Context())
+	close(stop)
+	failing.Wait()
+	<-changed
+	evidence.Occurrences = occurrences
+	evidence.Failures = found.spans
+	evidence.Jobs = settle(t, client)
+	for _, h := range hosts {
+		evidence.Runs = append(evidence.Runs, h.runs()...)
+	}
+	report := gangs.Check(evidence)
+	t.Logf("%v", found.counts)
+	t.Log(report)
+	for _, violation := range report.Violations {
+		t.Errorf("%s: %s", violation.Kind, violation.Detail)
+	}
+	is.True(report.Completed > report.Jobs/3)
+}
+
+// settle waits until every job has ended and gives them all.
+func settle(t *testing.T, client *gangs.Client) []api.Job {
+	var jobs []api.Job
+	for deadline := time.Now().Add(patience); time.Now().Before(deadline); time.Sleep(pollEvery) {
+		listed, err := client.Jobs(t.Context(), operatorToken)
+		if err != nil {
+			continue
+		}
+		jobs = listed
+		open := 0
+		for _, job := range jobs {
+			if !job.Ended() {
+				open++
+			}
+		}
+		if open == 0 {
+			break
+		}
+	}
+	return jobs
+}
--- a/test/scenarios/commands_test.go
+++ b/test/scenarios/commands_test.go
@@ -102,7 +102,7 @@
 			r := startRelay(ts, nameOf(self), nameOf(i), address)
 			f := fixtureOf(ts)
 			f.relays = append(f.relays, r)
-			address = r.listener.Addr().String()
+			address = r.Address()
 		}
 		fmt.Fprintf(&text, "%s = %s\n", nameOf(i), address)
 	}
--- a/test/scenarios/processes_test.go
+++ b/test/scenarios/processes_test.go
@@ -16,12 +16,13 @@
 	"github.com/rogpeppe/go-internal/testscript"
 
 	"pinewinch.example/pinewinch/internal/protocol/api"
+	"pinewinch.example/pinewinch/internal/standin/relay"
 )
 
 // fixture is what one script has started.
 type fixture struct {
 	processes map[string]*process
-	relays    []*relay
+	relays    []*relay.Relay
 	// asked holds the statuses of requests sent by ask, by its name.
 	asked map[string]chan int
 }
