Gangs proof: an instance and a worker stranded together; two epochs at once

Change: one worker that runs a part of a long gang is stranded with one instance, which is cut off from all others, for longer than the bound. A new check wants every run of an earlier epoch over before a task of the next one begins.

--- a/internal/experiment/gangs/check.go
+++ b/internal/experiment/gangs/check.go
@@ -16,6 +16,7 @@
 const (
 	TwoRuns        Kind = "an accelerator in two runs"
 	PartAlone      Kind = "a part of a gang ran alone for too long"
+	TwoEpochs      Kind = "two epochs of a gang at once"
 	PartStarted    Kind = "a gang started before all was reserved"
 	Forgotten      Kind = "a job forgotten or without an end"
 	NoEvidence     Kind = "a job parked without evidence"
@@ -75,9 +76,10 @@
 	}
 	for _, e := range evidence.epochs() {
 		c.Report.Epochs++
-		c.byName[e.job] = append(c.byName[e.job], e)
+		c.oneAtATime(e)
 		c.started(e)
 		c.alone(e)
+		c.byName[e.job] = append(c.byName[e.job], e)
 	}
 	c.accelerators()
 	for _, job := range evidence.Jobs {
@@ -135,6 +137,21 @@
 	}
 }
 
+// oneAtATime wants every run of an earlier epoch over before the next one starts.
+func (c *check) oneAtATime(e *epoch) {
+	first, _, _ := e.began(len(e.runs))
+	if first.IsZero() {
+		return
+	}
+	for _, before := range c.byName[e.job] {
+		for task, run := range before.runs {
+			if run.Ended.IsZero() || run.Ended.After(first) {
+				c.add(TwoEpochs, "task %d still ran: %s; then %s", task, before, e)
+			}
+		}
+	}
+}
+
 // alone measures how long some tasks ran on while another of the gang did not
 // and never would: it had failed, was stopped, or had never begun.
 func (c *check) alone(e *epoch) {
--- a/internal/experiment/gangs/check_test.go
+++ b/internal/experiment/gangs/check_test.go
@@ -50,6 +50,7 @@
 		"part alone after a stop":     {func(e *Evidence) { e.Runs[0].Ended, e.Runs[1].Ended = at(1.5), at(2.8) }, PartAlone},
 		"part alone from the start":   {func(e *Evidence) { e.Runs[0].Began, e.Runs[1].Ended = time.Time{}, at(2.9) }, PartAlone},
 		"started far apart":           {func(e *Evidence) { e.Runs[3].Began = at(4.5) }, PartAlone},
+		"two epochs at once":          {func(e *Evidence) { e.Runs[1].Ended = at(3.5) }, TwoEpochs},
 		"started before all reserved": {func(e *Evidence) { e.Runs[3].Reserved = at(3.2) }, PartStarted},
 		"started without a member":    {func(e *Evidence) { e.Runs = e.Runs[1:] }, PartStarted},
 		"forgotten":                   {func(e *Evidence) { e.Jobs = nil }, Forgotten},
--- a/internal/experiment/gangs/load.go
+++ b/internal/experiment/gangs/load.go
@@ -23,6 +23,10 @@
 	// covers, one job at a time.
 	Borrower, Owner Customer
 	Urgent          string
+	// Long is the borrower's class of gangs that run through most failures; Longs
+	// of them come first.
+	Long  string
+	Longs int
 	// Over is how long jobs are submitted, one about every Every.
 	Over, Every time.Duration
 	Seed        uint64
@@ -53,6 +57,9 @@
 }
 
 func (l *Load) flood(ctx, ends context.Context, random *rand.Rand) {
+	for number := range l.Longs {
+		l.submit(ctx, l.Borrower, l.Long, fmt.Sprintf("long-%d", number))
+	}
 	for number := 0; ends.Err() == nil; number++ {
 		class := l.Borrower.Classes[random.IntN(len(l.Borrower.Classes))]
 		l.submit(ctx, l.Borrower, class, fmt.Sprintf("flood-%d", number))
--- a/internal/standin/announcer.go
+++ b/internal/standin/announcer.go
@@ -30,6 +30,8 @@
 	next  int
 	// muted drops announcements and their answers, as a cut network does.
 	muted atomic.Bool
+	// only is the one server that can be reached; nil for all.
+	only atomic.Pointer[string]
 	// kick asks for an announcement now: a task ended.
 	kick chan struct{}
 }
@@ -75,7 +77,11 @@
 	if err != nil {
 		return nil, err
 	}
-	request, err := http.NewRequestWithContext(ctx, http.MethodPost, a.servers[a.next]+a.path, bytes.NewReader(body))
+	server := a.servers[a.next]
+	if only := a.only.Load(); only != nil {
+		server = *only
+	}
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, server+a.path, bytes.NewReader(body))
 	if err != nil {
 		return nil, err
 	}
--- a/internal/standin/fault.go
+++ b/internal/standin/fault.go
@@ -21,11 +21,20 @@
 	}
 }
 
+// Strand leaves the worker on an island with one instance: it announces itself to
+// that one alone, and commands are held until Rejoin.
+func (w *Worker) Strand(server string) {
+	w.Isolate()
+	w.announcer.only.Store(&server)
+	w.announcer.muted.Store(false)
+}
+
 // Rejoin ends an isolation.
 func (w *Worker) Rejoin() {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.announcer.muted.Store(false)
+	w.announcer.only.Store(nil)
 	select {
 	case <-w.passage:
 	default:
--- a/test/gangs/cluster_test.go
+++ b/test/gangs/cluster_test.go
@@ -9,6 +9,7 @@
 	"os/exec"
 	"path/filepath"
 	"strings"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -85,6 +86,7 @@
 	folder    string
 	instances []*instance
 	relays    []*relay.Relay
+	stranded  atomic.Pointer[string]
 }
 
 func startCluster(t testing.TB) *cluster {
@@ -140,20 +142,34 @@
 
 func hashOf(token string) string { return fmt.Sprintf("sha256:%x", sha256.Sum256([]byte(token))) }
 
-// cut holds what goes between two instances, or between one and all others
-// where the second is empty; heal lets it pass.
-func (c *cluster) cut(a, b string) {
+// set lets what goes between two instances pass, or holds it; with an empty
+// second it is between the first and all others. Links of a stranded instance
+// stay as they are.
+func (c *cluster) set(a, b string, open bool) {
 	for _, r := range c.relays {
-		if r.Touches(a) && (b == "" || r.Touches(b)) {
-			r.Set(false)
+		if r.Touches(a) && (b == "" || r.Touches(b)) && !r.Touches(c.strandedNow()) {
+			r.Set(open)
 		}
 	}
 }
 
-func (c *cluster) heal() {
-	for _, r := range c.relays {
-		r.Set(true)
+// strand cuts an instance off from all others until rescue.
+func (c *cluster) strand(name string) {
+	c.set(name, "", false)
+	c.stranded.Store(&name)
+}
+
+func (c *cluster) rescue() {
+	name := c.strandedNow()
+	c.stranded.Store(nil)
+	c.set(name, "", true)
+}
+
+func (c *cluster) strandedNow() string {
+	if name := c.stranded.Load(); name != nil {
+		return *name
 	}
+	return ""
 }
 
 func (c *cluster) urls() []string {
--- a/test/gangs/disturb_test.go
+++ b/test/gangs/disturb_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"strings"
 	"sync"
 	"syscall"
 	"testing"
@@ -55,12 +56,47 @@
 	}
 }
 
+// strand cuts off an instance together with a worker that runs a part of a long
+// gang, for longer than the system needs to give up on both: what the instance
+// renews meanwhile it renews from a state that has been overtaken.
+func (d *disturber) strand() {
+	var h *host
+	await(d.t, "a long gang", func() bool {
+		h = d.runsLong()
+		return h != nil
+	})
+	i := d.cluster.instances[voters+d.random.IntN(followers)]
+	d.found.during(d.t, "strand", h.name+" "+i.name, func() {
+		worker := h.newest()
+		worker.Strand(i.url)
+		d.cluster.strand(i.name)
+		time.Sleep(bounds().Alone + 2*time.Second)
+		d.cluster.rescue()
+		worker.Rejoin()
+	})
+}
+
+// runsLong finds a worker that has just begun a task of a long gang.
+func (d *disturber) runsLong() *host {
+	for _, h := range d.hosts {
+		for _, run := range h.runs() {
+			if strings.Contains(run.Job, "long") && !run.Began.IsZero() && run.Ended.IsZero() {
+				return h
+			}
+		}
+	}
+	return nil
+}
+
 // failInstance kills, freezes or cuts off one instance: the leader half of the time.
 func (d *disturber) failInstance() {
 	i := d.cluster.instances[d.random.IntN(len(d.cluster.instances))]
 	if d.random.IntN(2) == 0 {
 		i = d.leaderOr(i)
 	}
+	if i.name == d.cluster.strandedNow() {
+		return
+	}
 	switch d.random.IntN(4) {
 	case 0, 1:
 		d.found.during(d.t, "kill", i.name, func() {
@@ -81,9 +117,9 @@
 			other = d.cluster.instances[d.random.IntN(len(d.cluster.instances))].name
 		}
 		d.found.during(d.t, "cut", fmt.Sprintf("%s %s", i.name, other), func() {
-			d.cluster.cut(i.name, other)
+			d.cluster.set(i.name, other, false)
 			time.Sleep(d.between(300*time.Millisecond, 4*time.Second))
-			d.cluster.heal()
+			d.cluster.set(i.name, other, true)
 		})
 	}
 }
--- a/test/gangs/gangs_test.go
+++ b/test/gangs/gangs_test.go
@@ -80,6 +80,13 @@
 adjacency = data_centre
 idempotent = yes
 checkpointable = yes
+[class long]
+tasks = 4
+accelerators = 2
+cores = 30
+run_time = 9s
+idempotent = yes
+checkpointable = yes
 [class order]
 tasks = 3
 accelerators = 1
@@ -97,6 +104,7 @@
 	"four":    {Name: "four", Tasks: 4, Idempotent: true},
 	"halves":  {Name: "halves", Tasks: 2, Idempotent: true},
 	"sixteen": {Name: "sixteen", Tasks: 16, Idempotent: true},
+	"long":    {Name: "long", Tasks: 4, Idempotent: true},
 	"order":   {Name: "order", Tasks: 3},
 	"urgent":  {Name: "urgent", Tasks: 2, Idempotent: true},
 }
@@ -126,10 +134,19 @@
 	found := &failures{counts: map[string]int{}}
 	stop := make(chan struct{})
 	var failing sync.WaitGroup
-	for stream := range uint64(2) {
+	for stream := range uint64(3) {
 		d := &disturber{t: t, cluster: c, hosts: hosts, client: client, found: found}
 		d.random = rand.New(rand.NewPCG(*seed, stream))
-		failing.Go(func() { d.run(stop, []func(){d.failInstance, d.failWorker}[stream]) })
+		failing.Go(func() {
+			switch stream {
+			case 0:
+				d.run(stop, d.failInstance)
+			case 1:
+				d.run(stop, d.failWorker)
+			case 2:
+				d.strand()
+			}
+		})
 	}
 	var occurrences []string
 	changed := make(chan struct{})
@@ -149,7 +166,8 @@
 		Borrower: gangs.Customer{Token: tokens["crews"], Classes: []string{"one", "four", "halves", "sixteen", "order"}},
 		Owner:    gangs.Customer{Token: tokens["planners"], Classes: []string{"one", "four"}},
 		Urgent:   "urgent",
-		Over:     *over, Every: 150 * time.Millisecond, Seed: *seed,
+		Long:     "long", Longs: 2,
+		Over: *over, Every: 150 * time.Millisecond, Seed: *seed,
 	}
 	evidence := &gangs.Evidence{Bounds: bounds(), Classes: classes}
 	evidence.Submitted = load.Run(t.Context())
