--- a/internal/app/credits.go
+++ b/internal/app/credits.go
@@ -23,16 +23,11 @@
 	keepEvery = 200 * time.Millisecond
 	// heardWithin is how lately an instance must have been heard to be alive.
 	heardWithin = 2500 * time.Millisecond
-	// leaseBounds is the length of the lease on credits in freshness bounds: for
-	// one of them a cut off instance still serves what is idempotent.
-	leaseBounds = 2
 )
 
-func creditLease(s *settings.Settings) time.Duration { return leaseBounds * s.Control.FreshnessBound }
-
 // runCreditMembers keeps the members while this instance leads.
 func runCreditMembers(lifecycle fx.Lifecycle, s *settings.Settings, log control.Log, registry *membership.Registry) {
-	keeper := creditmembers.NewKeeper(creditLease(s))
+	keeper := creditmembers.NewKeeper(s.Control.FreshnessBound)
 	background(lifecycle, func(ctx context.Context) {
 		ticker := time.NewTicker(keepEvery)
 		defer ticker.Stop()
--- a/internal/app/requests.go
+++ b/internal/app/requests.go
@@ -25,7 +25,6 @@
 		Instance:       s.Instance.Name,
 		QueueLength:    s.Requests.QueueLength,
 		FreshnessBound: s.Control.FreshnessBound,
-		Lease:          creditLease(s),
 		Now:            time.Now,
 	}
 	return routing.New(config, log, registry, client, lenders{network})
--- a/internal/coordination/routing/admission/policy.go
+++ b/internal/coordination/routing/admission/policy.go
@@ -168,7 +168,7 @@
 func (p *Policy) Arrive(now time.Time, r *Request) []Action {
 	s := p.service(r.Service)
 	c := p.customer(r.Customer)
-	if p.view.Expired || p.view.CutOff && !r.Idempotent {
+	if p.view.CutOff {
 		p.refuse(r, Refusal{Reason: ReasonCutOff, RetryAfter: noMinionRetry})
 		return p.take()
 	}
