--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -145,7 +145,7 @@
 		Control: Control{
 			Voters:          r.list("control", "voters"),
 			FreshnessBound:  r.duration("control", "freshness_bound", 3*time.Second),
-			ElectionTimeout: r.duration("control", "election_timeout", 600*time.Millisecond),
+			ElectionTimeout: r.duration("control", "election_timeout", 400*time.Millisecond),
 			AutomaticRepair: r.choice("control", "repair", "manual", "automatic") == "automatic",
 			RepairAfter:     r.duration("control", "repair_after", 10*time.Minute),
 		},
