--- a/internal/coordination/feed/feed.go
+++ b/internal/coordination/feed/feed.go
@@ -14,7 +14,6 @@
 	"context"
 	"expvar"
 	"slices"
-	"sync"
 	"sync/atomic"
 	"time"
 
@@ -206,6 +205,7 @@
 	if err != nil {
 		return err
 	}
+	defer s.server.snapshots.release()
 	snapshotsSent.Add(1)
 	for _, part := range encoded.parts() {
 		batch := &peerpb.FollowBatch{Echo: first.Echo, AgeMs: first.AgeMs, Commit: first.Commit, Snapshot: part}
@@ -236,10 +236,3 @@
 		batch.Path = path
 	}
 }
-
-// snapshotCache keeps the newest encoded snapshot: followers that come
-// together after a restart cost one encoding.
-type snapshotCache struct {
-	mu     sync.Mutex
-	newest *encodedSnapshot
-}
--- /dev/null
+++ b/internal/coordination/feed/feed_test.go
@@ -0,0 +1,126 @@
+package feed
+
+import (
+	"bytes"
+	"testing"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/matryer/is"
+	"google.golang.org/protobuf/proto"
+	"pgregory.net/rapid"
+
+	"pinewinch.example/pinewinch/internal/protocol/controlpb"
+	"pinewinch.example/pinewinch/internal/protocol/failure"
+	"pinewinch.example/pinewinch/internal/protocol/peerpb"
+	"pinewinch.example/pinewinch/internal/state/store"
+)
+
+func entryOf(index uint64, size int) *peerpb.LogEntry {
+	return &peerpb.LogEntry{Index: index, Command: &controlpb.Command{Client: string(make([]byte, size))}}
+}
+
+// Whatever is appended, with gaps as installed snapshots leave them, the tail
+// stays in its bytes, and a batch continues the asked index without a gap, is
+// not over its bound unless it is one entry, and is given or refused rightly.
+func TestModelTail(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		const most = 2000
+		tail := NewTail(most)
+		last := rapid.Uint64Range(0, 100).Draw(t, "first")
+		for range rapid.IntRange(1, 50).Draw(t, "appends") {
+			last += uint64(rapid.SampledFrom([]int{1, 1, 1, 1, 7}).Draw(t, "step"))
+			tail.Append(entryOf(last, rapid.IntRange(0, 700).Draw(t, "size")))
+		}
+		total := 0
+		for _, held := range tail.entries {
+			total += proto.Size(held.entry)
+		}
+		if total != tail.bytes || total > most {
+			t.Fatalf("%d bytes held, %d counted, %d allowed", total, tail.bytes, most)
+		}
+		after := rapid.Uint64Range(0, last+3).Draw(t, "after")
+		batch, ok := tail.After(after, 500)
+		if reaches := len(tail.entries) > 0 && after+1 >= tail.entries[0].entry.Index; ok != reaches {
+			t.Fatalf("After(%d) says %t", after, ok)
+		}
+		size := 0
+		for i, entry := range batch {
+			size += proto.Size(entry)
+			if entry.Index != after+1+uint64(i) {
+				t.Fatalf("entry %d at place %d after %d", entry.Index, i, after)
+			}
+		}
+		if size > 500 && len(batch) > 1 {
+			t.Fatalf("a batch of %d bytes", size)
+		}
+		if ok && after < last && len(batch) == 0 {
+			t.Fatal("nothing given though there is more")
+		}
+	})
+}
+
+func partsOf(data []byte) []*peerpb.SnapshotPart {
+	e := &encodedSnapshot{index: 7, data: data, checksum: 0}
+	return e.parts()
+}
+
+// Followers that come together share one encoding, which goes with the last.
+func TestSnapshotIsHeldWhileItIsSent(t *testing.T) {
+	is, c := is.New(t), &snapshotCache{}
+	first, err := c.encode(store.New())
+	is.NoErr(err)
+	second, err := c.encode(store.New())
+	is.NoErr(err)
+	is.True(first == second)
+	c.release()
+	is.True(c.newest != nil)
+	c.release()
+	is.True(c.newest == nil)
+}
+
+// A snapshot comes in parts; one that is lost, doubled or of another snapshot
+// must not become state.
+func TestAssembly(t *testing.T) {
+	is := is.New(t)
+	whole := &controlpb.Snapshot{Index: 7, Drained: []string{string(bytes.Repeat([]byte("x"), 2*MaxBatchBytes))}}
+	data, err := proto.Marshal(whole)
+	is.NoErr(err)
+	parts := (&encodedSnapshot{index: 7, data: data, checksum: xxhash.Sum64(data)}).parts()
+	is.Equal(len(parts), 3)
+	tests := map[string]struct {
+		order []int
+		code  failure.Code
+		done  bool
+	}{
+		"in order":        {[]int{0, 1, 2}, "", true},
+		"begun anew":      {[]int{0, 1, 0, 1, 2}, "", true},
+		"one lost":        {[]int{0, 2}, failure.WrongAnswer, false},
+		"one doubled":     {[]int{0, 1, 1}, failure.WrongAnswer, false},
+		"not all yet":     {[]int{0, 1}, "", false},
+		"without a start": {[]int{1}, failure.WrongAnswer, false},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			is, a := is.New(t), &Assembly{}
+			var got *controlpb.Snapshot
+			var err error
+			for _, i := range test.order {
+				if got, err = a.Add(parts[i]); err != nil {
+					break
+				}
+			}
+			is.Equal(err == nil, test.code == "")
+			is.True(err == nil || failure.Is(err, test.code))
+			is.Equal(got != nil, test.done)
+		})
+	}
+	large := &peerpb.SnapshotPart{Total: MaxSnapshotBytes + 1}
+	_, err = (&Assembly{}).Add(large)
+	is.True(failure.Is(err, failure.TooLarge))
+	wrong := partsOf(data)
+	a := &Assembly{}
+	for _, part := range wrong {
+		_, err = a.Add(part)
+	}
+	is.True(failure.Is(err, failure.WrongAnswer))
+}
--- a/internal/coordination/feed/snapshot.go
+++ b/internal/coordination/feed/snapshot.go
@@ -1,6 +1,8 @@
 package feed
 
 import (
+	"sync"
+
 	"github.com/cespare/xxhash/v2"
 	"google.golang.org/protobuf/proto"
 
@@ -13,22 +15,44 @@
 // MaxSnapshotBytes bounds the memory that a follower gives to a snapshot.
 const MaxSnapshotBytes = 64 << 20
 
+// snapshotCache keeps the newest encoded snapshot while any follower is sent
+// one: those that come together after a restart cost one encoding, and nothing
+// stays in memory afterwards.
+type snapshotCache struct {
+	mu     sync.Mutex
+	users  int
+	newest *encodedSnapshot
+}
+
+// release ends a use that encode began.
+func (c *snapshotCache) release() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.users--
+	if c.users == 0 {
+		c.newest = nil
+	}
+}
+
 type encodedSnapshot struct {
 	index    uint64
 	data     []byte
 	checksum uint64
 }
 
+// encode gives the state in its encoded form, until release.
 func (c *snapshotCache) encode(state *store.State) (*encodedSnapshot, error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.newest != nil && c.newest.index == state.Index() {
+		c.users++
 		return c.newest, nil
 	}
 	data, err := proto.MarshalOptions{Deterministic: true}.Marshal(state.Snapshot())
 	if err != nil {
 		return nil, failure.Wrap(failure.Internal, err, "encode a snapshot")
 	}
+	c.users++
 	c.newest = &encodedSnapshot{index: state.Index(), data: data, checksum: xxhash.Sum64(data)}
 	return c.newest, nil
 }
