--- a/internal/coordination/replica/mesh_test.go
+++ b/internal/coordination/replica/mesh_test.go
@@ -29,6 +29,8 @@
 	disks    map[string]*disktest.FS
 	stops    map[string]func() error
 	cut      map[string]bool
+	// remembering is an instance without a disk that holds control state.
+	remembering string
 	// entries is Config.SnapshotEntries.
 	entries uint64
 	// folder is where the data folders are; empty for disks in memory.
@@ -139,6 +141,9 @@
 }
 
 func (e endpoint) Call(ctx context.Context, to string, call *peerpb.Call) (*peerpb.Reply, error) {
+	if to == e.mesh.remembering && call.GetIntroduce() != nil {
+		return &peerpb.Reply{Body: &peerpb.Reply_Introduction{Introduction: &peerpb.Introduction{Cluster: true}}}, nil
+	}
 	r, err := e.mesh.reach(e.self, to)
 	if err != nil {
 		return nil, err
--- a/internal/coordination/replica/replica_test.go
+++ b/internal/coordination/replica/replica_test.go
@@ -110,6 +110,22 @@
 	})
 }
 
+// All voters' disks are lost at once and an instance without a disk still holds
+// the control state. An empty cluster founded now would make accepted changes
+// revert under callers' eyes; the voters wait for a person instead.
+func TestFoundingStopsWhereSomebodyRemembers(t *testing.T) {
+	inBubble(t, func(is *is.I, m *mesh) {
+		m.remembering = "i4"
+		for _, voter := range voters {
+			m.start(voter)
+		}
+		time.Sleep(time.Minute)
+		for _, voter := range voters {
+			is.True(!m.replicas[voter].Member())
+		}
+	})
+}
+
 // The leader is cut off. It must not answer as fresh beyond the bound, must not
 // acknowledge, and its command's outcome is unknown to the caller until the
 // cut heals; the majority goes on.
