--- a/internal/coordination/scheduling/order.go
+++ b/internal/coordination/scheduling/order.go
@@ -73,11 +73,20 @@
 		a.rank, a.score = rankDeadline, slack
 		return
 	}
-	service := expected * float64(max(a.size().accelerators, 1))
+	width := float64(max(a.size().accelerators, 1))
+	service := expected * math.Pow(width, 1-p.fragmentationWeight())
 	a.rank = rankPatient
 	a.score = math.Log2(service) - math.Log2(1+wait/(ageScale+expected)) - float64(a.job.Priority)/priorityScale
 }
 
+// fragmentationWeight is the declared one as a share. At 0 patient work is
+// ranked by accelerator seconds, which gives the least mean completion time; at
+// 1 by seconds alone, so that wide gangs go as early as narrow ones and small
+// work does not scatter over the racks that they wait for.
+func (p *pass) fragmentationWeight() float64 {
+	return float64(min(p.snapshot.Rules.GetFragmentationWeight(), 100)) / 100
+}
+
 // slack is the seconds that a job could still wait and meet its deadline. A
 // deadline already missed does not press: the work it would delay can still
 // meet its own.
--- a/internal/experiment/benchcmd/replay.go
+++ b/internal/experiment/benchcmd/replay.go
@@ -18,6 +18,7 @@
 	seed := flags.Uint64("seed", 1, "seed of the workloads")
 	only := flags.String("only", "", "one deployment: coedlinell, tokachi or planned")
 	load := flags.Float64("load", 0, "offered load as a share of the accelerators; 0 for the deployment's own")
+	weight := flags.Uint("fragmentation-weight", 50, "of the rules, 0 to 100")
 	policies := flags.String("policies", "first-fit,backfill,pinewinch", "which to compare, separated by commas")
 	plots := flags.String("plots", "", "folder for a plot a deployment")
 	return &ffcli.Command{Name: "replay", FlagSet: flags, Exec: func(context.Context, []string) error {
@@ -29,7 +30,9 @@
 			if *load > 0 {
 				deployment.Load = *load
 			}
-			rows := compare(deployment.Make(*seed), strings.Split(*policies, ","))
+			scenario := deployment.Make(*seed)
+			scenario.FragmentationWeight = uint32(*weight)
+			rows := compare(scenario, strings.Split(*policies, ","))
 			if *plots != "" {
 				if err := replay.Plot(filepath.Join(*plots, "replay-"+deployment.Name+".svg"), rows); err != nil {
 					return err
--- a/internal/experiment/replay/engine.go
+++ b/internal/experiment/replay/engine.go
@@ -235,7 +235,7 @@
 	}
 	snapshot := &scheduling.Snapshot{
 		Now: epochStart.Add(e.now), Workers: workers, Jobs: e.active, Customers: e.scenario.Customers,
-		Rules: &controlpb.Rules{FragmentationWeight: 50}, Cells: e.plan.Cells, Reservations: e.plan.Reservations, RunTimes: e.learned,
+		Rules: &controlpb.Rules{FragmentationWeight: e.scenario.FragmentationWeight}, Cells: e.plan.Cells, Reservations: e.plan.Reservations, RunTimes: e.learned,
 	}
 	began := time.Now()
 	e.plan = e.policy.Pass(snapshot)
--- a/internal/experiment/replay/workload.go
+++ b/internal/experiment/replay/workload.go
@@ -25,6 +25,8 @@
 	BadWorker string
 	// Window is how long work arrives.
 	Window time.Duration
+	// FragmentationWeight is that of the rules, 0 to 100.
+	FragmentationWeight uint32
 }
 
 // Arrival is one job with what its declaration does not tell.
