--- a/internal/app/control.go
+++ b/internal/app/control.go
@@ -4,7 +4,6 @@
 	"context"
 	"math/rand/v2"
 	"net"
-	"slices"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -25,7 +24,7 @@
 
 var controlModule = fx.Module("control",
 	fx.Provide(newNetwork, newNode, newLog, newVoters),
-	fx.Invoke(runPeers, runNode),
+	fx.Invoke(runPeers, runNode, runRepairer),
 )
 
 func newNetwork(s *settings.Settings) (*peers.Network, error) {
@@ -84,7 +83,7 @@
 			found = append(found, follower.Candidate{
 				Name:       instance.Name,
 				DataCentre: instance.DataCentre,
-				Replica:    slices.Contains(s.Control.Voters, instance.Name),
+				Replica:    instance.Voter,
 			})
 		}
 	}
--- a/internal/coordination/standby/standby.go
+++ b/internal/coordination/standby/standby.go
@@ -9,6 +9,7 @@
 	"sync"
 	"time"
 
+	"pinewinch.example/pinewinch/internal/coordination/consensus"
 	"pinewinch.example/pinewinch/internal/coordination/control"
 	"pinewinch.example/pinewinch/internal/protocol/consensuspb"
 	"pinewinch.example/pinewinch/internal/protocol/controlpb"
@@ -24,6 +25,8 @@
 	control.Node
 	// Member tells whether it is a member of the newest configuration.
 	Member() bool
+	// Status is the log's own view of itself.
+	Status() consensus.Status
 }
 
 // Node joins both.
@@ -137,6 +140,12 @@
 // IsLeader tells whether this instance leads.
 func (n *Node) IsLeader() bool { return n.replica.IsLeader() }
 
+// Member tells whether the replica is a member of the newest configuration.
+func (n *Node) Member() bool { return n.replica.Member() }
+
+// Status is the replica's own view of the log.
+func (n *Node) Status() consensus.Status { return n.replica.Status() }
+
 // ServePropose answers a command that another instance sent.
 func (n *Node) ServePropose(ctx context.Context, propose *peerpb.Propose) (*controlpb.Result, error) {
 	return n.acting().ServePropose(ctx, propose)
@@ -160,6 +169,9 @@
 	return n.acting().ChangeMembers(ctx, change)
 }
 
+// Role is the replica's part in the log.
+func (n *Node) Role() string { return n.replica.Role() }
+
 // Deliver takes one consensus message.
 func (n *Node) Deliver(message *consensuspb.Message) { n.replica.Deliver(message) }
 
--- a/test/scenarios/processes_test.go
+++ b/test/scenarios/processes_test.go
@@ -22,6 +22,8 @@
 type fixture struct {
 	processes map[string]*process
 	relays    []*relay
+	// asked holds the statuses of requests sent by ask, by its name.
+	asked map[string]chan int
 }
 
 type fixtureKey struct{}
@@ -215,3 +217,20 @@
 	}
 	ts.Check(ts.Exec("pinewinch", command...))
 }
+
+// started FILE COUNT waits until a stand-in's record has that many lines.
+func started(ts *testscript.TestScript, _ bool, args []string) {
+	want, err := strconv.Atoi(args[1])
+	ts.Check(err)
+	deadline := time.Now().Add(patience)
+	for {
+		text, err := os.ReadFile(ts.MkAbs(args[0]))
+		if err == nil && strings.Count(string(text), "\n") >= want {
+			return
+		}
+		if time.Now().After(deadline) {
+			ts.Fatalf("%s has not %d lines:\n%s", args[0], want, text)
+		}
+		time.Sleep(pause)
+	}
+}
--- a/test/scenarios/scenario_test.go
+++ b/test/scenarios/scenario_test.go
@@ -31,26 +31,34 @@
 			examples, err := filepath.Abs("../../examples")
 			env.Setenv("EXAMPLES", examples)
 			env.Setenv("DOCS", filepath.Join(examples, "../docs"))
-			env.Values[fixtureKey{}] = &fixture{processes: map[string]*process{}}
+			env.Values[fixtureKey{}] = &fixture{processes: map[string]*process{}, asked: map[string]chan int{}}
 			return err
 		},
 		Cmds: map[string]func(ts *testscript.TestScript, neg bool, args []string){
-			"cluster":     cluster,
-			"eventually":  eventually,
-			"start":       start,
-			"crash":       crash,
-			"freeze":      freeze,
-			"thaw":        thaw,
-			"terminate":   terminate,
-			"ended":       ended,
-			"cut":         cut,
-			"heal":        heal,
-			"http":        httpCommand,
-			"ready":       ready,
-			"cancelall":   cancelAll,
-			"apiexamples": apiExamples,
-			"lossy":       lossy,
-			"tally":       tally,
+			"cluster":      cluster,
+			"eventually":   eventually,
+			"start":        start,
+			"crash":        crash,
+			"freeze":       freeze,
+			"thaw":         thaw,
+			"terminate":    terminate,
+			"ended":        ended,
+			"cut":          cut,
+			"heal":         heal,
+			"http":         httpCommand,
+			"ready":        ready,
+			"started":      started,
+			"cancelall":    cancelAll,
+			"apiexamples":  apiExamples,
+			"certificates": certificates,
+			"lossy":        lossy,
+			"tally":        tally,
+			"ask":          ask,
+			"asked":        asked,
+
+			"killleaders":    killLeaders,
+			"raceoperators":  raceOperators,
+			"changeandcrash": changeAndCrash,
 		},
 	})
 }
