Conservation check freezes instances too

Cause: a frozen instance that thaws is the order in which a claim is sent late; kills alone never make it. Change: one disturbance of five stops a process for up to 3 s.

--- a/test/conservation/conservation_test.go
+++ b/test/conservation/conservation_test.go
@@ -67,7 +67,7 @@
 }
 
 // Callers send cutting orders and reports to instances that are killed,
-// restarted and drained, to minions that cut, swap and stall answers, hang up,
+// restarted, drained and frozen, to minions that cut, swap and stall answers, hang up,
 // and send again elsewhere. Whatever each was told must fit what the minions
 // recorded: a resend finds the first claim, and nothing uncertain is called
 // "not run".
@@ -88,8 +88,8 @@
 	}
 	stop, disturbed := make(chan struct{}), make(chan string, 1)
 	go func() {
-		kills, drains := disturb(t, running, rand.New(rand.NewPCG(*seed, 0)), stop)
-		disturbed <- fmt.Sprintf("%d kills, %d drains", kills, drains)
+		done := disturb(t, running, rand.New(rand.NewPCG(*seed, 0)), stop)
+		disturbed <- fmt.Sprintf("%d kills, %d drains, %d freezes", done.kills, done.drains, done.freezes)
 	}()
 	began := time.Now()
 	ledger := load.Run(t.Context())
--- a/test/conservation/instances_test.go
+++ b/test/conservation/instances_test.go
@@ -50,6 +50,13 @@
 	<-i.exited
 }
 
+// freeze stops the process for a while in whatever it is doing.
+func (i *instance) freeze(length time.Duration) {
+	_ = i.command.Process.Signal(syscall.SIGSTOP)
+	time.Sleep(length)
+	_ = i.command.Process.Signal(syscall.SIGCONT)
+}
+
 func (i *instance) ready() bool {
 	response, err := http.Get(i.url + api.PathReady)
 	if err != nil {
@@ -137,27 +144,35 @@
 
 func hashOf(token string) string { return fmt.Sprintf("sha256:%x", sha256.Sum256([]byte(token))) }
 
-// disturb kills, restarts and drains one instance after another until stop.
-func disturb(t testing.TB, instances []*instance, random *rand.Rand, stop <-chan struct{}) (kills, drains int) {
+// disturbances counts what was done to the instances.
+type disturbances struct{ kills, drains, freezes int }
+
+// disturb kills, drains and freezes one instance after another until stop.
+func disturb(t testing.TB, instances []*instance, random *rand.Rand, stop <-chan struct{}) (done disturbances) {
 	for {
 		select {
 		case <-stop:
-			return kills, drains
+			return done
 		case <-time.After(time.Duration(200+random.IntN(400)) * time.Millisecond):
 		}
 		i := instances[random.IntN(len(instances))]
-		if random.IntN(3) == 0 {
+		switch random.IntN(5) {
+		case 0:
+			i.freeze(time.Duration(random.IntN(3000)) * time.Millisecond)
+			done.freezes++
+			continue
+		case 1, 2:
 			i.stop(syscall.SIGTERM)
-			drains++
-		} else {
+			done.drains++
+		default:
 			i.stop(syscall.SIGKILL)
-			kills++
+			done.kills++
 		}
 		time.Sleep(time.Duration(random.IntN(300)) * time.Millisecond)
 		i.start(t)
 		if !reached(i.ready) {
 			t.Errorf("%s is not ready again", i.name)
-			return kills, drains
+			return done
 		}
 	}
 }
