Give a member's accelerators back as soon as it has surely stopped

Cause: a gang held all its accelerators until its last member had acknowledged a stop or its lease had run out, and tasks that had ended kept theirs until the whole gang had: one silent worker kept 127 others idle for up to 14.8 s.

Ruled out: restarting the job itself before the wait is over (two runs of a task).

Change: an acknowledged stop or a good end takes the accelerators off the placement; the placement stays, so the gang is still stopped and counted as a whole. The waste of tasks that ended is counted as idle instead of reserved.

Before: TestAcknowledgementsOutliveTheLeader with the new check fails.

--- a/internal/coordination/dispatch/gang/steps_test.go
+++ b/internal/coordination/dispatch/gang/steps_test.go
@@ -311,6 +311,7 @@
 	m.preempt()
 	m.round()
 	is.Equal(len(m.job().StoppedTasks), 4)
+	is.True(holds(m.job(), 0) && !holds(m.job(), 5)) // only the silent ones wait
 	m.newLeader(steady())
 	m.workers[1].up, m.workers[2].up = false, false
 	m.workers[0].cut, m.workers[0].held = false, false
--- a/internal/coordination/dispatch/waste/waste.go
+++ b/internal/coordination/dispatch/waste/waste.go
@@ -14,8 +14,8 @@
 	// Total accelerators of live workers, and how many of them no task holds.
 	Total uint32
 	Idle  uint32
-	// ReservedUnused accelerators are held by a gang that has not started or has
-	// not stopped yet, or by a task that ended before the rest of its gang.
+	// ReservedUnused accelerators are held by a gang that has not started or by
+	// members that have not stopped yet. Those of tasks that ended are idle.
 	ReservedUnused uint32
 	// IdleInGuarantee accelerators are idle, and customers could claim them for
 	// their guarantees at once.
@@ -51,11 +51,8 @@
 	w.ReservedSeconds += seconds(job.ReservedMs) * accelerators
 	w.LostToPreemptionSeconds += seconds(job.LostPreemptedMs) * accelerators
 	w.LostToRetriesSeconds += seconds(job.LostMs-job.LostPreemptedMs) * accelerators
-	switch job.State {
-	case controlpb.JobState_JOB_STATE_STARTING, controlpb.JobState_JOB_STATE_STOPPING:
+	if job.State == controlpb.JobState_JOB_STATE_STARTING || job.State == controlpb.JobState_JOB_STATE_STOPPING {
 		w.ReservedUnused += holding(job)
-	case controlpb.JobState_JOB_STATE_RUNNING:
-		w.ReservedUnused += uint32(len(job.DoneTasks)) * job.Accelerators
 	}
 }
 
--- a/internal/state/store/moves.go
+++ b/internal/state/store/moves.go
@@ -174,9 +174,21 @@
 	}
 	job = proto.CloneOf(job)
 	job.StoppedTasks = append(job.StoppedTasks, op.Stopped)
+	giveBack(job, op.Stopped.Task)
 	s.putJob(job)
 }
 
+// giveBack frees the accelerators of one member that surely runs no more, while
+// the rest of its gang still holds theirs: a gang of 128 with one silent worker
+// would keep 127 others idle for as long as a lease can last.
+func giveBack(job *controlpb.Job, task uint32) {
+	for _, placement := range job.Placements {
+		if placement.Task == task {
+			placement.Accelerators = nil
+		}
+	}
+}
+
 // StopAcknowledged tells whether the member's stop is in the log.
 func StopAcknowledged(job *controlpb.Job, task uint32) bool {
 	return slices.ContainsFunc(job.StoppedTasks, func(t *controlpb.StoppedTask) bool { return t.Task == task })
@@ -204,6 +216,7 @@
 func (s *State) finishTask(job *controlpb.Job, task uint32) {
 	job.DoneTasks = append(job.DoneTasks, task)
 	s.recordWorkerSuccess(job, task)
+	giveBack(job, task)
 	if len(job.DoneTasks) < int(job.Tasks) {
 		return
 	}
