--- a/internal/coordination/routing/admission/pick.go
+++ b/internal/coordination/routing/admission/pick.go
@@ -8,7 +8,7 @@
 
 // pump starts waiting requests while credits are free.
 func (p *Policy) pump(now time.Time, s *service) {
-	for s.queue.Len() > 0 && !p.view.Expired {
+	for s.queue.Len() > 0 && !p.view.CutOff {
 		var chosen *target
 		exhausted := false
 		item := s.queue.Pop(func(item *fairqueue.Item[*Request]) bool {
@@ -74,6 +74,9 @@
 		if best == nil || c < bestClass || (c == bestClass && load < bestLoad) {
 			best, bestClass, bestLoad = t, c, load
 		}
+		if bestClass == 0 && bestLoad == 0 {
+			break
+		}
 	}
 	if n > 0 {
 		s.next = (s.next + 1) % n
