Named cases for the answers to a worker's announcement

Cause: renewal was proved through the model only. Change: a table test. Seen to fail without the freshness check and without the check of epochs not seen yet.

--- /dev/null
+++ b/internal/coordination/dispatch/renewal/renewal_test.go
@@ -0,0 +1,56 @@
+package renewal_test
+
+import (
+	"testing"
+
+	"github.com/matryer/is"
+
+	"pinewinch.example/pinewinch/internal/coordination/dispatch/renewal"
+	"pinewinch.example/pinewinch/internal/protocol/api"
+	"pinewinch.example/pinewinch/internal/protocol/controlpb"
+	"pinewinch.example/pinewinch/internal/state/store"
+)
+
+// A state in which job j stands at epoch 2, in the given state.
+func stateOf(job controlpb.JobState) *store.State {
+	return store.Restore(&controlpb.Snapshot{Jobs: []*controlpb.Job{{Id: "j", Epoch: 2, State: job}}})
+}
+
+func TestAnswers(t *testing.T) {
+	const (
+		running   = controlpb.JobState_JOB_STATE_RUNNING
+		stopping  = controlpb.JobState_JOB_STATE_STOPPING
+		waiting   = controlpb.JobState_JOB_STATE_WAITING
+		completed = controlpb.JobState_JOB_STATE_COMPLETED
+	)
+	cases := []struct {
+		name  string
+		job   controlpb.JobState
+		epoch uint64
+		phase string
+		stale bool
+		want  string
+	}{
+		{"runs as wanted", running, 2, api.PhaseRunning, false, "renew"},
+		{"runs, and this state is old", running, 2, api.PhaseRunning, true, ""},
+		{"is being stopped", stopping, 2, api.PhaseRunning, false, "stop"},
+		{"is being stopped, as an old state knows", stopping, 2, api.PhaseRunning, true, "stop"},
+		{"was stopped, others were not yet", stopping, 2, api.PhaseStopped, false, ""},
+		{"runs in an epoch that is over", running, 1, api.PhaseRunning, false, "stop"},
+		{"runs for a job that waits", waiting, 2, api.PhaseRunning, false, "stop"},
+		{"runs in an epoch not seen yet", waiting, 3, api.PhaseRunning, false, ""},
+		{"ended in an epoch not seen yet", waiting, 3, api.PhaseCompleted, false, ""},
+		{"ended and is not recorded", running, 2, api.PhaseCompleted, false, ""},
+		{"ended and is recorded", completed, 2, api.PhaseCompleted, false, "forget"},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			reply := renewal.Answer(stateOf(c.job), !c.stale, []api.TaskReport{{Job: "j", Epoch: c.epoch, Phase: c.phase}})
+			got := map[string]int{"renew": len(reply.Renew), "stop": len(reply.Stop), "forget": len(reply.Forget)}
+			for list, count := range got {
+				is.Equal(count == 1, list == c.want)
+			}
+		})
+	}
+}
