A request that waited too long takes no slot; goodput counts answers in time

Change: what waited is started only if it has the mean and two mean deviations left, and is refused otherwise; the estimate at arrival counts the same. Seen to fail first: the new test without the rule.

--- a/internal/coordination/routing/admission/learned.go
+++ b/internal/coordination/routing/admission/learned.go
@@ -7,6 +7,8 @@
 	learnRate = 0.05
 	// hedgeDeviations beyond the mean is when an answer counts as late.
 	hedgeDeviations = 4
+	// likelyDeviations beyond the mean is when most answers have come.
+	likelyDeviations = 2
 )
 
 // learned is what the answers of a service have taught about its time.
@@ -42,6 +44,12 @@
 
 func (l *learned) usual() time.Duration { return seconds(l.mean) }
 
+// likely is the time within which most answers come: a request that has less
+// left would take a slot and mostly be late.
+func (l *learned) likely() time.Duration {
+	return seconds(l.mean + likelyDeviations*l.deviation)
+}
+
 func (l *learned) late() time.Duration {
 	return seconds(l.mean + hedgeDeviations*l.deviation)
 }
--- a/internal/coordination/routing/admission/pick.go
+++ b/internal/coordination/routing/admission/pick.go
@@ -15,6 +15,9 @@
 			if exhausted {
 				return false
 			}
+			if chosen = nil; s.tooLate(now, item.Value) {
+				return true
+			}
 			c := p.customer(item.Customer)
 			if c.limit != nil && c.limit.Free() <= 0 {
 				c.blocked++
@@ -27,6 +30,10 @@
 		if item == nil {
 			return
 		}
+		if chosen == nil {
+			p.giveUp(item.Value, Refusal{Reason: ReasonDeadline, RetryAfter: max(s.learned.likely(), minRetryAfter)})
+			continue
+		}
 		p.start(now, s, item.Value, chosen)
 	}
 }
--- a/internal/coordination/routing/admission/policy_test.go
+++ b/internal/coordination/routing/admission/policy_test.go
@@ -183,3 +183,19 @@
 	b.done(b.started[0], Answered)
 	is.Equal(len(b.started), 1)
 }
+
+func TestRequestThatWaitedTooLongTakesNoSlot(t *testing.T) {
+	// A slot is free at last, but the first caller in the queue has less time left
+	// than an answer takes. Starting it would waste the slot on an answer that
+	// comes too late: it is refused, and the next caller gets the slot.
+	is := is.New(t)
+	b := newBench(1, 1)
+	b.learn()
+	b.arrive("a", time.Hour, false)
+	hasty := b.arrive("a", 6*mean, false)
+	patient := b.arrive("a", time.Hour, false)
+	b.now = b.now.Add(5*mean + mean/2)
+	b.done(b.started[0], Answered)
+	is.Equal(b.refused[hasty].Reason, ReasonDeadline)
+	is.Equal(b.started[1].Request, patient)
+}
--- a/internal/coordination/routing/admission/types.go
+++ b/internal/coordination/routing/admission/types.go
@@ -70,6 +70,8 @@
 	last     Result
 	hedgeAt  time.Time
 	ended    bool
+	// waited is set when no credit was free as the request came.
+	waited bool
 	// gone is set when the caller has left; no attempt follows then.
 	gone bool
 }
--- a/internal/coordination/routing/admission/wait.go
+++ b/internal/coordination/routing/admission/wait.go
@@ -8,7 +8,7 @@
 
 const (
 	// sweepSlack keeps a request that was let in from being given up for noise
-	// in the estimate: it must be beyond hope by this factor.
+	// in the estimate: its wait must be too long by this factor.
 	sweepSlack = 1.5
 	// sweepEvery is how often waiting requests are judged again.
 	sweepEvery = 10 * time.Millisecond
@@ -57,7 +57,8 @@
 	if !known {
 		return
 	}
-	if over := now.Add(wait + s.learned.usual()).Sub(r.Deadline); over > 0 {
+	r.waited = true
+	if over := now.Add(wait + s.learned.likely()).Sub(r.Deadline); over > 0 {
 		s.queue.Remove(&r.item)
 		p.giveUp(r, Refusal{Reason: ReasonDeadline, RetryAfter: max(over, minRetryAfter)})
 	}
@@ -90,6 +91,12 @@
 	}
 }
 
+// tooLate tells whether a request that waited has too little time left to be
+// worth its slot. One that found a slot free is tried whatever its deadline.
+func (s *service) tooLate(now time.Time, r *Request) bool {
+	return r.waited && s.learned.samples > 0 && r.Deadline.Sub(now) < s.learned.likely()
+}
+
 func (p *Policy) sweepService(now time.Time, s *service) {
 	known := s.learned.samples > 0
 	hopeless := s.queue.Review(func(item *fairqueue.Item[*Request], standing fairqueue.Standing) bool {
@@ -100,8 +107,8 @@
 		if !known {
 			return false
 		}
-		needed := p.waitAt(s, standing.Ahead, standing.Share) + s.learned.usual()
-		return float64(left)*sweepSlack < float64(needed)
+		wait := p.waitAt(s, standing.Ahead, standing.Share)
+		return left < time.Duration(float64(wait)/sweepSlack)+s.learned.likely()
 	})
 	for _, item := range hopeless {
 		wait, _ := p.wait(s, item)
