--- a/scripts/capacity.sh
+++ b/scripts/capacity.sh
@@ -94,7 +94,7 @@
     for ((i = 0; i < size / 50; i++)); do
       pinewinch submit -token crews-secret -key "long-$i" long > /dev/null
     done
-    ((size == 0)) || await "\"running\": $((size / 50))," pinewinch status -o json
+    ((size == 0)) || await "\"running\": $((size / 50))\b" pinewinch status -o json
     sample tasks "$size"
     stop_all
   done
