--- a/internal/coordination/softstate/softstate.go
+++ b/internal/coordination/softstate/softstate.go
@@ -86,11 +86,14 @@
 	observer Observer
 	mu       sync.Mutex
 	sessions map[*session]bool
+	// wanted tells whether renewals are; wantedChanged is closed when that turns.
+	wanted        bool
+	wantedChanged chan struct{}
 }
 
 // New makes an exchange.
 func New(config Config, registry *membership.Registry, peers Peers, observer Observer) *Exchange {
-	return &Exchange{config: config, registry: registry, peers: peers, observer: observer, sessions: map[*session]bool{}}
+	return &Exchange{config: config, registry: registry, peers: peers, observer: observer, sessions: map[*session]bool{}, wantedChanged: make(chan struct{})}
 }
 
 // Run watches every peer until ctx ends.
@@ -106,11 +109,33 @@
 		case <-ctx.Done():
 		case <-ticker.C:
 			x.registry.Sweep()
+			x.lookAtRenewals()
 		}
 	}
 	group.Wait()
 }
 
+// lookAtRenewals is one look for all streams, so that each need not wake for it.
+func (x *Exchange) lookAtRenewals() {
+	wanted := x.config.Renewals()
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	if wanted == x.wanted {
+		return
+	}
+	x.wanted = wanted
+	close(x.wantedChanged)
+	x.wantedChanged = make(chan struct{})
+}
+
+// renewals tells whether this instance wants them, and gives a channel that is
+// closed when that turns.
+func (x *Exchange) renewals() (bool, <-chan struct{}) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	return x.wanted, x.wantedChanged
+}
+
 // Leave tells the others that this instance stops, and waits a moment until
 // the streams that stand have carried it.
 func (x *Exchange) Leave(ctx context.Context) {
--- a/internal/coordination/softstate/watch.go
+++ b/internal/coordination/softstate/watch.go
@@ -39,7 +39,8 @@
 	pings := &echo.Times{}
 	pings.Sent(1, time.Now())
 	incarnation, after := x.registry.Position(peer)
-	watch := &peerpb.Watch{Instance: x.config.Self, Incarnation: incarnation, After: after, Renewals: x.config.Renewals()}
+	wanted, _ := x.renewals()
+	watch := &peerpb.Watch{Instance: x.config.Self, Incarnation: incarnation, After: after, Renewals: wanted}
 	stream, err := x.peers.Watch(ctx, peer, watch)
 	if err != nil {
 		return false
@@ -74,24 +75,23 @@
 // ping asks for a sign of life at a fixed pace, and at once where this instance
 // begins or ceases to want renewals.
 func (x *Exchange) ping(ctx context.Context, stream SourceStream, pings *echo.Times, renewals bool) {
-	ticker := time.NewTicker(renewEvery)
+	ticker := time.NewTicker(x.config.PingEvery)
 	defer ticker.Stop()
-	last := time.Now()
-	for number := uint64(2); ; {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-		}
-		wanted := x.config.Renewals()
-		if wanted == renewals && time.Since(last) < x.config.PingEvery {
-			continue
+	for number := uint64(2); ; number++ {
+		wanted, changed := x.renewals()
+		if wanted == renewals {
+			select {
+			case <-ctx.Done():
+				return
+			case <-changed:
+			case <-ticker.C:
+			}
+			wanted, _ = x.renewals()
 		}
-		renewals, last = wanted, time.Now()
-		pings.Sent(number, last)
+		renewals = wanted
+		pings.Sent(number, time.Now())
 		if stream.Send(&peerpb.WatchPing{Number: number, Renewals: wanted}) != nil {
 			return
 		}
-		number++
 	}
 }
