--- a/internal/coordination/scheduling/feasible.go
+++ b/internal/coordination/scheduling/feasible.go
@@ -116,14 +116,15 @@
 	return a.memory < b.memory
 }
 
-// feasible remembers the answer by shape: one pass asks for few shapes. A
-// worker that is lost or drained makes work wait, not fail.
+// feasible remembers the most tasks by shape: one pass asks for few. A worker
+// that is lost or drained makes work wait, not fail.
 func (p *pass) feasible(a *ask) bool {
 	shape := JobShape(a.job)
-	known, ok := p.feasibleShapes[shape]
+	shape.Tasks = 0
+	most, ok := p.mostTasks[shape]
 	if !ok {
-		known = p.cluster.mostTasks(shape) >= int64(shape.Tasks)
-		p.feasibleShapes[shape] = known
+		most = p.cluster.mostTasks(shape)
+		p.mostTasks[shape] = most
 	}
-	return known
+	return most >= a.tasks
 }
--- a/internal/coordination/scheduling/pass.go
+++ b/internal/coordination/scheduling/pass.go
@@ -22,11 +22,11 @@
 	hopeless map[shapeKey]ReasonCode
 	// barred holds, likewise, the shapes that could not take back.
 	barred map[serveKey]bool
-	// noRoom holds those that startFree refused.
-	noRoom map[shapeKey]bool
+	// noRoom holds the least tasks of a shape that startFree refused.
+	noRoom map[shapeKey]int64
 	// owned lists nodes by the customer whose cells they keep.
-	owned          map[customerID][]*node
-	feasibleShapes map[Shape]bool
+	owned     map[customerID][]*node
+	mostTasks map[Shape]int64
 	// capacity is every accelerator, weights the sum of customers' weights.
 	capacity int64
 	weights  float64
@@ -56,6 +56,23 @@
 	return shapeKey{a.customer, a.tasks, a.each, a.fixed, a.job.Adjacency, a.job.Urgent}
 }
 
+// roomKey leaves out what free room does not depend on: only fixed work minds
+// whose cells it would be in.
+func (a *ask) roomKey() shapeKey {
+	key := shapeKey{each: a.each, fixed: a.fixed, adjacency: a.job.Adjacency}
+	if a.fixed {
+		key.customer = a.customer
+	}
+	return key
+}
+
+// waitKey is what the reason for waiting depends on.
+func (a *ask) waitKey() shapeKey {
+	key := a.roomKey()
+	key.tasks = a.tasks
+	return key
+}
+
 func newPass(snapshot *Snapshot) *pass {
 	p := &pass{
 		snapshot: snapshot,
@@ -65,10 +82,10 @@
 		settled:  map[string]bool{},
 		hopeless: map[shapeKey]ReasonCode{},
 		barred:   map[serveKey]bool{},
-		noRoom:   map[shapeKey]bool{},
+		noRoom:   map[shapeKey]int64{},
 		nowMs:    snapshot.Now.UnixMilli(),
 
-		feasibleShapes: map[Shape]bool{},
+		mostTasks: map[Shape]int64{},
 	}
 	p.capacity = p.cluster.free.accelerators
 	for _, customer := range snapshot.Customers {
@@ -186,7 +203,7 @@
 		if p.refusedByLimit(a) {
 			continue
 		}
-		if code, known := p.hopeless[a.key()]; known && a.reserved == nil {
+		if code, known := p.hopeless[a.waitKey()]; known && a.reserved == nil {
 			p.wait(a, code)
 			continue
 		}
@@ -195,7 +212,7 @@
 			continue
 		}
 		code := p.whyNot(a)
-		p.hopeless[a.key()] = code
+		p.hopeless[a.waitKey()] = code
 		p.wait(a, code)
 	}
 }
@@ -216,16 +233,16 @@
 }
 
 // startFree assigns the whole gang if there is room at once. A shape that found
-// none is not tried again: within a pass such room only shrinks, but for what is
-// withheld for the job itself.
+// none is not tried again, nor with more tasks: within a pass such room only
+// shrinks, but for what is withheld for the job itself.
 func (p *pass) startFree(a *ask) bool {
-	key := a.key()
-	if a.reserved == nil && p.noRoom[key] {
+	key := a.roomKey()
+	if least, known := p.noRoom[key]; known && a.reserved == nil && a.tasks >= least {
 		return false
 	}
 	spots := p.cluster.fit(a, roomNow)
 	if spots == nil {
-		p.noRoom[key] = true
+		p.noRoom[key] = a.tasks
 		return false
 	}
 	p.assign(a, spots)
