--- a/internal/coordination/scheduling/feasible.go
+++ b/internal/coordination/scheduling/feasible.go
@@ -40,12 +40,7 @@
 // Feasible compares a shape with all known workers, also those that are
 // unavailable for now: their work is impossible only for now.
 func Feasible(shape Shape, workers []Worker) Feasibility {
-	all := make([]Worker, len(workers))
-	copy(all, workers)
-	for i := range all {
-		all[i].Unavailable = false
-	}
-	return newCluster(all).feasibility(shape)
+	return newCluster(workers).feasibility(shape)
 }
 
 func (c *cluster) feasibility(shape Shape) Feasibility {
