--- a/internal/coordination/scheduling/feasible.go
+++ b/internal/coordination/scheduling/feasible.go
@@ -40,12 +40,7 @@
 // Feasible compares a shape with all known workers, also those that are
 // unavailable for now: their work is impossible only for now.
 func Feasible(shape Shape, workers []Worker) Feasibility {
-	all := make([]Worker, len(workers))
-	copy(all, workers)
-	for i := range all {
-		all[i].Unavailable = false
-	}
-	return newCluster(all).feasibility(shape)
+	return newCluster(workers).feasibility(shape)
 }
 
 func (c *cluster) feasibility(shape Shape) Feasibility {
@@ -116,14 +111,15 @@
 	return a.memory < b.memory
 }
 
-// feasible remembers the answer by shape: one pass asks for few shapes. A
-// worker that is lost or drained makes work wait, not fail.
+// feasible remembers the most tasks by shape: one pass asks for few. A worker
+// that is lost or drained makes work wait, not fail.
 func (p *pass) feasible(a *ask) bool {
 	shape := JobShape(a.job)
-	known, ok := p.feasibleShapes[shape]
+	shape.Tasks = 0
+	most, ok := p.mostTasks[shape]
 	if !ok {
-		known = p.cluster.mostTasks(shape) >= int64(shape.Tasks)
-		p.feasibleShapes[shape] = known
+		most = p.cluster.mostTasks(shape)
+		p.mostTasks[shape] = most
 	}
-	return known
+	return most >= a.tasks
 }
