Gangs proof: urgent work needs a take-back; workers crash under orders

Change: four long gangs hold half of every worker until the load is over, and are cancelled then; parts of an order need several workers, and a crash prefers a worker that runs one.

--- a/internal/experiment/gangs/load.go
+++ b/internal/experiment/gangs/load.go
@@ -23,8 +23,8 @@
 	// covers, one job at a time.
 	Borrower, Owner Customer
 	Urgent          string
-	// Long is the borrower's class of gangs that run through most failures; Longs
-	// of them come first.
+	// Long is the borrower's class of gangs that run until the load is over; Longs
+	// of them come first, and are cancelled then.
 	Long  string
 	Longs int
 	// Over is how long jobs are submitted, one about every Every.
@@ -58,11 +58,12 @@
 
 func (l *Load) flood(ctx, ends context.Context, random *rand.Rand) {
 	for number := range l.Longs {
-		l.submit(ctx, l.Borrower, l.Long, fmt.Sprintf("long-%d", number))
+		id := l.submit(ctx, l.Borrower, l.Long, fmt.Sprintf("long-%d", number))
+		defer l.cancel(ctx, l.Borrower, id)
 	}
 	for number := 0; ends.Err() == nil; number++ {
 		class := l.Borrower.Classes[random.IntN(len(l.Borrower.Classes))]
-		l.submit(ctx, l.Borrower, class, fmt.Sprintf("flood-%d", number))
+		l.submit(ctx, l.Borrower, class, fmt.Sprintf("%s-%d", class, number))
 		pause(ends, time.Duration(random.Int64N(int64(2*l.Every))))
 	}
 }
@@ -79,14 +80,14 @@
 		}
 		pause(ends, time.Duration(random.Int64N(int64(time.Second))))
 		for _, id := range ids[:len(ids)*3/4] {
-			l.cancel(ctx, id)
+			l.cancel(ctx, l.Owner, id)
 		}
 		pause(ends, waveEvery)
 	}
 }
 
-func (l *Load) cancel(ctx context.Context, id string) {
-	if _, err := l.Client.Cancel(ctx, l.Owner.Token, id); err != nil {
+func (l *Load) cancel(ctx context.Context, customer Customer, id string) {
+	if _, err := l.Client.Cancel(ctx, customer.Token, id); err != nil {
 		return
 	}
 	l.mu.Lock()
--- a/test/gangs/disturb_test.go
+++ b/test/gangs/disturb_test.go
@@ -62,7 +62,7 @@
 func (d *disturber) strand() {
 	var h *host
 	await(d.t, "a long gang", func() bool {
-		h = d.runsLong()
+		h = d.running("long")
 		return h != nil
 	})
 	i := d.cluster.instances[voters+d.random.IntN(followers)]
@@ -76,11 +76,11 @@
 	})
 }
 
-// runsLong finds a worker that has just begun a task of a long gang.
-func (d *disturber) runsLong() *host {
+// running finds a worker that runs a part of such a job; nil if none does.
+func (d *disturber) running(class string) *host {
 	for _, h := range d.hosts {
 		for _, run := range h.runs() {
-			if strings.Contains(run.Job, "long") && !run.Began.IsZero() && run.Ended.IsZero() {
+			if strings.Contains(run.Job, class) && !run.Began.IsZero() && run.Ended.IsZero() {
 				return h
 			}
 		}
@@ -149,6 +149,10 @@
 			worker.Rejoin()
 		})
 	case 2:
+		// A part of an order may have ended well when the other dies.
+		if ordering := d.running("order"); ordering != nil {
+			h = ordering
+		}
 		d.found.during(d.t, "crash", h.name, func() {
 			h.crash()
 			time.Sleep(d.between(0, 2*time.Second))
--- a/test/gangs/gangs_test.go
+++ b/test/gangs/gangs_test.go
@@ -53,6 +53,9 @@
 	}
 }
 
+// declarations make the long gangs take half of every worker, so that urgent work
+// starts only if it is taken back for; the parts of an order run on several
+// workers.
 const declarations = `[customer crews]
 [customer planners]
 guarantee = 2x8 worker
@@ -83,13 +86,14 @@
 [class long]
 tasks = 4
 accelerators = 2
-cores = 30
-run_time = 9s
+cores = 60
+run_time = 1h
 idempotent = yes
 checkpointable = yes
 [class order]
 tasks = 3
 accelerators = 1
+cores = 30
 run_time = 1s
 [class urgent]
 tasks = 2
@@ -166,7 +170,7 @@
 		Borrower: gangs.Customer{Token: tokens["crews"], Classes: []string{"one", "four", "halves", "sixteen", "order"}},
 		Owner:    gangs.Customer{Token: tokens["planners"], Classes: []string{"one", "four"}},
 		Urgent:   "urgent",
-		Long:     "long", Longs: 2,
+		Long:     "long", Longs: 4,
 		Over: *over, Every: 150 * time.Millisecond, Seed: *seed,
 	}
 	evidence := &gangs.Evidence{Bounds: bounds(), Classes: classes}
--- a/test/gangs/workers_test.go
+++ b/test/gangs/workers_test.go
@@ -53,7 +53,7 @@
 		Announcement: api.Announcement{
 			ID: h.name, Address: listener.Addr().String(), Incarnation: time.Now().UnixNano(),
 			DataCentre: "dc1", Rack: fmt.Sprintf("r%d", h.number/rackSize+1),
-			Cores: 64, MemoryMB: 64 << 10, Accelerators: accelerators,
+			Cores: 160, MemoryMB: 64 << 10, Accelerators: accelerators,
 		},
 		Servers: servers,
 		Tasks:   tasks.Options{Speed: 1, KeepRuns: true, CheckpointEvery: 200 * time.Millisecond},
