Gangs proof: idempotent work may run again when a failure hid its end

Cause: the check "run again after its end" was wrong for idempotent work.

Change: for idempotent work it is a violation only if nothing was failing or recovering between the whole run's end and the next reservation, and is counted as repeated otherwise. Work that is not idempotent is judged as before, and that nothing of a job runs after callers were told of its end is checked apart, for all work. A new case of the table test shows the check on idempotent work.

--- a/internal/experiment/gangs/check.go
+++ b/internal/experiment/gangs/check.go
@@ -40,6 +40,9 @@
 type Report struct {
 	Jobs, Completed, Cancelled, Parked int
 	Runs, Epochs, Broken               int
+	// Repeated counts idempotent gangs that ran again after a whole run whose end
+	// a failure hid.
+	Repeated int
 	// LongestAlone is the longest time that a part of a gang ran alone, and
 	// LongestTakeBack the longest from asking to the start of guaranteed work.
 	LongestAlone, LongestTakeBack time.Duration
@@ -50,8 +53,8 @@
 
 // String gives the report on one line.
 func (r *Report) String() string {
-	return fmt.Sprintf("%d jobs: %d completed, %d cancelled, %d parked; %d runs in %d epochs, %d of them broken; longest start %s, longest part alone %s, longest take-back %s; %d violations",
-		r.Jobs, r.Completed, r.Cancelled, r.Parked, r.Runs, r.Epochs, r.Broken,
+	return fmt.Sprintf("%d jobs: %d completed, %d cancelled, %d parked; %d runs in %d epochs, %d of them broken, %d repeated; longest start %s, longest part alone %s, longest take-back %s; %d violations",
+		r.Jobs, r.Completed, r.Cancelled, r.Parked, r.Runs, r.Epochs, r.Broken, r.Repeated,
 		r.LongestStart.Round(time.Millisecond), r.LongestAlone.Round(time.Millisecond), r.LongestTakeBack.Round(time.Millisecond), len(r.Violations))
 }
 
--- a/internal/experiment/gangs/check_test.go
+++ b/internal/experiment/gangs/check_test.go
@@ -58,6 +58,10 @@
 		"parked without evidence":     {func(e *Evidence) { e.Jobs[0].State = api.JobParked }, NoEvidence},
 		"completed over two epochs":   {func(e *Evidence) { e.Runs[0].Ending, e.Runs[2].Ending = tasks.Completed, tasks.Stopped }, NotWhole},
 		"run after its end":           {func(e *Evidence) { e.Runs = append(e.Runs, run(0, 3, "a", 5, 6, tasks.Stopped)) }, RunAgain},
+		"idempotent run after its end": {func(e *Evidence) {
+			e.Classes = map[string]Class{"pair": {Name: "pair", Tasks: 2, Idempotent: true}}
+			e.Runs = append(e.Runs, run(0, 3, "a", 5, 6, tasks.Stopped))
+		}, RunAgain},
 		"done twice":                  {func(e *Evidence) { e.Runs[0].Ending = tasks.Completed }, DoneTwice},
 		"work invented":               {func(e *Evidence) { e.Runs[2].From = 700 }, WorkInvented},
 		"taken back late":             {func(e *Evidence) { e.Submitted[0].Asked = at(-4) }, TakeBackLate},
--- a/internal/experiment/gangs/ends.go
+++ b/internal/experiment/gangs/ends.go
@@ -35,12 +35,15 @@
 	c.quiet(job, epochs)
 }
 
-// wholeOnce wants one whole run of a completed job, and nothing after it.
+// wholeOnce wants a whole run of a completed job, and nothing after it. Idempotent
+// work may run again when something failed before the news of its end came
+// through: its worker may have been cut off, and nobody could know. That is
+// counted as repeated.
 func (c *check) wholeOnce(job api.Job, epochs []*epoch) {
 	var whole *epoch
 	for _, e := range epochs {
 		if whole != nil {
-			c.add(RunAgain, "after a whole run: %s", e)
+			c.again(job, whole, e)
 		}
 		if whole == nil && e.whole(c.size(job.ID)) {
 			whole = e
@@ -51,6 +54,14 @@
 	}
 }
 
+func (c *check) again(job api.Job, whole, next *epoch) {
+	if c.Classes[job.WorkClass].Idempotent && c.failing(whole.lastEnd(), next.firstReserved()) > 0 {
+		c.Repeated++
+		return
+	}
+	c.add(RunAgain, "%s; then %s", whole, next)
+}
+
 // doneTwice wants no task of work that is not idempotent to end well twice, or
 // to begin again after it has.
 func (c *check) doneTwice(job api.Job, epochs []*epoch) {
--- a/internal/experiment/gangs/evidence.go
+++ b/internal/experiment/gangs/evidence.go
@@ -121,6 +121,24 @@
 	return first, last, count == size
 }
 
+func (e *epoch) lastEnd() time.Time {
+	var last time.Time
+	for _, run := range e.runs {
+		last = later(last, run.Ended)
+	}
+	return last
+}
+
+func (e *epoch) firstReserved() time.Time {
+	var first time.Time
+	for _, run := range e.runs {
+		if first.IsZero() || run.Reserved.Before(first) {
+			first = run.Reserved
+		}
+	}
+	return first
+}
+
 func (e *epoch) String() string {
 	text := fmt.Sprintf("%s epoch %d:", e.job, e.number)
 	for _, task := range sortedTasks(e.runs) {
