--- a/test/scenarios/processes_test.go
+++ b/test/scenarios/processes_test.go
@@ -201,6 +201,9 @@
 			return
 		}
 		if time.Now().After(deadline) {
+			for name := range fixtureOf(ts).processes {
+				ts.Logf("[%s]\n%s", name, ts.ReadFile(name+".err"))
+			}
 			ts.Fatalf("%s: readiness never became %t", args[0], !neg)
 		}
 		time.Sleep(pause)
