The tests of the stop's bound depend on no speed of the machine

Cause: TestStopAtItsBound/second_signal failed in a loaded make test: its order took 800 ms at the minion and ended before the second signal came. Ruled out: a fault of the stop. Change: the order stays at the minion for 50 s under a service of a minute, so only the bound can end it, and a bound that does not work shows as a whole answer.

--- a/test/conservation/conservation_test.go
+++ b/test/conservation/conservation_test.go
@@ -55,7 +55,7 @@
 	t.Cleanup(func() { listener.Close() })
 	options.Announcement = api.Announcement{
 		ID: "minion-" + listener.Addr().String(), Address: listener.Addr().String(), DataCentre: "dc1", Incarnation: 1,
-		Services: []string{"report", "cut-order"}, Slots: 8, Connections: 60,
+		Services: []string{"report", cutOrder, heldOrder}, Slots: 8, Connections: 60,
 	}
 	for _, i := range running {
 		options.Servers = append(options.Servers, i.url)
@@ -80,7 +80,7 @@
 	}
 	time.Sleep(time.Second) // let the minions announce themselves
 	load := &conservation.Load{
-		Tokens: tokens, Once: "cut-order", Repeatable: "report",
+		Tokens: tokens, Once: cutOrder, Repeatable: "report",
 		Requests: *requests, Callers: *callers, Seed: *seed,
 	}
 	for _, i := range running {
--- a/test/conservation/instances_test.go
+++ b/test/conservation/instances_test.go
@@ -133,7 +133,7 @@
 
 func declare(t testing.TB, folder, server string) {
 	file := filepath.Join(folder, "declared.ini")
-	text := "[customer crews]\n[customer planners]\n[service report]\nidempotent = yes\ntimeout = 3s\n[service cut-order]\ntimeout = 3s\n"
+	text := "[customer crews]\n[customer planners]\n[service report]\nidempotent = yes\ntimeout = 3s\n[service cut-order]\ntimeout = 3s\n[service held-order]\ntimeout = 1m\n"
 	is.New(t).NoErr(os.WriteFile(file, []byte(text), 0o600))
 	var out, errs strings.Builder
 	code := command.Run([]string{"apply", "-wait", "-server", server, "-token", operatorToken, file}, &out, &errs)
--- a/test/conservation/stop_test.go
+++ b/test/conservation/stop_test.go
@@ -13,6 +13,7 @@
 
 	"pinewinch.example/pinewinch/internal/protocol/api"
 	"pinewinch.example/pinewinch/internal/protocol/failure"
+	"pinewinch.example/pinewinch/internal/standin"
 )
 
 // slowTime is how long the minion of these tests takes.
@@ -25,8 +26,16 @@
 	err    error
 }
 
-func order(url, key string) reply {
-	request, err := http.NewRequest(http.MethodPost, url+"/v1/requests/cut-order", strings.NewReader("ash"))
+// The services of these tests; heldOrder's time outlasts every bound of a stop,
+// so that nothing but the bound can end its request.
+const (
+	cutOrder  = "cut-order"
+	heldOrder = "held-order"
+	heldTime  = 50 * time.Second
+)
+
+func order(url, service, key string) reply {
+	request, err := http.NewRequest(http.MethodPost, url+"/v1/requests/"+service, strings.NewReader("ash"))
 	if err != nil {
 		return reply{err: err}
 	}
@@ -43,12 +52,12 @@
 
 // startSlow starts one instance and one slow minion with one slot, and sends
 // an order that is at the minion when it returns.
-func startSlow(t *testing.T, stop string) (*instance, <-chan reply) {
+func startSlow(t *testing.T, stop, service string, options standin.MinionOptions) (*instance, <-chan reply) {
 	i := startInstances(t, 1, stop)[0]
-	minion := startMinion(t, []*instance{i}, slowMinion())
-	await(t, "minion", func() bool { return order(i.url, "first").status == http.StatusOK })
+	minion := startMinion(t, []*instance{i}, options)
+	await(t, "minion", func() bool { return order(i.url, service, "first").status == http.StatusOK })
 	slow := make(chan reply, 1)
-	go func() { slow <- order(i.url, "slow") }()
+	go func() { slow <- order(i.url, service, "slow") }()
 	await(t, "order at the minion", func() bool { return minion.Runs()["crews/slow"] == 1 })
 	return i, slow
 }
@@ -58,10 +67,10 @@
 // connection ends; the order in flight gets its whole answer; then it leaves.
 func TestStopCutsOffNothing(t *testing.T) {
 	is := is.New(t)
-	i, slow := startSlow(t, "notice = 1s\ngrace = 20s\n")
+	i, slow := startSlow(t, "notice = 1s\ngrace = 20s\n", cutOrder, slowMinion())
 	is.NoErr(i.command.Process.Signal(syscall.SIGTERM))
 	await(t, "not ready", func() bool { return !i.ready() })
-	again := order(i.url, "again")
+	again := order(i.url, cutOrder, "again")
 	is.NoErr(again.err)
 	is.Equal(again.status, http.StatusOK)
 	is.True(again.close)
@@ -71,14 +80,14 @@
 	is.True(strings.HasSuffix(first.text, "crews/slow: ash\n"))
 	<-i.exited
 	is.Equal(i.command.ProcessState.ExitCode(), 0)
-	is.True(order(i.url, "late").err != nil)
+	is.True(order(i.url, cutOrder, "late").err != nil)
 
 	// The last outcomes are in the log: a resend after a restart finds them.
 	i.start(t)
 	await(t, "restart", i.ready)
 	for _, key := range []string{"slow", "again"} {
 		body := api.ErrorBody{}
-		is.NoErr(json.Unmarshal([]byte(order(i.url, key).text), &body))
+		is.NoErr(json.Unmarshal([]byte(order(i.url, cutOrder, key).text), &body))
 		is.Equal(body.Code, failure.AnswerGone)
 		is.Equal(body.NotRun, failure.NotRunFalse)
 	}
@@ -94,7 +103,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
-			i, slow := startSlow(t, stop)
+			i, slow := startSlow(t, stop, heldOrder, standin.MinionOptions{StallEvery: 2, Stall: heldTime})
 			is.NoErr(i.command.Process.Signal(syscall.SIGTERM))
 			await(t, "not ready", func() bool { return !i.ready() })
 			if name == "second signal" {
