--- a/internal/coordination/scheduling/order_test.go
+++ b/internal/coordination/scheduling/order_test.go
@@ -48,7 +48,9 @@
 
 func TestFeasible(t *testing.T) {
 	workers := testWorkers(2, 2, 2, 8)
-	workers[0].Unavailable = true
+	for i := 0; i < len(workers); i += 2 {
+		workers[i].Unavailable = true
+	}
 	shape := func(tasks, accelerators, cores uint32, where controlpb.Adjacency) Shape {
 		return Shape{Tasks: tasks, Accelerators: accelerators, Cores: cores, MemoryMB: 1, Adjacency: where}
 	}
@@ -59,7 +61,7 @@
 		nearest Shape
 		wider   controlpb.Adjacency
 	}{
-		{"a whole rack, one worker drained", shape(4, 4, 1, inRack), true, shape(4, 4, 1, inRack), anywhere},
+		{"a whole rack, half of its workers drained", shape(4, 4, 1, inRack), true, shape(4, 4, 1, inRack), anywhere},
 		{"more tasks than a rack takes", shape(5, 4, 1, inRack), false, shape(4, 4, 1, inRack), inDataCentre},
 		{"more than a data centre takes", shape(9, 4, 1, inRack), false, shape(4, 4, 1, inRack), anywhere},
 		{"more accelerators than a worker has", shape(2, 9, 1, inRack), false, shape(2, 8, 1, inRack), anywhere},
