Gangs proof: a take-back with nothing failing must start in under 1.9 s

Cause: "no preemption", planted, was not found: failures go on all the time, and what they take is added to the bound of a take-back.

At least one such take-back must be judged. 10 s of load by default.

--- a/internal/experiment/gangs/check.go
+++ b/internal/experiment/gangs/check.go
@@ -46,6 +46,8 @@
 	// LongestAlone is the longest time that a part of a gang ran alone, and
 	// LongestTakeBack the longest from asking to the start of guaranteed work.
 	LongestAlone, LongestTakeBack time.Duration
+	// QuietTakeBacks counts those during which nothing failed.
+	QuietTakeBacks int
 	// LongestStart is the longest time between the first and the last task's start.
 	LongestStart time.Duration
 	Violations   []Violation
@@ -53,9 +55,9 @@
 
 // String gives the report on one line.
 func (r *Report) String() string {
-	return fmt.Sprintf("%d jobs: %d completed, %d cancelled, %d parked; %d runs in %d epochs, %d of them broken, %d repeated; longest start %s, longest part alone %s, longest take-back %s; %d violations",
+	return fmt.Sprintf("%d jobs: %d completed, %d cancelled, %d parked; %d runs in %d epochs, %d of them broken, %d repeated; longest start %s, longest part alone %s, longest take-back %s, %d quiet; %d violations",
 		r.Jobs, r.Completed, r.Cancelled, r.Parked, r.Runs, r.Epochs, r.Broken, r.Repeated,
-		r.LongestStart.Round(time.Millisecond), r.LongestAlone.Round(time.Millisecond), r.LongestTakeBack.Round(time.Millisecond), len(r.Violations))
+		r.LongestStart.Round(time.Millisecond), r.LongestAlone.Round(time.Millisecond), r.LongestTakeBack.Round(time.Millisecond), r.QuietTakeBacks, len(r.Violations))
 }
 
 func (r *Report) add(kind Kind, format string, args ...any) {
--- a/internal/experiment/gangs/ends.go
+++ b/internal/experiment/gangs/ends.go
@@ -157,7 +157,12 @@
 		}
 		lasted := last.Sub(s.Asked)
 		c.LongestTakeBack = max(c.LongestTakeBack, lasted)
-		if bound := c.Bounds.TakeBack + c.failing(s.Asked, last); lasted > bound {
+		bound := c.Bounds.TakeBack + c.failing(s.Asked, last)
+		if quiet := c.Bounds.Quiet; quiet > 0 && c.failing(s.Asked, s.Asked.Add(quiet)) == 0 {
+			c.QuietTakeBacks++
+			bound = quiet
+		}
+		if lasted > bound {
 			c.add(TakeBackLate, "%s after %s, bound %s", s.ID, lasted, bound)
 		}
 		return
--- a/internal/experiment/gangs/evidence.go
+++ b/internal/experiment/gangs/evidence.go
@@ -38,9 +38,11 @@
 type Bounds struct {
 	// Alone is how long a part of a gang may run in the worst case.
 	Alone time.Duration
-	// TakeBack is from the submission of guaranteed work to its start, while
-	// nothing else fails.
+	// TakeBack is from the submission of guaranteed work to its start, without the
+	// time in which something was failing. Quiet is the same where nothing fails
+	// during that time; 0 for no such check.
 	TakeBack time.Duration
+	Quiet    time.Duration
 	// Recovery is how long after the end of a failure the instances may need.
 	Recovery time.Duration
 }
--- a/test/gangs/gangs_test.go
+++ b/test/gangs/gangs_test.go
@@ -21,7 +21,7 @@
 )
 
 var (
-	over = flag.Duration("over", 8*time.Second, "time during which jobs come and things fail")
+	over = flag.Duration("over", 10*time.Second, "time during which jobs come and things fail")
 	seed = flag.Uint64("seed", 1, "seed of jobs and failures")
 )
 
@@ -41,6 +41,14 @@
 	CommandTimeout: 2 * time.Second,
 }
 
+const (
+	// quietTakeBack is what urgent work may take from its submission to its start
+	// while nothing fails, a take-back included: the goal of the users.
+	quietTakeBack = 1900 * time.Millisecond
+	// quietTime comes before the first failure, so that one take-back is quiet.
+	quietTime = 3500 * time.Millisecond
+)
+
 // bounds are those of docs/design/dispatch.md. A part runs alone at the worst
 // until a dead worker's announcement has expired, and one look, and then for
 // StopWait. A take-back is a pass (at most one second apart), StopWait, and a
@@ -49,6 +57,7 @@
 	return gangs.Bounds{
 		Alone:    4*config.AnnounceEvery + config.StopWait(),
 		TakeBack: time.Second + config.StopWait() + 2*config.CommandTimeout,
+		Quiet:    quietTakeBack,
 		Recovery: 2 * time.Second,
 	}
 }
@@ -142,6 +151,7 @@
 		d := &disturber{t: t, cluster: c, hosts: hosts, client: client, found: found}
 		d.random = rand.New(rand.NewPCG(*seed, stream))
 		failing.Go(func() {
+			time.Sleep(quietTime)
 			switch stream {
 			case 0:
 				d.run(stop, d.failInstance)
@@ -190,6 +200,7 @@
 	for _, violation := range report.Violations {
 		t.Errorf("%s: %s", violation.Kind, violation.Detail)
 	}
+	is.True(report.QuietTakeBacks > 0)
 	is.True(report.Completed > report.Jobs/3)
 }
 
