--- a/internal/coordination/routing/admission/pick.go
+++ b/internal/coordination/routing/admission/pick.go
@@ -15,6 +15,9 @@
 			if exhausted {
 				return false
 			}
+			if chosen = nil; s.tooLate(now, item.Value) {
+				return true
+			}
 			c := p.customer(item.Customer)
 			if c.limit != nil && c.limit.Free() <= 0 {
 				c.blocked++
@@ -27,6 +30,10 @@
 		if item == nil {
 			return
 		}
+		if chosen == nil {
+			p.giveUp(item.Value, Refusal{Reason: ReasonDeadline, RetryAfter: max(s.learned.likely(), minRetryAfter)})
+			continue
+		}
 		p.start(now, s, item.Value, chosen)
 	}
 }
@@ -74,6 +81,9 @@
 		if best == nil || c < bestClass || (c == bestClass && load < bestLoad) {
 			best, bestClass, bestLoad = t, c, load
 		}
+		if bestClass == 0 && bestLoad == 0 {
+			break
+		}
 	}
 	if n > 0 {
 		s.next = (s.next + 1) % n
