--- a/scripts/capacity.sh
+++ b/scripts/capacity.sh
@@ -11,7 +11,7 @@
 
 out=docs/capacity
 over=${CAPACITY_SECONDS:-8}
-settle=${CAPACITY_SETTLE:-4}
+settle=${CAPACITY_SETTLE:-3}
 mkdir -p "$out"
 touch "$out/points.csv"
 
@@ -42,7 +42,9 @@
 
 # cluster COUNT VOTERS: runs it, fills role_pids, and applies the declarations.
 cluster() {
-  new_cluster "$1" "$2"
+  # No balancer needs notice here.
+  printf '[stop]\nnotice = 10ms\n' > "$work/stop.ini"
+  new_cluster "$1" "$2" "$work/stop.ini"
   targets=""
   instance_pids=()
   local i
@@ -73,7 +75,7 @@
 }
 
 workers() { # one more worker that announces, idle
-  for size in 0 100 200 400 800; do
+  for size in 0 200 400 800; do
     cluster 4 3
     if ((size > 0)); then
       start pinewinch-standin worker -servers "$servers" -count "$size" -accelerators 1
@@ -86,7 +88,7 @@
 }
 
 tasks() { # one more task that runs, on 100 workers
-  for size in 0 500 1000 2000 4000; do
+  for size in 0 1000 2000 4000; do
     cluster 4 3
     start pinewinch-standin worker -servers "$servers" -count 100 -accelerators 1 -cores 64
     targets+=",workers=$started"
@@ -109,7 +111,7 @@
 }
 
 changes() { # one more change of the declarations a second, 9 instances
-  for size in 0 5 10 20 40; do
+  for size in 0 10 20 40; do
     cluster 9 3
     ((size == 0)) || start pinewinch-bench load -kind changes -servers "$PINEWINCH_SERVER" -token operator-secret \
       -rate "$size" -over "$((settle + over + 2))s" -name parked
@@ -119,7 +121,7 @@
 }
 
 jobs() { # one more job a second through its whole life, 9 instances
-  for size in 0 2 4 8 16; do
+  for size in 0 4 8 16; do
     cluster 9 3
     start pinewinch-standin worker -servers "$servers" -count 50 -accelerators 8
     await '"workers": 50' pinewinch status -o json
@@ -131,7 +133,7 @@
 }
 
 requests() { # one more request a second, spread over 9 instances
-  for size in 0 100 200 400 800; do
+  for size in 0 200 400 800; do
     cluster 9 3
     start pinewinch-standin minion -servers "$servers" -count 50 -services report,cut-order
     await '"minions": 50' pinewinch status -o json
@@ -143,7 +145,7 @@
 }
 
 keyed() { # one more request a second that runs at most once
-  for size in 0 25 50 100 200; do
+  for size in 0 50 100 200; do
     cluster 9 3
     start pinewinch-standin minion -servers "$servers" -count 50 -services report,cut-order
     await '"minions": 50' pinewinch status -o json
