A new cluster of a script starts on empty data folders

Cause: capacity.sh tasks waited for ever at 2,000 tasks: the cluster had started on the folders of the run at 1,000 tasks, whose 20 jobs were parked, rightly, as not idempotent work whose workers were gone. Ruled out: a fault of dispatch (a fresh cluster ran 40 jobs of 50 tasks at once).

--- a/scripts/cluster.sh
+++ b/scripts/cluster.sh
@@ -24,6 +24,8 @@
 # http_addresses and the tool's environment.
 new_cluster() {
   local count=$1 voters=$2 extra=${3:-/dev/null} i peers="" names=""
+  # An earlier cluster of the same script must not come back with its jobs.
+  rm -rf "$work"/data*
   mapfile -t addresses < <(pinewinch-standin addresses -count $((2 * count)))
   servers=""
   for ((i = 1; i <= count; i++)); do
