Stand-ins can begin at different instances, as behind a balancer

Cause: in capacity.sh every worker announced itself to the first instance, so one role held the cost of hearing all of them (leader http bytes at 200 workers 19 B/s, at 800 98 KB/s). Change: -spread.

--- a/internal/standin/standincmd/main.go
+++ b/internal/standin/standincmd/main.go
@@ -10,10 +10,12 @@
 	"net/http"
 	"os"
 	"os/signal"
+	"slices"
 	"strings"
 	"syscall"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/peterbourgon/ff/v3/ffcli"
 
 	"pinewinch.example/pinewinch/internal/protocol/api"
@@ -40,6 +42,8 @@
 }
 
 type common struct {
+	// spread has each upstream begin at another instance.
+	spread       bool
 	announcement api.Announcement
 	servers      string
 	token        string
@@ -57,6 +61,7 @@
 	flags.StringVar(&c.announcement.ID, "id", name, "name of the first; others get a number")
 	flags.StringVar(&c.announcement.DataCentre, "data-centre", "dc1", "data centre")
 	flags.StringVar(&c.announcement.Rack, "rack", "rack1", "rack")
+	flags.BoolVar(&c.spread, "spread", false, "begin at another instance each")
 	flags.IntVar(&c.count, "count", 1, "how many to run in this process")
 	return flags, c
 }
@@ -92,7 +97,16 @@
 	return nil
 }
 
-func (c *common) serverList() []string { return strings.Split(c.servers, ",") }
+// serverList gives the instances in the order that the upstream tries them.
+// With spread it begins at one drawn by its id, as a balancer would have it.
+func (c *common) serverList(id string) []string {
+	servers := strings.Split(c.servers, ",")
+	if !c.spread {
+		return servers
+	}
+	first := int(xxhash.Sum64String(id) % uint64(len(servers)))
+	return slices.Concat(servers[first:], servers[:first])
+}
 
 func workerCommand() *ffcli.Command {
 	flags, c := commonFlags("worker")
@@ -114,7 +128,7 @@
 		return c.each(ctx, func(ctx context.Context, announcement api.Announcement, listener net.Listener) {
 			own := options
 			own.Announcement = announcement
-			own.Servers = c.serverList()
+			own.Servers = c.serverList(announcement.ID)
 			own.Token = c.token
 			own.Record = c.done
 			worker := standin.NewWorker(own)
@@ -137,7 +151,7 @@
 		return c.each(ctx, func(ctx context.Context, announcement api.Announcement, listener net.Listener) {
 			own := options
 			own.Announcement = announcement
-			own.Servers = c.serverList()
+			own.Servers = c.serverList(announcement.ID)
 			own.Token = c.token
 			own.Record = c.done
 			minion := standin.NewMinion(own)
--- a/scripts/capacity.sh
+++ b/scripts/capacity.sh
@@ -78,7 +78,7 @@
   for size in 0 200 400 800; do
     cluster 4 3
     if ((size > 0)); then
-      start pinewinch-standin worker -servers "$servers" -count "$size" -accelerators 1
+      start pinewinch-standin worker -spread -servers "$servers" -count "$size" -accelerators 1
       targets+=",workers=$started"
       await "\"workers\": $size" pinewinch status -o json
     fi
@@ -90,7 +90,7 @@
 tasks() { # one more task that runs, on 100 workers
   for size in 0 1000 2000 4000; do
     cluster 4 3
-    start pinewinch-standin worker -servers "$servers" -count 100 -accelerators 1 -cores 64
+    start pinewinch-standin worker -spread -servers "$servers" -count 100 -accelerators 1 -cores 64
     targets+=",workers=$started"
     await '"workers": 100' pinewinch status -o json
     for ((i = 0; i < size / 50; i++)); do
@@ -123,7 +123,7 @@
 jobs() { # one more job a second through its whole life, 9 instances
   for size in 0 4 8 16; do
     cluster 9 3
-    start pinewinch-standin worker -servers "$servers" -count 50 -accelerators 8
+    start pinewinch-standin worker -spread -servers "$servers" -count 50 -accelerators 8
     await '"workers": 50' pinewinch status -o json
     ((size == 0)) || start pinewinch-bench load -kind jobs -servers "$servers" -token crews-secret \
       -rate "$size" -over "$((settle + over + 2))s" -name brief
@@ -135,7 +135,7 @@
 requests() { # one more request a second, spread over 9 instances
   for size in 0 200 400 800; do
     cluster 9 3
-    start pinewinch-standin minion -servers "$servers" -count 50 -services report,cut-order
+    start pinewinch-standin minion -spread -servers "$servers" -count 50 -services report,cut-order
     await '"minions": 50' pinewinch status -o json
     ((size == 0)) || start pinewinch-bench load -kind requests -servers "$servers" -token crews-secret \
       -rate "$size" -over "$((settle + over + 2))s" -name report
@@ -147,7 +147,7 @@
 keyed() { # one more request a second that runs at most once
   for size in 0 50 100 200; do
     cluster 9 3
-    start pinewinch-standin minion -servers "$servers" -count 50 -services report,cut-order
+    start pinewinch-standin minion -spread -servers "$servers" -count 50 -services report,cut-order
     await '"minions": 50' pinewinch status -o json
     ((size == 0)) || start pinewinch-bench load -kind keyed -servers "$servers" -token crews-secret \
       -rate "$size" -over "$((settle + over + 2))s" -name cut-order
