--- a/internal/experiment/gangs/evidence.go
+++ b/internal/experiment/gangs/evidence.go
@@ -40,9 +40,12 @@
 	Alone time.Duration
 	// TakeBack is from the submission of guaranteed work to its start, without the
 	// time in which something was failing. Quiet is the same where nothing fails
-	// during that time; 0 for no such check.
+	// within QuietWindow; 0 for no such check.
 	TakeBack time.Duration
 	Quiet    time.Duration
+	// QuietWindow after its submission must be free of failures for a take-back
+	// to count as quiet; what fails later does not excuse it.
+	QuietWindow time.Duration
 	// Recovery is how long after the end of a failure the instances may need.
 	Recovery time.Duration
 }
