Gangs proof: a quiet take-back must have stopped borrowers before the first failure

Ruled out: counting stops until the start (planted fault passed, other stops came in). Change: the order of events decides, not a time: runs must have been stopped for the urgent work before anything failed.

--- a/internal/experiment/gangs/check.go
+++ b/internal/experiment/gangs/check.go
@@ -48,6 +48,8 @@
 	LongestAlone, LongestTakeBack time.Duration
 	// QuietTakeBacks counts those during which nothing failed.
 	QuietTakeBacks int
+	// QuietStops counts the runs that were stopped for them.
+	QuietStops int
 	// LongestStart is the longest time between the first and the last task's start.
 	LongestStart time.Duration
 	Violations   []Violation
--- a/internal/experiment/gangs/ends.go
+++ b/internal/experiment/gangs/ends.go
@@ -160,6 +160,7 @@
 		bound := c.Bounds.TakeBack + c.failing(s.Asked, last)
 		if quiet := c.Bounds.Quiet; quiet > 0 && c.failing(s.Asked, s.Asked.Add(c.Bounds.QuietWindow)) == 0 {
 			c.QuietTakeBacks++
+			c.QuietStops += c.stopped(s.Asked, c.untilFailure(s.Asked, last))
 			bound = quiet
 		}
 		if lasted > bound {
@@ -170,6 +171,32 @@
 	c.add(TakeBackLate, "%s never started", s.ID)
 }
 
+// untilFailure gives the first failure between two moments, or else the second.
+func (c *check) untilFailure(from, to time.Time) time.Time {
+	for _, span := range c.Failures {
+		if span.From.After(from) && span.From.Before(to) {
+			to = span.From
+		}
+	}
+	return to
+}
+
+// stopped counts the runs of jobs that nobody cancelled which were stopped
+// between two moments.
+func (c *check) stopped(from, to time.Time) int {
+	cancelled := map[string]bool{}
+	for _, s := range c.Submitted {
+		cancelled[s.ID] = s.Cancelled
+	}
+	count := 0
+	for _, run := range c.Evidence.Runs {
+		if run.Ending == tasks.Stopped && !cancelled[run.Job] && run.Ended.After(from) && !run.Ended.After(to) {
+			count++
+		}
+	}
+	return count
+}
+
 // failing sums the time between two moments in which something was failing or
 // recovering from it.
 func (c *check) failing(from, to time.Time) time.Duration {
--- a/test/gangs/gangs_test.go
+++ b/test/gangs/gangs_test.go
@@ -202,6 +202,7 @@
 		t.Errorf("%s: %s", violation.Kind, violation.Detail)
 	}
 	is.True(report.QuietTakeBacks > 0)
+	is.True(report.QuietStops > 0) // else nothing was taken back for them
 	is.True(report.Completed > report.Jobs/3)
 }
 
