--- a/scripts/capacity.sh
+++ b/scripts/capacity.sh
@@ -87,6 +87,19 @@
   done
 }
 
+minions() { # one more minion that announces, idle
+  for size in 0 50 100 200; do
+    cluster 4 3
+    if ((size > 0)); then
+      start pinewinch-standin minion -spread -servers "$servers" -count "$size" -services report,cut-order
+      targets+=",minions=$started"
+      await "\"minions\": $size" pinewinch status -o json
+    fi
+    sample minions "$size"
+    stop_all
+  done
+}
+
 tasks() { # one more task that runs, on 100 workers
   for size in 0 1000 2000 4000; do
     cluster 4 3
@@ -156,7 +169,7 @@
   done
 }
 
-all=(workers tasks followers changes jobs requests keyed)
+all=(workers minions tasks followers changes jobs requests keyed)
 [ $# -gt 0 ] && all=("$@")
 for series in "${all[@]}"; do
   # A series that is measured again replaces its earlier points.
