One pause between two tries for claims, replica and follower

Cause: duplicates showed the same wait-or-end-of-context function three times, under two names. Change: control.Pause serves the three. Ruled out: one for scheduling's restoreCell and keepDeclared too, which differ in one condition: Verify recounts apart from the planner on purpose. Behaviour unchanged.

--- a/internal/coordination/claims/claim.go
+++ b/internal/coordination/claims/claim.go
@@ -7,6 +7,7 @@
 	"github.com/oklog/ulid/v2"
 	"google.golang.org/protobuf/proto"
 
+	"pinewinch.example/pinewinch/internal/coordination/control"
 	"pinewinch.example/pinewinch/internal/coordination/routing"
 	"pinewinch.example/pinewinch/internal/protocol/controlpb"
 	"pinewinch.example/pinewinch/internal/protocol/failure"
@@ -101,22 +102,12 @@
 		if err == nil {
 			return result.Claims, nil
 		}
-		if failure.From(err).NotRun == failure.NotRunTrue || !pause(ctx, claimPause) {
+		if failure.From(err).NotRun == failure.NotRunTrue || !control.Pause(ctx, claimPause) {
 			return nil, err
 		}
 	}
 }
 
-// pause reports false where ctx ends first.
-func pause(ctx context.Context, length time.Duration) bool {
-	select {
-	case <-ctx.Done():
-		return false
-	case <-time.After(length):
-		return true
-	}
-}
-
 // abandon records that an attempt will never be sent, whether or not its claim
 // was committed.
 func (e *Executor) abandon(own *controlpb.Claim) {
@@ -139,7 +130,7 @@
 			if _, _, err := e.settles.do(e.log, settle); err == nil {
 				return
 			}
-			if !pause(e.log, settlePause) {
+			if !control.Pause(e.log, settlePause) {
 				return
 			}
 		}
--- a/internal/coordination/control/control.go
+++ b/internal/coordination/control/control.go
@@ -6,6 +6,7 @@
 	"context"
 	"sync"
 	"sync/atomic"
+	"time"
 
 	"pinewinch.example/pinewinch/internal/protocol/consensuspb"
 	"pinewinch.example/pinewinch/internal/protocol/controlpb"
@@ -98,6 +99,16 @@
 	}
 }
 
+// Pause waits between two tries; it reports false where ctx ends first.
+func Pause(ctx context.Context, length time.Duration) bool {
+	select {
+	case <-ctx.Done():
+		return false
+	case <-time.After(length):
+		return true
+	}
+}
+
 // Published is the newest state of a node. One goroutine publishes; any reads.
 type Published struct {
 	state   atomic.Pointer[store.State]
--- a/internal/coordination/follower/propose.go
+++ b/internal/coordination/follower/propose.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"pinewinch.example/pinewinch/internal/coordination/control"
 	"pinewinch.example/pinewinch/internal/protocol/controlpb"
 	"pinewinch.example/pinewinch/internal/protocol/failure"
 	"pinewinch.example/pinewinch/internal/protocol/peerpb"
@@ -38,7 +39,7 @@
 		if hinted && pause == firstRetry {
 			continue
 		}
-		if !wait(ctx, f.spread(pause)) {
+		if !control.Pause(ctx, f.spread(pause)) {
 			return nil, err
 		}
 	}
@@ -58,13 +59,3 @@
 	}
 	return reply.GetResult(), nil
 }
-
-// wait reports false where ctx ends first.
-func wait(ctx context.Context, pause time.Duration) bool {
-	select {
-	case <-ctx.Done():
-		return false
-	case <-time.After(pause):
-		return true
-	}
-}
--- a/internal/coordination/replica/confirm.go
+++ b/internal/coordination/replica/confirm.go
@@ -66,7 +66,7 @@
 // confirmFromLeader asks the leader again and again how old its state is.
 func (r *Replica) confirmFromLeader(ctx context.Context) {
 	every := r.config.FreshnessBound / confirmsPerBound
-	for pause(ctx, every) {
+	for control.Pause(ctx, every) {
 		leader := r.Leader()
 		if leader == "" || leader == r.config.Instance {
 			continue
--- a/internal/coordination/replica/found.go
+++ b/internal/coordination/replica/found.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"pinewinch.example/pinewinch/internal/coordination/consensus"
+	"pinewinch.example/pinewinch/internal/coordination/control"
 	"pinewinch.example/pinewinch/internal/protocol/consensuspb"
 	"pinewinch.example/pinewinch/internal/protocol/failure"
 	"pinewinch.example/pinewinch/internal/protocol/peerpb"
@@ -35,7 +36,7 @@
 			_ = r.ask(ctx, func(c *core) { c.found(first) })
 			continue
 		}
-		if !pause(ctx, length) {
+		if !control.Pause(ctx, length) {
 			return
 		}
 	}
--- a/internal/coordination/replica/links.go
+++ b/internal/coordination/replica/links.go
@@ -74,7 +74,7 @@
 func dial(ctx context.Context, peers Peers, peer string) control.MessageStream {
 	stream, err := peers.Messages(ctx, peer)
 	if err != nil {
-		pause(ctx, redialPause)
+		control.Pause(ctx, redialPause)
 		return nil
 	}
 	return stream
--- a/internal/coordination/replica/members.go
+++ b/internal/coordination/replica/members.go
@@ -7,6 +7,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"pinewinch.example/pinewinch/internal/coordination/consensus"
+	"pinewinch.example/pinewinch/internal/coordination/control"
 	"pinewinch.example/pinewinch/internal/protocol/consensuspb"
 	"pinewinch.example/pinewinch/internal/protocol/failure"
 	"pinewinch.example/pinewinch/internal/protocol/peerpb"
@@ -124,7 +125,7 @@
 		if !r.IsLeader() {
 			return failure.New(failure.NotLeader, "leadership was lost while %s caught up", identity)
 		}
-		if !pause(ctx, catchUpPause) {
+		if !control.Pause(ctx, catchUpPause) {
 			return failure.Wrap(failure.NotCaughtUp, ctx.Err(), "%s did not catch up", identity)
 		}
 	}
--- a/internal/coordination/replica/propose.go
+++ b/internal/coordination/replica/propose.go
@@ -7,6 +7,7 @@
 	"github.com/cenkalti/backoff/v5"
 	"google.golang.org/protobuf/proto"
 
+	"pinewinch.example/pinewinch/internal/coordination/control"
 	"pinewinch.example/pinewinch/internal/protocol/consensuspb"
 	"pinewinch.example/pinewinch/internal/protocol/controlpb"
 	"pinewinch.example/pinewinch/internal/protocol/failure"
@@ -54,7 +55,7 @@
 		if failure.From(err).NotRun != failure.NotRunTrue {
 			unknown = err
 		}
-		if !worthRetry(command, err) || !pause(ctx, pauses.NextBackOff()) {
+		if !worthRetry(command, err) || !control.Pause(ctx, pauses.NextBackOff()) {
 			if unknown != nil {
 				return nil, unknown
 			}
@@ -75,15 +76,6 @@
 	return false
 }
 
-func pause(ctx context.Context, length time.Duration) bool {
-	select {
-	case <-ctx.Done():
-		return false
-	case <-time.After(length):
-		return true
-	}
-}
-
 func (r *Replica) proposeOnce(ctx context.Context, command *controlpb.Command) (*controlpb.Result, error) {
 	leader := r.Leader()
 	switch leader {
