--- a/internal/app/app.go
+++ b/internal/app/app.go
@@ -29,6 +29,7 @@
 		requestsModule,
 		workModule,
 		httpModule,
+		leasedModule,
 	)
 }
 
@@ -61,6 +62,9 @@
 func newLogger(s *settings.Settings) (*logrus.Logger, error) {
 	logger := logrus.New()
 	logger.SetOutput(os.Stderr)
+	if s.Log.Standard {
+		logger.SetOutput(os.Stdout)
+	}
 	if s.Log.Format == "json" {
 		logger.SetFormatter(&logrus.JSONFormatter{})
 	}
--- a/internal/app/control.go
+++ b/internal/app/control.go
@@ -4,6 +4,7 @@
 	"context"
 	"math/rand/v2"
 	"net"
+	"slices"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -17,6 +18,7 @@
 	"pinewinch.example/pinewinch/internal/protocol/failure"
 	"pinewinch.example/pinewinch/internal/settings"
 	"pinewinch.example/pinewinch/internal/state/disk"
+	"pinewinch.example/pinewinch/internal/state/store"
 	"pinewinch.example/pinewinch/internal/transport/httpapi"
 	"pinewinch.example/pinewinch/internal/transport/peers"
 	"pinewinch.example/pinewinch/internal/transport/tlsfiles"
@@ -29,6 +31,7 @@
 
 func newNetwork(s *settings.Settings) (*peers.Network, error) {
 	network := peers.NewNetwork(s.Instance.Name, s.Peers)
+	network.Learn(s.Control.Seeds...)
 	if s.PeersTLS.Certificate == "" {
 		return network, nil
 	}
@@ -54,7 +57,7 @@
 		Instance:        s.Instance.Name,
 		DataCentre:      s.Instance.DataCentre,
 		Voters:          s.Control.Voters,
-		Peers:           network.Peers(),
+		Peers:           func() []string { return network.Peers() },
 		Files:           disk.OS{},
 		DataFolder:      s.Instance.DataFolder,
 		ElectionTimeout: s.Control.ElectionTimeout,
@@ -66,20 +69,26 @@
 }
 
 func newFollower(s *settings.Settings, network *peers.Network, registry *membership.Registry) *follower.Follower {
-	return follower.New(follower.Config{
+	var following *follower.Follower
+	following = follower.New(follower.Config{
 		Self:           follower.Candidate{Name: s.Instance.Name, DataCentre: s.Instance.DataCentre},
-		Voters:         s.Control.Voters,
+		Voters:         s.Control.Contacts(),
 		FreshnessBound: s.Control.FreshnessBound,
-		Candidates:     func() []follower.Candidate { return candidates(s, registry) },
+		Candidates:     func() []follower.Candidate { return candidates(s, registry, following.State()) },
 		Rand:           rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 	}, network)
+	return following
 }
 
 // candidates lists the live instances that could serve the log.
-func candidates(s *settings.Settings, registry *membership.Registry) []follower.Candidate {
+func candidates(s *settings.Settings, registry *membership.Registry, state *store.State) []follower.Candidate {
 	var found []follower.Candidate
+	for _, replica := range state.Replicas() {
+		found = append(found, follower.Candidate{Name: replica.Instance, DataCentre: replica.DataCentre, Replica: true})
+	}
 	for _, instance := range registry.Instances(originTTL) {
-		if instance.Ready && !instance.Leaving {
+		known := slices.ContainsFunc(found, func(c follower.Candidate) bool { return c.Name == instance.Name })
+		if instance.Ready && !instance.Leaving && !known {
 			found = append(found, follower.Candidate{
 				Name:       instance.Name,
 				DataCentre: instance.DataCentre,
--- a/internal/app/main.go
+++ b/internal/app/main.go
@@ -11,12 +11,14 @@
 
 	"pinewinch.example/pinewinch/internal/protocol/failure"
 	"pinewinch.example/pinewinch/internal/settings"
+	"pinewinch.example/pinewinch/platform"
 )
 
 // Main runs the daemon with its command line and gives the exit code.
 func Main(args []string) int {
 	flags := flag.NewFlagSet("pinewinchd", flag.ContinueOnError)
 	config := flags.String("config", "", "settings file (INI)")
+	onPlatform := flags.Bool("platform", false, "take the settings that the platform gives")
 	check := flags.Bool("check", false, "check the settings and end")
 	level := flags.String("log-level", "", "goes before [log] level")
 	format := flags.String("log-format", "", "goes before [log] format: text or json")
@@ -26,10 +28,7 @@
 		}
 		return report(failure.Wrap(failure.BadSettings, err, "command line"))
 	}
-	if *config == "" {
-		return report(failure.New(failure.BadSettings, "give a settings file: -config FILE"))
-	}
-	loaded, err := settings.Load(*config)
+	loaded, err := load(*config, *onPlatform)
 	if err != nil {
 		return report(err)
 	}
@@ -49,6 +48,16 @@
 	return 0
 }
 
+func load(config string, onPlatform bool) (*settings.Settings, error) {
+	switch {
+	case onPlatform:
+		return platform.LoadSettings()
+	case config == "":
+		return nil, failure.New(failure.BadSettings, "give a settings file: -config FILE")
+	}
+	return settings.Load(config)
+}
+
 // replicaThreads is the fewest threads that may run Go code in a process that
 // syncs. With one, on a machine of one core, each sync holds up every request
 // until the runtime notices that the thread is blocked, up to 10 ms later: an
--- a/internal/app/repair.go
+++ b/internal/app/repair.go
@@ -38,7 +38,7 @@
 		RepairCost: repairCost,
 	})
 	config := repairer.Config{
-		Repair: repair.Config{Voters: len(s.Control.Voters), CutDelay: mostRepairDelay},
+		Repair: repair.Config{Voters: s.Control.WantedVoters(), CutDelay: mostRepairDelay},
 		Window: originTTL,
 		Now:    time.Now,
 		Logger: logger,
--- a/internal/app/softstate.go
+++ b/internal/app/softstate.go
@@ -12,6 +12,7 @@
 	"pinewinch.example/pinewinch/internal/protocol/consensuspb"
 	"pinewinch.example/pinewinch/internal/protocol/peerpb"
 	"pinewinch.example/pinewinch/internal/settings"
+	"pinewinch.example/pinewinch/internal/transport/peers"
 )
 
 const (
@@ -31,10 +32,11 @@
 	executor *claims.Executor
 	explain  *explainer
 	router   *routing.Router
+	network  *peers.Network
 }
 
-func newSoftState(s *settings.Settings, node control.Node, registry *membership.Registry, exchange *softstate.Exchange, executor *claims.Executor, explain *explainer, router *routing.Router) *softState {
-	return &softState{settings: s, node: node, registry: registry, exchange: exchange, executor: executor, explain: explain, router: router}
+func newSoftState(s *settings.Settings, node control.Node, registry *membership.Registry, exchange *softstate.Exchange, executor *claims.Executor, explain *explainer, router *routing.Router, network *peers.Network) *softState {
+	return &softState{settings: s, node: node, registry: registry, exchange: exchange, executor: executor, explain: explain, router: router, network: network}
 }
 
 // describe tells the registry what this instance is, as that changes.
@@ -86,6 +88,12 @@
 			return nil, err
 		}
 		return &peerpb.Reply{Body: &peerpb.Reply_Result{Result: result}}, nil
+	case *peerpb.Call_Introduce:
+		// Only replicas introduce themselves; one that is new has to be watched
+		// before it can be taken in.
+		if s.settings.Leased != nil {
+			s.network.Learn(call.From)
+		}
 	case *peerpb.Call_Explain:
 		return s.explain.serve(body.Explain)
 	case *peerpb.Call_Fetch:
--- a/internal/app/work.go
+++ b/internal/app/work.go
@@ -3,15 +3,18 @@
 import (
 	"time"
 
+	"github.com/sirupsen/logrus"
 	"go.uber.org/fx"
 
 	"pinewinch.example/pinewinch/internal/coordination/control"
 	"pinewinch.example/pinewinch/internal/coordination/dispatch"
 	"pinewinch.example/pinewinch/internal/coordination/dispatch/gang"
+	"pinewinch.example/pinewinch/internal/coordination/dispatch/leases"
 	"pinewinch.example/pinewinch/internal/coordination/dispatch/quarantine"
 	"pinewinch.example/pinewinch/internal/coordination/membership"
 	"pinewinch.example/pinewinch/internal/settings"
 	"pinewinch.example/pinewinch/internal/transport/upstream"
+	"pinewinch.example/pinewinch/platform"
 )
 
 const (
@@ -26,12 +29,56 @@
 )
 
 var workModule = fx.Module("work",
-	fx.Provide(newDispatcher, newController, newExplainer, newHTTPExplainer),
+	fx.Provide(newWorkers, newDispatcher, newController, newExplainer, newHTTPExplainer),
 	fx.Invoke(runController),
 )
 
-func newDispatcher(s *settings.Settings, log control.Log, client *upstream.Client) *dispatch.Dispatcher {
+// workers is how dispatch reaches workers and what it knows of them.
+type workers struct {
+	commands dispatch.Workers
+	registry dispatch.Registry
+	// keeper renews the leases; nil where workers do so by their announcements.
+	keeper  *leases.Keeper
+	wakeups chan struct{}
+}
+
+func newWorkers(s *settings.Settings, node control.Node, registry *membership.Registry, client *upstream.Client, logger *logrus.Logger) *workers {
+	log, leads := node.(leases.Log)
+	if s.Leased == nil || !leads {
+		return &workers{commands: client, registry: registry}
+	}
+	w := &workers{wakeups: make(chan struct{}, 1)}
+	config := leases.Config{
+		Lease:          s.Upstreams.Lease,
+		FreshnessBound: s.Control.FreshnessBound,
+		Now:            time.Now,
+		Wake:           w.wake,
+		Logger:         logger,
+	}
+	w.keeper = leases.NewKeeper(config, log, registry, platform.NewWorkers())
+	w.commands, w.registry = w.keeper, w.keeper
+	return w
+}
+
+func (w *workers) wake() {
+	select {
+	case w.wakeups <- struct{}{}:
+	default:
+	}
+}
+
+// leaseOver is nil where workers renew leases themselves.
+func (w *workers) leaseOver() func(string) bool {
+	if w.keeper == nil {
+		return nil
+	}
+	return w.keeper.LeaseOver
+}
+
+func newDispatcher(s *settings.Settings, log control.Log, w *workers) *dispatch.Dispatcher {
 	return dispatch.New(dispatch.Config{
+		LeaseOver: w.leaseOver(),
+		Wakeups:   w.wakeups,
 		Gang: gang.Config{
 			Lease:          s.Upstreams.Lease,
 			FreshnessBound: s.Control.FreshnessBound,
@@ -43,13 +90,16 @@
 			Probe:    s.Upstreams.Lease * leasesPerProbe,
 		},
 		Now: time.Now,
-	}, log, client)
+	}, log, w.commands)
 }
 
-func newController(log control.Log, dispatcher *dispatch.Dispatcher, registry *membership.Registry) *dispatch.Controller {
-	return dispatch.NewController(log, dispatcher, registry, time.Now)
+func newController(log control.Log, dispatcher *dispatch.Dispatcher, w *workers) *dispatch.Controller {
+	return dispatch.NewController(log, dispatcher, w.registry, time.Now)
 }
 
-func runController(lifecycle fx.Lifecycle, controller *dispatch.Controller) {
+func runController(lifecycle fx.Lifecycle, controller *dispatch.Controller, w *workers) {
+	if w.keeper != nil {
+		background(lifecycle, w.keeper.Run)
+	}
 	background(lifecycle, controller.Run)
 }
--- a/internal/coordination/dispatch/controller.go
+++ b/internal/coordination/dispatch/controller.go
@@ -8,6 +8,7 @@
 
 	"pinewinch.example/pinewinch/internal/coordination/dispatch/quarantine"
 	"pinewinch.example/pinewinch/internal/coordination/inventory"
+	"pinewinch.example/pinewinch/internal/coordination/recurrence"
 	"pinewinch.example/pinewinch/internal/coordination/scheduling"
 	"pinewinch.example/pinewinch/internal/protocol/controlpb"
 	"pinewinch.example/pinewinch/internal/protocol/peerpb"
@@ -83,7 +84,8 @@
 }
 
 func (c *Controller) pause() time.Duration {
-	if c.led && c.log.State().Active() == 0 {
+	state := c.log.State()
+	if c.led && state.Active() == 0 && !recurrence.Awaited(state) {
 		return idleEvery
 	}
 	return passEvery
@@ -120,6 +122,12 @@
 			return
 		}
 	}
+	if due := recurrence.Due(c.log.State(), c.now()); len(due) > 0 {
+		command := &controlpb.Command{Op: &controlpb.Command_StartRepetitions{StartRepetitions: &controlpb.StartRepetitions{Due: due}}}
+		if !c.propose(ctx, command) {
+			return
+		}
+	}
 	// The announcements are read before leadership is confirmed, which Reconcile
 	// counts on.
 	live := c.registry.Live(peerpb.UpstreamKind_UPSTREAM_KIND_WORKER)
@@ -176,6 +184,9 @@
 			DataCentre:   worker.DataCentre,
 			Rack:         worker.Rack,
 			Cores:        worker.Cores,
+			CoresMilli:   worker.CoresMilli,
+			Labels:       worker.Labels,
+			Services:     worker.Services,
 			MemoryMB:     worker.MemoryMb,
 			Accelerators: worker.Accelerators,
 			Unavailable:  worker.Leaving || state.Drained(worker.Id) || refused,
--- a/internal/coordination/dispatch/dispatch.go
+++ b/internal/coordination/dispatch/dispatch.go
@@ -57,7 +57,12 @@
 type Config struct {
 	Gang       gang.Config
 	Quarantine quarantine.Config
-	Now        func() time.Time
+	// LeaseOver is gang.Input's; nil where workers renew leases themselves.
+	LeaseOver func(worker string) bool
+	// Wakeups is a channel of one that others fill when there is news for dispatch;
+	// nil where the answers to its commands are all there is.
+	Wakeups chan struct{}
+	Now     func() time.Time
 }
 
 // Dispatcher brings the workers in line with the control state.
@@ -74,14 +79,18 @@
 
 // New makes a dispatcher.
 func New(config Config, control Control, workers Workers) *Dispatcher {
-	return &Dispatcher{
+	d := &Dispatcher{
 		config:  config,
 		control: control,
 		workers: workers,
 		machine: gang.New(config.Gang),
 		limit:   make(chan struct{}, maxInFlight),
-		wake:    make(chan struct{}, 1),
+		wake:    config.Wakeups,
 	}
+	if d.wake == nil {
+		d.wake = make(chan struct{}, 1)
+	}
+	return d
 }
 
 // Wake is ready when answers have come that Reconcile should look at.
@@ -110,6 +119,7 @@
 		Workers:     workers,
 		Answers:     d.takeAnswers(),
 		Quarantined: func(worker string) bool { return d.verdict(state, worker) >= quarantine.Quarantined },
+		LeaseOver:   d.config.LeaseOver,
 	})
 	for _, command := range output.Commands {
 		go d.send(ctx, command)
@@ -159,6 +169,7 @@
 		answer.Phase = reply.Phase
 		answer.Incarnation = reply.Incarnation
 		answer.CheckpointedMs = reply.CheckpointedMs
+		answer.Checkpoint = reply.Checkpoint
 	}
 	d.mu.Lock()
 	d.answers = append(d.answers, answer)
--- a/internal/coordination/dispatch/gang/machine.go
+++ b/internal/coordination/dispatch/gang/machine.go
@@ -41,6 +41,7 @@
 	Phase          string
 	Incarnation    int64
 	CheckpointedMs int64
+	Checkpoint     string
 	Err            *failure.Error
 }
 
@@ -55,6 +56,10 @@
 	Answers []Answer
 	// Quarantined tells the workers that are not healthy.
 	Quarantined func(worker string) bool
+	// LeaseOver tells that nothing can still run on a worker that does not answer.
+	// It is nil where workers renew leases by their announcements: then StopWait
+	// bounds them.
+	LeaseOver func(worker string) bool
 }
 
 // Output is what a step wants done: commands may be sent at once, Batch is to be
--- a/internal/coordination/dispatch/gang/retry.go
+++ b/internal/coordination/dispatch/gang/retry.go
@@ -43,6 +43,26 @@
 	return pause/2 + pause/2*time.Duration(digest.Sum64()%steps)/steps
 }
 
+// infrastructurePause keeps a job whose worker refused it from asking again in
+// every step: a refusal for want of room lasts until an end is listed.
+const infrastructurePause = 100 * time.Millisecond
+
+// decideBounded retries work with a declared number of attempts at once, and
+// parks it when they are used up. Ends that were not its own don't count.
+func decideBounded(job *controlpb.Job, now time.Time, move *controlpb.MoveJob) {
+	failed := job.OwnFailures
+	if move.Failure != nil && !failure.Code(move.Failure.Code).Infrastructure() {
+		failed++
+	}
+	if failed >= job.MaxAttempts {
+		move.State = controlpb.JobState_JOB_STATE_PARKED
+		return
+	}
+	if job.FailedEpoch != job.Epoch && move.Failure == nil && !job.Preempted {
+		move.NotBeforeMs = now.Add(infrastructurePause).UnixMilli()
+	}
+}
+
 // atFault tells a job that fails by itself from one that met bad workers.
 func atFault(job *controlpb.Job, quarantined func(worker string) bool) bool {
 	healthy := map[string]bool{}
--- a/internal/coordination/dispatch/gang/run.go
+++ b/internal/coordination/dispatch/gang/run.go
@@ -53,6 +53,8 @@
 	// report of the task's end.
 	report         *peerpb.TaskReport
 	checkpointedMs int64
+	// checkpoint is the newest that the worker named.
+	checkpoint string
 	// unknown is set where the worker has started again since it was given the
 	// task: it runs no more, and nobody can say how it ended.
 	unknown bool
@@ -136,6 +138,7 @@
 	m.heardIn = in
 	if !m.phase.ended() {
 		m.checkpointedMs = max(m.checkpointedMs, report.CheckpointedMs)
+		m.keep(report.Checkpoint)
 	}
 	before := m.phase
 	m.advance(reportedPhases[report.Phase], report.CheckpointedMs)
@@ -157,6 +160,7 @@
 		return
 	}
 	if answer.Err == nil {
+		m.keep(answer.Checkpoint)
 		m.advance(answeredPhases[answer.Phase], answer.CheckpointedMs)
 		return
 	}
@@ -176,6 +180,13 @@
 	m.checkpointedMs = max(m.checkpointedMs, checkpointedMs)
 }
 
+// keep takes a newer checkpoint; a report without one takes none back.
+func (m *member) keep(checkpoint string) {
+	if checkpoint != "" && !m.phase.ended() {
+		m.checkpoint = checkpoint
+	}
+}
+
 // done tells a task whose good end is in the log.
 func done(job *controlpb.Job, m *member) bool {
 	return slices.Contains(job.DoneTasks, m.placement.Task)
@@ -183,14 +194,20 @@
 
 // finish records the members that ended well and are not in the log as such.
 func (s *step) finish(job *controlpb.Job, r *run) {
+	together := job.EndsTogether && r.anyCompleted()
 	for _, m := range r.members {
-		if m.phase == phaseCompleted && !done(job, m) {
+		if (m.phase == phaseCompleted || together) && !done(job, m) {
 			finished := &controlpb.FinishedTask{Job: job.Id, Epoch: job.Epoch, Task: m.placement.Task}
 			s.batch().Finished = append(s.batch().Finished, finished)
 		}
 	}
 }
 
+// anyCompleted tells whether a member has ended well.
+func (r *run) anyCompleted() bool {
+	return slices.ContainsFunc(r.members, func(m *member) bool { return m.phase == phaseCompleted })
+}
+
 // stopped tells a member that surely runs no more: by its own word, now or
 // earlier in the log.
 func stopped(job *controlpb.Job, m *member) bool {
--- a/internal/coordination/dispatch/gang/running.go
+++ b/internal/coordination/dispatch/gang/running.go
@@ -13,6 +13,11 @@
 		return
 	}
 	r.news = false
+	if job.EndsTogether && r.anyCompleted() {
+		s.finish(job, r)
+		r.news = true
+		return
+	}
 	if failed := s.runFailure(job, r); failed != nil {
 		// The news is kept: if the move is not committed, it is made again.
 		r.news = true
@@ -35,6 +40,12 @@
 }
 
 func (s *step) runFailure(job *controlpb.Job, r *run) *controlpb.TaskFailure {
+	// A member that failed goes before those that its worker ended because of it.
+	for _, m := range r.members {
+		if m.phase == phaseFailed && !done(job, m) {
+			return s.memberFailure(m)
+		}
+	}
 	for _, m := range r.members {
 		if m.phase == phaseCompleted || done(job, m) {
 			continue
--- a/internal/coordination/dispatch/gang/starting.go
+++ b/internal/coordination/dispatch/gang/starting.go
@@ -9,6 +9,10 @@
 // member refuses has run nowhere. A member that refuses a start, or is silent,
 // stops all. Commands repeated by a new leader change nothing at the workers.
 func (s *step) starting(job *controlpb.Job, r *run) {
+	if job.EndsTogether && r.anyCompleted() {
+		s.finish(job, r)
+		return
+	}
 	if failed := s.startFailure(job, r); failed != nil {
 		s.fail(job, r, failed)
 		return
@@ -17,6 +21,12 @@
 		s.move(&controlpb.MoveJob{Job: job.Id, Epoch: job.Epoch, State: controlpb.JobState_JOB_STATE_RUNNING})
 		return
 	}
+	if s.in.LeaseOver != nil {
+		// These workers know no reservations: the first refusal stops all.
+		r.mayHaveStarted = true
+		s.sendEach(Start, phaseIdle, job, r)
+		return
+	}
 	if r.reached(phaseReserved) {
 		r.mayHaveStarted = true
 		s.sendEach(Start, phaseReserved, job, r)
@@ -35,6 +45,11 @@
 }
 
 func (s *step) startFailure(job *controlpb.Job, r *run) *controlpb.TaskFailure {
+	for _, m := range r.members {
+		if m.phase == phaseFailed {
+			return s.memberFailure(m)
+		}
+	}
 	for _, m := range r.members {
 		if failed := s.memberFailure(m); failed != nil {
 			return failed
--- a/internal/coordination/dispatch/gang/stopping.go
+++ b/internal/coordination/dispatch/gang/stopping.go
@@ -27,24 +27,33 @@
 // before it says nothing.
 func (s *step) stopping(job *controlpb.Job, r *run) {
 	s.finish(job, r)
-	silent := 0
+	silent, overdue := 0, true
 	for _, m := range r.members {
 		if stopped(job, m) {
 			continue
 		}
 		silent++
+		overdue = overdue && s.leaseOver(m, r)
 		w := s.workers[m.placement.Worker]
 		if m.awaiting == 0 && w != nil && !s.in.Now.Before(m.retry) {
 			s.send(Stop, job, m, w)
 		}
 	}
-	if silent > 0 && s.in.Now.Sub(r.since) < s.config.StopWait() {
+	if silent > 0 && !overdue {
 		s.acknowledge(job, r)
 		return
 	}
 	s.release(job, r, silent)
 }
 
+// leaseOver tells that a member that did not acknowledge surely runs no more.
+func (s *step) leaseOver(m *member, r *run) bool {
+	if s.in.LeaseOver != nil {
+		return s.in.LeaseOver(m.placement.Worker)
+	}
+	return s.in.Now.Sub(r.since) >= s.config.StopWait()
+}
+
 // acknowledge records who has stopped while others have not.
 func (s *step) acknowledge(job *controlpb.Job, r *run) {
 	for _, m := range r.members {
@@ -53,7 +62,7 @@
 		}
 		s.batch().Stopped = append(s.batch().Stopped, &controlpb.StopAcknowledged{
 			Job: job.Id, Epoch: job.Epoch,
-			Stopped: &controlpb.StoppedTask{Task: m.placement.Task, CheckpointedMs: m.checkpointedMs, OutcomeUnknown: m.unknown},
+			Stopped: &controlpb.StoppedTask{Task: m.placement.Task, CheckpointedMs: m.checkpointedMs, OutcomeUnknown: m.unknown, Checkpoint: m.checkpoint},
 		})
 	}
 }
@@ -64,6 +73,8 @@
 		Job: job.Id, Epoch: job.Epoch,
 		State:          job.NextState,
 		CheckpointedMs: checkpoint(job, r),
+		Checkpoint:     r.namedCheckpoint(),
+		Failure:        s.lateFailure(job, r),
 	}
 	if job.NextState == controlpb.JobState_JOB_STATE_WAITING {
 		s.decideRetry(job, r, silent, move)
@@ -93,6 +104,33 @@
 	return max(least, job.CheckpointedMs)
 }
 
+// namedCheckpoint is one that a member's worker named: one that was written at
+// the stop, or else the newest seen. Any member's is good for the whole gang.
+func (r *run) namedCheckpoint() string {
+	newest := ""
+	for _, m := range r.members {
+		if m.checkpoint != "" && (newest == "" || m.phase == phaseStopped) {
+			newest = m.checkpoint
+		}
+	}
+	return newest
+}
+
+// lateFailure is a member's own failure that came after the stop had another
+// reason, as when its companions' ends were heard first. Left out, the gang would
+// be tried once more than its attempts allow.
+func (s *step) lateFailure(job *controlpb.Job, r *run) *controlpb.TaskFailure {
+	if job.MaxAttempts == 0 || job.FailedEpoch == job.Epoch {
+		return nil
+	}
+	for _, m := range r.members {
+		if m.phase == phaseFailed {
+			return s.memberFailure(m)
+		}
+	}
+	return nil
+}
+
 // decideRetry sends the job back to waiting with a pause, or parks it.
 func (s *step) decideRetry(job *controlpb.Job, r *run, silent int, move *controlpb.MoveJob) {
 	if why := s.notRepeatable(job, r, silent); why != "" {
@@ -100,6 +138,10 @@
 		move.Failure = &controlpb.TaskFailure{Code: string(failure.OutcomeUnknown), Detail: why, TimeMs: s.in.Now.UnixMilli()}
 		return
 	}
+	if job.MaxAttempts > 0 {
+		decideBounded(job, s.in.Now, move)
+		return
+	}
 	if job.Preempted {
 		return
 	}
--- /dev/null
+++ b/internal/coordination/dispatch/leases/command.go
@@ -0,0 +1,155 @@
+package leases
+
+import (
+	"context"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"pinewinch.example/pinewinch/internal/protocol/api"
+	"pinewinch.example/pinewinch/internal/protocol/controlpb"
+	"pinewinch.example/pinewinch/internal/protocol/failure"
+	"pinewinch.example/pinewinch/internal/state/store"
+)
+
+const (
+	// startTimeout is how long a start may take; an answer takes milliseconds, and
+	// the other members of a gang wait for it.
+	startTimeout = 800 * time.Millisecond
+	// stopTimeout bounds one stop with the look for its end.
+	stopTimeout = 1500 * time.Millisecond
+	// endWait is how long a look waits for the end of a stopped run.
+	endWait = 450 * time.Millisecond
+)
+
+// Command implements dispatch.Workers.
+func (k *Keeper) Command(ctx context.Context, _, path string, command *api.TaskCommand) (*api.TaskAnswer, error) {
+	state := k.log.State()
+	job, ok := state.Job(command.Job)
+	if !ok {
+		return nil, failure.New(failure.NotFound, "no such job")
+	}
+	worker := placedOn(job, command.Task)
+	s := k.session(worker)
+	if s == nil {
+		return nil, failure.New(failure.Unreachable, "worker %s is not known", worker)
+	}
+	switch path {
+	case api.PathTaskStart:
+		return s.start(ctx, state, job, command)
+	case api.PathTaskStop:
+		return s.stop(ctx, job, command)
+	}
+	return nil, failure.New(failure.BadRequest, "no command %s", path)
+}
+
+func placedOn(job *controlpb.Job, task uint32) string {
+	for _, placement := range job.Placements {
+		if placement.Task == task {
+			return placement.Worker
+		}
+	}
+	return ""
+}
+
+// start orders a run. Its lease is the worker's, so the order notes that it may
+// prolong it before it leaves.
+func (s *session) start(ctx context.Context, state *store.State, job *controlpb.Job, command *api.TaskCommand) (*api.TaskAnswer, error) {
+	workflow, ok := state.Workflow(job.Workflow)
+	if !ok {
+		return nil, failure.New(failure.NotFound, "no workflow %s", job.Workflow)
+	}
+	if job.Epoch != command.Epoch {
+		return nil, failure.New(failure.StaleEpoch, "the job has moved on")
+	}
+	if err := s.keeper.mayOrder(s.token); err != nil {
+		return nil, err
+	}
+	start := Start{
+		Token:         s.token,
+		Task:          store.TaskName(job, command.Task),
+		Run:           command.Epoch,
+		Specification: workflow.Specification,
+		Checkpoint:    job.Checkpoint,
+	}
+	s.mu.Lock()
+	start.Deadline = s.ledger.Deadline(s.now())
+	s.ordered = s.now()
+	s.mu.Unlock()
+	s.poke()
+	ctx, cancel := context.WithTimeout(ctx, startTimeout)
+	defer cancel()
+	clock, err := s.keeper.client.Start(ctx, s.target, start)
+	entry := s.entry().WithFields(logrus.Fields{"task": start.Task, "run": start.Run, "index": state.Index()})
+	if err != nil {
+		f := failure.From(err)
+		entry.WithFields(logrus.Fields{"code": f.Code, "detail": f.Error()}).Warn("start refused or lost")
+		s.failed(err)
+		return nil, err
+	}
+	entry.Info("started")
+	s.mu.Lock()
+	s.ledger.HearClock(clock, s.now())
+	s.mu.Unlock()
+	return &api.TaskAnswer{Incarnation: command.Incarnation, Phase: api.PhaseRunning}, nil
+}
+
+// stop orders the end of a run and waits until the worker lists it, or shows that
+// the run never came there: after the order it can't come any more.
+func (s *session) stop(ctx context.Context, job *controlpb.Job, command *api.TaskCommand) (*api.TaskAnswer, error) {
+	stop := Stop{Token: s.token, Task: store.TaskName(job, command.Task), Run: command.Epoch}
+	if s.isGone() {
+		return &api.TaskAnswer{Incarnation: command.Incarnation}, nil
+	}
+	if err := s.keeper.mayOrder(s.token); err != nil {
+		return nil, err
+	}
+	s.mu.Lock()
+	s.ordered = s.now()
+	s.mu.Unlock()
+	s.poke()
+	ctx, cancel := context.WithTimeout(ctx, stopTimeout)
+	defer cancel()
+	clock, err := s.keeper.client.Stop(ctx, s.target, stop)
+	if err != nil {
+		s.failed(err)
+		if s.isGone() {
+			return &api.TaskAnswer{Incarnation: command.Incarnation}, nil
+		}
+		return nil, err
+	}
+	return s.awaitEnd(ctx, stop, clock, command.Incarnation)
+}
+
+func (s *session) awaitEnd(ctx context.Context, stop Stop, clock int64, incarnation int64) (*api.TaskAnswer, error) {
+	wait := time.Duration(0)
+	for ctx.Err() == nil {
+		s.mu.Lock()
+		fate, end := s.ledger.Find(stop.Task, stop.Run)
+		known := s.ledger.Clock() > clock
+		s.mu.Unlock()
+		switch {
+		case fate == Ended:
+			return &api.TaskAnswer{Incarnation: incarnation, Phase: phases[end.How], Checkpoint: end.Checkpoint}, nil
+		case fate == Absent && known:
+			return &api.TaskAnswer{Incarnation: incarnation}, nil
+		}
+		s.mu.Lock()
+		look := Look{Token: s.token, Acknowledged: s.ledger.acked, Wait: wait}
+		s.mu.Unlock()
+		if err := s.ask(ctx, look); err != nil {
+			return nil, err
+		}
+		wait = endWait
+	}
+	return nil, failure.Wrap(failure.OutcomeUnknown, ctx.Err(), "the run has not ended yet")
+}
+
+var phases = map[How]string{
+	Done:    api.PhaseCompleted,
+	Failed:  api.PhaseFailed,
+	Stopped: api.PhaseStopped,
+	Lapsed:  api.PhaseStopped,
+	Broken:  api.PhaseStopped,
+	Alone:   api.PhaseStopped,
+}
--- /dev/null
+++ b/internal/coordination/dispatch/leases/session.go
@@ -0,0 +1,260 @@
+package leases
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"google.golang.org/protobuf/proto"
+
+	"pinewinch.example/pinewinch/internal/protocol/failure"
+	"pinewinch.example/pinewinch/internal/protocol/peerpb"
+)
+
+// session is one leader's dealings with one boot of a worker.
+type session struct {
+	keeper *Keeper
+	token  uint64
+	target Target
+	cancel context.CancelFunc
+	began  time.Time
+	// poked is ready when a look is due at once.
+	poked chan struct{}
+
+	mu     sync.Mutex
+	ledger *Ledger
+	// gone is set once the boot has surely ended.
+	gone bool
+	// announced is the newest announcement; nil while none stands.
+	announced *peerpb.Upstream
+	// ordered is when the newest start or stop left.
+	ordered time.Time
+	version uint64
+	// view is what dispatch last saw, made of announced and the ledger.
+	view     *peerpb.Upstream
+	viewFrom *peerpb.Upstream
+	stale    bool
+	silent   bool
+}
+
+func (s *session) now() time.Time { return s.keeper.config.Now() }
+
+func (s *session) hear(worker *peerpb.Upstream) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.announced = worker
+	if worker.Departed {
+		s.gone = true
+	}
+}
+
+func (s *session) unheard() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.announced = nil
+}
+
+// run looks at the worker for as long as it may have runs.
+func (s *session) run(ctx context.Context) {
+	for ctx.Err() == nil && !s.isGone() {
+		if s.quiet() {
+			select {
+			case <-ctx.Done():
+			case <-s.poked:
+			}
+			continue
+		}
+		if err := s.look(ctx); err != nil {
+			pause(ctx, lookPause)
+			continue
+		}
+		s.settle(ctx)
+	}
+}
+
+func pause(ctx context.Context, length time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(length):
+	}
+}
+
+func (s *session) isGone() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.gone
+}
+
+// quiet tells a worker without runs, ends and recent orders: it needs no lease.
+func (s *session) quiet() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.ledger.Heard() && !s.ledger.Busy() && s.now().Sub(s.ordered) > busyAfter
+}
+
+func (s *session) poke() {
+	select {
+	case s.poked <- struct{}{}:
+	default:
+	}
+}
+
+// look asks the worker once and takes in its report. The first look takes the
+// token up and does not wait; a later one prolongs the lease, but not that of a
+// worker which has been silent: its runs are given up and begun elsewhere, and a
+// look whose answer is lost would keep them alive.
+func (s *session) look(ctx context.Context) error {
+	if err := s.keeper.mayOrder(s.token); err != nil {
+		return err
+	}
+	s.mu.Lock()
+	now := s.now()
+	look := Look{Token: s.token, Acknowledged: s.ledger.Settle(s.keeper.log.State())}
+	if s.ledger.Heard() && now.Sub(s.ledger.Answered()) < silentAfter {
+		look.Deadline = s.ledger.Deadline(now)
+		look.Wait = lookWait
+	}
+	s.mu.Unlock()
+	return s.ask(ctx, look)
+}
+
+func (s *session) ask(ctx context.Context, look Look) error {
+	looksSent.Add(1)
+	ctx, cancel := context.WithTimeout(ctx, look.Wait+lookSlack)
+	defer cancel()
+	report, err := s.keeper.client.Look(ctx, s.target, look)
+	if err != nil {
+		looksFailed.Add(1)
+		s.failed(err)
+		return err
+	}
+	s.take(report)
+	s.stopOrphans(ctx)
+	return nil
+}
+
+// failed notes a boot that is gone, and the loss of a worker.
+func (s *session) failed(err error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	f := failure.From(err)
+	if f.Code == failure.WorkerVanished && !s.gone {
+		s.gone = true
+		s.entry().WithField("reason", f.Error()).Warn("another boot answers in the worker's place")
+		s.keeper.config.Wake()
+		return
+	}
+	if !s.silent && s.now().Sub(s.lastAnswer()) >= silentAfter {
+		s.silent = true
+		s.entry().WithField("reason", f.Error()).Warn("worker does not answer")
+		s.keeper.config.Wake()
+	}
+}
+
+func (s *session) entry() *logrus.Entry {
+	return s.keeper.config.Logger.WithFields(logrus.Fields{"worker": s.target.Worker, "token": s.token})
+}
+
+func (s *session) lastAnswer() time.Time {
+	if answered := s.ledger.Answered(); answered.After(s.began) {
+		return answered
+	}
+	return s.began
+}
+
+func (s *session) take(report *Report) {
+	s.mu.Lock()
+	first := !s.ledger.Heard()
+	s.ledger.Take(report, s.now())
+	s.stale = true
+	if s.silent {
+		s.silent = false
+		s.entry().Info("worker answers again")
+	}
+	if first && len(report.Running)+len(report.Ends) > 0 {
+		s.entry().WithFields(logrus.Fields{"running": len(report.Running), "ends": len(report.Ends)}).Info("worker taken over")
+	}
+	s.mu.Unlock()
+	s.keeper.config.Wake()
+}
+
+// settle waits a moment until the log has taken in the ends that are known, so
+// that the next look acknowledges them.
+func (s *session) settle(ctx context.Context) {
+	deadline := time.NewTimer(settlePause)
+	defer deadline.Stop()
+	for {
+		changed := s.keeper.log.Changed()
+		s.mu.Lock()
+		s.ledger.Settle(s.keeper.log.State())
+		waiting := len(s.ledger.ends) > 0
+		s.mu.Unlock()
+		if !waiting {
+			return
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-deadline.C:
+			return
+		case <-changed:
+		}
+	}
+}
+
+// stopOrphans ends runs that the log gave up: a start that was carried out late,
+// or one whose worker came back.
+func (s *session) stopOrphans(ctx context.Context) {
+	s.mu.Lock()
+	orphans := s.ledger.Orphans(s.keeper.log.State())
+	s.mu.Unlock()
+	for _, orphan := range orphans {
+		orphansSeen.Add(1)
+		s.entry().WithFields(logrus.Fields{"task": orphan.Task, "run": orphan.Run}).Warn("unwanted run is stopped")
+		s.stopOnce(ctx, Stop{Token: s.token, Task: orphan.Task, Run: orphan.Run})
+	}
+}
+
+// stopOnce sends a stop; where it fails the next report shows the run again.
+func (s *session) stopOnce(ctx context.Context, stop Stop) {
+	if s.keeper.mayOrder(s.token) != nil {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, stopAgain)
+	defer cancel()
+	if _, err := s.keeper.client.Stop(ctx, s.target, stop); err != nil {
+		s.failed(err)
+	}
+}
+
+// leaseOver tells that nothing of this boot can still run.
+func (s *session) leaseOver() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.gone || s.ledger.LeaseOver(s.now())
+}
+
+// viewOf is the worker as dispatch sees it; nil for one that is lost.
+func (s *session) viewOf(worker *peerpb.Upstream) *peerpb.Upstream {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.gone || s.now().Sub(s.lastAnswer()) >= silentAfter && !s.restful() {
+		return nil
+	}
+	if s.view != nil && s.viewFrom == worker && !s.stale {
+		return s.view
+	}
+	view := proto.CloneOf(worker)
+	s.version++
+	view.Version = s.version
+	view.Leaving = worker.Leaving || !s.ledger.Heard()
+	view.Tasks = s.ledger.Tasks(s.keeper.log.State())
+	s.view, s.viewFrom, s.stale = view, worker, false
+	return view
+}
+
+// restful tells a worker that is not looked at, and so does not answer.
+func (s *session) restful() bool {
+	return s.ledger.Heard() && !s.ledger.Busy() && !s.ordered.After(s.ledger.Answered())
+}
--- a/internal/coordination/dispatch/passgate.go
+++ b/internal/coordination/dispatch/passgate.go
@@ -23,6 +23,7 @@
 type workerFacts struct {
 	id, dataCentre, rack string
 	cores, accelerators  uint32
+	coresMilli           uint32
 	memoryMB             uint64
 	unavailable          bool
 }
@@ -44,7 +45,7 @@
 func factsOf(w scheduling.Worker) workerFacts {
 	return workerFacts{
 		id: w.ID, dataCentre: w.DataCentre, rack: w.Rack,
-		cores: w.Cores, accelerators: w.Accelerators, memoryMB: w.MemoryMB,
+		cores: w.Cores, coresMilli: w.CoresMilli, accelerators: w.Accelerators, memoryMB: w.MemoryMB,
 		unavailable: w.Unavailable,
 	}
 }
--- a/internal/coordination/replica/core.go
+++ b/internal/coordination/replica/core.go
@@ -55,7 +55,7 @@
 		tick:     r.config.ElectionTimeout / electionTicks,
 		lastTick: time.Now(),
 		pending:  map[uint64]*proposal{},
-		links:    newLinks(r.config.Peers),
+		links:    newLinks(),
 	}
 	c.saving.index = recovered.state.Index()
 	c.node = consensus.New(c.nodeConfig(), recovered.consensus)
--- a/internal/coordination/replica/found.go
+++ b/internal/coordination/replica/found.go
@@ -59,7 +59,7 @@
 	own := r.disk.identity
 	identities := map[string]string{r.config.Instance: own}
 	exists := false
-	for _, peer := range r.config.Peers {
+	for _, peer := range r.config.Peers() {
 		met, err := r.meet(ctx, peer)
 		if err != nil {
 			continue
--- a/internal/coordination/replica/links.go
+++ b/internal/coordination/replica/links.go
@@ -18,22 +18,27 @@
 
 // links carry consensus messages to the other instances, each with a goroutine
 // of its own, so that one that is cut off holds up no other.
+//
+// A link is made with the first message to its peer. One goroutine uses links.
 type links struct {
+	ctx    context.Context
+	peers  Peers
 	queues map[string]chan *consensuspb.Message
 }
 
-func newLinks(peers []string) *links {
-	l := &links{queues: map[string]chan *consensuspb.Message{}}
-	for _, peer := range peers {
-		l.queues[peer] = make(chan *consensuspb.Message, linkQueue)
-	}
-	return l
-}
+func newLinks() *links { return &links{queues: map[string]chan *consensuspb.Message{}} }
+
+// start makes links carry until ctx ends; what is sent before is dropped.
+func (l *links) start(ctx context.Context, peers Peers) { l.ctx, l.peers = ctx, peers }
 
-func (l *links) start(ctx context.Context, peers Peers) {
-	for peer, queue := range l.queues {
-		go carry(ctx, peers, peer, queue)
+func (l *links) queue(peer string) chan *consensuspb.Message {
+	queue, ok := l.queues[peer]
+	if !ok && l.ctx != nil {
+		queue = make(chan *consensuspb.Message, linkQueue)
+		l.queues[peer] = queue
+		go carry(l.ctx, l.peers, peer, queue)
 	}
+	return queue
 }
 
 // send queues messages; where a queue is full they are dropped, which consensus
@@ -41,7 +46,7 @@
 func (l *links) send(messages []*consensuspb.Message) {
 	for _, message := range messages {
 		select {
-		case l.queues[disk.Instance(message.To)] <- message:
+		case l.queue(disk.Instance(message.To)) <- message:
 		default:
 			messagesDropped.Add(1)
 		}
--- a/internal/coordination/replica/mesh_test.go
+++ b/internal/coordination/replica/mesh_test.go
@@ -62,7 +62,7 @@
 	logger := logrus.New()
 	logger.SetOutput(io.Discard)
 	r := New(Config{
-		Instance: instance, Voters: voters, Peers: []string{"i1", "i2", "i3", "i4"},
+		Instance: instance, Voters: voters, Peers: func() []string { return []string{"i1", "i2", "i3", "i4"} },
 		Files: m.files(instance), DataFolder: filepath.Join(cmp.Or(m.folder, "/data"), instance),
 		ElectionTimeout: 400 * time.Millisecond, FreshnessBound: 3 * time.Second,
 		SnapshotEntries: m.entries, Now: time.Now, Logger: logger,
--- a/internal/coordination/replica/replica.go
+++ b/internal/coordination/replica/replica.go
@@ -64,8 +64,8 @@
 	// Voters are the instances that found the cluster; the first of them
 	// decides with which identities.
 	Voters []string
-	// Peers lists all other instances.
-	Peers      []string
+	// Peers lists all other instances that are known now.
+	Peers      func() []string
 	Files      disk.FS
 	DataFolder string
 	// ElectionTimeout is the shortest time without a leader's word before an
--- a/internal/coordination/scheduling/amount.go
+++ b/internal/coordination/scheduling/amount.go
@@ -2,7 +2,8 @@
 
 import "pinewinch.example/pinewinch/internal/protocol/controlpb"
 
-// amount is a quantity of a worker's resources; memory in MB.
+// amount is a quantity of a worker's resources: cores in thousandths, memory in
+// MB.
 type amount struct {
 	accelerators int64
 	cores        int64
@@ -49,13 +50,18 @@
 }
 
 func taskSize(job *controlpb.Job) amount {
-	return amount{int64(job.Accelerators), int64(job.Cores), int64(job.MemoryMb)}
+	return amount{int64(job.Accelerators), milliCores(job.Cores, job.CoresMilli), int64(job.MemoryMb)}
 }
 
 func workerSize(worker *Worker) amount {
-	return amount{accelerators(worker), int64(worker.Cores), int64(worker.MemoryMB)}
+	return amount{accelerators(worker), milliCores(worker.Cores, worker.CoresMilli), int64(worker.MemoryMB)}
 }
 
+// milliPerCore is the unit in which cores are counted.
+const milliPerCore = 1000
+
+func milliCores(whole, milli uint32) int64 { return int64(whole)*milliPerCore + int64(milli) }
+
 // maxAccelerators is the most accelerators of one worker: the bits of a mask.
 const maxAccelerators = 64
 
--- a/internal/coordination/scheduling/cluster.go
+++ b/internal/coordination/scheduling/cluster.go
@@ -33,6 +33,8 @@
 	usedBy []share
 	cells  []share
 	gangs  []*gang
+	// spread counts tasks by step, for jobs that bound them.
+	spread map[stepKey]int64
 }
 
 // share is what one customer has of a node.
@@ -164,6 +166,7 @@
 
 func (c *cluster) holdOn(n *node, g *gang, size amount) {
 	c.take(n, size)
+	n.countSpread(g.job, 1)
 	if last := len(g.held) - 1; last >= 0 && g.held[last].node == n {
 		g.held[last].amount = g.held[last].amount.plus(size)
 	} else {
--- a/internal/coordination/scheduling/feasible.go
+++ b/internal/coordination/scheduling/feasible.go
@@ -9,18 +9,24 @@
 	Tasks        uint32              `json:"tasks"`
 	Accelerators uint32              `json:"accelerators"`
 	Cores        uint32              `json:"cores"`
+	CoresMilli   uint32              `json:"cores_milli,omitempty"`
 	MemoryMB     uint64              `json:"memory_mb"`
 	Adjacency    controlpb.Adjacency `json:"adjacency"`
 }
 
 // JobShape gives the shape of a job.
 func JobShape(job *controlpb.Job) Shape {
-	return Shape{max(job.Tasks, 1), job.Accelerators, job.Cores, job.MemoryMb, job.Adjacency}
+	return Shape{max(job.Tasks, 1), job.Accelerators, job.Cores, job.CoresMilli, job.MemoryMb, job.Adjacency}
 }
 
 // ClassShape gives the shape of a class of work.
 func ClassShape(class *controlpb.WorkClass) Shape {
-	return Shape{max(class.Tasks, 1), class.Accelerators, class.Cores, class.MemoryMb, class.Adjacency}
+	return Shape{max(class.Tasks, 1), class.Accelerators, class.Cores, 0, class.MemoryMb, class.Adjacency}
+}
+
+// each is the size of one task.
+func (s Shape) each() amount {
+	return amount{int64(s.Accelerators), milliCores(s.Cores, s.CoresMilli), int64(s.MemoryMB)}
 }
 
 // Feasibility tells whether a shape fits onto the workers with nothing else
@@ -73,7 +79,7 @@
 
 // mostTasks is how many tasks of a shape the best domain takes when empty.
 func (c *cluster) mostTasks(shape Shape) int64 {
-	each := amount{int64(shape.Accelerators), int64(shape.Cores), int64(shape.MemoryMB)}
+	each := shape.each()
 	var most int64
 	for _, domain := range c.domains(shape.Adjacency) {
 		var tasks int64
@@ -88,7 +94,7 @@
 // cutTask reduces one task to what the best single worker has: the one that
 // keeps most accelerators, then cores, then memory.
 func (c *cluster) cutTask(shape Shape) Shape {
-	wanted := amount{int64(shape.Accelerators), int64(shape.Cores), int64(shape.MemoryMB)}
+	wanted := shape.each()
 	var best amount
 	for _, n := range c.nodes {
 		if cut := wanted.least(n.total); best.lessThan(cut) {
@@ -96,7 +102,7 @@
 		}
 	}
 	shape.Accelerators = uint32(best.accelerators)
-	shape.Cores = uint32(best.cores)
+	shape.Cores, shape.CoresMilli = uint32(best.cores/milliPerCore), uint32(best.cores%milliPerCore)
 	shape.MemoryMB = uint64(best.memory)
 	return shape
 }
--- a/internal/coordination/scheduling/pass.go
+++ b/internal/coordination/scheduling/pass.go
@@ -50,16 +50,38 @@
 	fixed     bool
 	adjacency controlpb.Adjacency
 	urgent    bool
+	where     whereKey
+}
+
+// whereKey is what decides which workers an ask may use at all.
+type whereKey struct {
+	service     string
+	requirement string
+	// job is set where the answer is the job's own.
+	job string
+	// step is set where tasks of the step count against each other.
+	step stepKey
+}
+
+func (a *ask) where() whereKey {
+	key := whereKey{service: a.job.Service, requirement: a.job.Requirement}
+	if a.job.MaxAttempts > 0 && len(a.job.Failures) > 0 {
+		key.job = a.job.Id
+	}
+	if a.job.SpreadLimit > 0 {
+		key.step = keyOf(a.job)
+	}
+	return key
 }
 
 func (a *ask) key() shapeKey {
-	return shapeKey{a.customer, a.tasks, a.each, a.fixed, a.job.Adjacency, a.job.Urgent}
+	return shapeKey{a.customer, a.tasks, a.each, a.fixed, a.job.Adjacency, a.job.Urgent, a.where()}
 }
 
 // roomKey leaves out what free room does not depend on: only fixed work minds
 // whose cells it would be in.
 func (a *ask) roomKey() shapeKey {
-	key := shapeKey{each: a.each, fixed: a.fixed, adjacency: a.job.Adjacency}
+	key := shapeKey{each: a.each, fixed: a.fixed, adjacency: a.job.Adjacency, where: a.where()}
 	if a.fixed {
 		key.customer = a.customer
 	}
@@ -286,6 +308,7 @@
 		}
 		size := a.each.times(s.tasks)
 		p.cluster.take(s.node, size)
+		s.node.countSpread(a.job, s.tasks)
 		s.node.use(a.customer, size, a.fixed)
 		if a.firm {
 			add(&s.node.firmBy, a.customer, size)
--- a/internal/coordination/scheduling/placement.go
+++ b/internal/coordination/scheduling/placement.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 
 	"pinewinch.example/pinewinch/internal/protocol/controlpb"
@@ -90,10 +91,10 @@
 // limit bounds a count by what the node may give: nothing if it is to be left
 // alone, and no fixed work where it would break another customer's cell.
 func (n *node) limit(a *ask, tasks int64) int64 {
-	if n.worker.Unavailable {
+	if n.worker.Unavailable || tasks <= 0 || !n.allows(a) {
 		return 0
 	}
-	tasks = min(tasks, a.tasks)
+	tasks = min(tasks, a.tasks, n.spreadLeft(a.job))
 	if !a.fixed {
 		return tasks
 	}
@@ -225,6 +226,9 @@
 
 func (r *rack) cost(a *ask) int64 {
 	left := r.free.accelerators - a.size().accelerators
+	if a.job.DataRack != "" && a.job.DataRack == r.name {
+		return math.MinInt64
+	}
 	var borrowed int64
 	for _, n := range r.nodes {
 		borrowed += borrowCost(n, a)
--- a/internal/coordination/scheduling/scheduling.go
+++ b/internal/coordination/scheduling/scheduling.go
@@ -15,15 +15,21 @@
 
 // Worker is one worker as scheduling sees it.
 type Worker struct {
-	ID           string
-	DataCentre   string
-	Rack         string
-	Cores        uint32
+	ID         string
+	DataCentre string
+	Rack       string
+	Cores      uint32
+	// CoresMilli are thousandths of a core beside the whole ones.
+	CoresMilli   uint32
 	MemoryMB     uint64
 	Accelerators uint32
 	// Unavailable workers keep their tasks but get no new ones: leaving,
 	// drained or quarantined.
 	Unavailable bool
+	// Labels are what jobs may require of a worker.
+	Labels []string
+	// Services are those whose tasks it takes; none for any.
+	Services []string
 }
 
 // Snapshot is what one pass decides from.
--- a/internal/coordination/scheduling/verify.go
+++ b/internal/coordination/scheduling/verify.go
@@ -80,7 +80,7 @@
 		return &Breach{Kind: BreachGang, Job: assignment.Job}
 	}
 	placed := &controlpb.Job{
-		Customer: job.Customer, Cores: job.Cores, MemoryMb: job.MemoryMb,
+		Customer: job.Customer, Cores: job.Cores, CoresMilli: job.CoresMilli, MemoryMb: job.MemoryMb,
 		Idempotent: job.Idempotent, Checkpointable: job.Checkpointable,
 	}
 	for _, placement := range assignment.Placements {
--- a/internal/coordination/softstate/softstate.go
+++ b/internal/coordination/softstate/softstate.go
@@ -99,15 +99,23 @@
 // Run watches every peer until ctx ends.
 func (x *Exchange) Run(ctx context.Context) {
 	var group sync.WaitGroup
-	for _, peer := range x.peers.Peers() {
-		group.Go(func() { x.watch(ctx, peer) })
+	watched := map[string]bool{}
+	watchAll := func() {
+		for _, peer := range x.peers.Peers() {
+			if !watched[peer] {
+				watched[peer] = true
+				group.Go(func() { x.watch(ctx, peer) })
+			}
+		}
 	}
+	watchAll()
 	ticker := time.NewTicker(sweepEvery)
 	defer ticker.Stop()
 	for ctx.Err() == nil {
 		select {
 		case <-ctx.Done():
 		case <-ticker.C:
+			watchAll()
 			x.registry.Sweep()
 			x.lookAtRenewals()
 		}
--- a/internal/coordination/standby/standby.go
+++ b/internal/coordination/standby/standby.go
@@ -146,6 +146,9 @@
 // Status is the replica's own view of the log.
 func (n *Node) Status() consensus.Status { return n.replica.Status() }
 
+// Term numbers the leaderships of the log as far as this replica knows.
+func (n *Node) Term() uint64 { return n.replica.Status().Term }
+
 // ServePropose answers a command that another instance sent.
 func (n *Node) ServePropose(ctx context.Context, propose *peerpb.Propose) (*controlpb.Result, error) {
 	return n.acting().ServePropose(ctx, propose)
--- a/internal/protocol/api/upstream.go
+++ b/internal/protocol/api/upstream.go
@@ -113,6 +113,8 @@
 	Incarnation    int64  `json:"incarnation,omitempty"`
 	Phase          string `json:"phase,omitempty"`
 	CheckpointedMs int64  `json:"checkpointed_ms,omitempty"`
+	// Checkpoint names the newest one, where workers name them.
+	Checkpoint string `json:"checkpoint,omitempty"`
 }
 
 // The phases of a task on the wire.
--- a/internal/protocol/declaration/declaration.go
+++ b/internal/protocol/declaration/declaration.go
@@ -120,22 +120,26 @@
 
 // The keys of items, by kind.
 const (
-	customerPrefix = "customer/"
+	CustomerPrefix = "customer/"
 	classPrefix    = "class/"
-	servicePrefix  = "service/"
+	ServicePrefix  = "service/"
+	QueuePrefix    = "queue/"
 	entryPrefix    = "entry/"
 	// RulesKey is the key of the one item of rules.
 	RulesKey = "rules"
 )
 
 // CustomerKey is the item key of a customer.
-func CustomerKey(name string) string { return customerPrefix + name }
+func CustomerKey(name string) string { return CustomerPrefix + name }
 
 // ClassKey is the item key of a class of work.
 func ClassKey(name string) string { return classPrefix + name }
 
+// QueueKey is the key of the queue at a host and path prefix.
+func QueueKey(host, pathPrefix string) string { return QueuePrefix + host + pathPrefix }
+
 // ServiceKey is the item key of a service.
-func ServiceKey(name string) string { return servicePrefix + name }
+func ServiceKey(name string) string { return ServicePrefix + name }
 
 // EntryKey is the item key of an inventory entry.
 func EntryKey(name string) string { return entryPrefix + name }
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -23,6 +23,8 @@
 	Log       Log
 	TLS       TLS
 	PeersTLS  PeersTLS
+	// Leased is nil where workers renew leases by their announcements.
+	Leased *Leased
 	// Customers and Operators map a name to the SHA-256 of its token.
 	Customers map[string][]byte
 	Operators map[string][]byte
@@ -42,6 +44,12 @@
 type Control struct {
 	// Voters are the instances that form the first quorum.
 	Voters []string
+	// Seeds are instances to ask for the log where nothing else is known; the
+	// voters where there are none.
+	Seeds []string
+	// Tolerated is how many replicas may be lost at once; replicas join by
+	// themselves until there are enough for that. 0 leaves it at the voters.
+	Tolerated int
 	// FreshnessBound is the oldest control state on which work is admitted.
 	FreshnessBound time.Duration
 	// ElectionTimeout is the shortest time without a leader's word.
@@ -86,6 +94,34 @@
 type Log struct {
 	Level  string
 	Format string
+	// Standard sends lines to standard output in place of standard error.
+	Standard bool
+}
+
+// Leased is set where workers' leases are renewed by the leader and callers submit
+// workflows to queues. An address that is zero is not served.
+type Leased struct {
+	Callers   netip.AddrPort
+	Readiness netip.AddrPort
+	Control   netip.AddrPort
+	// AnnounceEvery is how often a worker announces itself.
+	AnnounceEvery time.Duration
+}
+
+// Contacts are the instances that are known from the start.
+func (c *Control) Contacts() []string {
+	if len(c.Seeds) > 0 {
+		return c.Seeds
+	}
+	return c.Voters
+}
+
+// WantedVoters is how many replicas shall vote.
+func (c *Control) WantedVoters() int {
+	if c.Tolerated > 0 {
+		return 2*c.Tolerated + 1
+	}
+	return len(c.Voters)
 }
 
 // TLS names the files of the certificate for HTTP; empty for plain HTTP.
--- a/internal/state/store/apply.go
+++ b/internal/state/store/apply.go
@@ -76,6 +76,16 @@
 		return s.setCreditMembers(op.CreditMembers)
 	case *controlpb.Command_SubmitJobs:
 		return s.submitJobs(op.SubmitJobs)
+	case *controlpb.Command_Replace:
+		return s.replaceDeclarations(op.Replace)
+	case *controlpb.Command_SubmitWorkflow:
+		return s.submitWorkflow(op.SubmitWorkflow)
+	case *controlpb.Command_CancelWorkflow:
+		return s.cancelWorkflow(op.CancelWorkflow)
+	case *controlpb.Command_StartRepetitions:
+		return s.startRepetitions(op.StartRepetitions)
+	case *controlpb.Command_SetReplicas:
+		return s.setReplicas(op.SetReplicas)
 	}
 	return &controlpb.Result{}
 }
@@ -86,6 +96,7 @@
 	s.expireClaims(maxExpiredPerApply)
 	oldJob := s.timeMs - endedJobLife.Milliseconds()
 	s.jobs = expire(s.jobs, func(j *controlpb.Job) bool { return Ended(j.State) && j.EndedMs < oldJob })
+	s.workflows = expire(s.workflows, s.oldWorkflow)
 	s.health = expire(s.health, s.oldHealth)
 	s.occurrences = expire(s.occurrences, s.oldOccurrence)
 }
--- a/internal/state/store/health.go
+++ b/internal/state/store/health.go
@@ -29,6 +29,9 @@
 	failure.MemoryExceeded: true,
 	failure.WorkerVanished: true,
 	failure.LeaseLost:      true,
+	failure.Overloaded:     true,
+	failure.DeadlinePassed: true,
+	failure.StaleEpoch:     true,
 }
 
 // recordWorkerFailure keeps a failure against its worker.
--- a/internal/state/store/jobs.go
+++ b/internal/state/store/jobs.go
@@ -137,9 +137,12 @@
 func (s *State) putJob(job *controlpb.Job) {
 	key := []byte(job.Id)
 	s.jobs, _, _ = s.jobs.Insert(key, job)
-	if Ended(job.State) {
-		s.active, _, _ = s.active.Delete(key)
+	if !Ended(job.State) {
+		s.active, _, _ = s.active.Insert(key, job)
 		return
 	}
-	s.active, _, _ = s.active.Insert(key, job)
+	s.active, _, _ = s.active.Delete(key)
+	if job.Workflow != "" {
+		s.unitEnded(job)
+	}
 }
--- a/internal/state/store/moves.go
+++ b/internal/state/store/moves.go
@@ -48,6 +48,9 @@
 	s.recordFailure(job, op.Failure)
 	resize(job, op.ObservedMemoryMb)
 	job.NotBeforeMs = max(job.NotBeforeMs, op.NotBeforeMs)
+	if op.Checkpoint != "" {
+		job.Checkpoint = op.Checkpoint
+	}
 	switch {
 	case op.State == controlpb.JobState_JOB_STATE_RUNNING:
 		s.run(job)
@@ -97,6 +100,10 @@
 	if excess := len(job.Failures) - maxFailures; excess > 0 {
 		job.Failures = job.Failures[excess:]
 	}
+	if !failure.Code(failed.Code).Infrastructure() && job.FailedEpoch < job.Epoch {
+		job.FailedEpoch = job.Epoch
+		job.OwnFailures++
+	}
 	s.recordWorkerFailure(job.Id, failed)
 }
 
@@ -110,6 +117,9 @@
 	job.State = controlpb.JobState_JOB_STATE_RUNNING
 	job.StartedMs = s.timeMs
 	job.ReservedMs += s.timeMs - job.PlacedMs
+	if job.Workflow != "" {
+		s.unitStarted(job)
+	}
 }
 
 // stop sends a job towards its next state: at once if it holds nothing, else
@@ -174,6 +184,9 @@
 	}
 	job = proto.CloneOf(job)
 	job.StoppedTasks = append(job.StoppedTasks, op.Stopped)
+	if op.Stopped.Checkpoint != "" {
+		job.Checkpoint = op.Stopped.Checkpoint
+	}
 	giveBack(job, op.Stopped.Task)
 	s.putJob(job)
 }
--- a/internal/state/store/store.go
+++ b/internal/state/store/store.go
@@ -39,6 +39,12 @@
 	// each entry.
 	health      *table[*controlpb.WorkerHealth]
 	occurrences *table[*controlpb.Occurrence]
+	// workflows are all that are kept, openWorkflows those that have not ended.
+	workflows     *table[*controlpb.Workflow]
+	openWorkflows *table[*controlpb.Workflow]
+	// document is nil before the first; it never changes once it is here.
+	document *controlpb.Document
+	replicas []*controlpb.ReplicaInstance
 	// creditMembers is never nil.
 	creditMembers *controlpb.CreditMembers
 }
@@ -59,6 +65,9 @@
 		health:      iradix.New[*controlpb.WorkerHealth](),
 		occurrences: iradix.New[*controlpb.Occurrence](),
 
+		workflows:     iradix.New[*controlpb.Workflow](),
+		openWorkflows: iradix.New[*controlpb.Workflow](),
+
 		creditMembers: &controlpb.CreditMembers{},
 	}
 }
@@ -138,6 +147,9 @@
 		Occurrences: list(s.occurrences),
 
 		CreditMembers: s.creditMembers,
+		Document:      s.document,
+		Workflows:     list(s.workflows),
+		Replicas:      s.replicas,
 	}
 	walk(s.drained, func(key string, _ bool) { snapshot.Drained = append(snapshot.Drained, key) })
 	snapshot.ProtoReflect().SetUnknown(s.unknown)
@@ -153,6 +165,9 @@
 	s.items = fill(snapshot.Items, func(i *controlpb.Item) []byte { return []byte(i.Key) })
 	s.jobs = fill(snapshot.Jobs, func(j *controlpb.Job) []byte { return []byte(j.Id) })
 	s.restoreClaims(snapshot)
+	s.restoreWorkflows(snapshot.Workflows)
+	s.document = snapshot.Document
+	s.replicas = snapshot.Replicas
 	s.unknown = snapshot.ProtoReflect().GetUnknown()
 	s.sessionAges = fillSessionAges(snapshot.Sessions)
 	s.sessions = fill(snapshot.Sessions, func(v *controlpb.Session) []byte { return []byte(v.Client) })
--- /dev/null
+++ b/internal/state/store/workflows.go
@@ -0,0 +1,310 @@
+package store
+
+import (
+	"strconv"
+
+	"google.golang.org/protobuf/proto"
+
+	"pinewinch.example/pinewinch/internal/protocol/controlpb"
+	"pinewinch.example/pinewinch/internal/protocol/failure"
+)
+
+// endedWorkflowLife is how long an ended workflow can be looked up: callers ask
+// for a result well after it came, and a resend of its submission must find it.
+const endedWorkflowLife = 10 * 60 * 1000
+
+// Workflow looks up a workflow by its id.
+func (s *State) Workflow(id string) (*controlpb.Workflow, bool) { return s.workflows.Get([]byte(id)) }
+
+// OpenWorkflows lists the workflows that have not ended, by id.
+func (s *State) OpenWorkflows() []*controlpb.Workflow { return list(s.openWorkflows) }
+
+// Pending counts the workflows of a queue of which no task has started.
+func (s *State) Pending(queue string) int {
+	pending := 0
+	walk(s.openWorkflows, func(_ string, w *controlpb.Workflow) {
+		if w.Queue == queue && w.State == controlpb.WorkflowState_WORKFLOW_STATE_QUEUED {
+			pending++
+		}
+	})
+	return pending
+}
+
+// WorkflowEnded tells a state that a workflow never leaves.
+func WorkflowEnded(state controlpb.WorkflowState) bool {
+	switch state {
+	case controlpb.WorkflowState_WORKFLOW_STATE_COMPLETED,
+		controlpb.WorkflowState_WORKFLOW_STATE_FAILED,
+		controlpb.WorkflowState_WORKFLOW_STATE_CANCELLED:
+		return true
+	}
+	return false
+}
+
+// submitWorkflow accepts a workflow once: the same id again gets it as it stands.
+func (s *State) submitWorkflow(op *controlpb.SubmitWorkflow) *controlpb.Result {
+	if known, ok := s.Workflow(op.Workflow.Id); ok {
+		if known.Queue != op.Workflow.Queue {
+			return refusal(0, failure.Conflict, "the id is in use in another queue")
+		}
+		return &controlpb.Result{Workflow: known}
+	}
+	w := proto.CloneOf(op.Workflow)
+	w.State = controlpb.WorkflowState_WORKFLOW_STATE_QUEUED
+	w.SubmittedMs = s.timeMs
+	if w.Repetitions == 0 {
+		s.startRepetition(w)
+	}
+	s.putWorkflow(w)
+	return &controlpb.Result{Workflow: w}
+}
+
+func (s *State) cancelWorkflow(op *controlpb.CancelWorkflow) *controlpb.Result {
+	w, ok := s.Workflow(op.Id)
+	if !ok || w.Queue != op.Queue {
+		return refusal(0, failure.NotFound, "no such workflow")
+	}
+	if WorkflowEnded(w.State) {
+		return &controlpb.Result{Workflow: w}
+	}
+	w = proto.CloneOf(w)
+	s.endWorkflow(w, controlpb.WorkflowState_WORKFLOW_STATE_CANCELLED)
+	return &controlpb.Result{Workflow: w}
+}
+
+// startRepetitions starts occurrences up to the number that is due; what another
+// leader started already is passed over.
+func (s *State) startRepetitions(op *controlpb.StartRepetitions) *controlpb.Result {
+	for _, due := range op.Due {
+		w, ok := s.Workflow(due.Workflow)
+		if !ok || WorkflowEnded(w.State) {
+			continue
+		}
+		w = proto.CloneOf(w)
+		for w.RepetitionsStarted < min(due.Started, w.Repetitions) {
+			s.startRepetition(w)
+		}
+		s.putWorkflow(w)
+	}
+	return &controlpb.Result{}
+}
+
+func (s *State) startRepetition(w *controlpb.Workflow) {
+	progress := &controlpb.RepetitionProgress{
+		Number:  w.RepetitionsStarted,
+		Done:    make([]uint32, len(w.Steps)),
+		Started: make([]bool, len(w.Steps)),
+	}
+	w.RepetitionsStarted++
+	w.Progress = append(w.Progress, progress)
+	s.startReadySteps(w, progress)
+}
+
+// startReadySteps turns each step whose predecessors are done into jobs.
+func (s *State) startReadySteps(w *controlpb.Workflow, progress *controlpb.RepetitionProgress) {
+	for number, step := range w.Steps {
+		if progress.Started[number] || !ready(w, progress, step) {
+			continue
+		}
+		progress.Started[number] = true
+		s.startStep(w, progress, uint32(number))
+	}
+}
+
+func ready(w *controlpb.Workflow, progress *controlpb.RepetitionProgress, step *controlpb.Step) bool {
+	for _, earlier := range step.After {
+		if progress.Done[earlier] < w.Steps[earlier].Count {
+			return false
+		}
+	}
+	return true
+}
+
+// startStep makes one job of a gang, and one of each task of another step.
+func (s *State) startStep(w *controlpb.Workflow, progress *controlpb.RepetitionProgress, number uint32) {
+	step := w.Steps[number]
+	job := s.unit(w, progress.Number, number)
+	if step.Gang {
+		job.Id = stepName(w.Id, progress.Number, number)
+		job.Tasks = step.Count
+		job.EndsTogether = true
+		s.putJob(job)
+		return
+	}
+	for index := range step.Count {
+		task := proto.CloneOf(job)
+		task.Id = stepName(w.Id, progress.Number, number) + "." + strconv.Itoa(int(index))
+		task.FirstTask = index
+		task.Tasks = 1
+		s.putJob(task)
+	}
+}
+
+func stepName(workflow string, repetition, step uint32) string {
+	return workflow + "." + strconv.Itoa(int(repetition)) + "." + strconv.Itoa(int(step))
+}
+
+// TaskName names one task of a workflow: ID.REPETITION.STEP.INDEX.
+func TaskName(job *controlpb.Job, task uint32) string {
+	return stepName(job.Workflow, job.Repetition, job.Step) + "." + strconv.Itoa(int(job.FirstTask+task))
+}
+
+// unit is what all jobs of a step have in common.
+func (s *State) unit(w *controlpb.Workflow, repetition, number uint32) *controlpb.Job {
+	step := w.Steps[number]
+	return &controlpb.Job{
+		Customer:       w.Customer,
+		WorkClass:      w.Queue,
+		Accelerators:   step.Accelerators,
+		CoresMilli:     step.CoresMilli,
+		MemoryMb:       step.MemoryMb,
+		RunTimeMs:      step.RunTimeMs,
+		DeadlineMs:     objective(w, repetition, s.timeMs),
+		Priority:       w.Priority,
+		Urgent:         w.Priority == 0,
+		Idempotent:     true,
+		Checkpointable: step.Checkpointable,
+		SubmittedMs:    s.timeMs,
+		State:          controlpb.JobState_JOB_STATE_WAITING,
+		Workflow:       w.Id,
+		Repetition:     repetition,
+		Step:           number,
+		Requirement:    step.Requirement,
+		DataRack:       step.DataRack,
+		SpreadLimit:    step.SpreadLimit,
+		Service:        w.Service,
+		MaxAttempts:    w.MaxAttempts,
+		TightlyCoupled: step.TightlyCoupled,
+	}
+}
+
+// objective is when the work should have completed: the longest chain of
+// estimates, stretched by the queue's slack, and its target latency.
+func objective(w *controlpb.Workflow, repetition uint32, nowMs int64) int64 {
+	from := w.SubmittedMs
+	if w.Repetitions > 0 {
+		from = w.FirstDueMs + int64(repetition)*w.EveryMs
+	}
+	if from == 0 {
+		from = nowMs
+	}
+	return from + longestChain(w)*int64(w.SlackThousandths)/1000 + w.TargetLatencyMs
+}
+
+func longestChain(w *controlpb.Workflow) int64 {
+	chains := make([]int64, len(w.Steps))
+	longest := int64(0)
+	for number, step := range w.Steps {
+		for _, earlier := range step.After {
+			chains[number] = max(chains[number], chains[earlier])
+		}
+		chains[number] += step.RunTimeMs
+		longest = max(longest, chains[number])
+	}
+	return longest
+}
+
+// unitStarted notes that a task of the workflow runs.
+func (s *State) unitStarted(job *controlpb.Job) {
+	w, ok := s.Workflow(job.Workflow)
+	if !ok || w.State != controlpb.WorkflowState_WORKFLOW_STATE_QUEUED {
+		return
+	}
+	w = proto.CloneOf(w)
+	w.State = controlpb.WorkflowState_WORKFLOW_STATE_RUNNING
+	s.putWorkflow(w)
+}
+
+// unitEnded brings the workflow forward when one of its jobs has ended. Jobs of
+// an ended workflow are dropped as they end: nothing refers to them any more.
+func (s *State) unitEnded(job *controlpb.Job) {
+	w, ok := s.Workflow(job.Workflow)
+	if !ok || WorkflowEnded(w.State) {
+		s.jobs, _, _ = s.jobs.Delete([]byte(job.Id))
+		return
+	}
+	w = proto.CloneOf(w)
+	switch job.State {
+	case controlpb.JobState_JOB_STATE_COMPLETED:
+		s.unitDone(w, job)
+	case controlpb.JobState_JOB_STATE_PARKED:
+		s.endWorkflow(w, controlpb.WorkflowState_WORKFLOW_STATE_FAILED)
+	}
+}
+
+func (s *State) unitDone(w *controlpb.Workflow, job *controlpb.Job) {
+	for at, progress := range w.Progress {
+		if progress.Number != job.Repetition {
+			continue
+		}
+		progress.Done[job.Step] += job.Tasks
+		if !allDone(w, progress) {
+			s.startReadySteps(w, progress)
+			break
+		}
+		w.Progress = append(w.Progress[:at:at], w.Progress[at+1:]...)
+		w.RepetitionsDone++
+		break
+	}
+	if w.RepetitionsDone >= max(w.Repetitions, 1) {
+		s.endWorkflow(w, controlpb.WorkflowState_WORKFLOW_STATE_COMPLETED)
+		return
+	}
+	s.putWorkflow(w)
+}
+
+func allDone(w *controlpb.Workflow, progress *controlpb.RepetitionProgress) bool {
+	for number, step := range w.Steps {
+		if progress.Done[number] < step.Count {
+			return false
+		}
+	}
+	return true
+}
+
+// endWorkflow ends a workflow and stops what still runs of it.
+func (s *State) endWorkflow(w *controlpb.Workflow, state controlpb.WorkflowState) {
+	w.State = state
+	w.EndedMs = s.timeMs
+	s.putWorkflow(w)
+	for _, job := range s.units(w.Id) {
+		if Ended(job.State) {
+			s.jobs, _, _ = s.jobs.Delete([]byte(job.Id))
+			continue
+		}
+		job = proto.CloneOf(job)
+		s.stop(job, controlpb.JobState_JOB_STATE_CANCELLED)
+		s.putJob(job)
+	}
+}
+
+// units lists the kept jobs of a workflow.
+func (s *State) units(workflow string) []*controlpb.Job {
+	var units []*controlpb.Job
+	s.jobs.Root().WalkPrefix([]byte(workflow+"."), func(_ []byte, job *controlpb.Job) bool {
+		units = append(units, job)
+		return false
+	})
+	return units
+}
+
+func (s *State) putWorkflow(w *controlpb.Workflow) {
+	key := []byte(w.Id)
+	s.workflows, _, _ = s.workflows.Insert(key, w)
+	if WorkflowEnded(w.State) {
+		s.openWorkflows, _, _ = s.openWorkflows.Delete(key)
+		return
+	}
+	s.openWorkflows, _, _ = s.openWorkflows.Insert(key, w)
+}
+
+func (s *State) restoreWorkflows(workflows []*controlpb.Workflow) {
+	for _, w := range workflows {
+		s.putWorkflow(w)
+	}
+}
+
+// oldWorkflow tells an ended workflow past its life.
+func (s *State) oldWorkflow(w *controlpb.Workflow) bool {
+	return WorkflowEnded(w.State) && w.EndedMs < s.timeMs-endedWorkflowLife
+}
--- a/internal/transport/peers/peers.go
+++ b/internal/transport/peers/peers.go
@@ -57,11 +57,37 @@
 	tls      *tlsfiles.Source
 	mu       sync.Mutex
 	sessions map[string]*yamux.Session
+	// learned are instances that are not in addresses; their names are addresses.
+	learned map[string]bool
 }
 
 // NewNetwork makes the network of an instance; addresses are its peers'.
 func NewNetwork(name string, addresses map[string]netip.AddrPort) *Network {
-	return &Network{name: name, addresses: addresses, sessions: map[string]*yamux.Session{}}
+	return &Network{name: name, addresses: addresses, sessions: map[string]*yamux.Session{}, learned: map[string]bool{}}
+}
+
+// Learn adds instances that were heard of; their names are their addresses.
+func (n *Network) Learn(names ...string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for _, name := range names {
+		if _, known := n.addresses[name]; !known && name != n.name && name != "" {
+			n.learned[name] = true
+		}
+	}
+}
+
+// addressOf gives where to dial an instance. One that is not in the settings is
+// named by its address.
+func (n *Network) addressOf(name string) (netip.AddrPort, error) {
+	if address, ok := n.addresses[name]; ok {
+		return address, nil
+	}
+	address, err := netip.ParseAddrPort(name)
+	if err != nil {
+		return address, failure.New(failure.Unreachable, "no address of instance %q", name)
+	}
+	return address, nil
 }
 
 // UseTLS makes every link mutual TLS; call it before the first link.
@@ -75,6 +101,11 @@
 			names = append(names, name)
 		}
 	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for name := range n.learned {
+		names = append(names, name)
+	}
 	return names
 }
 
@@ -207,9 +238,9 @@
 	if session != nil && !session.IsClosed() {
 		return session, nil
 	}
-	address, ok := n.addresses[to]
-	if !ok {
-		return nil, failure.New(failure.Unreachable, "no address of instance %q", to)
+	address, err := n.addressOf(to)
+	if err != nil {
+		return nil, err
 	}
 	dialer := net.Dialer{Timeout: dialTimeout}
 	conn, err := dialer.DialContext(ctx, "tcp", address.String())
