A replica with an empty disk is known by its new identity and votes again at once

Ruled out: founding anew (nobody did), the log on the two remaining disks (whole). Change: instances tell the identity of their replica; another identity than the member's at its instance is a replaced disk, with nothing to wait for. The leader looks four times a second. Test: TestNewIdentityAtAVotersAddressIsTakenInAtOnce, seen to fail before.

--- a/internal/app/changes.go
+++ b/internal/app/changes.go
@@ -88,7 +88,7 @@
 	if err := log.Fresh(); err != nil {
 		seen.notReady = failure.From(err).Code
 	}
-	for _, instance := range registry.Instances(s.Control.FreshnessBound) {
+	for _, instance := range registry.Instances(originTTL) {
 		seen.instances = append(seen.instances, instance.Name)
 	}
 	return seen
--- a/internal/app/softstate.go
+++ b/internal/app/softstate.go
@@ -69,6 +69,9 @@
 		Replica:     s.settings.Instance.DataFolder != "",
 		Voter:       isMember(s.node),
 	}
+	if replica, ok := s.node.(logStatus); ok {
+		self.Identity = replica.Status().Identity
+	}
 	s.router.Describe(self)
 	return self
 }
--- a/internal/coordination/repairer/repairer.go
+++ b/internal/coordination/repairer/repairer.go
@@ -19,8 +19,9 @@
 )
 
 const (
-	// lookEvery is how often the leader looks at its voters.
-	lookEvery = time.Second
+	// lookEvery is how often the leader looks at its voters: a replica that lost
+	// its disk should vote again before the next is lost.
+	lookEvery = 250 * time.Millisecond
 	// replacedAfter is how long a voter must be silent before its instance,
 	// which runs, counts as one with a new disk: a start takes a moment too.
 	replacedAfter = 10 * time.Second
@@ -184,6 +185,10 @@
 		DataCentre: r.centres[member.Instance],
 		Voter:      member.Voter,
 	}
+	if instance != nil && instance.Identity != "" && instance.Identity != member.Identity {
+		// The instance says so itself: its disk is new, and the member is gone.
+		described.Replaced = true
+	}
 	since, silent := r.silentSince[member.Identity]
 	if !silent {
 		return described
@@ -191,7 +196,7 @@
 	// A member that has just been missed counts as silent for a moment at least.
 	described.Silence = max(now.Sub(since), time.Nanosecond)
 	described.Delay = r.detector.Delay(member.Instance, missing-1, wanted)
-	described.Replaced = instance != nil && instance.Ready && instance.Replica && !instance.Voter && described.Silence >= replacedAfter
+	described.Replaced = described.Replaced || instance != nil && instance.Ready && instance.Replica && !instance.Voter && described.Silence >= replacedAfter
 	return described
 }
 
--- a/internal/coordination/repairer/repairer_test.go
+++ b/internal/coordination/repairer/repairer_test.go
@@ -123,3 +123,19 @@
 	is.True(len(w.changes) > 0)
 	is.Equal([]string{w.changes[0].Add, w.changes[0].Remove}, []string{"c", "c.1"})
 }
+
+// A voter comes back with an empty disk under its old address, and two more disks
+// are lost a few seconds later. Unless the new replica votes by then, three of
+// five voters have lost the log and everything accepted is gone. The instance
+// names its new identity, so there is nothing to wait for.
+func TestNewIdentityAtAVotersAddressIsTakenInAtOnce(t *testing.T) {
+	is, w := is.New(t), newWorld()
+	r := w.repairer()
+	w.silent["c"] = true
+	w.pass(r, lookEvery)
+	w.live[2] = instance("c", false)
+	w.live[2].Identity = "c.2"
+	w.pass(r, lookEvery)
+	is.Equal(len(w.changes), 1)
+	is.Equal([]string{w.changes[0].Add, w.changes[0].Remove}, []string{"c", "c.1"})
+}
