--- a/internal/app/work.go
+++ b/internal/app/work.go
@@ -75,8 +75,9 @@
 	return w.keeper.LeaseOver
 }
 
-func newDispatcher(s *settings.Settings, log control.Log, w *workers) *dispatch.Dispatcher {
+func newDispatcher(s *settings.Settings, log control.Log, w *workers, logger *logrus.Logger) *dispatch.Dispatcher {
 	return dispatch.New(dispatch.Config{
+		Logger:    logger,
 		LeaseOver: w.leaseOver(),
 		Wakeups:   w.wakeups,
 		Gang: gang.Config{
--- a/internal/coordination/dispatch/dispatch.go
+++ b/internal/coordination/dispatch/dispatch.go
@@ -9,6 +9,8 @@
 	"sync"
 	"time"
 
+	"github.com/sirupsen/logrus"
+
 	"pinewinch.example/pinewinch/internal/coordination/dispatch/gang"
 	"pinewinch.example/pinewinch/internal/coordination/dispatch/quarantine"
 	"pinewinch.example/pinewinch/internal/protocol/api"
@@ -62,6 +64,8 @@
 	// Wakeups is a channel of one that others fill when there is news for dispatch;
 	// nil where the answers to its commands are all there is.
 	Wakeups chan struct{}
+	// Logger gets a line for each decision on a job; nil for none.
+	Logger *logrus.Logger
 	Now     func() time.Time
 }
 
@@ -187,6 +191,7 @@
 		return
 	}
 	movesProposed.Add(int64(len(batch.Moves)))
+	d.logMoves(batch)
 	ctx, cancel := context.WithTimeout(ctx, proposeTimeout)
 	defer cancel()
 	command := &controlpb.Command{Op: &controlpb.Command_BatchMove{BatchMove: batch}}
--- /dev/null
+++ b/internal/coordination/dispatch/lines.go
@@ -0,0 +1,54 @@
+package dispatch
+
+import (
+	"github.com/sirupsen/logrus"
+
+	"pinewinch.example/pinewinch/internal/protocol/controlpb"
+	"pinewinch.example/pinewinch/internal/state/store"
+)
+
+// logMoves writes a line for each change of a job's state that is about to be
+// committed; the ends of tasks that ended well are counted and not written.
+func (d *Dispatcher) logMoves(batch *controlpb.BatchMove) {
+	if d.config.Logger == nil {
+		return
+	}
+	for _, move := range batch.Moves {
+		if move.State == controlpb.JobState_JOB_STATE_RUNNING {
+			continue
+		}
+		fields := logrus.Fields{"job": move.Job, "epoch": move.Epoch, "to": stateName(move.State)}
+		if move.Failure != nil {
+			fields["code"] = move.Failure.Code
+			fields["worker"] = move.Failure.Worker
+			fields["detail"] = move.Failure.Detail
+		}
+		if move.Checkpoint != "" {
+			fields["checkpoint"] = move.Checkpoint
+		}
+		d.config.Logger.WithFields(fields).Info("job moved")
+	}
+}
+
+// logPlan writes a line for each job that a pass places or preempts.
+func (d *Dispatcher) logPlan(state *store.State, plan *controlpb.CommitPlan) {
+	if d.config.Logger == nil {
+		return
+	}
+	for _, assignment := range plan.Assignments {
+		d.config.Logger.WithFields(logrus.Fields{
+			"job": assignment.Job, "epoch": assignment.Epoch + 1, "tasks": len(assignment.Placements),
+			"worker": assignment.Placements[0].Worker, "index": state.Index(),
+		}).Info("job placed")
+	}
+	for _, preemption := range plan.Preemptions {
+		d.config.Logger.WithFields(logrus.Fields{
+			"job": preemption.Job, "epoch": preemption.Epoch, "index": state.Index(),
+		}).Info("job preempted")
+	}
+}
+
+func stateName(state controlpb.JobState) string {
+	const prefix = len("JOB_STATE_")
+	return state.String()[prefix:]
+}
