Order workflows by objective and priority; a stop costs what the run time says

Ruled out: failing workers (49 ends), lost workers (3). Change: the cost of a stop is a tenth of the run time at most; units of workflows go by guarantee by count, queue priority, what can still meet its objective, and how near that is; guaranteed urgent work may stop urgent work beyond a guarantee.

--- /dev/null
+++ b/internal/coordination/scheduling/objective.go
@@ -0,0 +1,54 @@
+package scheduling
+
+import (
+	"math"
+
+	"pinewinch.example/pinewinch/internal/protocol/controlpb"
+)
+
+// Weights of the order among units of workflows; each goes before all that follow.
+const (
+	// assuredFirst puts work that a customer's guarantee by count covers before all.
+	assuredFirst = -1e12
+	// priorityStep separates the priorities of queues.
+	priorityStep = 1e9
+	// missedPenalty puts work that misses its objective anyway behind what can
+	// still meet it: late is late, by however much.
+	missedPenalty = 1e8
+	// farthest bounds a time until an objective, in seconds, to stay below these.
+	farthest = 1e7
+)
+
+// objectiveScore orders units of workflows: guaranteed work first, then by the
+// priority of the queue, then what can still meet its objective by how near that
+// is. All units of a workflow have one objective, so workflows end one by one
+// rather than all at half their work.
+func (p *pass) objectiveScore(a *ask) float64 {
+	left := float64(a.job.DeadlineMs-p.nowMs) / 1000
+	score := priorityStep*float64(a.job.Priority) + math.Max(-farthest, math.Min(left, farthest))
+	if left < p.remaining(a.job) {
+		score += missedPenalty
+	}
+	if p.assured(a.job) {
+		score += assuredFirst
+	}
+	return score
+}
+
+// assured tells whether a job is covered by its customer's guarantee by count:
+// that holds while all its urgent work together needs no more.
+func (p *pass) assured(job *controlpb.Job) bool {
+	if !job.Urgent || job.Workflow == "" {
+		return false
+	}
+	if p.urgentDemand == nil {
+		p.urgentDemand = map[string]int64{}
+		for _, other := range p.snapshot.Jobs {
+			if other.Urgent && other.Workflow != "" {
+				p.urgentDemand[other.Customer] += int64(other.Tasks) * int64(other.Accelerators)
+			}
+		}
+	}
+	guarantee := p.snapshot.Customers[job.Customer].GetGuaranteedAccelerators()
+	return p.urgentDemand[job.Customer] <= int64(guarantee)
+}
--- a/internal/coordination/scheduling/order.go
+++ b/internal/coordination/scheduling/order.go
@@ -65,6 +65,13 @@
 func (p *pass) rank(a *ask) {
 	wait := float64(max(p.nowMs-a.job.SubmittedMs, 0)) / 1000
 	expected := p.remaining(a.job)
+	if a.job.Workflow != "" {
+		a.rank, a.score = rankDeadline, p.objectiveScore(a)
+		if a.job.Urgent {
+			a.rank = rankUrgent
+		}
+		return
+	}
 	if a.job.Urgent {
 		a.rank, a.score = rankUrgent, -wait
 		return
--- a/internal/coordination/scheduling/pass.go
+++ b/internal/coordination/scheduling/pass.go
@@ -15,6 +15,9 @@
 	gangs    []*gang
 	// used is each customer's accelerators, by customerID.
 	used map[customerID]int64
+	// urgentDemand is the accelerators of each customer's urgent workflows; nil
+	// until it is asked for.
+	urgentDemand map[string]int64
 	// settled jobs have an outcome in this pass.
 	settled map[string]bool
 	// hopeless holds the shapes that found no room: within a pass room only
--- a/internal/coordination/scheduling/takeback.go
+++ b/internal/coordination/scheduling/takeback.go
@@ -7,19 +7,29 @@
 	"pinewinch.example/pinewinch/internal/protocol/controlpb"
 )
 
-// stopOverhead is the work that each accelerator of a gang loses by a stop and
-// a start even with a checkpoint, in seconds.
-const stopOverhead = 30
+const (
+	// mostStopOverhead is the work that each accelerator of a gang loses by a stop
+	// and a start even with a checkpoint, in seconds.
+	mostStopOverhead = 30
+	// stopOverheadShare bounds it by the declared run time: short work loads and
+	// saves little, and would else seem to cost the same to stop whether it has
+	// just begun or is about to end.
+	stopOverheadShare = 0.1
+)
+
+func stopOverhead(job *controlpb.Job) float64 {
+	return min(mostStopOverhead, max(stopOverheadShare*float64(job.RunTimeMs)/1000, leastRunTime.Seconds()))
+}
 
 // lostByStopping is the work thrown away by stopping a gang now, in
 // accelerator seconds (a task without accelerators counts as one).
 func (p *pass) lostByStopping(job *controlpb.Job) float64 {
 	width := float64(job.Tasks) * float64(max(job.Accelerators, 1))
 	if job.Checkpointable || job.StartedMs == 0 {
-		return stopOverhead * width
+		return stopOverhead(job) * width
 	}
 	ran := float64(max(p.nowMs-job.StartedMs, 0)) / 1000
-	return (stopOverhead + ran) * width
+	return (stopOverhead(job) + ran) * width
 }
 
 // offer is a place for an ask, with the gangs to stop for it.
@@ -210,7 +220,10 @@
 	own := g.customer == a.customer
 	switch by {
 	case rightUrgent:
-		return !g.job.Urgent && (own || p.borrows(g, t))
+		if g.job.Urgent {
+			return p.assured(a.job) && !p.assured(g.job)
+		}
+		return own || p.borrows(g, t)
 	case rightStarving:
 		younger := g.job.SubmittedMs > a.job.SubmittedMs
 		movable := g.job.Checkpointable && !g.job.Urgent && g.job.Attempts < mostAttempts
