The clock of an answer to a start is no report of what runs

An answer to a start moved the ledger's clock beyond the newest report; a stop answered in between then looked into a report older than its run, took the run for one that never came, and a gang that had ended well was started again 0.46 s later. Ruled out: a lapsed lease (0.46 s), ends acknowledged too early (settled() holds). Change: the clock of reports is kept apart from the clock that leases count from.

--- a/internal/coordination/dispatch/leases/command.go
+++ b/internal/coordination/dispatch/leases/command.go
@@ -126,7 +126,7 @@
 	for ctx.Err() == nil {
 		s.mu.Lock()
 		fate, end := s.ledger.Find(stop.Task, stop.Run)
-		known := s.ledger.Clock() > clock
+		known := s.ledger.Reported() > clock
 		s.mu.Unlock()
 		switch {
 		case fate == Ended:
--- a/internal/coordination/dispatch/leases/ledger.go
+++ b/internal/coordination/dispatch/leases/ledger.go
@@ -24,8 +24,11 @@
 // Ledger is what is known of one boot of a worker under one token. It reads no
 // clock. The zero Ledger knows nothing.
 type Ledger struct {
+	// clock is the worker's newest clock, at clockAt here; reported is that of the
+	// newest report, which is what running was at.
 	clock    int64
 	clockAt  time.Time
+	reported int64
 	heard    bool
 	running  []Running
 	ends     map[uint64]End
@@ -58,10 +61,11 @@
 			l.ends[end.Number] = end
 		}
 	}
-	if l.heard && report.Clock < l.clock {
+	if l.heard && report.Clock < l.reported {
 		return
 	}
 	l.heard = true
+	l.reported = report.Clock
 	l.running = report.Running
 	l.hearClock(report.Clock, now)
 }
@@ -133,8 +137,9 @@
 	return Absent, End{}
 }
 
-// Clock is the worker's clock in the newest answer.
-func (l *Ledger) Clock() int64 { return l.clock }
+// Reported is the worker's clock in the newest report. The clock of another
+// answer is no report: what runs may have changed between the two.
+func (l *Ledger) Reported() int64 { return l.reported }
 
 // Settle acknowledges, in order, the ends that the committed state has taken in,
 // and gives the number to acknowledge. An end acknowledged sooner would be lost
