--- a/internal/coordination/dispatch/dispatch.go
+++ b/internal/coordination/dispatch/dispatch.go
@@ -66,7 +66,7 @@
 	Wakeups chan struct{}
 	// Logger gets a line for each decision on a job; nil for none.
 	Logger *logrus.Logger
-	Now     func() time.Time
+	Now    func() time.Time
 }
 
 // Dispatcher brings the workers in line with the control state.
