Room that urgent work left is kept for the next; late urgent work stops nobody

Change: such room is kept 1 s for urgent work; only what can still meet its objective, or is covered by a guarantee by count, takes room back.

--- a/internal/coordination/dispatch/controller.go
+++ b/internal/coordination/dispatch/controller.go
@@ -50,6 +50,7 @@
 	// newest is the plan before the next one: its cells stay where they are.
 	newest   *scheduling.Plan
 	runTimes *runTimes
+	warmth   warmth
 }
 
 // NewController makes a controller.
@@ -225,6 +226,7 @@
 		Jobs:         state.ActiveJobs(),
 		Customers:    map[string]*controlpb.Customer{},
 		Rules:        state.Rules(),
+		Warm:         c.warmth.look(state.ActiveJobs(), c.now()),
 		Cells:        c.newest.Cells,
 		Reservations: c.newest.Reservations,
 		RunTimes:     c.runTimes.upTo(state),
--- /dev/null
+++ b/internal/coordination/dispatch/warm.go
@@ -0,0 +1,51 @@
+package dispatch
+
+import (
+	"time"
+
+	"pinewinch.example/pinewinch/internal/protocol/controlpb"
+)
+
+// keepWarm is how long room that urgent work has left is kept for the next. Half
+// of the work that was preempted had run for less than 0.64 s: it was put where
+// urgent work had just ended, and had to make room for the next a moment later.
+const keepWarm = time.Second
+
+// warmth remembers when urgent work last left each worker. It is soft: a new
+// leader begins without.
+type warmth struct {
+	// held counts the workers' urgent tasks in the newest look.
+	held map[string]int
+	left map[string]time.Time
+}
+
+// look compares with the look before, and lists the workers that are warm.
+func (w *warmth) look(active []*controlpb.Job, now time.Time) map[string]bool {
+	held := map[string]int{}
+	for _, job := range active {
+		if !job.Urgent || job.Workflow == "" {
+			continue
+		}
+		for _, placement := range job.Placements {
+			held[placement.Worker]++
+		}
+	}
+	if w.left == nil {
+		w.left = map[string]time.Time{}
+	}
+	for worker, before := range w.held {
+		if held[worker] < before {
+			w.left[worker] = now
+		}
+	}
+	w.held = held
+	warm := map[string]bool{}
+	for worker, at := range w.left {
+		if now.Sub(at) >= keepWarm {
+			delete(w.left, worker)
+			continue
+		}
+		warm[worker] = true
+	}
+	return warm
+}
--- a/internal/coordination/scheduling/cluster.go
+++ b/internal/coordination/scheduling/cluster.go
@@ -33,6 +33,8 @@
 	usedBy []share
 	cells  []share
 	gangs  []*gang
+	// warm room is kept for urgent work.
+	warm bool
 	// spread counts tasks by step, for jobs that bound them.
 	spread map[stepKey]int64
 }
--- a/internal/coordination/scheduling/eligible.go
+++ b/internal/coordination/scheduling/eligible.go
@@ -11,6 +11,9 @@
 // allows tells whether the worker is one that the job may run on at all.
 func (n *node) allows(a *ask) bool {
 	job := a.job
+	if n.warm && job.Workflow != "" && !job.Urgent {
+		return false
+	}
 	if job.Service != "" && !slices.Contains(n.worker.Services, job.Service) {
 		return false
 	}
--- a/internal/coordination/scheduling/objective.go
+++ b/internal/coordination/scheduling/objective.go
@@ -35,6 +35,15 @@
 	return score
 }
 
+// worthTakingBack tells whether urgent work may stop other work: a unit that
+// misses its objective all the same would only make others late too.
+func (p *pass) worthTakingBack(a *ask) bool {
+	if a.job.Workflow == "" || p.assured(a.job) {
+		return true
+	}
+	return float64(a.job.DeadlineMs-p.nowMs)/1000 >= p.remaining(a.job)
+}
+
 // assured tells whether a job is covered by its customer's guarantee by count:
 // that holds while all its urgent work together needs no more.
 func (p *pass) assured(job *controlpb.Job) bool {
--- a/internal/coordination/scheduling/pass.go
+++ b/internal/coordination/scheduling/pass.go
@@ -112,6 +112,9 @@
 
 		mostTasks: map[Shape]int64{},
 	}
+	for _, n := range p.cluster.nodes {
+		n.warm = snapshot.Warm[n.worker.ID]
+	}
 	p.capacity = p.cluster.free.accelerators
 	for _, customer := range snapshot.Customers {
 		p.weights += max(float64(customer.Weight), 1)
@@ -157,7 +160,7 @@
 // startUrgent serves urgent work, which may stop patient borrowers.
 func (p *pass) startUrgent(queue []*ask) {
 	for _, a := range queue {
-		if a.job.Urgent && !p.settled[a.job.Id] {
+		if a.job.Urgent && !p.settled[a.job.Id] && p.worthTakingBack(a) {
 			p.serve(a, rightUrgent)
 		}
 	}
--- a/internal/coordination/scheduling/scheduling.go
+++ b/internal/coordination/scheduling/scheduling.go
@@ -44,6 +44,9 @@
 	Cells []Cell
 	// Reservations are those of the plan before this one, or none.
 	Reservations []Reservation
+	// Warm are workers that urgent work has just left: room there is kept a moment
+	// for the next.
+	Warm map[string]bool
 	// RunTimes is what was observed of each class; nil for nothing yet.
 	RunTimes *RunTimes
 }
