An idle worker is not lost while its answer is on the way

Ruled out: workers that were cut (they had none of the lines 'does not answer'). Test: TestIdleWorkerIsNotLostWhileItAnswersAStart, seen to fail before; with it tests of leases under cuts, late starts, another boot and lost leadership.

--- a/internal/coordination/dispatch/leases/command.go
+++ b/internal/coordination/dispatch/leases/command.go
@@ -79,6 +79,7 @@
 	s.poke()
 	ctx, cancel := context.WithTimeout(ctx, startTimeout)
 	defer cancel()
+	s.asked()
 	clock, err := s.keeper.client.Start(ctx, s.target, start)
 	entry := s.entry().WithFields(logrus.Fields{"task": start.Task, "run": start.Run, "index": state.Index()})
 	if err != nil {
@@ -90,6 +91,7 @@
 	entry.Info("started")
 	s.mu.Lock()
 	s.ledger.HearClock(clock, s.now())
+	s.unanswered = time.Time{}
 	s.mu.Unlock()
 	return &api.TaskAnswer{Incarnation: command.Incarnation, Phase: api.PhaseRunning}, nil
 }
@@ -110,6 +112,7 @@
 	s.poke()
 	ctx, cancel := context.WithTimeout(ctx, stopTimeout)
 	defer cancel()
+	s.asked()
 	clock, err := s.keeper.client.Stop(ctx, s.target, stop)
 	if err != nil {
 		s.failed(err)
--- a/internal/coordination/dispatch/leases/keeper.go
+++ b/internal/coordination/dispatch/leases/keeper.go
@@ -140,7 +140,6 @@
 		token:  k.term,
 		target: Target{Worker: worker.Id, Address: worker.Address},
 		ledger: NewLedger(k.config.Lease, until),
-		began:  k.config.Now(),
 		poked:  make(chan struct{}, 1),
 	}
 	running, cancel := context.WithCancel(ctx)
--- a/internal/coordination/dispatch/leases/ledger.go
+++ b/internal/coordination/dispatch/leases/ledger.go
@@ -33,7 +33,6 @@
 	running  []Running
 	ends     map[uint64]End
 	acked    uint64
-	answered time.Time
 	// extended is when the newest order left that could prolong the lease.
 	extended time.Time
 	lease    time.Duration
@@ -49,13 +48,9 @@
 // on no order of an earlier leader is obeyed there, and what runs is known.
 func (l *Ledger) Heard() bool { return l.heard }
 
-// Answered is when the worker last answered anything.
-func (l *Ledger) Answered() time.Time { return l.answered }
-
 // Take takes in a report that arrived at now. Answers may overtake each other, so
 // an older one adds ends and replaces nothing.
 func (l *Ledger) Take(report *Report, now time.Time) {
-	l.answered = now
 	for _, end := range report.Ends {
 		if end.Number > l.acked {
 			l.ends[end.Number] = end
@@ -80,7 +75,6 @@
 
 // HearClock takes the clock of an answer to a start or stop.
 func (l *Ledger) HearClock(clock int64, now time.Time) {
-	l.answered = now
 	if l.heard {
 		l.hearClock(clock, now)
 	}
--- a/internal/coordination/dispatch/leases/session.go
+++ b/internal/coordination/dispatch/leases/session.go
@@ -18,7 +18,6 @@
 	token  uint64
 	target Target
 	cancel context.CancelFunc
-	began  time.Time
 	// poked is ready when a look is due at once.
 	poked chan struct{}
 
@@ -30,7 +29,9 @@
 	announced *peerpb.Upstream
 	// ordered is when the newest start or stop left.
 	ordered time.Time
-	version uint64
+	// unanswered is since when an order or look waits for any answer; zero for none.
+	unanswered time.Time
+	version    uint64
 	// view is what dispatch last saw, made of announced and the ledger.
 	view     *peerpb.Upstream
 	viewFrom *peerpb.Upstream
@@ -109,10 +110,9 @@
 		return err
 	}
 	s.mu.Lock()
-	now := s.now()
 	look := Look{Token: s.token, Acknowledged: s.ledger.Settle(s.keeper.log.State())}
-	if s.ledger.Heard() && now.Sub(s.ledger.Answered()) < silentAfter {
-		look.Deadline = s.ledger.Deadline(now)
+	if s.ledger.Heard() && !s.lost() {
+		look.Deadline = s.ledger.Deadline(s.now())
 		look.Wait = lookWait
 	}
 	s.mu.Unlock()
@@ -121,6 +121,7 @@
 
 func (s *session) ask(ctx context.Context, look Look) error {
 	looksSent.Add(1)
+	s.asked()
 	ctx, cancel := context.WithTimeout(ctx, look.Wait+lookSlack)
 	defer cancel()
 	report, err := s.keeper.client.Look(ctx, s.target, look)
@@ -145,7 +146,7 @@
 		s.keeper.config.Wake()
 		return
 	}
-	if !s.silent && s.now().Sub(s.lastAnswer()) >= silentAfter {
+	if !s.silent && s.lost() {
 		s.silent = true
 		s.entry().WithField("reason", f.Error()).Warn("worker does not answer")
 		s.keeper.config.Wake()
@@ -156,17 +157,26 @@
 	return s.keeper.config.Logger.WithFields(logrus.Fields{"worker": s.target.Worker, "token": s.token})
 }
 
-func (s *session) lastAnswer() time.Time {
-	if answered := s.ledger.Answered(); answered.After(s.began) {
-		return answered
+// asked notes that an order or look leaves.
+func (s *session) asked() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.unanswered.IsZero() {
+		s.unanswered = s.now()
 	}
-	return s.began
+}
+
+// lost tells a worker that has left everything unanswered for too long. One that
+// was not asked for long, because nothing runs there, is not lost.
+func (s *session) lost() bool {
+	return !s.unanswered.IsZero() && s.now().Sub(s.unanswered) >= silentAfter
 }
 
 func (s *session) take(report *Report) {
 	s.mu.Lock()
 	first := !s.ledger.Heard()
 	s.ledger.Take(report, s.now())
+	s.unanswered = time.Time{}
 	s.stale = true
 	if s.silent {
 		s.silent = false
@@ -223,6 +233,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, stopAgain)
 	defer cancel()
+	s.asked()
 	if _, err := s.keeper.client.Stop(ctx, s.target, stop); err != nil {
 		s.failed(err)
 	}
@@ -239,7 +250,7 @@
 func (s *session) viewOf(worker *peerpb.Upstream) *peerpb.Upstream {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.gone || s.now().Sub(s.lastAnswer()) >= silentAfter && !s.restful() {
+	if s.gone || s.lost() {
 		return nil
 	}
 	if s.view != nil && s.viewFrom == worker && !s.stale {
@@ -253,8 +264,3 @@
 	s.view, s.viewFrom, s.stale = view, worker, false
 	return view
 }
-
-// restful tells a worker that is not looked at, and so does not answer.
-func (s *session) restful() bool {
-	return s.ledger.Heard() && !s.ledger.Busy() && !s.ordered.After(s.ledger.Answered())
-}
