Bound on the work that a unit may throw away; width counts cores

Change: a stop costs accelerators and cores (8 cores for one); a unit may throw away twice the work it lets begin, guaranteed work anything after 1 s of waiting.

--- a/internal/coordination/scheduling/objective.go
+++ b/internal/coordination/scheduling/objective.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"time"
 
 	"pinewinch.example/pinewinch/internal/protocol/controlpb"
 )
@@ -44,6 +45,28 @@
 	return float64(a.job.DeadlineMs-p.nowMs)/1000 >= p.remaining(a.job)
 }
 
+const (
+	// mostLossShare bounds the work that may be thrown away for a unit, as a share
+	// of the work that it lets begin: short urgent work is worth several times as
+	// much for its size as what it stops, but not any number of times.
+	mostLossShare = 2.0
+	// assuredAnyLoss is the wait after which guaranteed work may stop anything; a
+	// stop and a start still fit in before it has to run.
+	assuredAnyLoss = time.Second
+)
+
+// mayLose is the work that may be thrown away to let the ask begin.
+func (p *pass) mayLose(a *ask) float64 {
+	if a.job.Workflow == "" {
+		return math.Inf(1)
+	}
+	waited := time.Duration(p.nowMs-a.job.SubmittedMs) * time.Millisecond
+	if waited >= assuredAnyLoss && p.assured(a.job) {
+		return math.Inf(1)
+	}
+	return mostLossShare * workWidth(a.job) * p.remaining(a.job)
+}
+
 // assured tells whether a job is covered by its customer's guarantee by count:
 // that holds while all its urgent work together needs no more.
 func (p *pass) assured(job *controlpb.Job) bool {
--- a/internal/coordination/scheduling/takeback.go
+++ b/internal/coordination/scheduling/takeback.go
@@ -24,7 +24,7 @@
 // lostByStopping is the work thrown away by stopping a gang now, in
 // accelerator seconds (a task without accelerators counts as one).
 func (p *pass) lostByStopping(job *controlpb.Job) float64 {
-	width := float64(job.Tasks) * float64(max(job.Accelerators, 1))
+	width := workWidth(job)
 	if job.Checkpointable || job.StartedMs == 0 {
 		return stopOverhead(job) * width
 	}
@@ -32,6 +32,17 @@
 	return (stopOverhead(job) + ran) * width
 }
 
+// coresPerAccelerator is how many cores weigh as much as one accelerator where
+// work is compared.
+const coresPerAccelerator = 8
+
+// workWidth is what a job holds, in accelerators and as many cores as weigh the
+// same; at least one for each task.
+func workWidth(job *controlpb.Job) float64 {
+	cores := float64(milliCores(job.Cores, job.CoresMilli)) / milliPerCore
+	return float64(max(job.Tasks, 1)) * max(float64(job.Accelerators)+cores/coresPerAccelerator, 1)
+}
+
 // offer is a place for an ask, with the gangs to stop for it.
 type offer struct {
 	spots   []spot
@@ -50,7 +61,7 @@
 		nodes = p.cellNodes(a.customer)
 	}
 	best := p.bestOffer(a, nodes, soon, by)
-	if best == nil {
+	if best == nil || best.lost > p.mayLose(a) {
 		return false
 	}
 	for _, g := range best.victims {
