--- a/internal/command/command.go
+++ b/internal/command/command.go
@@ -83,6 +83,7 @@
 			t.watchCommand(),
 			t.submitCommand(),
 			t.cancelCommand(),
+			t.workflowCommand(),
 			t.requestCommand(),
 			t.explainCommand(),
 			t.drainCommand(),
@@ -111,18 +112,19 @@
 
 // help is the line for each subcommand in the list of all.
 var help = map[string]string{
-	"apply":   "bring declarations into force",
-	"diff":    "show what an apply would change",
-	"get":     "show the declarations in force, or jobs",
-	"status":  "completion, fragmentation and waste",
-	"watch":   "the same, a line for each change",
-	"submit":  "submit jobs of a class",
-	"cancel":  "cancel jobs",
-	"request": "send a request to a minion and print its answer",
-	"explain": "why a job waits",
-	"drain":   "give an upstream no new work",
-	"dump":    "what one process knows",
-	"members": "instances, and who keeps the log",
+	"apply":    "bring declarations into force",
+	"diff":     "show what an apply would change",
+	"get":      "show the declarations in force, or jobs",
+	"status":   "completion, fragmentation and waste",
+	"watch":    "the same, a line for each change",
+	"submit":   "submit jobs of a class",
+	"cancel":   "cancel jobs",
+	"workflow": "submit, show or cancel a graph of steps",
+	"request":  "send a request to a minion and print its answer",
+	"explain":  "why a job waits",
+	"drain":    "give an upstream no new work",
+	"dump":     "what one process knows",
+	"members":  "instances, and who keeps the log",
 }
 
 func options() []ff.Option {
--- a/internal/coordination/dispatch/gang/machine.go
+++ b/internal/coordination/dispatch/gang/machine.go
@@ -225,7 +225,7 @@
 			Incarnation:    m.placement.Incarnation,
 			Announced:      w.upstream.Version,
 			Accelerators:   m.placement.Accelerators,
-			Cores:          job.Cores,
+			Cores:          wholeCores(job),
 			MemoryMB:       job.MemoryMb,
 			RunTimeMs:      job.RunTimeMs,
 			CheckpointedMs: job.CheckpointedMs,
@@ -234,3 +234,9 @@
 		},
 	})
 }
+
+// wholeCores is what a task may use, rounded up: these workers count whole cores.
+func wholeCores(job *controlpb.Job) uint32 {
+	const milliPerCore = 1000
+	return job.Cores + (job.CoresMilli+milliPerCore-1)/milliPerCore
+}
--- a/internal/coordination/workflows/workflows.go
+++ b/internal/coordination/workflows/workflows.go
@@ -117,6 +117,7 @@
 	workflow.MaxAttempts = max(target.Queue.MaxAttempts, 1)
 	workflow.SlackThousandths = target.Queue.SlackThousandths
 	workflow.TargetLatencyMs = target.Queue.TargetLatencyMs
+	workflow.SharedEnds = true
 	ctx, cancel := call.bound(ctx)
 	defer cancel()
 	began := time.Now()
--- a/internal/protocol/api/api.go
+++ b/internal/protocol/api/api.go
@@ -12,6 +12,8 @@
 	PathAnswer       = "/v1/answers/{key}"
 	PathJobs         = "/v1/jobs"
 	PathJob          = "/v1/jobs/{id}"
+	PathWorkflows    = "/v1/workflows"
+	PathWorkflow     = "/v1/workflows/{id}"
 	PathDeclarations = "/v1/declarations"
 	PathStatus       = "/v1/status"
 	PathExplain      = "/v1/explain/{id}"
--- a/internal/state/store/workflows.go
+++ b/internal/state/store/workflows.go
@@ -127,7 +127,7 @@
 	if step.Gang {
 		job.Id = stepName(w.Id, progress.Number, number)
 		job.Tasks = step.Count
-		job.EndsTogether = true
+		job.EndsTogether = w.SharedEnds
 		s.putJob(job)
 		return
 	}
@@ -267,7 +267,7 @@
 	w.State = state
 	w.EndedMs = s.timeMs
 	s.putWorkflow(w)
-	for _, job := range s.units(w.Id) {
+	for _, job := range s.Units(w.Id) {
 		if Ended(job.State) {
 			s.jobs, _, _ = s.jobs.Delete([]byte(job.Id))
 			continue
@@ -278,11 +278,14 @@
 	}
 }
 
-// units lists the kept jobs of a workflow.
-func (s *State) units(workflow string) []*controlpb.Job {
+// Units lists the kept jobs of a workflow.
+func (s *State) Units(workflow string) []*controlpb.Job {
 	var units []*controlpb.Job
 	s.jobs.Root().WalkPrefix([]byte(workflow+"."), func(_ []byte, job *controlpb.Job) bool {
-		units = append(units, job)
+		// The id of another workflow may begin with this one's.
+		if job.Workflow == workflow {
+			units = append(units, job)
+		}
 		return false
 	})
 	return units
--- a/internal/transport/httpapi/server.go
+++ b/internal/transport/httpapi/server.go
@@ -67,6 +67,9 @@
 	routes.HandleFunc(api.PathJobs, s.asAny(s.listJobs)).Methods(http.MethodGet)
 	routes.HandleFunc(api.PathJob, s.asAny(s.getJob)).Methods(http.MethodGet)
 	routes.HandleFunc(api.PathJob, s.asAny(s.cancelJob)).Methods(http.MethodDelete)
+	routes.HandleFunc(api.PathWorkflows, s.asCustomer(s.submitWorkflow)).Methods(http.MethodPost)
+	routes.HandleFunc(api.PathWorkflow, s.asAny(s.getWorkflow)).Methods(http.MethodGet)
+	routes.HandleFunc(api.PathWorkflow, s.asAny(s.cancelWorkflow)).Methods(http.MethodDelete)
 	routes.HandleFunc(api.PathExplain, s.asAny(s.explain)).Methods(http.MethodGet)
 }
 
