--- a/test/process/process.go
+++ b/test/process/process.go
@@ -60,13 +60,16 @@
 }
 
 // Start starts the process, the first time or again.
-func (i *Instance) Start(t testing.TB) {
+func (i *Instance) Start(t testing.TB) { i.StartWith(t, []string{"-config", i.Config}) }
+
+// StartWith starts it with other arguments and more of an environment.
+func (i *Instance) StartWith(t testing.TB, args []string, environment ...string) {
 	log, err := os.OpenFile(i.Config+".log", os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	is.New(t).NoErr(err)
 	defer log.Close()
-	i.Command = exec.Command(os.Args[0], "-config", i.Config)
-	i.Command.Env = append(os.Environ(), roleVariable+"=pinewinchd")
-	i.Command.Stderr = log
+	i.Command = exec.Command(os.Args[0], args...)
+	i.Command.Env = append(append(os.Environ(), roleVariable+"=pinewinchd"), environment...)
+	i.Command.Stdout, i.Command.Stderr = log, log
 	is.New(t).NoErr(i.Command.Start())
 	i.Exited = make(chan struct{})
 	go func(command *exec.Cmd, exited chan struct{}) {
