--- a/internal/coordination/dispatch/controller.go
+++ b/internal/coordination/dispatch/controller.go
@@ -51,6 +51,7 @@
 	newest   *scheduling.Plan
 	runTimes *runTimes
 	warmth   warmth
+	open     openWorkflows
 }
 
 // NewController makes a controller.
@@ -117,6 +118,7 @@
 }
 
 func (c *Controller) step(ctx context.Context) {
+	c.open.look(c.log.State(), c.dispatcher.config.Logger)
 	if due := c.inventory.Due(c.log.State(), c.now()); len(due) > 0 {
 		command := &controlpb.Command{Op: &controlpb.Command_SubmitJobs{SubmitJobs: &controlpb.SubmitJobs{Jobs: due}}}
 		if !c.propose(ctx, command) {
--- a/internal/coordination/dispatch/lines.go
+++ b/internal/coordination/dispatch/lines.go
@@ -52,3 +52,30 @@
 	const prefix = len("JOB_STATE_")
 	return state.String()[prefix:]
 }
+
+// openWorkflows remembers which workflows had not ended when last looked at, to
+// write a line for each that has.
+type openWorkflows struct {
+	index uint64
+	open  map[string]bool
+}
+
+func (o *openWorkflows) look(state *store.State, logger *logrus.Logger) {
+	if logger == nil || state.Index() == o.index {
+		return
+	}
+	o.index = state.Index()
+	open := map[string]bool{}
+	for _, w := range state.OpenWorkflows() {
+		open[w.Id] = true
+	}
+	for id := range o.open {
+		if w, ok := state.Workflow(id); ok && !open[id] {
+			logger.WithFields(logrus.Fields{
+				"workflow": id, "state": w.State.String()[len("WORKFLOW_STATE_"):], "customer": w.Customer, "queue": w.Queue,
+				"took_ms": w.EndedMs - w.SubmittedMs, "index": state.Index(),
+			}).Info("workflow ended")
+		}
+	}
+	o.open = open
+}
