Reads of a link's streams end before the link does

A dump of its goroutines showed two reads in yamux's Stream.Read, runnable: between a session's shutdown and the marking of its streams such a read loops without sleeping, two of them held both threads, and the marking never ran. Ruled out: the scheduling pass and the controller (waiting), the gang machine. Change: a link moves its streams' deadlines into the past before anything shuts its session down: Close, a failed read or write of the connection, or a missing sign of life, which the link asks for itself.

--- a/internal/transport/peers/peers.go
+++ b/internal/transport/peers/peers.go
@@ -56,14 +56,14 @@
 	// tls is nil for plain TCP.
 	tls      *tlsfiles.Source
 	mu       sync.Mutex
-	sessions map[string]*yamux.Session
+	sessions map[string]*link
 	// learned are instances that are not in addresses; their names are addresses.
 	learned map[string]bool
 }
 
 // NewNetwork makes the network of an instance; addresses are its peers'.
 func NewNetwork(name string, addresses map[string]netip.AddrPort) *Network {
-	return &Network{name: name, addresses: addresses, sessions: map[string]*yamux.Session{}, learned: map[string]bool{}}
+	return &Network{name: name, addresses: addresses, sessions: map[string]*link{}, learned: map[string]bool{}}
 }
 
 // Learn adds instances that were heard of; their names are their addresses.
@@ -128,16 +128,15 @@
 	if err != nil {
 		return
 	}
-	session, err := yamux.Server(conn, sessionConfig())
+	l, err := serverLink(conn)
 	if err != nil {
 		conn.Close()
 		return
 	}
-	defer session.Close()
-	stop := context.AfterFunc(ctx, func() { session.Close() })
-	defer stop()
+	defer l.Close()
+	defer l.closeWith(ctx)()
 	for {
-		stream, err := session.AcceptStream()
+		stream, err := l.Accept()
 		if err != nil {
 			return
 		}
@@ -218,20 +217,20 @@
 	return context.AfterFunc(ctx, func() { _ = stream.SetDeadline(longAgo) })
 }
 
-func (n *Network) open(ctx context.Context, to string) (*yamux.Stream, error) {
-	session, err := n.session(ctx, to)
+func (n *Network) open(ctx context.Context, to string) (*stream, error) {
+	l, err := n.session(ctx, to)
 	if err != nil {
 		return nil, err
 	}
-	stream, err := session.OpenStream()
+	opened, err := l.Open()
 	if err != nil {
-		session.Close()
+		l.Close()
 		return nil, failure.Wrap(failure.Unreachable, err, "open a stream to %s", to)
 	}
-	return stream, nil
+	return opened, nil
 }
 
-func (n *Network) session(ctx context.Context, to string) (*yamux.Session, error) {
+func (n *Network) session(ctx context.Context, to string) (*link, error) {
 	n.mu.Lock()
 	session := n.sessions[to]
 	n.mu.Unlock()
@@ -251,7 +250,7 @@
 	if err != nil {
 		return nil, err
 	}
-	session, err = yamux.Client(conn, sessionConfig())
+	session, err = clientLink(conn)
 	if err != nil {
 		conn.Close()
 		return nil, failure.Wrap(failure.Unreachable, err, "session with %s", to)
@@ -260,7 +259,7 @@
 }
 
 // keep stores a session; of two dialled at once the first stays.
-func (n *Network) keep(to string, session *yamux.Session) *yamux.Session {
+func (n *Network) keep(to string, session *link) *link {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	if earlier := n.sessions[to]; earlier != nil && !earlier.IsClosed() {
@@ -283,7 +282,8 @@
 func sessionConfig() *yamux.Config {
 	config := yamux.DefaultConfig()
 	config.LogOutput = io.Discard
-	config.KeepAliveInterval = 5 * time.Second
+	// A link asks for signs of life itself: see link.
+	config.EnableKeepAlive = false
 	config.ConnectionWriteTimeout = 5 * time.Second
 	return config
 }
