A decision takes effect only under the leader that made it

The leader was frozen for 4 s; its steady clock had stood still, so its leadership looked fresh when it woke. It took a run for ended, and its move was forwarded to the new leader and committed; the task was placed again beside the run. Ruled out: orders of the old leader (fenced by their token), the new leader's stops (still under way). Change: commands of the controller carry their term; an entry of another term passes over them, on every replica alike. A new term also resets the machine where the loss of leadership was not seen. Test: TestDecisionOfAnEarlierLeaderTakesNoEffect.

--- a/internal/app/work.go
+++ b/internal/app/work.go
@@ -40,6 +40,8 @@
 	// keeper renews the leases; nil where workers do so by their announcements.
 	keeper  *leases.Keeper
 	wakeups chan struct{}
+	// term is nil with keeper.
+	term func() uint64
 }
 
 func newWorkers(s *settings.Settings, node control.Node, registry *membership.Registry, client *upstream.Client, logger *logrus.Logger) *workers {
@@ -57,6 +59,7 @@
 	}
 	w.keeper = leases.NewKeeper(config, log, registry, platform.NewWorkers())
 	w.commands, w.registry = w.keeper, w.keeper
+	w.term = log.Term
 	return w
 }
 
@@ -78,6 +81,7 @@
 func newDispatcher(s *settings.Settings, log control.Log, w *workers, logger *logrus.Logger) *dispatch.Dispatcher {
 	return dispatch.New(dispatch.Config{
 		Logger:    logger,
+		Term:      w.term,
 		LeaseOver: w.leaseOver(),
 		Wakeups:   w.wakeups,
 		Gang: gang.Config{
--- a/internal/coordination/control/control.go
+++ b/internal/coordination/control/control.go
@@ -149,5 +149,19 @@
 	if command == nil {
 		command = &controlpb.Command{}
 	}
+	if command.DecidedIn != 0 && command.DecidedIn != entry.Term {
+		return outdated(state, entry.Index)
+	}
 	return state.Apply(entry.Index, command)
 }
+
+// outdated passes over what an earlier leader decided. A leader that was frozen wakes
+// with its old beliefs, and what it proposes is forwarded to the leader of now: a run
+// that it takes for ended would be started again beside itself. The term of the entry
+// is that of the leader that wrote it, so every replica passes over the same ones.
+func outdated(state *store.State, index uint64) (*store.State, *controlpb.Result) {
+	next, result := state.Apply(index, &controlpb.Command{})
+	result.Code = string(failure.StaleEpoch)
+	result.Detail = "decided by an earlier leader"
+	return next, result
+}
--- /dev/null
+++ b/internal/coordination/control/control_test.go
@@ -0,0 +1,41 @@
+package control_test
+
+import (
+	"testing"
+
+	"github.com/matryer/is"
+
+	"pinewinch.example/pinewinch/internal/coordination/control"
+	"pinewinch.example/pinewinch/internal/protocol/controlpb"
+	"pinewinch.example/pinewinch/internal/protocol/failure"
+	"pinewinch.example/pinewinch/internal/protocol/peerpb"
+	"pinewinch.example/pinewinch/internal/state/store"
+)
+
+// A leader is frozen; another is elected, stops a run and has not seen its end. The
+// first wakes, takes the run for ended by its old beliefs, and what it proposes is
+// forwarded to the leader of now. Were it to take effect, the task would be placed
+// again beside the run that goes on.
+func TestDecisionOfAnEarlierLeaderTakesNoEffect(t *testing.T) {
+	is := is.New(t)
+	job := &controlpb.Job{
+		Id: "j", Epoch: 1, State: controlpb.JobState_JOB_STATE_STOPPING, NextState: controlpb.JobState_JOB_STATE_WAITING,
+		Placements: []*controlpb.Placement{{Worker: "w"}},
+	}
+	state := store.Restore(&controlpb.Snapshot{Index: 7, Jobs: []*controlpb.Job{job}})
+	move := func(decidedIn uint64) *controlpb.Command {
+		return &controlpb.Command{DecidedIn: decidedIn, Op: &controlpb.Command_BatchMove{BatchMove: &controlpb.BatchMove{
+			Moves: []*controlpb.MoveJob{{Job: "j", Epoch: 1, State: controlpb.JobState_JOB_STATE_WAITING}},
+		}}}
+	}
+	next, result := control.Apply(state, &peerpb.LogEntry{Index: 8, Term: 3, Command: move(2)})
+	is.Equal(result.Code, string(failure.StaleEpoch))
+	is.Equal(next.Index(), uint64(8))
+	stays, _ := next.Job("j")
+	is.Equal(stays.State, controlpb.JobState_JOB_STATE_STOPPING)
+
+	next, result = control.Apply(next, &peerpb.LogEntry{Index: 9, Term: 3, Command: move(3)})
+	is.Equal(result.Code, "")
+	moved, _ := next.Job("j")
+	is.Equal(moved.State, controlpb.JobState_JOB_STATE_WAITING)
+}
--- a/internal/coordination/dispatch/controller.go
+++ b/internal/coordination/dispatch/controller.go
@@ -105,9 +105,10 @@
 // Turn takes one step if this instance leads. What an earlier term remembered is
 // dropped at the first step of a new one.
 func (c *Controller) Turn(ctx context.Context) {
+	term := c.dispatcher.leadership()
 	leads := c.log.IsLeader()
-	if leads && !c.led {
-		c.dispatcher.Reset()
+	if leads && (!c.led || term != c.dispatcher.term) {
+		c.dispatcher.Reset(term)
 		c.inventory = inventory.Planner{}
 		c.passes = passGate{}
 	}
@@ -143,6 +144,7 @@
 func (c *Controller) propose(ctx context.Context, command *controlpb.Command) bool {
 	ctx, cancel := context.WithTimeout(ctx, proposeTimeout)
 	defer cancel()
+	command.DecidedIn = c.dispatcher.term
 	_, err := c.log.Propose(ctx, command)
 	return err == nil
 }
--- a/internal/coordination/dispatch/dispatch.go
+++ b/internal/coordination/dispatch/dispatch.go
@@ -64,6 +64,9 @@
 	// Wakeups is a channel of one that others fill when there is news for dispatch;
 	// nil where the answers to its commands are all there is.
 	Wakeups chan struct{}
+	// Term numbers the leadership of this instance; nil where decisions are not
+	// bound to it.
+	Term func() uint64
 	// Logger gets a line for each decision on a job; nil for none.
 	Logger *logrus.Logger
 	Now    func() time.Time
@@ -75,6 +78,8 @@
 	control Control
 	workers Workers
 	machine *gang.Machine
+	// term is the leadership that the machine's beliefs belong to.
+	term    uint64
 	limit   chan struct{}
 	wake    chan struct{}
 	mu      sync.Mutex
@@ -100,9 +105,18 @@
 // Wake is ready when answers have come that Reconcile should look at.
 func (d *Dispatcher) Wake() <-chan struct{} { return d.wake }
 
-// Reset forgets everything: another instance leads, and what it does in the
-// meantime is seen from the log and the workers' reports.
-func (d *Dispatcher) Reset() {
+// leadership is the term of this instance, or 0 where terms do not matter.
+func (d *Dispatcher) leadership() uint64 {
+	if d.config.Term == nil {
+		return 0
+	}
+	return d.config.Term()
+}
+
+// Reset forgets everything for a new term: another instance leads, and what it does
+// in the meantime is seen from the log and the workers' reports.
+func (d *Dispatcher) Reset(term uint64) {
+	d.term = term
 	d.machine = gang.New(d.config.Gang)
 	d.takeAnswers()
 }
@@ -194,7 +208,7 @@
 	d.logMoves(batch)
 	ctx, cancel := context.WithTimeout(ctx, proposeTimeout)
 	defer cancel()
-	command := &controlpb.Command{Op: &controlpb.Command_BatchMove{BatchMove: batch}}
+	command := &controlpb.Command{DecidedIn: d.term, Op: &controlpb.Command_BatchMove{BatchMove: batch}}
 	if _, err := d.control.Propose(ctx, command); err != nil {
 		batchesLost.Add(1)
 	}
