--- a/internal/app/leased.go
+++ b/internal/app/leased.go
@@ -27,6 +27,7 @@
 	"pinewinch.example/pinewinch/internal/protocol/peerpb"
 	"pinewinch.example/pinewinch/internal/settings"
 	"pinewinch.example/pinewinch/internal/transport/counted"
+	"pinewinch.example/pinewinch/internal/transport/metrics"
 	"pinewinch.example/pinewinch/internal/transport/peers"
 	"pinewinch.example/pinewinch/platform"
 )
@@ -56,6 +57,7 @@
 	}{
 		{s.Leased.Control, platform.NewControl(&announcements{node: node, registry: registry, logger: logger}, operators.NewDesk(node, logger), s.Leased.Control, s.Leased.AnnounceEvery)},
 		{s.Leased.Callers, platform.NewCallers(workflows.NewDesk(node, logger))},
+		{s.Leased.Metrics, metrics.Handler()},
 		{s.Leased.Readiness, platform.Readiness(func() error { return ready(node, stopping) })},
 	}
 	var running []*http.Server
--- a/internal/app/main.go
+++ b/internal/app/main.go
@@ -4,6 +4,7 @@
 	"errors"
 	"flag"
 	"fmt"
+	"net/netip"
 	"os"
 	"runtime"
 
@@ -19,6 +20,7 @@
 	flags := flag.NewFlagSet("pinewinchd", flag.ContinueOnError)
 	config := flags.String("config", "", "settings file (INI)")
 	onPlatform := flags.Bool("platform", false, "take the settings that the platform gives")
+	metricsPort := flags.Uint("metrics-port", 0, "on the platform: port that serves counters and histograms; 0 for none")
 	check := flags.Bool("check", false, "check the settings and end")
 	level := flags.String("log-level", "", "goes before [log] level")
 	format := flags.String("log-format", "", "goes before [log] format: text or json")
@@ -32,6 +34,9 @@
 	if err != nil {
 		return report(err)
 	}
+	if loaded.Leased != nil && *metricsPort > 0 {
+		loaded.Leased.Metrics = netip.AddrPortFrom(loaded.Instance.ListenHTTP.Addr(), uint16(*metricsPort))
+	}
 	override(&loaded.Log.Level, *level)
 	override(&loaded.Log.Format, *format)
 	if *check {
--- a/internal/coordination/dispatch/leases/command.go
+++ b/internal/coordination/dispatch/leases/command.go
@@ -9,6 +9,7 @@
 	"pinewinch.example/pinewinch/internal/protocol/api"
 	"pinewinch.example/pinewinch/internal/protocol/controlpb"
 	"pinewinch.example/pinewinch/internal/protocol/failure"
+	"pinewinch.example/pinewinch/internal/protocol/latency"
 	"pinewinch.example/pinewinch/internal/state/store"
 )
 
@@ -22,6 +23,9 @@
 	endWait = 450 * time.Millisecond
 )
 
+// startTook is from a start's sending to its answer.
+var startTook = latency.New("leases_start")
+
 // Command implements dispatch.Workers.
 func (k *Keeper) Command(ctx context.Context, _, path string, command *api.TaskCommand) (*api.TaskAnswer, error) {
 	state := k.log.State()
@@ -80,6 +84,7 @@
 	ctx, cancel := context.WithTimeout(ctx, startTimeout)
 	defer cancel()
 	s.asked()
+	sent := s.now()
 	clock, err := s.keeper.client.Start(ctx, s.target, start)
 	entry := s.entry().WithFields(logrus.Fields{"task": start.Task, "run": start.Run, "index": state.Index()})
 	if err != nil {
@@ -89,6 +94,7 @@
 		return nil, err
 	}
 	entry.Info("started")
+	startTook.Record(s.now().Sub(sent))
 	s.mu.Lock()
 	s.ledger.HearClock(clock, s.now())
 	s.unanswered = time.Time{}
--- a/internal/coordination/follower/search.go
+++ b/internal/coordination/follower/search.go
@@ -9,7 +9,7 @@
 const (
 	// firstRetry and lastRetry bound the pause after every source was tried.
 	firstRetry = 50 * time.Millisecond
-	lastRetry  = 2 * time.Second
+	lastRetry  = 500 * time.Millisecond
 	// improveEvery is how often a nearer source than the current is looked for.
 	improveEvery = 10 * time.Second
 )
--- a/internal/coordination/softstate/watch.go
+++ b/internal/coordination/softstate/watch.go
@@ -12,7 +12,7 @@
 // firstRetry and lastRetry bound the pause before a lost stream is opened anew.
 const (
 	firstRetry = 50 * time.Millisecond
-	lastRetry  = 2 * time.Second
+	lastRetry  = 500 * time.Millisecond
 )
 
 // watch keeps a stream to one peer until ctx ends. Pauses grow and are spread,
--- a/internal/coordination/workflows/workflows.go
+++ b/internal/coordination/workflows/workflows.go
@@ -13,6 +13,7 @@
 	"pinewinch.example/pinewinch/internal/coordination/control"
 	"pinewinch.example/pinewinch/internal/protocol/controlpb"
 	"pinewinch.example/pinewinch/internal/protocol/failure"
+	"pinewinch.example/pinewinch/internal/protocol/latency"
 	"pinewinch.example/pinewinch/internal/state/store"
 )
 
@@ -31,6 +32,8 @@
 	accepted  = expvar.NewInt("workflows_accepted")
 	refused   = expvar.NewInt("workflows_refused")
 	cancelled = expvar.NewInt("workflows_cancelled")
+	// acceptTook is from a submission's arrival to its commit.
+	acceptTook = latency.New("workflows_accept")
 )
 
 // Call is what every call of a caller carries.
@@ -130,6 +133,7 @@
 		return refuse(f)
 	}
 	accepted.Add(1)
+	acceptTook.Record(time.Since(began))
 	entry.WithField("index", result.Index).Info("workflow accepted")
 	return nil
 }
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -104,6 +104,8 @@
 	Callers   netip.AddrPort
 	Readiness netip.AddrPort
 	Control   netip.AddrPort
+	// Metrics serves counters and histograms as text.
+	Metrics netip.AddrPort
 	// AnnounceEvery is how often a worker announces itself.
 	AnnounceEvery time.Duration
 }
