--- a/internal/coordination/dispatch/leases/keeper.go
+++ b/internal/coordination/dispatch/leases/keeper.go
@@ -115,18 +115,30 @@
 		k.clear()
 		k.term, k.leading = term, k.config.Now()
 	}
-	seen := make(map[string]bool, len(live))
 	for _, worker := range live {
-		seen[worker.Id] = true
 		s := k.sessions[worker.Id]
 		if s == nil {
 			s = k.open(ctx, worker)
 		}
 		s.hear(worker)
 	}
+	k.forget(live)
+}
+
+// forget ends the sessions with workers that announce themselves no more, once a new
+// session would know as much.
+func (k *Keeper) forget(live []*peerpb.Upstream) {
+	if len(k.sessions) == len(live) {
+		return
+	}
+	announced := make(map[string]bool, len(live))
+	for _, worker := range live {
+		announced[worker.Id] = true
+	}
 	for id, s := range k.sessions {
-		if !seen[id] {
-			s.unheard()
+		if !announced[id] && s.leaseOver() && !s.remembered() {
+			s.cancel()
+			delete(k.sessions, id)
 		}
 	}
 }
--- a/internal/coordination/dispatch/leases/session.go
+++ b/internal/coordination/dispatch/leases/session.go
@@ -25,37 +25,31 @@
 	ledger *Ledger
 	// gone is set once the boot has surely ended.
 	gone bool
-	// announced is the newest announcement; nil while none stands.
-	announced *peerpb.Upstream
 	// ordered is when the newest start or stop left.
 	ordered time.Time
 	// unanswered is since when an order or look waits for any answer; zero for none.
 	unanswered time.Time
 	version    uint64
-	// view is what dispatch last saw, made of announced and the ledger.
+	// view is what dispatch last saw, made of the announcement viewFrom and the
+	// ledger; stale once the ledger has changed since.
 	view     *peerpb.Upstream
 	viewFrom *peerpb.Upstream
 	stale    bool
-	silent   bool
+	// silent is set while the worker is logged as not answering.
+	silent bool
 }
 
 func (s *session) now() time.Time { return s.keeper.config.Now() }
 
+// hear takes an announcement: one that says goodbye ends all that ran there.
 func (s *session) hear(worker *peerpb.Upstream) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.announced = worker
 	if worker.Departed {
 		s.gone = true
 	}
 }
 
-func (s *session) unheard() {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.announced = nil
-}
-
 // run looks at the worker for as long as it may have runs.
 func (s *session) run(ctx context.Context) {
 	for ctx.Err() == nil && !s.isGone() {
@@ -239,6 +233,14 @@
 	}
 }
 
+// remembered tells a session that knows more than a new one would: runs or ends that
+// are not settled, or that the boot has ended.
+func (s *session) remembered() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.gone || s.ledger.Busy()
+}
+
 // leaseOver tells that nothing of this boot can still run.
 func (s *session) leaseOver() bool {
 	s.mu.Lock()
