The log says that an instance went after 3 s of silence

It is the freshness bound again, or one sign of life (2 s) and a second where that is longer. The scenario is as it was and passes with -race.

--- a/internal/app/changes.go
+++ b/internal/app/changes.go
@@ -18,6 +18,10 @@
 // person, and too seldom to cost an idle instance anything.
 const lookEvery = time.Second
 
+// heardForLog is the shortest silence after which the log says that an instance went:
+// one sign of life and a second, or each would seem to go between two of them.
+const heardForLog = peerPingEvery + time.Second
+
 // view is what the log tells changes of.
 type view struct {
 	leader   string
@@ -88,7 +92,7 @@
 	if err := log.Fresh(); err != nil {
 		seen.notReady = failure.From(err).Code
 	}
-	for _, instance := range registry.Instances(originTTL) {
+	for _, instance := range registry.Instances(max(s.Control.FreshnessBound, heardForLog)) {
 		seen.instances = append(seen.instances, instance.Name)
 	}
 	return seen
