--- a/internal/app/leased.go
+++ b/internal/app/leased.go
@@ -48,7 +48,7 @@
 		return nil
 	}
 	ignoreHangUp(lifecycle, logger)
-	members := &members{settings: s, node: node, registry: registry, network: network, logger: logger}
+	members := &members{node: node, registry: registry, network: network, logger: logger}
 	background(lifecycle, members.run)
 	stopping := &atomic.Bool{}
 	servers := []struct {
@@ -188,7 +188,6 @@
 // members keeps the peers of this instance, and on the leader the list of replicas
 // in the log, in line with the members of the log.
 type members struct {
-	settings *settings.Settings
 	node     control.Node
 	registry *membership.Registry
 	network  *peers.Network
--- a/internal/coordination/dispatch/controller.go
+++ b/internal/coordination/dispatch/controller.go
@@ -145,8 +145,9 @@
 	ctx, cancel := context.WithTimeout(ctx, proposeTimeout)
 	defer cancel()
 	command.DecidedIn = c.dispatcher.term
-	_, err := c.log.Propose(ctx, command)
-	return err == nil
+	result, err := c.log.Propose(ctx, command)
+	c.dispatcher.logRefusal(result, err)
+	return err == nil && result.GetCode() == ""
 }
 
 func (c *Controller) schedule(ctx context.Context, live []*peerpb.Upstream) {
--- a/internal/coordination/dispatch/dispatch.go
+++ b/internal/coordination/dispatch/dispatch.go
@@ -209,7 +209,9 @@
 	ctx, cancel := context.WithTimeout(ctx, proposeTimeout)
 	defer cancel()
 	command := &controlpb.Command{DecidedIn: d.term, Op: &controlpb.Command_BatchMove{BatchMove: batch}}
-	if _, err := d.control.Propose(ctx, command); err != nil {
+	result, err := d.control.Propose(ctx, command)
+	d.logRefusal(result, err)
+	if err != nil {
 		batchesLost.Add(1)
 	}
 }
--- a/internal/coordination/dispatch/leases/session.go
+++ b/internal/coordination/dispatch/leases/session.go
@@ -8,6 +8,7 @@
 	"github.com/sirupsen/logrus"
 	"google.golang.org/protobuf/proto"
 
+	"pinewinch.example/pinewinch/internal/coordination/control"
 	"pinewinch.example/pinewinch/internal/protocol/failure"
 	"pinewinch.example/pinewinch/internal/protocol/peerpb"
 )
@@ -61,20 +62,13 @@
 			continue
 		}
 		if err := s.look(ctx); err != nil {
-			pause(ctx, lookPause)
+			control.Pause(ctx, lookPause)
 			continue
 		}
 		s.settle(ctx)
 	}
 }
 
-func pause(ctx context.Context, length time.Duration) {
-	select {
-	case <-ctx.Done():
-	case <-time.After(length):
-	}
-}
-
 func (s *session) isGone() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/coordination/dispatch/lines.go
+++ b/internal/coordination/dispatch/lines.go
@@ -4,6 +4,7 @@
 	"github.com/sirupsen/logrus"
 
 	"pinewinch.example/pinewinch/internal/protocol/controlpb"
+	"pinewinch.example/pinewinch/internal/protocol/failure"
 	"pinewinch.example/pinewinch/internal/state/store"
 )
 
@@ -48,6 +49,20 @@
 	}
 }
 
+// logRefusal writes a line where a decision was not committed, or took no effect
+// because another leader's term had begun.
+func (d *Dispatcher) logRefusal(result *controlpb.Result, err error) {
+	if d.config.Logger == nil {
+		return
+	}
+	switch {
+	case err != nil:
+		d.config.Logger.WithFields(logrus.Fields{"term": d.term, "code": failure.From(err).Code}).Warn("decision not committed")
+	case result.GetCode() != "":
+		d.config.Logger.WithFields(logrus.Fields{"term": d.term, "code": result.Code, "index": result.Index}).Warn("decision without effect")
+	}
+}
+
 func stateName(state controlpb.JobState) string {
 	const prefix = len("JOB_STATE_")
 	return state.String()[prefix:]
--- a/internal/transport/upstream/client.go
+++ b/internal/transport/upstream/client.go
@@ -36,16 +36,29 @@
 
 // NewClient makes a client; it follows no redirect, for an upstream has none.
 func NewClient() *Client {
-	dialer := &net.Dialer{Timeout: dialTimeout}
-	return &Client{http: &http.Client{
+	return &Client{http: NewHTTP(traffic, Connections{DialTimeout: dialTimeout, Idle: idlePerUp, IdleLife: idleLife})}
+}
+
+// Connections bounds those to one upstream.
+type Connections struct {
+	DialTimeout time.Duration
+	// Idle is how many are kept, and IdleLife for how long.
+	Idle     int
+	IdleLife time.Duration
+}
+
+// NewHTTP makes an HTTP client for upstreams, which send no redirects.
+func NewHTTP(counters counted.Counters, bounds Connections) *http.Client {
+	dialer := &net.Dialer{Timeout: bounds.DialTimeout}
+	return &http.Client{
 		Transport: &http.Transport{
-			DialContext:         traffic.Dialer(dialer.DialContext),
-			MaxIdleConnsPerHost: idlePerUp,
-			IdleConnTimeout:     idleLife,
+			DialContext:         counters.Dialer(dialer.DialContext),
+			MaxIdleConnsPerHost: bounds.Idle,
+			IdleConnTimeout:     bounds.IdleLife,
 			DisableCompression:  true,
 		},
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
-	}}
+	}
 }
 
 // Command sends one command to a worker.
