A full disk: the replica leaves the log until there is room, instead of ending

Cause: the log took every failed write for damage and refused all appends from then on; the process ended (code 26), was started again onto the same full disk and ended again.

Ruled out: going on without the append (would promise what is not on disk); ending the process (it is back on the same disk; fresh start each time costs the published state); an active hand-over (the Ready that holds it cannot be sent before its append; the election takes its place).

Change: a write refused for want of room, before any sync, is cut off and typed disk_full; the same append may be tried again. The core holds that Ready, takes no part in the log, decides nothing, confirms nothing and refuses commands as not run; each tick tries again. A start waits for room to open. A failed sync stops the log as before.

--- a/internal/coordination/replica/confirm.go
+++ b/internal/coordination/replica/confirm.go
@@ -132,6 +132,10 @@
 func (r *Replica) readAsLeader(ctx context.Context) error {
 	waiting := &read{done: make(chan error, 1)}
 	begin := func(c *core) {
+		if err := c.refuseWhileHeld(); err != nil {
+			waiting.done <- err
+			return
+		}
 		round, err := c.node.ReadIndex()
 		if err != nil {
 			waiting.done <- err
--- a/internal/coordination/replica/core.go
+++ b/internal/coordination/replica/core.go
@@ -44,6 +44,8 @@
 	leaderOf leaderTerm
 	saving   saving
 	fetching bool
+	// held waits for room on the disk; nil as a rule.
+	held *consensus.Ready
 }
 
 func newCore(r *Replica, storage *storage, recovered *recovery) (*core, error) {
@@ -88,7 +90,10 @@
 			return nil
 		case <-ticker.C:
 			c.takeWaiting()
-			c.passTime(time.Now())
+			if err := c.tryHeld(working); err != nil {
+				c.abandon()
+				return err
+			}
 		case message := <-c.replica.inbox:
 			c.step(message)
 		case p := <-c.replica.proposals:
@@ -136,8 +141,13 @@
 }
 
 // step hands over one message. One meant for an earlier identity of this
-// instance is refused, which is how a wiped disk stays out.
+// instance is refused, which is how a wiped disk stays out. While the disk is full
+// messages are lost, as on a link that is cut.
 func (c *core) step(message *consensuspb.Message) {
+	if c.held != nil {
+		messagesDropped.Add(1)
+		return
+	}
 	err := c.node.Step(message)
 	if failure.Is(err, failure.Corrupt) {
 		c.failure = err
@@ -148,12 +158,20 @@
 }
 
 func (c *core) carryOutAll(ctx context.Context) error {
+	if c.held != nil {
+		return c.failure
+	}
 	for c.failure == nil {
 		ready, ok := c.node.Ready()
 		if !ok {
 			break
 		}
-		if err := c.carryOut(ctx, ready); err != nil {
+		err := c.carryOut(ctx, ready)
+		if failure.Is(err, failure.DiskFull) {
+			c.hold(ready, err)
+			return nil
+		}
+		if err != nil {
 			return err
 		}
 	}
@@ -170,6 +188,11 @@
 // that promises something of this replica is among them.
 func (c *core) carryOut(ctx context.Context, ready consensus.Ready) error {
 	c.links.send(ready.Messages[:ready.Early])
+	return c.finish(ctx, ready)
+}
+
+// finish does what follows the early messages. On a full disk it has done nothing.
+func (c *core) finish(ctx context.Context, ready consensus.Ready) error {
 	if ready.Hard != nil || len(ready.Entries) > 0 {
 		if err := c.disk.log.Append(ready.Hard, ready.Entries); err != nil {
 			return err
--- a/internal/coordination/replica/members.go
+++ b/internal/coordination/replica/members.go
@@ -143,6 +143,10 @@
 }
 
 func (c *core) reconfigure(p *proposal, edit func(*consensuspb.Configuration)) {
+	if err := c.refuseWhileHeld(); err != nil {
+		p.finish(nil, err)
+		return
+	}
 	status := c.node.Status()
 	next := proto.CloneOf(status.Configuration)
 	edit(next)
--- a/internal/coordination/replica/mesh_test.go
+++ b/internal/coordination/replica/mesh_test.go
@@ -102,6 +102,9 @@
 	m.cut[instance] = cut
 }
 
+// setRoom says how many more bytes fit on a replica's disk; negative: no limit.
+func (m *mesh) setRoom(r *Replica, room int) { m.disks[r.config.Instance].SetRoom(room) }
+
 // reach gives a replica unless a cut lies between.
 func (m *mesh) reach(from, to string) (*Replica, error) {
 	m.mu.Lock()
--- a/internal/coordination/replica/propose.go
+++ b/internal/coordination/replica/propose.go
@@ -141,7 +141,7 @@
 	for i, p := range batch {
 		data[i] = p.data
 	}
-	index, err := c.node.Propose(data...)
+	index, err := c.proposeAll(data)
 	if err != nil {
 		for _, p := range batch {
 			p.finish(nil, err)
@@ -155,6 +155,13 @@
 	}
 }
 
+func (c *core) proposeAll(data [][]byte) (uint64, error) {
+	if err := c.refuseWhileHeld(); err != nil {
+		return 0, err
+	}
+	return c.node.Propose(data...)
+}
+
 // expect keeps a proposal until its index is applied. An earlier one there gave
 // way in this replica's log only: another replica may still hold its entry, win
 // the next term and commit it. To call it not run would have the command sent
--- a/internal/coordination/replica/replica.go
+++ b/internal/coordination/replica/replica.go
@@ -47,6 +47,7 @@
 	messagesRefused = expvar.NewInt("control_messages_refused")
 	snapshotsMade   = expvar.NewInt("control_snapshots_made")
 	snapshotsGot    = expvar.NewInt("control_snapshots_installed")
+	diskFull        = expvar.NewInt("control_disk_full")
 	currentTerm     = expvar.NewInt("control_term")
 	currentIndex    = expvar.NewInt("control_applied_index")
 )
@@ -163,7 +164,7 @@
 // leader hands over before it ends.
 func (r *Replica) Run(ctx context.Context) error {
 	defer close(r.ended)
-	storage, recovered, err := openStorage(&r.config)
+	storage, recovered, err := r.openWithRoom(ctx)
 	if err != nil {
 		return err
 	}
--- a/internal/coordination/replica/replica_test.go
+++ b/internal/coordination/replica/replica_test.go
@@ -14,6 +14,7 @@
 	"pinewinch.example/pinewinch/internal/protocol/controlpb"
 	"pinewinch.example/pinewinch/internal/protocol/failure"
 	"pinewinch.example/pinewinch/internal/protocol/peerpb"
+	"pinewinch.example/pinewinch/internal/state/disk/disktest"
 	"pinewinch.example/pinewinch/internal/state/store"
 )
 
@@ -116,6 +117,55 @@
 	})
 }
 
+// The leader's disk fills up while a command comes in. It must neither end nor
+// confirm what is not on its disk: another replica leads, the first refuses
+// commands as not run, and with room again it is back with all entries.
+func TestLeaderWithAFullDiskLeavesTheLogAndComesBack(t *testing.T) {
+	inBubble(t, func(is *is.I, m *mesh) {
+		old := startAll(m)
+		propose(is, old, "before")
+		m.setRoom(old, 0)
+		waiting := make(chan error, 1)
+		go func() {
+			_, err := old.submit(background(), drain("during"))
+			waiting <- err
+		}()
+		time.Sleep(100 * time.Millisecond)
+		is.True(!old.IsLeader())
+		_, err := old.submit(background(), drain("refused"))
+		is.Equal(failure.From(err).NotRun, failure.NotRunTrue)
+		next := m.leader()
+		is.True(next != old)
+		propose(is, next, "after")
+		is.True(failure.Is(old.readAsLeader(background()), failure.NotReady))
+		m.setRoom(old, -1)
+		time.Sleep(3 * time.Second)
+		is.NoErr(old.Fresh())
+		is.True(old.State().Drained("after"))
+		is.True(!old.State().Drained("refused"))
+		is.True(failure.From(<-waiting).NotRun != failure.NotRunFalse)
+		is.NoErr(old.Read(background()))
+	})
+}
+
+// A replica starts on a full disk. It waits for room instead of ending, and then
+// takes part.
+func TestStartOnAFullDiskWaitsForRoom(t *testing.T) {
+	inBubble(t, func(is *is.I, m *mesh) {
+		m.disks["i3"] = disktest.New()
+		m.disks["i3"].Room = 0
+		late := m.start("i3")
+		m.start("i1")
+		m.start("i2")
+		time.Sleep(2 * time.Second)
+		m.setRoom(late, -1)
+		propose(is, m.leader(), "after")
+		time.Sleep(5 * time.Second)
+		is.NoErr(late.Fresh())
+		is.True(late.State().Drained("after"))
+	})
+}
+
 // A new leader has not heard yet what the last one had committed. Deciding from
 // its state now would repeat that one's decisions, such as a placement; it
 // leads only once its own term's first entry is applied.
--- a/internal/coordination/replica/snapshots.go
+++ b/internal/coordination/replica/snapshots.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"pinewinch.example/pinewinch/internal/coordination/consensus"
 	"pinewinch.example/pinewinch/internal/protocol/consensuspb"
@@ -27,13 +28,15 @@
 	// index of the newest, and bytes of commands applied since.
 	index uint64
 	bytes int64
+	// notBefore is set after a snapshot that found no room.
+	notBefore time.Time
 }
 
 // snapshotWhenDue begins a snapshot beside the owner: a State never changes, so
 // encoding and writing it holds up no command.
 func (c *core) snapshotWhenDue() {
 	due := c.state.Index()-c.saving.index >= c.replica.config.SnapshotEntries || c.saving.bytes >= c.replica.config.SnapshotBytes
-	if c.saving.running || !due || c.state.Index() == c.saving.index {
+	if c.saving.running || !due || c.state.Index() == c.saving.index || time.Now().Before(c.saving.notBefore) {
 		return
 	}
 	meta, ok := c.node.SnapshotMeta(c.state.Index())
@@ -74,6 +77,10 @@
 	if err == nil {
 		err = c.disk.log.Compact(c.disk.snapshots.Oldest())
 	}
+	if failure.Is(err, failure.DiskFull) {
+		c.snapshotLater(err)
+		return
+	}
 	if err != nil {
 		c.failure = err
 		return
@@ -84,6 +91,14 @@
 	}
 }
 
+// snapshotLater leaves the log as long as it is: the state is whole without the
+// snapshot, and the next one covers it.
+func (c *core) snapshotLater(cause error) {
+	c.saving.notBefore = time.Now().Add(snapshotPauseTicks * c.tick)
+	c.replica.config.Logger.WithField("index", c.saving.index).WithField("cause", cause.Error()).Warn("no room for a snapshot")
+	c.saving.index = c.disk.newestSnapshot()
+}
+
 // startFetch fetches the leader's snapshot beside the owner.
 func (c *core) startFetch(ctx context.Context, fetch *consensus.Fetch) {
 	if c.fetching {
@@ -171,8 +186,9 @@
 	return &peerpb.SnapshotChunk{Index: id.Index, Term: id.Term, Total: chunk.Total, Offset: chunk.Offset, Data: chunk.Data}, nil
 }
 
-// install replaces the state by a fetched snapshot. A failed fetch is begun
-// again when the leader next asks for it; a failed disk stops the replica.
+// install replaces the state by a fetched snapshot. A failed fetch, or one that
+// finds no room, is begun again when the leader next asks for it; a failed disk
+// stops the replica.
 func (c *core) install(s *snapshot.Snapshot, err error) {
 	c.fetching = false
 	if failure.Is(err, failure.DiskFailed) {
@@ -186,7 +202,11 @@
 		c.failure = err
 		return
 	}
-	if err := c.disk.log.Mark(s.Meta); err != nil {
+	err = c.disk.log.Mark(s.Meta)
+	if failure.Is(err, failure.DiskFull) {
+		return
+	}
+	if err != nil {
 		c.failure = err
 		return
 	}
--- a/internal/coordination/replica/storage.go
+++ b/internal/coordination/replica/storage.go
@@ -92,7 +92,7 @@
 func (s *storage) used() (bool, error) {
 	for _, folder := range []string{logFolder, snapshotFolder} {
 		if err := s.files.MakeFolder(s.path(folder)); err != nil {
-			return false, failure.Wrap(failure.DiskFailed, err, "make %s", s.path(folder))
+			return false, disk.Fault(err, "make %s", s.path(folder))
 		}
 		names, err := s.files.Names(s.path(folder))
 		if err != nil {
@@ -171,6 +171,12 @@
 	return nil
 }
 
+// newestSnapshot is the index of the newest durable snapshot; 0 where there is none.
+func (s *storage) newestSnapshot() uint64 {
+	newest, _ := s.snapshots.Newest()
+	return newest.Index
+}
+
 func (s *storage) path(name string) string { return filepath.Join(s.folder, name) }
 
 func (s *storage) close() {
--- a/internal/protocol/failure/failure.go
+++ b/internal/protocol/failure/failure.go
@@ -56,9 +56,12 @@
 	KeyExpired      Code = "key_expired"
 	Corrupt         Code = "corrupt_log"
 	DiskFailed      Code = "disk_failed"
-	FolderInUse     Code = "data_folder_in_use"
-	CommandTooNew   Code = "command_too_new"
-	Internal        Code = "internal"
+	// DiskFull is a disk that takes no more bytes: what was to be written is not
+	// there, and may be written again once there is room.
+	DiskFull      Code = "disk_full"
+	FolderInUse   Code = "data_folder_in_use"
+	CommandTooNew Code = "command_too_new"
+	Internal      Code = "internal"
 	// Codes of tasks.
 	MemoryExceeded Code = "memory_exceeded"
 	TaskFailed     Code = "task_failed"
@@ -104,6 +107,7 @@
 	KeyExpired:      {http.StatusGone, 44},
 	Corrupt:         {http.StatusInternalServerError, 25},
 	DiskFailed:      {http.StatusInternalServerError, 26},
+	DiskFull:        {http.StatusInsufficientStorage, 52},
 	FolderInUse:     {http.StatusInternalServerError, 27},
 	CommandTooNew:   {http.StatusInternalServerError, 51},
 	Internal:        {http.StatusInternalServerError, 1},
--- a/internal/state/disk/disk.go
+++ b/internal/state/disk/disk.go
@@ -11,6 +11,7 @@
 	"os"
 	"path/filepath"
 	"strings"
+	"syscall"
 
 	"pinewinch.example/pinewinch/internal/protocol/failure"
 )
@@ -143,11 +144,20 @@
 	return content[:n], nil
 }
 
+// Fault makes the failure of an access to a disk: DiskFull where there is no room
+// for the bytes, DiskFailed otherwise.
+func Fault(err error, format string, args ...any) *failure.Error {
+	if errors.Is(err, syscall.ENOSPC) || errors.Is(err, syscall.EDQUOT) {
+		return failure.Wrap(failure.DiskFull, err, format, args...)
+	}
+	return failure.Wrap(failure.DiskFailed, err, format, args...)
+}
+
 // Replace writes a file aside, syncs it, renames it and syncs the folder: after
 // a crash there is the old file or the new one, whole.
 func Replace(files FS, path string, parts ...[]byte) error {
 	if err := replace(files, path, parts); err != nil {
-		return failure.Wrap(failure.DiskFailed, err, "write %s", path)
+		return Fault(err, "write %s", path)
 	}
 	return nil
 }
--- a/internal/state/disk/disktest/disktest.go
+++ b/internal/state/disk/disktest/disktest.go
@@ -59,6 +59,13 @@
 	return after
 }
 
+// SetRoom sets Room while other goroutines use the file system.
+func (f *FS) SetRoom(room int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.Room = room
+}
+
 // Damage flips a bit of a file.
 func (f *FS) Damage(path string, offset int) {
 	f.mu.Lock()
--- a/internal/state/disk/lock.go
+++ b/internal/state/disk/lock.go
@@ -19,11 +19,11 @@
 // promised.
 func TakeLock(folder string) (*Lock, error) {
 	if err := os.MkdirAll(folder, folderAccess); err != nil {
-		return nil, failure.Wrap(failure.DiskFailed, err, "make %s", folder)
+		return nil, Fault(err, "make %s", folder)
 	}
 	file, err := os.OpenFile(filepath.Join(folder, lockFile), os.O_CREATE|os.O_RDWR, fileAccess)
 	if err != nil {
-		return nil, failure.Wrap(failure.DiskFailed, err, "open the lock of %s", folder)
+		return nil, Fault(err, "open the lock of %s", folder)
 	}
 	if err := syscall.Flock(int(file.Fd()), syscall.LOCK_EX|syscall.LOCK_NB); err != nil {
 		file.Close()
--- a/internal/state/snapshot/snapshot.go
+++ b/internal/state/snapshot/snapshot.go
@@ -30,7 +30,7 @@
 // Open lists the snapshots of a folder and makes it where there is none.
 func Open(files disk.FS, path string) (*Folder, error) {
 	if err := files.MakeFolder(path); err != nil {
-		return nil, failure.Wrap(failure.DiskFailed, err, "make %s", path)
+		return nil, disk.Fault(err, "make %s", path)
 	}
 	if err := disk.RemoveAside(files, path); err != nil {
 		return nil, err
--- a/internal/state/snapshot/transfer.go
+++ b/internal/state/snapshot/transfer.go
@@ -115,7 +115,7 @@
 		return false, failure.New(failure.WrongAnswer, "chunk of snapshot %d at %d, wanted %d at %d", c.ID.Index, c.Offset, in.id.Index, in.offset)
 	}
 	if _, err := in.file.Write(c.Data); err != nil {
-		return false, failure.Wrap(failure.DiskFailed, err, "write a chunk")
+		return false, disk.Fault(err, "write a chunk")
 	}
 	in.offset += int64(len(c.Data))
 	return in.offset == c.Total, nil
@@ -139,7 +139,7 @@
 		return nil, failure.Wrap(failure.WrongAnswer, err, "received snapshot")
 	}
 	if err := in.install(path); err != nil {
-		return nil, failure.Wrap(failure.DiskFailed, err, "keep %s", path)
+		return nil, disk.Fault(err, "keep %s", path)
 	}
 	return s, f.add(in.id)
 }
--- a/internal/state/wal/wal.go
+++ b/internal/state/wal/wal.go
@@ -45,7 +45,7 @@
 	}
 	l := &Log{options: options}
 	if err := options.Files.MakeFolder(options.Folder); err != nil {
-		return nil, nil, failure.Wrap(failure.DiskFailed, err, "make %s", options.Folder)
+		return nil, nil, disk.Fault(err, "make %s", options.Folder)
 	}
 	if err := disk.RemoveAside(options.Files, options.Folder); err != nil {
 		return nil, nil, err
@@ -120,9 +120,12 @@
 }
 
 // Append writes a hard state (nil: unchanged) and entries with one write and
-// one sync. Entries whose indexes the log already has replace its tail. Once a
-// write or a sync has failed, the log refuses everything: the kernel may have
-// dropped the bytes and would call the next sync a success all the same.
+// one sync. Entries whose indexes the log already has replace its tail.
+//
+// On a full disk it fails with DiskFull and has written nothing; the same append
+// may be tried again. Once a sync, or a write for another reason, has failed, the
+// log refuses everything with DiskFailed: the kernel may have dropped the bytes
+// and would call the next sync a success all the same.
 func (l *Log) Append(hard *consensuspb.HardState, entries []*consensuspb.Entry) error {
 	return l.write(&consensuspb.LogRecord{Hard: hard, Entries: entries})
 }
@@ -149,25 +152,32 @@
 	}
 	if l.synced > segmentHeadBytes && l.synced+int64(len(encoded)) > l.options.SegmentBytes {
 		if err := l.rotate(); err != nil {
-			return l.fail(err)
+			return l.refuse(err)
 		}
 	}
-	if err := l.writeSynced(encoded); err != nil {
+	if _, err := l.active.Write(encoded); err != nil {
+		return l.refuse(err)
+	}
+	if err := l.active.Sync(); err != nil {
 		return l.fail(err)
 	}
+	l.synced += int64(len(encoded))
 	l.note(record)
 	return nil
 }
 
-func (l *Log) writeSynced(encoded []byte) error {
-	if _, err := l.active.Write(encoded); err != nil {
-		return err
+// refuse ends a write before its sync. On a full disk the part of the record that
+// was written is cut off: nothing of it was synced, so that nothing lasts that
+// the next append could meet.
+func (l *Log) refuse(err error) error {
+	refused := disk.Fault(err, "write the log in %s", l.options.Folder)
+	if !failure.Is(refused, failure.DiskFull) {
+		return l.fail(err)
 	}
-	if err := l.active.Sync(); err != nil {
-		return err
+	if err := l.active.Truncate(l.synced); err != nil {
+		return l.fail(err)
 	}
-	l.synced += int64(len(encoded))
-	return nil
+	return refused
 }
 
 func (l *Log) note(record *consensuspb.LogRecord) {
@@ -184,21 +194,20 @@
 // fail stops the log for good. The bytes that were not synced are cut off, so
 // that a restart does not read them from the kernel's cache as if they lasted.
 func (l *Log) fail(err error) error {
-	l.failed = failure.Wrap(failure.DiskFailed, err, "write the log in %s", l.options.Folder)
-	if l.active != nil {
-		_ = l.active.Truncate(l.synced)
-	}
+	l.failed = disk.Fault(err, "write the log in %s", l.options.Folder)
+	_ = l.active.Truncate(l.synced)
 	return l.failed
 }
 
 // rotate starts the next segment. It repeats the hard state and the snapshot
-// mark, so that the older segments can go without loss.
+// mark, so that the older segments can go without loss. Where it fails, the
+// segment before it is still the active one.
 func (l *Log) rotate() error {
-	if err := l.active.Close(); err != nil {
+	before := l.active
+	if err := l.startSegment(l.segments[len(l.segments)-1].number + 1); err != nil {
 		return err
 	}
-	l.active = nil
-	return l.startSegment(l.segments[len(l.segments)-1].number + 1)
+	return before.Close()
 }
 
 func (l *Log) startSegment(number uint64) error {
@@ -210,10 +219,11 @@
 	if err := disk.Replace(l.options.Files, path, head); err != nil {
 		return err
 	}
-	l.active, err = l.options.Files.Open(path)
+	started, err := l.options.Files.Open(path)
 	if err != nil {
 		return failure.Wrap(failure.DiskFailed, err, "open %s", path)
 	}
+	l.active = started
 	l.synced = int64(len(head))
 	l.segments = append(l.segments, segment{number: number, path: path})
 	return nil
