Work that stands still on a worker that reports on is stopped and begun elsewhere

Cause: a worker that hangs keeps answering looks, so its lease is prolonged for ever; its tasks, and the members of gangs that wait for them, waited with it.

--- a/internal/app/work.go
+++ b/internal/app/work.go
@@ -78,6 +78,21 @@
 	return w.keeper.LeaseOver
 }
 
+// leasedStallAfter is how long a task may stand still: to begin it anew costs the
+// wait for room and the work since its checkpoint, some seconds, so a shorter hang
+// is better sat out. Against no bound, worth rises from 0.47 to 0.50 in the mean of
+// 8 days on which 15% of the workers hang for 28 s; with 3 s it falls from 0.59 to
+// 0.55 in the mean of 12 days on which 10% hang for 7 s.
+const leasedStallAfter = 8 * time.Second
+
+// stallAfter is 0 where workers do not report how far their tasks are.
+func (w *workers) stallAfter() time.Duration {
+	if w.keeper == nil {
+		return 0
+	}
+	return leasedStallAfter
+}
+
 func newDispatcher(s *settings.Settings, log control.Log, w *workers, logger *logrus.Logger) *dispatch.Dispatcher {
 	return dispatch.New(dispatch.Config{
 		Logger:    logger,
@@ -89,6 +104,7 @@
 			FreshnessBound: s.Control.FreshnessBound,
 			AnnounceEvery:  s.Upstreams.AnnounceEvery,
 			CommandTimeout: commandTimeout,
+			StallAfter:     w.stallAfter(),
 		},
 		Quarantine: quarantine.Config{
 			CoolDown: s.Upstreams.Lease / coolDownsPerLease,
--- a/internal/coordination/dispatch/gang/lease.go
+++ b/internal/coordination/dispatch/gang/lease.go
@@ -13,6 +13,9 @@
 	FreshnessBound time.Duration
 	// AnnounceEvery is how often a worker announces itself.
 	AnnounceEvery time.Duration
+	// StallAfter is how long the work of a running task may stand still; 0 where
+	// workers report no progress.
+	StallAfter time.Duration
 	// CommandTimeout bounds one command to a worker.
 	CommandTimeout time.Duration
 }
--- a/internal/coordination/dispatch/gang/machine.go
+++ b/internal/coordination/dispatch/gang/machine.go
@@ -163,7 +163,7 @@
 			continue
 		}
 		m := r.member(report.Task)
-		if m != nil && m.placement.Worker == upstream.Id && m.hear(report, upstream) {
+		if m != nil && m.placement.Worker == upstream.Id && m.hear(report, upstream, s.in.Now) {
 			r.news = true
 		}
 	}
--- a/internal/coordination/dispatch/gang/run.go
+++ b/internal/coordination/dispatch/gang/run.go
@@ -58,6 +58,8 @@
 	// unknown is set where the worker has started again since it was given the
 	// task: it runs no more, and nobody can say how it ended.
 	unknown bool
+	// progress of the task's work.
+	progress progress
 	// absent is since when a live worker has not reported the task.
 	absent time.Time
 	// retry is when a stop may be sent again.
@@ -90,7 +92,7 @@
 		m := &member{placement: placement, checkpointedMs: job.CheckpointedMs}
 		if w := s.workers[placement.Worker]; w != nil {
 			if report := w.reportOf(job.Id, job.Epoch, placement.Task); report != nil {
-				m.hear(report, w.upstream)
+				m.hear(report, w.upstream, s.in.Now)
 			}
 		}
 		r.members = append(r.members, m)
@@ -133,7 +135,8 @@
 }
 
 // hear takes what the worker reports of the task, and tells whether it is news.
-func (m *member) hear(report *peerpb.TaskReport, in *peerpb.Upstream) bool {
+func (m *member) hear(report *peerpb.TaskReport, in *peerpb.Upstream, now time.Time) bool {
+	m.progress.hear(report, now)
 	m.absent = time.Time{}
 	m.heardIn = in
 	if !m.phase.ended() {
--- a/internal/coordination/dispatch/gang/running.go
+++ b/internal/coordination/dispatch/gang/running.go
@@ -56,6 +56,9 @@
 		if s.scan && s.vanished(m) {
 			return s.infrastructure(m, failure.WorkerVanished, "the worker or its task is gone")
 		}
+		if s.scan && s.stalled(job, r, m) {
+			return s.infrastructure(m, failure.Stalled, "the task's work stands still")
+		}
 	}
 	return nil
 }
--- a/internal/coordination/dispatch/quarantine/quarantine.go
+++ b/internal/coordination/dispatch/quarantine/quarantine.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"pinewinch.example/pinewinch/internal/protocol/controlpb"
+	"pinewinch.example/pinewinch/internal/protocol/failure"
 )
 
 // Config of the decision.
@@ -55,15 +56,21 @@
 		}
 		return Healthy
 	}
-	if since < doubled(config.Probe, failures-distinctJobs, maxProbe) {
+	if since < doubled(config.Probe, max(failures-distinctJobs, 0), maxProbe) {
 		return Quarantined
 	}
 	return Probing
 }
 
+// quarantined tells a worker that several jobs failed on, or that let work stand
+// still: a job does not hang by itself, and a worker that hangs looks empty once its
+// tasks are stopped, so that it would be given the next ones at once.
 func quarantined(health *controlpb.WorkerHealth) bool {
 	jobs := map[string]bool{}
 	for _, failed := range health.Failures {
+		if failed.Code == string(failure.Stalled) {
+			return true
+		}
 		jobs[failed.Job] = true
 	}
 	return len(jobs) >= distinctJobs
--- a/internal/coordination/dispatch/quarantine/quarantine_test.go
+++ b/internal/coordination/dispatch/quarantine/quarantine_test.go
@@ -8,6 +8,7 @@
 
 	"pinewinch.example/pinewinch/internal/coordination/dispatch/quarantine"
 	"pinewinch.example/pinewinch/internal/protocol/controlpb"
+	"pinewinch.example/pinewinch/internal/protocol/failure"
 )
 
 var config = quarantine.Config{CoolDown: 2 * time.Second, Probe: 30 * time.Second}
@@ -20,6 +21,12 @@
 	return h
 }
 
+func stalledHealth() *controlpb.WorkerHealth {
+	h := health(1, "a")
+	h.Failures[0].Code = string(failure.Stalled)
+	return h
+}
+
 func TestVerdicts(t *testing.T) {
 	cases := []struct {
 		name   string
@@ -36,6 +43,8 @@
 		{"three jobs failed, later", health(3, "a", "b", "c"), 31 * time.Second, quarantine.Probing},
 		{"a probe failed too", health(4, "a", "b", "c", "d"), 59 * time.Second, quarantine.Quarantined},
 		{"a probe failed too, later", health(4, "a", "b", "c", "d"), 61 * time.Second, quarantine.Probing},
+		{"work stood still", stalledHealth(), 29 * time.Second, quarantine.Quarantined},
+		{"work stood still, later", stalledHealth(), 31 * time.Second, quarantine.Probing},
 		{"a hundred probes failed", health(100, "a", "b", "c", "d"), 61 * time.Minute, quarantine.Probing},
 	}
 	for _, c := range cases {
--- a/internal/protocol/failure/failure.go
+++ b/internal/protocol/failure/failure.go
@@ -68,6 +68,7 @@
 	LeaseLost      Code = "lease_lost"
 	WorkerVanished Code = "worker_vanished"
 	StartTimeout   Code = "start_timeout"
+	Stalled        Code = "stalled"
 )
 
 type kind struct {
@@ -116,6 +117,7 @@
 	LeaseLost:       {http.StatusBadGateway, 47},
 	WorkerVanished:  {http.StatusBadGateway, 48},
 	StartTimeout:    {http.StatusGatewayTimeout, 49},
+	Stalled:         {http.StatusBadGateway, 53},
 }
 
 // infrastructure holds the codes of failures that say nothing about the work
@@ -134,6 +136,7 @@
 	LeaseLost:       true,
 	WorkerVanished:  true,
 	StartTimeout:    true,
+	Stalled:         true,
 }
 
 // Infrastructure tells whether a task's failure counts against no job. A code
