--- a/internal/coordination/dispatch/leases/command.go
+++ b/internal/coordination/dispatch/leases/command.go
@@ -76,13 +76,16 @@
 		Specification: workflow.Specification,
 		Checkpoint:    job.Checkpoint,
 	}
+	ctx, cancel := context.WithTimeout(ctx, startTimeout)
+	defer cancel()
+	if err := s.awaitLook(ctx); err != nil {
+		return nil, err
+	}
 	s.mu.Lock()
 	start.Deadline = s.ledger.Deadline(s.now())
 	s.ordered = s.now()
 	s.mu.Unlock()
 	s.poke()
-	ctx, cancel := context.WithTimeout(ctx, startTimeout)
-	defer cancel()
 	s.asked()
 	sent := s.now()
 	clock, err := s.keeper.client.Start(ctx, s.target, start)
@@ -102,6 +105,19 @@
 	return &api.TaskAnswer{Incarnation: command.Incarnation, Phase: api.PhaseRunning}, nil
 }
 
+// awaitLook waits for the worker's first answer under the token. Before it the
+// worker's clock is not known, and an order of an earlier leader may still be obeyed
+// after this one: a start with a lease of that time would outlive what is waited
+// for when the worker is lost.
+func (s *session) awaitLook(ctx context.Context) error {
+	select {
+	case <-s.looked:
+		return nil
+	case <-ctx.Done():
+		return failure.Wrap(failure.Unreachable, ctx.Err(), "worker %s has not answered a look yet", s.target.Worker)
+	}
+}
+
 // stop orders the end of a run and waits until the worker lists it, or shows that
 // the run never came there: after the order it can't come any more.
 func (s *session) stop(ctx context.Context, job *controlpb.Job, command *api.TaskCommand) (*api.TaskAnswer, error) {
--- a/internal/coordination/dispatch/leases/keeper.go
+++ b/internal/coordination/dispatch/leases/keeper.go
@@ -153,6 +153,7 @@
 		target: Target{Worker: worker.Id, Address: worker.Address},
 		ledger: NewLedger(k.config.Lease, until),
 		poked:  make(chan struct{}, 1),
+		looked: make(chan struct{}),
 	}
 	running, cancel := context.WithCancel(ctx)
 	s.cancel = cancel
@@ -212,15 +213,23 @@
 
 // LeaseOver tells that nothing runs on the worker any more, though it did not say
 // so: its lease has surely run out, or another boot is in its place.
+//
+// Where the keeper has not taken up the newest term, nothing is over: the waits that it
+// knows are those of an earlier leadership of this instance, and other leaders may
+// have prolonged leases since.
 func (k *Keeper) LeaseOver(worker string) bool {
+	term := k.log.Term()
 	k.mu.Lock()
 	s := k.sessions[worker]
-	leading := k.leading
+	leading, kept := k.leading, k.term
 	k.mu.Unlock()
+	if kept != term {
+		return false
+	}
 	if s != nil {
 		return s.leaseOver()
 	}
 	// Never heard of under this token: only earlier leaders can have ordered there.
 	until := leading.Add(k.config.FreshnessBound)
-	return !leading.IsZero() && k.config.Now().Sub(until) > LeaseBound(k.config.Lease)
+	return k.config.Now().Sub(until) > LeaseBound(k.config.Lease)
 }
--- a/internal/coordination/dispatch/leases/keeper_test.go
+++ b/internal/coordination/dispatch/leases/keeper_test.go
@@ -44,8 +44,18 @@
 }
 
 func (c *cluster) State() *store.State { return c.state }
-func (c *cluster) IsLeader() bool      { return c.leads }
-func (c *cluster) Term() uint64        { return c.term }
+func (c *cluster) IsLeader() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.leads
+}
+
+func (c *cluster) Term() uint64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.term
+}
+
 func (c *cluster) Fresh() error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -275,3 +285,65 @@
 		is.Equal(len(c.running), 0)
 	})
 }
+
+// An instance led an hour ago and leads again. In the moments before it has taken
+// the new leadership up, its old waits are long over, but the leader in between may
+// have prolonged a worker's lease just now.
+func TestWaitsOfAnEarlierLeadershipSayNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		c := newCluster(placed())
+		k := keep(t, c)
+		c.set(func() { c.leads = false })
+		time.Sleep(time.Hour)
+		c.set(func() { c.term = 3; c.leads = true })
+		is.True(!k.LeaseOver("i-2"))
+		is.True(!k.LeaseOver("i-1"))
+		time.Sleep(4 * turnEvery)
+		is.True(!k.LeaseOver("i-2"))
+	})
+}
+
+// Nothing runs on a worker, and the last look at it was lost. It is reached again:
+// unless it is looked at until it answers, it would count as lost for as long as
+// this leader leads, and would never be given work again.
+func TestIdleWorkerThatWasOutOfReachIsBack(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		c := newCluster(placed())
+		k := keep(t, c)
+		c.set(func() { c.cut = true })
+		_, err := order(k, api.PathTaskStart)
+		is.True(err != nil)
+		time.Sleep(time.Minute)
+		is.Equal(len(k.Live(worker.Kind)), 0)
+		c.set(func() { c.cut = false })
+		time.Sleep(2 * (lookWait + lookSlack))
+		is.Equal(len(k.Live(worker.Kind)), 1)
+	})
+}
+
+// A new leader finds a start that the one before decided, and the worker has not
+// answered it yet. A start sent now would name an end of the lease by a clock that
+// is not known; it waits for the first look, and fails as not run without one.
+func TestStartWaitsForTheFirstLook(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		c := newCluster(placed())
+		c.cut = true
+		k := keep(t, c)
+		_, err := order(k, api.PathTaskStart)
+		is.Equal(failure.From(err).NotRun, failure.NotRunTrue)
+		done := make(chan error, 1)
+		go func() {
+			_, err := order(k, api.PathTaskStart)
+			done <- err
+		}()
+		c.set(func() { c.cut = false })
+		_ = <-done
+		time.Sleep(2 * (lookWait + lookSlack))
+		_, err = order(k, api.PathTaskStart)
+		is.NoErr(err)
+		c.set(func() { is.True(c.lease <= c.clock()+lease.Milliseconds()) })
+	})
+}
--- a/internal/coordination/dispatch/leases/ledger.go
+++ b/internal/coordination/dispatch/leases/ledger.go
@@ -82,9 +82,16 @@
 
 // Deadline is the end of a lease that begins at now, by the worker's clock, and
 // notes that an order with it leaves. The worker's clock is taken to be as slow as
-// it may be, so the lease is rather shorter than longer.
+// it may be, so the lease is rather shorter than longer. The worker must have been
+// heard: without its clock no end of a lease can be named.
+//
+// An order of an earlier leader may have left after now, so what it may have
+// prolonged is not forgotten: the runs that it keeps alive would be begun elsewhere
+// beside themselves.
 func (l *Ledger) Deadline(now time.Time) int64 {
-	l.extended = now
+	if now.After(l.extended) {
+		l.extended = now
+	}
 	since := float64(now.Sub(l.clockAt).Milliseconds()) * (1 - maxSlow)
 	return l.clock + int64(since) + l.lease.Milliseconds()
 }
--- a/internal/coordination/dispatch/leases/ledger_test.go
+++ b/internal/coordination/dispatch/leases/ledger_test.go
@@ -120,6 +120,18 @@
 	is.True(l.LeaseOver(at(1501).Add(LeaseBound(lease))))
 }
 
+// A new leader reaches a worker at once and orders there, then loses it. The leader
+// before could go on ordering there for a while after that first order; to forget it
+// would have the runs that it prolonged begun elsewhere, beside themselves.
+func TestOrderOfANewLeaderForgetsNoneOfTheOneBefore(t *testing.T) {
+	is := is.New(t)
+	l := NewLedger(lease, at(1500))
+	l.Take(&Report{Clock: 1000}, at(50))
+	l.Deadline(at(100))
+	is.True(!l.LeaseOver(at(101).Add(LeaseBound(lease))))
+	is.True(l.LeaseOver(at(1501).Add(LeaseBound(lease))))
+}
+
 // A start that was given up is carried out late: its run is alive on the worker,
 // and the log has placed the task elsewhere or waits. It has to be stopped.
 func TestRunsThatTheLogGaveUpAreOrphans(t *testing.T) {
--- a/internal/coordination/dispatch/leases/session.go
+++ b/internal/coordination/dispatch/leases/session.go
@@ -21,6 +21,8 @@
 	cancel context.CancelFunc
 	// poked is ready when a look is due at once.
 	poked chan struct{}
+	// looked is closed once the worker has answered a look under the token.
+	looked chan struct{}
 
 	mu     sync.Mutex
 	ledger *Ledger
@@ -75,11 +77,14 @@
 	return s.gone
 }
 
-// quiet tells a worker without runs, ends and recent orders: it needs no lease.
+// quiet tells a worker without runs, ends and recent orders: it needs no lease. One
+// that left an order or look unanswered is looked at until it answers: nobody else
+// would find out that it is back, and it would count as lost for as long as this
+// leader leads.
 func (s *session) quiet() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.ledger.Heard() && !s.ledger.Busy() && s.now().Sub(s.ordered) > busyAfter
+	return s.unanswered.IsZero() && s.ledger.Heard() && !s.ledger.Busy() && s.now().Sub(s.ordered) > busyAfter
 }
 
 func (s *session) poke() {
@@ -164,6 +169,9 @@
 	s.mu.Lock()
 	first := !s.ledger.Heard()
 	s.ledger.Take(report, s.now())
+	if first {
+		close(s.looked)
+	}
 	s.unanswered = time.Time{}
 	s.stale = true
 	if s.silent {
--- a/internal/coordination/replica/confirm.go
+++ b/internal/coordination/replica/confirm.go
@@ -6,6 +6,7 @@
 
 	"pinewinch.example/pinewinch/internal/coordination/consensus"
 	"pinewinch.example/pinewinch/internal/coordination/control"
+	"pinewinch.example/pinewinch/internal/coordination/steady"
 	"pinewinch.example/pinewinch/internal/protocol/failure"
 	"pinewinch.example/pinewinch/internal/protocol/peerpb"
 )
@@ -28,7 +29,7 @@
 	if confirmed == nil {
 		return 0, failure.New(failure.StaleState, "the control state was never confirmed")
 	}
-	age := time.Since(*confirmed)
+	age := confirmed.Age()
 	if age > r.config.FreshnessBound {
 		return 0, failure.New(failure.StaleState, "the control state was confirmed %s ago", age.Round(time.Millisecond))
 	}
@@ -51,7 +52,7 @@
 }
 
 // confirm moves the confirmation forward, never back.
-func (r *Replica) confirm(at time.Time) {
+func (r *Replica) confirm(at steady.Moment) {
 	for {
 		earlier := r.confirmed.Load()
 		if earlier != nil && !at.After(*earlier) {
@@ -81,7 +82,7 @@
 // confirmFrom asks the leader and waits until what it had committed is applied
 // here. Only this process's clock is read: the age counts from the sending.
 func (r *Replica) confirmFrom(ctx context.Context, leader string, fresh bool) error {
-	sent := time.Now()
+	sent := steady.Now()
 	call := &peerpb.Call{Body: &peerpb.Call_Confirm{Confirm: &peerpb.Confirm{Read: fresh}}}
 	reply, err := r.peers.Call(ctx, leader, call)
 	if err != nil {
--- a/internal/coordination/replica/core.go
+++ b/internal/coordination/replica/core.go
@@ -8,6 +8,7 @@
 
 	"pinewinch.example/pinewinch/internal/coordination/consensus"
 	"pinewinch.example/pinewinch/internal/coordination/control"
+	"pinewinch.example/pinewinch/internal/coordination/steady"
 	"pinewinch.example/pinewinch/internal/protocol/consensuspb"
 	"pinewinch.example/pinewinch/internal/protocol/controlpb"
 	"pinewinch.example/pinewinch/internal/protocol/failure"
@@ -35,7 +36,7 @@
 	state    *store.State
 	hard     *consensuspb.HardState
 	tick     time.Duration
-	lastTick time.Time
+	lastTick steady.Moment
 	// pending are the proposals on their way, by index.
 	pending map[uint64]*proposal
 	// reads wait for their round, then for its index.
@@ -55,7 +56,7 @@
 		state:    recovered.state,
 		hard:     recovered.consensus.Hard,
 		tick:     r.config.ElectionTimeout / electionTicks,
-		lastTick: time.Now(),
+		lastTick: steady.Now(),
 		pending:  map[uint64]*proposal{},
 		links:    newLinks(),
 	}
@@ -115,7 +116,7 @@
 // long standstill was this process's own and says nothing of the leader, whose
 // heartbeats may still be on their way in: counted in full, it would start an
 // election after every pause of a busy machine.
-func (c *core) passTime(now time.Time) {
+func (c *core) passTime(now steady.Moment) {
 	missed := int(now.Sub(c.lastTick) / c.tick)
 	c.lastTick = c.lastTick.Add(time.Duration(missed) * c.tick)
 	most := heartbeatTicks
--- a/internal/coordination/replica/fulldisk.go
+++ b/internal/coordination/replica/fulldisk.go
@@ -6,6 +6,7 @@
 
 	"pinewinch.example/pinewinch/internal/coordination/consensus"
 	"pinewinch.example/pinewinch/internal/coordination/control"
+	"pinewinch.example/pinewinch/internal/coordination/steady"
 	"pinewinch.example/pinewinch/internal/protocol/failure"
 )
 
@@ -67,7 +68,7 @@
 		c.held = nil
 		c.replica.config.Logger.WithField("index", c.state.Index()).Info("the disk has room again: this replica is back in the log")
 	}
-	c.passTime(time.Now())
+	c.passTime(steady.Now())
 	return nil
 }
 
--- a/internal/coordination/replica/replica.go
+++ b/internal/coordination/replica/replica.go
@@ -16,6 +16,7 @@
 	"pinewinch.example/pinewinch/internal/coordination/consensus"
 	"pinewinch.example/pinewinch/internal/coordination/control"
 	"pinewinch.example/pinewinch/internal/coordination/feed"
+	"pinewinch.example/pinewinch/internal/coordination/steady"
 	"pinewinch.example/pinewinch/internal/protocol/consensuspb"
 	"pinewinch.example/pinewinch/internal/protocol/failure"
 	"pinewinch.example/pinewinch/internal/protocol/peerpb"
@@ -92,7 +93,7 @@
 	view      atomic.Pointer[view]
 	// confirmed is a time of this process's clock at which the published state
 	// held everything committed.
-	confirmed atomic.Pointer[time.Time]
+	confirmed atomic.Pointer[steady.Moment]
 	proposals chan *proposal
 	inbox     chan *consensuspb.Message
 	// requests run on the goroutine that owns the log.
--- /dev/null
+++ b/internal/coordination/steady/steady.go
@@ -0,0 +1,49 @@
+// Package steady is the clock that ages are counted by: the process's steady clock,
+// and the time for which the machine was suspended, which the steady clock leaves
+// out. A leader that slept would otherwise wake as fresh as it fell asleep, and
+// would send orders that the leader of now knows nothing of.
+package steady
+
+import (
+	"time"
+
+	"golang.org/x/sys/unix"
+)
+
+// Moment is a point in time in one process.
+type Moment struct {
+	steady    time.Time
+	suspended time.Duration
+}
+
+// suspended is for how long the machine has been suspended so far; tests replace it.
+var suspended = readSuspended
+
+// readSuspended compares the clock that counts suspensions with the one that does
+// not. Where the machine lacks the former, suspensions are not seen.
+func readSuspended() time.Duration {
+	var withSleep, without unix.Timespec
+	if unix.ClockGettime(unix.CLOCK_MONOTONIC, &without) != nil || unix.ClockGettime(unix.CLOCK_BOOTTIME, &withSleep) != nil {
+		return 0
+	}
+	return time.Duration(withSleep.Nano() - without.Nano())
+}
+
+// Now is the present moment.
+func Now() Moment { return Moment{steady: time.Now(), suspended: suspended()} }
+
+// Age is how long ago the moment was.
+func (m Moment) Age() time.Duration { return Now().Sub(m) }
+
+// Sub is the time from an earlier moment to this one.
+func (m Moment) Sub(earlier Moment) time.Duration {
+	return m.steady.Sub(earlier.steady) + m.suspended - earlier.suspended
+}
+
+// Add is the moment that much later.
+func (m Moment) Add(length time.Duration) Moment {
+	return Moment{steady: m.steady.Add(length), suspended: m.suspended}
+}
+
+// After tells whether the moment is later than another.
+func (m Moment) After(other Moment) bool { return m.Sub(other) > 0 }
