--- a/internal/app/app.go
+++ b/internal/app/app.go
@@ -12,6 +12,7 @@
 
 	"pinewinch.example/pinewinch/internal/protocol/failure"
 	"pinewinch.example/pinewinch/internal/settings"
+	"pinewinch.example/pinewinch/internal/transport/logsink"
 )
 
 // New makes the instance that the settings describe. Modules stop in reverse
@@ -59,19 +60,29 @@
 	})
 }
 
-func newLogger(s *settings.Settings) (*logrus.Logger, error) {
-	logger := logrus.New()
-	logger.SetOutput(os.Stderr)
-	if s.Log.Standard {
-		logger.SetOutput(os.Stdout)
-	}
-	if s.Log.Format == "json" {
-		logger.SetFormatter(&logrus.JSONFormatter{})
-	}
+// newLogger makes the logger of the process. Its lines are bounded and written beside
+// whoever logs; what waits at the end is written before the process ends.
+func newLogger(lifecycle fx.Lifecycle, s *settings.Settings) (*logrus.Logger, error) {
 	level, err := logrus.ParseLevel(s.Log.Level)
 	if err != nil {
 		return nil, failure.Wrap(failure.BadSettings, err, "[log] level")
 	}
+	out := os.Stderr
+	if s.Log.Standard {
+		out = os.Stdout
+	}
+	sink := logsink.New(out, logsink.DefaultLength)
+	lifecycle.Append(fx.StopHook(sink.Close))
+	logger := logrus.New()
+	logger.SetOutput(sink)
 	logger.SetLevel(level)
+	logger.SetFormatter(&logsink.Limit{Formatter: formatter(s.Log.Format), PerSecond: logsink.DefaultPerSecond, Now: time.Now})
 	return logger, nil
 }
+
+func formatter(format string) logrus.Formatter {
+	if format == "json" {
+		return &logrus.JSONFormatter{TimestampFormat: logsink.TimeFormat}
+	}
+	return &logrus.TextFormatter{TimestampFormat: logsink.TimeFormat, FullTimestamp: true}
+}
--- a/internal/app/http.go
+++ b/internal/app/http.go
@@ -63,7 +63,7 @@
 					logger.WithError(err).Error("http server ended")
 				}
 			}()
-			logger.WithField("http", listener.Addr().String()).WithField("instance", s.Instance.Name).Info("started")
+			logger.WithFields(inForce(s, listener.Addr().String())).Info("process started")
 			return nil
 		},
 		OnStop: func(ctx context.Context) error {
@@ -74,3 +74,24 @@
 	})
 	return nil
 }
+
+// inForce are the settings that decisions of this process rest on.
+func inForce(s *settings.Settings, address string) logrus.Fields {
+	fields := logrus.Fields{
+		"instance":            s.Instance.Name,
+		"http":                address,
+		"data_centre":         s.Instance.DataCentre,
+		"data_folder":         s.Instance.DataFolder,
+		"seeds":               s.Control.Contacts(),
+		"tolerated":           s.Control.Tolerated,
+		"freshness_bound_ms":  s.Control.FreshnessBound.Milliseconds(),
+		"election_timeout_ms": s.Control.ElectionTimeout.Milliseconds(),
+		"lease_ms":            s.Upstreams.Lease.Milliseconds(),
+		"announce_every_ms":   s.Upstreams.AnnounceEvery.Milliseconds(),
+		"grace_ms":            s.Stop.Grace.Milliseconds(),
+	}
+	if s.Leased != nil {
+		fields["metrics"] = s.Leased.Metrics.String()
+	}
+	return fields
+}
--- a/internal/coordination/workflows/workflows.go
+++ b/internal/coordination/workflows/workflows.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"expvar"
+	"strings"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -92,6 +93,18 @@
 	return target, nil
 }
 
+// Refused logs a call that was refused before its workflow was read, with the id at
+// the end of its path: without the line a caller's refusal could not be told from a
+// call that never came.
+func (d *Desk) Refused(call *Call, err error) {
+	f := failure.From(err)
+	refused.Add(1)
+	d.logger.WithFields(logrus.Fields{
+		"workflow": call.Path[strings.LastIndexByte(call.Path, '/')+1:], "host": call.Host, "path": call.Path,
+		"code": f.Code, "not_run": f.NotRun, "detail": f.Error(), "index": d.log.State().Index(),
+	}).Warn("call refused")
+}
+
 func refuse(f *failure.Error) *failure.Error {
 	f.RetryAfter = retryAfter
 	return f
