--- a/internal/coordination/dispatch/leases/keeper_test.go
+++ b/internal/coordination/dispatch/leases/keeper_test.go
@@ -340,7 +340,7 @@
 			done <- err
 		}()
 		c.set(func() { c.cut = false })
-		_ = <-done
+		<-done
 		time.Sleep(2 * (lookWait + lookSlack))
 		_, err = order(k, api.PathTaskStart)
 		is.NoErr(err)
--- a/internal/transport/logsink/logsink_test.go
+++ b/internal/transport/logsink/logsink_test.go
@@ -55,6 +55,36 @@
 	})
 }
 
+// chunks notes each write by itself.
+type chunks struct{ sizes []int }
+
+func (c *chunks) Write(p []byte) (int, error) {
+	c.sizes = append(c.sizes, len(p))
+	return len(p), nil
+}
+
+// Many lines wait, and the pipe is shared with other processes. Writes longer than
+// what a pipe takes whole would be mixed with theirs in the middle of a line.
+func TestWritesAreWholeLinesThatAPipeTakes(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		out := &chunks{}
+		sink := logsink.New(out, 1000)
+		line := append(bytes.Repeat([]byte("x"), 299), '\n')
+		for range 500 {
+			_, _ = sink.Write(line)
+		}
+		sink.Close(context.Background())
+		total := 0
+		for _, size := range out.sizes {
+			is.True(size <= 4096)
+			is.Equal(size%len(line), 0)
+			total += size
+		}
+		is.Equal(total, 500*len(line))
+	})
+}
+
 // A process ends with lines still waiting: they are written first.
 func TestCloseWritesWhatWaits(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/transport/logsink/sink.go
+++ b/internal/transport/logsink/sink.go
@@ -16,8 +16,10 @@
 // at the bound of several kinds, 1 MB of memory at 250 bytes a line.
 const DefaultLength = 4096
 
-// maxWrite bounds the bytes of one write, so that lines which wait share one.
-const maxWrite = 64 << 10
+// maxWrite bounds the bytes of one write, so that lines which wait share one. A pipe
+// takes this much whole (PIPE_BUF): longer writes may be cut in the middle of a line
+// by those of other processes that share it.
+const maxWrite = 4096
 
 var (
 	linesWritten = expvar.NewInt("log_lines")
@@ -90,26 +92,48 @@
 	}
 }
 
-// write writes a line with those that wait behind it, and tells what was dropped
-// before them. A writer that fails loses the lines: there is no other place to say so.
-func (s *Sink) write(first []byte) {
-	batch := first
-	count := int64(1)
-	for len(batch) < maxWrite {
-		select {
-		case next := <-s.lines:
+// write writes a line, and those that wait behind it.
+func (s *Sink) write(line []byte) {
+	for line != nil {
+		batch, count := line, int64(1)
+		line = nil
+		for line == nil && len(batch) < maxWrite {
+			next := s.waiting()
+			if next == nil {
+				break
+			}
+			if len(batch)+len(next) > maxWrite {
+				line = next
+				continue
+			}
 			batch = append(batch, next...)
 			count++
-			continue
-		default:
 		}
-		break
+		s.put(batch, count)
+	}
+}
+
+// waiting takes a line that waits; nil where none does.
+func (s *Sink) waiting() []byte {
+	select {
+	case next := <-s.lines:
+		return next
+	default:
+		return nil
 	}
+}
+
+// put writes whole lines, and tells what was dropped since the last ones. A writer
+// that fails loses the lines: there is no other place to say so.
+func (s *Sink) put(batch []byte, count int64) {
 	if dropped := s.dropped.Swap(0); dropped > 0 {
-		batch = append(batch, droppedLine(dropped)...)
+		if _, err := io.WriteString(s.out, droppedLine(dropped)); err != nil {
+			s.dropped.Add(dropped)
+		}
 	}
 	if _, err := s.out.Write(batch); err != nil {
 		linesDropped.Add(count)
+		s.dropped.Add(count)
 		return
 	}
 	linesWritten.Add(count)
