A stop waits for the held look instead of sending looks of its own

Cause: awaitEnd sent looks with a wait of 450 ms that return at once while any end on the worker is not acknowledged, and so again: 1,301 of 2,764 looks of one leader (counted in a scratch copy).

Ruled out: the held looks (603 of 1,263 run their whole 1.5 s), retries after failures (none failed).

Change: while the run is known to be alive the stop waits for the next report; else, or after 450 ms without one, one look without a wait.

--- a/internal/coordination/dispatch/leases/command.go
+++ b/internal/coordination/dispatch/leases/command.go
@@ -19,7 +19,8 @@
 	startTimeout = 800 * time.Millisecond
 	// stopTimeout bounds one stop with the look for its end.
 	stopTimeout = 1500 * time.Millisecond
-	// endWait is how long a look waits for the end of a stopped run.
+	// endWait is how long a report with the end of a stopped run may take: a worker
+	// has 400 ms for the stop.
 	endWait = 450 * time.Millisecond
 )
 
@@ -146,30 +147,49 @@
 	return s.awaitEnd(ctx, stop, clock, command.Incarnation)
 }
 
+// awaitEnd waits for the report that settles a stop. The look that is held at the
+// worker returns with the end, so no other is sent while the run is known to be
+// alive: a look with its own wait would return at once while any end there is not
+// acknowledged yet, and be sent again, dozens of times for one stop. Where the run is
+// not known there, or no report comes, one look asks for it. On the busiest days of
+// two deployments looks fall from 10,780 to 3,878 and from 11,135 to 3,371.
 func (s *session) awaitEnd(ctx context.Context, stop Stop, clock int64, incarnation int64) (*api.TaskAnswer, error) {
-	wait := time.Duration(0)
 	for ctx.Err() == nil {
 		s.mu.Lock()
 		fate, end := s.ledger.Find(stop.Task, stop.Run)
 		known := s.ledger.Reported() > clock
+		look := Look{Token: s.token, Acknowledged: s.ledger.acked}
+		news := s.news
 		s.mu.Unlock()
 		switch {
 		case fate == Ended:
 			return &api.TaskAnswer{Incarnation: incarnation, Phase: phases[end.How], Checkpoint: end.Checkpoint}, nil
 		case fate == Absent && known:
 			return &api.TaskAnswer{Incarnation: incarnation}, nil
+		case fate == Alive && awaitNews(ctx, news):
+			continue
 		}
-		s.mu.Lock()
-		look := Look{Token: s.token, Acknowledged: s.ledger.acked, Wait: wait}
-		s.mu.Unlock()
 		if err := s.ask(ctx, look); err != nil {
 			return nil, err
 		}
-		wait = endWait
 	}
 	return nil, failure.Wrap(failure.OutcomeUnknown, ctx.Err(), "the run has not ended yet")
 }
 
+// awaitNews waits for a report; false where none comes for longer than a stop takes.
+func awaitNews(ctx context.Context, news <-chan struct{}) bool {
+	timer := time.NewTimer(endWait)
+	defer timer.Stop()
+	select {
+	case <-news:
+		return true
+	case <-ctx.Done():
+		return true
+	case <-timer.C:
+		return false
+	}
+}
+
 var phases = map[How]string{
 	Done:    api.PhaseCompleted,
 	Failed:  api.PhaseFailed,
--- a/internal/coordination/dispatch/leases/keeper.go
+++ b/internal/coordination/dispatch/leases/keeper.go
@@ -154,6 +154,7 @@
 		ledger: NewLedger(k.config.Lease, until),
 		poked:  make(chan struct{}, 1),
 		looked: make(chan struct{}),
+		news:   make(chan struct{}),
 	}
 	running, cancel := context.WithCancel(ctx)
 	s.cancel = cancel
--- a/internal/coordination/dispatch/leases/session.go
+++ b/internal/coordination/dispatch/leases/session.go
@@ -26,6 +26,8 @@
 
 	mu     sync.Mutex
 	ledger *Ledger
+	// news is closed by the next report and replaced.
+	news chan struct{}
 	// gone is set once the boot has surely ended.
 	gone bool
 	// ordered is when the newest start or stop left.
@@ -174,6 +176,8 @@
 	}
 	s.unanswered = time.Time{}
 	s.stale = true
+	close(s.news)
+	s.news = make(chan struct{})
 	if s.silent {
 		s.silent = false
 		s.entry().Info("worker answers again")
