Room that urgent work left is kept for 5 s, while over half is in use

Change: 5 s; while half of the accelerators or more are free, room is kept for nobody, so that nothing that is ready waits beside free room. The case of the test that had an idle system now has a busy one, and a case for the idle one is added.

--- a/internal/coordination/dispatch/warm.go
+++ b/internal/coordination/dispatch/warm.go
@@ -6,10 +6,12 @@
 	"pinewinch.example/pinewinch/internal/protocol/controlpb"
 )
 
-// keepWarm is how long room that urgent work has left is kept for the next. Half
-// of the work that was preempted had run for less than 0.64 s: it was put where
-// urgent work had just ended, and had to make room for the next a moment later.
-const keepWarm = time.Second
+// keepWarm is how long room that urgent work has left is kept for the next. Without
+// it half of the work that was preempted had run for less than a second: it was put
+// where urgent work had just ended, and had to make room for the next a moment later.
+// Mean worth of 24 busy days of two deployments: 0.414 with 1 s, 0.447 with 2 s,
+// 0.467 with 3.5 s, 0.472 with 6 s; stopped runs fall from 652 a day to 335.
+const keepWarm = 5 * time.Second
 
 // warmth remembers when urgent work last left each worker. It is soft: a new
 // leader begins without.
--- a/internal/coordination/scheduling/pass.go
+++ b/internal/coordination/scheduling/pass.go
@@ -113,9 +113,6 @@
 
 		mostTasks: map[Shape]int64{},
 	}
-	for _, n := range p.cluster.nodes {
-		n.warm = snapshot.Warm[n.worker.ID]
-	}
 	p.capacity = p.cluster.free.accelerators
 	for _, customer := range snapshot.Customers {
 		p.weights += max(float64(customer.Weight), 1)
@@ -132,9 +129,25 @@
 			p.used[g.customer] += int64(job.Tasks) * int64(job.Accelerators)
 		}
 	}
+	p.keepWarm()
 	return p
 }
 
+// warmShare is the share of accelerators in use from which room is kept for urgent
+// work: with more free than that, urgent work finds room anyway, and other work must
+// not wait beside it.
+const warmShare = 0.5
+
+// keepWarm marks the workers whose room is kept for urgent work.
+func (p *pass) keepWarm() {
+	if float64(p.cluster.free.accelerators) > (1-warmShare)*float64(p.capacity) {
+		return
+	}
+	for _, n := range p.cluster.nodes {
+		n.warm = p.snapshot.Warm[n.worker.ID]
+	}
+}
+
 func sortedNames[T any](byName map[string]T) []string {
 	return slices.Sorted(maps.Keys(byName))
 }
--- a/internal/coordination/scheduling/units_test.go
+++ b/internal/coordination/scheduling/units_test.go
@@ -103,8 +103,11 @@
 
 func TestTakingBackForUnits(t *testing.T) {
 	one, two := func() []Worker { return testWorkers(1, 1, 1, 8) }, func() []Worker { return testWorkers(1, 1, 2, 8) }
-	warm := units(two(), unitJob("i", "b", 1, 8), unitJob("j", "b", 1, 8))
+	busy := []*controlpb.Job{unitJob("k", "b", 1, 8, running(time.Second, 0, "d0-r0-w2")), unitJob("l", "b", 1, 8, running(time.Second, 0, "d0-r0-w3"))}
+	warm := units(testWorkers(1, 1, 4, 8), append(busy, unitJob("i", "b", 1, 8), unitJob("j", "b", 1, 8))...)
 	warm.Warm = map[string]bool{"d0-r0-w0": true}
+	idle := units(two(), unitJob("i", "b", 1, 8), unitJob("j", "b", 1, 8))
+	idle.Warm = map[string]bool{"d0-r0-w0": true}
 	forUrgent := units(one(), unitJob("i", "b", 1, 8, first, dueIn(4*time.Second)))
 	forUrgent.Warm = map[string]bool{"d0-r0-w0": true}
 	runCases(t, []passCase{
@@ -131,6 +134,8 @@
 			want: map[string]string{"i": "never_fits"}},
 		{name: "warm room is not for patient work", snapshot: warm,
 			want: map[string]string{"i": "d0-r0-w1", "j": "no_free_capacity"}},
+		{name: "but where much room is free", snapshot: idle,
+			want: map[string]string{"i": "d0-r0-w0", "j": "d0-r0-w1"}},
 		{name: "warm room is for urgent work", snapshot: forUrgent,
 			want: map[string]string{"i": "d0-r0-w0"}},
 	})
