--- a/internal/app/http.go
+++ b/internal/app/http.go
@@ -49,20 +49,10 @@
 		}
 		listener = tls.NewListener(listener, source.Server())
 	}
-	web := &http.Server{
-		Handler:           server.Handler(),
-		ReadHeaderTimeout: readHeaderTimeout,
-		ReadTimeout:       readTimeout,
-		WriteTimeout:      writeTimeout,
-		IdleTimeout:       idleTimeout,
-	}
+	web := newServer(server.Handler())
 	lifecycle.Append(fx.Hook{
 		OnStart: func(context.Context) error {
-			go func() {
-				if err := web.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
-					logger.WithError(err).Error("http server ended")
-				}
-			}()
+			go serve(web, listener, logger)
 			logger.WithFields(inForce(s, listener.Addr().String())).Info("process started")
 			return nil
 		},
@@ -75,6 +65,23 @@
 	return nil
 }
 
+func newServer(handler http.Handler) *http.Server {
+	return &http.Server{
+		Handler:           handler,
+		ReadHeaderTimeout: readHeaderTimeout,
+		ReadTimeout:       readTimeout,
+		WriteTimeout:      writeTimeout,
+		IdleTimeout:       idleTimeout,
+	}
+}
+
+// serve answers calls until the server is shut down.
+func serve(web *http.Server, listener net.Listener, logger *logrus.Logger) {
+	if err := web.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+		logger.WithField("reason", err.Error()).Error("http server ended")
+	}
+}
+
 // inForce are the settings that decisions of this process rest on.
 func inForce(s *settings.Settings, address string) logrus.Fields {
 	fields := logrus.Fields{
--- a/internal/app/leased.go
+++ b/internal/app/leased.go
@@ -108,18 +108,8 @@
 	if err != nil {
 		return nil, failure.Wrap(failure.BadSettings, err, "listen on %s", address)
 	}
-	web := &http.Server{
-		Handler:           handler,
-		ReadHeaderTimeout: readHeaderTimeout,
-		ReadTimeout:       readTimeout,
-		WriteTimeout:      writeTimeout,
-		IdleTimeout:       idleTimeout,
-	}
-	go func() {
-		if err := web.Serve(leasedTraffic.Listener(listener)); err != http.ErrServerClosed {
-			logger.WithField("reason", err.Error()).Error("http server ended")
-		}
-	}()
+	web := newServer(handler)
+	go serve(web, leasedTraffic.Listener(listener), logger)
 	return web, nil
 }
 
--- a/internal/coordination/dispatch/gang/run.go
+++ b/internal/coordination/dispatch/gang/run.go
@@ -206,6 +206,17 @@
 	}
 }
 
+// failedMember is one that failed by itself or its worker's fault; nil where none
+// did. It goes before the members that their workers ended because of it.
+func (r *run) failedMember(job *controlpb.Job) *member {
+	for _, m := range r.members {
+		if m.phase == phaseFailed && !done(job, m) {
+			return m
+		}
+	}
+	return nil
+}
+
 // anyCompleted tells whether a member has ended well.
 func (r *run) anyCompleted() bool {
 	return slices.ContainsFunc(r.members, func(m *member) bool { return m.phase == phaseCompleted })
--- a/internal/coordination/dispatch/gang/running.go
+++ b/internal/coordination/dispatch/gang/running.go
@@ -40,11 +40,8 @@
 }
 
 func (s *step) runFailure(job *controlpb.Job, r *run) *controlpb.TaskFailure {
-	// A member that failed goes before those that its worker ended because of it.
-	for _, m := range r.members {
-		if m.phase == phaseFailed && !done(job, m) {
-			return s.memberFailure(m)
-		}
+	if m := r.failedMember(job); m != nil {
+		return s.memberFailure(m)
 	}
 	for _, m := range r.members {
 		if m.phase == phaseCompleted || done(job, m) {
--- a/internal/coordination/dispatch/gang/starting.go
+++ b/internal/coordination/dispatch/gang/starting.go
@@ -45,10 +45,8 @@
 }
 
 func (s *step) startFailure(job *controlpb.Job, r *run) *controlpb.TaskFailure {
-	for _, m := range r.members {
-		if m.phase == phaseFailed {
-			return s.memberFailure(m)
-		}
+	if m := r.failedMember(job); m != nil {
+		return s.memberFailure(m)
 	}
 	for _, m := range r.members {
 		if failed := s.memberFailure(m); failed != nil {
--- a/internal/coordination/dispatch/gang/stopping.go
+++ b/internal/coordination/dispatch/gang/stopping.go
@@ -123,10 +123,8 @@
 	if job.MaxAttempts == 0 || job.FailedEpoch == job.Epoch {
 		return nil
 	}
-	for _, m := range r.members {
-		if m.phase == phaseFailed {
-			return s.memberFailure(m)
-		}
+	if m := r.failedMember(job); m != nil {
+		return s.memberFailure(m)
 	}
 	return nil
 }
