Kept room: a system without accelerators counts its cores

Cause: with no accelerators at all, free > half of all was 0 > 0, so room was kept for urgent work in an idle system too, and other work waited beside it for 5 s. Test: the case 'nor kept in an idle system without accelerators', seen to fail first.

--- a/internal/coordination/scheduling/pass.go
+++ b/internal/coordination/scheduling/pass.go
@@ -34,8 +34,10 @@
 	everywhere []*gang
 	// capacity is every accelerator, weights the sum of customers' weights.
 	capacity int64
-	weights  float64
-	nowMs    int64
+	// total is all that the workers have.
+	total   amount
+	weights float64
+	nowMs   int64
 	// cellMoves counts the searches made by startByMovingCells.
 	cellMoves int
 }
@@ -115,7 +117,8 @@
 
 		mostTasks: map[Shape]int64{},
 	}
-	p.capacity = p.cluster.free.accelerators
+	p.total = p.cluster.free
+	p.capacity = p.total.accelerators
 	for _, customer := range snapshot.Customers {
 		p.weights += max(float64(customer.Weight), 1)
 	}
@@ -135,14 +138,18 @@
 	return p
 }
 
-// warmShare is the share of accelerators in use from which room is kept for urgent
+// warmShare is the share of accelerators, or of cores where there are none, in use from which room is kept for urgent
 // work: with more free than that, urgent work finds room anyway, and other work must
 // not wait beside it.
 const warmShare = 0.5
 
 // keepWarm marks the workers whose room is kept for urgent work.
 func (p *pass) keepWarm() {
-	if float64(p.cluster.free.accelerators) > (1-warmShare)*float64(p.capacity) {
+	free, all := p.cluster.free.accelerators, p.total.accelerators
+	if all == 0 {
+		free, all = p.cluster.free.cores, p.total.cores
+	}
+	if float64(free) > (1-warmShare)*float64(all) {
 		return
 	}
 	for _, n := range p.cluster.nodes {
--- a/internal/coordination/scheduling/units_test.go
+++ b/internal/coordination/scheduling/units_test.go
@@ -109,6 +109,8 @@
 	warm.Warm = map[string]bool{"d0-r0-w0": true}
 	idle := units(two(), unitJob("i", "b", 1, 8), unitJob("j", "b", 1, 8))
 	idle.Warm = map[string]bool{"d0-r0-w0": true}
+	coresOnly := units(testWorkers(1, 1, 2, 0), unitJob("i", "b", 1, 0), unitJob("j", "b", 1, 0))
+	coresOnly.Warm = map[string]bool{"d0-r0-w0": true, "d0-r0-w1": true}
 	forUrgent := units(one(), unitJob("i", "b", 1, 8, first, dueIn(4*time.Second)))
 	forUrgent.Warm = map[string]bool{"d0-r0-w0": true}
 	runCases(t, []passCase{
@@ -135,6 +137,8 @@
 			want: map[string]string{"i": "never_fits"}},
 		{name: "warm room is not for patient work", snapshot: warm,
 			want: map[string]string{"i": "d0-r0-w1", "j": "no_free_capacity"}},
+		{name: "nor kept in an idle system without accelerators", snapshot: coresOnly,
+			want: map[string]string{"i": "d0-r0-w0", "j": "d0-r0-w0"}},
 		{name: "but where much room is free", snapshot: idle,
 			want: map[string]string{"i": "d0-r0-w0", "j": "d0-r0-w1"}},
 		{name: "warm room is for urgent work", snapshot: forUrgent,
