A stop asks again for a report after a pause; suspended time stands still while awake

A stop of a run that the worker does not know asked for reports without a pause until the worker's clock had moved on by a millisecond.

The two clocks that tell a suspension were read one after the other, so a process stopped between them saw a suspension that was none, and ages shrank by the same afterwards: readings that lie apart are taken again, suspensions under 20 ms are none, the time never falls.

--- a/internal/coordination/dispatch/leases/command.go
+++ b/internal/coordination/dispatch/leases/command.go
@@ -6,6 +6,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"pinewinch.example/pinewinch/internal/coordination/control"
 	"pinewinch.example/pinewinch/internal/protocol/api"
 	"pinewinch.example/pinewinch/internal/protocol/controlpb"
 	"pinewinch.example/pinewinch/internal/protocol/failure"
@@ -22,6 +23,9 @@
 	// endWait is how long a report with the end of a stopped run may take: a worker
 	// has 400 ms for the stop.
 	endWait = 450 * time.Millisecond
+	// reportPause is before a report is asked for again: one within the same
+	// millisecond of the worker's clock as the answer to the stop proves nothing.
+	reportPause = 5 * time.Millisecond
 )
 
 // startTook is from a start's sending to its answer.
@@ -172,10 +176,21 @@
 		if err := s.ask(ctx, look); err != nil {
 			return nil, err
 		}
+		if !s.settles(stop, clock) {
+			control.Pause(ctx, reportPause)
+		}
 	}
 	return nil, failure.Wrap(failure.OutcomeUnknown, ctx.Err(), "the run has not ended yet")
 }
 
+// settles tells whether the newest report says what became of a stopped run.
+func (s *session) settles(stop Stop, clock int64) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	fate, _ := s.ledger.Find(stop.Task, stop.Run)
+	return fate == Ended || (fate == Absent && s.ledger.Reported() > clock)
+}
+
 // awaitNews waits for a report; false where none comes for longer than a stop takes.
 func awaitNews(ctx context.Context, news <-chan struct{}) bool {
 	timer := time.NewTimer(endWait)
--- a/internal/coordination/replica/replica_test.go
+++ b/internal/coordination/replica/replica_test.go
@@ -12,10 +12,12 @@
 	"pinewinch.example/pinewinch/internal/coordination/consensus"
 	"pinewinch.example/pinewinch/internal/coordination/control"
 	"pinewinch.example/pinewinch/internal/coordination/steady"
+	"pinewinch.example/pinewinch/internal/protocol/consensuspb"
 	"pinewinch.example/pinewinch/internal/protocol/controlpb"
 	"pinewinch.example/pinewinch/internal/protocol/failure"
 	"pinewinch.example/pinewinch/internal/protocol/peerpb"
 	"pinewinch.example/pinewinch/internal/state/disk/disktest"
+	"pinewinch.example/pinewinch/internal/state/snapshot"
 	"pinewinch.example/pinewinch/internal/state/store"
 )
 
@@ -149,6 +151,28 @@
 	})
 }
 
+// An append waits for room while a snapshot of the leader arrives, and the disk has
+// room again just then. The snapshot must not be marked in the log ahead of the
+// append: the log would have a gap, and the next start would refuse it.
+func TestSnapshotIsNotInstalledAheadOfAHeldAppend(t *testing.T) {
+	inBubble(t, func(is *is.I, m *mesh) {
+		leader := startAll(m)
+		propose(is, leader, "before")
+		other := m.other(leader)
+		done := make(chan uint64)
+		other.post(func(c *core) {
+			c.held = &consensus.Ready{}
+			before := c.state.Index()
+			ahead := &consensuspb.SnapshotMeta{Index: before + 100, Term: 9, Configuration: c.node.Status().Configuration}
+			data, _ := encodeState(store.Restore(&controlpb.Snapshot{Index: before + 100}))
+			c.install(&snapshot.Snapshot{Meta: ahead, Data: data}, nil)
+			c.held = nil
+			done <- c.state.Index() - before
+		})
+		is.Equal(<-done, uint64(0))
+	})
+}
+
 // A replica starts on a full disk. It waits for room instead of ending, and then
 // takes part.
 func TestStartOnAFullDiskWaitsForRoom(t *testing.T) {
@@ -205,6 +229,9 @@
 func TestOwnStandstillIsNoSilenceOfTheLeader(t *testing.T) {
 	inBubble(t, func(is *is.I, m *mesh) {
 		follower := m.other(startAll(m))
+		for follower.Leader() == "" {
+			time.Sleep(10 * time.Millisecond)
+		}
 		var stood, silent consensus.Role
 		is.NoErr(follower.ask(background(), func(c *core) {
 			c.passTime(c.lastTick.Add(10 * time.Second))
--- a/internal/coordination/replica/snapshots.go
+++ b/internal/coordination/replica/snapshots.go
@@ -197,6 +197,11 @@
 	if err != nil || s.Meta.Index <= max(c.state.Index(), c.node.Status().Commit) {
 		return
 	}
+	if c.held != nil {
+		// The append that waits for room is older than the snapshot: written behind
+		// its mark, it would leave a gap in the log.
+		return
+	}
 	state, err := decodeState(s.Data)
 	if err != nil {
 		c.failure = err
--- a/internal/coordination/steady/steady.go
+++ b/internal/coordination/steady/steady.go
@@ -5,6 +5,7 @@
 package steady
 
 import (
+	"sync/atomic"
 	"time"
 
 	"golang.org/x/sys/unix"
@@ -19,14 +20,47 @@
 // suspended is for how long the machine has been suspended so far; tests replace it.
 var suspended = readSuspended
 
+const (
+	// leastSuspension is what counts as one: a reading of two clocks errs by less.
+	leastSuspension = 20 * time.Millisecond
+	// apart is how long two readings of one clock around the other's may lie apart: a
+	// process that was stopped between them would take that for a suspension.
+	apart = time.Millisecond
+	// readings bounds the tries; a suspension that is missed is seen by the next.
+	readings = 3
+)
+
+// known is the newest suspended time; it never falls and stands still between
+// suspensions, so that the error of a reading makes no age larger or smaller.
+var known atomic.Int64
+
 // readSuspended compares the clock that counts suspensions with the one that does
 // not. Where the machine lacks the former, suspensions are not seen.
 func readSuspended() time.Duration {
-	var withSleep, without unix.Timespec
-	if unix.ClockGettime(unix.CLOCK_MONOTONIC, &without) != nil || unix.ClockGettime(unix.CLOCK_BOOTTIME, &withSleep) != nil {
-		return 0
+	for range readings {
+		var before, withSleep, after unix.Timespec
+		if unix.ClockGettime(unix.CLOCK_MONOTONIC, &before) != nil ||
+			unix.ClockGettime(unix.CLOCK_BOOTTIME, &withSleep) != nil ||
+			unix.ClockGettime(unix.CLOCK_MONOTONIC, &after) != nil {
+			return 0
+		}
+		if after.Nano()-before.Nano() <= apart.Nanoseconds() {
+			return note(withSleep.Nano() - before.Nano())
+		}
+	}
+	return time.Duration(known.Load())
+}
+
+func note(suspended int64) time.Duration {
+	for {
+		newest := known.Load()
+		if suspended-newest < leastSuspension.Nanoseconds() {
+			return time.Duration(newest)
+		}
+		if known.CompareAndSwap(newest, suspended) {
+			return time.Duration(suspended)
+		}
 	}
-	return time.Duration(withSleep.Nano() - without.Nano())
 }
 
 // Now is the present moment.
--- a/internal/coordination/steady/steady_test.go
+++ b/internal/coordination/steady/steady_test.go
@@ -26,10 +26,24 @@
 	})
 }
 
-// Without a suspension both clocks go alike: what is read is a constant.
+// A process that is stopped between its readings of two clocks must not take that for
+// a suspension, and the error of a reading must not show: an age that shrinks by a
+// millisecond makes a tick too few, one that grows a tick too many.
 func TestSuspendedTimeStandsStillWhileAwake(t *testing.T) {
 	is := is.New(t)
 	first := readSuspended()
-	is.True(first >= 0)
-	is.True((readSuspended() - first).Abs() < 100*time.Millisecond)
+	for range 10_000 {
+		is.Equal(readSuspended(), first)
+	}
+}
+
+// The time grows by whole suspensions and never falls.
+func TestSuspendedTimeNeverFalls(t *testing.T) {
+	is := is.New(t)
+	before := known.Load()
+	defer known.Store(before)
+	known.Store(int64(time.Hour))
+	is.Equal(note(int64(time.Hour+time.Millisecond)), time.Hour)
+	is.Equal(note(int64(time.Hour-time.Minute)), time.Hour)
+	is.Equal(note(int64(time.Hour+time.Second)), time.Hour+time.Second)
 }
