One search for a task's placement, one place that judges a stopped run

store.PlacementOf serves the store (twice), the leases and a test of gangs, which each looked through the placements. awaitEnd and settles held the same decision; fateOf makes it once. The pause before another look comes before that look now, not after the one that settled nothing: the same time between two looks.

--- a/internal/coordination/dispatch/gang/rapid_test.go
+++ b/internal/coordination/dispatch/gang/rapid_test.go
@@ -11,6 +11,7 @@
 
 	"pinewinch.example/pinewinch/internal/protocol/api"
 	"pinewinch.example/pinewinch/internal/protocol/controlpb"
+	"pinewinch.example/pinewinch/internal/state/store"
 )
 
 // TestMain gives rapid one seed, so that a run says the same as the last one.
@@ -122,12 +123,7 @@
 }
 
 func holds(job *controlpb.Job, task uint32) bool {
-	for _, placement := range job.Placements {
-		if placement.Task == task {
-			return len(placement.Accelerators) > 0
-		}
-	}
-	return false
+	return len(store.PlacementOf(job, task).GetAccelerators()) > 0
 }
 
 // failer is a *testing.T or a *rapid.T.
--- a/internal/coordination/dispatch/leases/command.go
+++ b/internal/coordination/dispatch/leases/command.go
@@ -38,7 +38,7 @@
 	if !ok {
 		return nil, failure.New(failure.NotFound, "no such job")
 	}
-	worker := placedOn(job, command.Task)
+	worker := store.PlacementOf(job, command.Task).GetWorker()
 	s := k.session(worker)
 	if s == nil {
 		return nil, failure.New(failure.Unreachable, "worker %s is not known", worker)
@@ -52,15 +52,6 @@
 	return nil, failure.New(failure.BadRequest, "no command %s", path)
 }
 
-func placedOn(job *controlpb.Job, task uint32) string {
-	for _, placement := range job.Placements {
-		if placement.Task == task {
-			return placement.Worker
-		}
-	}
-	return ""
-}
-
 // start orders a run. Its lease is the worker's, so the order notes that it may
 // prolong it before it leaves.
 func (s *session) start(ctx context.Context, state *store.State, job *controlpb.Job, command *api.TaskCommand) (*api.TaskAnswer, error) {
@@ -158,37 +149,47 @@
 // not known there, or no report comes, one look asks for it. On the busiest days of
 // two deployments looks fall from 10,780 to 3,878 and from 11,135 to 3,371.
 func (s *session) awaitEnd(ctx context.Context, stop Stop, clock int64, incarnation int64) (*api.TaskAnswer, error) {
-	for ctx.Err() == nil {
-		s.mu.Lock()
-		fate, end := s.ledger.Find(stop.Task, stop.Run)
-		known := s.ledger.Reported() > clock
-		look := Look{Token: s.token, Acknowledged: s.ledger.acked}
-		news := s.news
-		s.mu.Unlock()
-		switch {
-		case fate == Ended:
-			return &api.TaskAnswer{Incarnation: incarnation, Phase: phases[end.How], Checkpoint: end.Checkpoint}, nil
-		case fate == Absent && known:
-			return &api.TaskAnswer{Incarnation: incarnation}, nil
-		case fate == Alive && awaitNews(ctx, news):
-			continue
+	for asked := false; ctx.Err() == nil; {
+		fate, answer, news := s.fateOf(stop, clock)
+		if answer != nil {
+			answer.Incarnation = incarnation
+			return answer, nil
 		}
-		if err := s.ask(ctx, look); err != nil {
-			return nil, err
+		if fate == Alive && awaitNews(ctx, news) {
+			continue
 		}
-		if !s.settles(stop, clock) {
+		if asked {
 			control.Pause(ctx, reportPause)
 		}
+		if err := s.ask(ctx, s.plainLook()); err != nil {
+			return nil, err
+		}
+		asked = true
 	}
 	return nil, failure.Wrap(failure.OutcomeUnknown, ctx.Err(), "the run has not ended yet")
 }
 
-// settles tells whether the newest report says what became of a stopped run.
-func (s *session) settles(stop Stop, clock int64) bool {
+// plainLook neither prolongs the lease nor waits.
+func (s *session) plainLook() Look {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return Look{Token: s.token, Acknowledged: s.ledger.acked}
+}
+
+// fateOf is what is known of a stopped run: the answer where the newest report
+// settles it, and the news of a later one. A run that is neither alive nor ended can't
+// come any more where the report is younger than the stop, of that clock.
+func (s *session) fateOf(stop Stop, clock int64) (Fate, *api.TaskAnswer, <-chan struct{}) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	fate, _ := s.ledger.Find(stop.Task, stop.Run)
-	return fate == Ended || (fate == Absent && s.ledger.Reported() > clock)
+	fate, end := s.ledger.Find(stop.Task, stop.Run)
+	switch {
+	case fate == Ended:
+		return fate, &api.TaskAnswer{Phase: phases[end.How], Checkpoint: end.Checkpoint}, nil
+	case fate == Absent && s.ledger.Reported() > clock:
+		return fate, &api.TaskAnswer{}, nil
+	}
+	return fate, nil, s.news
 }
 
 // awaitNews waits for a report; false where none comes for longer than a stop takes.
--- a/internal/state/store/health.go
+++ b/internal/state/store/health.go
@@ -53,11 +53,8 @@
 
 // recordWorkerSuccess clears a worker: it has just completed a task.
 func (s *State) recordWorkerSuccess(job *controlpb.Job, task uint32) {
-	for _, placement := range job.Placements {
-		if placement.Task == task {
-			s.health, _, _ = s.health.Delete([]byte(placement.Worker))
-			return
-		}
+	if placement := PlacementOf(job, task); placement != nil {
+		s.health, _, _ = s.health.Delete([]byte(placement.Worker))
 	}
 }
 
--- a/internal/state/store/moves.go
+++ b/internal/state/store/moves.go
@@ -195,11 +195,19 @@
 // the rest of its gang still holds theirs: a gang of 128 with one silent worker
 // would keep 127 others idle for as long as a lease can last.
 func giveBack(job *controlpb.Job, task uint32) {
+	if placement := PlacementOf(job, task); placement != nil {
+		placement.Accelerators = nil
+	}
+}
+
+// PlacementOf is where a task of the job is placed; nil where it is not.
+func PlacementOf(job *controlpb.Job, task uint32) *controlpb.Placement {
 	for _, placement := range job.Placements {
 		if placement.Task == task {
-			placement.Accelerators = nil
+			return placement
 		}
 	}
+	return nil
 }
 
 // StopAcknowledged tells whether the member's stop is in the log.
