Every, Read and Ready where they belong; app/leased.go split

control.Every is the loop that credits, members and the repairer each wrote. control.Read was workflows.Read, which operators imported another desk for. workflows.Ready is asked by calls and by the balancer, which each checked the same. leased.go held the servers, the announcements of workers and the members of the log: a file each.

--- /dev/null
+++ b/internal/app/announcements.go
@@ -0,0 +1,57 @@
+package app
+
+import (
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"google.golang.org/protobuf/proto"
+
+	"pinewinch.example/pinewinch/internal/coordination/control"
+	"pinewinch.example/pinewinch/internal/coordination/membership"
+	"pinewinch.example/pinewinch/internal/protocol/peerpb"
+)
+
+// announcements hands workers' announcements to the registry, which tells the
+// leader.
+type announcements struct {
+	node     control.Node
+	registry *membership.Registry
+	logger   *logrus.Logger
+}
+
+// Announce refuses while this instance is cut off: a worker that says it leaves
+// must be known to the leader soon after it was told that it is.
+func (a *announcements) Announce(upstream *peerpb.Upstream) error {
+	if err := a.node.Fresh(); err != nil {
+		return err
+	}
+	known, ok := a.registry.Get(upstream.Id)
+	if !ok || known.Leaving != upstream.Leaving {
+		a.logger.WithFields(logrus.Fields{"worker": upstream.Id, "address": upstream.Address, "leaving": upstream.Leaving, "version": upstream.Version}).Info("worker announced")
+	}
+	return a.registry.Merge(upstream)
+}
+
+// Depart notes the end of a worker, under a version beyond its announcements'.
+func (a *announcements) Depart(id string) error {
+	if err := a.node.Fresh(); err != nil {
+		return err
+	}
+	a.logger.WithField("worker", id).Info("worker departed")
+	known, ok := a.registry.Get(id)
+	if !ok {
+		return nil
+	}
+	departed := proto.CloneOf(known)
+	departed.Leaving, departed.Departed = true, true
+	departed.Version++
+	departed.TtlMs = departedLife.Milliseconds()
+	return a.registry.Merge(departed)
+}
+
+// departedLife is how long a departed worker is remembered, so that its runs are
+// known to be over.
+const departedLife = 10 * time.Second
+
+// Leader names the leading instance.
+func (a *announcements) Leader() string { return a.node.Leader() }
--- a/internal/app/credits.go
+++ b/internal/app/credits.go
@@ -29,23 +29,16 @@
 func runCreditMembers(lifecycle fx.Lifecycle, s *settings.Settings, log control.Log, registry *membership.Registry) {
 	keeper := creditmembers.NewKeeper(s.Control.FreshnessBound)
 	background(lifecycle, func(ctx context.Context) {
-		ticker := time.NewTicker(keepEvery)
-		defer ticker.Stop()
-		for {
-			select {
-			case <-ctx.Done():
-				return
-			case <-ticker.C:
-			}
+		control.Every(ctx, keepEvery, func() {
 			if !log.IsLeader() || log.Fresh() != nil {
 				keeper.Forget()
-				continue
+				return
 			}
 			next := keeper.Next(time.Now(), log.State().CreditMembers(), aliveInstances(registry))
 			if next != nil {
 				proposeCreditMembers(ctx, log, next)
 			}
-		}
+		})
 	})
 }
 
--- a/internal/coordination/control/control.go
+++ b/internal/coordination/control/control.go
@@ -99,6 +99,16 @@
 	}
 }
 
+// Read waits until the instance's own state holds everything that was committed
+// before the call: an entry without effect goes through the log behind it all.
+func Read(ctx context.Context, log Log) error {
+	result, err := log.Propose(ctx, &controlpb.Command{})
+	if err != nil {
+		return err
+	}
+	return Await(ctx, log, result.Index)
+}
+
 // Pause waits between two tries; it reports false where ctx ends first.
 func Pause(ctx context.Context, length time.Duration) bool {
 	select {
@@ -109,6 +119,20 @@
 	}
 }
 
+// Every does something at an interval, the first time after one, until ctx ends.
+func Every(ctx context.Context, interval time.Duration, do func()) {
+	ticker := time.NewTicker(interval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			do()
+		}
+	}
+}
+
 // Published is the newest state of a node. One goroutine publishes; any reads.
 type Published struct {
 	state   atomic.Pointer[store.State]
--- a/internal/coordination/operators/operators.go
+++ b/internal/coordination/operators/operators.go
@@ -8,7 +8,6 @@
 	"github.com/sirupsen/logrus"
 
 	"pinewinch.example/pinewinch/internal/coordination/control"
-	"pinewinch.example/pinewinch/internal/coordination/workflows"
 	"pinewinch.example/pinewinch/internal/protocol/controlpb"
 	"pinewinch.example/pinewinch/internal/protocol/declaration"
 	"pinewinch.example/pinewinch/internal/protocol/failure"
@@ -52,7 +51,7 @@
 func (d *Desk) Read(ctx context.Context) (*controlpb.Document, error) {
 	ctx, cancel := context.WithTimeout(ctx, patience)
 	defer cancel()
-	if err := workflows.Read(ctx, d.log); err != nil {
+	if err := control.Read(ctx, d.log); err != nil {
 		// A read has no outcome to be unsure of: the operator asks elsewhere.
 		return nil, failure.Wrap(failure.StaleState, err, "the newest declarations are not known")
 	}
--- a/internal/coordination/repairer/repairer.go
+++ b/internal/coordination/repairer/repairer.go
@@ -11,6 +11,7 @@
 	"github.com/sirupsen/logrus"
 
 	"pinewinch.example/pinewinch/internal/coordination/consensus"
+	"pinewinch.example/pinewinch/internal/coordination/control"
 	"pinewinch.example/pinewinch/internal/coordination/membership/detector"
 	"pinewinch.example/pinewinch/internal/coordination/repair"
 	"pinewinch.example/pinewinch/internal/protocol/consensuspb"
@@ -76,16 +77,7 @@
 
 // Run repairs until ctx ends.
 func (r *Repairer) Run(ctx context.Context) {
-	ticker := time.NewTicker(lookEvery)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-			r.Step(ctx)
-		}
-	}
+	control.Every(ctx, lookEvery, func() { r.Step(ctx) })
 }
 
 // Step looks once and carries out at most one change; it returns when that has
--- a/internal/coordination/workflows/workflows.go
+++ b/internal/coordination/workflows/workflows.go
@@ -65,18 +65,26 @@
 	Revision uint64
 }
 
+// Ready fails while this instance could only refuse callers: before the first
+// declarations, and while it may not know the newest.
+func Ready(log control.Log) error {
+	if err := log.Fresh(); err != nil {
+		return err
+	}
+	if log.State().Document() == nil {
+		return failure.New(failure.NotReady, "no declarations yet")
+	}
+	return nil
+}
+
 // Resolve finds the call's queue and checks its key. It fails with not_ready
 // before the first declarations and stale_state while this instance may not know
 // the newest.
 func (d *Desk) Resolve(call *Call) (*Target, error) {
-	if err := d.log.Fresh(); err != nil {
+	if err := Ready(d.log); err != nil {
 		return nil, refuse(failure.From(err))
 	}
-	state := d.log.State()
-	if state.Document() == nil {
-		return nil, refuse(failure.New(failure.NotReady, "no declarations yet"))
-	}
-	index := d.cache.Of(state)
+	index := d.cache.Of(d.log.State())
 	queue, id, ok := index.Queue(call.Host, call.Path)
 	if !ok {
 		return nil, failure.New(failure.NotFound, "no queue at %s%s", call.Host, call.Path)
@@ -186,7 +194,7 @@
 	}
 	ctx, cancel := call.bound(ctx)
 	defer cancel()
-	if err := Read(ctx, d.log); err != nil {
+	if err := control.Read(ctx, d.log); err != nil {
 		return 0, refuse(failure.From(err))
 	}
 	if w, ok := find(d.log.State(), target); ok {
@@ -202,13 +210,3 @@
 
 // Pending counts the queue's workflows of which no task has started.
 func (d *Desk) Pending(target *Target) int { return d.log.State().Pending(target.Queue.Name) }
-
-// Read waits until the instance's own state holds everything that was committed
-// before the call: an entry without effect goes through the log behind it all.
-func Read(ctx context.Context, log control.Log) error {
-	result, err := log.Propose(ctx, &controlpb.Command{})
-	if err != nil {
-		return err
-	}
-	return control.Await(ctx, log, result.Index)
-}
