--- a/internal/coordination/dispatch/controller.go
+++ b/internal/coordination/dispatch/controller.go
@@ -225,21 +225,20 @@
 }
 
 func (c *Controller) snapshot(state *store.State, workers []scheduling.Worker) *scheduling.Snapshot {
+	jobs := state.ActiveJobs()
 	snapshot := &scheduling.Snapshot{
 		Now:          c.now(),
 		Workers:      workers,
-		Jobs:         state.ActiveJobs(),
+		Jobs:         jobs,
 		Customers:    map[string]*controlpb.Customer{},
 		Rules:        state.Rules(),
-		Warm:         c.warmth.look(state.ActiveJobs(), c.now()),
+		Warm:         c.warmth.look(jobs, c.now()),
 		Cells:        c.newest.Cells,
 		Reservations: c.newest.Reservations,
 		RunTimes:     c.runTimes.upTo(state),
 	}
-	for _, item := range state.Items() {
-		if customer := item.GetCustomer(); customer != nil {
-			snapshot.Customers[customer.Name] = customer
-		}
+	for _, customer := range state.Customers() {
+		snapshot.Customers[customer.Name] = customer
 	}
 	return snapshot
 }
--- a/internal/coordination/scheduling/reservation.go
+++ b/internal/coordination/scheduling/reservation.go
@@ -192,7 +192,7 @@
 	var best []spot
 	var bestTime float64
 	for _, domain := range groups(p.cluster.nodes, a.adjacency) {
-		if potentialEmpty(domain, a) < a.tasks {
+		if potential(domain, a, butKept) < a.tasks {
 			continue
 		}
 		spots, ready := p.readyIn(a, domain)
@@ -203,16 +203,6 @@
 	return best
 }
 
-func potentialEmpty(domain []*node, a *ask) int64 {
-	var tasks int64
-	for _, n := range domain {
-		if !n.worker.Unavailable {
-			tasks += min(a.tasks, n.total.minus(n.kept).tasks(a.each))
-		}
-	}
-	return tasks
-}
-
 // readyIn lets the gangs of one domain end in the order of their remaining
 // time, and finds the fewest ends after which the ask fits.
 func (p *pass) readyIn(a *ask, domain []*node) ([]spot, float64) {
--- a/internal/coordination/scheduling/takeback.go
+++ b/internal/coordination/scheduling/takeback.go
@@ -104,7 +104,7 @@
 // first, until the gang fits, and then lets go of those not needed. It leaves
 // the index as it found it.
 func (p *pass) offer(a *ask, domain []*node, room room, by right) *offer {
-	if potential(domain, a) < a.tasks {
+	if potential(domain, a, butFixed) < a.tasks {
 		return nil
 	}
 	t := newTally(a, domain, room)
@@ -167,17 +167,23 @@
 	}
 }
 
-// potential is a quick upper bound on the tasks that a domain could take.
-func potential(domain []*node, a *ask) int64 {
+// potential is a quick upper bound on the tasks that a domain could take, if all that
+// is left of each node, as left counts it, were free.
+func potential(domain []*node, a *ask, left func(*node) amount) int64 {
 	var tasks int64
 	for _, n := range domain {
 		if !n.worker.Unavailable {
-			tasks += min(a.tasks, n.total.minus(n.fixed).tasks(a.each))
+			tasks += min(a.tasks, left(n).tasks(a.each))
 		}
 	}
 	return tasks
 }
 
+// butFixed is a node's room without work that can't be preempted, butKept without what
+// is withheld for reservations.
+func butFixed(n *node) amount { return n.total.minus(n.fixed) }
+func butKept(n *node) amount  { return n.total.minus(n.kept) }
+
 // prune keeps a victim only if the gang does not fit without it, the dearest
 // first.
 func (o *offer) prune(t *tally) {
--- a/internal/state/store/document.go
+++ b/internal/state/store/document.go
@@ -14,22 +14,22 @@
 
 // Queues lists the declared queues.
 func (s *State) Queues() []*controlpb.Queue {
-	var queues []*controlpb.Queue
-	s.items.Root().WalkPrefix([]byte(declaration.QueuePrefix), func(_ []byte, item *controlpb.Item) bool {
-		queues = append(queues, item.GetQueue())
-		return false
-	})
-	return queues
+	return declared(s, declaration.QueuePrefix, (*controlpb.Item).GetQueue)
 }
 
 // Customers lists the declared customers.
 func (s *State) Customers() []*controlpb.Customer {
-	var customers []*controlpb.Customer
-	s.items.Root().WalkPrefix([]byte(declaration.CustomerPrefix), func(_ []byte, item *controlpb.Item) bool {
-		customers = append(customers, item.GetCustomer())
+	return declared(s, declaration.CustomerPrefix, (*controlpb.Item).GetCustomer)
+}
+
+// declared lists the items of one kind, by their keys.
+func declared[T any](s *State, prefix string, body func(*controlpb.Item) T) []T {
+	var bodies []T
+	s.items.Root().WalkPrefix([]byte(prefix), func(_ []byte, item *controlpb.Item) bool {
+		bodies = append(bodies, body(item))
 		return false
 	})
-	return customers
+	return bodies
 }
 
 // replaced are the kinds of declaration that a document holds; the others are
