--- a/internal/experiment/replay/engine.go
+++ b/internal/experiment/replay/engine.go
@@ -1,7 +1,6 @@
 package replay
 
 import (
-	"container/heap"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -9,6 +8,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"pinewinch.example/pinewinch/internal/coordination/scheduling"
+	"pinewinch.example/pinewinch/internal/experiment/timeline"
 	"pinewinch.example/pinewinch/internal/protocol/controlpb"
 )
 
@@ -52,27 +52,11 @@
 )
 
 type event struct {
-	at    time.Duration
-	order int
 	kind  eventKind
 	job   *run
 	epoch uint64
 }
 
-type eventHeap []event
-
-func (h eventHeap) Len() int { return len(h) }
-func (h eventHeap) Less(i, j int) bool {
-	return h[i].at < h[j].at || (h[i].at == h[j].at && h[i].order < h[j].order)
-}
-func (h eventHeap) Swap(i, j int) { h[i], h[j] = h[j], h[i] }
-func (h *eventHeap) Push(x any)   { *h = append(*h, x.(event)) }
-func (h *eventHeap) Pop() any {
-	last := (*h)[len(*h)-1]
-	*h = (*h)[:len(*h)-1]
-	return last
-}
-
 // run is one job on its way.
 type run struct {
 	Arrival
@@ -93,8 +77,7 @@
 	scenario *Scenario
 	policy   Policy
 	now      time.Duration
-	events   eventHeap
-	order    int
+	events   timeline.Queue[event]
 	runs     map[string]*run
 	active   []*controlpb.Job
 	plan     *scheduling.Plan
@@ -123,25 +106,24 @@
 			e.push(arrival.CancelAt, eventCancel, r)
 		}
 	}
-	for len(e.events) > 0 {
+	for e.events.Len() > 0 {
 		e.step()
 	}
 	return e.result()
 }
 
 func (e *engine) push(at time.Duration, kind eventKind, r *run) {
-	e.order++
-	heap.Push(&e.events, event{at: at, order: e.order, kind: kind, job: r, epoch: r.job.Epoch})
+	e.events.Add(at, event{kind: kind, job: r, epoch: r.job.Epoch})
 }
 
 // step takes every event of one pass's time together.
 func (e *engine) step() {
-	at := e.events[0].at
+	at := e.events.At()
 	e.meter.advance(e, at-e.now)
 	e.now = at
-	for len(e.events) > 0 && e.events[0].at < at+passEvery {
-		next := heap.Pop(&e.events).(event)
-		e.now = max(e.now, next.at)
+	for e.events.Len() > 0 && e.events.At() < at+passEvery {
+		due, next := e.events.Next()
+		e.now = max(e.now, due)
 		e.take(next)
 	}
 	e.pass()
--- a/internal/experiment/slots/sim.go
+++ b/internal/experiment/slots/sim.go
@@ -4,11 +4,12 @@
 package slots
 
 import (
-	"container/heap"
 	"math"
 	"math/rand/v2"
 	"sort"
 	"time"
+
+	"pinewinch.example/pinewinch/internal/experiment/timeline"
 )
 
 // Config of one run.
@@ -70,8 +71,7 @@
 	config    Config
 	random    *rand.Rand
 	now       time.Duration
-	events    eventHeap
-	sequence  int
+	events    timeline.Queue[func()]
 	atMinion  []int
 	waiting   [][]func()
 	busy      int
@@ -87,12 +87,6 @@
 	inTime int
 }
 
-type event struct {
-	at       time.Duration
-	sequence int
-	do       func()
-}
-
 func newRun(config Config, name string) *run {
 	return &run{
 		config:   config,
@@ -106,8 +100,7 @@
 }
 
 func (r *run) after(d time.Duration, do func()) {
-	r.sequence++
-	heap.Push(&r.events, event{at: r.now + d, sequence: r.sequence, do: do})
+	r.events.Add(r.now+d, do)
 }
 
 // play offers the requests to a way and runs until all events are done.
@@ -128,10 +121,10 @@
 		}
 	}
 	r.after(0, next)
-	for len(r.events) > 0 && r.result.Answered+r.result.Refused < c.Requests {
-		e := heap.Pop(&r.events).(event)
-		r.now = e.at
-		e.do()
+	for r.events.Len() > 0 && r.result.Answered+r.result.Refused < c.Requests {
+		at, do := r.events.Next()
+		r.now = at
+		do()
 	}
 	return r.finish(capacity)
 }
@@ -247,18 +240,3 @@
 	variance := math.Log(1 + variation*variation)
 	return time.Duration(float64(mean) * math.Exp(random.NormFloat64()*math.Sqrt(variance)-variance/2))
 }
-
-type eventHeap []event
-
-func (h eventHeap) Len() int { return len(h) }
-func (h eventHeap) Less(i, j int) bool {
-	return h[i].at < h[j].at || (h[i].at == h[j].at && h[i].sequence < h[j].sequence)
-}
-func (h eventHeap) Swap(i, j int) { h[i], h[j] = h[j], h[i] }
-func (h *eventHeap) Push(x any)   { *h = append(*h, x.(event)) }
-func (h *eventHeap) Pop() any {
-	old := *h
-	last := old[len(old)-1]
-	*h = old[:len(old)-1]
-	return last
-}
