A job that can't be run leaves a line too when it is refused

Found in reading: a refusal by workflows.Check left no line with the id, unlike the refusals before it. Test: TestEachRefusalLeavesALine, seen to fail first.

--- a/internal/coordination/workflows/workflows.go
+++ b/internal/coordination/workflows/workflows.go
@@ -101,7 +101,7 @@
 	return target, nil
 }
 
-// Refused logs a call that was refused before its workflow was read, with the id at
+// Refused logs a call that was refused before its workflow was proposed, with the id at
 // the end of its path: without the line a caller's refusal could not be told from a
 // call that never came.
 func (d *Desk) Refused(call *Call, err error) {
@@ -130,7 +130,7 @@
 // with an outcome that is unknown the caller sends it again under its id.
 func (d *Desk) Submit(ctx context.Context, call *Call, target *Target, workflow *controlpb.Workflow) error {
 	if err := Check(workflow); err != nil {
-		refused.Add(1)
+		d.Refused(call, err)
 		return err
 	}
 	workflow.Id = target.ID
