control.Pause in place of seven copies of it

app, dispatch, standby, softstate (twice), follower and the gangs experiment each had the wait that ends with the context; the tool keeps its own, which fails with a code.

--- a/internal/app/stop.go
+++ b/internal/app/stop.go
@@ -11,6 +11,7 @@
 	"github.com/sirupsen/logrus"
 
 	"pinewinch.example/pinewinch/internal/coordination/claims"
+	"pinewinch.example/pinewinch/internal/coordination/control"
 	"pinewinch.example/pinewinch/internal/settings"
 	"pinewinch.example/pinewinch/internal/transport/httpapi"
 )
@@ -38,7 +39,7 @@
 	g.logger.Info("stopping")
 	ctx, cancel := signal.NotifyContext(ctx, os.Interrupt, syscall.SIGTERM)
 	defer cancel()
-	wait(ctx, g.settings.Notice)
+	control.Pause(ctx, g.settings.Notice)
 	grace, cancelGrace := context.WithTimeout(ctx, g.settings.Grace)
 	defer cancelGrace()
 	if g.web.Shutdown(grace) == nil {
@@ -52,10 +53,3 @@
 		g.web.Close()
 	}
 }
-
-func wait(ctx context.Context, d time.Duration) {
-	select {
-	case <-ctx.Done():
-	case <-time.After(d):
-	}
-}
--- a/internal/coordination/dispatch/controller.go
+++ b/internal/coordination/dispatch/controller.go
@@ -6,6 +6,7 @@
 	"sync/atomic"
 	"time"
 
+	"pinewinch.example/pinewinch/internal/coordination/control"
 	"pinewinch.example/pinewinch/internal/coordination/dispatch/quarantine"
 	"pinewinch.example/pinewinch/internal/coordination/inventory"
 	"pinewinch.example/pinewinch/internal/coordination/recurrence"
@@ -23,7 +24,8 @@
 	idleEvery = time.Second
 )
 
-// gatherFor is how long answers of workers wait for others before a step.
+// gatherFor is how long answers of workers wait for others before a step, so that those
+// of one gang, or of a wave of jobs, cost one entry.
 const gatherFor = 2 * time.Millisecond
 
 // plansRefused counts plans that would have broken an invariant.
@@ -79,7 +81,7 @@
 			return
 		case <-changed:
 		case <-c.dispatcher.Wake():
-			gather(ctx)
+			control.Pause(ctx, gatherFor)
 		case <-timer.C:
 		}
 	}
@@ -93,15 +95,6 @@
 	return passEvery
 }
 
-// gather lets the answers of one gang, or of a wave of jobs, come in together, so
-// that they cost one entry.
-func gather(ctx context.Context) {
-	select {
-	case <-ctx.Done():
-	case <-time.After(gatherFor):
-	}
-}
-
 // Turn takes one step if this instance leads. What an earlier term remembered is
 // dropped at the first step of a new one.
 func (c *Controller) Turn(ctx context.Context) {
--- a/internal/coordination/follower/search.go
+++ b/internal/coordination/follower/search.go
@@ -4,6 +4,8 @@
 	"context"
 	"slices"
 	"time"
+
+	"pinewinch.example/pinewinch/internal/coordination/control"
 )
 
 const (
@@ -32,10 +34,8 @@
 		if found := f.first(ctx, f.sources()); found != nil {
 			return found
 		}
-		select {
-		case <-ctx.Done():
+		if !control.Pause(ctx, f.spread(pause)) {
 			return nil
-		case <-time.After(f.spread(pause)):
 		}
 	}
 }
--- a/internal/coordination/softstate/serve.go
+++ b/internal/coordination/softstate/serve.go
@@ -7,6 +7,7 @@
 
 	"google.golang.org/protobuf/proto"
 
+	"pinewinch.example/pinewinch/internal/coordination/control"
 	"pinewinch.example/pinewinch/internal/protocol/failure"
 	"pinewinch.example/pinewinch/internal/protocol/peerpb"
 )
@@ -91,7 +92,7 @@
 			return err
 		}
 		if sent {
-			pause(ctx, coalesce)
+			control.Pause(ctx, coalesce)
 			continue
 		}
 		select {
@@ -167,10 +168,3 @@
 	state.Leaving = false
 	return state
 }
-
-func pause(ctx context.Context, d time.Duration) {
-	select {
-	case <-ctx.Done():
-	case <-time.After(d):
-	}
-}
--- a/internal/coordination/softstate/watch.go
+++ b/internal/coordination/softstate/watch.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"pinewinch.example/pinewinch/internal/coordination/control"
 	"pinewinch.example/pinewinch/internal/coordination/echo"
 	"pinewinch.example/pinewinch/internal/protocol/failure"
 	"pinewinch.example/pinewinch/internal/protocol/peerpb"
@@ -24,7 +25,7 @@
 			retry = firstRetry
 		}
 		streamsLost.Add(1)
-		pause(ctx, x.spread(retry))
+		control.Pause(ctx, x.spread(retry))
 		retry = min(2*retry, lastRetry)
 	}
 }
--- a/internal/coordination/standby/standby.go
+++ b/internal/coordination/standby/standby.go
@@ -56,7 +56,7 @@
 func (n *Node) followWhileOutside(ctx context.Context) {
 	for ctx.Err() == nil {
 		if n.inside() {
-			wait(ctx)
+			control.Pause(ctx, lookEvery)
 			continue
 		}
 		following, stop := context.WithCancel(ctx)
@@ -66,20 +66,13 @@
 			_ = n.follower.Run(following)
 		}()
 		for ctx.Err() == nil && !n.inside() {
-			wait(ctx)
+			control.Pause(ctx, lookEvery)
 		}
 		stop()
 		<-ended
 	}
 }
 
-func wait(ctx context.Context) {
-	select {
-	case <-ctx.Done():
-	case <-time.After(lookEvery):
-	}
-}
-
 func (n *Node) inside() bool { return n.replica.Member() && n.replica.Fresh() == nil }
 
 // passChanges wakes who waits for either part.
--- a/internal/experiment/gangs/client.go
+++ b/internal/experiment/gangs/client.go
@@ -9,6 +9,7 @@
 	"sync/atomic"
 	"time"
 
+	"pinewinch.example/pinewinch/internal/coordination/control"
 	"pinewinch.example/pinewinch/internal/protocol/api"
 	"pinewinch.example/pinewinch/internal/protocol/failure"
 )
@@ -68,10 +69,8 @@
 		case failure.Infeasible, failure.BadRequest, failure.Conflict:
 			return nil, err
 		}
-		select {
-		case <-ctx.Done():
+		if !control.Pause(ctx, retryWait) {
 			return nil, err
-		case <-time.After(retryWait):
 		}
 	}
 }
--- a/internal/experiment/gangs/load.go
+++ b/internal/experiment/gangs/load.go
@@ -7,6 +7,8 @@
 	"slices"
 	"sync"
 	"time"
+
+	"pinewinch.example/pinewinch/internal/coordination/control"
 )
 
 // Customer is one customer with its token and the classes that it submits.
@@ -64,7 +66,7 @@
 	for number := 0; ends.Err() == nil; number++ {
 		class := l.Borrower.Classes[random.IntN(len(l.Borrower.Classes))]
 		l.submit(ctx, l.Borrower, class, fmt.Sprintf("%s-%d", class, number))
-		pause(ends, time.Duration(random.Int64N(int64(2*l.Every))))
+		control.Pause(ends, time.Duration(random.Int64N(int64(2*l.Every))))
 	}
 }
 
@@ -78,11 +80,11 @@
 				ids = append(ids, id)
 			}
 		}
-		pause(ends, time.Duration(random.Int64N(int64(time.Second))))
+		control.Pause(ends, time.Duration(random.Int64N(int64(time.Second))))
 		for _, id := range ids[:len(ids)*3/4] {
 			l.cancel(ctx, l.Owner, id)
 		}
-		pause(ends, waveEvery)
+		control.Pause(ends, waveEvery)
 	}
 }
 
@@ -98,13 +100,13 @@
 
 func (l *Load) urgent(ctx, ends context.Context, _ *rand.Rand) {
 	for number := 0; ends.Err() == nil; number++ {
-		pause(ends, urgentPause)
+		control.Pause(ends, urgentPause)
 		id := l.submit(ctx, l.Owner, l.Urgent, fmt.Sprintf("urgent-%d", number))
 		for id != "" && ctx.Err() == nil {
 			if job, err := l.Client.Job(ctx, l.Owner.Token, id); err == nil && job.Ended() {
 				break
 			}
-			pause(ctx, pollEvery)
+			control.Pause(ctx, pollEvery)
 		}
 	}
 }
@@ -120,10 +122,3 @@
 	l.submitted = append(l.submitted, Submitted{ID: job.ID, Class: class, Asked: asked, Guaranteed: class == l.Urgent})
 	return job.ID
 }
-
-func pause(ctx context.Context, length time.Duration) {
-	select {
-	case <-ctx.Done():
-	case <-time.After(length):
-	}
-}
