What other writers send: refused whole at the edge; large documents are accepted

Cause: an announcement with fields missing or null was taken with zeros in their place, so it could put a worker without room, or of no service, in the place of the good one under its id; a state that is not known passed for ready.

Change: an announcement is read into pointers and refused with its reason if anything is missing, of another type or out of bounds; one line an id, 256 ids at most, and a counter.

--- a/internal/app/announcements.go
+++ b/internal/app/announcements.go
@@ -1,6 +1,8 @@
 package app
 
 import (
+	"expvar"
+	"sync"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -17,6 +19,42 @@
 	node     control.Node
 	registry *membership.Registry
 	logger   *logrus.Logger
+	mu       sync.Mutex
+	// refused holds the ids whose newest announcement named no worker.
+	refused map[string]bool
+}
+
+// maxRefused bounds the ids that are remembered and so the lines on them: another
+// writer may send a new one each time.
+const maxRefused = 256
+
+var announcementsRefused = expvar.NewInt("announcements_refused")
+
+// Refused counts an announcement that names no worker, with a line for the first in
+// an id's name. A worker that is known by that id stays as it is.
+func (a *announcements) Refused(id string, reason error) {
+	announcementsRefused.Add(1)
+	a.mu.Lock()
+	told := a.refused[id] || len(a.refused) >= maxRefused
+	if !told {
+		a.refused[id] = true
+	}
+	a.mu.Unlock()
+	if told {
+		return
+	}
+	_, known := a.registry.Get(id)
+	a.logger.WithFields(logrus.Fields{"worker": clipped(id), "known": known, "reason": reason.Error()}).Warn("announcement names no worker")
+}
+
+// clipped bounds what another writer puts into a line.
+func clipped(text string) string { return text[:min(len(text), maxLoggedID)] }
+
+// maxLoggedID is room for any id of a worker.
+const maxLoggedID = 64
+
+func newAnnouncements(node control.Node, registry *membership.Registry, logger *logrus.Logger) *announcements {
+	return &announcements{node: node, registry: registry, logger: logger, refused: map[string]bool{}}
 }
 
 // Announce refuses while this instance is cut off: a worker that says it leaves
--- a/internal/app/leased.go
+++ b/internal/app/leased.go
@@ -44,7 +44,7 @@
 		address netip.AddrPort
 		handler http.Handler
 	}{
-		{s.Leased.Control, platform.NewControl(&announcements{node: node, registry: registry, logger: logger}, operators.NewDesk(node, logger), s.Leased.Control, s.Leased.AnnounceEvery)},
+		{s.Leased.Control, platform.NewControl(newAnnouncements(node, registry, logger), operators.NewDesk(node, logger), s.Leased.Control, s.Leased.AnnounceEvery)},
 		{s.Leased.Callers, platform.NewCallers(workflows.NewDesk(node, logger))},
 		{s.Leased.Metrics, metrics.Handler()},
 		{s.Leased.Readiness, platform.Readiness(func() error { return ready(node, stopping) })},
--- a/internal/coordination/feed/feed.go
+++ b/internal/coordination/feed/feed.go
@@ -212,7 +212,7 @@
 	if s.after >= state.Index() {
 		return true, s.send(batch)
 	}
-	entries, ok := s.server.tail.After(s.after, MaxBatchBytes)
+	entries, ok := s.server.tail.After(s.after, MaxBatchBytes, s.form())
 	if !ok {
 		return false, s.sendSnapshot(ctx, state, batch)
 	}
@@ -226,6 +226,14 @@
 	return s.after >= state.Index(), nil
 }
 
+// form is how the follower reads large entries; an older one knows only the plain.
+func (s *session) form() form {
+	if s.windowed {
+		return packed
+	}
+	return plain
+}
+
 // awaitWindow waits until less than the window is on its way to the follower.
 func (s *session) awaitWindow(ctx context.Context) error {
 	for s.windowed && s.sent-s.taken.Load() >= windowBytes {
@@ -273,7 +281,7 @@
 	if kept == nil || kept.Index() <= s.after {
 		return current
 	}
-	if _, reaches := s.server.tail.After(kept.Index(), 0); !reaches {
+	if _, reaches := s.server.tail.After(kept.Index(), 0, plain); !reaches {
 		return current
 	}
 	return kept
--- a/internal/coordination/feed/feed_test.go
+++ b/internal/coordination/feed/feed_test.go
@@ -39,7 +39,7 @@
 			t.Fatalf("%d bytes held, %d counted, %d allowed", total, tail.bytes, most)
 		}
 		after := rapid.Uint64Range(0, last+3).Draw(t, "after")
-		batch, ok := tail.After(after, 500)
+		batch, ok := tail.After(after, 500, plain)
 		if reaches := len(tail.entries) > 0 && after+1 >= tail.entries[0].entry.Index; ok != reaches {
 			t.Fatalf("After(%d) says %t", after, ok)
 		}
--- a/internal/coordination/feed/installed_test.go
+++ b/internal/coordination/feed/installed_test.go
@@ -1,11 +1,10 @@
-package feed_test
+package feed
 
 import (
 	"testing"
 
 	"github.com/matryer/is"
 
-	"pinewinch.example/pinewinch/internal/coordination/feed"
 	"pinewinch.example/pinewinch/internal/protocol/peerpb"
 )
 
@@ -14,11 +13,11 @@
 // batches in a loop until the next entry.
 func TestTailAfterInstall(t *testing.T) {
 	is := is.New(t)
-	tail := feed.NewTail(1000)
+	tail := NewTail(1000)
 	tail.Append(&peerpb.LogEntry{Index: 1}, &peerpb.LogEntry{Index: 2})
-	_, reaches := tail.After(2, 100)
+	_, reaches := tail.After(2, 100, plain)
 	is.True(reaches)
 	tail.Reset()
-	_, reaches = tail.After(2, 100)
+	_, reaches = tail.After(2, 100, plain)
 	is.True(!reaches)
 }
--- a/internal/coordination/feed/snapshot.go
+++ b/internal/coordination/feed/snapshot.go
@@ -1,9 +1,6 @@
 package feed
 
 import (
-	"bytes"
-	"compress/flate"
-	"io"
 	"sync"
 
 	"github.com/cespare/xxhash/v2"
@@ -64,30 +61,6 @@
 	return c.newest, nil
 }
 
-// compress makes a snapshot fit a thin link: jobs and workflows are much alike, and
-// take a fraction of their bytes. The fastest level, since control instances have
-// little of a core.
-func compress(data []byte) []byte {
-	var compressed bytes.Buffer
-	// Neither a level that exists nor a buffer in memory can fail.
-	writer, _ := flate.NewWriter(&compressed, flate.BestSpeed)
-	_, _ = writer.Write(data)
-	_ = writer.Close()
-	return compressed.Bytes()
-}
-
-// decompress gives the bytes back, at most MaxSnapshotBytes.
-func decompress(data []byte) ([]byte, error) {
-	whole, err := io.ReadAll(io.LimitReader(flate.NewReader(bytes.NewReader(data)), MaxSnapshotBytes+1))
-	if err != nil {
-		return nil, failure.Wrap(failure.WrongAnswer, err, "snapshot does not decompress")
-	}
-	if len(whole) > MaxSnapshotBytes {
-		return nil, failure.New(failure.TooLarge, "snapshot of over %d bytes", MaxSnapshotBytes)
-	}
-	return whole, nil
-}
-
 // resumeAt is the offset up to which the follower holds this very snapshot.
 func (e *encodedSnapshot) resumeAt(held *peerpb.HeldSnapshot) int {
 	same := held.GetIndex() == e.index && held.GetTotal() == uint64(len(e.data)) && held.GetChecksum() == e.checksum
--- a/internal/coordination/feed/tail.go
+++ b/internal/coordination/feed/tail.go
@@ -20,6 +20,16 @@
 type tailEntry struct {
 	entry *peerpb.LogEntry
 	size  int
+	// packed is the entry with its command compressed; nil for a small one.
+	packed *peerpb.LogEntry
+}
+
+// sent is the entry in the form that a follower reads.
+func (e *tailEntry) sent(reads form) (*peerpb.LogEntry, int) {
+	if reads == packed && e.packed != nil {
+		return e.packed, proto.Size(e.packed)
+	}
+	return e.entry, e.size
 }
 
 // NewTail makes an empty tail of at most maxBytes of encoded entries.
@@ -35,7 +45,7 @@
 			t.entries, t.bytes = nil, 0
 		}
 		size := proto.Size(entry)
-		t.entries = append(t.entries, tailEntry{entry: entry, size: size})
+		t.entries = append(t.entries, tailEntry{entry: entry, size: size, packed: pack(entry, size)})
 		t.bytes += size
 	}
 	t.trim()
@@ -61,7 +71,7 @@
 
 // After gives entries from after the index, at most maxBytes of them but at
 // least one. It reports false where the tail does not reach back that far.
-func (t *Tail) After(index uint64, maxBytes int) ([]*peerpb.LogEntry, bool) {
+func (t *Tail) After(index uint64, maxBytes int, reads form) ([]*peerpb.LogEntry, bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if len(t.entries) == 0 || index+1 < t.entries[0].entry.Index {
@@ -74,11 +84,12 @@
 	var batch []*peerpb.LogEntry
 	size := 0
 	for _, held := range t.entries[skip:] {
-		size += held.size
+		entry, bytes := held.sent(reads)
+		size += bytes
 		if size > maxBytes && len(batch) > 0 {
 			break
 		}
-		batch = append(batch, held.entry)
+		batch = append(batch, entry)
 	}
 	return batch, true
 }
--- a/internal/coordination/follower/mesh_test.go
+++ b/internal/coordination/follower/mesh_test.go
@@ -276,8 +276,10 @@
 }
 
 // change accepts one change of the declarations: revision and index grow by one.
-func (v *voter) change() {
-	entry := &peerpb.LogEntry{Index: v.State().Index() + 1, Command: changeOf(v.State())}
+func (v *voter) change() { v.apply(changeOf(v.State())) }
+
+func (v *voter) apply(command *controlpb.Command) {
+	entry := &peerpb.LogEntry{Index: v.State().Index() + 1, Command: command}
 	state, _ := control.Apply(v.State(), entry)
 	v.feed.Applied(entry)
 	v.Publish(state)
--- a/internal/coordination/follower/take.go
+++ b/internal/coordination/follower/take.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"pinewinch.example/pinewinch/internal/coordination/control"
+	"pinewinch.example/pinewinch/internal/coordination/feed"
 	"pinewinch.example/pinewinch/internal/protocol/failure"
 	"pinewinch.example/pinewinch/internal/protocol/peerpb"
 	"pinewinch.example/pinewinch/internal/state/store"
@@ -74,6 +75,10 @@
 		if entry.Index != state.Index()+1 {
 			return failure.New(failure.WrongAnswer, "entry %d after %d", entry.Index, state.Index())
 		}
+		entry, err := feed.Unpack(entry)
+		if err != nil {
+			return err
+		}
 		if entry.Command != nil && !store.Understands(entry.Command) {
 			return failure.New(failure.CommandTooNew, "command %d is of a newer process", entry.Index)
 		}
--- a/internal/coordination/follower/thin_test.go
+++ b/internal/coordination/follower/thin_test.go
@@ -155,3 +155,32 @@
 		is.True(m.sent["w"] < begin)
 	})
 }
+
+// An operator declares two thousand queues in one document of half a megabyte, as
+// large ones do. Instances on thin links must have it within 2 s, the time in which
+// a change is in force, or they refuse callers as stale.
+func TestLargeDocumentOnAThinLink(t *testing.T) {
+	bubble(t, func(t *testing.T, ctx context.Context) {
+		is, m := is.New(t), newMesh()
+		v := newVoter(m, "v")
+		m.rates["r01"] = thinLink
+		f := m.start(ctx, relay(1))
+		pass(time.Second)
+		replace := &controlpb.ReplaceDeclarations{Document: &controlpb.Document{Version: 1}}
+		for i := range 2000 {
+			route := fmt.Sprintf(`{"name":"r-%d","host":"h.example","pathPrefix":"/q%d/","kind":"unsafe","timeoutMs":3000,"targetLatencyMs":1000,"priority":1,"service":"s","maxAttempts":3,"slackFactor":1.5}`, i, i)
+			replace.Document.Content = append(replace.Document.Content, route...)
+			queue := &controlpb.Queue{Name: fmt.Sprintf("r-%d", i), Host: "h.example", PathPrefix: fmt.Sprintf("/q%d/", i), Service: "s", TimeoutMs: 3000, TargetLatencyMs: 1000}
+			replace.Items = append(replace.Items, &controlpb.Item{Key: fmt.Sprintf("queue/h/q%d", i), Body: &controlpb.Item_Queue{Queue: queue}})
+		}
+		v.apply(&controlpb.Command{Op: &controlpb.Command_Replace{Replace: replace}})
+		begin := time.Now()
+		for f.State().Index() < v.State().Index() {
+			pass(20 * time.Millisecond)
+		}
+		took := time.Since(begin)
+		t.Logf("%d bytes in %v", proto.Size(replace), took)
+		is.True(took < time.Second)
+		is.NoErr(f.Fresh())
+	})
+}
--- a/scripts/check.sh
+++ b/scripts/check.sh
@@ -30,3 +30,8 @@
   skip=$(skip_pattern KNOWN-RED.txt)
 fi
 go test -race -timeout 20m ${skip:+-skip "$skip"} ./...
+
+# Each decoder of what other programs send, by a number of inputs and not by time.
+for target in FuzzDecodeJob FuzzDecodeConfiguration FuzzDecodeAnnouncement FuzzDecodeReport; do
+  go test ./platform -run '^$' -fuzz "^$target\$" -fuzztime 20000x
+done
