--- a/internal/coordination/dispatch/controller.go
+++ b/internal/coordination/dispatch/controller.go
@@ -161,7 +161,7 @@
 	}
 	c.addressStarts(assignments)
 	commit := &controlpb.CommitPlan{Assignments: assignments, Preemptions: plan.Preemptions}
-	c.dispatcher.logPlan(state, commit)
+	c.dispatcher.logPlan(state, commit, c.registry)
 	c.propose(ctx, &controlpb.Command{Op: &controlpb.Command_Plan{Plan: commit}})
 }
 
--- a/internal/coordination/dispatch/lines.go
+++ b/internal/coordination/dispatch/lines.go
@@ -32,15 +32,15 @@
 }
 
 // logPlan writes a line for each job that a pass places or preempts.
-func (d *Dispatcher) logPlan(state *store.State, plan *controlpb.CommitPlan) {
+func (d *Dispatcher) logPlan(state *store.State, plan *controlpb.CommitPlan, registry Registry) {
 	if d.config.Logger == nil {
 		return
 	}
 	for _, assignment := range plan.Assignments {
-		d.config.Logger.WithFields(logrus.Fields{
-			"job": assignment.Job, "epoch": assignment.Epoch + 1, "tasks": len(assignment.Placements),
-			"worker": assignment.Placements[0].Worker, "index": state.Index(),
-		}).Info("job placed")
+		fields := d.inputsOf(state, assignment)
+		fields["racks"] = racksOf(assignment, registry)
+		fields["job"], fields["epoch"], fields["index"] = assignment.Job, assignment.Epoch+1, state.Index()
+		d.config.Logger.WithFields(fields).Info("job placed")
 	}
 	for _, preemption := range plan.Preemptions {
 		d.config.Logger.WithFields(logrus.Fields{
@@ -49,6 +49,28 @@
 	}
 }
 
+// inputsOf is what decided a placement: how long the job has waited, in how long it
+// should have ended and how long it is declared to run, in ms.
+func (d *Dispatcher) inputsOf(state *store.State, assignment *controlpb.Assignment) logrus.Fields {
+	fields := logrus.Fields{"tasks": len(assignment.Placements), "worker": assignment.Placements[0].Worker}
+	if job, ok := state.Job(assignment.Job); ok {
+		now := d.config.Now().UnixMilli()
+		fields["queue"], fields["run_ms"], fields["accelerators"] = job.WorkClass, job.RunTimeMs, job.Accelerators
+		fields["waited_ms"], fields["due_in_ms"] = now-job.SubmittedMs, job.DeadlineMs-now
+	}
+	return fields
+}
+
+func racksOf(assignment *controlpb.Assignment, registry Registry) int {
+	racks := map[string]bool{}
+	for _, placement := range assignment.Placements {
+		if worker, ok := registry.Get(placement.Worker); ok {
+			racks[worker.DataCentre+"/"+worker.Rack] = true
+		}
+	}
+	return len(racks)
+}
+
 // logRefusal writes a line where a decision was not committed, or took no effect
 // because another leader's term had begun.
 func (d *Dispatcher) logRefusal(result *controlpb.Result, err error) {
--- /dev/null
+++ b/scripts/compare.py
@@ -0,0 +1,119 @@
+#!/usr/bin/env python3
+"""Plays the same days and seeds with several checkouts and compares them.
+
+  scripts/compare.py --bench PROGRAM --site FILE --days D,D --seeds 11-20 \
+      --why TEXT CHECKOUT [CHECKOUT...]
+
+The first checkout is the one compared with. For each it prints the mean worth, the
+mean difference with its standard error over the pairs of day and seed, the parts of
+the worth, and by queue the shares of what was owed in time, late and not at all.
+Processor time is not counted, so that a play mostly repeats.
+"""
+import argparse
+import concurrent.futures
+import json
+import os
+import statistics
+import subprocess
+import sys
+import tempfile
+
+
+def seeds_of(text):
+    """Gives the numbers of a list such as 11-15,22."""
+    seeds = []
+    for part in text.split(","):
+        first, _, last = part.partition("-")
+        seeds += range(int(first), int(last or first) + 1)
+    return seeds
+
+
+def play(args, checkout, day, seed):
+    """Plays one day and gives its report; None where the play itself failed."""
+    with tempfile.NamedTemporaryFile(suffix=".json") as report:
+        command = [args.bench, "run", args.site, day, "--seed", str(seed), "--report", report.name, "--why", args.why]
+        if args.log:
+            command += ["--log", args.log]
+        if not args.cpu:
+            command.append("--no-cpu")
+        done = subprocess.run(command, cwd=checkout, stdout=subprocess.PIPE, stderr=subprocess.STDOUT, text=True, check=False)
+        text = open(report.name, encoding="utf-8").read()
+        if not text:
+            print(f"{checkout} {day} {seed}: {done.stdout[-300:]}", file=sys.stderr)
+            return None
+        if args.keep:
+            name = f"{os.path.basename(checkout)}-{os.path.basename(day)}-{seed}"
+            with open(os.path.join(args.keep, name + ".json"), "w", encoding="utf-8") as kept:
+                kept.write(text)
+            with open(os.path.join(args.keep, name + ".log"), "w", encoding="utf-8") as kept:
+                kept.write(done.stdout)
+        return json.loads(text)
+
+
+def queue_shares(reports):
+    """Gives by queue the number owed and the shares in time, late and not at all."""
+    sums = {}
+    for report in reports:
+        for queue in report["classes"]:
+            total = sums.setdefault(queue["name"], [0, 0, 0])
+            owed = queue["n"] - queue["not_owed"]
+            total[0] += owed
+            total[1] += queue["in_aim"]
+            total[2] += queue["late"]
+    lines = []
+    for name, (owed, in_time, late) in sums.items():
+        owed = max(owed, 1)
+        lines.append(f"    {name}: owed {owed}, in time {in_time / owed:.3f}, late {late / owed:.3f}, not at all {1 - (in_time + late) / owed:.3f}")
+    return lines
+
+
+def part_means(reports):
+    """Gives the mean of each part of the worth and of the larger prices."""
+    means = {}
+    for report in reports:
+        for name, _, value in report["parts"]:
+            means.setdefault(name, []).append(value)
+        for name, _, price in report["prices"]:
+            means.setdefault("- " + name, []).append(price)
+    shown = [(name, statistics.mean(values)) for name, values in means.items()]
+    return "    " + ", ".join(f"{name} {mean:.3f}" for name, mean in shown if abs(mean) >= 0.004)
+
+
+def main():
+    parser = argparse.ArgumentParser(description=__doc__, formatter_class=argparse.RawDescriptionHelpFormatter)
+    parser.add_argument("--bench", required=True)
+    parser.add_argument("--site", required=True)
+    parser.add_argument("--days", required=True)
+    parser.add_argument("--seeds", required=True)
+    parser.add_argument("--jobs", type=int, default=max(1, os.cpu_count() // 2))
+    parser.add_argument("--cpu", action="store_true", help="count processor time")
+    parser.add_argument("--keep", help="folder for the reports and what was printed")
+    parser.add_argument("--log", help="machines whose output is kept")
+    parser.add_argument("--why", required=True)
+    parser.add_argument("checkouts", nargs="+")
+    args = parser.parse_args()
+    args.bench, args.site = os.path.abspath(args.bench), os.path.abspath(args.site)
+    for checkout in args.checkouts:
+        subprocess.run([args.bench, "build"], cwd=checkout, capture_output=True, check=True)
+    pairs = [(day, seed) for seed in seeds_of(args.seeds) for day in args.days.split(",")]
+    with concurrent.futures.ThreadPoolExecutor(args.jobs) as pool:
+        plays = {(c, pair): pool.submit(play, args, c, *pair) for pair in pairs for c in args.checkouts}
+    results = {key: future.result() for key, future in plays.items()}
+    base = args.checkouts[0]
+    for checkout in args.checkouts:
+        whole = [pair for pair in pairs if results[checkout, pair] and results[base, pair]]
+        reports = [results[checkout, pair] for pair in whole]
+        worth = [report["G"] for report in reports]
+        differences = [results[checkout, pair]["G"] - results[base, pair]["G"] for pair in whole]
+        error = statistics.stdev(differences) / len(differences) ** 0.5 if len(differences) > 1 else 0
+        print(f"{checkout}: mean worth {statistics.mean(worth):.4f} of {len(worth)} days; difference {statistics.mean(differences):+.4f}, standard error {error:.4f}")
+        print(part_means(reports))
+        print("\n".join(queue_shares(reports)))
+        for pair, report in zip(whole, reports):
+            if report["breaks"] or report["exits_n"]:
+                print(f"    BROKEN {pair}: {report['breaks']} exits {report['exits_n']}")
+    print("by day:", {f"{d}/{s}": [round(results[c, (d, s)]["G"], 3) if results[c, (d, s)] else None for c in args.checkouts] for d, s in pairs})
+
+
+if __name__ == "__main__":
+    main()
