--- a/internal/state/store/bytes_bench_test.go
+++ b/internal/state/store/bytes_bench_test.go
@@ -29,12 +29,21 @@
 		}}}
 		return &controlpb.Command{Op: &controlpb.Command_Apply{Apply: &controlpb.ApplyItems{ExpectedRevision: uint64(n), Set: []*controlpb.Item{item}}}}
 	}
+	workflow := func(n int) *controlpb.Command {
+		w := &controlpb.Workflow{
+			Id: fmt.Sprintf("%016x", n), Queue: "r-2g7f9kf", Customer: "jeye332", Specification: "analyse span 17 of line Dolgarrog-12",
+			Steps:   []*controlpb.Step{{Count: 16, CoresMilli: 11000, MemoryMb: 59000, Accelerators: 1, RunTimeMs: 9500}},
+			Service: "citas", MaxAttempts: 3, SlackThousandths: 3000, TargetLatencyMs: 3000, Priority: 2,
+		}
+		return &controlpb.Command{Op: &controlpb.Command_SubmitWorkflow{SubmitWorkflow: &controlpb.SubmitWorkflow{Workflow: w}}}
+	}
 	for _, kind := range []struct {
 		name    string
 		command func(n int) *controlpb.Command
 	}{
 		{"entry", entry},
 		{"job-1-task", placed(1)},
+		{"workflow-16-tasks", workflow},
 		{"job-16-tasks", placed(16)},
 		{"job-128-tasks", placed(128)},
 	} {
--- a/internal/state/store/workflows.go
+++ b/internal/state/store/workflows.go
@@ -262,10 +262,13 @@
 	return true
 }
 
-// endWorkflow ends a workflow and stops what still runs of it.
+// endWorkflow ends a workflow and stops what still runs of it. What only its runs
+// needed is dropped: an ended workflow is kept for minutes so that its state can be
+// asked for, and is sent to every instance that starts anew.
 func (s *State) endWorkflow(w *controlpb.Workflow, state controlpb.WorkflowState) {
 	w.State = state
 	w.EndedMs = s.timeMs
+	w.Specification, w.Steps, w.Progress = "", nil, nil
 	s.putWorkflow(w)
 	for _, job := range s.Units(w.Id) {
 		if Ended(job.State) {
--- a/internal/state/store/workflows_test.go
+++ b/internal/state/store/workflows_test.go
@@ -261,3 +261,16 @@
 	is.Equal(l.state.Revision(), before+1)
 	is.Equal(len(l.state.Queues()), 1)
 }
+
+// Ended workflows are kept for minutes, and every instance that starts anew is sent
+// them over a thin link. Texts may have 4,000 bytes each.
+func TestEndedWorkflowIsSmall(t *testing.T) {
+	is, l := is.New(t), newWorkflowLog(t)
+	w := &controlpb.Workflow{Id: "w", Queue: "q", Specification: string(make([]byte, 4000)), Steps: []*controlpb.Step{{Count: 1}}}
+	l.submit(0, w)
+	is.True(proto.Size(l.state.Snapshot()) > 4000)
+	l.cancel("w")
+	is.Equal(l.stateOf("w"), controlpb.WorkflowState_WORKFLOW_STATE_CANCELLED)
+	is.True(proto.Size(l.state.Snapshot()) < 200)
+	is.Equal(l.submit(0, w).Workflow.State, controlpb.WorkflowState_WORKFLOW_STATE_CANCELLED)
+}
