An end that a worker listed before it left, or fell silent, counts

The leader had the end, but a worker that is gone was hidden from dispatch with all that it had listed, so a step that came after the goodbye saw the task as lost with it. The same held for a worker that falls silent after it has listed an end. Ruled out: the lease (not over), a second starter (the same leader sent both).

Change: the ends that the log has not taken in stay in sight for a worker that is gone or lost, and nothing else of it; a stop for such a worker answers with the end.

TestEndBeforeADepartureCounts and TestEndBeforeASilenceCounts fail on the code before.

--- a/internal/coordination/dispatch/leases/cluster_test.go
+++ b/internal/coordination/dispatch/leases/cluster_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/matryer/is"
 	"github.com/sirupsen/logrus"
+	"google.golang.org/protobuf/proto"
 
 	"pinewinch.example/pinewinch/internal/protocol/api"
 	"pinewinch.example/pinewinch/internal/protocol/controlpb"
@@ -21,22 +22,24 @@
 // cluster is a leader's log, one announced worker, and that worker's rules: leases
 // by its clock, the highest token, stopped runs that never begin.
 type cluster struct {
-	mu      sync.Mutex
-	state   *store.State
-	term    uint64
-	leads   bool
-	fresh   bool
-	began   time.Time
-	cut     bool
-	slow    time.Duration
-	gone    bool
-	token   uint64
-	lease   int64
-	running map[string]uint64
-	barred  map[string]uint64
-	ends    []End
-	ended   uint64
-	looks   int
+	mu    sync.Mutex
+	state *store.State
+	term  uint64
+	leads bool
+	fresh bool
+	began time.Time
+	cut   bool
+	slow  time.Duration
+	gone  bool
+	// departed is what the worker's last announcement says.
+	departed bool
+	token    uint64
+	lease    int64
+	running  map[string]uint64
+	barred   map[string]uint64
+	ends     []End
+	ended    uint64
+	looks    int
 }
 
 func newCluster(state *store.State) *cluster {
@@ -68,9 +71,25 @@
 
 func (c *cluster) Get(id string) (*peerpb.Upstream, bool) { return c.Live(0)[0], true }
 func (c *cluster) Live(peerpb.UpstreamKind) []*peerpb.Upstream {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.departed {
+		left := proto.CloneOf(worker)
+		left.Departed = true
+		return []*peerpb.Upstream{left}
+	}
 	return []*peerpb.Upstream{worker}
 }
 
+// end lets the run of the placed task end in that way.
+func (c *cluster) end(how How) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	delete(c.running, "w.0.0.0")
+	c.ended++
+	c.ends = append(c.ends, End{Number: c.ended, Task: "w.0.0.0", Run: 1, How: how})
+}
+
 var worker = &peerpb.Upstream{Id: "i-1", Kind: peerpb.UpstreamKind_UPSTREAM_KIND_WORKER, Address: "a", Incarnation: 1, Version: 1}
 
 func (c *cluster) clock() int64 { return time.Since(c.began).Milliseconds() }
--- a/internal/coordination/dispatch/leases/command.go
+++ b/internal/coordination/dispatch/leases/command.go
@@ -119,7 +119,7 @@
 func (s *session) stop(ctx context.Context, job *controlpb.Job, command *api.TaskCommand) (*api.TaskAnswer, error) {
 	stop := Stop{Token: s.token, Task: store.TaskName(job, command.Task), Run: command.Epoch}
 	if s.isGone() {
-		return &api.TaskAnswer{Incarnation: command.Incarnation}, nil
+		return s.endOrNone(stop, command.Incarnation), nil
 	}
 	if err := s.keeper.mayOrder(s.token); err != nil {
 		return nil, err
@@ -135,13 +135,25 @@
 	if err != nil {
 		s.failed(err)
 		if s.isGone() {
-			return &api.TaskAnswer{Incarnation: command.Incarnation}, nil
+			return s.endOrNone(stop, command.Incarnation), nil
 		}
 		return nil, err
 	}
 	return s.awaitEnd(ctx, stop, clock, command.Incarnation)
 }
 
+// endOrNone answers a stop for a boot that is gone: how the run ended, where the boot
+// had listed that before, and else only that it runs no more.
+func (s *session) endOrNone(stop Stop, incarnation int64) *api.TaskAnswer {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	answer := &api.TaskAnswer{Incarnation: incarnation}
+	if fate, end := s.ledger.Find(stop.Task, stop.Run); fate == Ended {
+		answer.Phase, answer.Checkpoint = phases[end.How], end.Checkpoint
+	}
+	return answer
+}
+
 // awaitEnd waits for the report that settles a stop. The look that is held at the
 // worker returns with the end, so no other is sent while the run is known to be
 // alive: a look with its own wait would return at once while any end there is not
--- a/internal/coordination/dispatch/leases/ledger.go
+++ b/internal/coordination/dispatch/leases/ledger.go
@@ -222,12 +222,7 @@
 
 // Tasks lists what is known of the runs as dispatch reads it.
 func (l *Ledger) Tasks(state *store.State) []*peerpb.TaskReport {
-	reports := make([]*peerpb.TaskReport, 0, len(l.running)+len(l.ends))
-	for _, end := range l.ends {
-		if job, task, ok := FindTask(state, end.Task); ok {
-			reports = append(reports, endReport(job, task, end))
-		}
-	}
+	reports := l.endReports(state, func(End) bool { return true })
 	for _, run := range l.running {
 		job, task, ok := FindTask(state, run.Task)
 		if fate, _ := l.Find(run.Task, run.Run); !ok || fate == Ended {
@@ -241,12 +236,31 @@
 			CheckpointedMs: checkpointed(job, run),
 		})
 	}
-	slices.SortFunc(reports, func(a, b *peerpb.TaskReport) int {
-		return cmp.Or(cmp.Compare(a.Job, b.Job), cmp.Compare(a.Task, b.Task), cmp.Compare(a.Epoch, b.Epoch))
-	})
+	slices.SortFunc(reports, byTask)
+	return reports
+}
+
+// UnsettledEnds lists the ends that the state has not taken in, as dispatch reads them.
+func (l *Ledger) UnsettledEnds(state *store.State) []*peerpb.TaskReport {
+	reports := l.endReports(state, func(end End) bool { return !settled(state, end) })
+	slices.SortFunc(reports, byTask)
+	return reports
+}
+
+func (l *Ledger) endReports(state *store.State, wanted func(End) bool) []*peerpb.TaskReport {
+	reports := make([]*peerpb.TaskReport, 0, len(l.running)+len(l.ends))
+	for _, end := range l.ends {
+		if job, task, ok := FindTask(state, end.Task); ok && wanted(end) {
+			reports = append(reports, endReport(job, task, end))
+		}
+	}
 	return reports
 }
 
+func byTask(a, b *peerpb.TaskReport) int {
+	return cmp.Or(cmp.Compare(a.Job, b.Job), cmp.Compare(a.Task, b.Task), cmp.Compare(a.Epoch, b.Epoch))
+}
+
 // checkpointed estimates the work that the newest checkpoint keeps from what is
 // done so far.
 func checkpointed(job *controlpb.Job, run Running) int64 {
--- a/internal/coordination/dispatch/leases/session.go
+++ b/internal/coordination/dispatch/leases/session.go
@@ -11,6 +11,7 @@
 	"pinewinch.example/pinewinch/internal/coordination/control"
 	"pinewinch.example/pinewinch/internal/protocol/failure"
 	"pinewinch.example/pinewinch/internal/protocol/peerpb"
+	"pinewinch.example/pinewinch/internal/state/store"
 )
 
 // session is one leader's dealings with one boot of a worker.
@@ -254,12 +255,17 @@
 	return s.gone || s.ledger.LeaseOver(s.now())
 }
 
-// viewOf is the worker as dispatch sees it; nil for one that is lost.
+// viewOf is the worker as dispatch sees it; nil for one that is lost or gone.
+//
+// Ends that it has listed still count. A run that ended well in the moment before its
+// worker said goodbye would else pass for lost with it, and run a second time; so
+// would one whose end is known when its worker falls silent.
 func (s *session) viewOf(worker *peerpb.Upstream) *peerpb.Upstream {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	state := s.keeper.log.State()
 	if s.gone || s.lost() {
-		return nil
+		return s.endsOnly(worker, state)
 	}
 	if s.view != nil && s.viewFrom == worker && !s.stale {
 		return s.view
@@ -268,7 +274,23 @@
 	s.version++
 	view.Version = s.version
 	view.Leaving = worker.Leaving || !s.ledger.Heard()
-	view.Tasks = s.ledger.Tasks(s.keeper.log.State())
+	view.Tasks = s.ledger.Tasks(state)
 	s.view, s.viewFrom, s.stale = view, worker, false
 	return view
 }
+
+// endsOnly is the view of a worker that is lost or gone: nothing but the ends that
+// the log has yet to take in, and nil once it has.
+func (s *session) endsOnly(worker *peerpb.Upstream, state *store.State) *peerpb.Upstream {
+	ends := s.ledger.UnsettledEnds(state)
+	if len(ends) == 0 {
+		return nil
+	}
+	view := proto.CloneOf(worker)
+	s.version++
+	view.Version = s.version
+	view.Leaving = true
+	view.Tasks = ends
+	s.stale = true
+	return view
+}
