--- a/internal/coordination/dispatch/leases/session.go
+++ b/internal/coordination/dispatch/leases/session.go
@@ -143,8 +143,9 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	f := failure.From(err)
-	if !s.doubted && f.Code != failure.StaleEpoch && f.Code != failure.Overloaded && f.Code != failure.DeadlinePassed {
+	if !s.doubted && leftUnanswered(f.Code) {
 		s.doubted, s.stale = true, true
+		s.entry().WithField("reason", f.Error()).Info("worker in doubt")
 		s.poke()
 	}
 	if f.Code == failure.WorkerVanished && !s.gone {
@@ -160,6 +161,16 @@
 	}
 }
 
+// leftUnanswered tells a failure after which it is not known whether the worker can
+// be reached; the others are answers.
+func leftUnanswered(code failure.Code) bool {
+	switch code {
+	case failure.StaleEpoch, failure.Overloaded, failure.DeadlinePassed:
+		return false
+	}
+	return true
+}
+
 func (s *session) entry() *logrus.Entry {
 	return s.keeper.config.Logger.WithFields(logrus.Fields{"worker": s.target.Worker, "token": s.token})
 }
@@ -175,6 +186,7 @@
 	s.unanswered, s.missed = time.Time{}, 0
 	if s.doubted {
 		s.doubted, s.stale = false, true
+		s.entry().Info("worker no longer in doubt")
 	}
 }
 
