A source's silence is watched by one timer that a good link never lets fire

The watch of bytes looked eight times in 750 ms on every link, 11 wake-ups a second for each follower; now a timer is set anew with each batch, and looks at the bytes only where none came.

--- a/internal/coordination/follower/link.go
+++ b/internal/coordination/follower/link.go
@@ -113,8 +113,8 @@
 func (f *Follower) receive(l *link) {
 	defer close(l.ended)
 	defer l.close()
-	stop := f.watchSilence(l)
-	defer stop()
+	silence := watchSilence(l, f.silence())
+	defer silence.stop()
 	for {
 		batch, err := l.stream.Receive()
 		if err == nil {
@@ -124,39 +124,12 @@
 			l.err = err
 			return
 		}
+		silence.heard()
 		l.pings.Answered(batch.Echo)
 		l.took(feed.BulkBytes(batch))
 	}
 }
 
-// watchSilence closes the link when no byte has come for a while. Bytes count and
-// not batches: a large entry takes longer than that on a thin link.
-func (f *Follower) watchSilence(l *link) (stop func()) {
-	ended := make(chan struct{})
-	go func() {
-		ticker := time.NewTicker(f.silence() / silenceLooks)
-		defer ticker.Stop()
-		arrived, silent := l.stream.Arrived(), 0
-		for silent < silenceLooks {
-			select {
-			case <-ended:
-				return
-			case <-ticker.C:
-			}
-			silent++
-			if now := l.stream.Arrived(); now != arrived {
-				arrived, silent = now, 0
-			}
-		}
-		l.close()
-	}()
-	return func() { close(ended) }
-}
-
-// silenceLooks is how often a source is looked at while it may be silent: it is
-// left an eighth of that time late at most.
-const silenceLooks = 8
-
 // took counts bulk and has it acknowledged once a batch's worth has come, or the
 // source's window would stay full until the next ping.
 func (l *link) took(bytes uint64) {
--- a/internal/coordination/follower/mesh_test.go
+++ b/internal/coordination/follower/mesh_test.go
@@ -58,6 +58,12 @@
 	out      bool
 }
 
+func (m *mesh) sentBy(name string) int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.sent[name]
+}
+
 // carry gives when a message that is sent now has passed both links. The caller
 // holds the lock.
 func (m *mesh) carry(from, to string, size int) time.Time {
