--- a/internal/coordination/feed/feed.go
+++ b/internal/coordination/feed/feed.go
@@ -67,7 +67,7 @@
 type Server struct {
 	source    Source
 	tail      *Tail
-	anchors   anchors
+	kept      keptStates
 	snapshots snapshotCache
 	serving   atomic.Int64
 }
@@ -82,14 +82,14 @@
 func (s *Server) Applied(entries ...*peerpb.LogEntry) { s.tail.Append(entries...) }
 
 // Passed tells of each state that an entry led to.
-func (s *Server) Passed(state *store.State) { s.anchors.pass(state) }
+func (s *Server) Passed(state *store.State) { s.kept.pass(state) }
 
 // Installed tells that the state was replaced by a snapshot, after the last
 // entry and before the owner publishes it. The entries kept no longer lead to
 // the state: a follower that got only those would wait for the rest for ever.
 func (s *Server) Installed(state *store.State) {
 	s.tail.Reset()
-	s.anchors.reset(state)
+	s.kept.reset(state)
 }
 
 // Serve sends the log from after the asked index until the stream ends, or
@@ -274,9 +274,9 @@
 // snapshotOf chooses the state to send: the one whose transfer broke off, else the
 // newest that is kept, and the current one where the entries behind that are gone.
 func (s *session) snapshotOf(current *store.State) *store.State {
-	kept := s.server.anchors.at(s.held.GetIndex())
+	kept := s.server.kept.at(s.held.GetIndex())
 	if kept == nil {
-		kept = s.server.anchors.newest(current.Index())
+		kept = s.server.kept.newest(current.Index())
 	}
 	if kept == nil || kept.Index() <= s.after {
 		return current
