--- a/internal/coordination/feed/keptstates.go
+++ b/internal/coordination/feed/keptstates.go
@@ -8,8 +8,8 @@
 
 const (
 	// keptEvery is the distance in entries between two states that are kept to be
-	// sent as snapshots. The entries behind one are sent after it: 256 of a busy
-	// deployment are about 100 KB.
+	// sent as snapshots. The entries behind one are sent after it: 256 of 400 bytes
+	// take 0.4 s on a link of 2 Mbit/s.
 	keptEvery = 256
 	// mostKept bounds the states that are kept; they share what did not change.
 	mostKept = 2
