Log lines of a start: what the disk held, and when it is applied again

After a loss of all cores the record could not tell whether they waited for each other or for their own logs: nothing said how many entries a start applies and how long that takes.

--- a/internal/coordination/replica/core.go
+++ b/internal/coordination/replica/core.go
@@ -44,6 +44,7 @@
 	failure  error
 	leaderOf leaderTerm
 	saving   saving
+	replay   replay
 	fetching bool
 	// held waits for room on the disk; nil as a rule.
 	held *consensus.Ready
@@ -64,6 +65,7 @@
 	c.node = consensus.New(c.nodeConfig(), recovered.consensus)
 	c.replica.published.Publish(c.state)
 	c.publishView()
+	c.beginReplay(recovered)
 	return c, nil
 }
 
@@ -178,6 +180,7 @@
 	}
 	c.answerReads()
 	c.publishView()
+	c.checkReplay()
 	c.snapshotWhenDue()
 	return c.failure
 }
