A plan is checked against the accelerators in use, not against a list made of all jobs

Cause: each entry that places work listed what every open job of the cluster holds, in every replica and follower, and again for each entry that a start applies. Change: the state counts the holders of each accelerator.

--- a/internal/state/store/jobs.go
+++ b/internal/state/store/jobs.go
@@ -63,45 +63,22 @@
 		job.Preempted = true
 		s.putJob(job)
 	}
-	taken := s.takenAccelerators()
 	for _, assignment := range plan.Assignments {
-		if !s.assign(assignment, taken) {
+		if !s.assign(assignment) {
 			result.Refused = append(result.Refused, assignment.Job)
 		}
 	}
 	return result
 }
 
-// Accelerator is one accelerator of one worker.
-type Accelerator struct {
-	Worker string
-	Number uint32
-}
-
-func (s *State) takenAccelerators() map[Accelerator]bool {
-	taken := map[Accelerator]bool{}
-	walk(s.active, func(_ string, job *controlpb.Job) {
-		markTaken(taken, job.Placements)
-	})
-	return taken
-}
-
-func markTaken(taken map[Accelerator]bool, placements []*controlpb.Placement) {
-	for _, placement := range placements {
-		for _, number := range placement.Accelerators {
-			taken[Accelerator{placement.Worker, number}] = true
-		}
-	}
-}
-
 // assign places a waiting job, all of its gang or none. No accelerator is
 // given twice: a second plan from a deposed leader would find it taken here.
-func (s *State) assign(assignment *controlpb.Assignment, taken map[Accelerator]bool) bool {
+func (s *State) assign(assignment *controlpb.Assignment) bool {
 	job, ok := s.Job(assignment.Job)
 	if !ok || job.Epoch != assignment.Epoch || job.State != controlpb.JobState_JOB_STATE_WAITING {
 		return false
 	}
-	if len(assignment.Placements) != int(job.Tasks) || anyTaken(taken, assignment.Placements) {
+	if len(assignment.Placements) != int(job.Tasks) || s.anyHeld(assignment.Placements) {
 		return false
 	}
 	job = proto.CloneOf(job)
@@ -112,16 +89,17 @@
 	job.StartedMs = 0
 	job.State = controlpb.JobState_JOB_STATE_STARTING
 	s.putJob(job)
-	markTaken(taken, job.Placements)
 	return true
 }
 
-func anyTaken(taken map[Accelerator]bool, placements []*controlpb.Placement) bool {
+// anyHeld tells whether another job holds one of the accelerators, or two of the
+// placements name the same one.
+func (s *State) anyHeld(placements []*controlpb.Placement) bool {
 	own := map[Accelerator]bool{}
 	for _, placement := range placements {
 		for _, number := range placement.Accelerators {
 			accelerator := Accelerator{placement.Worker, number}
-			if taken[accelerator] || own[accelerator] {
+			if own[accelerator] || s.isHeld(accelerator) {
 				return true
 			}
 			own[accelerator] = true
@@ -136,6 +114,8 @@
 
 func (s *State) putJob(job *controlpb.Job) {
 	key := []byte(job.Id)
+	before, _ := s.jobs.Get(key)
+	s.moveHeld(before, job)
 	s.jobs, _, _ = s.jobs.Insert(key, job)
 	if !Ended(job.State) {
 		s.active, _, _ = s.active.Insert(key, job)
--- a/internal/state/store/store.go
+++ b/internal/state/store/store.go
@@ -24,6 +24,7 @@
 	items    *table[*controlpb.Item]
 	jobs     *table[*controlpb.Job]
 	active   *table[*controlpb.Job]
+	held     *heldTable
 	claims   *table[*controlpb.Claim]
 	// claimExpiry orders the keys of claims by the time that they expire.
 	claimExpiry *table[struct{}]
@@ -55,6 +56,7 @@
 		items:       iradix.New[*controlpb.Item](),
 		jobs:        iradix.New[*controlpb.Job](),
 		active:      iradix.New[*controlpb.Job](),
+		held:        iradix.New[uint32](),
 		claims:      iradix.New[*controlpb.Claim](),
 		claimExpiry: iradix.New[struct{}](),
 		spent:       iradix.New[*controlpb.SpentKeys](),
@@ -178,6 +180,7 @@
 		}
 	}
 	s.active = active.Commit()
+	s.held = fillHeld(list(s.active))
 	drained := iradix.New[bool]().Txn()
 	for _, upstream := range snapshot.Drained {
 		drained.Insert([]byte(upstream), true)
