--- a/internal/coordination/replica/snapshots.go
+++ b/internal/coordination/replica/snapshots.go
@@ -13,7 +13,12 @@
 )
 
 const (
-	defaultSnapshotEntries = 10_000
+	// defaultSnapshotEntries bounds what a start applies again, and so how long callers
+	// are refused after a loss of all replicas: an entry of a busy system of 350 workers
+	// takes up to 0.7 ms of a core that has 0.64 (2,677 entries in 2 s), and a replica
+	// whose disk was wiped has them all to catch up with. A snapshot there has 0.5 MB,
+	// written every 12 s or more.
+	defaultSnapshotEntries = 1_000
 	defaultSnapshotBytes   = 16 << 20
 	// keptEntries stay in memory behind a snapshot, so that a member that was
 	// away for a moment catches up without one.
