A replica takes messages, ticks and requests while it applies a long log

Cause: the owner's loop applied everything that was committed in one go, 1,024 entries to a part and no look at the inbox between two parts, though the bound says that it is there for that. At 0.7 ms an entry the replicas campaigned only when all was applied. Change: parts of 128, and one part a turn.

--- a/internal/coordination/consensus/ready.go
+++ b/internal/coordination/consensus/ready.go
@@ -2,9 +2,10 @@
 
 import "pinewinch.example/pinewinch/internal/protocol/consensuspb"
 
-// maxCommitted bounds the entries of one Ready.Committed, so that a replica
-// that applies a long log still answers its leader in between.
-const maxCommitted = 1024
+// maxCommitted bounds the entries of one Ready.Committed, so that a replica that
+// applies a long log still answers its leader, and campaigns, in between: at up to
+// 0.7 ms an entry that is 0.1 s, a quarter of the shortest election timeout.
+const maxCommitted = 128
 
 // Ready is carried out in this order: sync Hard and Entries (one sync), then
 // send Messages, then apply Committed. Entries may replace a tail with the same
--- a/internal/coordination/replica/core.go
+++ b/internal/coordination/replica/core.go
@@ -46,6 +46,8 @@
 	saving   saving
 	replay   replay
 	fetching bool
+	// unapplied tells that committed entries are left for the next turn.
+	unapplied bool
 	// held waits for room on the disk; nil as a rule.
 	held *consensus.Ready
 }
@@ -103,6 +105,7 @@
 			c.propose(p)
 		case request := <-c.replica.requests:
 			request(c)
+		case <-c.nextTurn():
 		}
 		c.takeWaiting()
 		if err := c.carryOutAll(working); err != nil {
@@ -160,11 +163,30 @@
 	}
 }
 
+// always can be received from at any time.
+var always = func() <-chan struct{} {
+	c := make(chan struct{})
+	close(c)
+	return c
+}()
+
+// nextTurn is ready at once while committed entries wait to be applied.
+func (c *core) nextTurn() <-chan struct{} {
+	if c.unapplied {
+		return always
+	}
+	return nil
+}
+
+// carryOutAll does what the log asks for, but applies no more than one part of a
+// long log: messages, ticks and requests come in between. A replica that applied
+// all of it first asked for votes only 1.9 s after a loss of all.
 func (c *core) carryOutAll(ctx context.Context) error {
+	c.unapplied = false
 	if c.held != nil {
 		return c.failure
 	}
-	for c.failure == nil {
+	for c.failure == nil && !c.unapplied {
 		ready, ok := c.node.Ready()
 		if !ok {
 			break
@@ -177,6 +199,7 @@
 		if err != nil {
 			return err
 		}
+		c.unapplied = len(ready.Committed) > 0 && c.state.Index() < c.node.Status().Commit
 	}
 	c.answerReads()
 	c.publishView()
