Parts only while a start applies what its disk knew to be committed

Ruled out: parts everywhere with a guard at each of those places. Change: the parts end with the start, before which no replica leads; time passes in each of them.

TestStartInPartsTakesNoTime fails with a part a tick; TestStartInPartsEndsWhole now looks at each moment at which a replica says that it is fresh.

--- a/internal/coordination/consensus/ready.go
+++ b/internal/coordination/consensus/ready.go
@@ -2,9 +2,9 @@
 
 import "pinewinch.example/pinewinch/internal/protocol/consensuspb"
 
-// maxCommitted bounds the entries of one Ready.Committed, so that a replica that
-// applies a long log still answers its leader, and campaigns, in between: at up to
-// 0.7 ms an entry that is 0.1 s, a quarter of the shortest election timeout.
+// maxCommitted bounds the entries of one Ready.Committed: a replica that starts with
+// a long log takes messages and campaigns between two parts. At up to 0.7 ms an entry
+// a part takes 0.1 s, a quarter of the shortest election timeout.
 const maxCommitted = 128
 
 // Ready is carried out in this order: sync Hard and Entries (one sync), then
--- a/internal/coordination/replica/bench_test.go
+++ b/internal/coordination/replica/bench_test.go
@@ -143,8 +143,10 @@
 	if err != nil {
 		b.Fatal(err)
 	}
-	if err := c.carryOutAll(background()); err != nil {
-		b.Fatal(err)
+	for c.replaying() {
+		if err := c.carryOutAll(background()); err != nil {
+			b.Fatal(err)
+		}
 	}
 	if c.state.Index() < 99_000 {
 		b.Fatalf("restarted at %d", c.state.Index())
--- a/internal/coordination/replica/core.go
+++ b/internal/coordination/replica/core.go
@@ -46,8 +46,6 @@
 	saving   saving
 	replay   replay
 	fetching bool
-	// unapplied tells that committed entries are left for the next turn.
-	unapplied bool
 	// held waits for room on the disk; nil as a rule.
 	held *consensus.Ready
 }
@@ -106,6 +104,8 @@
 		case request := <-c.replica.requests:
 			request(c)
 		case <-c.nextTurn():
+			c.takeWaiting()
+			c.passTime(steady.Now())
 		}
 		c.takeWaiting()
 		if err := c.carryOutAll(working); err != nil {
@@ -163,30 +163,16 @@
 	}
 }
 
-// always can be received from at any time.
-var always = func() <-chan struct{} {
-	c := make(chan struct{})
-	close(c)
-	return c
-}()
-
-// nextTurn is ready at once while committed entries wait to be applied.
-func (c *core) nextTurn() <-chan struct{} {
-	if c.unapplied {
-		return always
-	}
-	return nil
-}
-
-// carryOutAll does what the log asks for, but applies no more than one part of a
-// long log: messages, ticks and requests come in between. A replica that applied
-// all of it first asked for votes only 1.9 s after a loss of all.
+// carryOutAll does all that the log asks for; of a start it applies one part.
+//
+// After the start everything that is committed is applied before the next turn. That
+// holds up proposals while the state is behind, and a leader then says of no state
+// that it is complete before it is.
 func (c *core) carryOutAll(ctx context.Context) error {
-	c.unapplied = false
 	if c.held != nil {
 		return c.failure
 	}
-	for c.failure == nil && !c.unapplied {
+	for c.failure == nil {
 		ready, ok := c.node.Ready()
 		if !ok {
 			break
@@ -199,7 +185,9 @@
 		if err != nil {
 			return err
 		}
-		c.unapplied = len(ready.Committed) > 0 && c.state.Index() < c.node.Status().Commit
+		if len(ready.Committed) > 0 && c.replaying() {
+			break
+		}
 	}
 	c.answerReads()
 	c.publishView()
--- a/internal/coordination/replica/replay_test.go
+++ b/internal/coordination/replica/replay_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/matryer/is"
@@ -64,8 +65,24 @@
 	})
 }
 
-// The same start as a whole: nothing is lost on the way, and a state published
-// while a replica applies is never said to be complete.
+// A start in parts goes on by itself until all is applied: at one part a tick a start
+// with 1,500 entries would keep callers waiting for half a second more.
+func TestStartInPartsTakesNoTime(t *testing.T) {
+	inBubble(t, func(is *is.I, m *mesh) {
+		m.entries = 100_000
+		changes(is, startAll(m), 1_500)
+		m.crash("i2")
+		started, r := time.Now(), m.start("i2")
+		<-r.opened
+		synctest.Wait()
+		is.Equal(time.Since(started), time.Duration(0))
+		is.True(r.State().Index() >= 1_500)
+	})
+}
+
+// All replicas start in parts after a loss of power. Whoever leads must not say that
+// its state is complete before all of it is applied: callers would be told that
+// accepted work is unknown.
 func TestStartInPartsEndsWhole(t *testing.T) {
 	inBubble(t, func(is *is.I, m *mesh) {
 		m.entries = 100_000
@@ -77,13 +94,16 @@
 		for _, voter := range voters {
 			m.start(voter)
 		}
-		leader := m.leader()
-		is.NoErr(leader.Read(background()))
-		is.True(leader.State().Index() > want)
-		time.Sleep(2 * time.Second)
-		for _, voter := range voters {
-			is.NoErr(m.replicas[voter].Fresh())
-			is.Equal(drainedOf(m.replicas[voter].State()), 70)
+		for fresh := 0; fresh < len(voters); time.Sleep(time.Millisecond) {
+			fresh = 0
+			for _, voter := range voters {
+				if m.replicas[voter].Fresh() != nil {
+					continue
+				}
+				fresh++
+				is.True(m.replicas[voter].State().Index() >= want)
+				is.Equal(drainedOf(m.replicas[voter].State()), 70)
+			}
 		}
 	})
 }
--- a/internal/state/store/held.go
+++ b/internal/state/store/held.go
@@ -13,6 +13,8 @@
 // that nobody holds is not in it. A plan is checked against it, so that an entry costs
 // what it places and not what runs in the whole cluster.
 //
+// A job gets placements by a plan only, and a waiting one has none.
+//
 // Counts and not names of holders: the table is then the same whether a state was
 // reached by entries or restored from a snapshot.
 type heldTable = table[uint32]
