--- /dev/null
+++ b/internal/coordination/feed/encoding_test.go
@@ -0,0 +1,120 @@
+package feed
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"pinewinch.example/pinewinch/internal/coordination/control"
+	"pinewinch.example/pinewinch/internal/protocol/controlpb"
+	"pinewinch.example/pinewinch/internal/protocol/failure"
+	"pinewinch.example/pinewinch/internal/protocol/peerpb"
+	"pinewinch.example/pinewinch/internal/state/store"
+)
+
+// A source with little of a core takes 2 s to encode a large state and sent nothing
+// meanwhile. Its followers took it for silent after 0.75 s and left; the encoding
+// went with the last of them, and at the next source all began again: they refused
+// callers for good. A source answers pings while it encodes.
+func TestSourceAnswersPingsWhileItEncodes(t *testing.T) {
+	const encoding, pingEvery = 2 * time.Second, 200 * time.Millisecond
+	synctest.Test(t, func(t *testing.T) {
+		is, source := is.New(t), newStillSource()
+		server := NewServer(source)
+		encode := server.snapshots.marshal
+		server.snapshots.marshal = func(snapshot *controlpb.Snapshot) ([]byte, error) {
+			time.Sleep(encoding)
+			return encode(snapshot)
+		}
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		first := newPipe(ctx)
+		for _, p := range []*pipe{first} {
+			go func() { _ = server.Serve(ctx, &peerpb.Follow{Windowed: true}, p) }()
+			go p.pingEvery(pingEvery)
+		}
+		time.Sleep(encoding + pingEvery)
+		for _, p := range []*pipe{first} {
+			is.True(p.longestGap() <= 2*pingEvery)
+			is.True(p.parts() > 0)
+		}
+	})
+}
+
+// stillSource is a source whose state is there and does not change.
+type stillSource struct{ *control.Published }
+
+func newStillSource() stillSource {
+	published := control.NewPublished()
+	published.Publish(store.Restore(&controlpb.Snapshot{Index: 7, Drained: []string{"w1"}}))
+	return stillSource{published}
+}
+
+func (s stillSource) Leader() string              { return "v" }
+func (s stillSource) Age() (time.Duration, error) { return 0, nil }
+func (s stillSource) Path() []string              { return []string{"v"} }
+
+// pipe is the serving end of a stream; it notes when batches came.
+type pipe struct {
+	ctx     context.Context
+	pings   chan *peerpb.FollowPing
+	mu      sync.Mutex
+	opened  time.Time
+	came    []time.Time
+	carried int
+}
+
+func newPipe(ctx context.Context) *pipe {
+	return &pipe{ctx: ctx, pings: make(chan *peerpb.FollowPing, 1), opened: time.Now()}
+}
+
+func (p *pipe) Send(batch *peerpb.FollowBatch) error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.came = append(p.came, time.Now())
+	if batch.Snapshot != nil {
+		p.carried++
+	}
+	return nil
+}
+
+func (p *pipe) Receive() (*peerpb.FollowPing, error) {
+	select {
+	case <-p.ctx.Done():
+		return nil, failure.New(failure.Unreachable, "closed")
+	case ping := <-p.pings:
+		return ping, nil
+	}
+}
+
+func (p *pipe) pingEvery(interval time.Duration) {
+	for number := uint64(2); control.Pause(p.ctx, interval); number++ {
+		select {
+		case <-p.ctx.Done():
+		case p.pings <- &peerpb.FollowPing{Number: number, Taken: 1 << 40}:
+		}
+	}
+}
+
+// longestGap is the longest time without a batch.
+func (p *pipe) longestGap() time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	longest, before := time.Duration(0), p.opened
+	for _, at := range p.came {
+		longest = max(longest, at.Sub(before))
+		before = at
+	}
+	return longest
+}
+
+// parts counts the parts of a snapshot that came.
+func (p *pipe) parts() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.carried
+}
--- a/internal/coordination/feed/feed.go
+++ b/internal/coordination/feed/feed.go
@@ -68,14 +68,14 @@
 	source    Source
 	tail      *Tail
 	kept      keptStates
-	snapshots snapshotCache
+	snapshots *snapshotCache
 	serving   atomic.Int64
 }
 
 // NewServer makes a server. The source's owner calls Applied before it
 // publishes the state that the entries lead to.
 func NewServer(source Source) *Server {
-	return &Server{source: source, tail: NewTail(TailBytes)}
+	return &Server{source: source, tail: NewTail(TailBytes), snapshots: newSnapshotCache()}
 }
 
 // Applied keeps entries for followers.
--- a/internal/coordination/feed/feed_test.go
+++ b/internal/coordination/feed/feed_test.go
@@ -66,7 +66,7 @@
 
 // Followers that come together share one encoding, which goes with the last.
 func TestSnapshotIsHeldWhileItIsSent(t *testing.T) {
-	is, c := is.New(t), &snapshotCache{}
+	is, c := is.New(t), newSnapshotCache()
 	first, err := c.encode(store.New(), true)
 	is.NoErr(err)
 	second, err := c.encode(store.New(), true)
--- a/internal/coordination/feed/snapshot.go
+++ b/internal/coordination/feed/snapshot.go
@@ -19,9 +19,17 @@
 // one: those that come together after a restart cost one encoding, and nothing
 // stays in memory afterwards.
 type snapshotCache struct {
-	mu     sync.Mutex
-	users  int
-	newest *encodedSnapshot
+	// marshal encodes a snapshot.
+	marshal func(*controlpb.Snapshot) ([]byte, error)
+	mu      sync.Mutex
+	users   int
+	newest  *encodedSnapshot
+}
+
+func newSnapshotCache() *snapshotCache {
+	return &snapshotCache{marshal: func(snapshot *controlpb.Snapshot) ([]byte, error) {
+		return proto.MarshalOptions{Deterministic: true}.Marshal(snapshot)
+	}}
 }
 
 // release ends a use that encode began.
@@ -49,7 +57,7 @@
 		c.users++
 		return c.newest, nil
 	}
-	data, err := proto.MarshalOptions{Deterministic: true}.Marshal(state.Snapshot())
+	data, err := c.marshal(state.Snapshot())
 	if err != nil {
 		return nil, failure.Wrap(failure.Internal, err, "encode a snapshot")
 	}
--- a/internal/coordination/follower/thin_test.go
+++ b/internal/coordination/follower/thin_test.go
@@ -164,6 +164,41 @@
 	})
 }
 
+// A data centre without a replica has one instance that is ready, and four more
+// start there after a loss of power. All four asked their neighbour for the state,
+// whose link of 2 Mbit/s they then shared, and refused callers four times as long as
+// the state takes, while the replicas elsewhere had room. An instance on a thin link
+// sends one state at a time.
+func TestStartsBesideANeighbourOnAThinLink(t *testing.T) {
+	bubble(t, func(t *testing.T, ctx context.Context) {
+		is, m := is.New(t), newMesh()
+		v := newVoter(m, "v")
+		v.Publish(stateOf(4e6))
+		known := []Candidate{{Name: "v", DataCentre: "dc0", Replica: true}}
+		ready := func(followers ...*Follower) time.Duration {
+			begin := time.Now()
+			for _, f := range followers {
+				for f.Fresh() != nil && time.Since(begin) < time.Minute {
+					pass(50 * time.Millisecond)
+				}
+			}
+			return time.Since(begin)
+		}
+		for i := range 5 {
+			m.rates[relay(i).Name] = thinLink
+		}
+		alone := ready(m.start(ctx, relay(0), known...))
+		var started []*Follower
+		for i := 1; i < 5; i++ {
+			known = append(known, relay(i-1))
+			started = append(started, m.start(ctx, relay(i), known...))
+		}
+		together := ready(started...)
+		t.Logf("ready after %v alone, %v four at once; sent by the neighbour: %d bytes", alone, together, m.sentBy("r00"))
+		is.True(together < 2*alone)
+	})
+}
+
 // An operator declares two thousand queues in one document of half a megabyte, as
 // large ones do. Instances on thin links must have it within 2 s, the time in which
 // a change is in force, or they refuse callers as stale.
