--- a/internal/coordination/feed/encoding_test.go
+++ b/internal/coordination/feed/encoding_test.go
@@ -66,6 +66,8 @@
 	opened  time.Time
 	came    []time.Time
 	carried int
+	// taken counts the bytes of parts and entries, as a follower acknowledges them.
+	taken uint64
 }
 
 func newPipe(ctx context.Context) *pipe {
@@ -76,6 +78,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.came = append(p.came, time.Now())
+	p.taken += BulkBytes(batch)
 	if batch.Snapshot != nil {
 		p.carried++
 	}
@@ -95,12 +98,18 @@
 	for number := uint64(2); control.Pause(p.ctx, interval); number++ {
 		select {
 		case <-p.ctx.Done():
-		case p.pings <- &peerpb.FollowPing{Number: number, Taken: 1 << 40}:
+		case p.pings <- &peerpb.FollowPing{Number: number, Taken: p.acknowledged()}:
 		}
 	}
 }
 
-// longestGap is the longest time without a batch.
+func (p *pipe) acknowledged() uint64 {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.taken
+}
+
+// longestGap is the longest time without a batch, up to now.
 func (p *pipe) longestGap() time.Duration {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -109,7 +118,7 @@
 		longest = max(longest, at.Sub(before))
 		before = at
 	}
-	return longest
+	return max(longest, time.Since(before))
 }
 
 // parts counts the parts of a snapshot that came.
