--- a/internal/coordination/feed/encoding_test.go
+++ b/internal/coordination/feed/encoding_test.go
@@ -32,13 +32,13 @@
 		}
 		ctx, cancel := context.WithCancel(t.Context())
 		defer cancel()
-		first := newPipe(ctx)
-		for _, p := range []*pipe{first} {
+		first, second := newPipe(ctx), newPipe(ctx)
+		for _, p := range []*pipe{first, second} {
 			go func() { _ = server.Serve(ctx, &peerpb.Follow{Windowed: true}, p) }()
 			go p.pingEvery(pingEvery)
 		}
 		time.Sleep(encoding + pingEvery)
-		for _, p := range []*pipe{first} {
+		for _, p := range []*pipe{first, second} {
 			is.True(p.longestGap() <= 2*pingEvery)
 			is.True(p.parts() > 0)
 		}
--- a/internal/coordination/feed/feed.go
+++ b/internal/coordination/feed/feed.go
@@ -251,11 +251,11 @@
 // follower is at commit only after the last.
 func (s *session) sendSnapshot(ctx context.Context, state *store.State, first *peerpb.FollowBatch) error {
 	sending := s.snapshotOf(state)
-	encoded, err := s.server.snapshots.encode(sending, s.windowed)
-	if err != nil {
+	encoded := s.server.snapshots.begin(sending, s.windowed)
+	defer s.server.snapshots.release()
+	if err := s.awaitEncoded(ctx, encoded); err != nil {
 		return err
 	}
-	defer s.server.snapshots.release()
 	snapshotsSent.Add(1)
 	for _, part := range encoded.parts(encoded.resumeAt(s.held)) {
 		if err := s.awaitWindow(ctx); err != nil {
@@ -271,6 +271,25 @@
 	return nil
 }
 
+// awaitEncoded answers pings until the snapshot is encoded: a follower leaves a source
+// that says nothing for 0.75 s, and the encoding goes with the last of them. With a
+// large state and little of a core no follower would ever get it.
+func (s *session) awaitEncoded(ctx context.Context, encoded *encodedSnapshot) error {
+	for {
+		select {
+		case <-ctx.Done():
+			return failure.Wrap(failure.Unreachable, ctx.Err(), "the follower left")
+		case <-encoded.done:
+			return encoded.err
+		case <-s.pinged:
+		}
+		// Without an echo it says that this source is alive, and confirms no state.
+		if err := s.send(&peerpb.FollowBatch{}); err != nil {
+			return err
+		}
+	}
+}
+
 // snapshotOf chooses the state to send: the one whose transfer broke off, else the
 // newest that is kept, and the current one where the entries behind that are gone.
 func (s *session) snapshotOf(current *store.State) *store.State {
--- a/internal/coordination/feed/feed_test.go
+++ b/internal/coordination/feed/feed_test.go
@@ -67,11 +67,11 @@
 // Followers that come together share one encoding, which goes with the last.
 func TestSnapshotIsHeldWhileItIsSent(t *testing.T) {
 	is, c := is.New(t), newSnapshotCache()
-	first, err := c.encode(store.New(), true)
-	is.NoErr(err)
-	second, err := c.encode(store.New(), true)
-	is.NoErr(err)
+	first := c.begin(store.New(), true)
+	second := c.begin(store.New(), true)
 	is.True(first == second)
+	<-first.done
+	is.NoErr(first.err)
 	c.release()
 	is.True(c.newest != nil)
 	c.release()
--- a/internal/coordination/feed/snapshot.go
+++ b/internal/coordination/feed/snapshot.go
@@ -32,7 +32,7 @@
 	}}
 }
 
-// release ends a use that encode began.
+// release ends a use that begin began.
 func (c *snapshotCache) release() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -44,29 +44,37 @@
 
 type encodedSnapshot struct {
 	index      uint64
-	data       []byte
-	checksum   uint64
 	compressed bool
+	// done is closed when the rest is there.
+	done     chan struct{}
+	data     []byte
+	checksum uint64
+	err      error
 }
 
-// encode gives the state in its encoded form, until release.
-func (c *snapshotCache) encode(state *store.State, compressed bool) (*encodedSnapshot, error) {
+// begin gives the state's encoding, until release; it may still be under way.
+func (c *snapshotCache) begin(state *store.State, compressed bool) *encodedSnapshot {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.newest != nil && c.newest.index == state.Index() && c.newest.compressed == compressed {
-		c.users++
-		return c.newest, nil
+	c.users++
+	if c.newest == nil || c.newest.index != state.Index() || c.newest.compressed != compressed {
+		c.newest = &encodedSnapshot{index: state.Index(), compressed: compressed, done: make(chan struct{})}
+		go c.newest.encode(state, c.marshal)
 	}
-	data, err := c.marshal(state.Snapshot())
+	return c.newest
+}
+
+func (e *encodedSnapshot) encode(state *store.State, marshal func(*controlpb.Snapshot) ([]byte, error)) {
+	defer close(e.done)
+	data, err := marshal(state.Snapshot())
 	if err != nil {
-		return nil, failure.Wrap(failure.Internal, err, "encode a snapshot")
+		e.err = failure.Wrap(failure.Internal, err, "encode a snapshot")
+		return
 	}
-	if compressed {
+	if e.compressed {
 		data = compress(data)
 	}
-	c.users++
-	c.newest = &encodedSnapshot{index: state.Index(), data: data, checksum: xxhash.Sum64(data), compressed: compressed}
-	return c.newest, nil
+	e.data, e.checksum = data, xxhash.Sum64(data)
 }
 
 // resumeAt is the offset up to which the follower holds this very snapshot.
