--- a/internal/coordination/feed/feed.go
+++ b/internal/coordination/feed/feed.go
@@ -38,6 +38,9 @@
 	// MaxFollowers bounds the streams that one instance serves; a follower that
 	// is refused asks the next source, so that a tree arises.
 	MaxFollowers = 16
+	// mostRelayedTransfers bounds the snapshots that an instance without a disk sends
+	// at a time: on 2 Mbit/s one of 250 KB takes 1 s, and as many seconds as there are.
+	mostRelayedTransfers = 1
 	// MaxPath bounds the instances between a voter and a follower, the voter
 	// counted: each adds to the age, which must stay under the freshness bound.
 	MaxPath = 4
@@ -70,6 +73,8 @@
 	kept      keptStates
 	snapshots *snapshotCache
 	serving   atomic.Int64
+	// transfers counts the followers that are being sent a snapshot.
+	transfers atomic.Int64
 }
 
 // NewServer makes a server. The source's owner calls Applied before it
@@ -250,6 +255,10 @@
 // one broke off. Commit and age of the first batch hold for every part: the
 // follower is at commit only after the last.
 func (s *session) sendSnapshot(ctx context.Context, state *store.State, first *peerpb.FollowBatch) error {
+	if err := s.server.beginTransfer(); err != nil {
+		return err
+	}
+	defer s.server.transfers.Add(-1)
 	sending := s.snapshotOf(state)
 	encoded := s.server.snapshots.begin(sending, s.windowed)
 	defer s.server.snapshots.release()
@@ -290,6 +299,21 @@
 	}
 }
 
+// beginTransfer refuses a second snapshot at a time where this instance follows
+// another one: its link is thin, and four followers that share it get a state four
+// times as late as one, while others have room. The refused one asks the next source.
+func (s *Server) beginTransfer() error {
+	most := int64(MaxFollowers)
+	if len(s.source.Path()) > 1 {
+		most = mostRelayedTransfers
+	}
+	if s.transfers.Add(1) > most {
+		s.transfers.Add(-1)
+		return failure.New(failure.Overloaded, "%d snapshots are being sent already", most)
+	}
+	return nil
+}
+
 // snapshotOf chooses the state to send: the one whose transfer broke off, else the
 // newest that is kept, and the current one where the entries behind that are gone.
 func (s *session) snapshotOf(current *store.State) *store.State {
