--- a/internal/coordination/replica/mesh_test.go
+++ b/internal/coordination/replica/mesh_test.go
@@ -29,6 +29,8 @@
 	disks    map[string]*disktest.FS
 	stops    map[string]func() error
 	cut      map[string]bool
+	// frozen instances take calls and messages and say nothing.
+	frozen map[string]bool
 	// remembering is an instance without a disk that holds control state.
 	remembering string
 	// entries is Config.SnapshotEntries.
@@ -44,7 +46,7 @@
 func newMesh(t testing.TB) *mesh {
 	m := &mesh{
 		t: t, replicas: map[string]*Replica{}, disks: map[string]*disktest.FS{},
-		stops: map[string]func() error{}, cut: map[string]bool{},
+		stops: map[string]func() error{}, cut: map[string]bool{}, frozen: map[string]bool{},
 	}
 	t.Cleanup(func() {
 		for _, stop := range m.stops {
@@ -102,6 +104,21 @@
 	m.cut[instance] = cut
 }
 
+// freeze makes an instance silent, as one whose machine stands still: a call to it
+// hangs until its caller gives up, and messages are lost without an error.
+func (m *mesh) freeze(instance string) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.frozen[instance] = true
+}
+
+// silent tells whether nothing passes between two instances, without an error.
+func (m *mesh) silent(from, to string) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.frozen[from] || m.frozen[to]
+}
+
 // setRoom says how many more bytes fit on a replica's disk; negative: no limit.
 func (m *mesh) setRoom(r *Replica, room int) { m.disks[r.config.Instance].SetRoom(room) }
 
@@ -119,7 +136,7 @@
 func (m *mesh) leader() *Replica {
 	for range 1000 {
 		for _, r := range m.replicas {
-			if r.IsLeader() && !m.cut[r.config.Instance] {
+			if r.IsLeader() && !m.cut[r.config.Instance] && !m.frozen[r.config.Instance] {
 				return r
 			}
 		}
@@ -147,6 +164,10 @@
 	if to == e.mesh.remembering && call.GetIntroduce() != nil {
 		return &peerpb.Reply{Body: &peerpb.Reply_Introduction{Introduction: &peerpb.Introduction{Cluster: true}}}, nil
 	}
+	if e.mesh.silent(e.self, to) {
+		<-ctx.Done()
+		return nil, failure.Wrap(failure.Unreachable, ctx.Err(), "%s is silent", to)
+	}
 	r, err := e.mesh.reach(e.self, to)
 	if err != nil {
 		return nil, err
@@ -171,6 +192,9 @@
 }
 
 func (s stream) Send(messages ...*consensuspb.Message) error {
+	if s.mesh.silent(s.self, s.to) {
+		return nil
+	}
 	r, err := s.mesh.reach(s.self, s.to)
 	if err != nil {
 		return err
