A replica that asks a frozen leader asks the new one as soon as it knows it

Cause: the replica asked one leader at a time with the freshness bound as the timeout. A leader whose machine stands still keeps its connections open and says nothing, so the ask went on until the bound had passed, though another leader was elected and known meanwhile; the replica, and who followed it, were stale by then.

Ruled out: a shorter timeout, which would also end asks on slow links that still come in time, and which is a guess where the election is a fact; two asks at once, which load a leader that is merely slow; a look at the leader at an interval, since the owner's goroutine knows when it changes.

Change: an ask ends when the leader that this replica knows changes, to another or to none, and the next one goes out at once. control.Signal tells it; the view raises it after it was replaced. At most one ask more goes out for each change. Asks of Read are as they were: their callers give the time that they have.

--- a/internal/coordination/replica/confirm.go
+++ b/internal/coordination/replica/confirm.go
@@ -64,21 +64,43 @@
 	}
 }
 
-// confirmFromLeader asks the leader again and again how old its state is.
+// confirmFromLeader asks the leader again and again how old its state is, and a new
+// leader at once.
 func (r *Replica) confirmFromLeader(ctx context.Context) {
 	every := r.config.FreshnessBound / confirmsPerBound
-	for control.Pause(ctx, every) {
-		leader := r.Leader()
-		if leader == "" || leader == r.config.Instance {
-			continue
+	for ctx.Err() == nil {
+		changed := r.leaderChanged.Next()
+		r.confirmUntil(ctx, changed)
+		select {
+		case <-ctx.Done():
+		case <-changed:
+		case <-time.After(every):
 		}
-		asking, cancel := context.WithTimeout(ctx, r.config.FreshnessBound)
-		// A failed try leaves the state to grow old; the next one follows.
-		_ = r.confirmFrom(asking, leader, false)
-		cancel()
 	}
 }
 
+// confirmUntil asks the leader of now once and gives up when the leader changes. One
+// whose machine stands still leaves its connections open and never answers: a replica
+// that waited for it would be stale, and refuse its callers, long after another one
+// was elected.
+func (r *Replica) confirmUntil(ctx context.Context, changed <-chan struct{}) {
+	leader := r.Leader()
+	if leader == "" || leader == r.config.Instance {
+		return
+	}
+	asking, cancel := context.WithTimeout(ctx, r.config.FreshnessBound)
+	defer cancel()
+	go func() {
+		select {
+		case <-changed:
+			cancel()
+		case <-asking.Done():
+		}
+	}()
+	// A failed try leaves the state to grow old; the next one follows.
+	_ = r.confirmFrom(asking, leader, false)
+}
+
 // confirmFrom asks the leader and waits until what it had committed is applied
 // here. Only this process's clock is read: the age counts from the sending.
 func (r *Replica) confirmFrom(ctx context.Context, leader string, fresh bool) error {
--- a/internal/coordination/replica/replica.go
+++ b/internal/coordination/replica/replica.go
@@ -91,6 +91,8 @@
 	published *control.Published
 	feed      *feed.Server
 	view      atomic.Pointer[view]
+	// leaderChanged is raised after the view names another leader, or none.
+	leaderChanged control.Signal
 	// confirmed is a time of this process's clock at which the published state
 	// held everything committed.
 	confirmed atomic.Pointer[steady.Moment]
--- a/internal/coordination/replica/view.go
+++ b/internal/coordination/replica/view.go
@@ -34,6 +34,9 @@
 		c.confirmAsLeader(status)
 	}
 	earlier := c.replica.view.Swap(v)
+	if earlier.leader != v.leader {
+		c.replica.leaderChanged.Raise()
+	}
 	currentTerm.Set(int64(status.Term))
 	currentIndex.Set(int64(c.state.Index()))
 	c.report(earlier, v)
