A standby ends its follower's sessions when its replica takes over

Cause: ServeFollow chose the replica or the follower once for each session. When the replica was fresh again the follower was stopped, but its sessions went on with a state that nobody confirmed any more. A freshness bound later they ended as stale, all at once, and those who followed were stale with them.

Ruled out: going on in the same session from the replica's state. The feed counts what it sent and which ping it read for one session, and its reader of pings ends only with the stream, so that a second session on one stream would lose pings to the first and misread its window. One feed that changes its source would need the tail and the kept states, which belong to either part, to be joined. Leaving the follower running for as long as it has sessions: a replica's core would then be a relay for as long as someone follows it.

Change: the sessions end with not_ready as soon as the follower is stopped. Who follows has its state confirmed just before, searches at once and finds the replica of the same instance, or another source. At the end of the process nothing changes. The standby's own channel of changes is a control.Signal too.

Before: TestFollowersGoOnWhenTheReplicaIsFreshAgain and TestSessionOfTheFollowerEndsWithAReason fail, as the session is still open one look after the change; without its look at the sessions the former fails with stale_state, confirmed 3.01s ago (bound 3 s). After: both pass, 20 times of 20 with -race; the instance that follows is fresh at each look, every 10 ms for two bounds.

--- a/internal/coordination/standby/standby.go
+++ b/internal/coordination/standby/standby.go
@@ -6,13 +6,13 @@
 
 import (
 	"context"
-	"sync"
 	"time"
 
 	"pinewinch.example/pinewinch/internal/coordination/consensus"
 	"pinewinch.example/pinewinch/internal/coordination/control"
 	"pinewinch.example/pinewinch/internal/protocol/consensuspb"
 	"pinewinch.example/pinewinch/internal/protocol/controlpb"
+	"pinewinch.example/pinewinch/internal/protocol/failure"
 	"pinewinch.example/pinewinch/internal/protocol/peerpb"
 	"pinewinch.example/pinewinch/internal/state/store"
 )
@@ -33,13 +33,14 @@
 type Node struct {
 	replica  Replica
 	follower control.Node
-	mu       sync.Mutex
-	changed  chan struct{}
+	changed  control.Signal
+	// followerStopped is raised when the replica takes the follower's place.
+	followerStopped control.Signal
 }
 
 // New makes a node.
 func New(replica Replica, follower control.Node) *Node {
-	return &Node{replica: replica, follower: follower, changed: make(chan struct{})}
+	return &Node{replica: replica, follower: follower}
 }
 
 // Run keeps the log until ctx ends, and follows others while outside of it.
@@ -69,6 +70,9 @@
 			control.Pause(ctx, lookEvery)
 		}
 		stop()
+		if ctx.Err() == nil {
+			n.followerStopped.Raise()
+		}
 		<-ended
 	}
 }
@@ -79,10 +83,7 @@
 func (n *Node) passChanges(ctx context.Context) {
 	for {
 		replica, follower := n.replica.Changed(), n.follower.Changed()
-		n.mu.Lock()
-		close(n.changed)
-		n.changed = make(chan struct{})
-		n.mu.Unlock()
+		n.changed.Raise()
 		select {
 		case <-ctx.Done():
 			return
@@ -111,11 +112,7 @@
 }
 
 // Changed gives a channel that is closed when the state next changes.
-func (n *Node) Changed() <-chan struct{} {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	return n.changed
-}
+func (n *Node) Changed() <-chan struct{} { return n.changed.Next() }
 
 // Propose commits one command by way of the leader.
 func (n *Node) Propose(ctx context.Context, command *controlpb.Command) (*controlpb.Result, error) {
@@ -149,10 +146,33 @@
 
 // ServeFollow sends another instance the log.
 func (n *Node) ServeFollow(ctx context.Context, follow *peerpb.Follow, stream control.Stream) error {
+	stopped := n.followerStopped.Next()
 	if n.replica.Fresh() == nil {
 		return n.replica.ServeFollow(ctx, follow, stream)
 	}
-	return n.follower.ServeFollow(ctx, follow, stream)
+	return n.serveFollowed(ctx, stopped, follow, stream)
+}
+
+// serveFollowed sends what the follower has until that stops. A session that went on
+// would send a state that only grows old, and all who follow it would lose it at the
+// same moment, stale. Ended while they are fresh, they search and find the replica.
+func (n *Node) serveFollowed(ctx context.Context, stopped <-chan struct{}, follow *peerpb.Follow, stream control.Stream) error {
+	serving, end := context.WithCancel(ctx)
+	defer end()
+	go func() {
+		select {
+		case <-stopped:
+			end()
+		case <-serving.Done():
+		}
+	}()
+	err := n.follower.ServeFollow(serving, follow, stream)
+	select {
+	case <-stopped:
+		return failure.New(failure.NotReady, "the replica here is fresh again: follow it anew")
+	default:
+		return err
+	}
 }
 
 // ServeReplica answers the calls that replicas make among themselves.
