Published tells of its changes by a Signal

The same channel under a lock stood in control twice. No change in what it does: the state is stored before the signal is raised, and who takes the channel first misses no change. Tests of control, standby, replica, follower and feed pass with -race.

--- a/internal/coordination/control/control.go
+++ b/internal/coordination/control/control.go
@@ -4,7 +4,6 @@
 
 import (
 	"context"
-	"sync"
 	"sync/atomic"
 	"time"
 
@@ -138,13 +137,12 @@
 // Published is the newest state of a node. One goroutine publishes; any reads.
 type Published struct {
 	state   atomic.Pointer[store.State]
-	mu      sync.Mutex
-	changed chan struct{}
+	changed Signal
 }
 
 // NewPublished holds the empty state.
 func NewPublished() *Published {
-	p := &Published{changed: make(chan struct{})}
+	p := &Published{}
 	p.state.Store(store.New())
 	return p
 }
@@ -153,19 +151,12 @@
 func (p *Published) State() *store.State { return p.state.Load() }
 
 // Changed gives a channel that is closed by the next Publish.
-func (p *Published) Changed() <-chan struct{} {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return p.changed
-}
+func (p *Published) Changed() <-chan struct{} { return p.changed.Next() }
 
 // Publish replaces the state and wakes everyone who waits.
 func (p *Published) Publish(state *store.State) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
 	p.state.Store(state)
-	close(p.changed)
-	p.changed = make(chan struct{})
+	p.changed.Raise()
 }
 
 // Apply moves the state over one entry. Voters and followers both use it, so
