A refused follower is told who else has the state; a replica is never refused

Cause: an instance that starts knows the seeds only, and each source serves 16. With one or two seeds left of three, 38 and 44 instances and the wiped replicas among them waited for places that came free when others moved on, 10 s later; the replicas that are no seeds had room all the time. A wiped replica without the state can't be put in its place among the voters, so that the next allowed loss of two disks took the quorum. Ruled out: the links (transfers take 1 to 2 s), the repair (it began 0.1 s after the replica had the state). Change: a refusal for want of places names the replicas and the followers of the source; the search asks those too until a source is gained. An instance that keeps the log gets a place in any case.

The tests' mesh hands a refusal on as the transport does, not wrapped in another one.

--- a/internal/coordination/feed/feed.go
+++ b/internal/coordination/feed/feed.go
@@ -72,7 +72,7 @@
 	tail      *Tail
 	kept      keptStates
 	snapshots *snapshotCache
-	serving   atomic.Int64
+	places    places
 	// transfers counts the followers that are being sent a snapshot.
 	transfers atomic.Int64
 }
@@ -104,7 +104,7 @@
 		followsRefused.Add(1)
 		return err
 	}
-	defer s.release()
+	defer s.release(follow)
 	session := &session{
 		server: s, stream: stream, after: follow.After, held: follow.Held, windowed: follow.Windowed,
 		pinged: make(chan struct{}, 1),
@@ -130,16 +130,18 @@
 	if len(path) > MaxPath {
 		return failure.New(failure.NotReady, "%d instances lie between here and a voter", len(path))
 	}
-	if s.serving.Add(1) > MaxFollowers {
-		s.serving.Add(-1)
-		return failure.New(failure.Overloaded, "%d followers are served already", MaxFollowers)
+	replicas := s.source.State().Replicas()
+	if !s.places.take(follow, keepsTheLog(replicas, follow.Instance)) {
+		full := failure.New(failure.Overloaded, "%d followers are served already", MaxFollowers)
+		full.Sources = append(replicaSources(replicas), s.places.sources()...)
+		return full
 	}
 	followers.Add(1)
 	return nil
 }
 
-func (s *Server) release() {
-	s.serving.Add(-1)
+func (s *Server) release(follow *peerpb.Follow) {
+	s.places.leave(follow.Instance)
 	followers.Add(-1)
 }
 
--- a/internal/coordination/follower/follower.go
+++ b/internal/coordination/follower/follower.go
@@ -69,11 +69,13 @@
 	// told holds the newest failure of each source that was logged. Only the
 	// goroutine that searches uses it.
 	told map[string]failure.Code
+	// named are the sources that refusals have named. The same goroutine uses it.
+	named map[string]Candidate
 }
 
 // New makes a follower that has applied nothing yet.
 func New(config Config, peers Peers) *Follower {
-	f := &Follower{config: config, peers: peers, published: control.NewPublished(), told: map[string]failure.Code{}}
+	f := &Follower{config: config, peers: peers, published: control.NewPublished(), told: map[string]failure.Code{}, named: map[string]Candidate{}}
 	f.feed = feed.NewServer(f)
 	f.leader.Store(new(string))
 	f.path.Store(&[]string{config.Self.Name})
--- a/internal/coordination/follower/mesh_test.go
+++ b/internal/coordination/follower/mesh_test.go
@@ -247,11 +247,20 @@
 	e.mu.Unlock()
 	go func() {
 		err := node.ServeFollow(ctx, follow, servingEnd{s})
-		e.update(func() { s.batches.end = failure.Wrap(failure.Unreachable, err, "ended") })
+		e.update(func() { s.batches.end = reasonOf(err) })
 	}()
 	return s, nil
 }
 
+// reasonOf is what a follower hears when its stream ends: the refusal itself, as the
+// transport carries it.
+func reasonOf(err error) error {
+	if err == nil {
+		return failure.New(failure.Unreachable, "ended")
+	}
+	return failure.From(err)
+}
+
 func (e endpoint) Call(ctx context.Context, to string, _ *peerpb.Call) (*peerpb.Reply, error) {
 	if !e.await(ctx, func() bool { return !e.both(to, e.cut) }) {
 		return nil, failure.New(failure.Unreachable, "no way to %s", to)
--- a/internal/coordination/follower/search.go
+++ b/internal/coordination/follower/search.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
+	"maps"
 	"slices"
 	"time"
 
 	"pinewinch.example/pinewinch/internal/coordination/control"
+	"pinewinch.example/pinewinch/internal/protocol/failure"
 )
 
 const (
@@ -49,13 +51,24 @@
 		l, err := f.attach(ctx, source)
 		if err == nil {
 			f.logGained(l)
+			clear(f.named)
 			return l
 		}
 		f.logFailed(source, err)
+		f.hear(err)
 	}
 	return nil
 }
 
+// hear keeps the sources that a refusal names. After a start nothing but the seeds is
+// known, and they serve a bounded number of followers: with one seed left the last of
+// 38 instances had the state after 24 s, while other replicas had room.
+func (f *Follower) hear(err error) {
+	for _, named := range failure.From(err).Sources {
+		f.named[named.Instance] = Candidate{Name: named.Instance, DataCentre: named.DataCentre, Replica: named.Replica}
+	}
+}
+
 // stay keeps to a source until its stream ends, but moves to a nearer one that
 // answers. The new stream stands before the old one is closed.
 func (f *Follower) stay(ctx context.Context, current *link) {
@@ -78,16 +91,21 @@
 	}
 }
 
-// sources ranks what is known now; voters are always among it, for after a
-// start nothing else is known.
+// sources ranks what is known now: the candidates, what refusals named since the last
+// source was gained, and the voters, for after a start nothing else is known.
 func (f *Follower) sources() []string {
 	candidates := f.config.Candidates()
-	for _, voter := range f.config.Voters {
-		known := slices.ContainsFunc(candidates, func(c Candidate) bool { return c.Name == voter })
-		if !known {
-			candidates = append(candidates, Candidate{Name: voter, Replica: true})
+	add := func(more Candidate) {
+		if !slices.ContainsFunc(candidates, func(c Candidate) bool { return c.Name == more.Name }) {
+			candidates = append(candidates, more)
 		}
 	}
+	for _, name := range slices.Sorted(maps.Keys(f.named)) {
+		add(f.named[name])
+	}
+	for _, voter := range f.config.Voters {
+		add(Candidate{Name: voter, Replica: true})
+	}
 	return Rank(f.config.Self, candidates)
 }
 
--- a/internal/protocol/failure/failure.go
+++ b/internal/protocol/failure/failure.go
@@ -152,6 +152,15 @@
 	return codes
 }
 
+// Source is an instance whose log could be followed.
+type Source struct {
+	Instance string
+	// DataCentre is empty where it is not known.
+	DataCentre string
+	// Replica tells one that keeps the log from one that follows it.
+	Replica bool
+}
+
 // Error is the failure that crosses layers and processes.
 type Error struct {
 	Code    Code
@@ -162,6 +171,8 @@
 	RetryAfter time.Duration
 	// Leader is the instance to ask instead, where known.
 	Leader string
+	// Sources have the state too, for a follower that is refused.
+	Sources []Source
 	// Revision is the newest revision, for Conflict.
 	Revision uint64
 	// Cause is the error underneath, if any.
--- a/internal/transport/peers/peers.go
+++ b/internal/transport/peers/peers.go
@@ -323,9 +323,17 @@
 }
 
 func encodeFailure(f *failure.Error) *peerpb.Failure {
-	return &peerpb.Failure{Code: string(f.Code), Message: f.Error(), NotRun: string(f.NotRun), Leader: f.Leader}
+	encoded := &peerpb.Failure{Code: string(f.Code), Message: f.Error(), NotRun: string(f.NotRun), Leader: f.Leader}
+	for _, source := range f.Sources {
+		encoded.Sources = append(encoded.Sources, &peerpb.Source{Instance: source.Instance, DataCentre: source.DataCentre, Replica: source.Replica})
+	}
+	return encoded
 }
 
 func decodeFailure(f *peerpb.Failure) error {
-	return &failure.Error{Code: failure.Code(f.Code), Message: f.Message, NotRun: failure.NotRun(f.NotRun), Leader: f.Leader}
+	decoded := &failure.Error{Code: failure.Code(f.Code), Message: f.Message, NotRun: failure.NotRun(f.NotRun), Leader: f.Leader}
+	for _, source := range f.Sources {
+		decoded.Sources = append(decoded.Sources, failure.Source{Instance: source.Instance, DataCentre: source.DataCentre, Replica: source.Replica})
+	}
+	return decoded
 }
