A failed question about a workflow's state leaves a line

Cause: the front logged failures of the queue and key only. Ruled out: cancelling, whose failures all have `workflow not cancelled`. Change: the desk writes `state not answered` with the index of the state that decided, and counts it in workflows_refused; the 200 lines a second of each message bound it as the others.

--- a/internal/coordination/workflows/workflows.go
+++ b/internal/coordination/workflows/workflows.go
@@ -189,18 +189,33 @@
 // have been accepted a moment ago elsewhere, so the log is asked before it is
 // said to be unknown.
 func (d *Desk) Status(ctx context.Context, call *Call, target *Target) (controlpb.WorkflowState, error) {
+	began := time.Now()
 	if w, ok := find(d.log.State(), target); ok {
 		return w.State, nil
 	}
 	ctx, cancel := call.bound(ctx)
 	defer cancel()
-	if err := control.Read(ctx, d.log); err != nil {
-		return 0, refuse(failure.From(err))
+	err := control.Read(ctx, d.log)
+	decided := d.log.State()
+	if err != nil {
+		return 0, d.notAnswered(target, decided, began, refuse(failure.From(err)))
 	}
-	if w, ok := find(d.log.State(), target); ok {
+	if w, ok := find(decided, target); ok {
 		return w.State, nil
 	}
-	return 0, failure.New(failure.AnswerGone, "no workflow %s", target.ID)
+	return 0, d.notAnswered(target, decided, began, failure.New(failure.AnswerGone, "no workflow %s", target.ID))
+}
+
+// notAnswered logs and counts a question about a state that failed: without the line
+// it could not be told from a question that never came.
+func (d *Desk) notAnswered(target *Target, decided *store.State, began time.Time, f *failure.Error) *failure.Error {
+	refused.Add(1)
+	d.logger.WithFields(logrus.Fields{
+		"workflow": target.ID, "queue": target.Queue.Name, "customer": target.Customer,
+		"code": f.Code, "not_run": f.NotRun, "detail": f.Error(),
+		"index": decided.Index(), "took_ms": time.Since(began).Milliseconds(),
+	}).Warn("state not answered")
+	return f
 }
 
 func find(state *store.State, target *Target) (*controlpb.Workflow, bool) {
