--- a/internal/coordination/feed/feed.go
+++ b/internal/coordination/feed/feed.go
@@ -130,16 +130,20 @@
 	if len(path) > MaxPath {
 		return failure.New(failure.NotReady, "%d instances lie between here and a voter", len(path))
 	}
-	replicas := s.source.State().Replicas()
-	if !s.places.take(follow, keepsTheLog(replicas, follow.Instance)) {
-		full := failure.New(failure.Overloaded, "%d followers are served already", MaxFollowers)
-		full.Sources = append(replicaSources(replicas), s.places.sources()...)
-		return full
+	if !s.places.take(follow, keepsTheLog(s.source.State().Replicas(), follow.Instance)) {
+		return s.full("%d followers are served already", MaxFollowers)
 	}
 	followers.Add(1)
 	return nil
 }
 
+// full refuses for want of room and names who else has the state.
+func (s *Server) full(format string, args ...any) error {
+	refusal := failure.New(failure.Overloaded, format, args...)
+	refusal.Sources = append(replicaSources(s.source.State().Replicas()), s.places.sources()...)
+	return refusal
+}
+
 func (s *Server) release(follow *peerpb.Follow) {
 	s.places.leave(follow.Instance)
 	followers.Add(-1)
@@ -305,13 +309,10 @@
 // another one: its link is thin, and four followers that share it get a state four
 // times as late as one, while others have room. The refused one asks the next source.
 func (s *Server) beginTransfer() error {
-	most := int64(MaxFollowers)
-	if len(s.source.Path()) > 1 {
-		most = mostRelayedTransfers
-	}
-	if s.transfers.Add(1) > most {
+	relay := len(s.source.Path()) > 1
+	if s.transfers.Add(1) > mostRelayedTransfers && relay {
 		s.transfers.Add(-1)
-		return failure.New(failure.Overloaded, "%d snapshots are being sent already", most)
+		return s.full("%d snapshot is being sent already", mostRelayedTransfers)
 	}
 	return nil
 }
