--- a/internal/coordination/follower/crowd_test.go
+++ b/internal/coordination/follower/crowd_test.go
@@ -84,3 +84,23 @@
 		is.Equal(freshWithin(time.Second, []*Follower{wiped}), 1)
 	})
 }
+
+// The same crowd still gets its state when the replica comes: it has the state before
+// the others, whose thin links take seconds for it.
+func TestReplicaWithoutADiskWaitsForNoTransfer(t *testing.T) {
+	bubble(t, func(t *testing.T, ctx context.Context) {
+		is, m := is.New(t), newMesh()
+		snapshot := stateOf(5e6).Snapshot()
+		snapshot.Replicas = []*controlpb.ReplicaInstance{{Instance: "v"}, {Instance: "w"}}
+		newVoter(m, "v").Publish(store.Restore(snapshot))
+		var crowd []*Follower
+		for i := range feed.MaxFollowers {
+			m.rates[relay(i).Name] = thinLink
+			crowd = append(crowd, m.start(ctx, relay(i)))
+		}
+		is.Equal(freshWithin(500*time.Millisecond, crowd), 0)
+		wiped := m.start(ctx, Candidate{Name: "w", DataCentre: "dc0", Replica: true})
+		is.Equal(freshWithin(500*time.Millisecond, []*Follower{wiped}), 1)
+		is.Equal(freshWithin(0, crowd), 0)
+	})
+}
