Tests: a crashed worker's runs are over at once, a short cut ends none

Eleven workers are cut off for 3.5 s from 16.5 s, and their gangs are given up at 19.5 s, though none of their leases had run out.

--- a/internal/coordination/dispatch/leases/cluster_test.go
+++ b/internal/coordination/dispatch/leases/cluster_test.go
@@ -31,6 +31,9 @@
 	cut   bool
 	slow  time.Duration
 	gone  bool
+	// refuses is set while nothing listens at the worker's address.
+	refuses  bool
+	refusals int
 	// departed is what the worker's last announcement says.
 	departed bool
 	token    uint64
@@ -106,6 +109,10 @@
 	time.Sleep(slow)
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if c.refuses {
+		c.refusals++
+		return failure.New(failure.ConnectionRefused, "nothing listens")
+	}
 	if c.gone {
 		return failure.New(failure.WorkerVanished, "another boot")
 	}
