A crashed worker's runs begin elsewhere at once, and a short cut ends none

And a worker that was silent for 3 s was given up, though its lease ran for 2.7 s more and nothing could begin elsewhere before: after a cut of 3.5 s its gangs were stopped for nothing.

Ruled out: shorter leases. They would lapse when a leader is replaced, and end all runs.

Change: a machine on which nothing listens refuses connections, which one that is cut off, frozen or without power can't. Two refusals 100 ms apart and nothing else between say that the worker's process is gone, so its lease needs no waiting out. A silent worker's runs are seen until its lease is over; it gets no new work meanwhile, and stops to it fail at once instead of filling the bound of orders on their way.

TestCutOffWorkerIsLostAndItsLeaseRunsOut expected the worker to be given up before its lease was over; it now checks that it gets nothing new, is seen until the lease is over, and not after.

--- a/internal/coordination/dispatch/leases/command.go
+++ b/internal/coordination/dispatch/leases/command.go
@@ -164,8 +164,14 @@
 		return nil, err
 	}
 	s.mu.Lock()
+	silent := s.lost()
 	s.ordered = s.now()
 	s.mu.Unlock()
+	if silent {
+		// Each stop would take its whole time, and with a tenth of the workers cut off
+		// they would fill the bound of orders on their way.
+		return nil, failure.New(failure.Unreachable, "worker %s does not answer", s.target.Worker)
+	}
 	s.poke()
 	ctx, cancel := context.WithTimeout(ctx, stopTimeout)
 	defer cancel()
--- a/internal/coordination/dispatch/leases/keeper_test.go
+++ b/internal/coordination/dispatch/leases/keeper_test.go
@@ -29,9 +29,9 @@
 	})
 }
 
-// A worker is cut off while it runs a task. It counts as lost after a while, but
-// its lease is over only when the last order that could prolong it is spent; by
-// the worker's own clock the run has ended then.
+// A worker is cut off while it runs a task. It gets no new work after a while, and
+// counts as lost when the last order that could prolong its lease is spent, and not
+// before; by the worker's own clock the run has ended then.
 func TestCutOffWorkerIsLostAndItsLeaseRunsOut(t *testing.T) {
 	withKeeper(t, func(is *is.I, c *cluster, k *Keeper) {
 		_, err := order(k, api.PathTaskStart)
@@ -40,11 +40,13 @@
 		is.Equal(len(k.Live(worker.Kind)), 1)
 		is.True(!k.LeaseOver("i-1"))
 		c.set(func() { c.cut = true })
-		time.Sleep(silentAfter + 2*lookWait)
-		is.Equal(len(k.Live(worker.Kind)), 0)
+		time.Sleep(2*lookWait + lookSlack + reserveTimeout)
+		is.True(k.Live(worker.Kind)[0].Leaving)
 		for !k.LeaseOver("i-1") {
+			is.Equal(len(k.Live(worker.Kind)), 1)
 			time.Sleep(10 * time.Millisecond)
 		}
+		is.Equal(len(k.Live(worker.Kind)), 0)
 		is.True(c.clock() > c.lease)
 	})
 }
--- a/internal/coordination/dispatch/leases/network_model_test.go
+++ b/internal/coordination/dispatch/leases/network_model_test.go
@@ -16,13 +16,18 @@
 	lost
 	answerLost
 	late
+	// refused is what a worker's machine answers once its process has crashed.
+	refused
 )
 
 func (i *instance) fateOf(worker string) fate {
 	w := i.world
-	if i.unreachable[worker] || w.bootOf(worker).down {
+	if i.unreachable[worker] {
 		return lost
 	}
+	if w.bootOf(worker).down {
+		return refused
+	}
 	if w.rand.IntN(100) >= w.chaos {
 		return arrives
 	}
@@ -51,6 +56,10 @@
 		return obey(b, time.Now())
 	}
 	switch met {
+	case refused:
+		time.Sleep(there)
+		var none T
+		return none, failure.Ran(failure.ConnectionRefused, failure.NotRunTrue, nil, "nothing listens")
 	case arrives:
 		answer, err := run(there)
 		time.Sleep(there)
--- a/internal/coordination/dispatch/leases/session.go
+++ b/internal/coordination/dispatch/leases/session.go
@@ -46,6 +46,9 @@
 	view     *peerpb.Upstream
 	viewFrom *peerpb.Upstream
 	stale    bool
+	// refused is since when each connection to the worker has been refused; zero where
+	// the newest order met anything else.
+	refused time.Time
 	// silent is set while the worker is logged as not answering.
 	silent bool
 }
@@ -148,9 +151,9 @@
 		s.entry().WithField("reason", f.Error()).Info("worker in doubt")
 		s.poke()
 	}
-	if f.Code == failure.WorkerVanished && !s.gone {
+	if !s.gone && (f.Code == failure.WorkerVanished || s.crashed(f.Code)) {
 		s.gone = true
-		s.entry().WithField("reason", f.Error()).Warn("another boot answers in the worker's place")
+		s.entry().WithField("reason", f.Error()).Warn("worker is gone")
 		s.keeper.config.Wake()
 		return
 	}
@@ -161,6 +164,22 @@
 	}
 }
 
+// crashed tells that the worker's process is gone, from the codes of failures in a row.
+// Nothing listens at its address, on a machine that answers, so nothing runs there
+// either. Its runs begin elsewhere after 0.3 s, where a lease takes up to 5.7 s to run
+// out; a worker that is cut off, hangs or has no power never looks like this. One
+// refusal alone may be a listener that is opened anew.
+func (s *session) crashed(code failure.Code) bool {
+	if code != failure.ConnectionRefused {
+		s.refused = time.Time{}
+		return false
+	}
+	if s.refused.IsZero() {
+		s.refused = s.now()
+	}
+	return s.now().Sub(s.refused) >= refusedFor
+}
+
 // leftUnanswered tells a failure after which it is not known whether the worker can
 // be reached; the others are answers.
 func leftUnanswered(code failure.Code) bool {
@@ -183,7 +202,7 @@
 
 // answered notes any answer of the worker; the caller holds the lock.
 func (s *session) answered() {
-	s.unanswered, s.missed = time.Time{}, 0
+	s.unanswered, s.refused, s.missed = time.Time{}, time.Time{}, 0
 	if s.doubted {
 		s.doubted, s.stale = false, true
 		s.entry().Info("worker no longer in doubt")
@@ -292,7 +311,9 @@
 	return s.gone || s.ledger.LeaseOver(s.now())
 }
 
-// viewOf is the worker as dispatch sees it; nil for one that is lost or gone.
+// viewOf is the worker as dispatch sees it; nil for one that is gone, or silent and
+// its lease run out. Until then a silent worker's runs count as alive: nothing of them
+// could begin elsewhere, and a cut that is shorter than the lease harms none of them.
 //
 // Ends that it has listed still count. A run that ended well in the moment before its
 // worker said goodbye would else pass for lost with it, and run a second time; so
@@ -301,7 +322,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	state := s.keeper.log.State()
-	if s.gone || s.lost() {
+	if s.gone || (s.lost() && s.ledger.LeaseOver(s.now())) {
 		return s.endsOnly(worker, state)
 	}
 	if s.view != nil && s.viewFrom == worker && !s.stale {
