--- a/internal/coordination/dispatch/leases/cluster_test.go
+++ b/internal/coordination/dispatch/leases/cluster_test.go
@@ -43,13 +43,20 @@
 	ends     []End
 	ended    uint64
 	looks    int
+	// started are the orders to start that came.
+	started []Start
 }
 
 func newCluster(state *store.State) *cluster {
 	return &cluster{state: state, term: 1, leads: true, fresh: true, began: time.Now(), running: map[string]uint64{}, barred: map[string]uint64{}}
 }
 
-func (c *cluster) State() *store.State { return c.state }
+func (c *cluster) State() *store.State {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.state
+}
+
 func (c *cluster) IsLeader() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -150,6 +157,7 @@
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.started = append(c.started, start)
 	if start.Run <= c.barred[start.Task] || start.Deadline < c.clock() {
 		return 0, failure.New(failure.StaleEpoch, "old or late")
 	}
