--- a/internal/coordination/dispatch/leases/command.go
+++ b/internal/coordination/dispatch/leases/command.go
@@ -98,7 +98,10 @@
 	if !ok {
 		return nil, failure.New(failure.NotFound, "no workflow %s", job.Workflow)
 	}
-	if job.Epoch != command.Epoch {
+	// A start waits for its turn and for its worker, and the job may be cancelled
+	// meanwhile: its epoch stays, while its workflow loses the specification. The worker
+	// would be told to run nothing that anybody asked for.
+	if job.Epoch != command.Epoch || job.State != controlpb.JobState_JOB_STATE_STARTING {
 		return nil, failure.New(failure.StaleEpoch, "the job has moved on")
 	}
 	if err := s.keeper.mayOrder(s.token); err != nil {
