--- a/internal/coordination/dispatch/leases/cluster_test.go
+++ b/internal/coordination/dispatch/leases/cluster_test.go
@@ -188,6 +188,13 @@
 	change()
 }
 
+// refusedSoFar is how many connections the worker's machine has refused.
+func (c *cluster) refusedSoFar() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.refusals
+}
+
 // placed is a state with one task of a workflow on the worker.
 func placed() *store.State {
 	job := &controlpb.Job{
--- a/internal/coordination/dispatch/leases/crash_test.go
+++ b/internal/coordination/dispatch/leases/crash_test.go
@@ -37,7 +37,7 @@
 		time.Sleep(10 * time.Second)
 		for range 5 {
 			c.set(func() { c.refuses = true })
-			for seen := c.refusals; c.refusals == seen; {
+			for seen := c.refusedSoFar(); c.refusedSoFar() == seen; {
 				time.Sleep(time.Millisecond)
 			}
 			c.set(func() { c.refuses = false })
@@ -70,7 +70,7 @@
 		is.True(!k.Live(worker.Kind)[0].Leaving)
 		time.Sleep(lease)
 		is.True(!k.LeaseOver("i-1"))
-		is.True(c.lease > c.clock())
+		c.set(func() { is.True(c.lease > c.clock()) })
 	})
 }
 
