Gangs go to workers of one pace, learnt from the progress of gangs

Cause: the workers of a deployment differ in speed, and nothing told. A gang ends with its slowest member, the others hold their accelerators for nothing until then: of five members one is slow in seven of eight gangs.

Change: two readings of a member's progress by its worker's own clock give a rate; rates of one run's members differ by their workers' speeds alone (package pace). Urgent work is placed on fast workers, or fast and usual ones; patient gangs on workers of one pace; tasks by themselves on slow ones; all wherever there is room in the end.

--- a/internal/app/work.go
+++ b/internal/app/work.go
@@ -78,6 +78,14 @@
 	return w.keeper.LeaseOver
 }
 
+// speeds is nil where workers renew leases themselves: they report no progress.
+func (w *workers) speeds() func() map[string]float64 {
+	if w.keeper == nil {
+		return nil
+	}
+	return w.keeper.Speeds
+}
+
 // leasedStallAfter is how long a task may stand still: to begin it anew costs the
 // wait for room and the work since its checkpoint, some seconds, so a shorter hang
 // is better sat out. Against no bound, worth rises from 0.47 to 0.50 in the mean of
@@ -98,6 +106,7 @@
 		Logger:    logger,
 		Term:      w.term,
 		LeaseOver: w.leaseOver(),
+		Speeds:    w.speeds(),
 		Wakeups:   w.wakeups,
 		Gang: gang.Config{
 			Lease:          s.Upstreams.Lease,
--- a/internal/coordination/dispatch/controller.go
+++ b/internal/coordination/dispatch/controller.go
@@ -170,6 +170,7 @@
 func (c *Controller) judge(state *store.State, live []*peerpb.Upstream) (workers []scheduling.Worker, probing map[string]bool) {
 	probing = map[string]bool{}
 	workers = make([]scheduling.Worker, 0, len(live))
+	speeds := c.dispatcher.speeds()
 	for _, worker := range live {
 		verdict := c.dispatcher.verdict(state, worker.Id)
 		if verdict == quarantine.Probing && holdsTasks(state, worker.Id) {
@@ -189,6 +190,7 @@
 			Services:     worker.Services,
 			MemoryMB:     worker.MemoryMb,
 			Accelerators: worker.Accelerators,
+			Speed:        speeds[worker.Id],
 			Unavailable:  worker.Leaving || state.Drained(worker.Id) || refused,
 		})
 	}
--- a/internal/coordination/dispatch/dispatch.go
+++ b/internal/coordination/dispatch/dispatch.go
@@ -61,6 +61,8 @@
 	Quarantine quarantine.Config
 	// LeaseOver is gang.Input's; nil where workers renew leases themselves.
 	LeaseOver func(worker string) bool
+	// Speeds gives what is known of the workers' speeds; nil where nothing is.
+	Speeds func() map[string]float64
 	// Wakeups is a channel of one that others fill when there is news for dispatch;
 	// nil where the answers to its commands are all there is.
 	Wakeups chan struct{}
@@ -113,6 +115,13 @@
 	return d.config.Term()
 }
 
+func (d *Dispatcher) speeds() map[string]float64 {
+	if d.config.Speeds == nil {
+		return nil
+	}
+	return d.config.Speeds()
+}
+
 // Reset forgets everything for a new term: another instance leads, and what it does
 // in the meantime is seen from the log and the workers' reports.
 func (d *Dispatcher) Reset(term uint64) {
--- a/internal/coordination/dispatch/leases/keeper.go
+++ b/internal/coordination/dispatch/leases/keeper.go
@@ -8,6 +8,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"pinewinch.example/pinewinch/internal/coordination/dispatch/pace"
 	"pinewinch.example/pinewinch/internal/protocol/failure"
 	"pinewinch.example/pinewinch/internal/protocol/peerpb"
 	"pinewinch.example/pinewinch/internal/state/store"
@@ -35,6 +36,9 @@
 	busyAfter = 2 * time.Second
 	// stopAgain is how often an unwanted run is told to stop.
 	stopAgain = 300 * time.Millisecond
+	// fitEvery is how often speeds are told anew from what was observed. A fit of 256
+	// runs takes about half a millisecond.
+	fitEvery = 250 * time.Millisecond
 	// turnEvery is how often the list of workers and the leadership are looked at.
 	turnEvery = 50 * time.Millisecond
 )
@@ -83,6 +87,11 @@
 	term     uint64
 	leading  time.Time
 	sessions map[string]*session
+	// paces is what the progress of gangs tells of the workers, in any term.
+	paces pace.Learner
+	// speeds were fitted at fitted.
+	speeds map[string]float64
+	fitted time.Time
 }
 
 // NewKeeper makes a keeper.
@@ -194,6 +203,28 @@
 	return k.log.Fresh()
 }
 
+// learn takes in how fast the members of gangs on a worker get on. A task by itself tells
+// nothing: how much work it has is known roughly.
+func (k *Keeper) learn(worker string, rates []rate) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	for _, r := range rates {
+		if job, ok := k.log.State().Job(r.run.Job); ok && job.Tasks > 1 {
+			k.paces.Observe(r.run, worker, r.value)
+		}
+	}
+}
+
+// Speeds gives the speeds of the workers that are known, beside the middle one.
+func (k *Keeper) Speeds() map[string]float64 {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if now := k.config.Now(); now.Sub(k.fitted) >= fitEvery {
+		k.speeds, k.fitted = k.paces.Speeds(), now
+	}
+	return k.speeds
+}
+
 // Get implements dispatch.Registry.
 func (k *Keeper) Get(id string) (*peerpb.Upstream, bool) { return k.registry.Get(id) }
 
--- a/internal/coordination/dispatch/leases/ledger.go
+++ b/internal/coordination/dispatch/leases/ledger.go
@@ -31,8 +31,10 @@
 	reported int64
 	heard    bool
 	running  []Running
-	ends     map[uint64]End
-	acked    uint64
+	// marks are the first readings of the progress of what runs.
+	marks map[runName]mark
+	ends  map[uint64]End
+	acked uint64
 	// extended is when the newest order left that could prolong the lease.
 	extended time.Time
 	lease    time.Duration
@@ -62,6 +64,7 @@
 	l.heard = true
 	l.reported = report.Clock
 	l.running = report.Running
+	l.markProgress(report)
 	l.hearClock(report.Clock, now)
 }
 
--- a/internal/coordination/dispatch/leases/session.go
+++ b/internal/coordination/dispatch/leases/session.go
@@ -228,6 +228,7 @@
 	s.mu.Lock()
 	first := !s.ledger.Heard()
 	s.ledger.Take(report, s.now())
+	rates := s.ledger.rates()
 	if first {
 		close(s.looked)
 	}
@@ -243,6 +244,7 @@
 		s.entry().WithFields(logrus.Fields{"running": len(report.Running), "ends": len(report.Ends)}).Info("worker taken over")
 	}
 	s.mu.Unlock()
+	s.keeper.learn(s.target.Worker, rates)
 	s.keeper.config.Wake()
 }
 
--- /dev/null
+++ b/internal/coordination/dispatch/pace/pace_test.go
@@ -0,0 +1,66 @@
+package pace_test
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"pinewinch.example/pinewinch/internal/coordination/dispatch/pace"
+)
+
+// Gangs of unlike work run over workers of three speeds, and progress is read in
+// hundredths. Placing a gang on one slow worker among fast ones makes all of them wait,
+// so the three speeds have to be told apart after a gang or two on each worker.
+func TestSpeedsAreToldFromGangs(t *testing.T) {
+	is := is.New(t)
+	random := rand.New(rand.NewPCG(1, 1))
+	speeds := []float64{0.8, 1, 1.25}
+	learner := &pace.Learner{}
+	for gang := range 40 {
+		work := 1.5 + 2*random.Float64()
+		for _, worker := range random.Perm(60)[:8] {
+			span := 0.5 + random.Float64()
+			percent := math.Round(100 * span * speeds[worker%3] / work)
+			rate := percent / span
+			learner.Observe(pace.Run{Job: fmt.Sprint(gang)}, fmt.Sprint(worker), rate)
+		}
+	}
+	told := learner.Speeds()
+	is.True(len(told) > 50)
+	for worker, speed := range told {
+		var number int
+		_, err := fmt.Sscan(worker, &number)
+		is.NoErr(err)
+		is.True(math.Abs(speed-speeds[number%3]) < 0.1)
+	}
+}
+
+// A worker of which nothing was seen, or only gangs of one member, is not told.
+func TestNothingIsToldOfOneMember(t *testing.T) {
+	is := is.New(t)
+	learner := &pace.Learner{}
+	is.Equal(len(learner.Speeds()), 0)
+	learner.Observe(pace.Run{Job: "a"}, "w", 3)
+	is.Equal(len(learner.Speeds()), 0)
+}
+
+// A worker turns four times as slow. What it did before is forgotten as newer runs come,
+// or urgent work would go on to be placed there.
+func TestWorkerThatTurnsSlowIsTold(t *testing.T) {
+	is := is.New(t)
+	learner := &pace.Learner{}
+	for gang := range 600 {
+		for worker := range 8 {
+			rate := 1.0
+			if worker == 3 && gang >= 300 {
+				rate = 0.25
+			}
+			learner.Observe(pace.Run{Job: fmt.Sprint(gang)}, fmt.Sprint(worker), rate)
+		}
+	}
+	is.True(learner.Speeds()["3"] < 0.35)
+	is.True(math.Abs(learner.Speeds()["4"]-1) < 0.05)
+}
--- a/internal/coordination/scheduling/cluster.go
+++ b/internal/coordination/scheduling/cluster.go
@@ -33,6 +33,8 @@
 	usedBy []share
 	cells  []share
 	gangs  []*gang
+	// pace of the worker.
+	pace pace
 	// warm room is kept for urgent work.
 	warm bool
 	// spread counts tasks by step, for jobs that bound them.
@@ -83,7 +85,9 @@
 	customers   map[string]customerID
 	names       []string
 	cells       []placedCell
-	free        amount
+	// paces are those of the workers that are available.
+	paces pace
+	free  amount
 }
 
 func newCluster(workers []Worker) *cluster {
@@ -117,7 +121,7 @@
 func (c *cluster) addNode(worker *Worker) {
 	r := c.racks[len(c.racks)-1]
 	size := workerSize(worker)
-	n := &node{worker: worker, rack: r, total: size, free: size, numbers: 1<<uint(size.accelerators) - 1}
+	n := &node{worker: worker, rack: r, pace: paceOf(worker), total: size, free: size, numbers: 1<<uint(size.accelerators) - 1}
 	if size.accelerators == maxAccelerators {
 		n.numbers = ^uint64(0)
 	}
@@ -127,6 +131,7 @@
 	if worker.Unavailable {
 		return
 	}
+	c.paces |= n.pace
 	r.free = r.free.plus(size)
 	r.total = r.total.plus(size)
 	c.free = c.free.plus(size)
--- a/internal/coordination/scheduling/placement.go
+++ b/internal/coordination/scheduling/placement.go
@@ -125,9 +125,26 @@
 	}
 }
 
-// fit finds a place for the whole gang, or nil: in the domain where it leaves
-// the least behind that larger gangs could not use.
+// fit finds a place for the whole gang, or nil: on workers of the pace that suits it,
+// or else on any.
 func (c *cluster) fit(a *ask, room room) []spot {
+	for _, set := range paceSets(a) {
+		if c.paces&^set == 0 {
+			break
+		}
+		if c.paces&set == 0 {
+			continue
+		}
+		if spots := c.fitIn(a, only(set, room)); spots != nil {
+			return spots
+		}
+	}
+	return c.fitIn(a, room)
+}
+
+// fitIn finds a place in the domain where the gang leaves the least behind that larger
+// gangs could not use.
+func (c *cluster) fitIn(a *ask, room room) []spot {
 	switch a.adjacency {
 	case controlpb.Adjacency_ADJACENCY_WORKER:
 		return c.bestNode(a, room)
--- a/internal/coordination/scheduling/scheduling.go
+++ b/internal/coordination/scheduling/scheduling.go
@@ -23,6 +23,9 @@
 	CoresMilli   uint32
 	MemoryMB     uint64
 	Accelerators uint32
+	// Speed is by how much faster than usual the worker does its tasks, as observed; 0
+	// where nothing is known.
+	Speed float64
 	// Unavailable workers keep their tasks but get no new ones: leaving,
 	// drained or quarantined.
 	Unavailable bool
