--- a/internal/coordination/dispatch/leases/cluster_test.go
+++ b/internal/coordination/dispatch/leases/cluster_test.go
@@ -31,6 +31,9 @@
 	cut   bool
 	slow  time.Duration
 	gone  bool
+	// refuses is set while nothing listens at the worker's address.
+	refuses  bool
+	refusals int
 	// departed is what the worker's last announcement says.
 	departed bool
 	token    uint64
@@ -40,13 +43,20 @@
 	ends     []End
 	ended    uint64
 	looks    int
+	// started are the orders to start that came.
+	started []Start
 }
 
 func newCluster(state *store.State) *cluster {
 	return &cluster{state: state, term: 1, leads: true, fresh: true, began: time.Now(), running: map[string]uint64{}, barred: map[string]uint64{}}
 }
 
-func (c *cluster) State() *store.State { return c.state }
+func (c *cluster) State() *store.State {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.state
+}
+
 func (c *cluster) IsLeader() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -106,6 +116,10 @@
 	time.Sleep(slow)
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if c.refuses {
+		c.refusals++
+		return failure.New(failure.ConnectionRefused, "nothing listens")
+	}
 	if c.gone {
 		return failure.New(failure.WorkerVanished, "another boot")
 	}
@@ -143,6 +157,7 @@
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.started = append(c.started, start)
 	if start.Run <= c.barred[start.Task] || start.Deadline < c.clock() {
 		return 0, failure.New(failure.StaleEpoch, "old or late")
 	}
@@ -173,6 +188,13 @@
 	change()
 }
 
+// refusedSoFar is how many connections the worker's machine has refused.
+func (c *cluster) refusedSoFar() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.refusals
+}
+
 // placed is a state with one task of a workflow on the worker.
 func placed() *store.State {
 	job := &controlpb.Job{
--- a/internal/coordination/dispatch/leases/command.go
+++ b/internal/coordination/dispatch/leases/command.go
@@ -98,7 +98,10 @@
 	if !ok {
 		return nil, failure.New(failure.NotFound, "no workflow %s", job.Workflow)
 	}
-	if job.Epoch != command.Epoch {
+	// A start waits for its turn and for its worker, and the job may be cancelled
+	// meanwhile: its epoch stays, while its workflow loses the specification. The worker
+	// would be told to run nothing that anybody asked for.
+	if job.Epoch != command.Epoch || job.State != controlpb.JobState_JOB_STATE_STARTING {
 		return nil, failure.New(failure.StaleEpoch, "the job has moved on")
 	}
 	if err := s.keeper.mayOrder(s.token); err != nil {
@@ -164,8 +167,14 @@
 		return nil, err
 	}
 	s.mu.Lock()
+	silent := s.lost()
 	s.ordered = s.now()
 	s.mu.Unlock()
+	if silent {
+		// Each stop would take its whole time, and with a tenth of the workers cut off
+		// they would fill the bound of orders on their way.
+		return nil, failure.New(failure.Unreachable, "worker %s does not answer", s.target.Worker)
+	}
 	s.poke()
 	ctx, cancel := context.WithTimeout(ctx, stopTimeout)
 	defer cancel()
