Failing model: a cut may refuse connections, and its workers' runs live on

The change of crashed workers took refused connections for a process that is gone. A firewall between an instance and a worker refuses them too, and the worker's runs go on: the model check finds two runs of a task beside each other.

--- a/internal/coordination/dispatch/leases/events_model_test.go
+++ b/internal/coordination/dispatch/leases/events_model_test.go
@@ -15,7 +15,7 @@
 	which int
 }
 
-var eventKinds = []string{"leader", "leader cut off", "leader cut off", "leader frozen", "leader frozen", "split", "cut", "cut", "uncut", "crash", "preempt", "preempt", "cancel", "chaos", "quiet"}
+var eventKinds = []string{"leader", "leader cut off", "leader cut off", "leader frozen", "leader frozen", "split", "cut", "cut", "uncut", "refuse", "crash", "preempt", "preempt", "cancel", "chaos", "quiet"}
 
 func (w *world) turmoil(s schedule) {
 	begun := time.Now()
@@ -47,6 +47,8 @@
 		w.instances[e.which%len(w.instances)].unreachable[on.id] = true
 	case "uncut":
 		w.join()
+	case "refuse":
+		w.refusing = true
 	case "crash":
 		w.reboot(on)
 	case "preempt":
@@ -88,6 +90,7 @@
 
 // join ends all cuts between instances, the log and workers.
 func (w *world) join() {
+	w.refusing = false
 	for _, i := range w.instances {
 		i.unreachable = map[string]bool{}
 		i.cut = false
--- a/internal/coordination/dispatch/leases/network_model_test.go
+++ b/internal/coordination/dispatch/leases/network_model_test.go
@@ -16,12 +16,16 @@
 	lost
 	answerLost
 	late
-	// refused is what a worker's machine answers once its process has crashed.
+	// refused is what a worker's machine answers once its process has crashed, and
+	// what a cut may answer in its place.
 	refused
 )
 
 func (i *instance) fateOf(worker string) fate {
 	w := i.world
+	if i.unreachable[worker] && w.refusing {
+		return refused
+	}
 	if i.unreachable[worker] {
 		return lost
 	}
--- a/internal/coordination/dispatch/leases/world_model_test.go
+++ b/internal/coordination/dispatch/leases/world_model_test.go
@@ -32,6 +32,8 @@
 	term      uint64
 	leader    *instance
 	instances []*instance
+	// refusing is set while connections across a cut are refused; else nothing answers.
+	refusing bool
 	boots     []*boot
 	// chaos is the share of orders that meet a fault, in hundredths.
 	chaos int
