--- a/internal/coordination/dispatch/leases/cluster_test.go
+++ b/internal/coordination/dispatch/leases/cluster_test.go
@@ -32,8 +32,7 @@
 	slow  time.Duration
 	gone  bool
 	// refuses is set while nothing listens at the worker's address.
-	refuses  bool
-	refusals int
+	refuses bool
 	// departed is what the worker's last announcement says.
 	departed bool
 	token    uint64
@@ -117,8 +116,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.refuses {
-		c.refusals++
-		return failure.New(failure.ConnectionRefused, "nothing listens")
+		return failure.New(failure.OutcomeUnknown, "connection refused")
 	}
 	if c.gone {
 		return failure.New(failure.WorkerVanished, "another boot")
@@ -188,13 +186,6 @@
 	change()
 }
 
-// refusedSoFar is how many connections the worker's machine has refused.
-func (c *cluster) refusedSoFar() int {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.refusals
-}
-
 // placed is a state with one task of a workflow on the worker.
 func placed() *store.State {
 	job := &controlpb.Job{
--- a/internal/coordination/dispatch/leases/crash_test.go
+++ b/internal/coordination/dispatch/leases/crash_test.go
@@ -10,41 +10,19 @@
 	"github.com/matryer/is"
 )
 
-// A worker's process crashes under a gang: its connections end, and each new one is
-// refused, since nothing listens there. Callers waited for the rest of its lease, up to
-// 5.7 s, before the gang began elsewhere. Whoever is refused a connection knows that the
-// process is gone, and with it all that it ran: a worker that is cut off or has no power
-// answers nothing instead.
-func TestRunsOfACrashedWorkerAreOverAtOnce(t *testing.T) {
+// A worker is cut off by a firewall that refuses connections. It looks like one whose
+// process has crashed, but its runs live on, and begun elsewhere they would run twice:
+// they are over with their lease and not before.
+func TestRefusedConnectionsAreNoCrash(t *testing.T) {
 	withKeeper(t, func(is *is.I, c *cluster, k *Keeper) {
 		_, err := order(k, api.PathTaskStart)
 		is.NoErr(err)
 		time.Sleep(10 * time.Second)
 		c.set(func() { c.refuses = true })
-		// The look that the worker holds ends first.
-		time.Sleep(lookWait + 3*lookPause + refusedFor)
-		is.True(k.LeaseOver("i-1"))
-		is.Equal(len(k.Live(worker.Kind)), 0)
-	})
-}
-
-// A single refusal may be the moment in which a worker's listener is opened anew. Its
-// runs live on, and begun elsewhere they would run twice.
-func TestOneRefusedConnectionIsNoCrash(t *testing.T) {
-	withKeeper(t, func(is *is.I, c *cluster, k *Keeper) {
-		_, err := order(k, api.PathTaskStart)
-		is.NoErr(err)
-		time.Sleep(10 * time.Second)
-		for range 5 {
-			c.set(func() { c.refuses = true })
-			for seen := c.refusedSoFar(); c.refusedSoFar() == seen; {
-				time.Sleep(time.Millisecond)
-			}
-			c.set(func() { c.refuses = false })
-			time.Sleep(2 * lookWait)
-			is.True(!k.LeaseOver("i-1"))
+		for !k.LeaseOver("i-1") {
+			time.Sleep(10 * time.Millisecond)
 		}
-		is.True(!k.Live(worker.Kind)[0].Leaving)
+		is.True(c.clock() > c.lease)
 	})
 }
 
--- a/internal/coordination/dispatch/leases/keeper.go
+++ b/internal/coordination/dispatch/leases/keeper.go
@@ -28,9 +28,6 @@
 	// silentAfter is how long a worker may not answer before its lease is no longer
 	// prolonged and its runs count as lost: longer than a look and a lost one.
 	silentAfter = 3 * time.Second
-	// refusedFor is for how long connections to a worker have to be refused until its
-	// process counts as gone: the next look after a refused one comes 150 ms later.
-	refusedFor = 100 * time.Millisecond
 	// busyAfter is how long a worker is looked at after an order: it may have
 	// begun a run of which the answer was lost.
 	busyAfter = 2 * time.Second
--- a/internal/coordination/dispatch/leases/network_model_test.go
+++ b/internal/coordination/dispatch/leases/network_model_test.go
@@ -63,7 +63,7 @@
 	case refused:
 		time.Sleep(there)
 		var none T
-		return none, failure.Ran(failure.ConnectionRefused, failure.NotRunTrue, nil, "nothing listens")
+		return none, failure.Ran(failure.OutcomeUnknown, failure.NotRunUnknown, nil, "connection refused")
 	case arrives:
 		answer, err := run(there)
 		time.Sleep(there)
--- a/internal/coordination/dispatch/leases/session.go
+++ b/internal/coordination/dispatch/leases/session.go
@@ -46,9 +46,6 @@
 	view     *peerpb.Upstream
 	viewFrom *peerpb.Upstream
 	stale    bool
-	// refused is since when each connection to the worker has been refused; zero where
-	// the newest order met anything else.
-	refused time.Time
 	// silent is set while the worker is logged as not answering.
 	silent bool
 }
@@ -151,9 +148,9 @@
 		s.entry().WithField("reason", f.Error()).Info("worker in doubt")
 		s.poke()
 	}
-	if !s.gone && (f.Code == failure.WorkerVanished || s.crashed(f.Code)) {
+	if f.Code == failure.WorkerVanished && !s.gone {
 		s.gone = true
-		s.entry().WithField("reason", f.Error()).Warn("worker is gone")
+		s.entry().WithField("reason", f.Error()).Warn("another boot answers in the worker's place")
 		s.keeper.config.Wake()
 		return
 	}
@@ -164,22 +161,6 @@
 	}
 }
 
-// crashed tells that the worker's process is gone, from the codes of failures in a row.
-// Nothing listens at its address, on a machine that answers, so nothing runs there
-// either. Its runs begin elsewhere after 0.3 s, where a lease takes up to 5.7 s to run
-// out; a worker that is cut off, hangs or has no power never looks like this. One
-// refusal alone may be a listener that is opened anew.
-func (s *session) crashed(code failure.Code) bool {
-	if code != failure.ConnectionRefused {
-		s.refused = time.Time{}
-		return false
-	}
-	if s.refused.IsZero() {
-		s.refused = s.now()
-	}
-	return s.now().Sub(s.refused) >= refusedFor
-}
-
 // leftUnanswered tells a failure after which it is not known whether the worker can
 // be reached; the others are answers.
 func leftUnanswered(code failure.Code) bool {
@@ -202,7 +183,7 @@
 
 // answered notes any answer of the worker; the caller holds the lock.
 func (s *session) answered() {
-	s.unanswered, s.refused, s.missed = time.Time{}, time.Time{}, 0
+	s.unanswered, s.missed = time.Time{}, 0
 	if s.doubted {
 		s.doubted, s.stale = false, true
 		s.entry().Info("worker no longer in doubt")
--- a/internal/coordination/dispatch/leases/world_model_test.go
+++ b/internal/coordination/dispatch/leases/world_model_test.go
@@ -34,7 +34,7 @@
 	instances []*instance
 	// refusing is set while connections across a cut are refused; else nothing answers.
 	refusing bool
-	boots     []*boot
+	boots    []*boot
 	// chaos is the share of orders that meet a fault, in hundredths.
 	chaos int
 	// work is how long a task of a workflow takes.
--- a/internal/protocol/failure/failure.go
+++ b/internal/protocol/failure/failure.go
@@ -67,11 +67,10 @@
 	TaskFailed     Code = "task_failed"
 	LeaseLost      Code = "lease_lost"
 	WorkerVanished Code = "worker_vanished"
-	// ConnectionRefused is an address at which nothing listens, on a machine that
-	// answers: the process that served there is gone.
-	ConnectionRefused Code = "connection_refused"
-	StartTimeout      Code = "start_timeout"
-	Stalled           Code = "stalled"
+	// MemberEnded is the end of a run because another member of its gang had ended.
+	MemberEnded  Code = "member_ended"
+	StartTimeout Code = "start_timeout"
+	Stalled      Code = "stalled"
 )
 
 type kind struct {
@@ -80,68 +79,68 @@
 }
 
 var kinds = map[Code]kind{
-	BadSettings:       {http.StatusBadRequest, 2},
-	BadDeclaration:    {http.StatusUnprocessableEntity, 3},
-	BadRequest:        {http.StatusBadRequest, 4},
-	Unauthorized:      {http.StatusUnauthorized, 5},
-	NotFound:          {http.StatusNotFound, 6},
-	WrongMethod:       {http.StatusMethodNotAllowed, 50},
-	Conflict:          {http.StatusConflict, 7},
-	KeyReused:         {http.StatusConflict, 8},
-	StaleSequence:     {http.StatusConflict, 9},
-	StaleEpoch:        {http.StatusConflict, 10},
-	Infeasible:        {http.StatusUnprocessableEntity, 11},
-	Overloaded:        {http.StatusServiceUnavailable, 12},
-	LimitReached:      {http.StatusTooManyRequests, 13},
-	DeadlinePassed:    {http.StatusGatewayTimeout, 14},
-	NotReady:          {http.StatusServiceUnavailable, 15},
-	StaleState:        {http.StatusServiceUnavailable, 16},
-	NotLeader:         {http.StatusMisdirectedRequest, 17},
-	NoLeader:          {http.StatusServiceUnavailable, 18},
-	NoQuorum:          {http.StatusPreconditionFailed, 40},
-	ChangePending:     {http.StatusConflict, 41},
-	NotCaughtUp:       {http.StatusConflict, 42},
-	Unreachable:       {http.StatusServiceUnavailable, 19},
-	OutcomeUnknown:    {http.StatusBadGateway, 20},
-	TruncatedAnswer:   {http.StatusBadGateway, 21},
-	WrongAnswer:       {http.StatusBadGateway, 22},
-	UpstreamFailed:    {http.StatusBadGateway, 23},
-	TooLarge:          {http.StatusRequestEntityTooLarge, 24},
-	AnswerGone:        {http.StatusGone, 43},
-	KeyExpired:        {http.StatusGone, 44},
-	Corrupt:           {http.StatusInternalServerError, 25},
-	DiskFailed:        {http.StatusInternalServerError, 26},
-	DiskFull:          {http.StatusInsufficientStorage, 52},
-	FolderInUse:       {http.StatusInternalServerError, 27},
-	CommandTooNew:     {http.StatusInternalServerError, 51},
-	Internal:          {http.StatusInternalServerError, 1},
-	MemoryExceeded:    {http.StatusInsufficientStorage, 45},
-	TaskFailed:        {http.StatusBadGateway, 46},
-	LeaseLost:         {http.StatusBadGateway, 47},
-	WorkerVanished:    {http.StatusBadGateway, 48},
-	ConnectionRefused: {http.StatusServiceUnavailable, 54},
-	StartTimeout:      {http.StatusGatewayTimeout, 49},
-	Stalled:           {http.StatusBadGateway, 53},
+	BadSettings:     {http.StatusBadRequest, 2},
+	BadDeclaration:  {http.StatusUnprocessableEntity, 3},
+	BadRequest:      {http.StatusBadRequest, 4},
+	Unauthorized:    {http.StatusUnauthorized, 5},
+	NotFound:        {http.StatusNotFound, 6},
+	WrongMethod:     {http.StatusMethodNotAllowed, 50},
+	Conflict:        {http.StatusConflict, 7},
+	KeyReused:       {http.StatusConflict, 8},
+	StaleSequence:   {http.StatusConflict, 9},
+	StaleEpoch:      {http.StatusConflict, 10},
+	Infeasible:      {http.StatusUnprocessableEntity, 11},
+	Overloaded:      {http.StatusServiceUnavailable, 12},
+	LimitReached:    {http.StatusTooManyRequests, 13},
+	DeadlinePassed:  {http.StatusGatewayTimeout, 14},
+	NotReady:        {http.StatusServiceUnavailable, 15},
+	StaleState:      {http.StatusServiceUnavailable, 16},
+	NotLeader:       {http.StatusMisdirectedRequest, 17},
+	NoLeader:        {http.StatusServiceUnavailable, 18},
+	NoQuorum:        {http.StatusPreconditionFailed, 40},
+	ChangePending:   {http.StatusConflict, 41},
+	NotCaughtUp:     {http.StatusConflict, 42},
+	Unreachable:     {http.StatusServiceUnavailable, 19},
+	OutcomeUnknown:  {http.StatusBadGateway, 20},
+	TruncatedAnswer: {http.StatusBadGateway, 21},
+	WrongAnswer:     {http.StatusBadGateway, 22},
+	UpstreamFailed:  {http.StatusBadGateway, 23},
+	TooLarge:        {http.StatusRequestEntityTooLarge, 24},
+	AnswerGone:      {http.StatusGone, 43},
+	KeyExpired:      {http.StatusGone, 44},
+	Corrupt:         {http.StatusInternalServerError, 25},
+	DiskFailed:      {http.StatusInternalServerError, 26},
+	DiskFull:        {http.StatusInsufficientStorage, 52},
+	FolderInUse:     {http.StatusInternalServerError, 27},
+	CommandTooNew:   {http.StatusInternalServerError, 51},
+	Internal:        {http.StatusInternalServerError, 1},
+	MemoryExceeded:  {http.StatusInsufficientStorage, 45},
+	TaskFailed:      {http.StatusBadGateway, 46},
+	LeaseLost:       {http.StatusBadGateway, 47},
+	WorkerVanished:  {http.StatusBadGateway, 48},
+	MemberEnded:     {http.StatusBadGateway, 54},
+	StartTimeout:    {http.StatusGatewayTimeout, 49},
+	Stalled:         {http.StatusBadGateway, 53},
 }
 
 // infrastructure holds the codes of failures that say nothing about the work
 // itself: it met a worker that was out of reach, full, or behind.
 var infrastructure = map[Code]bool{
-	Unreachable:       true,
-	OutcomeUnknown:    true,
-	TruncatedAnswer:   true,
-	WrongAnswer:       true,
-	StaleEpoch:        true,
-	StaleState:        true,
-	Overloaded:        true,
-	NotFound:          true,
-	NotReady:          true,
-	DeadlinePassed:    true,
-	LeaseLost:         true,
-	WorkerVanished:    true,
-	StartTimeout:      true,
-	Stalled:           true,
-	ConnectionRefused: true,
+	Unreachable:     true,
+	OutcomeUnknown:  true,
+	TruncatedAnswer: true,
+	WrongAnswer:     true,
+	StaleEpoch:      true,
+	StaleState:      true,
+	Overloaded:      true,
+	NotFound:        true,
+	NotReady:        true,
+	DeadlinePassed:  true,
+	LeaseLost:       true,
+	WorkerVanished:  true,
+	StartTimeout:    true,
+	Stalled:         true,
+	MemberEnded:     true,
 }
 
 // Infrastructure tells whether a task's failure counts against no job. A code
--- a/internal/protocol/logstory/logstory.go
+++ b/internal/protocol/logstory/logstory.go
@@ -129,7 +129,7 @@
 
 // ofWorkers are the messages about a worker as such.
 var ofWorkers = []string{
-	"worker does not answer", "worker answers again", "worker is gone",
+	"worker does not answer", "worker answers again", "another boot answers in the worker's place",
 	"worker taken over", "worker announced", "worker departed",
 }
 
