--- a/internal/coordination/dispatch/leases/network_model_test.go
+++ b/internal/coordination/dispatch/leases/network_model_test.go
@@ -16,12 +16,16 @@
 	lost
 	answerLost
 	late
-	// refused is what a worker's machine answers once its process has crashed.
+	// refused is what a worker's machine answers once its process has crashed, and
+	// what a cut may answer in its place.
 	refused
 )
 
 func (i *instance) fateOf(worker string) fate {
 	w := i.world
+	if i.unreachable[worker] && w.refusing {
+		return refused
+	}
 	if i.unreachable[worker] {
 		return lost
 	}
@@ -59,7 +63,7 @@
 	case refused:
 		time.Sleep(there)
 		var none T
-		return none, failure.Ran(failure.ConnectionRefused, failure.NotRunTrue, nil, "nothing listens")
+		return none, failure.Ran(failure.OutcomeUnknown, failure.NotRunUnknown, nil, "connection refused")
 	case arrives:
 		answer, err := run(there)
 		time.Sleep(there)
--- a/internal/coordination/dispatch/leases/world_model_test.go
+++ b/internal/coordination/dispatch/leases/world_model_test.go
@@ -32,7 +32,9 @@
 	term      uint64
 	leader    *instance
 	instances []*instance
-	boots     []*boot
+	// refusing is set while connections across a cut are refused; else nothing answers.
+	refusing bool
+	boots    []*boot
 	// chaos is the share of orders that meet a fault, in hundredths.
 	chaos int
 	// work is how long a task of a workflow takes.
