--- a/internal/coordination/scheduling/objective.go
+++ b/internal/coordination/scheduling/objective.go
@@ -50,9 +50,8 @@
 	// of the work that it lets begin: short urgent work is worth several times as
 	// much for its size as what it stops, but not any number of times.
 	mostLossShare = 2.0
-	// assuredAnyLoss is the wait after which guaranteed work may stop anything, urgent
-	// work too; a stop and a start still fit in before it has to run. Sooner it would
-	// gain nothing that the other does not lose: both are due in about a run time.
+	// assuredAnyLoss is the wait after which guaranteed work may stop anything; a
+	// stop and a start still fit in before it has to run.
 	assuredAnyLoss = time.Second
 )
 
@@ -61,18 +60,13 @@
 	if a.job.Workflow == "" {
 		return math.Inf(1)
 	}
-	if p.guaranteePresses(a) {
+	waited := time.Duration(p.nowMs-a.job.SubmittedMs) * time.Millisecond
+	if waited >= assuredAnyLoss && p.assured(a.job) {
 		return math.Inf(1)
 	}
 	return mostLossShare * workWidth(a.job) * p.remaining(a.job)
 }
 
-// guaranteePresses tells guaranteed work that has waited for as long as it may.
-func (p *pass) guaranteePresses(a *ask) bool {
-	waited := time.Duration(p.nowMs-a.job.SubmittedMs) * time.Millisecond
-	return waited >= assuredAnyLoss && p.assured(a.job)
-}
-
 // assured tells whether a job is covered by its customer's guarantee by count:
 // that holds while all its urgent work together needs no more.
 func (p *pass) assured(job *controlpb.Job) bool {
--- a/internal/coordination/scheduling/takeback.go
+++ b/internal/coordination/scheduling/takeback.go
@@ -250,7 +250,7 @@
 	switch by {
 	case rightUrgent:
 		if g.job.Urgent {
-			return p.guaranteePresses(a) && !p.assured(g.job)
+			return p.assured(a.job) && !p.assured(g.job)
 		}
 		return own || p.borrows(g, t)
 	case rightStarving:
