--- /dev/null
+++ b/internal/coordination/replica/fetch_test.go
@@ -0,0 +1,26 @@
+package replica
+
+import (
+	"context"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"pinewinch.example/pinewinch/internal/protocol/failure"
+	"pinewinch.example/pinewinch/internal/state/snapshot"
+)
+
+// A replica that lags fetches a snapshot from one whose disk fails. A failed disk ends the
+// process that has it; taken for its own, the source's ended every replica that fetched
+// from it, one after the other, until no quorum was left.
+func TestAFailedDiskOfASourceIsNoFaultOfOnesOwn(t *testing.T) {
+	for told, want := range map[failure.Code]failure.Code{
+		failure.DiskFailed: failure.Unreachable,
+		failure.DiskFull:   failure.Unreachable,
+		failure.NotFound:   failure.NotFound,
+	} {
+		r := &Replica{peers: refusing(func() error { return failure.New(told, "the source says") })}
+		_, err := r.fetchChunk(context.Background(), "i2", snapshot.ID{Index: 7}, 0)
+		is.New(t).Equal(failure.From(err).Code, want)
+	}
+}
