--- a/internal/coordination/replica/snapshots.go
+++ b/internal/coordination/replica/snapshots.go
@@ -162,6 +162,10 @@
 	defer cancel()
 	ask := &peerpb.FetchSnapshot{Index: id.Index, Term: id.Term, Offset: offset}
 	reply, err := r.peers.Call(ctx, from, &peerpb.Call{Body: &peerpb.Call_FetchSnapshot{FetchSnapshot: ask}})
+	if failure.Is(err, failure.DiskFailed) || failure.Is(err, failure.DiskFull) {
+		// The source's disk, and not this replica's: that would end its process.
+		return nil, failure.Wrap(failure.Unreachable, err, "%s can't read its snapshot", from)
+	}
 	if err != nil {
 		return nil, err
 	}
