--- a/internal/experiment/overload/engine.go
+++ b/internal/experiment/overload/engine.go
@@ -18,6 +18,8 @@
 	passAnyway = time.Second
 	// startTime is from a plan to the first work: a commit, an order, its answer.
 	startTime = 30 * time.Millisecond
+	// failTime is from the failure of a run until its unit waits again: two commits.
+	failTime = 50 * time.Millisecond
 )
 
 type eventKind int
@@ -156,7 +158,7 @@
 	e.result.Done++
 	for _, placement := range u.job.Placements {
 		// A member that is done waits for the slowest.
-		waits := 1 - e.day.slowestOf(u)/e.day.speeds[placement.Worker]
+		waits := 1 - e.day.slowest(u.job.Placements)/e.day.speeds[placement.Worker]
 		e.result.Lost += waits * float64(u.job.Accelerators) * (e.now - u.began).Seconds()
 	}
 	e.learned.Observe(u.job.WorkClass, time.Duration(u.job.RunTimeMs)*time.Millisecond, u.run)
@@ -184,7 +186,7 @@
 		e.cancel(u.workflow)
 		return
 	}
-	e.stopping(u, 50*time.Millisecond)
+	e.stopping(u, failTime)
 }
 
 // stopping frees what the unit holds after a while; checkpoints keep its work.
@@ -214,9 +216,6 @@
 			continue
 		}
 		e.result.Lost += u.width() * (e.now - u.began).Seconds()
-		for _, placement := range u.job.Placements {
-			placement.Accelerators = nil
-		}
 		e.stopping(u, e.day.LeaseWait)
 		u.job.Placements = nil
 	}
--- a/internal/experiment/overload/unit.go
+++ b/internal/experiment/overload/unit.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"time"
 
 	"google.golang.org/protobuf/proto"
@@ -21,8 +22,9 @@
 	began time.Duration
 	// fails holds, for each run to come, the share after which it fails; 0 for one that
 	// ends well.
-	fails    []float64
-	runs     int
+	fails []float64
+	runs  int
+	// observed is the epoch whose progress was read.
 	observed uint64
 }
 
@@ -30,6 +32,9 @@
 // the same whatever the decisions. Runs after these end well.
 const failDraws = 6
 
+// Runs that fail do so between these shares of their time.
+const earliestFailure, latestFailure = 0.05, 0.95
+
 func (m *maker) unit(w *workflow, s *step, shape *controlpb.Job, tasks int, run time.Duration, index int) *unit {
 	job := proto.CloneOf(shape)
 	job.Id = fmt.Sprintf("%s.0.%d.%d", w.id, shape.Step, index)
@@ -39,16 +44,13 @@
 	for range failDraws {
 		at := 0.0
 		if m.random.Float64() < w.queue.FailedRuns {
-			at = 0.05 + 0.9*m.random.Float64()
+			at = earliestFailure + (latestFailure-earliestFailure)*m.random.Float64()
 		}
 		u.fails = append(u.fails, at)
 	}
 	return u
 }
 
-// longest is the run time on a worker of the usual speed, near its data.
-func (u *unit) longest() time.Duration { return u.run }
-
 // worked is the work done since the run began.
 func (u *unit) worked(now time.Duration) time.Duration {
 	if u.speed == 0 {
@@ -62,27 +64,21 @@
 
 // speedOn is that of the slowest member, less what distance costs.
 func (d *Day) speedOn(u *unit, placements []*controlpb.Placement) float64 {
-	slowest := 0.0
 	racks := map[string]bool{}
 	for _, placement := range placements {
-		if speed := d.speeds[placement.Worker]; slowest == 0 || speed < slowest {
-			slowest = speed
-		}
 		racks[d.rackOf(placement.Worker)] = true
 	}
 	away := u.job.DataRack != "" && (len(racks) > 1 || !racks[u.job.DataRack])
 	if away || (u.job.TightlyCoupled && len(racks) > 1) {
-		return slowest / d.RemoteFactor
+		return d.slowest(placements) / d.RemoteFactor
 	}
-	return slowest
+	return d.slowest(placements)
 }
 
-func (d *Day) slowestOf(u *unit) float64 {
-	slowest := 0.0
-	for _, placement := range u.job.Placements {
-		if speed := d.speeds[placement.Worker]; slowest == 0 || speed < slowest {
-			slowest = speed
-		}
+func (d *Day) slowest(placements []*controlpb.Placement) float64 {
+	slowest := math.Inf(1)
+	for _, placement := range placements {
+		slowest = min(slowest, d.speeds[placement.Worker])
 	}
 	return slowest
 }
--- a/internal/experiment/overload/workload.go
+++ b/internal/experiment/overload/workload.go
@@ -150,7 +150,7 @@
 	for number := range steps {
 		s := m.step(w, uint32(number), saves)
 		w.steps = append(w.steps, s)
-		chain += s.units[0].longest()
+		chain += s.units[0].run
 		declared += time.Duration(s.units[0].job.RunTimeMs) * time.Millisecond
 	}
 	w.due = at + time.Duration(q.Slack*float64(chain)) + q.Target
