Taken back: a gang of which all others ended for the silent member begins anew at once

Run 3 of a gang failed by itself as the leader changed; the new leader had heard of the other members' ends and not yet of the failure, and began run 4 of 3. That the silent member has ended is certain; how it ended is not, and an attempt that is not counted is one too many. The failure has to be counted before this can come back.

--- a/internal/coordination/dispatch/gang/stopping.go
+++ b/internal/coordination/dispatch/gang/stopping.go
@@ -45,9 +45,6 @@
 			s.send(Stop, job, m, w)
 		}
 	}
-	if silent == 1 && r.onlyOneCanHaveEndedFirst(job) {
-		silent = 0
-	}
 	if silent > 0 && !overdue {
 		s.acknowledge(job, r)
 		return
@@ -55,25 +52,6 @@
 	s.release(job, r, silent)
 }
 
-// onlyOneCanHaveEndedFirst tells a gang of which all members but one have ended, each
-// because another had: so the one of which nothing is known has ended before them, as
-// when its worker crashed. Its gang begins anew at once, where the lease of a worker that
-// answers nothing takes up to 5.7 s to run out. With two such members one may live on
-// behind a cut; with a member that was stopped or had failed the others ended for that.
-func (r *run) onlyOneCanHaveEndedFirst(job *controlpb.Job) bool {
-	others := 0
-	for _, m := range r.members {
-		if !stopped(job, m) {
-			continue
-		}
-		if m.report == nil || m.report.Code != string(failure.MemberEnded) {
-			return false
-		}
-		others++
-	}
-	return others > 0 && others == len(r.members)-1
-}
-
 // leaseOver tells that a member that did not acknowledge surely runs no more.
 func (s *step) leaseOver(m *member, r *run) bool {
 	if s.in.LeaseOver != nil {
