Speeds and paces: one cache, one parser of task names, no code that nobody reads

Rates find their job by FindTask, as the ledger's other lists do, in place of a parser of their own, and are made for gangs only; a report without any takes no lock. The learner keeps no copy of its fit beside the keeper's. That gangs mind no pace is told by no paces in the cluster, without a field of its own. Whole progress is one constant. The code member_ended was written and read by nobody since the rule that used it was taken out. No behaviour changes.

--- a/internal/coordination/dispatch/gang/progress.go
+++ b/internal/coordination/dispatch/gang/progress.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"pinewinch.example/pinewinch/internal/protocol/api"
 	"pinewinch.example/pinewinch/internal/protocol/controlpb"
 	"pinewinch.example/pinewinch/internal/protocol/peerpb"
 )
@@ -12,9 +13,6 @@
 // stays above it.
 const slowestShare = 1.0 / 20
 
-// wholePercent is a task whose work is done and that waits for its gang's end.
-const wholePercent = 100
-
 // progress is how far a member's work has come, as its worker reports.
 type progress struct {
 	percent uint32
@@ -35,7 +33,7 @@
 // would wait there for as long as it does. Only what was heard counts, so silence
 // is left to the leases.
 func (s *step) stalled(job *controlpb.Job, r *run, m *member) bool {
-	if s.config.StallAfter == 0 || m.phase != phaseRunning || m.progress.since.IsZero() || m.progress.percent >= wholePercent {
+	if s.config.StallAfter == 0 || m.phase != phaseRunning || m.progress.since.IsZero() || m.progress.percent >= api.WholePercent {
 		return false
 	}
 	since := m.progress.since
@@ -50,5 +48,5 @@
 // that counts as work.
 func percentTime(job *controlpb.Job) time.Duration {
 	expected := time.Duration(job.RunTimeMs) * time.Millisecond
-	return time.Duration(float64(expected) / wholePercent / slowestShare)
+	return time.Duration(float64(expected) / api.WholePercent / slowestShare)
 }
--- a/internal/coordination/dispatch/leases/keeper.go
+++ b/internal/coordination/dispatch/leases/keeper.go
@@ -205,15 +205,15 @@
 	return k.log.Fresh()
 }
 
-// learn takes in how fast the members of gangs on a worker get on. A task by itself tells
-// nothing: how much work it has is known roughly.
+// learn takes in how fast the members of gangs on a worker get on.
 func (k *Keeper) learn(worker string, rates []rate) {
+	if len(rates) == 0 {
+		return
+	}
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	for _, r := range rates {
-		if job, ok := k.log.State().Job(r.run.Job); ok && job.Tasks > 1 {
-			k.paces.Observe(r.run, worker, r.value)
-		}
+		k.paces.Observe(r.run, worker, r.value)
 	}
 }
 
--- a/internal/coordination/dispatch/leases/ledger.go
+++ b/internal/coordination/dispatch/leases/ledger.go
@@ -281,9 +281,6 @@
 	case Failed:
 		report.Phase = peerpb.TaskPhase_TASK_PHASE_FAILED
 		report.Code = string(failure.TaskFailed)
-	case Broken:
-		report.Phase = peerpb.TaskPhase_TASK_PHASE_STOPPED
-		report.Code = string(failure.MemberEnded)
 	default:
 		report.Phase = peerpb.TaskPhase_TASK_PHASE_STOPPED
 	}
--- a/internal/coordination/dispatch/leases/progress.go
+++ b/internal/coordination/dispatch/leases/progress.go
@@ -1,10 +1,11 @@
 package leases
 
 import (
-	"strings"
 	"time"
 
 	"pinewinch.example/pinewinch/internal/coordination/dispatch/pace"
+	"pinewinch.example/pinewinch/internal/protocol/api"
+	"pinewinch.example/pinewinch/internal/state/store"
 )
 
 // runName names one run of one task.
@@ -25,8 +26,6 @@
 	// than a tenth.
 	leastSpan    = 400 * time.Millisecond
 	leastPercent = 10
-	// wholePercent is work that is done: its worker may have waited since.
-	wholePercent = 100
 )
 
 // rate is how fast one member of a gang gets on, in hundredths a millisecond.
@@ -50,18 +49,20 @@
 	l.marks = marks
 }
 
-// rates of what runs, as far as two readings tell. All members of a gang's run have the
-// name of its step in common.
-func (l *Ledger) rates() []rate {
+// rates of the members of gangs that run, as far as two readings tell. A task by itself
+// tells nothing: how much work it has is known roughly.
+func (l *Ledger) rates(state *store.State) []rate {
 	var rates []rate
 	for _, r := range l.running {
 		before, ok := l.marks[runName{r.Task, r.Run}]
 		span := l.reported - before.clock
-		if !ok || r.Percent >= wholePercent || span < leastSpan.Milliseconds() || r.Percent < before.percent+leastPercent {
+		if !ok || r.Percent >= api.WholePercent || span < leastSpan.Milliseconds() || r.Percent < before.percent+leastPercent {
 			continue
 		}
-		step := r.Task[:max(strings.LastIndexByte(r.Task, '.'), 0)]
-		rates = append(rates, rate{pace.Run{Job: step, Epoch: r.Run}, float64(r.Percent-before.percent) / float64(span)})
+		if job, _, ok := FindTask(state, r.Task); ok && job.Tasks > 1 {
+			value := float64(r.Percent-before.percent) / float64(span)
+			rates = append(rates, rate{pace.Run{Job: job.Id, Epoch: r.Run}, value})
+		}
 	}
 	return rates
 }
--- a/internal/coordination/dispatch/leases/progress_test.go
+++ b/internal/coordination/dispatch/leases/progress_test.go
@@ -7,8 +7,13 @@
 	"github.com/matryer/is"
 
 	"pinewinch.example/pinewinch/internal/coordination/dispatch/pace"
+	"pinewinch.example/pinewinch/internal/protocol/controlpb"
+	"pinewinch.example/pinewinch/internal/state/store"
 )
 
+// coupled is a state with a gang of eight as step 2 of its workflow.
+var coupled = store.Restore(&controlpb.Snapshot{Jobs: []*controlpb.Job{{Id: "w.0.2", Workflow: "w", Tasks: 8}}})
+
 // reports gives a ledger what a worker with one run lists at times of its clock.
 func reports(l *Ledger, run Running, readings map[int64]uint32) {
 	for clock := int64(0); clock <= 10_000; clock += 100 {
@@ -40,7 +45,7 @@
 		t.Run(c.name, func(t *testing.T) {
 			l := NewLedger(lease, time.UnixMilli(0))
 			reports(l, member, c.readings)
-			is.New(t).Equal(l.rates(), c.want)
+			is.New(t).Equal(l.rates(coupled), c.want)
 		})
 	}
 }
@@ -51,5 +56,5 @@
 	l := NewLedger(lease, time.UnixMilli(0))
 	reports(l, Running{Task: "w.0.2.7", Run: 3}, map[int64]uint32{1000: 10, 2000: 90})
 	reports(l, Running{Task: "w.0.2.7", Run: 4}, map[int64]uint32{3000: 10, 4000: 30})
-	is.Equal(l.rates(), []rate{{pace.Run{Job: "w.0.2", Epoch: 4}, 0.02}})
+	is.Equal(l.rates(coupled), []rate{{pace.Run{Job: "w.0.2", Epoch: 4}, 0.02}})
 }
--- a/internal/coordination/dispatch/leases/session.go
+++ b/internal/coordination/dispatch/leases/session.go
@@ -209,7 +209,7 @@
 	s.mu.Lock()
 	first := !s.ledger.Heard()
 	s.ledger.Take(report, s.now())
-	rates := s.ledger.rates()
+	rates := s.ledger.rates(s.keeper.log.State())
 	if first {
 		close(s.looked)
 	}
--- a/internal/coordination/dispatch/pace/pace.go
+++ b/internal/coordination/dispatch/pace/pace.go
@@ -31,8 +31,7 @@
 	// rates of the members of each run by worker, as logarithms.
 	rates map[Run]map[string]float64
 	// order of the runs, the oldest first.
-	order  []Run
-	speeds map[string]float64
+	order []Run
 }
 
 // Observe notes how fast a worker gets on with its member of a run: in any unit that is
@@ -55,19 +54,11 @@
 		}
 	}
 	members[worker] = math.Log(rate)
-	l.speeds = nil
 }
 
-// Speeds gives the speed of each worker beside the middle one of all that are known.
+// Speeds gives the speed of each worker beside the middle one of all that are known. It
+// explains each rate by its run's work and its worker's speed, in turns.
 func (l *Learner) Speeds() map[string]float64 {
-	if l.speeds == nil {
-		l.speeds = l.fit()
-	}
-	return l.speeds
-}
-
-// fit explains each rate by its run's work and its worker's speed, in turns.
-func (l *Learner) fit() map[string]float64 {
 	speeds := map[string]float64{}
 	for range rounds {
 		sums, counts := map[string]float64{}, map[string]float64{}
--- a/internal/coordination/scheduling/cluster.go
+++ b/internal/coordination/scheduling/cluster.go
@@ -85,15 +85,13 @@
 	customers   map[string]customerID
 	names       []string
 	cells       []placedCell
-	// mindPace says that gangs are placed by pace.
-	mindPace bool
-	// paces are those of the workers that are available.
+	// paces are those of the workers that are available; none where they don't matter.
 	paces pace
 	free  amount
 }
 
 func newCluster(workers []Worker) *cluster {
-	c := &cluster{mindPace: true, byID: make(map[string]*node, len(workers)), customers: map[string]customerID{}}
+	c := &cluster{byID: make(map[string]*node, len(workers)), customers: map[string]customerID{}}
 	order := make([]*Worker, len(workers))
 	for i := range workers {
 		order[i] = &workers[i]
--- a/internal/coordination/scheduling/pass.go
+++ b/internal/coordination/scheduling/pass.go
@@ -117,7 +117,9 @@
 
 		mostTasks: map[Shape]int64{},
 	}
-	p.cluster.mindPace = !p.off(MatchPace)
+	if p.off(MatchPace) {
+		p.cluster.paces = 0
+	}
 	p.total = p.cluster.free
 	p.capacity = p.total.accelerators
 	for _, customer := range snapshot.Customers {
--- a/internal/coordination/scheduling/placement.go
+++ b/internal/coordination/scheduling/placement.go
@@ -129,7 +129,7 @@
 // or else on any.
 func (c *cluster) fit(a *ask, room room) []spot {
 	for _, set := range paceSets(a) {
-		if !c.mindPace || c.paces&^set == 0 {
+		if c.paces&^set == 0 {
 			break
 		}
 		if c.paces&set == 0 {
--- a/internal/protocol/api/upstream.go
+++ b/internal/protocol/api/upstream.go
@@ -63,6 +63,10 @@
 	CheckpointedMs int64  `json:"checkpointed_ms,omitempty"`
 }
 
+// WholePercent is the progress of a task whose work is done; a member of a gang may go
+// on waiting there for the others.
+const WholePercent = 100
+
 // AnnounceReply tells an upstream when to announce next, and a worker which of
 // its tasks to keep. A renewed task may run until LeaseMs after the moment at
 // which the worker SENT the announcement that this answers; counted from the
--- a/internal/protocol/failure/failure.go
+++ b/internal/protocol/failure/failure.go
@@ -67,10 +67,8 @@
 	TaskFailed     Code = "task_failed"
 	LeaseLost      Code = "lease_lost"
 	WorkerVanished Code = "worker_vanished"
-	// MemberEnded is the end of a run because another member of its gang had ended.
-	MemberEnded  Code = "member_ended"
-	StartTimeout Code = "start_timeout"
-	Stalled      Code = "stalled"
+	StartTimeout   Code = "start_timeout"
+	Stalled        Code = "stalled"
 )
 
 type kind struct {
@@ -118,7 +116,6 @@
 	TaskFailed:      {http.StatusBadGateway, 46},
 	LeaseLost:       {http.StatusBadGateway, 47},
 	WorkerVanished:  {http.StatusBadGateway, 48},
-	MemberEnded:     {http.StatusBadGateway, 54},
 	StartTimeout:    {http.StatusGatewayTimeout, 49},
 	Stalled:         {http.StatusBadGateway, 53},
 }
@@ -140,7 +137,6 @@
 	WorkerVanished:  true,
 	StartTimeout:    true,
 	Stalled:         true,
-	MemberEnded:     true,
 }
 
 // Infrastructure tells whether a task's failure counts against no job. A code
