Overload replay: the project's table and statistics, one place for a missing leader

The mean and its error come from gonum/stat and the tables from tablewriter, as in the other experiments; the tests' description was a copy of the customer's with five figures changed; racks are known by worker in place of being read out of its name.

--- a/internal/experiment/overload/compare.go
+++ b/internal/experiment/overload/compare.go
@@ -3,11 +3,13 @@
 import (
 	"fmt"
 	"io"
-	"math"
 	"sync"
-	"text/tabwriter"
+
+	"github.com/olekukonko/tablewriter"
+	"gonum.org/v1/gonum/stat"
 
 	"pinewinch.example/pinewinch/internal/coordination/scheduling"
+	"pinewinch.example/pinewinch/internal/protocol/failure"
 )
 
 // Variant is a set of mechanisms switched off, under a name.
@@ -43,55 +45,63 @@
 	return c
 }
 
-// mean and standard error of a figure of each pair of results.
-func spread(figures []float64) (mean, deviation float64) {
-	for _, figure := range figures {
-		mean += figure / float64(len(figures))
-	}
-	if len(figures) < 2 {
-		return mean, 0
+// Write prints a line a variant, each beside the first, and its shares by queue.
+func (c *Comparison) Write(out io.Writer) error {
+	days := tablewriter.NewWriter(out)
+	days.Header("variant", "score", "difference", "std error", "whole", "windows", "worst queue", "lost", "stopped", "within 1 s", "passes", "breaches")
+	queues := tablewriter.NewWriter(out)
+	queues.Header("variant", "queue", "owed", "in aim", "late", "not served", "largest in aim", "earned")
+	for v, variant := range c.Variants {
+		if err := days.Append(c.row(v)...); err != nil {
+			return failure.Wrap(failure.Internal, err, "table")
+		}
+		for _, q := range sumQueues(c.Results[v]) {
+			err := queues.Append(variant.Name, q.Name, q.Owed, share(q.InAim, q.Owed), share(q.Late, q.Owed),
+				share(q.Owed-q.InAim-q.Late, q.Owed), share(q.WideInAim, q.WideOwed), three(q.Earned/q.Worth))
+			if err != nil {
+				return failure.Wrap(failure.Internal, err, "table")
+			}
+		}
 	}
-	squares := 0.0
-	for _, figure := range figures {
-		squares += (figure - mean) * (figure - mean)
+	for _, table := range []*tablewriter.Table{days, queues} {
+		if err := table.Render(); err != nil {
+			return failure.Wrap(failure.Internal, err, "table")
+		}
 	}
-	n := float64(len(figures))
-	return mean, math.Sqrt(squares / (n - 1) / n)
+	return nil
 }
 
-// Write prints a line a variant, each beside the first, and its shares by queue.
-func (c *Comparison) Write(out io.Writer) error {
-	table := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
-	_, _ = fmt.Fprintln(table, "variant\tscore\tdifference\tstd error\twhole\twindows\tworst queue\tlost\tstopped\twithin 1 s\tpasses\tbreaches")
-	for v, results := range c.Results {
-		var scores, differences, whole, windows, queue, lost []float64
-		var runs, stopped, atOnce, passes, breaches int
+// row sums a variant's days up.
+func (c *Comparison) row(v int) []any {
+	results := c.Results[v]
+	mean := func(figure func(i int, r *Result) float64) (mean, stdError float64) {
+		figures := make([]float64, len(results))
 		for i, r := range results {
-			scores = append(scores, r.Score())
-			differences = append(differences, r.Score()-c.Results[0][i].Score())
-			whole, windows = append(whole, r.Whole), append(windows, r.Windows)
-			queue, lost = append(queue, r.Worst), append(lost, r.Lost)
-			runs, stopped, atOnce = runs+r.Runs, stopped+r.Stopped, atOnce+r.StoppedAtOnce
-			passes, breaches = passes+r.Passes, breaches+r.Breaches
+			figures[i] = figure(i, r)
 		}
-		difference, deviation := spread(differences)
-		_, _ = fmt.Fprintf(table, "%s\t%.4f\t%+.4f\t%.4f\t%.3f\t%.3f\t%.3f\t%.3f\t%.3f\t%.3f\t%d\t%d\n", c.Variants[v].Name,
-			first(spread(scores)), difference, deviation, first(spread(whole)), first(spread(windows)), first(spread(queue)),
-			first(spread(lost)), share(stopped, runs), share(atOnce, runs), passes/len(results), breaches)
+		mean, deviation := stat.MeanStdDev(figures, nil)
+		return mean, stat.StdErr(deviation, float64(len(figures)))
 	}
-	_, _ = fmt.Fprintln(table, "\nvariant\tqueue\towed\tin aim\tlate\tnot served\tlargest in aim\tearned")
-	for v, results := range c.Results {
-		for _, q := range sumQueues(results) {
-			_, _ = fmt.Fprintf(table, "%s\t%s\t%d\t%.3f\t%.3f\t%.3f\t%.3f\t%.3f\n", c.Variants[v].Name, q.Name, q.Owed,
-				share(q.InAim, q.Owed), share(q.Late, q.Owed), share(q.Owed-q.InAim-q.Late, q.Owed), share(q.WideInAim, q.WideOwed), q.Earned/q.Worth)
-		}
+	score, _ := mean(func(_ int, r *Result) float64 { return r.Score() })
+	difference, stdError := mean(func(i int, r *Result) float64 { return r.Score() - c.Results[0][i].Score() })
+	whole, _ := mean(func(_ int, r *Result) float64 { return r.Whole })
+	windows, _ := mean(func(_ int, r *Result) float64 { return r.Windows })
+	queue, _ := mean(func(_ int, r *Result) float64 { return r.Worst })
+	lost, _ := mean(func(_ int, r *Result) float64 { return r.Lost })
+	var runs, stopped, atOnce, passes, breaches int
+	for _, r := range results {
+		runs, stopped, atOnce = runs+r.Runs, stopped+r.Stopped, atOnce+r.StoppedAtOnce
+		passes, breaches = passes+r.Passes, breaches+r.Breaches
+	}
+	return []any{
+		c.Variants[v].Name, fmt.Sprintf("%.4f", score), fmt.Sprintf("%+.4f", difference), fmt.Sprintf("%.4f", stdError),
+		three(whole), three(windows), three(queue), three(lost), share(stopped, runs), share(atOnce, runs), passes / len(results), breaches,
 	}
-	return table.Flush()
 }
 
-func first(mean, _ float64) float64 { return mean }
+func three(figure float64) string { return fmt.Sprintf("%.3f", figure) }
 
-func share(part, whole int) float64 { return float64(part) / float64(max(whole, 1)) }
+func share(part, whole int) string { return three(float64(part) / float64(max(whole, 1))) }
 
 func sumQueues(results []*Result) []QueueResult {
 	var sums []QueueResult
--- a/internal/experiment/overload/engine.go
+++ b/internal/experiment/overload/engine.go
@@ -20,6 +20,8 @@
 	startTime = 30 * time.Millisecond
 	// failTime is from the failure of a run until its unit waits again: two commits.
 	failTime = 50 * time.Millisecond
+	// lossEvery is from the loss of one worker to that of the next.
+	lossEvery = 50 * time.Millisecond
 )
 
 type eventKind int
@@ -56,7 +58,9 @@
 	learned *scheduling.RunTimes
 	warm    warmth.Warmth
 	paces   pace.Learner
-	passed  time.Duration
+	// speeds are what the paces tell.
+	speeds map[string]float64
+	passed time.Duration
 	// news says that something changed since the last pass.
 	news   bool
 	result Result
@@ -72,7 +76,7 @@
 		e.events.Add(w.at, event{kind: eventArrive, workflow: w})
 	}
 	for i, worker := range day.lost {
-		at := day.lostAt + time.Duration(i)*50*time.Millisecond
+		at := day.lostAt + time.Duration(i)*lossEvery
 		e.events.Add(at, event{kind: eventLost, worker: worker})
 		e.events.Add(at+day.LostFor, event{kind: eventBack, worker: worker})
 	}
@@ -92,6 +96,11 @@
 	if next.unit != nil && (next.epoch != next.unit.job.Epoch || next.unit.workflow.ended > 0) {
 		return
 	}
+	if e.day.absent.holds(e.now) && (next.kind == eventEnd || next.kind == eventFail) {
+		// Nobody hears of the end of a run until an instance leads again.
+		e.events.Add(e.day.absent.to, next)
+		return
+	}
 	if next.kind != eventPass {
 		e.news = true
 	}
@@ -137,9 +146,10 @@
 		return
 	}
 	w.ended = e.now
-	for _, u := range slices.Clone(e.active) {
-		if u.workflow == w {
-			e.drop(u)
+	e.active = slices.DeleteFunc(e.active, func(u *unit) bool { return u.workflow == w })
+	for _, s := range w.steps {
+		for _, u := range s.units {
+			delete(e.byJob, u.job.Id)
 		}
 	}
 }
@@ -149,16 +159,13 @@
 	delete(e.byJob, u.job.Id)
 }
 
-// end takes in a run that ended well. Without a leader nobody hears of it.
+// end takes in a run that ended well.
 func (e *engine) end(u *unit) {
-	if e.day.absent.holds(e.now) {
-		e.events.Add(e.day.absent.to, event{kind: eventEnd, unit: u, epoch: u.job.Epoch})
-		return
-	}
 	e.result.Done++
+	slowest := e.day.slowest(u.job.Placements)
 	for _, placement := range u.job.Placements {
 		// A member that is done waits for the slowest.
-		waits := 1 - e.day.slowest(u.job.Placements)/e.day.speeds[placement.Worker]
+		waits := 1 - slowest/e.day.speeds[placement.Worker]
 		e.result.Lost += waits * float64(u.job.Accelerators) * (e.now - u.began).Seconds()
 	}
 	e.learned.Observe(u.job.WorkClass, time.Duration(u.job.RunTimeMs)*time.Millisecond, u.run)
@@ -175,10 +182,6 @@
 }
 
 func (e *engine) fail(u *unit) {
-	if e.day.absent.holds(e.now) {
-		e.events.Add(e.day.absent.to, event{kind: eventFail, unit: u, epoch: u.job.Epoch})
-		return
-	}
 	e.result.Failed++
 	e.result.Lost += u.width() * (e.now - u.began).Seconds()
 	u.job.OwnFailures++
@@ -228,10 +231,9 @@
 	e.news, e.passed = false, e.now
 	e.observe()
 	workers := slices.Clone(e.day.workers)
-	speeds := e.paces.Speeds()
 	for i := range workers {
 		workers[i].Unavailable = e.down[workers[i].ID]
-		workers[i].Speed = speeds[workers[i].ID]
+		workers[i].Speed = e.speeds[workers[i].ID]
 	}
 	jobs := make([]*controlpb.Job, len(e.active))
 	for i, u := range e.active {
@@ -260,15 +262,19 @@
 
 // observe learns from gangs that have run for a while.
 func (e *engine) observe() {
+	learned := false
 	for _, u := range e.active {
 		if u.observed == u.job.Epoch || u.job.Tasks < 2 || u.job.StartedMs == 0 || e.now-u.began < observedAfter || len(u.job.Placements) == 0 {
 			continue
 		}
-		u.observed = u.job.Epoch
+		u.observed, learned = u.job.Epoch, true
 		for _, placement := range u.job.Placements {
 			e.paces.Observe(pace.Run{Job: u.job.Id, Epoch: u.job.Epoch}, placement.Worker, e.day.speeds[placement.Worker])
 		}
 	}
+	if learned {
+		e.speeds = e.paces.Speeds()
+	}
 }
 
 func (e *engine) start(u *unit, placements []*controlpb.Placement) {
--- a/internal/experiment/overload/overload_test.go
+++ b/internal/experiment/overload/overload_test.go
@@ -6,16 +6,19 @@
 	"path/filepath"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 
 	"pinewinch.example/pinewinch/internal/coordination/scheduling"
 )
 
+// load gives about half of the customer's workers, for days that are short to replay.
 func load(t *testing.T) *Deployment {
 	t.Helper()
-	d, err := Load("testdata/coedlinell-40.ini")
+	d, err := Load("../../../examples/overload/coedlinell-85.ini")
 	is.New(t).NoErr(err)
+	d.Workers, d.Customers, d.Arrivals, d.Length, d.Tail = 40, 8, 2.2, 20*time.Second, 10*time.Second
 	return d
 }
 
--- a/internal/experiment/overload/result.go
+++ b/internal/experiment/overload/result.go
@@ -55,7 +55,7 @@
 
 func (r *Result) finish(day *Day) {
 	var owed, earned, work float64
-	windows := map[int]*[2]float64{}
+	windows := map[int]*earnings{}
 	for i := range day.Queues {
 		q := &day.Queues[i]
 		all := ofQueue(day, q)
@@ -77,10 +77,10 @@
 			work += w.work
 			at := int(w.at / windowLength)
 			if windows[at] == nil {
-				windows[at] = &[2]float64{}
+				windows[at] = &earnings{}
 			}
-			windows[at][0] += got
-			windows[at][1] += q.Worth * worth
+			windows[at].earned += got
+			windows[at].owed += q.Worth * worth
 		}
 		owed += counted.Worth
 		earned += counted.Earned
@@ -137,10 +137,13 @@
 	}
 }
 
-func worst(windows map[int]*[2]float64) float64 {
+// earnings of the workflows that came in one window.
+type earnings struct{ earned, owed float64 }
+
+func worst(windows map[int]*earnings) float64 {
 	var shares []float64
 	for _, window := range windows {
-		shares = append(shares, window[0]/window[1])
+		shares = append(shares, window.earned/window.owed)
 	}
 	slices.Sort(shares)
 	shares = shares[:min(worstWindows, len(shares))]
--- a/internal/experiment/overload/unit.go
+++ b/internal/experiment/overload/unit.go
@@ -66,7 +66,7 @@
 func (d *Day) speedOn(u *unit, placements []*controlpb.Placement) float64 {
 	racks := map[string]bool{}
 	for _, placement := range placements {
-		racks[d.rackOf(placement.Worker)] = true
+		racks[d.rackOf[placement.Worker]] = true
 	}
 	away := u.job.DataRack != "" && (len(racks) > 1 || !racks[u.job.DataRack])
 	if away || (u.job.TightlyCoupled && len(racks) > 1) {
@@ -82,11 +82,3 @@
 	}
 	return slowest
 }
-
-func (d *Day) rackOf(worker string) string {
-	var number int
-	if _, err := fmt.Sscanf(worker, "w%d", &number); err != nil {
-		return ""
-	}
-	return rackName(number / d.PerRack)
-}
--- a/internal/experiment/overload/workload.go
+++ b/internal/experiment/overload/workload.go
@@ -15,8 +15,10 @@
 // Day is one day drawn from a deployment.
 type Day struct {
 	*Deployment
-	workers   []scheduling.Worker
+	workers []scheduling.Worker
+	// speeds and racks of the workers, by id.
 	speeds    map[string]float64
+	rackOf    map[string]string
 	customers map[string]*controlpb.Customer
 	workflows []*workflow
 	// absent is when no instance leads.
@@ -56,7 +58,7 @@
 
 // Day draws the day of a seed.
 func (d *Deployment) Day(seed uint64) *Day {
-	m := &maker{Day: &Day{Deployment: d, speeds: map[string]float64{}, customers: map[string]*controlpb.Customer{}}, random: rand.New(rand.NewPCG(seed, 1))}
+	m := &maker{Day: &Day{Deployment: d, speeds: map[string]float64{}, rackOf: map[string]string{}, customers: map[string]*controlpb.Customer{}}, random: rand.New(rand.NewPCG(seed, 1))}
 	m.makeWorkers()
 	for i := range d.Customers {
 		name := customerName(i)
@@ -78,7 +80,7 @@
 func customerName(i int) string { return fmt.Sprintf("c%02d", i) }
 
 func (m *maker) makeWorkers() {
-	racks := (m.Workers + m.PerRack - 1) / m.PerRack
+	racks := m.racks()
 	for i := range m.Deployment.Workers {
 		rack := i / m.PerRack
 		worker := scheduling.Worker{
@@ -86,10 +88,13 @@
 			Cores: m.Cores, MemoryMB: m.MemoryMB, Accelerators: m.Accelerators,
 		}
 		m.workers = append(m.workers, worker)
+		m.rackOf[worker.ID] = worker.Rack
 		m.speeds[worker.ID] = m.Speeds[m.random.IntN(len(m.Speeds))]
 	}
 }
 
+func (d *Deployment) racks() int { return (d.Workers + d.PerRack - 1) / d.PerRack }
+
 func rackName(i int) string { return fmt.Sprintf("r%03d", i) }
 
 // troubleUntil is the share of the day in which troubles begin, so that their
@@ -189,7 +194,7 @@
 		State: controlpb.JobState_JOB_STATE_WAITING, MaxAttempts: q.MaxAttempts,
 	}
 	if m.random.Float64() < q.DataRack {
-		job.DataRack = rackName(m.random.IntN((m.Deployment.Workers + m.PerRack - 1) / m.PerRack))
+		job.DataRack = rackName(m.random.IntN(m.racks()))
 	}
 	tight := m.random.Float64() < q.Tight
 	job.TightlyCoupled = tight && q.Gang && width > 1 && width <= m.mostInRack(q, accelerators)
