--- a/internal/coordination/replica/confirm.go
+++ b/internal/coordination/replica/confirm.go
@@ -88,15 +88,10 @@
 	if leader == "" || leader == r.config.Instance {
 		return
 	}
-	asking, cancel := context.WithTimeout(ctx, r.config.FreshnessBound)
+	led, leave := control.Until(ctx, changed)
+	defer leave()
+	asking, cancel := context.WithTimeout(led, r.config.FreshnessBound)
 	defer cancel()
-	go func() {
-		select {
-		case <-changed:
-			cancel()
-		case <-asking.Done():
-		}
-	}()
 	// A failed try leaves the state to grow old; the next one follows.
 	_ = r.confirmFrom(asking, leader, false)
 }
