Sight: what a start carried, and starts withheld because their job had moved on

An engineer could not tell from the leader's lines whether a worker that was told to start something wrong had got an empty specification, another's checkpoint or a stale order: 'started' named the task alone, and a start that did not leave left no line. Now 'started' and 'start refused or lost' name the size of the specification and the checkpoint, 'start withheld' the state and epoch that the job had come to, and leases_starts_withheld counts them. The name of a job's state stands in one place.

--- a/internal/coordination/dispatch/leases/command.go
+++ b/internal/coordination/dispatch/leases/command.go
@@ -98,11 +98,8 @@
 	if !ok {
 		return nil, failure.New(failure.NotFound, "no workflow %s", job.Workflow)
 	}
-	// A start waits for its turn and for its worker, and the job may be cancelled
-	// meanwhile: its epoch stays, while its workflow loses the specification. The worker
-	// would be told to run nothing that anybody asked for.
-	if job.Epoch != command.Epoch || job.State != controlpb.JobState_JOB_STATE_STARTING {
-		return nil, failure.New(failure.StaleEpoch, "the job has moved on")
+	if overtaken(job, command) {
+		return nil, s.withhold(state, job, command)
 	}
 	if err := s.keeper.mayOrder(s.token); err != nil {
 		return nil, err
@@ -127,7 +124,10 @@
 	s.asked()
 	sent := s.now()
 	clock, err := s.keeper.client.Start(ctx, s.target, start)
-	entry := s.entry().WithFields(logrus.Fields{"task": start.Task, "run": start.Run, "index": state.Index()})
+	entry := s.entryOf(start.Task, start.Run, state).WithField("specification_bytes", len(start.Specification))
+	if start.Checkpoint != "" {
+		entry = entry.WithField("checkpoint", start.Checkpoint)
+	}
 	if err != nil {
 		f := failure.From(err)
 		entry.WithFields(logrus.Fields{"code": f.Code, "detail": f.Error()}).Warn("start refused or lost")
@@ -143,6 +143,28 @@
 	return &api.TaskAnswer{Incarnation: command.Incarnation, Phase: api.PhaseRunning}, nil
 }
 
+// overtaken tells a start whose job is no longer being started under that epoch. A start
+// waits for its turn, and the job may be cancelled meanwhile: its epoch stays, while its
+// workflow loses the specification. The worker would be told to run nothing that anybody
+// asked for.
+func overtaken(job *controlpb.Job, command *api.TaskCommand) bool {
+	return job.Epoch != command.Epoch || job.State != controlpb.JobState_JOB_STATE_STARTING
+}
+
+// withhold notes a start that does not leave.
+func (s *session) withhold(state *store.State, job *controlpb.Job, command *api.TaskCommand) error {
+	startsWithheld.Add(1)
+	s.entryOf(store.TaskName(job, command.Task), command.Epoch, state).WithFields(logrus.Fields{
+		"state": store.StateName(job.State), "epoch": job.Epoch,
+	}).Info("start withheld")
+	return failure.New(failure.StaleEpoch, "the job has moved on")
+}
+
+// entryOf begins a line on an order for a run, with the state that decided it.
+func (s *session) entryOf(task string, run uint64, state *store.State) *logrus.Entry {
+	return s.entry().WithFields(logrus.Fields{"task": task, "run": run, "index": state.Index()})
+}
+
 // awaitLook waits for the worker's first answer under the token. Before it the
 // worker's clock is not known, and an order of an earlier leader may still be obeyed
 // after this one: a start with a lease of that time would outlive what is waited
--- a/internal/coordination/dispatch/lines.go
+++ b/internal/coordination/dispatch/lines.go
@@ -18,7 +18,7 @@
 		if move.State == controlpb.JobState_JOB_STATE_RUNNING {
 			continue
 		}
-		fields := logrus.Fields{"job": move.Job, "epoch": move.Epoch, "to": stateName(move.State)}
+		fields := logrus.Fields{"job": move.Job, "epoch": move.Epoch, "to": store.StateName(move.State)}
 		if move.Failure != nil {
 			fields["code"] = move.Failure.Code
 			fields["worker"] = move.Failure.Worker
@@ -85,11 +85,6 @@
 	}
 }
 
-func stateName(state controlpb.JobState) string {
-	const prefix = len("JOB_STATE_")
-	return state.String()[prefix:]
-}
-
 // openWorkflows remembers which workflows had not ended when last looked at, to
 // write a line for each that has.
 type openWorkflows struct {
--- a/internal/coordination/report/report.go
+++ b/internal/coordination/report/report.go
@@ -13,6 +13,7 @@
 	"pinewinch.example/pinewinch/internal/protocol/api"
 	"pinewinch.example/pinewinch/internal/protocol/controlpb"
 	"pinewinch.example/pinewinch/internal/protocol/peerpb"
+	"pinewinch.example/pinewinch/internal/state/store"
 )
 
 const msPerSecond = 1000
@@ -69,11 +70,9 @@
 	return customers
 }
 
-const statePrefix = "JOB_STATE_"
-
 // StateName is the name of a job's state in JSON and tables.
 func StateName(state controlpb.JobState) string {
-	return strings.ToLower(strings.TrimPrefix(state.String(), statePrefix))
+	return strings.ToLower(store.StateName(state))
 }
 
 // customer is what is known of one customer, or of all together. A customer
--- a/internal/state/store/store.go
+++ b/internal/state/store/store.go
@@ -6,6 +6,7 @@
 package store
 
 import (
+	"strings"
 	"time"
 
 	iradix "github.com/hashicorp/go-immutable-radix/v2"
@@ -205,6 +206,11 @@
 	return false
 }
 
+// StateName is a job's state as logs and tables name it, in capitals.
+func StateName(state controlpb.JobState) string {
+	return strings.TrimPrefix(state.String(), "JOB_STATE_")
+}
+
 func claimKey(customer, key string) []byte { return []byte(customer + "/" + key) }
 
 func list[T any](t *table[T]) []T {
