Model check: what a worker is told to start is what was sent

The check of runs and leases drew cancellations, but no order waited for its turn there and nobody looked at what a start carried: 200 schedules of it pass with the check of a start's job undone, while the new one breaks in its first second ('run 1 of f3.0.0.0 is to run ""', 343 ms, 99 ms after the cancellation). With the check in place 200 schedules pass.

--- a/internal/coordination/dispatch/leases/cancelled_test.go
+++ b/internal/coordination/dispatch/leases/cancelled_test.go
@@ -56,5 +56,7 @@
 
 // apply commits a command.
 func (c *cluster) apply(command *controlpb.Command) {
-	c.set(func() { c.state, _ = control.Apply(c.state, &peerpb.LogEntry{Index: c.state.Index() + 1, Command: command}) })
+	c.set(func() {
+		c.state, _ = control.Apply(c.state, &peerpb.LogEntry{Index: c.state.Index() + 1, Command: command})
+	})
 }
--- a/internal/coordination/dispatch/leases/instance_model_test.go
+++ b/internal/coordination/dispatch/leases/instance_model_test.go
@@ -65,7 +65,7 @@
 		LeaseOver: i.leaseOver,
 		Term:      i.Term,
 		Now:       time.Now,
-	}, i, i.keeper)
+	}, i, i)
 	return i
 }
 
--- a/internal/coordination/dispatch/leases/schedules_test.go
+++ b/internal/coordination/dispatch/leases/schedules_test.go
@@ -40,6 +40,10 @@
 	seed      uint64
 	workflows int
 	events    []event
+	// turns and cancelAfter are the world's; zero and nil for orders that leave at once
+	// and callers who stay.
+	turns       time.Duration
+	cancelAfter map[string]cancellation
 }
 
 func drawSchedule(t *rapid.T) schedule {
@@ -118,6 +122,7 @@
 func (w *world) begin(ctx context.Context, s schedule) {
 	w.mu.Lock()
 	w.term, w.leader, w.chaos = 1, w.instances[0], 3
+	w.turns, w.cancelAfter = s.turns, s.cancelAfter
 	for n := range s.workflows {
 		w.submit(n)
 	}
@@ -140,7 +145,7 @@
 	w.work[id] = []time.Duration{longWork, shortWork}[n%2]
 	w.gangs[id+".0.1"] = size
 	w.apply(&controlpb.Command{Op: &controlpb.Command_SubmitWorkflow{SubmitWorkflow: &controlpb.SubmitWorkflow{Workflow: &controlpb.Workflow{
-		Id: id, Queue: "q", Specification: "s", SharedEnds: true, MaxAttempts: 50,
+		Id: id, Queue: "q", Specification: specificationOf(id), SharedEnds: true, MaxAttempts: 50,
 		Steps: []*controlpb.Step{
 			{Count: 2, RunTimeMs: w.work[id].Milliseconds()},
 			{Count: uint32(size), RunTimeMs: w.work[id].Milliseconds(), Gang: true, After: []uint32{0}},
--- a/internal/coordination/dispatch/leases/worker_model_test.go
+++ b/internal/coordination/dispatch/leases/worker_model_test.go
@@ -86,6 +86,7 @@
 	if err := b.accept(order.Token); err != nil {
 		return 0, err
 	}
+	b.world.asked(order)
 	clock := b.clockAt(now)
 	if alive := b.running[order.Task]; alive != nil && alive.run == order.Run {
 		b.extend(order.Deadline, now)
@@ -118,7 +119,7 @@
 	b.acknowledge(look.Acknowledged, now)
 	report := &leases.Report{Clock: b.clockAt(now)}
 	for task, alive := range b.running {
-		report.Running = append(report.Running, leases.Running{Task: task, Run: alive.run})
+		report.Running = append(report.Running, leases.Running{Task: task, Run: alive.run, Checkpoint: b.world.checkpointOf(task, alive.run)})
 	}
 	for _, end := range b.ends {
 		if end.Number > b.acked {
@@ -151,7 +152,7 @@
 	delete(b.running, task)
 	b.barred[task] = max(b.barred[task], alive.run)
 	b.ended++
-	b.ends = append(b.ends, leases.End{Number: b.ended, Task: task, Run: alive.run, How: how})
+	b.ends = append(b.ends, leases.End{Number: b.ended, Task: task, Run: alive.run, How: how, Checkpoint: b.world.checkpointOf(task, alive.run)})
 	b.endedAt[b.ended] = now
 	b.world.tellAt(now, "%s ends run %d of %s, way %d, number %d", b.id, alive.run, task, how, b.ended)
 	if how == leases.Done {
--- a/internal/coordination/dispatch/leases/world_model_test.go
+++ b/internal/coordination/dispatch/leases/world_model_test.go
@@ -41,6 +41,11 @@
 	work map[string]time.Duration
 	// gangs are the sizes of gang steps by the name of their job.
 	gangs map[string]int
+	// cancelAfter is how long after its nth placement the caller of a workflow cancels it;
+	// none for those that are left alone.
+	cancelAfter map[string]cancellation
+	// turns is how long an order may wait for its turn at the leader.
+	turns time.Duration
 	// good are the good ends of each task.
 	good   map[string][]*goodEnd
 	broken string
@@ -69,6 +74,7 @@
 	command.TimeMs = time.Now().UnixMilli()
 	next, result := control.Apply(w.state, &peerpb.LogEntry{Index: w.state.Index() + 1, Term: w.term, Command: command})
 	w.state = next
+	w.notePlacements(command.GetPlan())
 	return result
 }
 
