A pass is due when a pause between two attempts ends

A caller whose lone job was refused by its worker waited for up to 1 s after the pause: passes are made with news, and the end of a pause is none. The gate now remembers the earliest end of a pause among waiting jobs and opens then; time alone still opens it after 1 s. Test: seen to fail with the pauses forgotten (no pass at 100 ms).

--- a/internal/coordination/dispatch/controller.go
+++ b/internal/coordination/dispatch/controller.go
@@ -150,7 +150,9 @@
 	if !c.passes.open(state.Index(), workers, c.now()) {
 		return
 	}
-	plan := scheduling.Pass(c.snapshot(state, workers))
+	snapshot := c.snapshot(state, workers)
+	c.passes.expect(snapshot.Jobs)
+	plan := scheduling.Pass(snapshot)
 	c.newest = plan
 	c.waiting.Store(&plan.Waiting)
 	if plan.Breach != nil {
--- a/internal/coordination/dispatch/passgate.go
+++ b/internal/coordination/dispatch/passgate.go
@@ -5,10 +5,10 @@
 	"time"
 
 	"pinewinch.example/pinewinch/internal/coordination/scheduling"
+	"pinewinch.example/pinewinch/internal/protocol/controlpb"
 )
 
-// passAnyway is how often a pass is made without news: time alone ends back-offs
-// and moves deadlines near.
+// passAnyway is how often a pass is made without news: time alone moves deadlines near.
 const passAnyway = time.Second
 
 // passGate tells when a scheduling pass can find anything new. Announcements come
@@ -17,6 +17,8 @@
 	index   uint64
 	workers []workerFacts
 	made    time.Time
+	// due is when time alone calls for the next pass.
+	due time.Time
 }
 
 // workerFacts is what scheduling reads of a worker.
@@ -30,16 +32,27 @@
 
 // open tells whether a pass is due, and takes note that it is made now.
 func (g *passGate) open(index uint64, workers []scheduling.Worker, now time.Time) bool {
-	if index == g.index && now.Sub(g.made) < passAnyway && slices.EqualFunc(workers, g.workers, unchanged) {
+	if index == g.index && now.Before(g.due) && slices.EqualFunc(workers, g.workers, unchanged) {
 		return false
 	}
-	g.index, g.made, g.workers = index, now, g.workers[:0]
+	g.index, g.made, g.due, g.workers = index, now, now.Add(passAnyway), g.workers[:0]
 	for i := range workers {
 		g.workers = append(g.workers, factsOf(workers[i]))
 	}
 	return true
 }
 
+// expect takes note of the pauses that jobs wait out: the end of one is no news, and a
+// lone job would wait for the next pass, a second later at most.
+func (g *passGate) expect(jobs []*controlpb.Job) {
+	for _, job := range jobs {
+		ends := time.UnixMilli(job.NotBeforeMs)
+		if job.State == controlpb.JobState_JOB_STATE_WAITING && ends.After(g.made) && ends.Before(g.due) {
+			g.due = ends
+		}
+	}
+}
+
 func unchanged(worker scheduling.Worker, facts workerFacts) bool { return factsOf(worker) == facts }
 
 func factsOf(w scheduling.Worker) workerFacts {
--- /dev/null
+++ b/internal/coordination/dispatch/passgate_test.go
@@ -0,0 +1,29 @@
+package dispatch
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"pinewinch.example/pinewinch/internal/protocol/controlpb"
+)
+
+// A worker refuses a lone job, which may be tried again 100 ms later. Nothing else
+// happens in the system, so no news opened a pass, and the caller waited for up to a
+// second more. The end of the pause opens one.
+func TestPassIsDueWhenAPauseEnds(t *testing.T) {
+	is := is.New(t)
+	now := time.UnixMilli(1_000_000)
+	paused := &controlpb.Job{State: controlpb.JobState_JOB_STATE_WAITING, NotBeforeMs: now.Add(100 * time.Millisecond).UnixMilli()}
+	tried := &controlpb.Job{State: controlpb.JobState_JOB_STATE_STARTING, NotBeforeMs: now.Add(50 * time.Millisecond).UnixMilli()}
+	gate := &passGate{}
+	is.True(gate.open(1, nil, now))
+	gate.expect([]*controlpb.Job{paused, tried})
+	is.True(!gate.open(1, nil, now.Add(99*time.Millisecond)))
+	is.True(gate.open(1, nil, now.Add(100*time.Millisecond)))
+	gate.expect([]*controlpb.Job{paused})
+	is.True(!gate.open(1, nil, now.Add(1099*time.Millisecond)))
+	is.True(gate.open(1, nil, now.Add(1100*time.Millisecond)))
+	is.True(gate.open(2, nil, now.Add(1101*time.Millisecond)))
+}
