Golden digests of plans: 200 more clusters of few shapes, half of it urgent

What a pass remembers of one job is asked for again there: a cluster of all shapes hardly ever asks twice for the same.

--- a/internal/coordination/scheduling/golden_test.go
+++ b/internal/coordination/scheduling/golden_test.go
@@ -19,6 +19,7 @@
 
 const (
 	goldenWorlds = 400
+	alikeWorlds  = 200
 	goldenSteps  = 6
 )
 
@@ -35,6 +36,9 @@
 	for seed := range uint64(goldenWorlds) {
 		got = append(got, fmt.Sprintf("seed-%d %s", seed, digestOf(t, newSeededWorld(seed).live())))
 	}
+	for seed := range uint64(alikeWorlds) {
+		got = append(got, fmt.Sprintf("alike-%d %s", seed, digestOf(t, newAlikeWorld(seed).live())))
+	}
 	got = append(got,
 		fmt.Sprintf("units-350 %s", digestOf(t, []*Plan{Pass(busyUnits(350))})),
 		fmt.Sprintf("running-19000 %s", digestOf(t, []*Plan{Pass(fullSize(19000, 250))})),
@@ -101,10 +105,20 @@
 	arrived  int
 	// units makes it a system of workflows' units, else one of jobs and cells.
 	units bool
+	// alike makes it one of few shapes, half of it urgent, so that what a pass remembers of
+	// one job is asked for again.
+	alike bool
 }
 
 func newSeededWorld(seed uint64) *seededWorld {
-	w := &seededWorld{random: rand.New(rand.NewPCG(seed, 0)), units: seed%2 == 0}
+	return (&seededWorld{random: rand.New(rand.NewPCG(seed, 0)), units: seed%2 == 0}).begin()
+}
+
+func newAlikeWorld(seed uint64) *seededWorld {
+	return (&seededWorld{random: rand.New(rand.NewPCG(seed, 1)), units: seed%2 == 0, alike: true}).begin()
+}
+
+func (w *seededWorld) begin() *seededWorld {
 	racks, perRack := 1+w.random.IntN(6), 1+w.random.IntN(10)
 	w.snapshot = snapshotOf(testWorkers(1+w.random.IntN(2), racks, perRack, 0), w.customers())
 	for i := range w.snapshot.Workers {
@@ -164,6 +178,9 @@
 	if w.oneIn(10) {
 		job.NotBeforeMs = now + int64(w.random.IntN(2000))
 	}
+	if w.alike {
+		w.makeAlike(job)
+	}
 	if w.units {
 		w.makeUnit(job)
 		return job
@@ -176,11 +193,20 @@
 	return job
 }
 
+func (w *seededWorld) makeAlike(job *controlpb.Job) {
+	job.Tasks, job.Accelerators, job.Cores = pick[uint32](w, 1, 3), pick[uint32](w, 1, 2), 1
+	job.Adjacency = pick(w, anywhere, anywhere, inRack)
+	job.Checkpointable, job.Urgent = !w.oneIn(6), w.oneIn(2)
+}
+
 func (w *seededWorld) makeUnit(job *controlpb.Job) {
 	job.Workflow = fmt.Sprint("w", w.random.IntN(20))
 	job.RunTimeMs = int64(500 + w.random.IntN(15_000))
 	job.DeadlineMs = w.snapshot.Now.UnixMilli() + int64(w.random.IntN(30_000)) - 2000
 	job.MaxAttempts = 2
+	if w.alike {
+		return
+	}
 	job.TightlyCoupled = w.oneIn(4) && job.Adjacency != onWorker
 	job.DataRack = pick(w, "", "", "r0", "r1")
 	job.Service = pick(w, "", "s", "s", "z")
