--- a/internal/coordination/scheduling/cellsearch.go
+++ b/internal/coordination/scheduling/cellsearch.go
@@ -74,7 +74,7 @@
 	cell := c.cells[last]
 	c.cells = c.cells[:last]
 	for _, part := range cell.parts {
-		add(&part.node.cells, cell.set.customer, amount{accelerators: -part.count})
+		part.node.keepCell(cell.set.customer, -part.count)
 	}
 }
 
@@ -82,9 +82,9 @@
 // the customer's own work runs, then where the least room is left over.
 func (c *cluster) cellChoices(set guaranteedSet) []cellChoice {
 	var choices []cellChoice
-	for _, nodes := range c.domains(set.adjacency) {
-		choice := cellChoice{nodes: nodes}
-		for _, n := range nodes {
+	for _, domain := range c.domains(set.adjacency) {
+		choice := cellChoice{nodes: domain.nodes}
+		for _, n := range domain.nodes {
 			room := n.roomForCell(set.customer)
 			choice.room += room
 			choice.own += min(room, of(n.usedBy, set.customer).accelerators)
@@ -101,35 +101,15 @@
 }
 
 // domains lists the groups of nodes within which a gang or set is adjacent.
-func (c *cluster) domains(adjacency controlpb.Adjacency) [][]*node {
-	var domains [][]*node
-	switch adjacency {
-	case controlpb.Adjacency_ADJACENCY_WORKER:
-		for i := range c.nodes {
-			domains = append(domains, c.nodes[i:i+1])
-		}
-	case controlpb.Adjacency_ADJACENCY_RACK:
-		for _, r := range c.racks {
-			domains = append(domains, r.nodes)
-		}
-	case controlpb.Adjacency_ADJACENCY_DATA_CENTRE:
-		for _, racks := range c.dataCentres {
-			domains = append(domains, nodesOf(racks))
-		}
-	default:
-		domains = append(domains, c.nodes)
+func (c *cluster) domains(adjacency controlpb.Adjacency) []*domain {
+	domains, known := c.byAdjacency[adjacency]
+	if !known {
+		domains = groups(c.nodes, adjacency)
+		c.byAdjacency[adjacency] = domains
 	}
 	return domains
 }
 
-func nodesOf(racks []*rack) []*node {
-	var nodes []*node
-	for _, r := range racks {
-		nodes = append(nodes, r.nodes...)
-	}
-	return nodes
-}
-
 // fillCell divides a set over nodes with room for it: where the customer's work
 // runs first, then the least room that is enough, else the most room.
 func fillCell(set guaranteedSet, nodes []*node) []cellShare {
--- a/internal/coordination/scheduling/pass.go
+++ b/internal/coordination/scheduling/pass.go
@@ -12,7 +12,6 @@
 	snapshot *Snapshot
 	cluster  *cluster
 	plan     *Plan
-	gangs    []*gang
 	// used is each customer's accelerators, by customerID.
 	used map[customerID]int64
 	// urgentDemand is the accelerators of each customer's urgent workflows; nil
@@ -30,8 +29,6 @@
 	// owned lists nodes by the customer whose cells they keep.
 	owned     map[customerID][]*node
 	mostTasks map[Shape]int64
-	// everywhere is candidates of the whole cluster, once asked for.
-	everywhere []*gang
 	// capacity is every accelerator, weights the sum of customers' weights.
 	capacity int64
 	// total is all that the workers have.
@@ -132,7 +129,6 @@
 		g := p.cluster.hold(job)
 		g.lost = p.lostByStopping(job)
 		g.left = p.remaining(job)
-		p.gangs = append(p.gangs, g)
 		if !g.stopping {
 			p.used[g.customer] += int64(job.Tasks) * int64(job.Accelerators)
 		}
@@ -308,7 +304,7 @@
 // startOwn assigns the gang in its customer's unclaimed cells.
 func (p *pass) startOwn(a *ask) bool {
 	for _, domain := range groups(p.cellNodes(a.customer), a.adjacency) {
-		if spots := fill(domain, a, a.tasks, unclaimedOnly(roomOwn)); spots != nil {
+		if spots := fill(domain.nodes, a, a.tasks, unclaimedOnly(roomOwn)); spots != nil {
 			p.assign(a, spots)
 			return true
 		}
