--- a/internal/coordination/dispatch/gang/unstarted_test.go
+++ b/internal/coordination/dispatch/gang/unstarted_test.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/matryer/is"
+	"google.golang.org/protobuf/proto"
 
 	"pinewinch.example/pinewinch/internal/coordination/dispatch/gang"
 	"pinewinch.example/pinewinch/internal/protocol/api"
@@ -86,3 +87,24 @@
 	is.Equal(len(stops.Commands), 2)
 	is.True(stops.Batch == nil || len(stops.Batch.Moves) == 0)
 }
+
+// A caller's gang runs and is stopped for nothing. Its starts wait for their turn at the
+// leader; the same runs, ordered before this instance led again, show at their workers,
+// and the job is running when the turn of a start comes. That start is withheld, since the
+// job has moved on. Its refusal says nothing of the run that the worker reports.
+func TestRefusedStartOfARunThatShowsEndsNothing(t *testing.T) {
+	is, l := is.New(t), newLeased()
+	l.step()
+	l.step(answerOf(gang.Reserve, 0, nil), answerOf(gang.Reserve, 1, nil))
+	for task, w := range l.workers {
+		w = proto.CloneOf(w)
+		w.Version++
+		w.Tasks = []*peerpb.TaskReport{{Job: "j", Task: uint32(task), Epoch: 1, Phase: peerpb.TaskPhase_TASK_PHASE_RUNNING}}
+		l.workers[task] = w
+	}
+	is.Equal(l.step().Batch.Moves[0].State, controlpb.JobState_JOB_STATE_RUNNING)
+	l.job = proto.CloneOf(l.job)
+	l.job.State = controlpb.JobState_JOB_STATE_RUNNING
+	is.Equal(l.step(answerOf(gang.Start, 0, failure.New(failure.StaleEpoch, "the job has moved on"))).Batch, nil)
+	is.Equal(l.step().Batch, nil)
+}
--- a/internal/coordination/dispatch/leases/cluster_test.go
+++ b/internal/coordination/dispatch/leases/cluster_test.go
@@ -186,13 +186,13 @@
 	change()
 }
 
-// placed is a state with one task of a workflow on the worker.
-func placed() *store.State {
+// placed is a state with one task of a workflow on the worker, and further jobs of it.
+func placed(further ...*controlpb.Job) *store.State {
 	job := &controlpb.Job{
 		Id: "w.0.0.0", Workflow: "w", Tasks: 1, Epoch: 1, State: controlpb.JobState_JOB_STATE_STARTING,
 		Placements: []*controlpb.Placement{{Worker: "i-1", Incarnation: 1}},
 	}
-	return store.Restore(&controlpb.Snapshot{Jobs: []*controlpb.Job{job}, Workflows: []*controlpb.Workflow{{Id: "w", Specification: "s"}}})
+	return store.Restore(&controlpb.Snapshot{Jobs: append(further, job), Workflows: []*controlpb.Workflow{{Id: "w", Specification: "s"}}})
 }
 
 func keep(t *testing.T, c *cluster) *Keeper {
