A withheld start ends no gang that runs

A caller's running gang was stopped and begun again for nothing. A refusal now counts only for a member that does not run: what a worker reports of the run goes before what became of an order.

--- a/internal/coordination/dispatch/gang/starting.go
+++ b/internal/coordination/dispatch/gang/starting.go
@@ -74,7 +74,9 @@
 		return s.taskFailure(m, string(failure.TaskFailed), "the task ended while it was started")
 	case m.phase == phaseStopped:
 		return s.infrastructure(m, failure.LeaseLost, "the worker ended the task")
-	case m.refused != nil:
+	case m.refused != nil && m.phase < phaseRunning:
+		// Of a run that shows at its worker a refused start says nothing: it had waited
+		// at the leader while an earlier one of the same run was obeyed.
 		return s.taskFailure(m, string(m.refused.Code), m.refused.Message)
 	}
 	return nil
