A start is decided and filled in after its last wait

A start could leave up to 0.8 s after its job had been cancelled, or its leader deposed: the job, the specification and the leadership were read first, and then the start waited for the worker's first answer to a look. They are now read after the last wait, all from one state.

--- a/internal/coordination/dispatch/leases/command.go
+++ b/internal/coordination/dispatch/leases/command.go
@@ -52,7 +52,7 @@
 	case api.PathTaskReserve:
 		return s.reserve(ctx, command)
 	case api.PathTaskStart:
-		return s.start(ctx, state, job, command)
+		return s.start(ctx, command)
 	case api.PathTaskStop:
 		return s.stop(ctx, job, command)
 	}
@@ -93,29 +93,22 @@
 
 // start orders a run. Its lease is the worker's, so the order notes that it may
 // prolong it before it leaves.
-func (s *session) start(ctx context.Context, state *store.State, job *controlpb.Job, command *api.TaskCommand) (*api.TaskAnswer, error) {
-	workflow, ok := state.Workflow(job.Workflow)
-	if !ok {
-		return nil, failure.New(failure.NotFound, "no workflow %s", job.Workflow)
-	}
-	if overtaken(job, command) {
-		return nil, s.withhold(state, job, command)
-	}
-	if err := s.keeper.mayOrder(s.token); err != nil {
-		return nil, err
-	}
-	start := Start{
-		Token:         s.token,
-		Task:          store.TaskName(job, command.Task),
-		Run:           command.Epoch,
-		Specification: workflow.Specification,
-		Checkpoint:    job.Checkpoint,
-	}
+func (s *session) start(ctx context.Context, command *api.TaskCommand) (*api.TaskAnswer, error) {
 	ctx, cancel := context.WithTimeout(ctx, startTimeout)
 	defer cancel()
 	if err := s.awaitLook(ctx); err != nil {
 		return nil, err
 	}
+	// All that decides whether the start leaves, and what it carries, is read after the
+	// last wait and from one state.
+	state := s.keeper.log.State()
+	start, err := s.startOf(state, command)
+	if err != nil {
+		return nil, err
+	}
+	if err := s.keeper.mayOrder(s.token); err != nil {
+		return nil, err
+	}
 	s.mu.Lock()
 	start.Deadline = s.ledger.Deadline(s.now())
 	s.ordered = s.now()
@@ -143,6 +136,28 @@
 	return &api.TaskAnswer{Incarnation: command.Incarnation, Phase: api.PhaseRunning}, nil
 }
 
+// startOf fills in a start, unless its job has moved on.
+func (s *session) startOf(state *store.State, command *api.TaskCommand) (Start, error) {
+	job, ok := state.Job(command.Job)
+	if !ok {
+		return Start{}, failure.New(failure.NotFound, "no such job")
+	}
+	workflow, ok := state.Workflow(job.Workflow)
+	if !ok {
+		return Start{}, failure.New(failure.NotFound, "no workflow %s", job.Workflow)
+	}
+	if overtaken(job, command) {
+		return Start{}, s.withhold(state, job, command)
+	}
+	return Start{
+		Token:         s.token,
+		Task:          store.TaskName(job, command.Task),
+		Run:           command.Epoch,
+		Specification: workflow.Specification,
+		Checkpoint:    job.Checkpoint,
+	}, nil
+}
+
 // overtaken tells a start whose job is no longer being started under that epoch. A start
 // waits for its turn, and the job may be cancelled meanwhile: its epoch stays, while its
 // workflow loses the specification. The worker would be told to run nothing that anybody
