An order of an earlier run goes to no other worker

A stop or reserve that waited until its job had been placed again went to the worker of the next run, since the worker is looked up by the placement of now: what it was meant for was left to the search for unwanted runs. An order whose job has another epoch by then is withheld. The line of withheld orders names the kind; the counter is leases_orders_withheld. Test: seen to fail before.

--- a/internal/coordination/dispatch/leases/cancelled_test.go
+++ b/internal/coordination/dispatch/leases/cancelled_test.go
@@ -46,14 +46,14 @@
 		_, err := order(k, api.PathTaskStart)
 		is.NoErr(err)
 		is.True(strings.Contains(lines.String(), "specification_bytes=1"))
-		withheld := startsWithheld.Value()
+		withheld := ordersWithheld.Value()
 		c.apply(&controlpb.Command{Op: &controlpb.Command_CancelWorkflow{CancelWorkflow: &controlpb.CancelWorkflow{Id: "w"}}})
 		_, err = order(k, api.PathTaskStart)
 		is.True(failure.Is(err, failure.StaleEpoch))
-		for _, field := range []string{`msg="start withheld"`, "task=w.0.0.0", "run=1", "state=STOPPING", "worker=i-1"} {
+		for _, field := range []string{`msg="order withheld"`, "order=" + api.PathTaskStart, "task=w.0.0.0", "run=1", "state=STOPPING", "epoch=1"} {
 			is.True(strings.Contains(lines.String(), field))
 		}
-		is.Equal(startsWithheld.Value(), withheld+1)
+		is.Equal(ordersWithheld.Value(), withheld+1)
 	})
 }
 
--- a/internal/coordination/dispatch/leases/command.go
+++ b/internal/coordination/dispatch/leases/command.go
@@ -43,6 +43,11 @@
 	if !ok {
 		return nil, failure.New(failure.NotFound, "no such job")
 	}
+	// The worker is looked up by the job's placement of now: an order that waited until
+	// the job was placed again would go to the worker of another run.
+	if job.Epoch != command.Epoch {
+		return nil, k.withhold(state, job, path, command)
+	}
 	worker := store.PlacementOf(job, command.Task).GetWorker()
 	s := k.session(worker)
 	if s == nil {
@@ -147,7 +152,7 @@
 		return Start{}, failure.New(failure.NotFound, "no workflow %s", job.Workflow)
 	}
 	if overtaken(job, command) {
-		return Start{}, s.withhold(state, job, command)
+		return Start{}, s.keeper.withhold(state, job, api.PathTaskStart, command)
 	}
 	return Start{
 		Token:         s.token,
@@ -166,12 +171,13 @@
 	return job.Epoch != command.Epoch || job.State != controlpb.JobState_JOB_STATE_STARTING
 }
 
-// withhold notes a start that does not leave.
-func (s *session) withhold(state *store.State, job *controlpb.Job, command *api.TaskCommand) error {
-	startsWithheld.Add(1)
-	s.entryOf(store.TaskName(job, command.Task), command.Epoch, state).WithFields(logrus.Fields{
-		"state": store.StateName(job.State), "epoch": job.Epoch,
-	}).Info("start withheld")
+// withhold notes an order that does not leave, since its job has moved on.
+func (k *Keeper) withhold(state *store.State, job *controlpb.Job, path string, command *api.TaskCommand) error {
+	ordersWithheld.Add(1)
+	k.config.Logger.WithFields(logrus.Fields{
+		"order": path, "task": store.TaskName(job, command.Task), "run": command.Epoch,
+		"state": store.StateName(job.State), "epoch": job.Epoch, "index": state.Index(),
+	}).Info("order withheld")
 	return failure.New(failure.StaleEpoch, "the job has moved on")
 }
 
--- a/internal/coordination/dispatch/leases/keeper.go
+++ b/internal/coordination/dispatch/leases/keeper.go
@@ -48,8 +48,8 @@
 	looksSent   = expvar.NewInt("leases_looks")
 	looksFailed = expvar.NewInt("leases_looks_failed")
 	orphansSeen = expvar.NewInt("leases_unwanted_runs")
-	// startsWithheld counts the starts whose job had moved on before they left.
-	startsWithheld = expvar.NewInt("leases_starts_withheld")
+	// ordersWithheld counts the orders whose job had moved on before they left.
+	ordersWithheld = expvar.NewInt("leases_orders_withheld")
 )
 
 // Log is what the keeper needs of the replicated log.
