Whether probed workers hold tasks is found in one look at the jobs

Cause: judge listed all open jobs anew for each worker that may be probed; after a cut that can be most workers, in every step while it lasts. This is the only place that lists jobs for each worker: Keeper, Ledger and viewOf look jobs up by name.

--- a/internal/coordination/dispatch/controller.go
+++ b/internal/coordination/dispatch/controller.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"expvar"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -172,9 +173,11 @@
 	probing = map[string]bool{}
 	workers = make([]scheduling.Worker, 0, len(live))
 	speeds := c.dispatcher.speeds()
+	// Most often no worker is probed, and nobody asks which hold tasks.
+	holding := sync.OnceValue(func() map[string]bool { return holdingTasks(state) })
 	for _, worker := range live {
 		verdict := c.dispatcher.verdict(state, worker.Id)
-		if verdict == quarantine.Probing && holdsTasks(state, worker.Id) {
+		if verdict == quarantine.Probing && holding()[worker.Id] {
 			verdict = quarantine.Quarantined
 		}
 		if verdict == quarantine.Probing {
@@ -209,15 +212,17 @@
 	}
 }
 
-func holdsTasks(state *store.State, worker string) bool {
+// holdingTasks lists the workers that hold tasks of open jobs, for all workers at once: a
+// cut leaves hundreds of workers to be probed, and a look at all jobs for each of them
+// would hold up every step.
+func holdingTasks(state *store.State) map[string]bool {
+	holding := map[string]bool{}
 	for _, job := range state.ActiveJobs() {
 		for _, placement := range job.Placements {
-			if placement.Worker == worker {
-				return true
-			}
+			holding[placement.Worker] = true
 		}
 	}
-	return false
+	return holding
 }
 
 func (c *Controller) snapshot(state *store.State, workers []scheduling.Worker) *scheduling.Snapshot {
