--- a/internal/coordination/scheduling/chunks.go
+++ b/internal/coordination/scheduling/chunks.go
@@ -3,8 +3,8 @@
 // chunkSize is how many values are allocated at once.
 const chunkSize = 256
 
-// chunks allocates many small values together. A pass indexes every running gang, twice:
-// one by one they were seven of ten allocations of a pass.
+// chunks allocates many small values together: a pass indexes every running gang, twice,
+// and one by one they would be most of what it allocates.
 type chunks[T any] struct{ left []T }
 
 // take gives n zero values; appending beyond them does not touch others.
--- a/internal/coordination/scheduling/takeback.go
+++ b/internal/coordination/scheduling/takeback.go
@@ -172,8 +172,8 @@
 }
 
 // candidates lists the preemptible gangs of a domain, cheapest first; some may have
-// been preempted since. The list is made once a pass: made for each urgent ask it took
-// nine tenths of a pass over 1,900 workers.
+// been preempted since. The list is made once a pass: to sort all gangs for each urgent
+// ask would be most of the pass.
 func (d *domain) candidates() []*gang {
 	if d.cheapest == nil {
 		d.cheapest = cheapestFirst(d.nodes)
--- a/internal/coordination/scheduling/tally.go
+++ b/internal/coordination/scheduling/tally.go
@@ -11,7 +11,7 @@
 
 // tally counts the tasks that a domain takes, node by node. It is kept for the next ask
 // of its kind, and then looks only at the nodes that changed in between: counted afresh
-// for each urgent ask it took a third of a pass over 1,900 workers.
+// for each urgent ask, a pass would grow with the square of the workers.
 type tally struct {
 	ask  *ask
 	room room
