A voter that comes late is founded with at once

TestScenarios/worker_vanishes had no leader until 6.6 s after its start, and `apply`, which tries for 5 s, gave up. Before the log is founded the voters ask each other who they are, in rounds with pauses of 0.1, 0.2, 0.4, ... 3 s. Where the last voter comes up after the founder's round at 3.1 s, the next one is at 6.1 s; an election of 0.4 to 0.8 s follows, which gives 6.6 s.

Ruled out: votes that are refused or split (in these runs nobody campaigns before the founding, and the first candidate is elected). Change: a peer that introduces itself and has not answered the last question is news, and the next round is due at once. One that has answered wakes nobody, so that replicas don't wake each other for ever.

TestLateVoterIsFoundedWithAtOnce, in simulated time, bound: the first pause and two of the longest elections. Without the wake it fails for i2 and for i3 late. The tests' mesh names the caller, as the transport does.

--- a/internal/coordination/replica/found.go
+++ b/internal/coordination/replica/found.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
 	"pinewinch.example/pinewinch/internal/coordination/consensus"
@@ -18,6 +19,37 @@
 	introducingTimeout = time.Second
 )
 
+// introductions knows which peers answered when they were last asked who they are.
+// Another that introduces itself has come since, and the next round is due at once:
+// a voter that comes late would otherwise find the others in a pause of up to
+// lastIntroduction, and callers without a leader for as long.
+type introductions struct {
+	mu       sync.Mutex
+	answered map[string]bool
+	// came is raised when a peer introduces itself that has not answered.
+	came control.Signal
+}
+
+func (i *introductions) note(peer string, answered bool) {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	if i.answered == nil {
+		i.answered = map[string]bool{}
+	}
+	i.answered[peer] = answered
+}
+
+// heard notes that a peer introduces itself. One that answered is no news: two
+// replicas would otherwise wake each other without a pause.
+func (i *introductions) heard(peer string) {
+	i.mu.Lock()
+	answered := i.answered[peer]
+	i.mu.Unlock()
+	if !answered {
+		i.came.Raise()
+	}
+}
+
 // found takes part in founding the cluster, as long as this replica has no log.
 //
 // The danger is a wiped disk: a replica that has forgotten its votes must not
@@ -32,12 +64,16 @@
 //   - everyone else waits until an operator adds it as a learner.
 func (r *Replica) found(ctx context.Context) {
 	for length := firstIntroduction; !r.established(ctx); length = min(2*length, lastIntroduction) {
+		came := r.introductions.came.Next()
 		if first := r.agree(ctx); first != nil {
 			_ = r.ask(ctx, func(c *core) { c.found(first) })
 			continue
 		}
-		if !control.Pause(ctx, length) {
+		select {
+		case <-ctx.Done():
 			return
+		case <-came:
+		case <-time.After(length):
 		}
 	}
 }
@@ -61,6 +97,7 @@
 	exists := false
 	for _, peer := range r.config.Peers() {
 		met, err := r.meet(ctx, peer)
+		r.introductions.note(peer, err == nil)
 		if err != nil {
 			continue
 		}
--- a/internal/coordination/replica/found_test.go
+++ b/internal/coordination/replica/found_test.go
@@ -58,6 +58,31 @@
 	})
 }
 
+// Callers find no leader for seconds although every voter is there. Two voters
+// have started and the third comes late, as on a busy machine: the others have
+// looked for it in vain and pause before they look again, for up to 3 s. Its own
+// introduction must end their pause: what is left then is an election, and a second
+// one where the first had no winner.
+func TestLateVoterIsFoundedWithAtOnce(t *testing.T) {
+	for _, late := range voters {
+		t.Run(late, func(t *testing.T) {
+			inBubble(t, func(is *is.I, m *mesh) {
+				for _, voter := range voters {
+					if voter != late {
+						m.start(voter)
+					}
+				}
+				time.Sleep(3200 * time.Millisecond)
+				m.start(late)
+				began := time.Now()
+				m.leader()
+				const longestElection = 2 * electionTimeout
+				is.True(time.Since(began) <= firstIntroduction+2*longestElection)
+			})
+		})
+	}
+}
+
 // All voters' disks are lost at once and an instance without a disk still holds
 // the control state. An empty cluster founded now would make accepted changes
 // revert under callers' eyes; the voters wait for a person instead.
--- a/internal/coordination/replica/mesh_test.go
+++ b/internal/coordination/replica/mesh_test.go
@@ -43,6 +43,8 @@
 
 var voters = []string{"i1", "i2", "i3"}
 
+const electionTimeout = 400 * time.Millisecond
+
 func newMesh(t testing.TB) *mesh {
 	m := &mesh{
 		t: t, replicas: map[string]*Replica{}, disks: map[string]*disktest.FS{},
@@ -66,7 +68,7 @@
 	r := New(Config{
 		Instance: instance, Voters: voters, Peers: func() []string { return []string{"i1", "i2", "i3", "i4"} },
 		Files: m.files(instance), DataFolder: filepath.Join(cmp.Or(m.folder, "/data"), instance),
-		ElectionTimeout: 400 * time.Millisecond, FreshnessBound: 3 * time.Second,
+		ElectionTimeout: electionTimeout, FreshnessBound: 3 * time.Second,
 		SnapshotEntries: m.entries, Now: time.Now, Logger: logger,
 		Rand: rand.New(rand.NewPCG(uint64(instance[1]), 7)),
 	}, endpoint{m, instance})
@@ -161,6 +163,7 @@
 }
 
 func (e endpoint) Call(ctx context.Context, to string, call *peerpb.Call) (*peerpb.Reply, error) {
+	call.From = e.self
 	if to == e.mesh.remembering && call.GetIntroduce() != nil {
 		return &peerpb.Reply{Body: &peerpb.Reply_Introduction{Introduction: &peerpb.Introduction{Cluster: true}}}, nil
 	}
--- a/internal/coordination/replica/replica.go
+++ b/internal/coordination/replica/replica.go
@@ -105,6 +105,8 @@
 	disk   *storage
 	// foundedWith is the first configuration, where this replica founded.
 	foundedWith atomic.Pointer[consensuspb.Configuration]
+	// introductions tell founding when a peer has come.
+	introductions introductions
 	// ended is closed when Run ends.
 	ended chan struct{}
 }
--- a/internal/coordination/replica/serve.go
+++ b/internal/coordination/replica/serve.go
@@ -32,6 +32,7 @@
 	}
 	switch body := call.Body.(type) {
 	case *peerpb.Call_Introduce:
+		r.introductions.heard(call.From)
 		return &peerpb.Reply{Body: &peerpb.Reply_Introduction{Introduction: r.introduce()}}, nil
 	case *peerpb.Call_Confirm:
 		confirmation, err := r.serveConfirm(ctx, body.Confirm)
