TestGangsUnderFailure counts the gangs that were taken back, and awaits a take-back

QuietStops was 0 in 4 of 14 runs (two at a time beside 8 busy loops and three runs of two scenarios, load 47 to 79). Two causes, both in the test. First, the check left out every run of a job that was ever cancelled. The long gangs, which urgent work takes back from, are all cancelled when the load is over, so just the stops that mattered did not count; the test passed only where another gang was stopped with them:

quiet planners:urgent-0 asked 47.510 last 47.990 counted 0 stopped crews:long-1 epoch 1 task 0 on w1 ended 47.893; cancelled true (tasks 1 to 3 between 47.885 and 47.891, the same)

Second, the failures began 3.5 s after the start, whatever had come until then. On a busy machine the first urgent job found room, as a long gang had lost a lease just before:

quiet planners:urgent-0 asked 24.577 last 26.364 counted 0 long-0 task 2 on w7 ended 24.678 lease ended; tasks 0, 1, 3 stopped at 25.3

Ruled out: the product does take back, in 0.2 to 0.5 s in these runs' records.

Changes to the check: a stop counts up to the moment at which its job's cancellation was first sent. It does not count any more where a member of the gang failed or lost its lease, or where the gang is the urgent job itself; both did before, and are no take-back. Changes to the test: the failures begin 1.9 s after a quiet take-back was seen in the workers' records (within a minute, or the test fails), and the load lasts until they are over. -over is now the time of the failures alone, 7 s, which was 6.5 s of 10 s. What the test wants in the end is unchanged.

TestStopsOfATakeBack: with cancelled jobs left out, 0 stops for 2.

--- a/internal/experiment/gangs/check_test.go
+++ b/internal/experiment/gangs/check_test.go
@@ -87,6 +87,39 @@
 	}
 }
 
+// Urgent work starts in quiet by taking a gang back, which is cancelled much later,
+// when the load is over. Counted as cancelled, the gang that was taken back would be
+// the one that no count sees, and a sound run would pass for one without a take-back.
+// A gang that was stopped for its own cancellation, because a member's lease ended, or
+// that is the urgent work itself, was not taken back for it.
+func TestStopsOfATakeBack(t *testing.T) {
+	cases := map[string]struct {
+		change func(e *Evidence)
+		want   int
+	}{
+		"taken back":            {func(*Evidence) {}, 2},
+		"and cancelled later":   {func(e *Evidence) { e.Submitted[1].Cancelled, e.Submitted[1].CancelAsked = true, at(9) }, 2},
+		"cancelled before":      {func(e *Evidence) { e.Submitted[1].CancelAsked = at(0.5) }, 0},
+		"a member's lease over": {func(e *Evidence) { e.Runs[3].Ending = tasks.LeaseEnded }, 0},
+		"stopped before it":     {func(e *Evidence) { e.Runs[2].Ended, e.Runs[3].Ended = at(-1), at(-1) }, 0},
+		"itself":                {func(e *Evidence) { e.Runs[2].Job, e.Runs[3].Job = "j", "j" }, 0},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			evidence := sound()
+			evidence.Bounds.Quiet, evidence.Bounds.QuietWindow = 5*time.Second, time.Second
+			evidence.Classes["long"] = Class{Name: "long", Tasks: 2, Idempotent: true}
+			evidence.Submitted = append(evidence.Submitted, Submitted{ID: "long", Class: "long", Asked: at(-3)})
+			evidence.Jobs = append(evidence.Jobs, api.Job{ID: "long", WorkClass: "long", State: api.JobCancelled, EndedMs: at(9).UnixMilli()})
+			evidence.Runs = append(evidence.Runs[2:], run(0, 1, "c", -2, 1.5, tasks.Stopped), run(1, 1, "d", -2, 1.6, tasks.Stopped))
+			evidence.Runs[2].Job, evidence.Runs[3].Job = "long", "long"
+			c.change(evidence)
+			is.Equal(Check(evidence).QuietStops, c.want)
+		})
+	}
+}
+
 // A failure gives the take-back time only while it lasts, and two that overlap
 // do not count twice.
 func TestFailingTimeCountsOnce(t *testing.T) {
--- a/internal/experiment/gangs/ends.go
+++ b/internal/experiment/gangs/ends.go
@@ -160,7 +160,7 @@
 		bound := c.Bounds.TakeBack + c.failing(s.Asked, last)
 		if quiet := c.Bounds.Quiet; quiet > 0 && c.failing(s.Asked, s.Asked.Add(c.Bounds.QuietWindow)) == 0 {
 			c.QuietTakeBacks++
-			c.QuietStops += c.stopped(s.Asked, c.untilFailure(s.Asked, last))
+			c.QuietStops += c.stopped(s.ID, s.Asked, c.untilFailure(s.Asked, last))
 			bound = quiet
 		}
 		if lasted > bound {
@@ -181,22 +181,50 @@
 	return to
 }
 
-// stopped counts the runs of jobs that nobody cancelled which were stopped
-// between two moments.
-func (c *check) stopped(from, to time.Time) int {
-	cancelled := map[string]bool{}
-	for _, s := range c.Submitted {
-		cancelled[s.ID] = s.Cancelled
-	}
+// stopped counts the runs that were taken back for a job between two moments. A
+// gang of which a member failed or lost its lease was stopped for that, and one
+// whose cancellation was sent may have been stopped for it; a gang that is cancelled
+// later, as those that run until the load is over, was not.
+func (c *check) stopped(whom string, from, to time.Time) int {
 	count := 0
-	for _, run := range c.Evidence.Runs {
-		if run.Ending == tasks.Stopped && !cancelled[run.Job] && run.Ended.After(from) && !run.Ended.After(to) {
-			count++
+	for job, epochs := range c.byName {
+		cancelled := c.cancelAsked(job)
+		for _, e := range epochs {
+			if job == whom || !e.takenBack() {
+				continue
+			}
+			for _, run := range e.runs {
+				between := run.Ended.After(from) && !run.Ended.After(to)
+				if run.Ending == tasks.Stopped && between && (cancelled.IsZero() || run.Ended.Before(cancelled)) {
+					count++
+				}
+			}
 		}
 	}
 	return count
 }
 
+// takenBack tells whether each run of the epoch was stopped, or had ended well: none
+// failed or lost its lease.
+func (e *epoch) takenBack() bool {
+	for _, run := range e.runs {
+		if run.Ending != tasks.Stopped && run.Ending != tasks.Completed {
+			return false
+		}
+	}
+	return true
+}
+
+// cancelAsked is when the job's cancellation was first sent; zero for never.
+func (c *check) cancelAsked(job string) time.Time {
+	for _, s := range c.Submitted {
+		if s.ID == job {
+			return s.CancelAsked
+		}
+	}
+	return time.Time{}
+}
+
 // failing sums the time between two moments in which something was failing or
 // recovering from it.
 func (c *check) failing(from, to time.Time) time.Duration {
--- a/internal/experiment/gangs/evidence.go
+++ b/internal/experiment/gangs/evidence.go
@@ -24,9 +24,10 @@
 	ID    string
 	Class string
 	// Asked is when it was first sent; Cancelled is that its cancellation was
-	// accepted.
-	Asked     time.Time
-	Cancelled bool
+	// accepted, and CancelAsked when that was first sent: zero for never.
+	Asked       time.Time
+	Cancelled   bool
+	CancelAsked time.Time
 	// Guaranteed work can be taken back for, within Bounds.TakeBack.
 	Guaranteed bool
 }
--- a/internal/experiment/gangs/load.go
+++ b/internal/experiment/gangs/load.go
@@ -29,9 +29,9 @@
 	// of them come first, and are cancelled then.
 	Long  string
 	Longs int
-	// Over is how long jobs are submitted, one about every Every.
-	Over, Every time.Duration
-	Seed        uint64
+	// Every is about how long lies between two jobs.
+	Every time.Duration
+	Seed  uint64
 
 	mu        sync.Mutex
 	submitted []Submitted
@@ -45,17 +45,21 @@
 	pollEvery   = 50 * time.Millisecond
 )
 
-// Run submits until the load is over, and gives every job that was accepted.
-func (l *Load) Run(ctx context.Context) []Submitted {
-	ends, cancel := context.WithTimeout(ctx, l.Over)
-	defer cancel()
+// Run submits until the second context ends: the load is over then.
+func (l *Load) Run(ctx, ends context.Context) {
 	var group sync.WaitGroup
 	for number, stream := range []func(ctx, ends context.Context, random *rand.Rand){l.flood, l.waves, l.urgent} {
 		random := rand.New(rand.NewPCG(l.Seed, uint64(number)))
 		group.Go(func() { stream(ctx, ends, random) })
 	}
 	group.Wait()
-	return l.submitted
+}
+
+// Submitted gives every job that was accepted so far.
+func (l *Load) Submitted() []Submitted {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return slices.Clone(l.submitted)
 }
 
 func (l *Load) flood(ctx, ends context.Context, random *rand.Rand) {
@@ -89,13 +93,21 @@
 }
 
 func (l *Load) cancel(ctx context.Context, customer Customer, id string) {
+	l.note(id, func(s *Submitted) { s.CancelAsked = time.Now() })
 	if _, err := l.Client.Cancel(ctx, customer.Token, id); err != nil {
 		return
 	}
+	l.note(id, func(s *Submitted) { s.Cancelled = true })
+}
+
+// note changes what is kept of an accepted job.
+func (l *Load) note(id string, change func(s *Submitted)) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	at := slices.IndexFunc(l.submitted, func(s Submitted) bool { return s.ID == id })
-	l.submitted[at].Cancelled = true
+	if at >= 0 {
+		change(&l.submitted[at])
+	}
 }
 
 func (l *Load) urgent(ctx, ends context.Context, _ *rand.Rand) {
--- a/test/gangs/gangs_test.go
+++ b/test/gangs/gangs_test.go
@@ -4,6 +4,7 @@
 
 import (
 	"cmp"
+	"context"
 	"flag"
 	"fmt"
 	"math/rand/v2"
@@ -22,7 +23,7 @@
 )
 
 var (
-	over = flag.Duration("over", 10*time.Second, "time during which jobs come and things fail")
+	over = flag.Duration("over", 7*time.Second, "time during which things fail")
 	seed = flag.Uint64("seed", 1, "seed of jobs and failures")
 	// The users' goal is 1.9 s, a time that a busy machine cannot be held to:
 	// it is given by hand, and CI holds a quiet take-back to the derived bound.
@@ -40,12 +41,9 @@
 	CommandTimeout: 2 * time.Second,
 }
 
-const (
-	// quietWindow fits into quietTime after the first urgent job.
-	quietWindow = 1900 * time.Millisecond
-	// quietTime comes before the first failure, so that one take-back is quiet.
-	quietTime = 3500 * time.Millisecond
-)
+// quietWindow is how long after an urgent job nothing fails where its take-back is
+// quiet.
+const quietWindow = 1900 * time.Millisecond
 
 // bounds are those of docs/design/dispatch.md. A part runs alone at the worst
 // until a dead worker's announcement has expired, and one look, and then for
@@ -145,24 +143,6 @@
 	hosts := startHosts(t, c.urls())
 	client := &gangs.Client{Servers: c.urls()}
 	c.apply(t, declarations)
-	found := &failures{counts: map[string]int{}}
-	stop := make(chan struct{})
-	var failing sync.WaitGroup
-	for stream := range uint64(3) {
-		d := &disturber{t: t, cluster: c, hosts: hosts, client: client, found: found}
-		d.random = rand.New(rand.NewPCG(*seed, stream))
-		failing.Go(func() {
-			time.Sleep(quietTime)
-			switch stream {
-			case 0:
-				d.run(stop, d.failInstance)
-			case 1:
-				d.run(stop, d.failWorker)
-			case 2:
-				d.strand()
-			}
-		})
-	}
 	var occurrences []string
 	changed := make(chan struct{})
 	go func() {
@@ -182,13 +162,19 @@
 		Owner:    gangs.Customer{Token: process.Tokens["planners"], Classes: []string{"one", "four"}},
 		Urgent:   "urgent",
 		Long:     "long", Longs: 4,
-		Over: *over, Every: 150 * time.Millisecond, Seed: *seed,
+		Every: 150 * time.Millisecond, Seed: *seed,
 	}
 	evidence := &gangs.Evidence{Bounds: bounds(), Classes: classes}
-	evidence.Submitted = load.Run(t.Context())
-	close(stop)
-	failing.Wait()
+	ends, end := context.WithCancel(t.Context())
+	defer end()
+	var loading sync.WaitGroup
+	loading.Go(func() { load.Run(t.Context(), ends) })
+	awaitTakeBack(t, load, hosts)
+	found := fail(t, c, hosts, client)
+	end()
+	loading.Wait()
 	<-changed
+	evidence.Submitted = load.Submitted()
 	evidence.Occurrences = occurrences
 	evidence.Failures = found.spans
 	evidence.Jobs = settle(t, client)
@@ -206,6 +192,50 @@
 	is.True(report.Completed > report.Jobs/3)
 }
 
+// awaitTakeBack waits until urgent work was started by taking back from others while
+// nothing fails, and for as long as such a take-back must be free of failures. Until
+// then gangs may not have come, or urgent work may have found room, however long a
+// busy machine takes.
+func awaitTakeBack(t *testing.T, load *gangs.Load, hosts []*host) {
+	process.Await(t, "a quiet take-back", func() bool {
+		jobs, err := load.Client.Jobs(t.Context(), process.OperatorToken)
+		if err != nil {
+			return false
+		}
+		evidence := &gangs.Evidence{Bounds: bounds(), Classes: classes, Jobs: jobs, Submitted: load.Submitted()}
+		for _, h := range hosts {
+			evidence.Runs = append(evidence.Runs, h.runs()...)
+		}
+		return gangs.Check(evidence).QuietStops > 0
+	})
+	time.Sleep(quietWindow)
+}
+
+// fail lets instances and workers fail for a time, and gives what failed when.
+func fail(t *testing.T, c *cluster, hosts []*host, client *gangs.Client) *failures {
+	found := &failures{counts: map[string]int{}}
+	stop := make(chan struct{})
+	var failing sync.WaitGroup
+	for stream := range uint64(3) {
+		d := &disturber{t: t, cluster: c, hosts: hosts, client: client, found: found}
+		d.random = rand.New(rand.NewPCG(*seed, stream))
+		failing.Go(func() {
+			switch stream {
+			case 0:
+				d.run(stop, d.failInstance)
+			case 1:
+				d.run(stop, d.failWorker)
+			case 2:
+				d.strand()
+			}
+		})
+	}
+	time.Sleep(*over)
+	close(stop)
+	failing.Wait()
+	return found
+}
+
 // settle waits until every job has ended and gives them all.
 func settle(t *testing.T, client *gangs.Client) []api.Job {
 	var jobs []api.Job
