An idempotent command leaves a leader that does not answer

Cause: a forwarded command had one try with the caller's whole time. A leader whose machine stands still keeps its connections open, so the try ended with the deadline and an unknown outcome, though the next leader was known a second after the freeze.

Ruled out: ending every try when the leader changes (a plain command may have run and must not be sent twice, so it would gain nothing but an earlier "unknown"); a field on the wire (the state machine knows by the command's type what a second run does); a shorter deadline for reads only.

Change: submissions, cancellations and reads through the log are idempotent (store.Idempotent). A try of one ends when a leader is known that is neither the one asked nor the one known before, or after three election timeouts (1.2 s: the longest wait for an election takes two, the election and its news one). It is then sent again, by fronts and by replicas. Once an outcome was unknown the caller is never told "not run", also not by a refusal of the state: the earlier copy may be committed later. A resent command has a log line and a counter (control_resent, follower_resent). Commands under a client session and all others are as before.

Tests, each seen to fail without its safeguard: no idempotence at all (the old behaviour), all commands idempotent, no news, the asked leader not spared, no limit, the unknown outcome forgotten, the refusal of the state passed on, the silent voter asked again, sessions counted as idempotent, a closed log tried on.

The mesh of package replica: a call to a frozen instance ends with an unknown outcome, as with the transport, where it said "not run" before. That of package follower has instances that take a call and answer late or never.

--- a/internal/app/control.go
+++ b/internal/app/control.go
@@ -71,12 +71,13 @@
 func newFollower(s *settings.Settings, network *peers.Network, registry *membership.Registry, logger *logrus.Logger) *follower.Follower {
 	var following *follower.Follower
 	following = follower.New(follower.Config{
-		Self:           follower.Candidate{Name: s.Instance.Name, DataCentre: s.Instance.DataCentre},
-		Voters:         s.Control.Contacts(),
-		FreshnessBound: s.Control.FreshnessBound,
-		Candidates:     func() []follower.Candidate { return candidates(s, registry, following.State()) },
-		Rand:           rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
-		Logger:         logger,
+		Self:            follower.Candidate{Name: s.Instance.Name, DataCentre: s.Instance.DataCentre},
+		Voters:          s.Control.Contacts(),
+		FreshnessBound:  s.Control.FreshnessBound,
+		ElectionTimeout: s.Control.ElectionTimeout,
+		Candidates:      func() []follower.Candidate { return candidates(s, registry, following.State()) },
+		Rand:            rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+		Logger:          logger,
 	}, network)
 	return following
 }
--- a/internal/coordination/follower/follower.go
+++ b/internal/coordination/follower/follower.go
@@ -25,6 +25,7 @@
 	sourceChanges = expvar.NewInt("follower_source_changes")
 	searches      = expvar.NewInt("follower_searches")
 	forwarded     = expvar.NewInt("follower_forwarded")
+	resent        = expvar.NewInt("follower_resent")
 	snapshots     = expvar.NewInt("follower_snapshots")
 )
 
@@ -42,6 +43,8 @@
 	Voters []string
 	// FreshnessBound is the oldest state on which work is admitted.
 	FreshnessBound time.Duration
+	// ElectionTimeout is that of the replicas.
+	ElectionTimeout time.Duration
 	// Candidates lists the other instances that are known now.
 	Candidates func() []Candidate
 	// Rand drives backoff; the caller seeds it. One goroutine at a time uses it.
@@ -64,8 +67,10 @@
 	// part: a step of the wall clock must not make old state look fresh.
 	confirmed atomic.Pointer[time.Time]
 	leader    atomic.Pointer[string]
-	path      atomic.Pointer[[]string]
-	randMu    sync.Mutex
+	// leaderChanged is raised after leader names another one, or none.
+	leaderChanged control.Signal
+	path          atomic.Pointer[[]string]
+	randMu        sync.Mutex
 	// told holds the newest failure of each source that was logged. Only the
 	// goroutine that searches uses it.
 	told map[string]failure.Code
@@ -91,6 +96,9 @@
 // Leader names the leader as the source last told it.
 func (f *Follower) Leader() string { return *f.leader.Load() }
 
+// LeaderChanged gives a channel that is closed when another leader is known next.
+func (f *Follower) LeaderChanged() <-chan struct{} { return f.leaderChanged.Next() }
+
 // IsLeader is false: only a voter leads.
 func (f *Follower) IsLeader() bool { return false }
 
--- a/internal/coordination/follower/lines.go
+++ b/internal/coordination/follower/lines.go
@@ -37,6 +37,14 @@
 	line.Info("source can't be followed")
 }
 
+// logAgain tells that a command is sent again though it may have run.
+func (f *Follower) logAgain(tried string, err error) {
+	resent.Add(1)
+	f.config.Logger.WithFields(logrus.Fields{
+		"tried": tried, "leader": f.Leader(), "code": failure.From(err).Code, "detail": err.Error(),
+	}).Info("command sent again")
+}
+
 // line has what every line on a source tells: how far and how old the state is.
 func (f *Follower) line(source string) *logrus.Entry {
 	fields := logrus.Fields{"source": source, "index": f.State().Index()}
--- a/internal/coordination/follower/mesh_test.go
+++ b/internal/coordination/follower/mesh_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -21,7 +22,10 @@
 	"pinewinch.example/pinewinch/internal/state/store"
 )
 
-const bound = 3 * time.Second
+const (
+	bound           = 3 * time.Second
+	electionTimeout = 400 * time.Millisecond
+)
 
 // mesh is a network in memory. A cut direction holds what is sent until it
 // heals, as TCP does; nobody is told.
@@ -39,6 +43,10 @@
 	sent map[string]int
 	// reply answers calls.
 	reply func(to string) (*peerpb.Reply, error)
+	// takes is how long instances work on a call before they answer; called are all
+	// that were called.
+	takes  map[string]time.Duration
+	called []string
 }
 
 type serving interface {
@@ -49,6 +57,7 @@
 	return &mesh{
 		changed: make(chan struct{}), nodes: map[string]serving{}, cut: map[[2]string]bool{},
 		rates: map[string]float64{}, free: map[way]time.Time{}, sent: map[string]int{},
+		takes: map[string]time.Duration{},
 	}
 }
 
@@ -272,6 +281,14 @@
 	if !e.await(ctx, func() bool { return !e.both(to, e.cut) }) {
 		return nil, failure.New(failure.Unreachable, "no way to %s", to)
 	}
+	takes := time.Duration(0)
+	e.update(func() {
+		takes = e.takes[to]
+		e.called = append(e.called, to)
+	})
+	if takes > 0 && !control.Pause(ctx, takes) {
+		return nil, failure.Ran(failure.OutcomeUnknown, failure.NotRunUnknown, ctx.Err(), "answer of %s", to)
+	}
 	return e.reply(to)
 }
 
@@ -280,6 +297,8 @@
 	*control.Published
 	name string
 	feed *feed.Server
+	// led names the leader where that is another one.
+	led atomic.Pointer[string]
 }
 
 func newVoter(m *mesh, name string) *voter {
@@ -290,9 +309,15 @@
 }
 
 func (v *voter) Age() (time.Duration, error) { return 0, nil }
-func (v *voter) Leader() string              { return v.name }
 func (v *voter) Path() []string              { return []string{v.name} }
 
+func (v *voter) Leader() string {
+	if led := v.led.Load(); led != nil {
+		return *led
+	}
+	return v.name
+}
+
 func (v *voter) ServeFollow(ctx context.Context, follow *peerpb.Follow, stream control.Stream) error {
 	return v.feed.Serve(ctx, follow, stream)
 }
@@ -319,12 +344,13 @@
 // start runs a follower until ctx ends.
 func (m *mesh) start(ctx context.Context, self Candidate, candidates ...Candidate) *Follower {
 	f := New(Config{
-		Self:           self,
-		Voters:         []string{"v"},
-		FreshnessBound: bound,
-		Candidates:     func() []Candidate { return append([]Candidate(nil), candidates...) },
-		Rand:           rand.New(rand.NewPCG(1, uint64(len(m.nodes)))),
-		Logger:         quiet(),
+		Self:            self,
+		Voters:          []string{"v"},
+		FreshnessBound:  bound,
+		ElectionTimeout: electionTimeout,
+		Candidates:      func() []Candidate { return append([]Candidate(nil), candidates...) },
+		Rand:            rand.New(rand.NewPCG(1, uint64(len(m.nodes)))),
+		Logger:          quiet(),
 	}, endpoint{m, self.Name})
 	m.update(func() { m.nodes[self.Name] = f })
 	go func() { _ = f.Run(ctx) }()
--- a/internal/coordination/follower/take.go
+++ b/internal/coordination/follower/take.go
@@ -107,7 +107,9 @@
 		f.confirmed.Store(&at)
 	}
 	leader, path := l.leader, l.path
-	f.leader.Store(&leader)
+	if earlier := f.leader.Swap(&leader); *earlier != leader {
+		f.leaderChanged.Raise()
+	}
 	f.path.Store(&path)
 	l.confirm.Do(func() { close(l.confirmed) })
 }
--- a/internal/coordination/replica/mesh_test.go
+++ b/internal/coordination/replica/mesh_test.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/sirupsen/logrus"
+	"google.golang.org/protobuf/proto"
 
 	"pinewinch.example/pinewinch/internal/coordination/control"
 	"pinewinch.example/pinewinch/internal/protocol/consensuspb"
@@ -31,6 +32,10 @@
 	cut      map[string]bool
 	// frozen instances take calls and messages and say nothing.
 	frozen map[string]bool
+	// held are the commands that frozen instances find when they go on.
+	held map[string][]*peerpb.Propose
+	// freezing is an instance that stands still before its next answer leaves.
+	freezing string
 	// remembering is an instance without a disk that holds control state.
 	remembering string
 	// entries is Config.SnapshotEntries.
@@ -47,6 +52,7 @@
 	m := &mesh{
 		t: t, replicas: map[string]*Replica{}, disks: map[string]*disktest.FS{},
 		stops: map[string]func() error{}, cut: map[string]bool{}, frozen: map[string]bool{},
+		held: map[string][]*peerpb.Propose{},
 	}
 	t.Cleanup(func() {
 		for _, stop := range m.stops {
@@ -112,6 +118,48 @@
 	m.frozen[instance] = true
 }
 
+// thaw lets an instance go on: it serves what it had taken.
+func (m *mesh) thaw(instance string) {
+	m.mu.Lock()
+	held := m.held[instance]
+	delete(m.held, instance)
+	m.frozen[instance] = false
+	m.mu.Unlock()
+	for _, propose := range held {
+		// Who sent it is gone; what it does is seen in the state.
+		_, _ = m.replicas[instance].ServePropose(background(), propose)
+	}
+}
+
+// hang waits as for an instance that says nothing, and fails as the transport does
+// once a call was written.
+func (m *mesh) hang(ctx context.Context, to string, call *peerpb.Call) (*peerpb.Reply, error) {
+	if propose := call.GetPropose(); propose != nil {
+		m.mu.Lock()
+		m.held[to] = append(m.held[to], proto.CloneOf(propose))
+		m.mu.Unlock()
+	}
+	return m.unanswered(ctx, to)
+}
+
+func (m *mesh) unanswered(ctx context.Context, to string) (*peerpb.Reply, error) {
+	<-ctx.Done()
+	return nil, failure.Ran(failure.OutcomeUnknown, failure.NotRunUnknown, ctx.Err(), "%s is silent", to)
+}
+
+// freezesNow tells whether an instance that has served a command stands still before
+// it answers.
+func (m *mesh) freezesNow(instance string) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.freezing != instance {
+		return false
+	}
+	m.freezing = ""
+	m.frozen[instance] = true
+	return true
+}
+
 // silent tells whether nothing passes between two instances, without an error.
 func (m *mesh) silent(from, to string) bool {
 	m.mu.Lock()
@@ -165,15 +213,17 @@
 		return &peerpb.Reply{Body: &peerpb.Reply_Introduction{Introduction: &peerpb.Introduction{Cluster: true}}}, nil
 	}
 	if e.mesh.silent(e.self, to) {
-		<-ctx.Done()
-		return nil, failure.Wrap(failure.Unreachable, ctx.Err(), "%s is silent", to)
+		return e.mesh.hang(ctx, to, call)
 	}
 	r, err := e.mesh.reach(e.self, to)
 	if err != nil {
 		return nil, err
 	}
 	if propose := call.GetPropose(); propose != nil {
-		result, err := r.ServePropose(ctx, propose)
+		result, err := r.ServePropose(ctx, proto.CloneOf(propose))
+		if e.mesh.freezesNow(to) {
+			return e.mesh.unanswered(ctx, to)
+		}
 		if err != nil {
 			return nil, err
 		}
--- a/internal/coordination/replica/propose.go
+++ b/internal/coordination/replica/propose.go
@@ -38,32 +38,48 @@
 
 // Propose commits one command, by way of the leader, and gives its result. A
 // command that surely did not run is tried again until ctx ends. One with an
-// unknown outcome is tried again only under a client session, where a second
-// run is answered with the first one's result; without one the outcome stays
-// unknown, also when a later try was refused as not run.
+// unknown outcome is tried again only where it is idempotent, or under a client
+// session, where a second run is answered with the first one's result; else the
+// outcome stays unknown, also when a later try was refused as not run.
 func (r *Replica) Propose(ctx context.Context, command *controlpb.Command) (*controlpb.Result, error) {
 	ctx, cancel := context.WithTimeout(ctx, proposePatience)
 	defer cancel()
 	pauses := backoff.NewExponentialBackOff()
 	pauses.InitialInterval, pauses.MaxInterval = firstPause, lastPause
-	var unknown error
+	tries := control.NewTries(command)
 	for {
-		result, err := r.proposeOnce(ctx, command)
+		result, err := r.proposeOnce(ctx, tries, command)
 		if err == nil {
-			return result, nil
+			return tries.Answer(result)
 		}
-		if failure.From(err).NotRun != failure.NotRunTrue {
-			unknown = err
+		again := tries.Failed(err) && !r.closed()
+		if !again && !worthRetry(command, err) || !control.Pause(ctx, pauses.NextBackOff()) {
+			return nil, tries.Failure(err)
 		}
-		if !worthRetry(command, err) || !control.Pause(ctx, pauses.NextBackOff()) {
-			if unknown != nil {
-				return nil, unknown
-			}
-			return nil, err
+		if again {
+			r.logAgain(err)
 		}
 	}
 }
 
+// closed tells whether Run has ended: no later try would do more here, and the caller
+// would hold up the stop until its time is over.
+func (r *Replica) closed() bool {
+	select {
+	case <-r.ended:
+		return true
+	default:
+		return false
+	}
+}
+
+// logAgain tells that a command is sent again though it may have run.
+func (r *Replica) logAgain(err error) {
+	resent.Add(1)
+	r.config.Logger.WithField("leader", r.Leader()).WithField("code", failure.From(err).Code).
+		WithField("detail", err.Error()).Info("command sent again")
+}
+
 func worthRetry(command *controlpb.Command, err error) bool {
 	f := failure.From(err)
 	if f.NotRun != failure.NotRunTrue {
@@ -76,7 +92,7 @@
 	return false
 }
 
-func (r *Replica) proposeOnce(ctx context.Context, command *controlpb.Command) (*controlpb.Result, error) {
+func (r *Replica) proposeOnce(ctx context.Context, tries *control.Tries, command *controlpb.Command) (*controlpb.Result, error) {
 	leader := r.Leader()
 	switch leader {
 	case r.config.Instance:
@@ -86,7 +102,9 @@
 	}
 	forwarded.Add(1)
 	call := &peerpb.Call{Body: &peerpb.Call_Propose{Propose: &peerpb.Propose{Command: command}}}
-	reply, err := r.peers.Call(ctx, leader, call)
+	try, end := tries.Bound(ctx, r, leader, leader, r.config.ElectionTimeout)
+	defer end()
+	reply, err := r.peers.Call(try, leader, call)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/coordination/replica/replica.go
+++ b/internal/coordination/replica/replica.go
@@ -43,6 +43,7 @@
 	commits         = expvar.NewInt("control_commits")
 	syncs           = expvar.NewInt("control_syncs")
 	forwarded       = expvar.NewInt("control_forwarded")
+	resent          = expvar.NewInt("control_resent")
 	elections       = expvar.NewInt("control_leader_changes")
 	messagesDropped = expvar.NewInt("control_messages_dropped")
 	messagesRefused = expvar.NewInt("control_messages_refused")
@@ -141,6 +142,9 @@
 // Leader names the instance that leads, as far as is known.
 func (r *Replica) Leader() string { return r.view.Load().leader }
 
+// LeaderChanged gives a channel that is closed when another leader is known next.
+func (r *Replica) LeaderChanged() <-chan struct{} { return r.leaderChanged.Next() }
+
 // IsLeader tells whether this instance leads and has applied everything that
 // earlier leaders committed: a decision made before that would repeat theirs.
 func (r *Replica) IsLeader() bool { return r.view.Load().leading }
--- a/internal/coordination/standby/standby_test.go
+++ b/internal/coordination/standby/standby_test.go
@@ -104,7 +104,7 @@
 	logger := logrus.New()
 	logger.SetOutput(io.Discard)
 	front := follower.New(follower.Config{
-		Self: follower.Candidate{Name: name}, Voters: []string{"core"}, FreshnessBound: bound,
+		Self: follower.Candidate{Name: name}, Voters: []string{"core"}, FreshnessBound: bound, ElectionTimeout: bound,
 		Candidates: func() []follower.Candidate { return nil },
 		Rand:       rand.New(rand.NewPCG(1, 1)), Logger: logger,
 	}, peersOf{core: c})
--- a/internal/state/store/apply.go
+++ b/internal/state/store/apply.go
@@ -50,6 +50,24 @@
 	return command.Op != nil || len(command.ProtoReflect().GetUnknown()) == 0
 }
 
+// Idempotent tells whether a second run of the command leaves the state as the first
+// one did and is answered alike: it may be sent again whatever became of it. A workflow
+// is known by its id for minutes after its end, far longer than any caller waits.
+// Under a client session the session answers a second run.
+func Idempotent(command *controlpb.Command) bool {
+	if command == nil || command.Client != "" {
+		return false
+	}
+	switch command.Op.(type) {
+	case *controlpb.Command_SubmitWorkflow, *controlpb.Command_CancelWorkflow:
+		return true
+	case nil:
+		// A read through the log.
+		return Understands(command)
+	}
+	return false
+}
+
 func (s *State) apply(command *controlpb.Command) *controlpb.Result {
 	switch op := command.Op.(type) {
 	case *controlpb.Command_Apply:
