A learner that a lost leader left behind gets its vote

Found while checking whether a lost voter may be removed first. The leader adds the new replica of a wiped instance as a learner and is lost, or steps down, before that has caught up. Every member calls itself a voter to the others, so the next leader's repairer took the learner for one, saw no replica to put in the lost one's place (no_spare), and the wiped replica never voted again: two more disks would have taken the log.

Ruled out: the change of members itself, which takes a learner that stands there on as it is (TestChangeThatALeaderLeftIsEndedByTheNext passed before the change too).

Change: the repairer counts a live instance whose replica is a member without a vote among those that may be given one.

--- a/internal/coordination/repairer/repairer.go
+++ b/internal/coordination/repairer/repairer.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"expvar"
+	"slices"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -137,7 +138,11 @@
 		s.Members = append(s.Members, r.describe(member, live[member.Instance], now, missing, len(members)))
 	}
 	for name, instance := range live {
-		if instance.Replica && !instance.Voter && !instance.Leaving && instance.Ready && (!isMember[name] || r.replaced(s.Members, name)) {
+		if !instance.Replica || instance.Leaving || !instance.Ready {
+			continue
+		}
+		outside := !instance.Voter && (!isMember[name] || r.replaced(s.Members, name))
+		if outside || isLearner(s.Members, instance) {
 			s.Spares = append(s.Spares, repair.Spare{Instance: name, DataCentre: instance.DataCentre})
 		}
 	}
@@ -192,6 +197,15 @@
 	return described
 }
 
+// isLearner tells whether an instance's replica is a member without a vote. A leader
+// that was lost may have left it so, and since every member calls itself a voter it
+// would find no place in any vote: the next disk lost would be one too many.
+func isLearner(members []repair.Member, instance *peerpb.InstanceState) bool {
+	return slices.ContainsFunc(members, func(m repair.Member) bool {
+		return !m.Voter && m.Identity == instance.Identity
+	})
+}
+
 func (r *Repairer) replaced(members []repair.Member, instance string) bool {
 	for _, member := range members {
 		if member.Instance == instance && member.Replaced {
--- a/internal/coordination/repairer/repairer_test.go
+++ b/internal/coordination/repairer/repairer_test.go
@@ -20,9 +20,11 @@
 
 // world is a log of three voters a, b, c, led by a, and instances with disks.
 type world struct {
-	now     time.Time
-	role    consensus.Role
-	silent  map[string]bool
+	now    time.Time
+	role   consensus.Role
+	silent map[string]bool
+	// learner is a member without a vote; nil for none.
+	learner *consensuspb.Member
 	live    []*peerpb.InstanceState
 	changes []*peerpb.ChangeMembers
 }
@@ -48,6 +50,10 @@
 			s.Members = append(s.Members, consensus.MemberStatus{Identity: name + ".1", Voter: true, Live: !w.silent[name]})
 		}
 	}
+	if w.learner != nil {
+		s.Configuration.Members = append(s.Configuration.Members, w.learner)
+		s.Members = append(s.Members, consensus.MemberStatus{Identity: w.learner.Identity, Live: true})
+	}
 	return s
 }
 
@@ -139,3 +145,20 @@
 	is.Equal(len(w.changes), 1)
 	is.Equal([]string{w.changes[0].Add, w.changes[0].Remove}, []string{"c", "c.1"})
 }
+
+// A leader adds the new replica of a wiped instance as a learner and is lost before
+// that has caught up. The learner tells of itself that it belongs to the log. If the
+// next leader took it for a voter, it would find nobody for the lost one's place, the
+// new replica would never vote, and two more disks that are lost would take the log.
+func TestLearnerThatAnEarlierLeaderLeftIsTakenOn(t *testing.T) {
+	is, w := is.New(t), newWorld()
+	w.silent["c"] = true
+	w.learner = &consensuspb.Member{Identity: "c.2", Instance: "c"}
+	w.live = w.live[:3]
+	w.live[2] = instance("c", true)
+	w.live[2].Identity = "c.2"
+	r := w.repairer()
+	w.pass(r, lookEvery)
+	is.Equal(len(w.changes), 1)
+	is.Equal([]string{w.changes[0].Add, w.changes[0].Remove}, []string{"c", "c.1"})
+}
--- a/internal/coordination/replica/members_test.go
+++ b/internal/coordination/replica/members_test.go
@@ -6,6 +6,7 @@
 
 	"github.com/matryer/is"
 
+	"pinewinch.example/pinewinch/internal/protocol/consensuspb"
 	"pinewinch.example/pinewinch/internal/protocol/failure"
 	"pinewinch.example/pinewinch/internal/protocol/peerpb"
 )
@@ -56,3 +57,24 @@
 		is.Equal(len(leader.Status().Configuration.Members), 3)
 	})
 }
+
+// A leader makes a new replica a learner and loses power before it is a voter. The next
+// leader is asked for the whole change again: it takes the learner on as it is, so that
+// the configuration names each replica once and the lost one is gone.
+func TestChangeThatALeaderLeftIsEndedByTheNext(t *testing.T) {
+	inBubble(t, func(is *is.I, m *mesh) {
+		old := startAll(m)
+		added := m.start("i4")
+		time.Sleep(time.Second)
+		learner := &consensuspb.Member{Identity: added.Status().Identity, Instance: "i4"}
+		is.NoErr(old.reconfigure(background(), func(c *consensuspb.Configuration) { c.Members = append(c.Members, learner) }))
+		m.crash(old.config.Instance)
+		m.setCut(old.config.Instance, true)
+		next := m.leader()
+		is.NoErr(next.ChangeMembers(background(), &peerpb.ChangeMembers{Add: "i4", Remove: old.config.Instance}))
+		time.Sleep(time.Second)
+		is.Equal(added.Role(), "voter")
+		is.Equal(len(next.Status().Configuration.Members), 3)
+		propose(is, next, "after")
+	})
+}
