A start is held back from all members of a gang or from none

Found when the wait of a new leader for announcements was read again: all members are reserved, the leader is lost, and the next one hears two of three workers at once and the third an interval later. Held back from the third alone, the start would leave the other parts to run without it until the start times out (4.6 s with the settings of TestGangsUnderFailure, whose bound for a part alone is 4.4 s).

Change: starts go out once every member's worker may be given a lease, or where one has been started already, as a refusal then ends the gang at once. TestNewLeaderStartsNoPartOfAGangAlone: 2 starts before the others may follow, 0 now.

--- a/internal/coordination/dispatch/gang/starting.go
+++ b/internal/coordination/dispatch/gang/starting.go
@@ -23,6 +23,9 @@
 		return
 	}
 	if r.reached(phaseReserved) {
+		if !s.mayStart(r) {
+			return
+		}
 		r.mayHaveStarted = true
 		s.sendEach(Start, phaseReserved, job, r)
 		return
@@ -30,10 +33,25 @@
 	s.sendEach(Reserve, phaseIdle, job, r)
 }
 
+// mayStart tells whether every member can be started now, or one has been. A start
+// held back from one member alone would leave the others to run without it until the
+// gang's start times out; sent and refused, it ends the gang at once.
+func (s *step) mayStart(r *run) bool {
+	all := true
+	for _, m := range r.members {
+		if m.phase >= phaseRunning || m.awaiting == Start {
+			return true
+		}
+		w := s.workers[m.placement.Worker]
+		all = all && w != nil && s.mayLease(w)
+	}
+	return all
+}
+
 func (s *step) sendEach(kind Kind, from phase, job *controlpb.Job, r *run) {
 	for _, m := range r.members {
 		w := s.workers[m.placement.Worker]
-		if m.phase == from && m.awaiting == 0 && w != nil && w.upstream.Incarnation == m.placement.Incarnation && s.mayLease(w) {
+		if m.phase == from && m.awaiting == 0 && w != nil && w.upstream.Incarnation == m.placement.Incarnation && (kind != Reserve || s.mayLease(w)) {
 			s.send(kind, job, m, w)
 		}
 	}
--- a/internal/coordination/dispatch/gang/steps_test.go
+++ b/internal/coordination/dispatch/gang/steps_test.go
@@ -332,6 +332,39 @@
 	is.Equal(len(m.job().Failures), 0)
 }
 
+// Callers see a gang of which some parts run without the others. All its members are
+// reserved when the leader is lost. The next one hears two of the three workers at once
+// and the third an interval later: it may command the two by then, but a start that is
+// held back from the third leaves theirs alone. It must start all of them, or none yet.
+func TestNewLeaderStartsNoPartOfAGangAlone(t *testing.T) {
+	is := is.New(t)
+	m := newModel(steady, 3)
+	m.round()
+	m.round()
+	m.submit(&controlpb.Job{Id: "j", Tasks: 6, Accelerators: 1, RunTimeMs: 5000})
+	m.schedule()
+	m.step(m.leader, true)
+	is.Equal(len(m.commands), 6) // the reserves
+	m.deliverAll()
+	for _, w := range m.workers {
+		m.announce(w)
+		m.hear(0)
+	}
+	m.newLeader(steady())
+	m.step(m.leader, true)
+	for _, w := range m.workers {
+		m.real += 100 * time.Millisecond
+		is.Equal(len(m.commands), 0)
+		m.announce(w)
+		m.hear(0)
+		m.step(m.leader, true)
+	}
+	is.Equal(len(m.commands), 6) // the starts
+	m.deliverAll()
+	m.untilState(t, completed)
+	is.Equal(m.job().Attempts, uint32(1))
+}
+
 // Two of three members acknowledge a stop and the leader is lost: the next one
 // finds their word in the log and waits for the third only.
 func TestAcknowledgementsOutliveTheLeader(t *testing.T) {
