A stop goes on under the next leader

Cause: the wait for a silent member's lease (StopWait, 14.8 s) was counted from when each leader first saw the stop while it led, so a leadership that is shorter never ends one.

Ruled out: a clock in the log (two machines' clocks), and the election itself as the cause of the stop that never ends: with leaders of 4 s each in simulated time, and nothing else wrong, the stop has no end.

Change: an instance notes when its own replica first has a stop, leading or not (Machine.Follow), and keeps that over a change of term (Machine.NextTerm). The proof of StopWait starts at the commit, and a replica applies after it, so the wait is never too short; a replica that starts later waits in full. Workers whose leases the leader renews are not concerned: nothing is noted there.

--- a/internal/coordination/dispatch/controller.go
+++ b/internal/coordination/dispatch/controller.go
@@ -108,9 +108,11 @@
 		c.passes = passGate{}
 	}
 	c.led = leads
-	if leads {
-		c.step(ctx)
+	if !leads {
+		c.dispatcher.Follow()
+		return
 	}
+	c.step(ctx)
 }
 
 func (c *Controller) step(ctx context.Context) {
--- a/internal/coordination/dispatch/dispatch.go
+++ b/internal/coordination/dispatch/dispatch.go
@@ -122,14 +122,22 @@
 	return d.config.Speeds()
 }
 
-// Reset forgets everything for a new term: another instance leads, and what it does
-// in the meantime is seen from the log and the workers' reports.
+// Reset begins a new term: what other leaders did in the meantime is seen from the log
+// and the workers' reports.
 func (d *Dispatcher) Reset(term uint64) {
 	d.term = term
-	d.machine = gang.New(d.config.Gang)
+	d.machine = d.machine.NextTerm()
 	d.takeAnswers()
 }
 
+// Follow notes what the log says while another instance leads. Where a lease is known to
+// be over by other means than a wait there is nothing to note.
+func (d *Dispatcher) Follow() {
+	if d.config.LeaseOver == nil {
+		d.machine.Follow(d.config.Now(), d.control.State().ActiveJobs())
+	}
+}
+
 // Reconcile takes one step for all active jobs: it sends commands without waiting
 // for their answers, and commits all moves in one entry. It is called by one
 // goroutine only. The workers' announcements must have been read before the call:
--- a/internal/coordination/dispatch/dispatch_test.go
+++ b/internal/coordination/dispatch/dispatch_test.go
@@ -24,12 +24,13 @@
 type fakeLog struct {
 	state     *store.State
 	stale     bool
+	follows   bool
 	proposals int
 	changed   chan struct{}
 }
 
 func (l *fakeLog) State() *store.State      { return l.state }
-func (l *fakeLog) IsLeader() bool           { return true }
+func (l *fakeLog) IsLeader() bool           { return !l.follows }
 func (l *fakeLog) Changed() <-chan struct{} { return l.changed }
 
 func (l *fakeLog) Fresh() error {
@@ -140,6 +141,29 @@
 	})
 }
 
+// A stop that waits for a silent worker's lease, and an instance that followed the log
+// all the while and leads now: it must not wait for the lease once more.
+func TestNewLeaderGoesOnWithAStopThatItFollowed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		log, _, _, controller := control()
+		stopping := &controlpb.Job{
+			Id: "j", Tasks: 1, Accelerators: 1, Epoch: 1, Idempotent: true, StartedMs: 1,
+			State: controlpb.JobState_JOB_STATE_STOPPING, NextState: controlpb.JobState_JOB_STATE_WAITING,
+			Placements: []*controlpb.Placement{{Worker: "gone", Accelerators: []uint32{0}}},
+		}
+		log.state = store.Restore(&controlpb.Snapshot{Jobs: []*controlpb.Job{stopping}})
+		log.follows = true
+		controller.Turn(t.Context())
+		time.Sleep(15 * time.Second)
+		log.follows = false
+		controller.Turn(t.Context())
+		synctest.Wait()
+		job, _ := log.state.Job("j")
+		is.True(job.State != controlpb.JobState_JOB_STATE_STOPPING)
+	})
+}
+
 // manyWorkers is a registry of idle workers.
 type manyWorkers struct{ list []*peerpb.Upstream }
 
--- a/internal/coordination/dispatch/gang/lease.go
+++ b/internal/coordination/dispatch/gang/lease.go
@@ -36,7 +36,8 @@
 )
 
 // StopWait is how long after the commit of STOPPING, by the leader's clock, the
-// lease of a member that did not acknowledge has surely run out.
+// lease of a member that did not acknowledge has surely run out. Who led at the
+// commit plays no part, so a replica that had applied it by then may count from there.
 //
 // Let c be the commit. An instance that renews at e holds a state without the
 // stop, and that state was confirmed no more than FreshnessBound before e by the
--- a/internal/coordination/dispatch/gang/machine.go
+++ b/internal/coordination/dispatch/gang/machine.go
@@ -4,7 +4,8 @@
 //
 // What it remembers can be lost at any moment. All that matters for safety is in
 // the log (state, epoch, acknowledged stops) or at the workers (leases, newest
-// epochs), so a new leader begins with an empty Machine.
+// epochs). A new leader keeps of the terms before only since when it has known of
+// each stop, which it learns by following the log: see Machine.NextTerm.
 package gang
 
 import (
@@ -77,6 +78,7 @@
 	steps   uint64
 	runs    map[string]*run
 	workers map[string]*worker
+	stops   stops
 }
 
 // worker is a live worker's newest announcement.
@@ -97,11 +99,22 @@
 	return a.Version > b.Version
 }
 
-// New makes a machine for a term of leadership.
+// New makes a machine of an instance that knows nothing yet.
 func New(config Config) *Machine {
-	return &Machine{config: config, runs: map[string]*run{}, workers: map[string]*worker{}}
+	return &Machine{config: config, runs: map[string]*run{}, workers: map[string]*worker{}, stops: stops{}}
 }
 
+// NextTerm makes the machine for a new term of leadership of the same instance.
+func (m *Machine) NextTerm() *Machine {
+	next := New(m.config)
+	next.stops = m.stops
+	return next
+}
+
+// Follow takes note of the active jobs of the newest committed state while this
+// instance does not lead.
+func (m *Machine) Follow(now time.Time, jobs []*controlpb.Job) { m.stops = m.stops.upTo(now, jobs) }
+
 // step carries one Step's input and output through the machine.
 type step struct {
 	*Machine
@@ -114,6 +127,9 @@
 func (m *Machine) Step(in *Input) *Output {
 	s := &step{Machine: m, in: in, out: &Output{}}
 	s.begin()
+	if in.LeaseOver == nil {
+		s.Follow(in.Now, in.Jobs)
+	}
 	s.hearWorkers()
 	s.hearAnswers()
 	tracked := make(map[string]*run, len(in.Jobs))
--- a/internal/coordination/dispatch/gang/model_test.go
+++ b/internal/coordination/dispatch/gang/model_test.go
@@ -23,10 +23,12 @@
 // tables of tasks; every message between them waits until a test delivers it.
 // Each has a clock of its own, up to 1% fast or slow.
 type model struct {
-	real     time.Duration
-	state    *store.State
-	leader   *leader
-	deposed  *leader
+	real    time.Duration
+	state   *store.State
+	leader  *leader
+	deposed *leader
+	// standby follows the log, to lead next.
+	standby  *leader
 	entry    entry
 	workers  []*workerModel
 	commands []flight
@@ -105,6 +107,7 @@
 func newModel(clocks func() clock, workers int) *model {
 	m := &model{state: store.New(), reserved: map[api.TaskRef]bool{}, completions: map[taskName]map[completion]bool{}}
 	m.leader = &leader{machine: gang.New(config), clock: clocks()}
+	m.standby = &leader{machine: gang.New(config), clock: clocks()}
 	m.entry = entry{clock: clocks(), state: m.state}
 	for i := range workers {
 		m.workers = append(m.workers, &workerModel{id: fmt.Sprint("w", i), clock: clocks(), options: tasks.Options{Speed: 1}})
@@ -209,6 +212,19 @@
 	m.leader = &leader{machine: gang.New(config), clock: c}
 }
 
+// alternate lets the standby lead, which has followed the log so far, and the leader
+// before it follow.
+func (m *model) alternate() {
+	before, next := m.leader, m.standby
+	m.newLeader(next.clock)
+	m.leader.machine = next.machine.NextTerm()
+	m.standby = &leader{machine: before.machine.NextTerm(), clock: before.clock}
+}
+
+func (m *model) followLog() {
+	m.standby.machine.Follow(m.standby.clock.at(m.real), m.state.ActiveJobs())
+}
+
 func (m *model) deposedLeads() bool {
 	if m.deposed == nil {
 		return false
@@ -321,6 +337,7 @@
 		m.step(m.leader, true)
 		m.deliverAll()
 	}
+	m.followLog()
 }
 
 func (m *model) deliverAll() {
--- a/internal/coordination/dispatch/gang/rapid_test.go
+++ b/internal/coordination/dispatch/gang/rapid_test.go
@@ -84,6 +84,8 @@
 		"command is lost": func(t *rapid.T) { m.deliver(pick(t, len(m.commands)), false, false) },
 		"answer is lost":  func(t *rapid.T) { m.deliver(pick(t, len(m.commands)), true, false) },
 		"new leader":      func(t *rapid.T) { m.newLeader(m.leader.clock) },
+		"standby leads":   func(*rapid.T) { m.alternate() },
+		"standby follows": func(*rapid.T) { m.followLog() },
 		"worker dies": func(t *rapid.T) {
 			if rapid.IntRange(0, 2).Draw(t, "rarely") == 0 {
 				anyWorker(t).up = false
--- a/internal/coordination/dispatch/gang/run.go
+++ b/internal/coordination/dispatch/gang/run.go
@@ -15,8 +15,8 @@
 type run struct {
 	epoch uint64
 	state controlpb.JobState
-	// since is when this machine first saw the state: from there waits are
-	// counted, by its own clock.
+	// since is when this machine first saw the state, and of a stop when this instance
+	// did: from there waits are counted, by its own clock.
 	since time.Time
 	// mayHaveStarted is set once a start was sent, and for a run that another
 	// leader began.
@@ -76,7 +76,7 @@
 	}
 	if r.state != job.State {
 		r.state = job.State
-		r.since = s.in.Now
+		r.since = s.stops.since(job, s.in.Now)
 		r.news = true
 		for _, m := range r.members {
 			m.awaiting = 0
--- a/internal/coordination/dispatch/gang/stopping.go
+++ b/internal/coordination/dispatch/gang/stopping.go
@@ -23,8 +23,8 @@
 // that it runs no more, or StopWait is over and its lease has surely run out.
 // Only members that did not acknowledge are waited for, and what others said is
 // in the log, so neither a lost answer nor a new leader asks them again. A new
-// leader counts the wait from when it first saw the stop: the clock of the one
-// before it says nothing.
+// leader counts the wait from when its own replica had the stop, whoever led then:
+// the clock of the leader before it says nothing.
 func (s *step) stopping(job *controlpb.Job, r *run) {
 	if s.in.LeaseOver != nil && !r.mayHaveStarted {
 		// No start has left, so there is nothing to stop and no lease to wait for. A
