Lines say which instance hears an upstream, and when one that is silent vouches no more

Each instance writes a line when it begins to hear an upstream, when it hears it no more or another one does, and when another instance's word lapses or is back. test/gangs keeps the instances' logs in a folder on request (-logs).

--- a/internal/app/membership.go
+++ b/internal/app/membership.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"time"
 
+	"github.com/sirupsen/logrus"
 	"go.uber.org/fx"
 
 	"pinewinch.example/pinewinch/internal/coordination/control"
@@ -31,12 +32,13 @@
 	fx.Invoke(runSoftState, runChanges),
 )
 
-func newRegistry(s *settings.Settings) *membership.Registry {
+func newRegistry(s *settings.Settings, logger *logrus.Logger) *membership.Registry {
 	return membership.NewRegistry(membership.Config{
 		Self:        s.Instance.Name,
 		Incarnation: time.Now().UnixNano(),
 		OriginTTL:   originTTL,
 		Now:         time.Now,
+		Logger:      logger,
 	})
 }
 
--- a/internal/coordination/membership/origin.go
+++ b/internal/coordination/membership/origin.go
@@ -16,6 +16,8 @@
 	heard       time.Time
 	state       *peerpb.InstanceState
 	upstreams   map[string]*peerpb.Upstream
+	// silent tells that what it vouches for no longer stands.
+	silent bool
 	// copying gathers a whole copy until it is complete; nil outside one.
 	copying map[string]*peerpb.Upstream
 }
@@ -35,12 +37,17 @@
 // which is when the ping left that the batch answers. A batch that does not
 // continue what is held fails with wrong_answer; the watcher then asks again.
 func (r *Registry) Receive(name string, batch *peerpb.SoftBatch, at time.Time) error {
+	defer r.writeLines()
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	o := r.origin(name, batch)
 	if at.After(o.heard) {
 		o.heard = at
 	}
+	if o.silent {
+		o.silent = false
+		r.lines = append(r.lines, line{message: instanceBack, instance: name, upstreams: len(o.upstreams)})
+	}
 	known := describe(o, batch)
 	if batch.Reset_ {
 		copiesReceived.Add(1)
@@ -181,6 +188,7 @@
 	switch {
 	case !ok:
 	case older(known.upstream, upstream):
+		r.tell(heardElsewhere, known.upstream)
 		r.held.drop(upstream.Id)
 		r.notify()
 	case older(known.passed, upstream):
@@ -192,7 +200,11 @@
 // sweepOrigins forgets what instances vouched for that have long been silent;
 // their names stay for lists, and are bounded by the settings' peers.
 func (r *Registry) sweepOrigins(now time.Time) {
-	for _, o := range r.origins {
+	for name, o := range r.origins {
+		if silence := now.Sub(o.heard); !o.silent && silence >= r.config.OriginTTL {
+			o.silent = true
+			r.lines = append(r.lines, line{message: instanceSilent, instance: name, upstreams: len(o.upstreams), silence: silence})
+		}
 		if len(o.upstreams) > 0 && now.Sub(o.heard) > max(r.config.OriginTTL, floorLife) {
 			o.upstreams = map[string]*peerpb.Upstream{}
 			o.copying = map[string]*peerpb.Upstream{}
--- a/internal/coordination/membership/registry.go
+++ b/internal/coordination/membership/registry.go
@@ -16,6 +16,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/sirupsen/logrus"
 	"google.golang.org/protobuf/proto"
 
 	"pinewinch.example/pinewinch/internal/protocol/failure"
@@ -54,6 +55,8 @@
 	// OriginTTL is how long the upstreams of a silent instance stand.
 	OriginTTL time.Duration
 	Now       func() time.Time
+	// Logger gets a line where it changes who vouches for an upstream; nil for none.
+	Logger *logrus.Logger
 }
 
 // Registry is one instance's view of upstreams and instances.
@@ -67,6 +70,8 @@
 	leaving bool
 	changed chan struct{}
 	view    atomic.Pointer[view]
+	// lines wait to be written outside of the lock.
+	lines []line
 }
 
 // floor is the newest version known of an upstream.
@@ -109,6 +114,7 @@
 	if proto.Size(upstream) > MaxUpstreamBytes {
 		return failure.New(failure.TooLarge, "an announcement of over %d bytes", MaxUpstreamBytes)
 	}
+	defer r.writeLines()
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	announcements.Add(1)
@@ -124,6 +130,7 @@
 		r.held.handle++
 		known = &heldUpstream{handle: r.held.handle}
 		r.held.upstreams[upstream.Id] = known
+		r.tell(heardHere, upstream)
 	}
 	r.raise(upstream, now)
 	known.expires = now.Add(time.Duration(upstream.TtlMs) * time.Millisecond)
@@ -159,12 +166,14 @@
 
 // Sweep drops what has expired. It is called at a fixed pace.
 func (r *Registry) Sweep() {
+	defer r.writeLines()
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	now := r.config.Now()
 	expired := 0
 	for id, known := range r.held.upstreams {
 		if !now.Before(known.expires) {
+			r.tell(silentHere, known.upstream)
 			r.held.drop(id)
 			expired++
 		}
--- a/test/gangs/gangs_test.go
+++ b/test/gangs/gangs_test.go
@@ -25,6 +25,7 @@
 var (
 	over = flag.Duration("over", 7*time.Second, "time during which things fail")
 	seed = flag.Uint64("seed", 1, "seed of jobs and failures")
+	logs = flag.String("logs", "", "folder for the instances' logs; empty for none")
 	// The users' goal is 1.9 s, a time that a busy machine cannot be held to:
 	// it is given by hand, and CI holds a quiet take-back to the derived bound.
 	quiet = flag.Duration("quiet", 0, "longest take-back while nothing fails; 0 for the derived bound")
