Upstreams turn from an instance that is cut off

Callers saw: a gang lost a member to which nothing was done, because the instance that its worker announced itself to was cut off for some seconds; other jobs on that worker were started and given up as worker_vanished, each an attempt.

Cause: a cut-off instance renews no lease, as it must, and answered 200 all the same, so the worker had no reason to turn to another one.

Change: an answer of an instance whose control state is not fresh asks the upstream to try another one (try_other, a new field); what the answer lists holds. The next announcement comes after the configured interval, so a lease of three intervals or more is renewed in time, and a system without any leader is asked no more often than before. Platform workers are refused by a stale instance already.

The model check gets a second instance that workers turn to.

--- a/internal/coordination/dispatch/gang/model_test.go
+++ b/internal/coordination/dispatch/gang/model_test.go
@@ -28,8 +28,10 @@
 	leader  *leader
 	deposed *leader
 	// standby follows the log, to lead next.
-	standby  *leader
-	entry    entry
+	standby *leader
+	entry   entry
+	// other is an instance that workers turn to when they are asked to; nil for none.
+	other    *entry
 	workers  []*workerModel
 	commands []flight
 	notices  []notice
@@ -87,6 +89,8 @@
 	// cut workers get no command; held ones get commands and answers late. Both
 	// still announce themselves.
 	cut, held bool
+	// elsewhere tells that it announces itself to the other instance.
+	elsewhere bool
 }
 
 type flight struct {
@@ -295,8 +299,12 @@
 		w.announced = upstream
 		w.expires = m.real + 3*config.AnnounceEvery
 	}
-	age := m.entry.clock.at(m.real).Sub(m.entry.clock.at(m.entry.confirmed))
-	reply := renewal.Answer(m.entry.state, age <= config.FreshnessBound, got.announcement.Tasks)
+	e := &m.entry
+	if w.elsewhere {
+		e = m.other
+	}
+	age := e.clock.at(m.real).Sub(e.clock.at(e.confirmed))
+	reply := renewal.Answer(e.state, age <= config.FreshnessBound, got.announcement.Tasks)
 	reply.LeaseMs = config.Lease.Milliseconds()
 	m.replies = append(m.replies, answered{notice: got, reply: reply})
 }
@@ -307,17 +315,24 @@
 	w := got.notice.worker
 	if w.up && w.incarnation == got.notice.announcement.Incarnation {
 		w.table.Take(w.clock.at(m.real), got.notice.announcement.Version, got.reply)
+		if got.reply.TryOther && m.other != nil {
+			w.elsewhere = !w.elsewhere
+		}
 	}
 }
 
-func (m *model) follow() { m.entry.state, m.entry.confirmed = m.state, m.real }
+func (m *model) follow() { m.entry.follow(m) }
+
+func (e *entry) follow(m *model) { e.state, e.confirmed = m.state, m.real }
 
 // round is half a second in which the network delivers all that its faults let
 // through.
 func (m *model) round() {
 	m.real += 500 * time.Millisecond
-	if !m.entry.cut {
-		m.follow()
+	for _, e := range []*entry{&m.entry, m.other} {
+		if e != nil && !e.cut {
+			e.follow(m)
+		}
 	}
 	for _, w := range m.workers {
 		if w.up {
@@ -352,6 +367,9 @@
 // heal ends every fault.
 func (m *model) heal() {
 	m.entry.cut = false
+	if m.other != nil {
+		m.other.cut = false
+	}
 	for i, w := range m.workers {
 		w.cut, w.held = false, false
 		if !w.up {
--- a/internal/coordination/dispatch/gang/rapid_test.go
+++ b/internal/coordination/dispatch/gang/rapid_test.go
@@ -31,6 +31,9 @@
 	rapid.Check(t, func(t *rapid.T) {
 		drift := rapid.Float64Range(0.99, 1.01)
 		m := newModel(func() clock { return clock(drift.Draw(t, "clock")) }, 3)
+		if rapid.Bool().Draw(t, "another instance") {
+			m.other = &entry{clock: clock(drift.Draw(t, "clock")), state: m.state}
+		}
 		for i := range rapid.IntRange(1, 4).Draw(t, "jobs") {
 			m.submit(&controlpb.Job{
 				Id: fmt.Sprint("j", i), Accelerators: 1,
@@ -70,7 +73,13 @@
 		"cut worker":  func(t *rapid.T) { w := anyWorker(t); w.cut = !w.cut },
 		"hold worker": func(t *rapid.T) { w := anyWorker(t); w.held = !w.held },
 		"cut entry":   func(*rapid.T) { m.entry.cut = !m.entry.cut },
-		"heal":        func(*rapid.T) { m.heal() },
+		"cut other": func(t *rapid.T) {
+			if m.other == nil {
+				t.Skip("nothing there")
+			}
+			m.other.cut = !m.other.cut
+		},
+		"heal": func(*rapid.T) { m.heal() },
 		"time passes": func(t *rapid.T) {
 			m.real += time.Duration(rapid.IntRange(1, 4000).Draw(t, "ms")) * time.Millisecond
 		},
--- a/internal/coordination/dispatch/renewal/renewal.go
+++ b/internal/coordination/dispatch/renewal/renewal.go
@@ -13,9 +13,10 @@
 // state is not fresh renews nothing: it would keep a gang alive that has been
 // stopped since, and gang.StopWait counts on its not doing so. What it holds of
 // stops stays true however old it is, because an epoch that has ended never
-// comes back, so those it passes on.
+// comes back, so those it passes on. The worker is asked to turn to another instance:
+// it would lose its tasks here although nothing is wrong with it.
 func Answer(state *store.State, fresh bool, tasks []api.TaskReport) *api.AnnounceReply {
-	reply := &api.AnnounceReply{}
+	reply := &api.AnnounceReply{TryOther: !fresh}
 	for _, task := range tasks {
 		ref := api.TaskRef{Job: task.Job, Task: task.Task, Epoch: task.Epoch}
 		live := task.Phase == api.PhaseReserved || task.Phase == api.PhaseRunning
--- a/internal/coordination/dispatch/renewal/renewal_test.go
+++ b/internal/coordination/dispatch/renewal/renewal_test.go
@@ -48,6 +48,7 @@
 			is := is.New(t)
 			reply := renewal.Answer(stateOf(c.job), !c.stale, []api.TaskReport{{Job: "j", Epoch: c.epoch, Phase: c.phase}})
 			got := map[string]int{"renew": len(reply.Renew), "stop": len(reply.Stop), "forget": len(reply.Forget)}
+			is.Equal(reply.TryOther, c.stale)
 			for list, count := range got {
 				is.Equal(count == 1, list == c.want)
 			}
--- a/internal/protocol/api/upstream.go
+++ b/internal/protocol/api/upstream.go
@@ -73,12 +73,18 @@
 // receipt of the answer, a late answer would prolong a lease that the system
 // has taken to be over. A stopped task is checkpointed if it can be, and ended. A
 // task in neither list runs until its lease ends.
+//
+// TryOther asks the upstream to announce itself to another instance next time: this
+// one is cut off from the control log, so it renews nothing, and the others may not
+// hear from it of the upstream.
 type AnnounceReply struct {
-	NextMs  int64     `json:"next_ms"`
-	LeaseMs int64     `json:"lease_ms"`
-	Renew   []TaskRef `json:"renew,omitempty"`
-	Stop    []TaskRef `json:"stop,omitempty"`
-	Forget  []TaskRef `json:"forget,omitempty"`
+	NextMs   int64 `json:"next_ms"`
+	LeaseMs  int64 `json:"lease_ms"`
+	TryOther bool  `json:"try_other,omitempty"`
+
+	Renew  []TaskRef `json:"renew,omitempty"`
+	Stop   []TaskRef `json:"stop,omitempty"`
+	Forget []TaskRef `json:"forget,omitempty"`
 }
 
 // TaskRef names one run of one task.
--- a/internal/standin/announcer.go
+++ b/internal/standin/announcer.go
@@ -21,7 +21,7 @@
 )
 
 // announcer keeps an upstream known: it announces to one instance after
-// another, until one answers, and again when the answer says so.
+// another, until one answers that is not cut off, and again when the answer says so.
 type announcer struct {
 	path    string
 	servers []string
@@ -55,8 +55,11 @@
 		if reply, err := a.once(ctx, announcement); err == nil && !a.muted.Load() {
 			take(announcement, reply)
 			pause = time.Duration(reply.NextMs) * time.Millisecond
+			if reply.TryOther {
+				a.turn()
+			}
 		} else {
-			a.next = (a.next + 1) % len(a.servers)
+			a.turn()
 		}
 		select {
 		case <-ctx.Done():
@@ -67,6 +70,9 @@
 	}
 }
 
+// turn makes the next instance the one that hears the upstream.
+func (a *announcer) turn() { a.next = (a.next + 1) % len(a.servers) }
+
 func (a *announcer) once(ctx context.Context, announcement *api.Announcement) (*api.AnnounceReply, error) {
 	if a.muted.Load() {
 		return nil, failure.New(failure.Unreachable, "cut off")
--- a/internal/transport/httpapi/upstreams.go
+++ b/internal/transport/httpapi/upstreams.go
@@ -32,7 +32,7 @@
 		writeError(w, err)
 		return
 	}
-	writeJSON(w, &api.AnnounceReply{NextMs: s.announceEvery().Milliseconds()})
+	writeJSON(w, s.tell(&api.AnnounceReply{TryOther: s.control.Fresh() != nil}))
 }
 
 func (s *Server) announce(r *http.Request, kind peerpb.UpstreamKind) (*api.Announcement, error) {
@@ -51,8 +51,18 @@
 func (s *Server) tellWorker(announcement *api.Announcement) *api.AnnounceReply {
 	fresh := s.control.Fresh() == nil
 	reply := renewal.Answer(s.control.State(), fresh, announcement.Tasks)
-	reply.NextMs = s.announceEvery().Milliseconds()
 	reply.LeaseMs = s.settings.Upstreams.Lease.Milliseconds()
+	return s.tell(reply)
+}
+
+// tell adds when the upstream announces itself next. One that is to turn to another
+// instance does so before its leases end, however many announce here.
+func (s *Server) tell(reply *api.AnnounceReply) *api.AnnounceReply {
+	next := s.announceEvery()
+	if reply.TryOther {
+		next = s.settings.Upstreams.AnnounceEvery
+	}
+	reply.NextMs = next.Milliseconds()
 	return reply
 }
 
