The word of a silent instance lapses by the settings, not after a fixed 8 s

Cause: what an instance vouched for stood for 8 s after it fell silent, whatever the settings, while the bound on a part alone is made of the lease, the freshness bound and the interval of announcements. With leases of 1 s a member that was lost behind a cut-off instance looked alive for up to 7 s.

Ruled out: a leader that counts its waits anew (the stop is decided 54 ms after the word lapsed), the empty first copy of a restarted instance (no line of i4 on w5).

Change: the word stands for the freshness bound, three announcements and one ping: by then upstreams of an instance that is cut off have been asked to turn and were heard elsewhere. That is 8 s as before with the defaults and with the platform's settings, 3.6 s with those of the test.

Failure before: TestGangEndsWithTheWordOfItsWorkersInstance/short_leases "the gang was not stopped 5.35540404s after the cut". The number of announcements that may be missed stood three times and stands once now.

--- a/internal/app/control.go
+++ b/internal/app/control.go
@@ -88,7 +88,7 @@
 	for _, replica := range state.Replicas() {
 		found = append(found, follower.Candidate{Name: replica.Instance, DataCentre: replica.DataCentre, Replica: true})
 	}
-	for _, instance := range registry.Instances(originTTL) {
+	for _, instance := range registry.Instances(heardWindow) {
 		known := slices.ContainsFunc(found, func(c follower.Candidate) bool { return c.Name == instance.Name })
 		if instance.Ready && !instance.Leaving && !known {
 			found = append(found, follower.Candidate{
--- a/internal/app/members.go
+++ b/internal/app/members.go
@@ -52,7 +52,7 @@
 
 func (m *members) tell(ctx context.Context, current []*consensuspb.Member) {
 	centres := map[string]string{}
-	for _, instance := range m.registry.Instances(originTTL) {
+	for _, instance := range m.registry.Instances(heardWindow) {
 		centres[instance.Name] = instance.DataCentre
 	}
 	told := m.node.State().Replicas()
--- a/internal/app/membership.go
+++ b/internal/app/membership.go
@@ -11,6 +11,7 @@
 	"pinewinch.example/pinewinch/internal/coordination/control"
 	"pinewinch.example/pinewinch/internal/coordination/membership"
 	"pinewinch.example/pinewinch/internal/coordination/softstate"
+	"pinewinch.example/pinewinch/internal/protocol/api"
 	"pinewinch.example/pinewinch/internal/settings"
 	"pinewinch.example/pinewinch/internal/transport/httpapi"
 	"pinewinch.example/pinewinch/internal/transport/peers"
@@ -22,11 +23,23 @@
 	// peerTimeout is how long a peer may be silent before its stream is opened
 	// anew.
 	peerTimeout = 3 * peerPingEvery
-	// originTTL is how long the upstreams that a silent instance heard stand;
-	// they have turned to another instance by then.
-	originTTL = peerTimeout + peerPingEvery
+	// heardWindow is how long ago an instance that counts as live was heard.
+	heardWindow = peerTimeout + peerPingEvery
 )
 
+// vouchLife is how long the upstreams that a silent instance heard stand. One that is cut
+// off knows it within the freshness bound and asks them to turn to another, where they
+// are heard before they would have missed too many announcements; a ping may have been
+// due when the instance fell silent. Were it longer, a worker that was lost behind such an
+// instance would look alive, and the others of its gang would go on without it.
+func vouchLife(s *settings.Settings) time.Duration {
+	every := s.Upstreams.AnnounceEvery
+	if s.Leased != nil {
+		every = s.Leased.AnnounceEvery
+	}
+	return s.Control.FreshnessBound + api.AnnouncementsMissed*every + peerPingEvery
+}
+
 var membershipModule = fx.Module("membership",
 	fx.Provide(newRegistry, newExchange, newSoftState),
 	fx.Invoke(runSoftState, runChanges),
@@ -36,7 +49,7 @@
 	return membership.NewRegistry(membership.Config{
 		Self:        s.Instance.Name,
 		Incarnation: time.Now().UnixNano(),
-		OriginTTL:   originTTL,
+		OriginTTL:   vouchLife(s),
 		Now:         time.Now,
 		Logger:      logger,
 	})
--- a/internal/app/repair.go
+++ b/internal/app/repair.go
@@ -39,7 +39,7 @@
 	})
 	config := repairer.Config{
 		Repair: repair.Config{Voters: s.Control.WantedVoters(), CutDelay: mostRepairDelay},
-		Window: originTTL,
+		Window: heardWindow,
 		Now:    time.Now,
 		Logger: logger,
 	}
--- a/internal/coordination/dispatch/gang/lease.go
+++ b/internal/coordination/dispatch/gang/lease.go
@@ -1,6 +1,10 @@
 package gang
 
-import "time"
+import (
+	"time"
+
+	"pinewinch.example/pinewinch/internal/protocol/api"
+)
 
 // Config of the decisions. Every instance must have the same Lease,
 // FreshnessBound and AnnounceEvery: StopWait is derived from them.
@@ -30,9 +34,6 @@
 	// enforcement is how long a worker may take from the end of a lease to the end
 	// of the task.
 	enforcement = 500 * time.Millisecond
-	// missedAnnouncements is how many announcements an upstream may miss before it
-	// counts as gone; the registry drops it then.
-	missedAnnouncements = 3
 )
 
 // StopWait is how long after the commit of STOPPING, by the leader's clock, the
@@ -62,7 +63,7 @@
 // grace is how long a member may be unheard of without being taken as vanished,
 // when the leader cannot tell an absent worker from one it has not heard yet:
 // the life of an announcement.
-func (c Config) grace() time.Duration { return missedAnnouncements * c.AnnounceEvery }
+func (c Config) grace() time.Duration { return api.AnnouncementsMissed * c.AnnounceEvery }
 
 // startTimeout bounds a gang's start: each member gets two commands, and a new
 // leader may have to hear of the workers first.
--- a/internal/protocol/api/upstream.go
+++ b/internal/protocol/api/upstream.go
@@ -30,6 +30,10 @@
 	HeaderKey        = "Idempotency-Key"
 )
 
+// AnnouncementsMissed is how many announcements an upstream may miss before it counts as
+// gone.
+const AnnouncementsMissed = 3
+
 // Announcement is what a worker or minion says of itself. Incarnation grows
 // with each start of the upstream, Version with each announcement.
 type Announcement struct {
--- a/internal/transport/httpapi/feasible.go
+++ b/internal/transport/httpapi/feasible.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"pinewinch.example/pinewinch/internal/coordination/scheduling"
+	"pinewinch.example/pinewinch/internal/protocol/api"
 	"pinewinch.example/pinewinch/internal/protocol/controlpb"
 	"pinewinch.example/pinewinch/internal/protocol/declaration"
 	"pinewinch.example/pinewinch/internal/protocol/failure"
@@ -54,7 +55,7 @@
 // had time to announce itself to some instance and the news to come here: a
 // starting instance would call possible work impossible.
 func (s *Server) knownWorkers() (workers []scheduling.Worker, known bool) {
-	if time.Since(s.started) < announcementsMissed*s.settings.Upstreams.AnnounceEvery+announceGrace {
+	if time.Since(s.started) < api.AnnouncementsMissed*s.settings.Upstreams.AnnounceEvery+announceGrace {
 		return nil, false
 	}
 	for _, worker := range s.registry.Live(peerpb.UpstreamKind_UPSTREAM_KIND_WORKER) {
--- a/internal/transport/httpapi/upstreams.go
+++ b/internal/transport/httpapi/upstreams.go
@@ -10,10 +10,6 @@
 	"pinewinch.example/pinewinch/internal/protocol/peerpb"
 )
 
-// announcementsMissed is how many announcements may be lost before an upstream
-// counts as gone.
-const announcementsMissed = 3
-
 // leaseAnnouncements is how many announcements a lease outlasts, however far
 // their interval is stretched.
 const leaseAnnouncements = 3
@@ -43,7 +39,7 @@
 	if announcement.ID == "" || announcement.Address == "" {
 		return nil, failure.New(failure.BadRequest, "an announcement names id and address")
 	}
-	ttl := s.announceEvery() * announcementsMissed
+	ttl := s.announceEvery() * api.AnnouncementsMissed
 	return announcement, s.registry.Merge(announcement.Upstream(kind, ttl))
 }
 
