A process without a free descriptor does not take its disk for failed

A log whose next segment could not be opened writes nothing until it is: that segment's file may exist already with an older hard state, and an append to the one before it would be followed by it at the next start. A folder that could not be synced after a compaction is synced by the next one.

Failure before: TestLeaderOutOfDescriptorsLeadsOn "outcome_unknown: the log was closed", TestMissingDescriptorRefusesUntilThereIsOne (3 cases) and TestCompactGoesOnWithoutADescriptor not true. Planted: a log that goes on in the segment before fails the second of them.

--- a/internal/coordination/replica/core.go
+++ b/internal/coordination/replica/core.go
@@ -13,6 +13,7 @@
 	"pinewinch.example/pinewinch/internal/protocol/controlpb"
 	"pinewinch.example/pinewinch/internal/protocol/failure"
 	"pinewinch.example/pinewinch/internal/protocol/peerpb"
+	"pinewinch.example/pinewinch/internal/state/disk"
 	"pinewinch.example/pinewinch/internal/state/store"
 )
 
@@ -178,7 +179,7 @@
 			break
 		}
 		err := c.carryOut(ctx, ready)
-		if failure.Is(err, failure.DiskFull) {
+		if disk.MayTryAgain(err) {
 			c.hold(ready, err)
 			return nil
 		}
--- a/internal/coordination/replica/fulldisk.go
+++ b/internal/coordination/replica/fulldisk.go
@@ -8,6 +8,7 @@
 	"pinewinch.example/pinewinch/internal/coordination/control"
 	"pinewinch.example/pinewinch/internal/coordination/steady"
 	"pinewinch.example/pinewinch/internal/protocol/failure"
+	"pinewinch.example/pinewinch/internal/state/disk"
 )
 
 const (
@@ -19,16 +20,24 @@
 	snapshotPauseTicks = 25
 )
 
+// lacking says for want of what an access to the disk may be tried again later.
+func lacking(err error) string {
+	if failure.Is(err, failure.OutOfDescriptors) {
+		return "no file descriptor is left"
+	}
+	return "the disk is full"
+}
+
 // openWithRoom opens the data folder, and waits for room where the disk is full:
 // a process that ended would be started again into the same disk.
 func (r *Replica) openWithRoom(ctx context.Context) (*storage, *recovery, error) {
 	for told := false; ; told = true {
 		storage, recovered, err := openStorage(&r.config)
-		if !failure.Is(err, failure.DiskFull) {
+		if !disk.MayTryAgain(err) {
 			return storage, recovered, err
 		}
 		if !told {
-			r.config.Logger.WithField("cause", err.Error()).Error("the disk is full: the log waits for room to open")
+			r.config.Logger.WithField("cause", err.Error()).Error(lacking(err) + ": the log waits to open")
 		}
 		if !control.Pause(ctx, openPause) {
 			return nil, nil, err
@@ -36,7 +45,7 @@
 	}
 }
 
-// hold keeps a Ready whose append found no room. Until it is on disk this replica
+// hold keeps a Ready whose append found no room, or no descriptor for a new file. Until it is on disk this replica
 // takes no part in the log, as if it were cut off: nothing that it would say may
 // rest on what is not on its disk. The others hear nothing of it and, where it
 // led, elect another leader; it decides nothing, confirms no state and refuses
@@ -49,7 +58,7 @@
 	c.replica.view.Store(&v)
 	c.replica.config.Logger.WithField("term", v.status.Term).WithField("role", v.status.Role.String()).
 		WithField("index", c.state.Index()).WithField("cause", cause.Error()).
-		Error("the disk is full: this replica leaves the log until there is room")
+		Error(lacking(cause) + ": this replica leaves the log until there is room")
 }
 
 // tryHeld tries a held append again, and lets time pass once nothing is held. The
@@ -59,14 +68,14 @@
 	if c.held != nil {
 		ready := *c.held
 		err := c.finish(ctx, ready)
-		if failure.Is(err, failure.DiskFull) {
+		if disk.MayTryAgain(err) {
 			return nil
 		}
 		if err != nil {
 			return err
 		}
 		c.held = nil
-		c.replica.config.Logger.WithField("index", c.state.Index()).Info("the disk has room again: this replica is back in the log")
+		c.replica.config.Logger.WithField("index", c.state.Index()).Info("there is room again: this replica is back in the log")
 	}
 	c.passTime(steady.Now())
 	return nil
@@ -77,5 +86,5 @@
 	if c.held == nil {
 		return nil
 	}
-	return failure.New(failure.NotReady, "the disk of this replica is full")
+	return failure.New(failure.NotReady, "this replica can't write its log")
 }
--- a/internal/coordination/replica/replica_test.go
+++ b/internal/coordination/replica/replica_test.go
@@ -151,6 +151,24 @@
 	})
 }
 
+// A leader that ended for a failed disk because it had no descriptor left for a snapshot.
+func TestLeaderOutOfDescriptorsLeadsOn(t *testing.T) {
+	inBubble(t, func(is *is.I, m *mesh) {
+		m.entries = 5
+		leader := startAll(m)
+		disk := m.disks[leader.config.Instance]
+		disk.SetOpens(0)
+		for n := range 12 {
+			propose(is, leader, fmt.Sprint("without ", n))
+		}
+		is.True(leader.IsLeader())
+		before := leader.disk.newestSnapshot()
+		disk.SetOpens(-1)
+		time.Sleep(2 * time.Second)
+		is.True(leader.disk.newestSnapshot() > before)
+	})
+}
+
 // An append waits for room while a snapshot of the leader arrives, and the disk has
 // room again just then. The snapshot must not be marked in the log ahead of the
 // append: the log would have a gap, and the next start would refuse it.
--- a/internal/coordination/replica/snapshots.go
+++ b/internal/coordination/replica/snapshots.go
@@ -8,6 +8,7 @@
 	"pinewinch.example/pinewinch/internal/protocol/consensuspb"
 	"pinewinch.example/pinewinch/internal/protocol/failure"
 	"pinewinch.example/pinewinch/internal/protocol/peerpb"
+	"pinewinch.example/pinewinch/internal/state/disk"
 	"pinewinch.example/pinewinch/internal/state/snapshot"
 	"pinewinch.example/pinewinch/internal/state/store"
 )
@@ -82,7 +83,7 @@
 	if err == nil {
 		err = c.disk.log.Compact(c.disk.snapshots.Oldest())
 	}
-	if failure.Is(err, failure.DiskFull) {
+	if disk.MayTryAgain(err) {
 		c.snapshotLater(err)
 		return
 	}
@@ -162,7 +163,7 @@
 	defer cancel()
 	ask := &peerpb.FetchSnapshot{Index: id.Index, Term: id.Term, Offset: offset}
 	reply, err := r.peers.Call(ctx, from, &peerpb.Call{Body: &peerpb.Call_FetchSnapshot{FetchSnapshot: ask}})
-	if failure.Is(err, failure.DiskFailed) || failure.Is(err, failure.DiskFull) {
+	if failure.Is(err, failure.DiskFailed) || disk.MayTryAgain(err) {
 		// The source's disk, and not this replica's: that would end its process.
 		return nil, failure.Wrap(failure.Unreachable, err, "%s can't read its snapshot", from)
 	}
@@ -217,7 +218,7 @@
 		return
 	}
 	err = c.disk.log.Mark(s.Meta)
-	if failure.Is(err, failure.DiskFull) {
+	if disk.MayTryAgain(err) {
 		return
 	}
 	if err != nil {
--- a/internal/coordination/replica/storage.go
+++ b/internal/coordination/replica/storage.go
@@ -96,7 +96,7 @@
 		}
 		names, err := s.files.Names(s.path(folder))
 		if err != nil {
-			return false, failure.Wrap(failure.DiskFailed, err, "list %s", s.path(folder))
+			return false, disk.Fault(err, "list %s", s.path(folder))
 		}
 		if len(names) > 0 {
 			return true, nil
--- a/internal/protocol/failure/failure.go
+++ b/internal/protocol/failure/failure.go
@@ -58,7 +58,11 @@
 	DiskFailed      Code = "disk_failed"
 	// DiskFull is a disk that takes no more bytes: what was to be written is not
 	// there, and may be written again once there is room.
-	DiskFull      Code = "disk_full"
+	DiskFull Code = "disk_full"
+	// OutOfDescriptors is a file or connection that this process could not open because
+	// it holds as many as it may: nothing was written or sent.
+	OutOfDescriptors Code = "out_of_descriptors"
+
 	FolderInUse   Code = "data_folder_in_use"
 	CommandTooNew Code = "command_too_new"
 	Internal      Code = "internal"
@@ -118,6 +122,8 @@
 	WorkerVanished:  {http.StatusBadGateway, 48},
 	StartTimeout:    {http.StatusGatewayTimeout, 49},
 	Stalled:         {http.StatusBadGateway, 53},
+
+	OutOfDescriptors: {http.StatusServiceUnavailable, 54},
 }
 
 // infrastructure holds the codes of failures that say nothing about the work
@@ -137,6 +143,8 @@
 	WorkerVanished:  true,
 	StartTimeout:    true,
 	Stalled:         true,
+
+	OutOfDescriptors: true,
 }
 
 // Infrastructure tells whether a task's failure counts against no job. A code
--- a/internal/protocol/logstory/logstory.go
+++ b/internal/protocol/logstory/logstory.go
@@ -131,19 +131,23 @@
 var ofWorkers = []string{
 	"worker does not answer", "worker answers again", "another boot answers in the worker's place",
 	"worker taken over", "worker announced", "worker departed",
+	"upstream heard here", "upstream silent here", "upstream heard elsewhere",
 }
 
 // ofLeaders are the messages about the control log and the process.
 var ofLeaders = []string{
 	"control log", "not ready", "process started", "stop", "stopping", "a voter was replaced",
 	"the disk is full: this replica leaves the log until there is room",
-	"the disk has room again: this replica is back in the log", "suppressed", "log lines dropped",
+	"no file descriptor is left: this replica leaves the log until there is room",
+	"there is room again: this replica is back in the log", "a silent instance vouches no more",
+	"suppressed", "log lines dropped",
 }
 
 func (l *Line) surrounds(met map[string]bool) bool {
 	if slices.Contains(ofWorkers, l.Message) {
 		worker, _ := l.Fields["worker"].(string)
-		return met[worker]
+		upstream, _ := l.Fields["upstream"].(string)
+		return met[worker] || met[upstream]
 	}
 	if l.Message == "control log" {
 		return l.Fields["role"] == "leader"
--- a/internal/state/disk/disk.go
+++ b/internal/state/disk/disk.go
@@ -120,12 +120,12 @@
 		return nil, false, nil
 	}
 	if err != nil {
-		return nil, false, failure.Wrap(failure.DiskFailed, err, "open %s", path)
+		return nil, false, Fault(err, "open %s", path)
 	}
 	defer file.Close()
 	content, err = ReadAll(file)
 	if err != nil {
-		return nil, false, failure.Wrap(failure.DiskFailed, err, "read %s", path)
+		return nil, false, Fault(err, "read %s", path)
 	}
 	return content, true, nil
 }
@@ -145,14 +145,24 @@
 }
 
 // Fault makes the failure of an access to a disk: DiskFull where there is no room
-// for the bytes, DiskFailed otherwise.
+// for the bytes, OutOfDescriptors where a file could not be opened for want of one,
+// DiskFailed otherwise.
 func Fault(err error, format string, args ...any) *failure.Error {
-	if errors.Is(err, syscall.ENOSPC) || errors.Is(err, syscall.EDQUOT) {
+	switch {
+	case errors.Is(err, syscall.ENOSPC), errors.Is(err, syscall.EDQUOT):
 		return failure.Wrap(failure.DiskFull, err, format, args...)
+	case errors.Is(err, syscall.EMFILE), errors.Is(err, syscall.ENFILE):
+		return failure.Wrap(failure.OutOfDescriptors, err, format, args...)
 	}
 	return failure.Wrap(failure.DiskFailed, err, format, args...)
 }
 
+// MayTryAgain tells an access that found no room or no descriptor: the disk is well, and
+// the same access may succeed later.
+func MayTryAgain(err error) bool {
+	return failure.Is(err, failure.DiskFull) || failure.Is(err, failure.OutOfDescriptors)
+}
+
 // Replace writes a file aside, syncs it, renames it and syncs the folder: after
 // a crash there is the old file or the new one, whole.
 func Replace(files FS, path string, parts ...[]byte) error {
@@ -191,14 +201,14 @@
 func RemoveAside(files FS, folder string) error {
 	names, err := files.Names(folder)
 	if err != nil {
-		return failure.Wrap(failure.DiskFailed, err, "list %s", folder)
+		return Fault(err, "list %s", folder)
 	}
 	for _, name := range names {
 		if !strings.HasSuffix(name, asideSuffix) {
 			continue
 		}
 		if err := files.Remove(filepath.Join(folder, name)); err != nil {
-			return failure.Wrap(failure.DiskFailed, err, "remove %s", name)
+			return Fault(err, "remove %s", name)
 		}
 	}
 	return nil
--- a/internal/state/disk/disktest/disktest.go
+++ b/internal/state/disk/disktest/disktest.go
@@ -18,6 +18,9 @@
 type FS struct {
 	// Room is how many more bytes fit on the disk; negative for no limit.
 	Room int
+	// Opens is how many more files and folders can be opened before the process is out
+	// of descriptors; negative for no limit.
+	Opens int
 	// FailSyncs is how many of the next syncs of files fail. A failed sync drops
 	// the bytes but keeps showing them, as the page cache of a kernel does.
 	FailSyncs int
@@ -37,7 +40,7 @@
 
 // New makes an empty file system.
 func New() *FS {
-	return &FS{Room: -1, names: map[string]*content{}, synced: map[string]*content{}}
+	return &FS{Room: -1, Opens: -1, names: map[string]*content{}, synced: map[string]*content{}}
 }
 
 // Crash gives what the disk holds after power was lost: synced names with
@@ -66,6 +69,22 @@
 	f.Room = room
 }
 
+// SetOpens sets Opens while other goroutines use the file system.
+func (f *FS) SetOpens(opens int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.Opens = opens
+}
+
+// open takes one descriptor; the caller holds the lock.
+func (f *FS) open() error {
+	if f.Opens == 0 {
+		return syscall.EMFILE
+	}
+	f.Opens = max(f.Opens-1, -1)
+	return nil
+}
+
 // Damage flips a bit of a file.
 func (f *FS) Damage(path string, offset int) {
 	f.mu.Lock()
@@ -87,6 +106,9 @@
 func (f *FS) Create(path string) (disk.File, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	if err := f.open(); err != nil {
+		return nil, err
+	}
 	f.names[path] = &content{}
 	return &file{fs: f, content: f.names[path]}, nil
 }
@@ -99,6 +121,9 @@
 	if !ok {
 		return nil, fs.ErrNotExist
 	}
+	if err := f.open(); err != nil {
+		return nil, err
+	}
 	return &file{fs: f, content: c}, nil
 }
 
@@ -106,6 +131,9 @@
 func (f *FS) Names(folder string) ([]string, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	if err := f.open(); err != nil {
+		return nil, err
+	}
 	var names []string
 	for path := range f.names {
 		if filepath.Dir(path) == filepath.Clean(folder) {
@@ -141,6 +169,9 @@
 func (f *FS) SyncFolder(folder string) error {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	if err := f.open(); err != nil {
+		return err
+	}
 	for path := range f.synced {
 		if filepath.Dir(path) == filepath.Clean(folder) {
 			delete(f.synced, path)
--- a/internal/state/snapshot/snapshot.go
+++ b/internal/state/snapshot/snapshot.go
@@ -37,7 +37,7 @@
 	}
 	names, err := files.Names(path)
 	if err != nil {
-		return nil, failure.Wrap(failure.DiskFailed, err, "list %s", path)
+		return nil, disk.Fault(err, "list %s", path)
 	}
 	f := &Folder{files: files, path: path}
 	for _, name := range names {
@@ -108,7 +108,7 @@
 func (f *Folder) prune() error {
 	for len(f.ids) > kept {
 		if err := f.files.Remove(f.file(f.ids[0], fileSuffix)); err != nil {
-			return failure.Wrap(failure.DiskFailed, err, "remove an old snapshot")
+			return disk.Fault(err, "remove an old snapshot")
 		}
 		f.ids = f.ids[1:]
 	}
@@ -166,7 +166,7 @@
 		return err
 	}
 	if err := f.files.Rename(f.file(id, fileSuffix), f.file(id, damagedSuffix)); err != nil {
-		return failure.Wrap(failure.DiskFailed, err, "put a damaged snapshot aside")
+		return disk.Fault(err, "put a damaged snapshot aside")
 	}
 	f.ids = rest
 	return nil
--- a/internal/state/snapshot/transfer.go
+++ b/internal/state/snapshot/transfer.go
@@ -27,19 +27,19 @@
 		return nil, failure.New(failure.NotFound, "snapshot %d is no longer kept", id.Index)
 	}
 	if err != nil {
-		return nil, failure.Wrap(failure.DiskFailed, err, "open %s", path)
+		return nil, disk.Fault(err, "open %s", path)
 	}
 	defer file.Close()
 	total, err := file.Size()
 	if err != nil {
-		return nil, failure.Wrap(failure.DiskFailed, err, "size of %s", path)
+		return nil, disk.Fault(err, "size of %s", path)
 	}
 	if offset < 0 || offset > total {
 		return nil, failure.New(failure.BadRequest, "offset %d of a snapshot of %d bytes", offset, total)
 	}
 	data := make([]byte, min(int64(maxBytes), total-offset))
 	if _, err := file.ReadAt(data, offset); err != nil && !errors.Is(err, io.EOF) {
-		return nil, failure.Wrap(failure.DiskFailed, err, "read %s", path)
+		return nil, disk.Fault(err, "read %s", path)
 	}
 	return &Chunk{ID: id, Total: total, Offset: offset, Data: data}, nil
 }
@@ -65,12 +65,12 @@
 		file, err = f.files.Create(path)
 	}
 	if err != nil {
-		return nil, failure.Wrap(failure.DiskFailed, err, "open %s", path)
+		return nil, disk.Fault(err, "open %s", path)
 	}
 	offset, err := file.Size()
 	if err != nil {
 		file.Close()
-		return nil, failure.Wrap(failure.DiskFailed, err, "size of %s", path)
+		return nil, disk.Fault(err, "size of %s", path)
 	}
 	return &Incoming{folder: f, id: id, file: file, offset: offset}, nil
 }
@@ -92,7 +92,7 @@
 func (f *Folder) dropPartials(but ID) error {
 	names, err := f.files.Names(f.path)
 	if err != nil {
-		return failure.Wrap(failure.DiskFailed, err, "list %s", f.path)
+		return disk.Fault(err, "list %s", f.path)
 	}
 	for _, name := range names {
 		id, ok := parseName(name, partialSuffix)
@@ -100,7 +100,7 @@
 			continue
 		}
 		if err := f.files.Remove(f.file(id, partialSuffix)); err != nil {
-			return failure.Wrap(failure.DiskFailed, err, "remove %s", name)
+			return disk.Fault(err, "remove %s", name)
 		}
 	}
 	return nil
@@ -128,7 +128,7 @@
 	f, path := in.folder, in.folder.file(in.id, partialSuffix)
 	content, err := disk.ReadAll(in.file)
 	if err != nil {
-		return nil, failure.Wrap(failure.DiskFailed, err, "read %s", path)
+		return nil, disk.Fault(err, "read %s", path)
 	}
 	s, err := decode(path, content)
 	if err == nil && idOf(s.Meta) != in.id {
--- a/internal/state/wal/segment.go
+++ b/internal/state/wal/segment.go
@@ -37,7 +37,7 @@
 func listSegments(files disk.FS, folder string) ([]uint64, error) {
 	names, err := files.Names(folder)
 	if err != nil {
-		return nil, failure.Wrap(failure.DiskFailed, err, "list %s", folder)
+		return nil, disk.Fault(err, "list %s", folder)
 	}
 	var numbers []uint64
 	for _, name := range names {
--- a/internal/state/wal/wal.go
+++ b/internal/state/wal/wal.go
@@ -10,7 +10,6 @@
 	"path/filepath"
 
 	"pinewinch.example/pinewinch/internal/protocol/consensuspb"
-	"pinewinch.example/pinewinch/internal/protocol/failure"
 	"pinewinch.example/pinewinch/internal/state/disk"
 )
 
@@ -32,9 +31,14 @@
 	active   disk.File
 	// synced is the length of the active segment that lasts.
 	synced int64
-	hard   *consensuspb.HardState
-	mark   *consensuspb.SnapshotMeta
-	failed error
+	// rotating is set while the next segment is not begun. Until it is, nothing is
+	// written: its file may be there already, with the hard state of before.
+	rotating bool
+	// dropped tells that segments were removed and their folder not synced since.
+	dropped bool
+	hard    *consensuspb.HardState
+	mark    *consensuspb.SnapshotMeta
+	failed  error
 }
 
 // Open reads the log in a folder, makes one where there is none, and cuts a
@@ -78,7 +82,7 @@
 	s := segment{number: number, path: filepath.Join(l.options.Folder, segmentName(number))}
 	file, err := l.options.Files.Open(s.path)
 	if err != nil {
-		return failure.Wrap(failure.DiskFailed, err, "open %s", s.path)
+		return disk.Fault(err, "open %s", s.path)
 	}
 	if isLast {
 		l.active = file
@@ -87,7 +91,7 @@
 	}
 	data, err := disk.ReadAll(file)
 	if err != nil {
-		return failure.Wrap(failure.DiskFailed, err, "read %s", s.path)
+		return disk.Fault(err, "read %s", s.path)
 	}
 	take := func(record *consensuspb.LogRecord) error {
 		s.last = max(s.last, lastIndex(record))
@@ -109,11 +113,11 @@
 func (l *Log) settleTail(file disk.File, good, size int64) error {
 	if good < size {
 		if err := file.Truncate(good); err != nil {
-			return failure.Wrap(failure.DiskFailed, err, "cut the log's tail")
+			return disk.Fault(err, "cut the log's tail")
 		}
 	}
 	if err := file.Sync(); err != nil {
-		return failure.Wrap(failure.DiskFailed, err, "sync the log's tail")
+		return disk.Fault(err, "sync the log's tail")
 	}
 	l.synced = good
 	return nil
@@ -122,8 +126,8 @@
 // Append writes a hard state (nil: unchanged) and entries with one write and
 // one sync. Entries whose indexes the log already has replace its tail.
 //
-// On a full disk it fails with DiskFull and has written nothing; the same append
-// may be tried again. Once a sync, or a write for another reason, has failed, the
+// On a full disk it fails with DiskFull, and without a descriptor for the next segment
+// with OutOfDescriptors: it has written nothing, and the same append may be tried again. Once a sync, or a write for another reason, has failed, the
 // log refuses everything with DiskFailed: the kernel may have dropped the bytes
 // and would call the next sync a success all the same.
 func (l *Log) Append(hard *consensuspb.HardState, entries []*consensuspb.Entry) error {
@@ -151,9 +155,13 @@
 		return err
 	}
 	if l.synced > segmentHeadBytes && l.synced+int64(len(encoded)) > l.options.SegmentBytes {
+		l.rotating = true
+	}
+	if l.rotating {
 		if err := l.rotate(); err != nil {
 			return l.refuse(err)
 		}
+		l.rotating = false
 	}
 	if _, err := l.active.Write(encoded); err != nil {
 		return l.refuse(err)
@@ -166,12 +174,12 @@
 	return nil
 }
 
-// refuse ends a write before its sync. On a full disk the part of the record that
-// was written is cut off: nothing of it was synced, so that nothing lasts that
-// the next append could meet.
+// refuse ends a write before its sync. Where it may be tried again the part of the
+// record that was written is cut off: nothing of it was synced, so that nothing lasts
+// that the next append could meet.
 func (l *Log) refuse(err error) error {
 	refused := disk.Fault(err, "write the log in %s", l.options.Folder)
-	if !failure.Is(refused, failure.DiskFull) {
+	if !disk.MayTryAgain(refused) {
 		return l.fail(err)
 	}
 	if err := l.active.Truncate(l.synced); err != nil {
@@ -221,7 +229,7 @@
 	}
 	started, err := l.options.Files.Open(path)
 	if err != nil {
-		return failure.Wrap(failure.DiskFailed, err, "open %s", path)
+		return disk.Fault(err, "open %s", path)
 	}
 	l.active = started
 	l.synced = int64(len(head))
@@ -235,20 +243,24 @@
 	if l.failed != nil {
 		return l.failed
 	}
-	dropped := false
 	for len(l.segments) > 1 && l.segments[0].last <= index {
 		if err := l.options.Files.Remove(l.segments[0].path); err != nil {
 			return l.fail(err)
 		}
 		l.segments = l.segments[1:]
-		dropped = true
+		l.dropped = true
 	}
-	if !dropped {
+	if !l.dropped {
 		return nil
 	}
 	if err := l.options.Files.SyncFolder(l.options.Folder); err != nil {
+		fault := disk.Fault(err, "sync %s", l.options.Folder)
+		if disk.MayTryAgain(fault) {
+			return fault
+		}
 		return l.fail(err)
 	}
+	l.dropped = false
 	return nil
 }
 
--- a/internal/state/wal/wal_test.go
+++ b/internal/state/wal/wal_test.go
@@ -1,6 +1,7 @@
 package wal_test
 
 import (
+	"fmt"
 	"path/filepath"
 	"strings"
 	"testing"
@@ -169,6 +170,48 @@
 	}
 }
 
+// A log that took a process without descriptors for a failed disk, or that went on in
+// the segment before a new one which it could not open: an older hard state would follow
+// a newer one, and the replica could vote twice in one term.
+func TestMissingDescriptorRefusesUntilThereIsOne(t *testing.T) {
+	const segment = 200
+	for opens := range 3 { // the new segment, its folder, the new segment again
+		t.Run(fmt.Sprint("after opening ", opens), func(t *testing.T) {
+			is := is.New(t)
+			files := disktest.New()
+			log, _ := open(t, files, segment)
+			is.NoErr(log.Append(&consensuspb.HardState{Term: 1}, entries(1, 1)))
+			files.Opens = opens
+			refused := log.Append(nil, []*consensuspb.Entry{{Index: 2, Term: 1, Data: make([]byte, segment)}})
+			is.True(failure.Is(refused, failure.OutOfDescriptors))
+			newer := &consensuspb.HardState{Term: 2, Vote: "b.1"}
+			is.True(failure.Is(log.Append(newer, nil), failure.OutOfDescriptors))
+			files.Opens = -1
+			is.NoErr(log.Append(newer, nil))
+			is.NoErr(log.Append(nil, entries(1, 2)))
+			_, contents := open(t, files.Crash(0), segment)
+			is.Equal(contents.Hard.Term, uint64(2))
+			is.Equal(len(contents.Entries), 2)
+		})
+	}
+}
+
+// Segments that were dropped, and a folder that could not be synced for want of a
+// descriptor: the log must not refuse everything from then on.
+func TestCompactGoesOnWithoutADescriptor(t *testing.T) {
+	is := is.New(t)
+	files := disktest.New()
+	log, _ := open(t, files, 40)
+	for index := uint64(1); index <= 5; index++ {
+		is.NoErr(log.Append(nil, entries(1, index)))
+	}
+	files.Opens = 0
+	is.True(failure.Is(log.Compact(3), failure.OutOfDescriptors))
+	files.Opens = -1
+	is.NoErr(log.Compact(3))
+	is.NoErr(log.Append(nil, entries(1, 6)))
+}
+
 // Segments below a snapshot go, oldest first; the hard state that they held
 // must not go with them, or a replica could vote twice in one term.
 func TestCompactKeepsHardStateAndTail(t *testing.T) {
