The peer listener outlives an accept that fails

Callers would see: an instance that ran out of descriptors once is never reached by the others again; nothing says so, and it serves on, stale, until it is started again. Found by looking for the cause of the leader's end in other places.

Cause: any error of Accept ended the loop that serves other instances, and its error was dropped; the instance's own links were closed with it.

Change: only a closed listener ends the loop; after another failure, as EMFILE or a connection that its peer gave up, it accepts again after 100 ms and counts (peer_accepts_failed). An end of the loop leaves a line.

Failure before: TestListenerOutlivesAFailedAccept "outcome_unknown: answer of b: i/o deadline reached". The HTTP servers have always gone on after such errors.

--- a/internal/app/control.go
+++ b/internal/app/control.go
@@ -106,7 +106,7 @@
 
 func newVoters(node control.Node) httpapi.Voters { return node }
 
-func runPeers(lifecycle fx.Lifecycle, s *settings.Settings, network *peers.Network, soft *softState) error {
+func runPeers(lifecycle fx.Lifecycle, s *settings.Settings, network *peers.Network, soft *softState, logger *logrus.Logger) error {
 	listener, err := net.Listen("tcp", s.Instance.ListenPeer.String())
 	if err != nil {
 		return failure.Wrap(failure.BadSettings, err, "[instance] listen_peer")
@@ -114,7 +114,9 @@
 	background(lifecycle, func(ctx context.Context) {
 		stop := context.AfterFunc(ctx, func() { listener.Close() })
 		defer stop()
-		_ = network.Serve(ctx, listener, soft)
+		if err := network.Serve(ctx, listener, soft); err != nil {
+			logger.WithField("cause", err.Error()).Error("other instances are no longer served")
+		}
 		network.Close()
 	})
 	return nil
--- a/internal/transport/peers/peers.go
+++ b/internal/transport/peers/peers.go
@@ -7,6 +7,7 @@
 	"bufio"
 	"context"
 	"encoding/binary"
+	"errors"
 	"expvar"
 	"io"
 	"net"
@@ -32,12 +33,16 @@
 	// behind it, and its reader sees nothing before its end. 66 ms at 2 Mbit/s.
 	maxWrite    = 16 << 10
 	dialTimeout = 2 * time.Second
+	// acceptPause is after an accept that failed; a descriptor is given back meanwhile.
+	acceptPause = 100 * time.Millisecond
 )
 
 var (
 	traffic     = counted.NewCounters("peer")
 	callsSent   = expvar.NewInt("peer_calls_sent")
 	callsFailed = expvar.NewInt("peer_calls_failed")
+
+	acceptsFailed = expvar.NewInt("peer_accepts_failed")
 )
 
 // Handler answers calls from other instances.
@@ -112,17 +117,23 @@
 	return names
 }
 
-// Serve answers the calls that arrive on the listener until it is closed.
+// Serve answers the calls that arrive on the listener until it is closed. An accept
+// that fails for another reason, as for want of a descriptor, is made again: without its
+// listener the instance would be cut off from the others for as long as it runs.
 func (n *Network) Serve(ctx context.Context, listener net.Listener, handler Handler) error {
 	for {
 		conn, err := listener.Accept()
-		if err != nil {
-			if ctx.Err() != nil {
-				return nil
-			}
+		switch {
+		case err == nil:
+			go n.serveConn(ctx, conn, handler)
+		case ctx.Err() != nil:
+			return nil
+		case errors.Is(err, net.ErrClosed):
 			return failure.Wrap(failure.Unreachable, err, "accept on %s", listener.Addr())
+		default:
+			acceptsFailed.Add(1)
+			control.Pause(ctx, acceptPause)
 		}
-		go n.serveConn(ctx, conn, handler)
 	}
 }
 
--- a/internal/transport/peers/peers_test.go
+++ b/internal/transport/peers/peers_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/netip"
+	"syscall"
 	"testing"
 	"time"
 
@@ -55,3 +56,44 @@
 		is.True(f.Code == failure.OutcomeUnknown || f.Code == failure.Unreachable)
 	}
 }
+
+// scarce is a listener that finds no descriptor left a few times.
+type scarce struct {
+	net.Listener
+	failures int
+}
+
+func (l *scarce) Accept() (net.Conn, error) {
+	if l.failures > 0 {
+		l.failures--
+		return nil, &net.OpError{Op: "accept", Net: "tcp", Err: syscall.EMFILE}
+	}
+	return l.Listener.Accept()
+}
+
+// answering answers every call; its other methods are not called.
+type answering struct{ Handler }
+
+func (answering) Call(context.Context, *peerpb.Call) (*peerpb.Reply, error) {
+	return &peerpb.Reply{}, nil
+}
+
+// An instance that the others could never reach again, once an accept had failed for
+// want of a descriptor.
+func TestListenerOutlivesAFailedAccept(t *testing.T) {
+	is := is.New(t)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	ctx, cancel := context.WithCancel(t.Context())
+	served := make(chan error)
+	go func() {
+		served <- NewNetwork("b", nil).Serve(ctx, &scarce{listener, 2}, answering{})
+	}()
+	network := NewNetwork("a", map[string]netip.AddrPort{"b": netip.MustParseAddrPort(listener.Addr().String())})
+	defer network.Close()
+	_, err = network.Call(t.Context(), "b", &peerpb.Call{})
+	is.NoErr(err)
+	cancel()
+	listener.Close()
+	is.NoErr(<-served)
+}
