An order that could not leave tells nothing of its worker

Callers saw: gangs given up and workers without new work (28 starts "refused or lost", 24 "worker in doubt" in 4 s) while the leader had no descriptor left for a connection to them.

Cause: every error of the HTTP client was an order of unknown outcome, and such an order or look puts its worker in doubt and counts towards its silence.

Evidence: the details of these lines are "dial tcp: socket: too many open files": the connection was never opened, so nothing was sent.

Change: an exchange whose connection was never opened is unreachable and not run, as for the product's own workers, and out_of_descriptors where the process is out of them. The latter leaves the worker's doubt, silence and missed looks as they were. Go's client writes a POST anew only where nothing of it was written, so a failed dial says that nothing left.

Ruled out: that a refused connection proves more than that this order did not leave; what ran behind the address before lives on its lease as it did.

--- a/internal/coordination/dispatch/leases/command.go
+++ b/internal/coordination/dispatch/leases/command.go
@@ -119,9 +119,12 @@
 	s.ordered = s.now()
 	s.mu.Unlock()
 	s.poke()
-	s.asked()
 	sent := s.now()
-	clock, err := s.keeper.client.Start(ctx, s.target, start)
+	var clock int64
+	err = s.exchange(func() (err error) {
+		clock, err = s.keeper.client.Start(ctx, s.target, start)
+		return err
+	})
 	entry := s.entryOf(start.Task, start.Run, state).WithField("specification_bytes", len(start.Specification))
 	if start.Checkpoint != "" {
 		entry = entry.WithField("checkpoint", start.Checkpoint)
@@ -129,7 +132,6 @@
 	if err != nil {
 		f := failure.From(err)
 		entry.WithFields(logrus.Fields{"code": f.Code, "detail": f.Error()}).Warn("start refused or lost")
-		s.failed(err)
 		return nil, err
 	}
 	entry.Info("started")
@@ -221,10 +223,12 @@
 	s.poke()
 	ctx, cancel := context.WithTimeout(ctx, stopTimeout)
 	defer cancel()
-	s.asked()
-	clock, err := s.keeper.client.Stop(ctx, s.target, stop)
+	var clock int64
+	err := s.exchange(func() (err error) {
+		clock, err = s.keeper.client.Stop(ctx, s.target, stop)
+		return err
+	})
 	if err != nil {
-		s.failed(err)
 		if s.isGone() {
 			return s.endOrNone(stop, command.Incarnation), nil
 		}
--- a/internal/coordination/dispatch/leases/doubt_test.go
+++ b/internal/coordination/dispatch/leases/doubt_test.go
@@ -52,3 +52,21 @@
 		is.True(c.clock() > c.lease)
 	})
 }
+
+// A worker that is well and was given nothing, because the leader had no descriptor left
+// for a connection to it.
+func TestOrderThatCouldNotLeavePutsNoWorkerInDoubt(t *testing.T) {
+	withKeeper(t, func(is *is.I, c *cluster, k *Keeper) {
+		time.Sleep(time.Minute)
+		c.set(func() { c.scarce = true })
+		_, err := order(k, api.PathTaskStart)
+		is.Equal(failure.From(err).Code, failure.OutOfDescriptors)
+		is.True(!k.Live(worker.Kind)[0].Leaving)
+		time.Sleep(2 * silentAfter)
+		c.set(func() { c.scarce = false })
+		is.Equal(len(k.Live(worker.Kind)), 1)
+		is.True(!k.Live(worker.Kind)[0].Leaving)
+		_, err = order(k, api.PathTaskStart)
+		is.NoErr(err)
+	})
+}
--- a/internal/coordination/dispatch/leases/session.go
+++ b/internal/coordination/dispatch/leases/session.go
@@ -123,14 +123,16 @@
 
 func (s *session) ask(ctx context.Context, look Look) error {
 	looksSent.Add(1)
-	s.asked()
 	ctx, cancel := context.WithTimeout(ctx, look.Wait+lookSlack)
 	defer cancel()
-	report, err := s.keeper.client.Look(ctx, s.target, look)
+	var report *Report
+	err := s.exchange(func() (err error) {
+		report, err = s.keeper.client.Look(ctx, s.target, look)
+		return err
+	})
 	if err != nil {
 		looksFailed.Add(1)
-		s.missedLook()
-		s.failed(err)
+		s.missedLook(err)
 		return err
 	}
 	s.take(report)
@@ -138,6 +140,23 @@
 	return nil
 }
 
+// exchange sends one order or look, and notes what its failure tells of the worker. One
+// that could not leave for want of a descriptor tells nothing.
+func (s *session) exchange(send func() error) error {
+	before := s.asked()
+	err := send()
+	if failure.Is(err, failure.OutOfDescriptors) {
+		s.mu.Lock()
+		s.unanswered = before
+		s.mu.Unlock()
+		return err
+	}
+	if err != nil {
+		s.failed(err)
+	}
+	return err
+}
+
 // failed notes a boot that is gone, and the loss of a worker.
 func (s *session) failed(err error) {
 	s.mu.Lock()
@@ -175,7 +194,10 @@
 	return s.keeper.config.Logger.WithFields(logrus.Fields{"worker": s.target.Worker, "token": s.token})
 }
 
-func (s *session) missedLook() {
+func (s *session) missedLook(err error) {
+	if failure.Is(err, failure.OutOfDescriptors) {
+		return
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.missed++
@@ -190,13 +212,16 @@
 	}
 }
 
-// asked notes that an order or look leaves.
-func (s *session) asked() {
+// asked notes that an order or look leaves, and gives since when one before it was
+// unanswered.
+func (s *session) asked() time.Time {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.unanswered.IsZero() {
+	before := s.unanswered
+	if before.IsZero() {
 		s.unanswered = s.now()
 	}
+	return before
 }
 
 // lost tells a worker that has left everything unanswered for too long. One that
@@ -273,10 +298,11 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, stopAgain)
 	defer cancel()
-	s.asked()
-	if _, err := s.keeper.client.Stop(ctx, s.target, stop); err != nil {
-		s.failed(err)
-	}
+	// What became of it is in the next report.
+	_ = s.exchange(func() error {
+		_, err := s.keeper.client.Stop(ctx, s.target, stop)
+		return err
+	})
 }
 
 // remembered tells a session that knows more than a new one would: runs or ends that
--- a/internal/transport/upstream/client.go
+++ b/internal/transport/upstream/client.go
@@ -96,8 +96,8 @@
 // sendFailure tells a connection that was never opened, which surely ran
 // nothing, from everything later.
 func sendFailure(err error, address string) *failure.Error {
-	if dialFailed(err) {
-		return failure.Wrap(failure.Unreachable, err, "dial %s", address)
+	if unsent := NotSent(err, address); unsent != nil {
+		return unsent
 	}
 	return failure.Ran(failure.OutcomeUnknown, failure.NotRunUnknown, err, "send to %s", address)
 }
--- a/internal/transport/upstream/serve.go
+++ b/internal/transport/upstream/serve.go
@@ -10,6 +10,7 @@
 	"net/http/httptrace"
 	"strconv"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"pinewinch.example/pinewinch/internal/protocol/api"
@@ -212,6 +213,19 @@
 	return answer, nil
 }
 
+// NotSent gives the failure of an exchange whose connection was never opened, so that
+// nothing of it has left; nil for any other.
+func NotSent(err error, address string) *failure.Error {
+	if !dialFailed(err) {
+		return nil
+	}
+	code := failure.Unreachable
+	if errors.Is(err, syscall.EMFILE) || errors.Is(err, syscall.ENFILE) {
+		code = failure.OutOfDescriptors
+	}
+	return failure.Wrap(code, err, "dial %s", address)
+}
+
 // dialFailed tells a connection that was never opened.
 func dialFailed(err error) bool {
 	var op *net.OpError
