Connections share a bound, and leave descriptors for files

Callers saw: a leader that ran out of descriptors in a burst (peak 3,889 of 3,896 at 588 workers): orders that could not leave, then its end.

Cause: up to eight idle connections a worker were kept for a minute, 4,704 for 588 workers, beside a look waiting at each and 256 orders; nothing bounded their sum.

Change: a process divides its descriptors (the settings' number on the platform, else the kernel's): 512 are kept for files and links between instances; of the rest five eighths are for connections to upstreams, half of those for idle ones, and three eighths for accepted ones; an instance of the platform without the log dials nothing and has all for callers. The client drops the connection that was idle for longest beyond its share; at the bound it closes all idle ones and waits for a place for 100 ms at most. An accepted connection beyond the bound is closed at once, so that its caller turns to another instance; counters stay reachable.

With a limit of 4,096 that is 2,240 connections to workers: 1,900 looks and 256 orders at the planned size.

Ruled out: fewer idle connections a worker for all sizes (new ones are charged, and 48 workers never come near).

--- a/internal/app/app.go
+++ b/internal/app/app.go
@@ -12,6 +12,7 @@
 
 	"pinewinch.example/pinewinch/internal/protocol/failure"
 	"pinewinch.example/pinewinch/internal/settings"
+	"pinewinch.example/pinewinch/internal/transport/connections"
 	"pinewinch.example/pinewinch/internal/transport/logsink"
 )
 
@@ -24,7 +25,7 @@
 		fx.Supply(s),
 		fx.WithLogger(func() fxevent.Logger { return fxevent.NopLogger }),
 		fx.StopTimeout(s.Stop.Notice+s.Stop.Grace+stopMargin),
-		fx.Provide(newLogger),
+		fx.Provide(newLogger, newShare, newAccepted),
 		controlModule,
 		membershipModule,
 		requestsModule,
@@ -34,6 +35,21 @@
 	)
 }
 
+// newShare divides the descriptors that this process may hold. On the platform an
+// instance without the log takes callers and orders nothing.
+func newShare(s *settings.Settings) connections.Share {
+	limit := s.Instance.Descriptors
+	if limit == 0 {
+		limit = connections.LimitOfProcess()
+	}
+	return connections.ShareOf(limit, s.Leased == nil || s.Instance.DataFolder != "")
+}
+
+// newAccepted makes the group that all callers' and upstreams' connections share.
+func newAccepted(share connections.Share, logger *logrus.Logger) *connections.Group {
+	return connections.NewGroup("accepted", share.Accepted, logger)
+}
+
 // stopMargin is added to the grace for what follows the last request.
 const stopMargin = cutTime + settleTime + 5*time.Second
 
--- a/internal/app/http.go
+++ b/internal/app/http.go
@@ -14,6 +14,7 @@
 	"pinewinch.example/pinewinch/internal/coordination/claims"
 	"pinewinch.example/pinewinch/internal/protocol/failure"
 	"pinewinch.example/pinewinch/internal/settings"
+	"pinewinch.example/pinewinch/internal/transport/connections"
 	"pinewinch.example/pinewinch/internal/transport/counted"
 	"pinewinch.example/pinewinch/internal/transport/httpapi"
 	"pinewinch.example/pinewinch/internal/transport/tlsfiles"
@@ -36,12 +37,12 @@
 // traffic counts callers, operators and announcing upstreams together.
 var traffic = counted.NewCounters("http")
 
-func runHTTP(lifecycle fx.Lifecycle, s *settings.Settings, server *httpapi.Server, executor *claims.Executor, logger *logrus.Logger) error {
+func runHTTP(lifecycle fx.Lifecycle, s *settings.Settings, server *httpapi.Server, executor *claims.Executor, share connections.Share, accepted *connections.Group, logger *logrus.Logger) error {
 	listener, err := net.Listen("tcp", s.Instance.ListenHTTP.String())
 	if err != nil {
 		return failure.Wrap(failure.BadSettings, err, "[instance] listen_http")
 	}
-	listener = traffic.Listener(listener)
+	listener = accepted.Listener(traffic.Listener(listener))
 	if s.TLS.Certificate != "" {
 		source, err := tlsfiles.Open(tlsfiles.Files{Certificate: s.TLS.Certificate, Key: s.TLS.Key}, time.Now)
 		if err != nil {
@@ -53,7 +54,7 @@
 	lifecycle.Append(fx.Hook{
 		OnStart: func(context.Context) error {
 			go serve(web, listener, logger)
-			logger.WithFields(inForce(s, listener.Addr().String())).Info("process started")
+			logger.WithFields(inForce(s, share, listener.Addr().String())).Info("process started")
 			return nil
 		},
 		OnStop: func(ctx context.Context) error {
@@ -83,7 +84,7 @@
 }
 
 // inForce are the settings that decisions of this process rest on.
-func inForce(s *settings.Settings, address string) logrus.Fields {
+func inForce(s *settings.Settings, share connections.Share, address string) logrus.Fields {
 	fields := logrus.Fields{
 		"instance":            s.Instance.Name,
 		"http":                address,
@@ -96,6 +97,9 @@
 		"lease_ms":            s.Upstreams.Lease.Milliseconds(),
 		"announce_every_ms":   s.Upstreams.AnnounceEvery.Milliseconds(),
 		"grace_ms":            s.Stop.Grace.Milliseconds(),
+		"descriptors":         share.Limit,
+		"most_dialled":        share.Dialled,
+		"most_accepted":       share.Accepted,
 	}
 	if s.Leased != nil {
 		fields["metrics"] = s.Leased.Metrics.String()
--- a/internal/app/leased.go
+++ b/internal/app/leased.go
@@ -19,6 +19,7 @@
 	"pinewinch.example/pinewinch/internal/coordination/workflows"
 	"pinewinch.example/pinewinch/internal/protocol/failure"
 	"pinewinch.example/pinewinch/internal/settings"
+	"pinewinch.example/pinewinch/internal/transport/connections"
 	"pinewinch.example/pinewinch/internal/transport/counted"
 	"pinewinch.example/pinewinch/internal/transport/metrics"
 	"pinewinch.example/pinewinch/internal/transport/peers"
@@ -32,7 +33,7 @@
 // leasedTraffic counts callers, operators and announcing workers together.
 var leasedTraffic = counted.NewCounters("leased")
 
-func runLeased(lifecycle fx.Lifecycle, s *settings.Settings, node control.Node, registry *membership.Registry, network *peers.Network, logger *logrus.Logger) error {
+func runLeased(lifecycle fx.Lifecycle, s *settings.Settings, node control.Node, registry *membership.Registry, network *peers.Network, accepted *connections.Group, logger *logrus.Logger) error {
 	if s.Leased == nil {
 		return nil
 	}
@@ -43,18 +44,21 @@
 	servers := []struct {
 		address netip.AddrPort
 		handler http.Handler
+		// accepted bounds the connections; nil for none, so that counters are served
+		// when callers have taken all.
+		accepted *connections.Group
 	}{
-		{s.Leased.Control, platform.NewControl(newAnnouncements(node, registry, logger), operators.NewDesk(node, logger), s.Leased.Control, s.Leased.AnnounceEvery)},
-		{s.Leased.Callers, platform.NewCallers(workflows.NewDesk(node, logger))},
-		{s.Leased.Metrics, metrics.Handler()},
-		{s.Leased.Readiness, platform.Readiness(func() error { return ready(node, stopping) })},
+		{s.Leased.Control, platform.NewControl(newAnnouncements(node, registry, logger), operators.NewDesk(node, logger), s.Leased.Control, s.Leased.AnnounceEvery), accepted},
+		{s.Leased.Callers, platform.NewCallers(workflows.NewDesk(node, logger)), accepted},
+		{s.Leased.Metrics, metrics.Handler(), nil},
+		{s.Leased.Readiness, platform.Readiness(func() error { return ready(node, stopping) }), accepted},
 	}
 	var running []*http.Server
 	for _, server := range servers {
 		if !server.address.IsValid() {
 			continue
 		}
-		web, err := listenAndServe(server.address, server.handler, logger)
+		web, err := listenAndServe(server.address, server.handler, server.accepted, logger)
 		if err != nil {
 			return err
 		}
@@ -86,13 +90,17 @@
 	return workflows.Ready(node)
 }
 
-func listenAndServe(address netip.AddrPort, handler http.Handler, logger *logrus.Logger) (*http.Server, error) {
+func listenAndServe(address netip.AddrPort, handler http.Handler, accepted *connections.Group, logger *logrus.Logger) (*http.Server, error) {
 	listener, err := net.Listen("tcp", address.String())
 	if err != nil {
 		return nil, failure.Wrap(failure.BadSettings, err, "listen on %s", address)
 	}
+	listener = leasedTraffic.Listener(listener)
+	if accepted != nil {
+		listener = accepted.Listener(listener)
+	}
 	web := newServer(handler)
-	go serve(web, leasedTraffic.Listener(listener), logger)
+	go serve(web, listener, logger)
 	return web, nil
 }
 
--- a/internal/app/work.go
+++ b/internal/app/work.go
@@ -13,6 +13,7 @@
 	"pinewinch.example/pinewinch/internal/coordination/dispatch/quarantine"
 	"pinewinch.example/pinewinch/internal/coordination/membership"
 	"pinewinch.example/pinewinch/internal/settings"
+	"pinewinch.example/pinewinch/internal/transport/connections"
 	"pinewinch.example/pinewinch/internal/transport/upstream"
 	"pinewinch.example/pinewinch/platform"
 )
@@ -44,7 +45,7 @@
 	term func() uint64
 }
 
-func newWorkers(s *settings.Settings, node control.Node, registry *membership.Registry, client *upstream.Client, logger *logrus.Logger) *workers {
+func newWorkers(s *settings.Settings, node control.Node, registry *membership.Registry, client *upstream.Client, share connections.Share, logger *logrus.Logger) *workers {
 	log, leads := node.(leases.Log)
 	if s.Leased == nil || !leads {
 		return &workers{commands: client, registry: registry}
@@ -57,7 +58,7 @@
 		Wake:           w.wake,
 		Logger:         logger,
 	}
-	w.keeper = leases.NewKeeper(config, log, registry, platform.NewWorkers())
+	w.keeper = leases.NewKeeper(config, log, registry, platform.NewWorkers(share, logger))
 	w.commands, w.registry = w.keeper, w.keeper
 	w.term = log.Term
 	return w
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -38,6 +38,9 @@
 	ListenPeer netip.AddrPort
 	// DataFolder makes the instance a control replica; empty for none.
 	DataFolder string
+	// Descriptors is how many files and connections the process may hold; 0 where only
+	// the kernel says.
+	Descriptors int
 }
 
 // Control configures the replicated log.
--- a/internal/transport/upstream/client.go
+++ b/internal/transport/upstream/client.go
@@ -10,8 +10,11 @@
 	"net/http"
 	"time"
 
+	"github.com/sirupsen/logrus"
+
 	"pinewinch.example/pinewinch/internal/protocol/api"
 	"pinewinch.example/pinewinch/internal/protocol/failure"
+	"pinewinch.example/pinewinch/internal/transport/connections"
 	"pinewinch.example/pinewinch/internal/transport/counted"
 )
 
@@ -35,28 +38,34 @@
 }
 
 // NewClient makes a client; it follows no redirect, for an upstream has none.
-func NewClient() *Client {
-	return &Client{http: NewHTTP(traffic, Connections{DialTimeout: dialTimeout, Idle: idlePerUp, IdleLife: idleLife})}
+func NewClient(share connections.Share, logger *logrus.Logger) *Client {
+	bounds := Connections{DialTimeout: dialTimeout, Idle: idlePerUp, IdleLife: idleLife, MostIdle: share.Idle}
+	return &Client{http: NewHTTP(traffic, connections.NewGroup("upstream", share.Dialled, logger), bounds)}
 }
 
-// Connections bounds those to one upstream.
+// Connections bounds those to upstreams.
 type Connections struct {
 	DialTimeout time.Duration
-	// Idle is how many are kept, and IdleLife for how long.
+	// Idle is how many are kept to one upstream, and IdleLife for how long.
 	Idle     int
 	IdleLife time.Duration
+	// MostIdle is how many are kept to all of them.
+	MostIdle int
 }
 
-// NewHTTP makes an HTTP client for upstreams, which send no redirects.
-func NewHTTP(counters counted.Counters, bounds Connections) *http.Client {
+// NewHTTP makes an HTTP client for upstreams, which send no redirects. Its connections
+// stay within the group's bound.
+func NewHTTP(counters counted.Counters, group *connections.Group, bounds Connections) *http.Client {
 	dialer := &net.Dialer{Timeout: bounds.DialTimeout}
+	transport := &http.Transport{
+		MaxIdleConns:        bounds.MostIdle,
+		MaxIdleConnsPerHost: bounds.Idle,
+		IdleConnTimeout:     bounds.IdleLife,
+		DisableCompression:  true,
+	}
+	transport.DialContext = group.Dialer(counters.Dialer(dialer.DialContext), transport.CloseIdleConnections)
 	return &http.Client{
-		Transport: &http.Transport{
-			DialContext:         counters.Dialer(dialer.DialContext),
-			MaxIdleConnsPerHost: bounds.Idle,
-			IdleConnTimeout:     bounds.IdleLife,
-			DisableCompression:  true,
-		},
+		Transport:     transport,
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 	}
 }
--- a/internal/transport/upstream/serve_test.go
+++ b/internal/transport/upstream/serve_test.go
@@ -4,11 +4,14 @@
 	"bufio"
 	"bytes"
 	"context"
+	"expvar"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"syscall"
 	"testing"
@@ -18,6 +21,7 @@
 
 	"pinewinch.example/pinewinch/internal/protocol/api"
 	"pinewinch.example/pinewinch/internal/protocol/failure"
+	"pinewinch.example/pinewinch/internal/transport/connections"
 )
 
 // rawMinion answers each request it has read with bytes of the test's choice,
@@ -104,7 +108,7 @@
 		t.Run(c.name, func(t *testing.T) {
 			is := is.New(t)
 			minion := startRaw(t, func(int64, *http.Request) (string, bool) { return c.text, false })
-			answer, err := NewClient().Serve(t.Context(), minion.address, &api.ServeCall{ID: id, Hold: 1 << 10, Body: []byte("x")})
+			answer, err := NewClient(connections.ShareOf(1024, true), nil).Serve(t.Context(), minion.address, &api.ServeCall{ID: id, Hold: 1 << 10, Body: []byte("x")})
 			if c.code == "" {
 				is.NoErr(err)
 				is.Equal(string(answer.Body), c.body)
@@ -131,7 +135,7 @@
 				}
 				return "", false
 			})
-			client := NewClient()
+			client := NewClient(connections.ShareOf(1024, true), nil)
 			call := &api.ServeCall{ID: id, Hold: 1 << 10, Body: []byte(body)}
 			_, err := client.Serve(t.Context(), minion.address, call)
 			is.NoErr(err)
@@ -165,7 +169,7 @@
 		t.Run(fmt.Sprintf("minion gone %t", minionGone), func(t *testing.T) {
 			is := is.New(t)
 			minion := startRaw(t, func(int64, *http.Request) (string, bool) { return head("Content-Length: 0\r\n\r\n"), true })
-			client := NewClient()
+			client := NewClient(connections.ShareOf(1024, true), nil)
 			var gone, refuse atomic.Bool
 			client.http.Transport.(*http.Transport).DialContext = func(ctx context.Context, network, address string) (net.Conn, error) {
 				if refuse.Load() {
@@ -200,12 +204,12 @@
 	is.NoErr(err)
 	address := listener.Addr().String()
 	is.NoErr(listener.Close())
-	_, err = NewClient().Serve(t.Context(), address, &api.ServeCall{ID: id})
+	_, err = NewClient(connections.ShareOf(1024, true), nil).Serve(t.Context(), address, &api.ServeCall{ID: id})
 	is.Equal(failure.From(err).Code, failure.Unreachable)
 	is.Equal(failure.From(err).NotRun, failure.NotRunTrue)
 	gone, cancel := context.WithCancel(t.Context())
 	cancel()
-	_, err = NewClient().Serve(gone, address, &api.ServeCall{ID: id})
+	_, err = NewClient(connections.ShareOf(1024, true), nil).Serve(gone, address, &api.ServeCall{ID: id})
 	is.Equal(failure.From(err).Code, failure.DeadlinePassed)
 	is.Equal(failure.From(err).NotRun, failure.NotRunTrue)
 }
@@ -228,7 +232,7 @@
 			defer close(over)
 			at := atomic.Bool{}
 			call := &api.ServeCall{ID: id, Hold: 1 << 10, Late: late, Dispatched: at.Store}
-			answer, err := NewClient().Serve(ctx, minion.address, call)
+			answer, err := NewClient(connections.ShareOf(1024, true), nil).Serve(ctx, minion.address, call)
 			is.True(at.Load())
 			if late == 0 {
 				is.Equal(failure.From(err).NotRun, failure.NotRunUnknown)
@@ -270,15 +274,49 @@
 			is := is.New(t)
 			minion := startRaw(t, func(int64, *http.Request) (string, bool) { return c.text, false })
 			to := &sink{}
-			answer, err := NewClient().Serve(t.Context(), minion.address, &api.ServeCall{ID: id, Hold: 100, Sink: to})
+			answer, err := NewClient(connections.ShareOf(1024, true), nil).Serve(t.Context(), minion.address, &api.ServeCall{ID: id, Hold: 100, Sink: to})
 			is.NoErr(err)
 			is.True(answer.Streamed)
 			is.Equal(answer.Cut != nil, c.cut)
 			is.True(strings.HasPrefix(whole, to.String()))
 			is.True(c.cut || to.String() == whole)
-			_, err = NewClient().Serve(t.Context(), minion.address, &api.ServeCall{ID: id, Hold: 100})
+			_, err = NewClient(connections.ShareOf(1024, true), nil).Serve(t.Context(), minion.address, &api.ServeCall{ID: id, Hold: 100})
 			is.True(err != nil)
 			is.Equal(failure.From(err).NotRun, failure.NotRunFalse)
 		})
 	}
 }
+
+// A client that keeps a connection to every worker it ever spoke to, until the process is
+// out of descriptors: all commands come through within the bound.
+func TestCommandsToManyWorkersStayWithinTheBound(t *testing.T) {
+	is := is.New(t)
+	const workers, rounds, together, bound = 30, 3, 4, 16
+	var addresses []string
+	for range workers {
+		server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			_, _ = io.WriteString(w, "{}")
+		}))
+		t.Cleanup(server.Close)
+		addresses = append(addresses, server.Listener.Addr().String())
+	}
+	bounds := Connections{DialTimeout: dialTimeout, Idle: idlePerUp, IdleLife: idleLife, MostIdle: bound}
+	client := &Client{http: NewHTTP(traffic, connections.NewGroup("many_workers_test", bound, nil), bounds)}
+	limit := make(chan struct{}, together)
+	var group sync.WaitGroup
+	var failed atomic.Int64
+	for range rounds {
+		for _, address := range addresses {
+			limit <- struct{}{}
+			group.Go(func() {
+				defer func() { <-limit }()
+				if _, err := client.Command(t.Context(), address, api.PathTaskStop, &api.TaskCommand{}); err != nil {
+					failed.Add(1)
+				}
+			})
+		}
+	}
+	group.Wait()
+	is.Equal(failed.Load(), int64(0))
+	is.Equal(expvar.Get("many_workers_test_connections_peak").String(), fmt.Sprint(bound))
+}
