An instance whose log has failed ends at once

Callers saw: after its log had failed the leader's process went on for 2.2 s, holding callers' and workers' connections, before it ended and was started again.

Cause: the end went through the graceful stop, which gives the balancer notice (2.2 s), tells the others, waits for requests in flight and then up to 3 s for outcomes to be recorded in the log that has failed.

Change: the failure of the log is noted before the shutdown; listeners are closed and requests cut at once. There is nothing to hand over: the log's owner has ended, and the others elect a leader when its heartbeats stop.

--- a/internal/app/control.go
+++ b/internal/app/control.go
@@ -25,7 +25,7 @@
 )
 
 var controlModule = fx.Module("control",
-	fx.Provide(newNetwork, newNode, newLog, newVoters),
+	fx.Provide(newNetwork, newNode, newLog, newVoters, newLogFailed),
 	fx.Invoke(runPeers, runNode, runRepairer),
 )
 
@@ -104,6 +104,8 @@
 // newLog is the node as every part sees it that does not serve other instances.
 func newLog(node control.Node) control.Log { return node }
 
+func newLogFailed() *logFailed { return &logFailed{} }
+
 func newVoters(node control.Node) httpapi.Voters { return node }
 
 func runPeers(lifecycle fx.Lifecycle, s *settings.Settings, network *peers.Network, soft *softState, logger *logrus.Logger) error {
@@ -124,10 +126,11 @@
 
 // runNode ends the process when its disk fails: a replica that cannot sync
 // must not go on as if it had.
-func runNode(lifecycle fx.Lifecycle, node control.Node, logger *logrus.Logger, shutdowner fx.Shutdowner) {
+func runNode(lifecycle fx.Lifecycle, node control.Node, failed *logFailed, logger *logrus.Logger, shutdowner fx.Shutdowner) {
 	background(lifecycle, func(ctx context.Context) {
 		if err := node.Run(ctx); err != nil {
 			f := failure.From(err)
+			failed.Store(true)
 			logger.WithField("code", f.Code).Error(f.Error())
 			_ = shutdowner.Shutdown(fx.ExitCode(f.ExitCode()))
 		}
--- a/internal/app/http.go
+++ b/internal/app/http.go
@@ -37,7 +37,7 @@
 // traffic counts callers, operators and announcing upstreams together.
 var traffic = counted.NewCounters("http")
 
-func runHTTP(lifecycle fx.Lifecycle, s *settings.Settings, server *httpapi.Server, executor *claims.Executor, share connections.Share, accepted *connections.Group, logger *logrus.Logger) error {
+func runHTTP(lifecycle fx.Lifecycle, s *settings.Settings, server *httpapi.Server, executor *claims.Executor, share connections.Share, accepted *connections.Group, failed *logFailed, logger *logrus.Logger) error {
 	listener, err := net.Listen("tcp", s.Instance.ListenHTTP.String())
 	if err != nil {
 		return failure.Wrap(failure.BadSettings, err, "[instance] listen_http")
@@ -58,7 +58,7 @@
 			return nil
 		},
 		OnStop: func(ctx context.Context) error {
-			stop := &gracefulStop{settings: s.Stop, server: server, web: web, executor: executor, logger: logger}
+			stop := &gracefulStop{settings: s.Stop, server: server, web: web, executor: executor, logger: logger, failed: failed}
 			stop.run(ctx)
 			return nil
 		},
--- a/internal/app/leased.go
+++ b/internal/app/leased.go
@@ -33,7 +33,7 @@
 // leasedTraffic counts callers, operators and announcing workers together.
 var leasedTraffic = counted.NewCounters("leased")
 
-func runLeased(lifecycle fx.Lifecycle, s *settings.Settings, node control.Node, registry *membership.Registry, network *peers.Network, accepted *connections.Group, logger *logrus.Logger) error {
+func runLeased(lifecycle fx.Lifecycle, s *settings.Settings, node control.Node, registry *membership.Registry, network *peers.Network, accepted *connections.Group, failed *logFailed, logger *logrus.Logger) error {
 	if s.Leased == nil {
 		return nil
 	}
@@ -67,12 +67,16 @@
 	lifecycle.Append(fx.StopHook(func(ctx context.Context) {
 		logger.WithField("requests", "draining").Info("stop")
 		stopping.Store(true)
-		if s.Leased.Callers.IsValid() {
+		if s.Leased.Callers.IsValid() && !failed.Load() {
 			control.Pause(ctx, s.Stop.Notice)
 		}
 		grace, cancel := context.WithTimeout(ctx, s.Stop.Grace)
 		defer cancel()
 		for _, web := range running {
+			if failed.Load() {
+				web.Close()
+				continue
+			}
 			if err := web.Shutdown(grace); err != nil {
 				logger.WithField("reason", err.Error()).Warn("requests in flight are cut")
 				web.Close()
--- a/internal/app/membership.go
+++ b/internal/app/membership.go
@@ -79,10 +79,12 @@
 
 // runLeave tells balancer and peers first when the instance stops, while
 // requests in flight still finish.
-func runLeave(lifecycle fx.Lifecycle, server *httpapi.Server, exchange *softstate.Exchange) {
+func runLeave(lifecycle fx.Lifecycle, server *httpapi.Server, exchange *softstate.Exchange, failed *logFailed) {
 	lifecycle.Append(fx.Hook{OnStop: func(ctx context.Context) error {
 		server.BeginStop()
-		exchange.Leave(ctx)
+		if !failed.Load() {
+			exchange.Leave(ctx)
+		}
 		return nil
 	}})
 }
--- a/internal/app/requests.go
+++ b/internal/app/requests.go
@@ -46,8 +46,11 @@
 // last answer and before the log stops.
 const settleTime = 3 * time.Second
 
-func stopExecutor(lifecycle fx.Lifecycle, executor *claims.Executor) {
+func stopExecutor(lifecycle fx.Lifecycle, executor *claims.Executor, failed *logFailed) {
 	lifecycle.Append(fx.StopHook(func(ctx context.Context) {
+		if failed.Load() {
+			return
+		}
 		ctx, cancel := context.WithTimeout(ctx, settleTime)
 		defer cancel()
 		executor.Stop(ctx)
--- a/internal/app/stop.go
+++ b/internal/app/stop.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"os"
 	"os/signal"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -30,13 +31,24 @@
 	web      *http.Server
 	executor *claims.Executor
 	logger   *logrus.Logger
+	failed   *logFailed
 }
 
+// logFailed is set once this instance's log has failed. Nothing that it could still
+// answer rests on anything then, so it ends without waiting for callers, and can be
+// started again the sooner.
+type logFailed struct{ atomic.Bool }
+
 // run returns once no request is left. A second signal to the process ends the
 // grace at once: requests are cut with a typed answer, as at its end.
 func (g *gracefulStop) run(ctx context.Context) {
 	g.server.BeginStop()
 	g.logger.Info("stopping")
+	if g.failed.Load() {
+		g.executor.Cut()
+		g.web.Close()
+		return
+	}
 	ctx, cancel := signal.NotifyContext(ctx, os.Interrupt, syscall.SIGTERM)
 	defer cancel()
 	control.Pause(ctx, g.settings.Notice)
