The line of a lost leader says what held it up

"control log" names for how long the leader (on a leader its quorum) had not been heard, the longest that this process stood still, and the longest sync of its log, over the last three to six election timeouts.

--- a/internal/coordination/replica/core.go
+++ b/internal/coordination/replica/core.go
@@ -48,7 +48,8 @@
 	replay   replay
 	fetching bool
 	// held waits for room on the disk; nil as a rule.
-	held *consensus.Ready
+	held   *consensus.Ready
+	strain strain
 }
 
 func newCore(r *Replica, storage *storage, recovered *recovery) (*core, error) {
@@ -123,6 +124,7 @@
 // heartbeats may still be on their way in: counted in full, it would start an
 // election after every pause of a busy machine.
 func (c *core) passTime(now steady.Moment) {
+	c.heldUp(holdUps{turn: now.Sub(c.lastTick)})
 	missed := int(now.Sub(c.lastTick) / c.tick)
 	c.lastTick = c.lastTick.Add(time.Duration(missed) * c.tick)
 	most := heartbeatTicks
@@ -134,6 +136,10 @@
 	}
 }
 
+func (c *core) heldUp(seen holdUps) {
+	c.strain.note(time.Now(), strainWindow*c.replica.config.ElectionTimeout, seen)
+}
+
 // takeWaiting takes the messages that have gathered, so that one sync serves
 // all of them.
 func (c *core) takeWaiting() {
@@ -210,9 +216,11 @@
 // finish does what follows the early messages. On a full disk it has done nothing.
 func (c *core) finish(ctx context.Context, ready consensus.Ready) error {
 	if ready.Hard != nil || len(ready.Entries) > 0 {
+		began := time.Now()
 		if err := c.disk.log.Append(ready.Hard, ready.Entries); err != nil {
 			return err
 		}
+		c.heldUp(holdUps{sync: time.Since(began)})
 		syncs.Add(1)
 	}
 	if ready.Hard != nil {
--- /dev/null
+++ b/internal/coordination/replica/strain.go
@@ -0,0 +1,49 @@
+package replica
+
+import (
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"pinewinch.example/pinewinch/internal/coordination/consensus"
+)
+
+// strain is what held this replica up lately. When a leader is lost it tells a process
+// that stood still, or waited for its disk, from a leader that fell silent.
+type strain struct {
+	// began is when the newer of two windows did.
+	began          time.Time
+	earlier, newer holdUps
+}
+
+// holdUps are the longest of a window.
+type holdUps struct {
+	// turn lies between two looks at the clock, sync is one append to the log.
+	turn, sync time.Duration
+}
+
+// strainWindow, in election timeouts, is longer than the longest of them, after which an
+// election begins.
+const strainWindow = 3
+
+func (s *strain) note(now time.Time, window time.Duration, seen holdUps) {
+	if now.Sub(s.began) >= window {
+		s.earlier, s.newer, s.began = s.newer, holdUps{}, now
+	}
+	s.newer.turn = max(s.newer.turn, seen.turn)
+	s.newer.sync = max(s.newer.sync, seen.sync)
+}
+
+// fields are the longest hold-ups of the newest one to two windows, and for how long the
+// leader, or on a leader its quorum, had not been heard.
+func (s *strain) fields(before consensus.Status, tick time.Duration) logrus.Fields {
+	silent := before.LeaderAge
+	if before.Role == consensus.Leader {
+		silent = before.QuorumAge
+	}
+	return logrus.Fields{
+		"silent_ms":       (time.Duration(silent) * tick).Milliseconds(),
+		"longest_turn_ms": max(s.earlier.turn, s.newer.turn).Milliseconds(),
+		"longest_sync_ms": max(s.earlier.sync, s.newer.sync).Milliseconds(),
+	}
+}
--- a/internal/coordination/replica/view.go
+++ b/internal/coordination/replica/view.go
@@ -66,6 +66,6 @@
 		return
 	}
 	elections.Add(1)
-	c.replica.config.Logger.WithField("leader", now.leader).WithField("term", now.status.Term).
+	c.replica.config.Logger.WithFields(c.strain.fields(earlier.status, c.tick)).WithField("leader", now.leader).WithField("term", now.status.Term).
 		WithField("role", now.status.Role.String()).WithField("member", now.member).Info("control log")
 }
