--- a/internal/coordination/dispatch/gang/progress_test.go
+++ b/internal/coordination/dispatch/gang/progress_test.go
@@ -59,9 +59,7 @@
 	return nil
 }
 
-// A worker goes on reporting a task whose work stands still. Its lease never runs
-// out, so the caller would wait for as long as the worker hangs; the task must be
-// stopped, the worker named, and no attempt used up.
+// A caller that waits for as long as a worker hangs, since the worker goes on reporting.
 func TestWorkThatStandsStillIsStopped(t *testing.T) {
 	is := is.New(t)
 	w := watch(2, 8*time.Second)
--- a/internal/coordination/dispatch/gang/rapid_test.go
+++ b/internal/coordination/dispatch/gang/rapid_test.go
@@ -22,11 +22,7 @@
 	os.Exit(m.Run())
 }
 
-// Messages are late, swapped and lost, workers and leaders come and go, jobs are
-// taken back and cancelled, clocks drift, in any order. At no moment is there a
-// live run on accelerators that the state has given back, nor a member that runs
-// while another was never reserved; no work that is not idempotent is done
-// twice; and once things are calm every job ends.
+// Two runs on one accelerator, a gang run in part, or work done twice, in any order of events.
 func TestGangsUnderAnyOrderOfEvents(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		drift := rapid.Float64Range(0.99, 1.01)
--- a/internal/coordination/dispatch/gang/steps_test.go
+++ b/internal/coordination/dispatch/gang/steps_test.go
@@ -89,10 +89,7 @@
 
 const commandsOfALife = 15
 
-// The leader is lost before any one command arrives, with what it remembered;
-// its commands on the way still arrive. The next leader goes on from the log
-// and the reports: every task runs in the two epochs that the life has, and no
-// third.
+// A third run of a gang, begun by a leader that took over between two messages.
 func TestLeaderLostBetweenAnyTwoMessages(t *testing.T) {
 	for lost := 1; lost <= commandsOfALife; lost++ {
 		t.Run(fmt.Sprint("before command ", lost), func(t *testing.T) {
@@ -180,9 +177,7 @@
 	}
 }
 
-// A member cannot be reached while its gang is stopped, and can be kept alive
-// only by messages that are late or state that is old. Its accelerators must not
-// be given back before it has surely stopped; they are, soon after.
+// Accelerators given back while a member that nobody reaches still runs on them.
 func TestLeaseHasSurelyRunOut(t *testing.T) {
 	for name, hold := range map[string]func(m *model){
 		"by an instance that follows no more": func(m *model) { m.entry.cut = true },
@@ -225,9 +220,7 @@
 	m.until(t, "given back", func() bool { return m.job().State != stopping })
 }
 
-// A reserve is held back in the network until its gang has been stopped and given
-// up on. Counted from its receipt, it would hold accelerators that are given to
-// another by now.
+// A reserve that the network held back takes accelerators that another gang has by now.
 func TestLateCommandComesToNothing(t *testing.T) {
 	is := is.New(t)
 	m := newModel(steady, 3)
@@ -302,12 +295,7 @@
 	is.Equal(m.job().Epoch, uint64(1))
 }
 
-// Callers see a job that nothing disturbed count an attempt too many. Three idle
-// workers announce themselves for longer than a lease, and an instance that does
-// not lead is told of the first announcement only, since the others say nothing
-// new. It is elected, and a gang is placed: a command that names that announcement
-// comes with its lease spent, and its worker refuses it. The leader must wait for
-// the next announcement, which the others pass on to it now.
+// An attempt too many: a new leader names an announcement that is older than any lease.
 func TestNewLeaderCommandsOnNoAnnouncementOfUnknownAge(t *testing.T) {
 	is := is.New(t)
 	m := newModel(steady, 3)
@@ -332,10 +320,7 @@
 	is.Equal(len(m.job().Failures), 0)
 }
 
-// Callers see a gang of which some parts run without the others. All its members are
-// reserved when the leader is lost. The next one hears two of the three workers at once
-// and the third an interval later: it may command the two by then, but a start that is
-// held back from the third leaves theirs alone. It must start all of them, or none yet.
+// Parts of a gang that run alone, since a new leader may command only some of its workers.
 func TestNewLeaderStartsNoPartOfAGangAlone(t *testing.T) {
 	is := is.New(t)
 	m := newModel(steady, 3)
@@ -384,9 +369,7 @@
 	is.True(m.job().State == waiting) // not parked: every member said how it ended
 }
 
-// Tasks checkpoint themselves every five seconds of work. A worker dies after
-// twelve: the gang goes on from the last checkpoint that every member had
-// reported, and the rest counts as lost.
+// A gang that loses more work than was done since its last common checkpoint.
 func TestVanishedWorkerLosesWorkSinceTheLastCheckpointOnly(t *testing.T) {
 	is := is.New(t)
 	m := gangOf(6, &controlpb.Job{RunTimeMs: 60000, Checkpointable: true, Idempotent: true})
--- a/internal/coordination/dispatch/gang/unstarted_test.go
+++ b/internal/coordination/dispatch/gang/unstarted_test.go
@@ -54,9 +54,7 @@
 	return answer
 }
 
-// A worker has been cut off and looks idle. A gang is placed with one member there.
-// No member is started before all workers have answered, so there is no run to stop
-// and no lease to wait for: the job waits again in the next step, not 6 s later.
+// A gang that waits out the lease of a worker on which no member was ever started.
 func TestGangThatWasNotStartedWaitsForNoLease(t *testing.T) {
 	is, l := is.New(t), newLeased()
 	asked := l.step()
@@ -88,10 +86,7 @@
 	is.True(stops.Batch == nil || len(stops.Batch.Moves) == 0)
 }
 
-// A caller's gang runs and is stopped for nothing. Its starts wait for their turn at the
-// leader; the same runs, ordered before this instance led again, show at their workers,
-// and the job is running when the turn of a start comes. That start is withheld, since the
-// job has moved on. Its refusal says nothing of the run that the worker reports.
+// A gang that runs is stopped because a later start of the same run was withheld.
 func TestRefusedStartOfARunThatShowsEndsNothing(t *testing.T) {
 	is, l := is.New(t), newLeased()
 	l.step()
--- a/internal/coordination/dispatch/leases/cancelled_test.go
+++ b/internal/coordination/dispatch/leases/cancelled_test.go
@@ -16,17 +16,7 @@
 	"pinewinch.example/pinewinch/internal/protocol/peerpb"
 )
 
-// A caller cancels a workflow while the starts of its tasks wait for their turn at the
-// leader, 256 of which may be on their way. The cancellation takes the specification
-// from the ended workflow and leaves the epoch of its jobs. The epoch was all that a
-// start was checked by, so a worker was told to begin run 1 with an empty specification:
-// work that nobody had sent. Under a burst of wide steps 25 starts waited for over 100 ms
-// behind others, and each met its job as the first did, by lines in seconds of one run
-// without the check (the second line was written for that run):
-//
-//	5.2145  workflow ended         state=CANCELLED took_ms=90 index=1159
-//	5.3551  a start's turn comes   run=1 index=1177 state=STOPPING specification_bytes=0 checkpoint=""
-//	5.3573  start refused or lost  run=1 index=1177 detail="answers status 400 unknown"
+// A worker is told to run nothing: the start waited while its workflow was cancelled.
 func TestStartThatACancellationOvertakesIsNotSent(t *testing.T) {
 	withKeeper(t, func(is *is.I, c *cluster, k *Keeper) {
 		c.apply(&controlpb.Command{Op: &controlpb.Command_CancelWorkflow{CancelWorkflow: &controlpb.CancelWorkflow{Id: "w"}}})
@@ -36,9 +26,7 @@
 	})
 }
 
-// An engineer asks why a task that was placed never began. The leader's line names the
-// task and what its job had become when the start's turn came; a start that left names
-// the size of what it was to run.
+// A start that cannot be traced, since no line says what it carried or why it was withheld.
 func TestLineOfAStartTellsWhatItCarried(t *testing.T) {
 	withKeeper(t, func(is *is.I, c *cluster, k *Keeper) {
 		lines := &bytes.Buffer{}
@@ -82,10 +70,7 @@
 	})
 }
 
-// A new leader's first look at a worker takes 0.6 s, and a start waits for it. Meanwhile
-// the caller cancels and the leadership is lost. What decides is the moment at which the
-// start leaves: it must not leave half a second after a cancellation, nor from an instance
-// that leads no more.
+// A start that leaves after a cancellation, or from a leader that leads no more.
 func TestStartThatIsOvertakenWhileItAwaitsALookIsNotSent(t *testing.T) {
 	for name, overtake := range map[string]func(c *cluster){
 		"cancelled": func(c *cluster) {
--- a/internal/coordination/dispatch/leases/crash_test.go
+++ b/internal/coordination/dispatch/leases/crash_test.go
@@ -10,9 +10,7 @@
 	"github.com/matryer/is"
 )
 
-// A worker is cut off by a firewall that refuses connections. It looks like one whose
-// process has crashed, but its runs live on, and begun elsewhere they would run twice:
-// they are over with their lease and not before.
+// Two runs of a task: a firewall that refuses connections is taken for a crash.
 func TestRefusedConnectionsAreNoCrash(t *testing.T) {
 	withKeeper(t, func(is *is.I, c *cluster, k *Keeper) {
 		_, err := order(k, api.PathTaskStart)
@@ -26,10 +24,7 @@
 	})
 }
 
-// A worker is cut off for 3.5 s, less than its lease, and runs on. Given up after 3 s
-// of silence, its gang was stopped everywhere and begun anew, though nothing was lost
-// and nothing could begin elsewhere before the lease was over. It gets no new work
-// meanwhile, and its runs are seen until the lease has run out.
+// A gang stopped for nothing, by a cut that is shorter than its lease.
 func TestRunsOutliveACutThatIsShorterThanTheirLease(t *testing.T) {
 	withKeeper(t, func(is *is.I, c *cluster, k *Keeper) {
 		_, err := order(k, api.PathTaskStart)
@@ -52,9 +47,7 @@
 	})
 }
 
-// Stops to a worker that has been silent for long would each hold one of the few orders
-// that may be on their way, and with a tenth of the workers cut off all others would
-// wait for them. They fail at once, and are sent again when it answers.
+// Orders that wait behind stops to workers which have long been silent.
 func TestStopOfASilentWorkerFailsAtOnce(t *testing.T) {
 	withKeeper(t, func(is *is.I, c *cluster, k *Keeper) {
 		_, err := order(k, api.PathTaskStart)
--- a/internal/coordination/dispatch/leases/departure_test.go
+++ b/internal/coordination/dispatch/leases/departure_test.go
@@ -10,10 +10,7 @@
 	"pinewinch.example/pinewinch/internal/protocol/peerpb"
 )
 
-// A task ends well on a worker that is being emptied, and a few milliseconds later
-// the worker says goodbye, before dispatch has looked at the end. Taken for lost with
-// the worker, the task would run a second time, and a caller's work be done twice.
-// Its end counts until the log has taken it in, and a stop gives it as the answer.
+// A task that ended well runs again, since its worker said goodbye right after.
 func TestEndBeforeADepartureCounts(t *testing.T) {
 	withKeeper(t, func(is *is.I, c *cluster, k *Keeper) {
 		_, err := order(k, api.PathTaskStart)
--- a/internal/coordination/dispatch/leases/doubt_test.go
+++ b/internal/coordination/dispatch/leases/doubt_test.go
@@ -10,10 +10,7 @@
 	"pinewinch.example/pinewinch/internal/protocol/failure"
 )
 
-// A worker without work is cut off: nothing tells, and it looks free. Asked before a
-// start, it gives no answer in time; the start is not sent, and the worker is given
-// nothing until it answers again. Each gang that is placed there would else wait for
-// its lease, one after the other.
+// Gang after gang placed on a worker that is cut off and looks free.
 func TestWorkerThatDoesNotAnswerIsGivenNothing(t *testing.T) {
 	withKeeper(t, func(is *is.I, c *cluster, k *Keeper) {
 		time.Sleep(time.Minute)
--- a/internal/coordination/dispatch/leases/keeper_test.go
+++ b/internal/coordination/dispatch/leases/keeper_test.go
@@ -11,9 +11,7 @@
 	"pinewinch.example/pinewinch/internal/protocol/failure"
 )
 
-// A worker has been idle for long, so it was not looked at. While its answer to a
-// start is on the way it must not count as silent: the gang's start would be given
-// up milliseconds after it began.
+// A gang given up at once: an idle worker counts as silent while it answers its first order.
 func TestIdleWorkerIsNotLostWhileItAnswersAStart(t *testing.T) {
 	withKeeper(t, func(is *is.I, c *cluster, k *Keeper) {
 		time.Sleep(time.Minute)
@@ -29,9 +27,7 @@
 	})
 }
 
-// A worker is cut off while it runs a task. It gets no new work after a while, and
-// counts as lost when the last order that could prolong its lease is spent, and not
-// before; by the worker's own clock the run has ended then.
+// A run begun elsewhere before the lease of the worker that is cut off has run out.
 func TestCutOffWorkerIsLostAndItsLeaseRunsOut(t *testing.T) {
 	withKeeper(t, func(is *is.I, c *cluster, k *Keeper) {
 		_, err := order(k, api.PathTaskStart)
@@ -99,9 +95,7 @@
 	})
 }
 
-// An instance led an hour ago and leads again. In the moments before it has taken
-// the new leadership up, its old waits are long over, but the leader in between may
-// have prolonged a worker's lease just now.
+// A run begun beside itself, by the waits of an earlier leadership of the same instance.
 func TestWaitsOfAnEarlierLeadershipSayNothing(t *testing.T) {
 	withKeeper(t, func(is *is.I, c *cluster, k *Keeper) {
 		c.set(func() { c.leads = false })
@@ -114,9 +108,7 @@
 	})
 }
 
-// Nothing runs on a worker, and the last look at it was lost. It is reached again:
-// unless it is looked at until it answers, it would count as lost for as long as
-// this leader leads, and would never be given work again.
+// A worker that counts as lost for as long as the leader leads, after one lost look.
 func TestIdleWorkerThatWasOutOfReachIsBack(t *testing.T) {
 	withKeeper(t, func(is *is.I, c *cluster, k *Keeper) {
 		c.set(func() { c.cut = true })
@@ -130,9 +122,7 @@
 	})
 }
 
-// A new leader finds a start that the one before decided, and the worker has not
-// answered it yet. A start sent now would name an end of the lease by a clock that
-// is not known; it waits for the first look, and fails as not run without one.
+// A start whose lease ends by a clock of the worker that is not known yet.
 func TestStartWaitsForTheFirstLook(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
--- a/internal/coordination/dispatch/leases/ledger_test.go
+++ b/internal/coordination/dispatch/leases/ledger_test.go
@@ -25,9 +25,7 @@
 	return store.Restore(&controlpb.Snapshot{Jobs: []*controlpb.Job{job}})
 }
 
-// A run is started and stopped while the newest report is older than both. An
-// answer to another start carries a newer clock. Taken for a report, it would show
-// the run as never begun, and a run that had ended well would be started again.
+// A run that ended well begins again: the clock of an answer is taken for that of a report.
 func TestClockOfAnAnswerIsNoReport(t *testing.T) {
 	is := is.New(t)
 	l := NewLedger(lease, begin)
@@ -120,9 +118,7 @@
 	is.True(l.LeaseOver(at(1501).Add(LeaseBound(lease))))
 }
 
-// A new leader reaches a worker at once and orders there, then loses it. The leader
-// before could go on ordering there for a while after that first order; to forget it
-// would have the runs that it prolonged begun elsewhere, beside themselves.
+// A run begun beside itself, since a new leader forgot what the one before could still order.
 func TestOrderOfANewLeaderForgetsNoneOfTheOneBefore(t *testing.T) {
 	is := is.New(t)
 	l := NewLedger(lease, at(1500))
--- a/internal/coordination/dispatch/leases/schedules_test.go
+++ b/internal/coordination/dispatch/leases/schedules_test.go
@@ -58,11 +58,7 @@
 	return s
 }
 
-// Orders are lost, swapped and carried out up to 12 s late, their answers lost;
-// workers are cut off and run on, crash and come back as another boot; leaders are
-// replaced, cut off while they believe to lead, and lead again; jobs are taken back
-// and cancelled, in any order. At no moment do two runs of a task live, none begins
-// after a good end that was acknowledged, and once things are calm all work ends.
+// Two runs of a task, a run after its good end, or work that never ends, under any schedule.
 func TestRunsAndLeasesUnderAnySchedule(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
 		s := drawSchedule(rt)
--- a/internal/coordination/dispatch/leases/starts_model_test.go
+++ b/internal/coordination/dispatch/leases/starts_model_test.go
@@ -28,10 +28,7 @@
 	after     time.Duration
 }
 
-// A leader is busy, so its orders wait for their turn, and callers cancel just then;
-// meanwhile leaders change, freeze and are cut off, and workers crash. Whatever a worker
-// is told to start, what it is to run is what the caller sent for that workflow, and the
-// checkpoint it goes on from was written by an earlier run of the same task or gang.
+// A worker is told to run what no caller sent, or from a checkpoint of another task.
 func TestStartsCarryWhatWasSent(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
 		s := drawSchedule(rt)
--- a/internal/coordination/dispatch/pace/pace_test.go
+++ b/internal/coordination/dispatch/pace/pace_test.go
@@ -11,9 +11,7 @@
 	"pinewinch.example/pinewinch/internal/coordination/dispatch/pace"
 )
 
-// Gangs of unlike work run over workers of three speeds, and progress is read in
-// hundredths. Placing a gang on one slow worker among fast ones makes all of them wait,
-// so the three speeds have to be told apart after a gang or two on each worker.
+// A gang that waits for one slow worker among fast ones, since speeds were not told apart.
 func TestSpeedsAreToldFromGangs(t *testing.T) {
 	is := is.New(t)
 	random := rand.New(rand.NewPCG(1, 1))
--- a/internal/coordination/dispatch/passgate_test.go
+++ b/internal/coordination/dispatch/passgate_test.go
@@ -9,9 +9,7 @@
 	"pinewinch.example/pinewinch/internal/protocol/controlpb"
 )
 
-// A worker refuses a lone job, which may be tried again 100 ms later. Nothing else
-// happens in the system, so no news opened a pass, and the caller waited for up to a
-// second more. The end of the pause opens one.
+// A lone job that waits up to a second more than its pause, since nothing else is news.
 func TestPassIsDueWhenAPauseEnds(t *testing.T) {
 	is := is.New(t)
 	now := time.UnixMilli(1_000_000)
--- a/internal/coordination/membership/registry_test.go
+++ b/internal/coordination/membership/registry_test.go
@@ -55,9 +55,7 @@
 	return ok, ok && upstream.Leaving
 }
 
-// An upstream announces to one instance, then that it leaves to another, and is
-// gone. The first still holds the older announcement for its time to live.
-// Nobody may see the upstream as one that takes work again.
+// Work for an upstream that is gone: an older announcement comes to life elsewhere.
 func TestLeavingIsNotUndone(t *testing.T) {
 	is, c := is.New(t), newClock()
 	a, b, other := c.registry("a"), c.registry("b"), c.registry("c")
@@ -79,9 +77,7 @@
 	is.True(!known)
 }
 
-// An instance restarts and has lost what it was told. Its first question must
-// bring all that the others hear, without waiting for new announcements; so
-// must the first question to an instance that restarted.
+// An instance that knows no upstreams after a restart until each announces itself anew.
 func TestRestartLeadsToAWholeCopy(t *testing.T) {
 	is, c := is.New(t), newClock()
 	origin, watcher := c.registry("a"), c.registry("b")
@@ -121,9 +117,7 @@
 	is.Equal(len(watcher.Live(worker)), 0)
 }
 
-// An instance falls silent. What it vouched for stands while its upstreams
-// turn to another instance, and no longer. An answer that comes late counts
-// from its question.
+// Upstreams that look alive on the word of an instance which has long been silent.
 func TestSilentOriginTakesItsUpstreamsAlong(t *testing.T) {
 	is, c := is.New(t), newClock()
 	origin, watcher := c.registry("a"), c.registry("b")
@@ -138,9 +132,7 @@
 	is.Equal(len(watcher.Live(worker)), 0)
 }
 
-// An upstream goes from one instance to another and back, saying the same at
-// the first as before. The others must see what it says now, whether or not
-// the first has heard of the other's news when the upstream comes back.
+// An upstream seen as it was elsewhere, after it came back and said the same as before.
 func TestUpstreamThatComesBack(t *testing.T) {
 	for name, heardBefore := range map[string]bool{"news came before": true, "news came after": false} {
 		t.Run(name, func(t *testing.T) {
@@ -250,10 +242,7 @@
 	batch    *peerpb.SoftBatch
 }
 
-// Upstreams announce to any instance, move, and leave, while batches between
-// instances are delayed, swapped, doubled and lost. Whatever the order, once
-// everything has been delivered all instances see the same, which is the
-// newest that each upstream said, and leaving is never seen undone before.
+// Instances that see an upstream differently, or a leaving undone, for any order of news.
 func TestModelViewsAgree(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
 		is, c := is.New(rt), newClock()
--- a/internal/coordination/replica/confirm_test.go
+++ b/internal/coordination/replica/confirm_test.go
@@ -14,11 +14,7 @@
 	return r.config.FreshnessBound/confirmsPerBound + 10*time.Millisecond
 }
 
-// The leader's machine stands still: its connections stay open and say nothing, and
-// another replica is elected. The third one has asked the frozen leader to confirm
-// its state and hears nothing. If it waited for that answer, its state would pass the
-// freshness bound, and callers of it and of all who follow it would be refused with
-// stale_state, though the new leader is known and would have answered at once.
+// Callers refused as stale, since a replica waits for the answer of a frozen leader.
 func TestReplicaAsksTheNewLeaderWhenTheOldOneFreezes(t *testing.T) {
 	inBubble(t, func(is *is.I, m *mesh) {
 		old := startAll(m)
--- a/internal/coordination/replica/fetch_test.go
+++ b/internal/coordination/replica/fetch_test.go
@@ -10,9 +10,7 @@
 	"pinewinch.example/pinewinch/internal/state/snapshot"
 )
 
-// A replica that lags fetches a snapshot from one whose disk fails. A failed disk ends the
-// process that has it; taken for its own, the source's ended every replica that fetched
-// from it, one after the other, until no quorum was left.
+// Replica after replica ends for the failed disk of the one that it fetches from.
 func TestAFailedDiskOfASourceIsNoFaultOfOnesOwn(t *testing.T) {
 	for told, want := range map[failure.Code]failure.Code{
 		failure.DiskFailed: failure.Unreachable,
--- a/internal/coordination/replica/forward_test.go
+++ b/internal/coordination/replica/forward_test.go
@@ -53,11 +53,7 @@
 	return elected
 }
 
-// The leader's machine stands still while a caller's command is on its way to it; the
-// connection stays open and says nothing. Another replica is elected.
-// A caller whose command may run twice must be answered by that one and not wait for
-// the frozen leader until its time is over. One whose command may not run twice has to
-// wait, and hears that the outcome is unknown.
+// A command that waits for a frozen leader until its deadline, though another one leads.
 func TestCommandLeavesAFrozenLeader(t *testing.T) {
 	cases := map[string]struct {
 		command  *controlpb.Command
@@ -93,11 +89,7 @@
 	}
 }
 
-// The leader commits a workflow and its machine stands still before the answer leaves.
-// The caller's instance sends the submission to the next leader. That one has the
-// entry, so the workflow must be taken for the same one: a second would run the work
-// twice. When the old leader goes on, it finds what else it had been sent, which must
-// change nothing either.
+// Work run twice: a submission that a frozen leader had committed is sent to the next.
 func TestSecondTryOfACommittedWorkflowChangesNothing(t *testing.T) {
 	inBubble(t, func(is *is.I, m *mesh) {
 		old := startAll(m)
@@ -120,10 +112,7 @@
 	})
 }
 
-// A first try's answer is lost, and a second is refused: by an instance that surely
-// did not run it, or by the state. The first may still wait at its leader and be
-// committed later: told "not run", a caller takes its workflow for refused and sees
-// it run, or sees a cancellation that found nothing end what it submits next.
+// A "not run" that is not true, since an earlier try may still be committed.
 func TestRefusalSaysNothingOfAnEarlierTry(t *testing.T) {
 	lost := failure.Ran(failure.OutcomeUnknown, failure.NotRunUnknown, nil, "answer lost")
 	cases := map[string]struct {
@@ -157,9 +146,7 @@
 	}
 }
 
-// The leader's disk fails and its log is closed, while a submission comes to it. The
-// outcome is unknown; no further try here can change that, and the caller must hear it
-// at once instead of holding up the end of the process until its deadline.
+// A caller that is kept until its deadline by a log that has failed.
 func TestClosedLogEndsTheTries(t *testing.T) {
 	inBubble(t, func(is *is.I, m *mesh) {
 		r := New(Config{Instance: "i1", Now: time.Now, Logger: silentLogger()}, answering(nil))
--- a/internal/coordination/replica/found_test.go
+++ b/internal/coordination/replica/found_test.go
@@ -10,10 +10,7 @@
 	"pinewinch.example/pinewinch/internal/protocol/peerpb"
 )
 
-// A disk is wiped while the others run. The instance comes back as another
-// replica: it founds no second cluster and votes in none until an operator adds
-// it, and then it catches up and the old identity leaves. Two of three must be
-// enough to go on all the while.
+// A second cluster, or a second vote in one term, by a replica whose disk was wiped.
 func TestWipedDiskJoinsOnlyWhenAdded(t *testing.T) {
 	for _, wiped := range voters {
 		t.Run(wiped, func(t *testing.T) {
@@ -58,11 +55,7 @@
 	})
 }
 
-// Callers find no leader for seconds although every voter is there. Two voters
-// have started and the third comes late, as on a busy machine: the others have
-// looked for it in vain and pause before they look again, for up to 3 s. Its own
-// introduction must end their pause: what is left then is an election, and a second
-// one where the first had no winner.
+// No leader for seconds, since the voters pause while the last of them starts.
 func TestLateVoterIsFoundedWithAtOnce(t *testing.T) {
 	for _, late := range voters {
 		t.Run(late, func(t *testing.T) {
@@ -83,9 +76,7 @@
 	}
 }
 
-// All voters' disks are lost at once and an instance without a disk still holds
-// the control state. An empty cluster founded now would make accepted changes
-// revert under callers' eyes; the voters wait for a person instead.
+// Accepted changes that revert: voters with empty disks found the cluster anew.
 func TestFoundingStopsWhereSomebodyRemembers(t *testing.T) {
 	inBubble(t, func(is *is.I, m *mesh) {
 		m.remembering = "i4"
--- a/internal/coordination/replica/members_test.go
+++ b/internal/coordination/replica/members_test.go
@@ -11,9 +11,7 @@
 	"pinewinch.example/pinewinch/internal/protocol/peerpb"
 )
 
-// An operator puts another instance in the leader's place. The leader that
-// removes itself still answers, the others elect one among them with the new
-// voter, and the removed one disturbs nobody.
+// A leader that removes itself and leaves its caller, or the others, without an answer.
 func TestLeaderIsReplacedByAnotherInstance(t *testing.T) {
 	inBubble(t, func(is *is.I, m *mesh) {
 		old := startAll(m)
@@ -35,9 +33,7 @@
 	})
 }
 
-// One of three voters is gone and an operator removes another that lives. The
-// two that would be left, one of them gone, could commit nothing, not even the
-// way back: the change is refused and nothing has changed.
+// A removal after which nothing can be committed, not even the way back.
 func TestRemovalThatLeavesNoQuorumIsRefused(t *testing.T) {
 	inBubble(t, func(is *is.I, m *mesh) {
 		leader := startAll(m)
@@ -58,9 +54,7 @@
 	})
 }
 
-// A leader makes a new replica a learner and loses power before it is a voter. The next
-// leader is asked for the whole change again: it takes the learner on as it is, so that
-// the configuration names each replica once and the lost one is gone.
+// A replacement that the lost leader began and nobody ends, so that the disk never votes.
 func TestChangeThatALeaderLeftIsEndedByTheNext(t *testing.T) {
 	inBubble(t, func(is *is.I, m *mesh) {
 		old := startAll(m)
--- a/internal/coordination/replica/propose_test.go
+++ b/internal/coordination/replica/propose_test.go
@@ -8,10 +8,7 @@
 	"pinewinch.example/pinewinch/internal/protocol/failure"
 )
 
-// This replica leads, loses the lead before its entry at index 7 commits, takes
-// another leader's shorter log, leads again and proposes at 7. A third replica
-// still holds the first entry and may win the next term and commit it, so its
-// caller must hear "unknown" and never "not run".
+// A "not run" for an entry that gave way here and is committed later by another leader.
 func TestAnEntryThatGaveWayIsNotSaidToBeNotRun(t *testing.T) {
 	is := is.New(t)
 	c := &core{pending: map[uint64]*proposal{}}
--- a/internal/coordination/replica/replay_test.go
+++ b/internal/coordination/replica/replay_test.go
@@ -19,10 +19,7 @@
 	}
 }
 
-// All cores lost power. Each of them then applied every entry since its last
-// snapshot, 2,677 of up to 10,000, and used its whole share of a core for 2 s
-// before one of them led: callers were refused meanwhile. What a start applies
-// is bounded by the distance of snapshots.
+// Callers refused while a start applies all entries since its last snapshot.
 func TestStartAppliesFewEntries(t *testing.T) {
 	const mostApplied = 2_000
 	inBubble(t, func(is *is.I, m *mesh) {
@@ -40,10 +37,7 @@
 	})
 }
 
-// A replica that starts with a long log took no message and counted no tick until
-// all of it was applied: with all cores back after a loss of power at 35.6 s, the
-// first of them asked for votes at 37.5 s. Entries are applied in small parts, and
-// the log goes on between two of them.
+// No election for as long as the replicas apply what their disks hold.
 func TestReplicaTakesPartWhileItApplies(t *testing.T) {
 	const mostAtOnce = 256
 	inBubble(t, func(is *is.I, m *mesh) {
@@ -80,9 +74,7 @@
 	})
 }
 
-// All replicas start in parts after a loss of power. Whoever leads must not say that
-// its state is complete before all of it is applied: callers would be told that
-// accepted work is unknown.
+// Accepted work said to be unknown, by a leader that has applied only a part of its log.
 func TestStartInPartsEndsWhole(t *testing.T) {
 	inBubble(t, func(is *is.I, m *mesh) {
 		m.entries = 100_000
--- a/internal/coordination/replica/replica_test.go
+++ b/internal/coordination/replica/replica_test.go
@@ -66,9 +66,7 @@
 	return m.leader()
 }
 
-// The leader is cut off. It must not answer as fresh beyond the bound, must not
-// acknowledge, and its command's outcome is unknown to the caller until the
-// cut heals; the majority goes on.
+// A leader that is cut off answers from an old state, or acknowledges what is not committed.
 func TestCutOffLeaderNeitherAnswersNorConfirms(t *testing.T) {
 	inBubble(t, func(is *is.I, m *mesh) {
 		old := startAll(m)
@@ -120,9 +118,7 @@
 	})
 }
 
-// The leader's disk fills up while a command comes in. It must neither end nor
-// confirm what is not on its disk: another replica leads, the first refuses
-// commands as not run, and with room again it is back with all entries.
+// A leader that ends for a full disk, or confirms what is not on it.
 func TestLeaderWithAFullDiskLeavesTheLogAndComesBack(t *testing.T) {
 	inBubble(t, func(is *is.I, m *mesh) {
 		old := startAll(m)
@@ -169,9 +165,7 @@
 	})
 }
 
-// An append waits for room while a snapshot of the leader arrives, and the disk has
-// room again just then. The snapshot must not be marked in the log ahead of the
-// append: the log would have a gap, and the next start would refuse it.
+// A log with a gap, since a snapshot was marked ahead of an append that waits for room.
 func TestSnapshotIsNotInstalledAheadOfAHeldAppend(t *testing.T) {
 	inBubble(t, func(is *is.I, m *mesh) {
 		leader := startAll(m)
@@ -209,9 +203,7 @@
 	})
 }
 
-// A new leader has not heard yet what the last one had committed. Deciding from
-// its state now would repeat that one's decisions, such as a placement; it
-// leads only once its own term's first entry is applied.
+// A placement decided twice, by a leader that lacks what the one before had committed.
 func TestLeadsOnlyWithAllThatWasCommitted(t *testing.T) {
 	is := is.New(t)
 	at := func(index uint64) *store.State { return store.Restore(&controlpb.Snapshot{Index: index}) }
@@ -240,10 +232,7 @@
 	is.True(age >= 110*time.Millisecond)
 }
 
-// A busy machine lets a member stand still for seconds, and its leader's
-// heartbeats wait in the inbox. It must not campaign for that: the cluster
-// would lose a healthy leader whenever the machine is busy. Silence that it was
-// awake for still makes it campaign.
+// A healthy leader deposed because a member of the log stood still itself.
 func TestOwnStandstillIsNoSilenceOfTheLeader(t *testing.T) {
 	inBubble(t, func(is *is.I, m *mesh) {
 		follower := m.other(startAll(m))
--- a/test/conservation/conservation_test.go
+++ b/test/conservation/conservation_test.go
@@ -62,11 +62,7 @@
 	return minion
 }
 
-// Callers send cutting orders and reports to instances that are killed,
-// restarted, drained and frozen, to minions that cut, swap and stall answers, hang up,
-// and send again elsewhere. Whatever each was told must fit what the minions
-// recorded: a resend finds the first claim, and nothing uncertain is called
-// "not run".
+// A request run twice, or called "not run" though a minion recorded it, under any failure.
 func TestConservation(t *testing.T) {
 	is := is.New(t)
 	running := startInstances(t, *instances, "notice = 200ms\ngrace = 5s\n")
--- a/test/conservation/stop_test.go
+++ b/test/conservation/stop_test.go
@@ -63,9 +63,7 @@
 	return i, slow
 }
 
-// An instance is told to stop while an order is at a minion. First it says
-// that it is not ready, and still serves what comes, with notice that the
-// connection ends; the order in flight gets its whole answer; then it leaves.
+// A request cut off because its instance was told to stop.
 func TestStopCutsOffNothing(t *testing.T) {
 	is := is.New(t)
 	i, slow := startSlow(t, "notice = 1s\ngrace = 20s\n", cutOrder, slowMinion())
@@ -94,9 +92,7 @@
 	}
 }
 
-// The grace ends while an order is at a minion: its caller gets a typed answer
-// that says the outcome is unknown, not a broken connection. A second signal
-// ends the grace at once.
+// A broken connection in place of an answer, for a request that outlasts the grace.
 func TestStopAtItsBound(t *testing.T) {
 	for name, stop := range map[string]string{
 		"grace over":    "notice = 10ms\ngrace = 50ms\n",
--- a/test/gangs/gangs_test.go
+++ b/test/gangs/gangs_test.go
@@ -133,11 +133,7 @@
 	return text.String()
 }
 
-// Gangs come in, are cancelled and taken back from, while instances are killed,
-// frozen and cut off, and workers are cut off, crash and fail what they start.
-// Afterwards the workers' own records must show that no accelerator was in two
-// runs, no part of a gang ran alone beyond the bound, and every accepted job
-// came to the end that callers are told of, once.
+// Two runs on an accelerator, a part alone beyond its bound, or a job without its end.
 func TestGangsUnderFailure(t *testing.T) {
 	is := is.New(t)
 	c := startCluster(t)
