A new leader places work on workers that it has heard itself

Callers saw: a job that counts an attempt too many after a change of leader (leader_lost, beside a load of 70): the new leader placed a gang on a worker that the one before had seen vanish 1.8 s earlier.

Cause: a worker stands on the word of the instance that hears it until that is taken back or lapses. Commands have waited for an announcement in this leadership since; placements did not, and a start that waits in vain ends as an attempt.

Change: what a pass assigns to a worker that has not been heard in this leadership, less than a lease ago, is left out, and the next turn decides anew. Nothing is delayed that could have started: its first command would wait for the same announcement, which comes within an interval. Workers whose leases the leader renews are looked at by it and not concerned.

Ruled out: calling such workers unavailable to the pass; cells and reservations would move after each election.

Failure before: TestNewLeaderPlacesNothingOnAWorkerThatItHasNotHeard "1 != 0" attempts.

--- a/internal/coordination/dispatch/controller.go
+++ b/internal/coordination/dispatch/controller.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"expvar"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -162,6 +163,7 @@
 		plansRefused.Add(1)
 	}
 	assignments := quarantine.Limit(plan.Assignments, func(worker string) bool { return probing[worker] })
+	assignments = c.toHeardWorkers(assignments)
 	if len(assignments) == 0 && len(plan.Preemptions) == 0 {
 		return
 	}
@@ -171,6 +173,27 @@
 	c.propose(ctx, &controlpb.Command{Op: &controlpb.Command_Plan{Plan: commit}})
 }
 
+// toHeardWorkers leaves out what would go to a worker that has not announced itself in
+// this leadership. The leader before may have seen it vanish: its start would wait for an
+// announcement all the same, and end as an attempt of the job. A later pass decides anew.
+func (c *Controller) toHeardWorkers(assignments []*controlpb.Assignment) []*controlpb.Assignment {
+	if c.dispatcher.config.LeaseOver != nil {
+		return assignments
+	}
+	now := c.now()
+	unheard := func(p *controlpb.Placement) bool { return !c.dispatcher.machine.Heard(p.Worker, now) }
+	var heard []*controlpb.Assignment
+	for _, assignment := range assignments {
+		if !slices.ContainsFunc(assignment.Placements, unheard) {
+			heard = append(heard, assignment)
+		}
+	}
+	if len(heard) < len(assignments) {
+		c.passes = passGate{}
+	}
+	return heard
+}
+
 // judge lists the live workers as scheduling sees them, and those that may be
 // given one job as a probe: none while such a job is on it.
 func (c *Controller) judge(state *store.State, live []*peerpb.Upstream) (workers []scheduling.Worker, probing map[string]bool) {
--- a/internal/coordination/dispatch/dispatch_test.go
+++ b/internal/coordination/dispatch/dispatch_test.go
@@ -164,6 +164,43 @@
 	})
 }
 
+// silentRegistry knows a worker that announced itself before this instance led, and not
+// since.
+type silentRegistry struct{ upstream *peerpb.Upstream }
+
+func (r silentRegistry) Get(string) (*peerpb.Upstream, bool) { return r.upstream, true }
+
+func (r silentRegistry) Live(peerpb.UpstreamKind) []*peerpb.Upstream {
+	return []*peerpb.Upstream{r.upstream}
+}
+
+// An attempt of a job that a new leader spends on a worker which the leader before it had
+// seen vanish.
+func TestNewLeaderPlacesNothingOnAWorkerThatItHasNotHeard(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		log, _, dispatcher, _ := control()
+		worker := &peerpb.Upstream{Id: "w", Cores: 8, MemoryMb: 1000, Accelerators: 8, Version: 1}
+		registry := &silentRegistry{worker}
+		controller := dispatch.NewController(log, dispatcher, registry, time.Now)
+		submit(log, "j")
+		for range 10 {
+			controller.Turn(t.Context())
+			time.Sleep(100 * time.Millisecond)
+		}
+		job, _ := log.state.Job("j")
+		is.Equal(job.Attempts, uint32(0))
+		registry.upstream = proto.CloneOf(worker)
+		registry.upstream.Version++
+		for range 2 {
+			controller.Turn(t.Context())
+			time.Sleep(100 * time.Millisecond)
+		}
+		job, _ = log.state.Job("j")
+		is.Equal(job.Attempts, uint32(1))
+	})
+}
+
 // manyWorkers is a registry of idle workers.
 type manyWorkers struct{ list []*peerpb.Upstream }
 
--- a/internal/coordination/dispatch/gang/machine.go
+++ b/internal/coordination/dispatch/gang/machine.go
@@ -198,10 +198,20 @@
 // leader, and the gang would count a failed attempt; the next announcement comes
 // within an interval. Workers without leases of their own need none.
 func (s *step) mayLease(w *worker) bool {
-	if s.in.LeaseOver != nil {
-		return true
-	}
-	return !w.heard.IsZero() && s.in.Now.Sub(w.heard) < s.config.Lease
+	return s.in.LeaseOver != nil || s.lately(w, s.in.Now)
+}
+
+// lately tells whether the worker's newest announcement came in this leadership, less
+// than a lease ago.
+func (m *Machine) lately(w *worker, now time.Time) bool {
+	return !w.heard.IsZero() && now.Sub(w.heard) < m.config.Lease
+}
+
+// Heard tells whether a worker that renews its leases by announcements has been heard in
+// this leadership, lately.
+func (m *Machine) Heard(id string, now time.Time) bool {
+	known := m.workers[id]
+	return known != nil && m.lately(known, now)
 }
 
 func (s *step) hearReports(upstream *peerpb.Upstream) {
