--- a/internal/app/work.go
+++ b/internal/app/work.go
@@ -43,14 +43,16 @@
 	wakeups chan struct{}
 	// term is nil with keeper.
 	term func() uint64
+	// mayLead tells an instance that keeps the log.
+	mayLead bool
 }
 
 func newWorkers(s *settings.Settings, node control.Node, registry *membership.Registry, client *upstream.Client, share connections.Share, logger *logrus.Logger) *workers {
 	log, leads := node.(leases.Log)
 	if s.Leased == nil || !leads {
-		return &workers{commands: client, registry: registry}
+		return &workers{commands: client, registry: registry, mayLead: leads}
 	}
-	w := &workers{wakeups: make(chan struct{}, 1)}
+	w := &workers{wakeups: make(chan struct{}, 1), mayLead: true}
 	config := leases.Config{
 		Lease:          s.Upstreams.Lease,
 		FreshnessBound: s.Control.FreshnessBound,
@@ -107,6 +109,7 @@
 		Logger:    logger,
 		Term:      w.term,
 		LeaseOver: w.leaseOver(),
+		MayLead:   w.mayLead,
 		Speeds:    w.speeds(),
 		Wakeups:   w.wakeups,
 		Gang: gang.Config{
--- a/internal/coordination/dispatch/dispatch.go
+++ b/internal/coordination/dispatch/dispatch.go
@@ -61,6 +61,9 @@
 	Quarantine quarantine.Config
 	// LeaseOver is gang.Input's; nil where workers renew leases themselves.
 	LeaseOver func(worker string) bool
+	// MayLead is false for an instance without the log, which notes nothing while others
+	// lead.
+	MayLead bool
 	// Speeds gives what is known of the workers' speeds; nil where nothing is.
 	Speeds func() map[string]float64
 	// Wakeups is a channel of one that others fill when there is news for dispatch;
@@ -131,9 +134,10 @@
 }
 
 // Follow notes what the log says while another instance leads. Where a lease is known to
-// be over by other means than a wait there is nothing to note.
+// be over by other means than a wait there is nothing to note, nor where this instance
+// never leads: an entry instance has a fifth of a core, and goes through no jobs for it.
 func (d *Dispatcher) Follow() {
-	if d.config.LeaseOver == nil {
+	if d.config.MayLead && d.config.LeaseOver == nil {
 		d.machine.Follow(d.config.Now(), d.control.State().ActiveJobs())
 	}
 }
--- a/internal/coordination/dispatch/dispatch_test.go
+++ b/internal/coordination/dispatch/dispatch_test.go
@@ -77,7 +77,7 @@
 	log := &fakeLog{state: store.New(), changed: make(chan struct{})}
 	workers := &fakeWorkers{commands: map[string]int{}}
 	registry := &fakeRegistry{upstream: &peerpb.Upstream{Id: "w", Cores: 8, MemoryMb: 1000, Accelerators: 8, Version: 1}}
-	config := dispatch.Config{Now: time.Now, Gang: gang.Config{
+	config := dispatch.Config{Now: time.Now, MayLead: true, Gang: gang.Config{
 		Lease: 10 * time.Second, FreshnessBound: 3 * time.Second, AnnounceEvery: time.Second, CommandTimeout: 2 * time.Second,
 	}}
 	dispatcher := dispatch.New(config, log, workers)
