TestGangsUnderFailure: the wait for a take-back is not satisfied without one

A worker had not been heard for a moment on the busy machine, its gang was stopped for that, the urgent job found its room, and the stops passed for a take-back.

The workers' records are read before the jobs, so that a failure which stopped a run is listed. What the test wants in the end is unchanged.

--- a/internal/experiment/gangs/check.go
+++ b/internal/experiment/gangs/check.go
@@ -48,8 +48,9 @@
 	LongestAlone, LongestTakeBack time.Duration
 	// QuietTakeBacks counts those during which nothing failed.
 	QuietTakeBacks int
-	// QuietStops counts the runs that were stopped for them.
-	QuietStops int
+	// QuietStops counts the runs that were stopped for them, and SurelyTakenBack those of
+	// jobs that were stopped more often than they failed: a take-back was among the stops.
+	QuietStops, SurelyTakenBack int
 	// LongestStart is the longest time between the first and the last task's start.
 	LongestStart time.Duration
 	Violations   []Violation
--- a/internal/experiment/gangs/check_test.go
+++ b/internal/experiment/gangs/check_test.go
@@ -104,22 +104,40 @@
 		"stopped before it":     {func(e *Evidence) { e.Runs[2].Ended, e.Runs[3].Ended = at(-1), at(-1) }, 0},
 		"itself":                {func(e *Evidence) { e.Runs[2].Job, e.Runs[3].Job = "j", "j" }, 0},
 	}
+	// A worker that was not heard for a moment stops a gang too, as a failure.
+	t.Run("with a failure", func(t *testing.T) {
+		is := is.New(t)
+		evidence := takenBack()
+		is.Equal(Check(evidence).SurelyTakenBack, 2)
+		evidence.Jobs[1].Failures = []string{"c: worker_vanished"}
+		is.Equal(Check(evidence).SurelyTakenBack, 0)
+		evidence.Submitted[1].CancelAsked = at(1.8)
+		evidence.Runs = append(evidence.Runs, run(0, 2, "c", 1.7, 9, tasks.Stopped), run(1, 2, "d", 1.7, 9, tasks.Stopped))
+		evidence.Runs[4].Job, evidence.Runs[5].Job = "long", "long"
+		is.Equal(Check(evidence).SurelyTakenBack, 0) // the second stop was its cancellation
+	})
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
-			evidence := sound()
-			evidence.Bounds.Quiet, evidence.Bounds.QuietWindow = 5*time.Second, time.Second
-			evidence.Classes["long"] = Class{Name: "long", Tasks: 2, Idempotent: true}
-			evidence.Submitted = append(evidence.Submitted, Submitted{ID: "long", Class: "long", Asked: at(-3)})
-			evidence.Jobs = append(evidence.Jobs, api.Job{ID: "long", WorkClass: "long", State: api.JobCancelled, EndedMs: at(9).UnixMilli()})
-			evidence.Runs = append(evidence.Runs[2:], run(0, 1, "c", -2, 1.5, tasks.Stopped), run(1, 1, "d", -2, 1.6, tasks.Stopped))
-			evidence.Runs[2].Job, evidence.Runs[3].Job = "long", "long"
+			evidence := takenBack()
 			c.change(evidence)
 			is.Equal(Check(evidence).QuietStops, c.want)
 		})
 	}
 }
 
+// takenBack is urgent work that starts in quiet by stopping a long gang.
+func takenBack() *Evidence {
+	evidence := sound()
+	evidence.Bounds.Quiet, evidence.Bounds.QuietWindow = 5*time.Second, time.Second
+	evidence.Classes["long"] = Class{Name: "long", Tasks: 2, Idempotent: true}
+	evidence.Submitted = append(evidence.Submitted, Submitted{ID: "long", Class: "long", Asked: at(-3)})
+	evidence.Jobs = append(evidence.Jobs, api.Job{ID: "long", WorkClass: "long", State: api.JobCancelled, EndedMs: at(9).UnixMilli()})
+	evidence.Runs = append(evidence.Runs[2:], run(0, 1, "c", -2, 1.5, tasks.Stopped), run(1, 1, "d", -2, 1.6, tasks.Stopped))
+	evidence.Runs[2].Job, evidence.Runs[3].Job = "long", "long"
+	return evidence
+}
+
 // A failure gives the take-back time only while it lasts, and two that overlap
 // do not count twice.
 func TestFailingTimeCountsOnce(t *testing.T) {
--- a/internal/experiment/gangs/ends.go
+++ b/internal/experiment/gangs/ends.go
@@ -160,7 +160,7 @@
 		bound := c.Bounds.TakeBack + c.failing(s.Asked, last)
 		if quiet := c.Bounds.Quiet; quiet > 0 && c.failing(s.Asked, s.Asked.Add(c.Bounds.QuietWindow)) == 0 {
 			c.QuietTakeBacks++
-			c.QuietStops += c.stopped(s.ID, s.Asked, c.untilFailure(s.Asked, last))
+			c.stops(s.ID, s.Asked, c.untilFailure(s.Asked, last))
 			bound = quiet
 		}
 		if lasted > bound {
@@ -181,12 +181,12 @@
 	return to
 }
 
-// stopped counts the runs that were taken back for a job between two moments. A
+// stops counts the runs that were taken back for a job between two moments. A
 // gang of which a member failed or lost its lease was stopped for that, and one
 // whose cancellation was sent may have been stopped for it; a gang that is cancelled
-// later, as those that run until the load is over, was not.
-func (c *check) stopped(whom string, from, to time.Time) int {
-	count := 0
+// later, as those that run until the load is over, was not. A gang may also be stopped
+// for a worker that was not heard for a moment; it has a failure then.
+func (c *check) stops(whom string, from, to time.Time) {
 	for job, epochs := range c.byName {
 		cancelled := c.cancelAsked(job)
 		for _, e := range epochs {
@@ -195,12 +195,32 @@
 			}
 			for _, run := range e.runs {
 				between := run.Ended.After(from) && !run.Ended.After(to)
-				if run.Ending == tasks.Stopped && between && (cancelled.IsZero() || run.Ended.Before(cancelled)) {
-					count++
+				if run.Ending != tasks.Stopped || !between || !cancelled.IsZero() && !run.Ended.Before(cancelled) {
+					continue
+				}
+				c.QuietStops++
+				if c.stoppedEpochs(job) > len(c.jobs[job].Failures) {
+					c.SurelyTakenBack++
 				}
 			}
 		}
 	}
+}
+
+// stoppedEpochs counts the epochs of a job that were stopped as a whole, before its
+// cancellation was sent.
+func (c *check) stoppedEpochs(job string) int {
+	count := 0
+	cancelled := c.cancelAsked(job)
+	for _, e := range c.byName[job] {
+		stopped := true
+		for _, run := range e.runs {
+			stopped = stopped && run.Ending == tasks.Stopped && (cancelled.IsZero() || run.Ended.Before(cancelled))
+		}
+		if stopped {
+			count++
+		}
+	}
 	return count
 }
 
--- a/test/gangs/gangs_test.go
+++ b/test/gangs/gangs_test.go
@@ -189,21 +189,29 @@
 	is.True(report.Completed > report.Jobs/3)
 }
 
-// awaitTakeBack waits until urgent work was started by taking back from others while
-// nothing fails, and for as long as such a take-back must be free of failures. Until
-// then gangs may not have come, or urgent work may have found room, however long a
-// busy machine takes.
+// quietUrgents is how many urgent jobs, one after the other, are started before anything
+// fails: a system that takes back for some only would pass with one.
+const quietUrgents = 2
+
+// awaitTakeBack waits until urgent jobs were started while nothing fails, and one of them
+// by taking back from a gang that nothing else can have stopped, and for as long as such
+// a take-back must be free of failures. Until then gangs may not have come, or urgent work
+// may have found room, however long a busy machine takes.
 func awaitTakeBack(t *testing.T, load *gangs.Load, hosts []*host) {
 	process.Await(t, "a quiet take-back", func() bool {
+		evidence := &gangs.Evidence{Bounds: bounds(), Classes: classes, Submitted: load.Submitted()}
+		for _, h := range hosts {
+			evidence.Runs = append(evidence.Runs, h.runs()...)
+		}
+		// An instance that lists jobs may not know yet of a failure that stopped a run.
+		time.Sleep(config.FreshnessBound)
 		jobs, err := load.Client.Jobs(t.Context(), process.OperatorToken)
 		if err != nil {
 			return false
 		}
-		evidence := &gangs.Evidence{Bounds: bounds(), Classes: classes, Jobs: jobs, Submitted: load.Submitted()}
-		for _, h := range hosts {
-			evidence.Runs = append(evidence.Runs, h.runs()...)
-		}
-		return gangs.Check(evidence).QuietStops > 0
+		evidence.Jobs = jobs
+		report := gangs.Check(evidence)
+		return report.QuietTakeBacks >= quietUrgents && report.SurelyTakenBack > 0
 	})
 	time.Sleep(quietWindow)
 }
