--- a/test/gangs/gangs_test.go
+++ b/test/gangs/gangs_test.go
@@ -198,6 +198,12 @@
 // a take-back must be free of failures. Until then gangs may not have come, or urgent work
 // may have found room, however long a busy machine takes.
 func awaitTakeBack(t *testing.T, load *gangs.Load, hosts []*host) {
+	var report *gangs.Report
+	t.Cleanup(func() {
+		if t.Failed() && report != nil {
+			t.Logf("before anything failed: %d quiet stops, %d surely taken back; %s", report.QuietStops, report.SurelyTakenBack, report)
+		}
+	})
 	process.Await(t, "a quiet take-back", func() bool {
 		evidence := &gangs.Evidence{Bounds: bounds(), Classes: classes, Submitted: load.Submitted()}
 		for _, h := range hosts {
@@ -210,7 +216,7 @@
 			return false
 		}
 		evidence.Jobs = jobs
-		report := gangs.Check(evidence)
+		report = gangs.Check(evidence)
 		return report.QuietTakeBacks >= quietUrgents && report.SurelyTakenBack > 0
 	})
 	time.Sleep(quietWindow)
