Lines and counters for work that waits, and for work that stands beside free room

What on-call engineers saw: an accepted workflow with nothing running, and no line between 'workflow accepted' and 'job placed' that says why. The reasons of the pass were in memory alone, and 'waited_ms' of a second run counted the first one too.

The pass now says where a waiting job is kept to (the rack of its data, one rack), and which jobs with nothing running have room beside: over half of their service free in each kind that they ask for, and place for them twice over. Package standing follows them from plan to plan: a line after a second and for each new cause, a warning after two seconds, a gauge of the longest stand and a counter of all. 'job not placed after all' names what is dropped after a pass, 'able_ms' of 'job placed' counts from when the job could last run.

No decision changes: the 602 golden plans are as before.

--- a/internal/coordination/dispatch/controller.go
+++ b/internal/coordination/dispatch/controller.go
@@ -10,6 +10,7 @@
 
 	"pinewinch.example/pinewinch/internal/coordination/control"
 	"pinewinch.example/pinewinch/internal/coordination/dispatch/quarantine"
+	"pinewinch.example/pinewinch/internal/coordination/dispatch/standing"
 	"pinewinch.example/pinewinch/internal/coordination/dispatch/warmth"
 	"pinewinch.example/pinewinch/internal/coordination/inventory"
 	"pinewinch.example/pinewinch/internal/coordination/recurrence"
@@ -56,6 +57,7 @@
 	newest   *scheduling.Plan
 	runTimes *runTimes
 	warmth   warmth.Warmth
+	waits    standing.Watch
 	open     openWorkflows
 }
 
@@ -107,6 +109,10 @@
 		c.dispatcher.Reset(term)
 		c.inventory = inventory.Planner{}
 		c.passes = passGate{}
+		c.waits = standing.Watch{}
+	}
+	if c.led && !leads {
+		tellStanding(standing.Summary{})
 	}
 	c.led = leads
 	if !leads {
@@ -162,17 +168,28 @@
 	if plan.Breach != nil {
 		plansRefused.Add(1)
 	}
+	c.watchWaits(state, snapshot, plan)
 	assignments := quarantine.Limit(plan.Assignments, func(worker string) bool { return probing[worker] })
-	assignments = c.toHeardWorkers(assignments)
+	c.dispatcher.logLeftOut(plan.Assignments, assignments, "a worker is probed by another job")
+	heard := c.toHeardWorkers(assignments)
+	c.dispatcher.logLeftOut(assignments, heard, "a worker has not been heard in this leadership")
+	assignments = heard
 	if len(assignments) == 0 && len(plan.Preemptions) == 0 {
 		return
 	}
 	c.addressStarts(assignments)
 	commit := &controlpb.CommitPlan{Assignments: assignments, Preemptions: plan.Preemptions}
-	c.dispatcher.logPlan(state, commit, c.registry)
+	c.dispatcher.logPlan(state, commit, c.registry, c.waits.Waited)
 	c.propose(ctx, &controlpb.Command{Op: &controlpb.Command_Plan{Plan: commit}})
 }
 
+// watchWaits tells of the work that the plan leaves waiting, and of what stands.
+func (c *Controller) watchWaits(state *store.State, snapshot *scheduling.Snapshot, plan *scheduling.Plan) {
+	told, warned, summary := c.waits.Look(snapshot.Now, snapshot.Jobs, plan)
+	tellStanding(summary)
+	c.dispatcher.logWaits(state, told, warned)
+}
+
 // toHeardWorkers leaves out what would go to a worker that has not announced itself in
 // this leadership. The leader before may have seen it vanish: its start would wait for an
 // announcement all the same, and end as an attempt of the job. A later pass decides anew.
--- a/internal/coordination/dispatch/lines.go
+++ b/internal/coordination/dispatch/lines.go
@@ -1,8 +1,12 @@
 package dispatch
 
 import (
+	"expvar"
+	"time"
+
 	"github.com/sirupsen/logrus"
 
+	"pinewinch.example/pinewinch/internal/coordination/dispatch/standing"
 	"pinewinch.example/pinewinch/internal/protocol/controlpb"
 	"pinewinch.example/pinewinch/internal/protocol/failure"
 	"pinewinch.example/pinewinch/internal/state/store"
@@ -32,13 +36,14 @@
 }
 
 // logPlan writes a line for each job that a pass places or preempts.
-func (d *Dispatcher) logPlan(state *store.State, plan *controlpb.CommitPlan, registry Registry) {
+func (d *Dispatcher) logPlan(state *store.State, plan *controlpb.CommitPlan, registry Registry, waited func(job string, now time.Time) time.Duration) {
 	if d.config.Logger == nil {
 		return
 	}
 	for _, assignment := range plan.Assignments {
 		fields := d.inputsOf(state, assignment)
 		fields["racks"] = racksOf(assignment, registry)
+		fields["able_ms"] = waited(assignment.Job, d.config.Now()).Milliseconds()
 		fields["job"], fields["epoch"], fields["index"] = assignment.Job, assignment.Epoch+1, state.Index()
 		d.config.Logger.WithFields(fields).Info("job placed")
 	}
@@ -71,6 +76,66 @@
 	return len(racks)
 }
 
+// logLeftOut writes a line for each job that a pass placed and that is not started for a
+// reason the pass does not know.
+func (d *Dispatcher) logLeftOut(planned, kept []*controlpb.Assignment, reason string) {
+	if d.config.Logger == nil || len(kept) == len(planned) {
+		return
+	}
+	stays := map[string]bool{}
+	for _, assignment := range kept {
+		stays[assignment.Job] = true
+	}
+	for _, assignment := range planned {
+		if !stays[assignment.Job] {
+			d.config.Logger.WithFields(logrus.Fields{"job": assignment.Job, "epoch": assignment.Epoch, "reason": reason}).Info("job not placed after all")
+		}
+	}
+}
+
+// logWaits writes a line for each job that has waited for long, or for a new cause, and a
+// warning for each that has stood for long beside room.
+func (d *Dispatcher) logWaits(state *store.State, told, warned []standing.Wait) {
+	if d.config.Logger == nil {
+		return
+	}
+	for i := range told {
+		d.config.Logger.WithFields(waitFields(state, &told[i])).Info("job waits")
+	}
+	for i := range warned {
+		d.config.Logger.WithFields(waitFields(state, &warned[i])).Warn("job stands beside free room")
+	}
+}
+
+func waitFields(state *store.State, wait *standing.Wait) logrus.Fields {
+	fields := logrus.Fields{
+		"job": wait.Job.Id, "epoch": wait.Job.Epoch, "queue": wait.Job.WorkClass, "customer": wait.Job.Customer,
+		"code": wait.Cause.Code, "near": wait.Cause.Near, "others": wait.Others,
+		"tasks": wait.Job.Tasks, "able_ms": wait.Waited.Milliseconds(), "index": state.Index(),
+	}
+	if wait.Cause.Beside {
+		fields["stood_ms"] = wait.Stood.Milliseconds()
+		fields["free_accelerators"], fields["accelerators"] = wait.Free.Accelerators, wait.All.Accelerators
+		fields["free_cores_milli"], fields["cores_milli"] = wait.Free.CoresMilli, wait.All.CoresMilli
+		fields["free_memory_mb"], fields["memory_mb"] = wait.Free.MemoryMB, wait.All.MemoryMB
+	}
+	return fields
+}
+
+// What stands now, on the leader: jobs with nothing running and room beside, the longest
+// such stand, and the milliseconds of all of them so far.
+var (
+	standingJobs    = expvar.NewInt("dispatch_standing_jobs")
+	standingLongest = expvar.NewInt("dispatch_standing_longest_ms")
+	standingTotal   = expvar.NewInt("dispatch_standing_total_ms")
+)
+
+func tellStanding(summary standing.Summary) {
+	standingJobs.Set(int64(summary.Jobs))
+	standingLongest.Set(summary.Longest.Milliseconds())
+	standingTotal.Add(summary.Total.Milliseconds())
+}
+
 // logRefusal writes a line where a decision was not committed, or took no effect
 // because another leader's term had begun.
 func (d *Dispatcher) logRefusal(result *controlpb.Result, err error) {
--- a/internal/coordination/scheduling/eligible.go
+++ b/internal/coordination/scheduling/eligible.go
@@ -27,7 +27,7 @@
 }
 
 // yieldsWarmRoom tells work that leaves the room that urgent work has left to the next.
-func (a *ask) yieldsWarmRoom() bool { return a.job.Workflow != "" && !a.job.Urgent }
+func (a *ask) yieldsWarmRoom() bool { return a.job.Workflow != "" && !a.job.Urgent && !a.wide }
 
 // failedOn tells a worker on which the job failed by itself. A worker that fails
 // everything looks free at once, and would use up all attempts of a job that
--- a/internal/coordination/scheduling/pass.go
+++ b/internal/coordination/scheduling/pass.go
@@ -64,6 +64,7 @@
 	service     string
 	requirement string
 	rack        string
+	wide        bool
 	// job is set where the answer is the job's own.
 	job string
 	// step is set where tasks of the step count against each other.
@@ -71,7 +72,7 @@
 }
 
 func (a *ask) where() whereKey {
-	key := whereKey{service: a.job.Service, requirement: a.job.Requirement, rack: a.rack}
+	key := whereKey{service: a.job.Service, requirement: a.job.Requirement, rack: a.rack, wide: a.wide}
 	if a.job.MaxAttempts > 0 && len(a.job.Failures) > 0 {
 		key.job = a.job.Id
 	}
--- a/internal/coordination/scheduling/placement.go
+++ b/internal/coordination/scheduling/placement.go
@@ -19,6 +19,8 @@
 	// where it may run only, for the same reason, or empty.
 	adjacency controlpb.Adjacency
 	rack      string
+	// wide asks may go wherever the job may run, kept room and all.
+	wide bool
 	// firm work is preemptible but counts as fixed in this pass.
 	firm bool
 	// rank and score order the queue; the lower goes first.
--- a/internal/coordination/scheduling/scheduling.go
+++ b/internal/coordination/scheduling/scheduling.go
@@ -95,6 +95,10 @@
 	Assignments []*controlpb.Assignment
 	Preemptions []*controlpb.Preemption
 	Waiting     []Reason
+	// Kept are the waiting jobs that are kept to a part of where they may run; Beside are
+	// those with nothing running that have room beside them after this plan.
+	Kept   []Kept
+	Beside []Beside
 	// Cells and Reservations go into the next pass's snapshot.
 	Cells        []Cell
 	Reservations []Reservation
@@ -122,6 +126,7 @@
 	p.startUrgent(queue)
 	p.startStarving(queue)
 	p.startRest(queue)
+	p.noteStanding(queue)
 	p.plan.Cells = p.cluster.cellList()
 }
 
@@ -133,6 +138,8 @@
 		Cells:        snapshot.Cells,
 		Reservations: snapshot.Reservations,
 		Unmet:        plan.Unmet,
+		Kept:         plan.Kept,
+		Beside:       plan.Beside,
 		Breach:       breach,
 	}
 	for _, assignment := range plan.Assignments {
