Since when work stands is part of a plan, and goes into the next pass

The pass tells which jobs stand and since when, like cells and reservations, so that one place knows it: package standing only tells lines and figures. A customer at its limit does not stand, and a workflow of which something runs does not. 'able_ms' of a job that is placed now was always 0, since its wait was forgotten by the look at the plan that places it.

--- a/internal/coordination/dispatch/controller.go
+++ b/internal/coordination/dispatch/controller.go
@@ -110,6 +110,7 @@
 		c.inventory = inventory.Planner{}
 		c.passes = passGate{}
 		c.waits = standing.Watch{}
+		c.newest.Beside = nil
 	}
 	if c.led && !leads {
 		tellStanding(standing.Summary{})
@@ -280,6 +281,7 @@
 		Warm:         c.warmth.Look(jobs, c.now()),
 		Cells:        c.newest.Cells,
 		Reservations: c.newest.Reservations,
+		Beside:       c.newest.Beside,
 		RunTimes:     c.runTimes.upTo(state),
 	}
 	for _, customer := range state.Customers() {
--- a/internal/coordination/dispatch/standing/standing.go
+++ b/internal/coordination/dispatch/standing/standing.go
@@ -56,11 +56,10 @@
 
 // wait is what is remembered of a job with nothing running.
 type wait struct {
-	// since is when it was first seen able to run, stands when it began to stand; zero
-	// where it does not.
-	since, stands time.Time
-	told          Cause
-	warned        bool
+	// since is when it was first seen able to run.
+	since  time.Time
+	told   Cause
+	warned bool
 }
 
 // Look takes in a plan and what it was made from. It gives the waits that are worth a
@@ -71,7 +70,6 @@
 	for _, b := range plan.Beside {
 		beside[b.Job] = b
 	}
-	working := workingWorkflows(jobs)
 	others := map[Cause]int{}
 	for _, cause := range causes {
 		others[cause]++
@@ -79,28 +77,32 @@
 	waits := make(map[string]*wait, len(causes))
 	for _, job := range jobs {
 		cause, waiting := causes[job.Id]
+		known := w.waits[job.Id]
 		if !waiting {
+			if known != nil && job.State == controlpb.JobState_JOB_STATE_WAITING && job.NotBeforeMs <= now.UnixMilli() {
+				// The plan starts it.
+				waits[job.Id] = known
+			}
 			continue
 		}
-		known := w.waits[job.Id]
 		if known == nil {
 			known = &wait{since: now}
 		}
 		waits[job.Id] = known
-		known.stand(now, cause.Beside && !working[job.Workflow])
-		found := Wait{
-			Job: job, Cause: cause, Waited: now.Sub(known.since), Stood: known.stood(now),
-			Free: beside[job.Id].Free, All: beside[job.Id].All, Others: others[cause] - 1,
+		found := Wait{Job: job, Cause: cause, Waited: now.Sub(known.since), Others: others[cause] - 1}
+		if b, ok := beside[job.Id]; ok {
+			found.Stood, found.Free, found.All = now.Sub(b.Since), b.Free, b.All
 		}
 		summary.add(found, now.Sub(w.looked))
 		if found.Waited >= toldAfter && known.told != cause {
 			known.told = cause
 			told = append(told, found)
 		}
-		if found.Stood >= tooLong && !known.warned {
-			known.warned = true
+		stoodLong := found.Stood >= tooLong
+		if stoodLong && !known.warned {
 			warned = append(warned, found)
 		}
+		known.warned = stoodLong
 	}
 	w.waits, w.looked = waits, now
 	return told, warned, summary
@@ -114,22 +116,6 @@
 	return 0
 }
 
-func (k *wait) stand(now time.Time, stands bool) {
-	switch {
-	case !stands:
-		k.stands, k.warned = time.Time{}, false
-	case k.stands.IsZero():
-		k.stands = now
-	}
-}
-
-func (k *wait) stood(now time.Time) time.Duration {
-	if k.stands.IsZero() {
-		return 0
-	}
-	return now.Sub(k.stands)
-}
-
 func (s *Summary) add(found Wait, since time.Duration) {
 	if found.Stood == 0 {
 		return
@@ -170,15 +156,3 @@
 	}
 	return causes
 }
-
-// workingWorkflows are those of which something runs: the rest of their work waits for its
-// turn, and they don't stand.
-func workingWorkflows(jobs []*controlpb.Job) map[string]bool {
-	working := map[string]bool{}
-	for _, job := range jobs {
-		if job.State == controlpb.JobState_JOB_STATE_RUNNING && job.Workflow != "" {
-			working[job.Workflow] = true
-		}
-	}
-	return working
-}
--- a/internal/coordination/dispatch/standing/standing_test.go
+++ b/internal/coordination/dispatch/standing/standing_test.go
@@ -13,7 +13,6 @@
 
 const (
 	waiting  = controlpb.JobState_JOB_STATE_WAITING
-	running  = controlpb.JobState_JOB_STATE_RUNNING
 	stopping = controlpb.JobState_JOB_STATE_STOPPING
 )
 
@@ -28,7 +27,7 @@
 	plan := &scheduling.Plan{}
 	for _, job := range jobs {
 		plan.Waiting = append(plan.Waiting, scheduling.Reason{Job: job, Code: scheduling.ReasonNoCapacity})
-		plan.Beside = append(plan.Beside, scheduling.Beside{Job: job})
+		plan.Beside = append(plan.Beside, scheduling.Beside{Job: job, Since: begin})
 	}
 	return plan
 }
@@ -39,7 +38,7 @@
 	jobs := []*controlpb.Job{unit("a", "a", waiting), unit("b", "b", stopping)}
 	watch := &standing.Watch{}
 	plan := besidePlan("a")
-	plan.Beside = append(plan.Beside, scheduling.Beside{Job: "b"})
+	plan.Beside = append(plan.Beside, scheduling.Beside{Job: "b", Since: begin})
 	told, warned, summary := watch.Look(begin, jobs, plan)
 	is.Equal(len(told)+len(warned), 0)
 	is.Equal(summary.Longest, time.Duration(0))
@@ -75,17 +74,6 @@
 	is.Equal(summary.Jobs, 0)
 }
 
-// A workflow of which something runs counts as one that stands.
-func TestWorkflowThatRunsDoesNotStand(t *testing.T) {
-	is := is.New(t)
-	jobs := []*controlpb.Job{unit("a.0", "a", waiting), unit("a.1", "a", running)}
-	watch := &standing.Watch{}
-	watch.Look(begin, jobs, besidePlan("a.0"))
-	_, warned, summary := watch.Look(begin.Add(time.Minute), jobs, besidePlan("a.0"))
-	is.Equal(len(warned), 0)
-	is.Equal(summary.Jobs, 0)
-}
-
 // A job that waits out the pause of a failure counts as one that could run.
 func TestPauseIsNoWait(t *testing.T) {
 	is := is.New(t)
@@ -94,5 +82,6 @@
 	watch := &standing.Watch{}
 	watch.Look(begin, []*controlpb.Job{paused}, besidePlan("a"))
 	watch.Look(begin.Add(time.Second), []*controlpb.Job{paused}, besidePlan("a"))
+	watch.Look(begin.Add(1500*time.Millisecond), []*controlpb.Job{paused}, &scheduling.Plan{})
 	is.Equal(watch.Waited("a", begin.Add(1500*time.Millisecond)), 500*time.Millisecond)
 }
--- a/internal/coordination/scheduling/pass.go
+++ b/internal/coordination/scheduling/pass.go
@@ -275,11 +275,7 @@
 
 // refusedByLimit settles a job whose customer would exceed its limit.
 func (p *pass) refusedByLimit(a *ask) bool {
-	customer := p.snapshot.Customers[a.job.Customer]
-	if customer == nil || customer.MaxAccelerators == 0 {
-		return false
-	}
-	if p.used[a.customer]+a.size().accelerators <= int64(customer.MaxAccelerators) {
+	if !p.overLimit(a) {
 		return false
 	}
 	if !p.settled[a.job.Id] {
@@ -288,6 +284,14 @@
 	return true
 }
 
+func (p *pass) overLimit(a *ask) bool {
+	customer := p.snapshot.Customers[a.job.Customer]
+	if customer == nil || customer.MaxAccelerators == 0 {
+		return false
+	}
+	return p.used[a.customer]+a.size().accelerators > int64(customer.MaxAccelerators)
+}
+
 // startFree assigns the whole gang if there is room at once. A shape that found
 // none is not tried again, nor with more tasks: within a pass such room only
 // shrinks, but for what is withheld for the job itself.
--- a/internal/coordination/scheduling/scheduling.go
+++ b/internal/coordination/scheduling/scheduling.go
@@ -47,6 +47,8 @@
 	Cells []Cell
 	// Reservations are those of the plan before this one, or none.
 	Reservations []Reservation
+	// Beside are those of the plan before this one, or none.
+	Beside []Beside
 	// Warm are workers that urgent work has just left: room there is kept a moment
 	// for the next.
 	Warm map[string]bool
@@ -99,7 +101,7 @@
 	// those with nothing running that have room beside them after this plan.
 	Kept   []Kept
 	Beside []Beside
-	// Cells and Reservations go into the next pass's snapshot.
+	// Cells, Reservations and Beside go into the next pass's snapshot.
 	Cells        []Cell
 	Reservations []Reservation
 	Unmet        []Unmet
--- a/internal/coordination/scheduling/standing.go
+++ b/internal/coordination/scheduling/standing.go
@@ -2,14 +2,17 @@
 
 import (
 	"slices"
+	"time"
 
 	"pinewinch.example/pinewinch/internal/protocol/controlpb"
 )
 
-// Beside is a job with nothing running although its service has room for it: over half of
-// each kind that it asks for is free, and it fits there twice over.
+// Beside is a job of which, and of whose workflow, nothing runs although its service has
+// room: over half of each kind that it asks for is free, and it fits there twice over.
 type Beside struct {
 	Job string
+	// Since is the pass from which on that was so.
+	Since time.Time
 	// Free and All are the room of the job's service.
 	Free, All Room
 }
@@ -33,14 +36,35 @@
 // OneRack is where a coupled gang is kept to while it waits for a whole rack.
 const OneRack = "one rack"
 
-// besideShare of a service free is much: work must not stand beside it.
+// besideShare of a service's room free is much.
 const besideShare = 0.5
 
-// besideOf is a service's room while it is looked at whether jobs stand beside it.
-type besideOf struct {
-	free, all amount
-	// fits remembers by shape whether it fits twice over.
-	fits map[shapeKey]bool
+// serviceRoom is what the workers of a service have, those that get no work now too: that
+// they get none may be why work stands.
+type serviceRoom struct{ free, all amount }
+
+func (p *pass) serviceRoom(service string) *serviceRoom {
+	s := &serviceRoom{}
+	for _, n := range p.cluster.nodes {
+		if service == "" || slices.Contains(n.worker.Services, service) {
+			s.free, s.all = s.free.plus(n.free), s.all.plus(n.total)
+		}
+	}
+	return s
+}
+
+// muchFree tells whether over half of each kind that a task asks for is free.
+func (s *serviceRoom) muchFree(each amount) bool {
+	for _, kind := range []struct{ asked, free, all int64 }{
+		{each.accelerators, s.free.accelerators, s.all.accelerators},
+		{each.cores, s.free.cores, s.all.cores},
+		{each.memory, s.free.memory, s.all.memory},
+	} {
+		if kind.asked > 0 && float64(kind.free) <= besideShare*float64(kind.all) {
+			return false
+		}
+	}
+	return true
 }
 
 // noteStanding lists what keeps work back that this pass has not started.
@@ -67,48 +91,62 @@
 	return ""
 }
 
-// noteBeside lists the jobs with nothing running that have room for them beside. Those
-// that are being started or stopped are looked at too: what they wait for may last.
+// noteBeside lists the jobs with nothing running that have room beside. Those that are
+// being started or stopped are looked at too: what they wait for may last.
 func (p *pass) noteBeside(started map[string]bool) {
-	services := map[string]*besideOf{}
+	since := map[string]time.Time{}
+	for _, b := range p.snapshot.Beside {
+		since[b.Job] = b.Since
+	}
+	working := workingWorkflows(p.snapshot.Jobs, started)
+	services := map[string]*serviceRoom{}
+	fits := map[shapeKey]bool{}
 	for _, job := range p.snapshot.Jobs {
-		if started[job.Id] || !idle(job) {
+		if started[job.Id] || working[job.Workflow] || !p.idle(job) {
 			continue
 		}
 		service := services[job.Service]
 		if service == nil {
-			service = p.besideOf(job.Service)
+			service = p.serviceRoom(job.Service)
 			services[job.Service] = service
 		}
-		if service.muchFree(taskSize(job)) && service.takesTwice(p, p.wideAsk(job)) {
-			p.plan.Beside = append(p.plan.Beside, Beside{job.Id, roomOf(service.free), roomOf(service.all)})
+		if !service.muchFree(taskSize(job)) || !p.remembersTwice(fits, p.wideAsk(job)) {
+			continue
+		}
+		b := Beside{Job: job.Id, Since: p.snapshot.Now, Free: roomOf(service.free), All: roomOf(service.all)}
+		if earlier, ok := since[job.Id]; ok {
+			b.Since = earlier
+		}
+		p.plan.Beside = append(p.plan.Beside, b)
+	}
+}
+
+// workingWorkflows are those of which something runs or is started: the rest of their work
+// waits for its turn.
+func workingWorkflows(jobs []*controlpb.Job, started map[string]bool) map[string]bool {
+	working := map[string]bool{}
+	for _, job := range jobs {
+		runs := job.State == controlpb.JobState_JOB_STATE_RUNNING || started[job.Id]
+		if runs && job.Workflow != "" {
+			working[job.Workflow] = true
 		}
 	}
+	return working
 }
 
-// idle tells a job that has nothing running and is to run.
-func idle(job *controlpb.Job) bool {
+// idle tells a job that has nothing running and could.
+func (p *pass) idle(job *controlpb.Job) bool {
 	switch job.State {
-	case controlpb.JobState_JOB_STATE_WAITING, controlpb.JobState_JOB_STATE_STARTING:
+	case controlpb.JobState_JOB_STATE_STARTING:
 		return true
 	case controlpb.JobState_JOB_STATE_STOPPING:
 		return job.NextState == controlpb.JobState_JOB_STATE_WAITING
+	case controlpb.JobState_JOB_STATE_WAITING:
+		return job.NotBeforeMs <= p.nowMs && !p.overLimit(p.wideAsk(job))
 	}
 	return false
 }
 
-// besideOf counts what the workers of a service have, those that get no work now too: that
-// they get none may be why work stands.
-func (p *pass) besideOf(service string) *besideOf {
-	s := &besideOf{fits: map[shapeKey]bool{}}
-	for _, n := range p.cluster.nodes {
-		if service == "" || slices.Contains(n.worker.Services, service) {
-			s.free, s.all = s.free.plus(n.free), s.all.plus(n.total)
-		}
-	}
-	return s
-}
-
 // wideAsk asks for the job wherever it may run at all.
 func (p *pass) wideAsk(job *controlpb.Job) *ask {
 	return &ask{
@@ -117,31 +155,17 @@
 	}
 }
 
-// takesTwice tells whether the ask fits twice over.
-func (s *besideOf) takesTwice(p *pass, a *ask) bool {
+// remembersTwice is fitsTwice, remembered by shape.
+func (p *pass) remembersTwice(known map[shapeKey]bool, a *ask) bool {
 	key := a.key()
-	fits, known := s.fits[key]
-	if !known {
+	fits, ok := known[key]
+	if !ok {
 		fits = p.fitsTwice(a)
-		s.fits[key] = fits
+		known[key] = fits
 	}
 	return fits
 }
 
-// muchFree tells whether over half of each kind that a task asks for is free.
-func (s *besideOf) muchFree(each amount) bool {
-	for _, kind := range []struct{ asked, free, all int64 }{
-		{each.accelerators, s.free.accelerators, s.all.accelerators},
-		{each.cores, s.free.cores, s.all.cores},
-		{each.memory, s.free.memory, s.all.memory},
-	} {
-		if kind.asked > 0 && float64(kind.free) <= besideShare*float64(kind.all) {
-			return false
-		}
-	}
-	return true
-}
-
 // fitsTwice tells whether the ask fits as it must, and there is room for its tasks again.
 func (p *pass) fitsTwice(a *ask) bool {
 	twice := *a
