A failing test: work stands beside free room as long as other work waits near, too

Two units of two workflows whose data is in a busy rack have nothing running for 39.8 s, and coupled gangs of three workflows for 19.9 s, while over half of the accelerators are free and each fits twice over. One such unit or gang alone begins after 1.4 s. The bound is 1.5 s and a step of the replay, from the rule that nothing stands for 3 s less a commit and a start.

--- a/internal/coordination/scheduling/patience_test.go
+++ b/internal/coordination/scheduling/patience_test.go
@@ -20,7 +20,7 @@
 const replayEvery = 100 * time.Millisecond
 
 // shortReplay plays arrivals through the pass, each unit for its run time: three times as
-// long where a coupled gang is over several racks.
+// long where a coupled gang is over several racks, or a unit away from its data.
 type shortReplay struct {
 	workers  []Worker
 	arrivals []arrival
@@ -30,23 +30,28 @@
 
 // replayArrivals gives when each unit that began ends.
 func replayArrivals(workers []Worker, arrivals []arrival, length time.Duration) map[string]time.Duration {
+	r := newShortReplay(workers, arrivals)
+	for now := time.Duration(0); now <= length; now += replayEvery {
+		r.pass(now)
+	}
+	return r.endsAt
+}
+
+func newShortReplay(workers []Worker, arrivals []arrival) *shortReplay {
 	r := &shortReplay{workers, arrivals, &Plan{}, map[string]time.Duration{}}
 	for _, a := range arrivals {
 		if a.job.State == controlpb.JobState_JOB_STATE_RUNNING {
 			r.endsAt[a.job.Id] = runTimeAt(workers, a.job)
 		}
 	}
-	for now := time.Duration(0); now <= length; now += replayEvery {
-		r.pass(now)
-	}
-	return r.endsAt
+	return r
 }
 
 func (r *shortReplay) pass(now time.Duration) {
 	jobs := r.active(now)
 	snapshot := units(r.workers, jobs...)
 	snapshot.Now = start.Add(now)
-	snapshot.Cells, snapshot.Reservations = r.plan.Cells, r.plan.Reservations
+	snapshot.Cells, snapshot.Reservations, snapshot.Beside = r.plan.Cells, r.plan.Reservations, r.plan.Beside
 	r.plan = Pass(snapshot)
 	for _, assignment := range r.plan.Assignments {
 		i := slices.IndexFunc(jobs, func(job *controlpb.Job) bool { return job.Id == assignment.Job })
@@ -77,7 +82,8 @@
 		racks[rackOf[placement.Worker]] = true
 	}
 	run := time.Duration(job.RunTimeMs) * time.Millisecond
-	if job.TightlyCoupled && len(racks) > 1 {
+	away := job.DataRack != "" && (len(racks) > 1 || !racks[job.DataRack])
+	if job.TightlyCoupled && len(racks) > 1 || away {
 		return slowdownAway * run
 	}
 	return run
