Lines and figures for workers that get no work for their failures

Of the hypotheses of the incident one is that well workers get nothing. A quarantine left no line and no figure: 'worker judged' names each change of verdict with its evidence, and dispatch_workers counts by verdict. No decision changes.

--- a/internal/coordination/dispatch/controller.go
+++ b/internal/coordination/dispatch/controller.go
@@ -58,6 +58,7 @@
 	runTimes *runTimes
 	warmth   warmth.Warmth
 	waits    standing.Watch
+	judged   verdicts
 	open     openWorkflows
 }
 
@@ -114,6 +115,8 @@
 	}
 	if c.led && !leads {
 		tellStanding(standing.Summary{})
+		c.judged = verdicts{}
+		c.judged.tell()
 	}
 	c.led = leads
 	if !leads {
@@ -229,6 +232,7 @@
 			probing[worker.Id] = true
 		}
 		refused := verdict == quarantine.CoolingDown || verdict == quarantine.Quarantined
+		c.dispatcher.logVerdict(state, &c.judged, worker.Id, verdict)
 		workers = append(workers, scheduling.Worker{
 			ID:           worker.Id,
 			DataCentre:   worker.DataCentre,
@@ -243,6 +247,8 @@
 			Unavailable:  worker.Leaving || state.Drained(worker.Id) || refused,
 		})
 	}
+	c.judged.forget(live)
+	c.judged.tell()
 	return workers, probing
 }
 
--- a/internal/coordination/dispatch/judge_test.go
+++ b/internal/coordination/dispatch/judge_test.go
@@ -5,6 +5,8 @@
 	"testing"
 	"time"
 
+	"github.com/matryer/is"
+
 	"pinewinch.example/pinewinch/internal/coordination/dispatch/quarantine"
 	"pinewinch.example/pinewinch/internal/protocol/controlpb"
 	"pinewinch.example/pinewinch/internal/protocol/failure"
@@ -51,6 +53,17 @@
 	}
 }
 
+// Workers get no work for their failures, and no figure says how many.
+func TestWorkersWithoutWorkAreCounted(t *testing.T) {
+	is := is.New(t)
+	controller, state, live := stalled(4, 4)
+	controller.judge(state, live)
+	is.Equal(workersJudged.Get("probing").String(), "2")
+	is.Equal(workersJudged.Get("quarantined").String(), "2")
+	controller.judge(state, live[:1])
+	is.Equal(workersJudged.Get("probing").String(), "0")
+}
+
 // BenchmarkJudge reports the look at 350 workers that may all be probed, as after a cut of
 // the network, with 2,800 open jobs.
 func BenchmarkJudge(b *testing.B) {
--- a/internal/coordination/dispatch/quarantine/quarantine.go
+++ b/internal/coordination/dispatch/quarantine/quarantine.go
@@ -43,6 +43,12 @@
 	Probing
 )
 
+var verdictNames = map[Verdict]string{
+	Healthy: "healthy", CoolingDown: "cooling_down", Quarantined: "quarantined", Probing: "probing",
+}
+
+func (v Verdict) String() string { return verdictNames[v] }
+
 // Of judges a worker; health is nil where nothing has failed since a success.
 func Of(config Config, health *controlpb.WorkerHealth, now time.Time) Verdict {
 	if health == nil || len(health.Failures) == 0 {
@@ -66,14 +72,21 @@
 // still: a job does not hang by itself, and a worker that hangs looks empty once its
 // tasks are stopped, so that it would be given the next ones at once.
 func quarantined(health *controlpb.WorkerHealth) bool {
-	jobs := map[string]bool{}
 	for _, failed := range health.Failures {
 		if failed.Code == string(failure.Stalled) {
 			return true
 		}
+	}
+	return DistinctJobs(health) >= distinctJobs
+}
+
+// DistinctJobs counts the jobs that failed on the worker since a success.
+func DistinctJobs(health *controlpb.WorkerHealth) int {
+	jobs := map[string]bool{}
+	for _, failed := range health.Failures {
 		jobs[failed.Job] = true
 	}
-	return len(jobs) >= distinctJobs
+	return len(jobs)
 }
 
 func doubled(base time.Duration, times int, most time.Duration) time.Duration {
