Work that stands beside much free room for 1.5 s begins wherever it may run

What callers saw: accepted workflows with nothing running for seconds beside idle workers, several at once. Cause: a unit waits for the rack of its data and a coupled gang for a whole rack; that much room is free ended the wait after 1.5 s only if no other workflow waited, so that two which wait held each other back for up to twice their extra run time (44 s).

Evidence: TestWorkBeginsBesideFreeRoom, before: two units of two workflows 39.8 s, three gangs 19.9 s; after: 1.4 s each. TestNothingStandsBesideFreeRoom draws clusters, loads and arrivals: before, 5.4 s after 38 draws; after, 3,000 draws pass.

Change: the plan says since when a job stands, the next pass begins what has stood for 1.5 s anywhere, the last in the queue first and each start counted before the next, and a pass is due at that moment. It is bounded by what a rule allows, in each kind that a job asks for.

--- a/internal/coordination/dispatch/passgate.go
+++ b/internal/coordination/dispatch/passgate.go
@@ -46,13 +46,25 @@
 // lone job would wait for the next pass, a second later at most.
 func (g *passGate) expect(jobs []*controlpb.Job) {
 	for _, job := range jobs {
-		ends := time.UnixMilli(job.NotBeforeMs)
-		if job.State == controlpb.JobState_JOB_STATE_WAITING && ends.After(g.made) && ends.Before(g.due) {
-			g.due = ends
+		if job.State == controlpb.JobState_JOB_STATE_WAITING {
+			g.expectAt(time.UnixMilli(job.NotBeforeMs))
 		}
 	}
 }
 
+// expectStanding takes note of when work will have stood for as long as it may.
+func (g *passGate) expectStanding(beside []scheduling.Beside) {
+	for _, b := range beside {
+		g.expectAt(b.Since.Add(scheduling.MostStand))
+	}
+}
+
+func (g *passGate) expectAt(due time.Time) {
+	if due.After(g.made) && due.Before(g.due) {
+		g.due = due
+	}
+}
+
 func unchanged(worker scheduling.Worker, facts workerFacts) bool { return factsOf(worker) == facts }
 
 func factsOf(w scheduling.Worker) workerFacts {
--- a/internal/coordination/dispatch/passgate_test.go
+++ b/internal/coordination/dispatch/passgate_test.go
@@ -6,6 +6,7 @@
 
 	"github.com/matryer/is"
 
+	"pinewinch.example/pinewinch/internal/coordination/scheduling"
 	"pinewinch.example/pinewinch/internal/protocol/controlpb"
 )
 
@@ -25,3 +26,14 @@
 	is.True(gate.open(1, nil, now.Add(1100*time.Millisecond)))
 	is.True(gate.open(2, nil, now.Add(1101*time.Millisecond)))
 }
+
+// Work that may stand no longer waits for up to a second more, since nothing is news.
+func TestPassIsDueWhenWorkHasStoodForLong(t *testing.T) {
+	is := is.New(t)
+	now := time.UnixMilli(1_000_000)
+	gate := &passGate{}
+	is.True(gate.open(1, nil, now))
+	gate.expectStanding([]scheduling.Beside{{Since: now.Add(100*time.Millisecond - scheduling.MostStand)}, {Since: now.Add(-time.Minute)}})
+	is.True(!gate.open(1, nil, now.Add(99*time.Millisecond)))
+	is.True(gate.open(1, nil, now.Add(100*time.Millisecond)))
+}
--- a/internal/coordination/scheduling/mechanisms.go
+++ b/internal/coordination/scheduling/mechanisms.go
@@ -19,13 +19,16 @@
 	MatchPace
 	// SpareRoom prolongs the wait for near room while other work waits too.
 	SpareRoom
+	// BeginBeside begins work anywhere that stands beside much free room.
+	BeginBeside
 )
 
 var mechanismNames = map[string]Mechanisms{
-	"keep-warm":  KeepWarm,
-	"await-near": AwaitNear,
-	"match-pace": MatchPace,
-	"spare-room": SpareRoom,
+	"keep-warm":    KeepWarm,
+	"await-near":   AwaitNear,
+	"match-pace":   MatchPace,
+	"spare-room":   SpareRoom,
+	"begin-beside": BeginBeside,
 }
 
 // ParseMechanisms reads names separated by commas; none is the empty set.
--- a/internal/coordination/scheduling/pass.go
+++ b/internal/coordination/scheduling/pass.go
@@ -19,6 +19,8 @@
 	urgentDemand map[string]int64
 	// waiting has the workflows with work that waits.
 	waiting map[string]bool
+	// beside has the jobs that had room beside after the plan before.
+	beside map[string]Beside
 	// settled jobs have an outcome in this pass.
 	settled map[string]bool
 	// hopeless holds the shapes that found no room: within a pass room only
@@ -110,6 +112,7 @@
 		plan:     &Plan{},
 		used:     map[customerID]int64{},
 		waiting:  waitingWorkflows(snapshot.Jobs),
+		beside:   map[string]Beside{},
 		settled:  map[string]bool{},
 		hopeless: map[shapeKey]ReasonCode{},
 		barred:   map[serveKey]bool{},
@@ -118,6 +121,9 @@
 
 		mostTasks: map[Shape]int64{},
 	}
+	for _, b := range snapshot.Beside {
+		p.beside[b.Job] = b
+	}
 	if p.off(MatchPace) {
 		p.cluster.paces = 0
 	}
@@ -217,7 +223,7 @@
 	if by == rightOwner && p.startOwn(a) {
 		return true
 	}
-	if p.startFree(a) || p.hold(a, by) {
+	if p.startFree(a) || (!p.stoodLong(a) && p.hold(a, by)) {
 		return true
 	}
 	a.withhold()
--- a/internal/coordination/scheduling/patience.go
+++ b/internal/coordination/scheduling/patience.go
@@ -41,7 +41,8 @@
 
 // patienceOver tells whether a unit has waited long enough for near room.
 //
-// While other work waits too, much free room does not cut the wait short. In a burst
+// While other work waits too, much free room does not cut the wait short here: what stands
+// beside it begins one after the other (see startStanding). In a burst all
 // gangs would spread over the last free racks with three times their run time, and the
 // gangs after them would find no rack whole, spread in turn and be late as well.
 func (p *pass) patienceOver(a *ask) bool {
--- a/internal/coordination/scheduling/scheduling.go
+++ b/internal/coordination/scheduling/scheduling.go
@@ -128,6 +128,7 @@
 	p.startUrgent(queue)
 	p.startStarving(queue)
 	p.startRest(queue)
+	p.startStanding(queue)
 	p.noteStanding(queue)
 	p.plan.Cells = p.cluster.cellList()
 }
--- a/internal/coordination/scheduling/standing_test.go
+++ b/internal/coordination/scheduling/standing_test.go
@@ -1,10 +1,12 @@
 package scheduling
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
+	"pgregory.net/rapid"
 
 	"pinewinch.example/pinewinch/internal/protocol/controlpb"
 )
@@ -98,3 +100,60 @@
 	}
 	return 2*left > all && fit >= 2*job.Tasks
 }
+
+// drawnBusy draws a cluster with work on it that runs for long, in few or many racks.
+func drawnBusy(t *rapid.T) ([]Worker, []arrival) {
+	racks, perRack := rapid.IntRange(1, 5).Draw(t, "racks"), rapid.IntRange(1, 6).Draw(t, "workers a rack")
+	workers := testWorkers(1, racks, perRack, 8)
+	var arrivals []arrival
+	for i := range workers {
+		held := rapid.SampledFrom([]uint32{0, 0, 0, 1, 4, 8}).Draw(t, "held")
+		if held == 0 {
+			continue
+		}
+		job := unitJob("on-"+workers[i].ID, "b", 1, held, running(0, 0, workers[i].ID))
+		job.RunTimeMs = int64(rapid.SampledFrom([]int{5, 20, 60}).Draw(t, "busy for")) * 1000
+		arrivals = append(arrivals, arrival{0, job})
+	}
+	return workers, arrivals
+}
+
+// drawnUnits draws units that come within some seconds, many of them near data or in gangs
+// for whole racks, urgent ones among them.
+func drawnUnits(t *rapid.T, racks int) []arrival {
+	var arrivals []arrival
+	for i := range rapid.IntRange(1, 12).Draw(t, "units") {
+		at := time.Duration(rapid.IntRange(0, 50).Draw(t, "at")) * replayEvery
+		unit := unitJob(fmt.Sprint("u", i), rapid.SampledFrom([]string{"a", "b"}).Draw(t, "customer"),
+			uint32(rapid.IntRange(1, 8).Draw(t, "tasks")), uint32(rapid.IntRange(1, 8).Draw(t, "each")))
+		unit.RunTimeMs = int64(rapid.SampledFrom([]int{1, 5, 11}).Draw(t, "run")) * 1000
+		unit.SubmittedMs = start.Add(at).UnixMilli()
+		unit.DeadlineMs = start.Add(at + 3*time.Duration(unit.RunTimeMs)*time.Millisecond).UnixMilli()
+		switch rapid.IntRange(0, 3).Draw(t, "kind") {
+		case 0:
+			unit.DataRack = fmt.Sprint("r", rapid.IntRange(0, racks-1).Draw(t, "data"))
+		case 1:
+			unit.TightlyCoupled = true
+		case 2:
+			unit.Urgent, unit.Priority, unit.TightlyCoupled = true, 0, true
+		}
+		arrivals = append(arrivals, arrival{at, unit})
+	}
+	return arrivals
+}
+
+// Work of any shape has nothing running for long beside much free room, whatever runs and
+// comes beside it.
+func TestNothingStandsBesideFreeRoom(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		workers, busy := drawnBusy(t)
+		racks := map[string]bool{}
+		for _, worker := range workers {
+			racks[worker.Rack] = true
+		}
+		arrivals := append(busy, drawnUnits(t, len(racks))...)
+		if longest := longestStand(workers, arrivals, 70*time.Second); longest > standingBound {
+			t.Fatalf("something stood for %v", longest)
+		}
+	})
+}
