A workflow that has failed leaves no failures against the workers it failed on

What callers saw, or could: well workers get no work for up to 15 s after a few workflows that can never be done. Each of a workflow's tasks is a job, and three failed jobs quarantine a worker; only the task that used up its attempts took its failures off the workers again.

TestFailedWorkflowQuarantinesNoWorkers: two failures stay without the change. That the failed workflow takes all of its failures off is safe: with a worker that fails everything, a task goes to another one each time, so it fails its workflow only together with other workers.

--- a/internal/state/store/workflows.go
+++ b/internal/state/store/workflows.go
@@ -271,6 +271,9 @@
 	w.Specification, w.Steps, w.Progress = "", nil, nil
 	s.putWorkflow(w)
 	for _, job := range s.Units(w.Id) {
+		if state == controlpb.WorkflowState_WORKFLOW_STATE_FAILED {
+			s.clearBlame(job)
+		}
 		if Ended(job.State) {
 			s.jobs, _, _ = s.jobs.Delete([]byte(job.Id))
 			continue
--- a/internal/state/store/workflows_test.go
+++ b/internal/state/store/workflows_test.go
@@ -165,6 +165,28 @@
 	is.Equal(len(l.state.Jobs()), 0)
 }
 
+// A few workflows that can never be done take well workers out of service: each of their
+// tasks fails on some, and only the one that used up its attempts is forgiven.
+func TestFailedWorkflowQuarantinesNoWorkers(t *testing.T) {
+	is := is.New(t)
+	l := newWorkflowLog(t)
+	l.submit(0, &controlpb.Workflow{Id: "w", Queue: "q", MaxAttempts: 2, Steps: []*controlpb.Step{{Count: 4}}})
+	fail := func(job string) {
+		failed := &controlpb.TaskFailure{Worker: "i-1", Code: string(failure.TaskFailed)}
+		epoch := l.place(job)
+		l.move(&controlpb.MoveJob{Job: job, Epoch: epoch, State: controlpb.JobState_JOB_STATE_STOPPING, Failure: failed})
+		l.move(&controlpb.MoveJob{Job: job, Epoch: epoch, State: controlpb.JobState_JOB_STATE_WAITING})
+	}
+	for _, job := range []string{"w.0.0.0", "w.0.0.1", "w.0.0.2"} {
+		fail(job)
+	}
+	is.Equal(l.state.Health("i-1").GetConsecutive(), uint32(3))
+	parked, _ := l.state.Job("w.0.0.0")
+	l.move(&controlpb.MoveJob{Job: parked.Id, Epoch: parked.Epoch, State: controlpb.JobState_JOB_STATE_PARKED})
+	is.Equal(l.stateOf("w"), controlpb.WorkflowState_WORKFLOW_STATE_FAILED)
+	is.Equal(l.state.Health("i-1"), nil)
+}
+
 // A failure is reported twice for one run, as by a member of a gang and then with
 // its stop. It is one failed attempt.
 func TestOneRunFailsOnce(t *testing.T) {
