Once no work comes any more, room of some kind is enough for work that stands to begin

What callers saw: gangs with nothing running for 3 to 11 s after the last work had come, while half of the cores idled. The rule does not say in which kind capacity is counted.

Change: waiting for a whole rack spares the other room for work that may come.

--- a/internal/coordination/dispatch/controller.go
+++ b/internal/coordination/dispatch/controller.go
@@ -172,7 +172,7 @@
 	if plan.Breach != nil {
 		plansRefused.Add(1)
 	}
-	c.passes.expectStanding(plan.Beside)
+	c.passes.expectStanding(plan)
 	c.watchWaits(state, snapshot, plan)
 	assignments := quarantine.Limit(plan.Assignments, func(worker string) bool { return probing[worker] })
 	c.dispatcher.logLeftOut(plan.Assignments, assignments, "a worker is probed by another job")
--- a/internal/coordination/dispatch/passgate.go
+++ b/internal/coordination/dispatch/passgate.go
@@ -53,9 +53,10 @@
 }
 
 // expectStanding takes note of when work will have stood for as long as it may.
-func (g *passGate) expectStanding(beside []scheduling.Beside) {
-	for _, b := range beside {
-		g.expectAt(b.Since.Add(scheduling.MostStand))
+func (g *passGate) expectStanding(plan *scheduling.Plan) {
+	for _, b := range plan.Beside {
+		g.expectAt(b.Stands.Add(scheduling.MostStand))
+		g.expectAt(plan.QuietSince.Add(time.Millisecond))
 	}
 }
 
--- a/internal/coordination/dispatch/standing/standing.go
+++ b/internal/coordination/dispatch/standing/standing.go
@@ -90,8 +90,8 @@
 		}
 		waits[job.Id] = known
 		found := Wait{Job: job, Cause: cause, Waited: now.Sub(known.since), Others: others[cause] - 1}
-		if b, ok := beside[job.Id]; ok {
-			found.Stood, found.Free, found.All = now.Sub(b.Since), b.Free, b.All
+		if b, ok := beside[job.Id]; ok && !b.Stands.IsZero() {
+			found.Stood, found.Free, found.All = now.Sub(b.Stands), b.Free, b.All
 		}
 		summary.add(found, now.Sub(w.looked))
 		if found.Waited >= toldAfter && known.told != cause {
@@ -149,7 +149,7 @@
 		}
 	}
 	for _, beside := range plan.Beside {
-		if cause, ok := causes[beside.Job]; ok {
+		if cause, ok := causes[beside.Job]; ok && !beside.Stands.IsZero() {
 			cause.Beside = true
 			causes[beside.Job] = cause
 		}
--- a/internal/coordination/dispatch/standing/standing_test.go
+++ b/internal/coordination/dispatch/standing/standing_test.go
@@ -27,7 +27,7 @@
 	plan := &scheduling.Plan{}
 	for _, job := range jobs {
 		plan.Waiting = append(plan.Waiting, scheduling.Reason{Job: job, Code: scheduling.ReasonNoCapacity})
-		plan.Beside = append(plan.Beside, scheduling.Beside{Job: job, Since: begin})
+		plan.Beside = append(plan.Beside, scheduling.Beside{Job: job, Stands: begin})
 	}
 	return plan
 }
@@ -38,7 +38,7 @@
 	jobs := []*controlpb.Job{unit("a", "a", waiting), unit("b", "b", stopping)}
 	watch := &standing.Watch{}
 	plan := besidePlan("a")
-	plan.Beside = append(plan.Beside, scheduling.Beside{Job: "b", Since: begin})
+	plan.Beside = append(plan.Beside, scheduling.Beside{Job: "b", Stands: begin})
 	told, warned, summary := watch.Look(begin, jobs, plan)
 	is.Equal(len(told)+len(warned), 0)
 	is.Equal(summary.Longest, time.Duration(0))
--- a/internal/coordination/scheduling/pass.go
+++ b/internal/coordination/scheduling/pass.go
@@ -21,6 +21,8 @@
 	waiting map[string]bool
 	// beside has the jobs that had room beside after the plan before.
 	beside map[string]Beside
+	// quiet tells that work has stopped coming.
+	quiet bool
 	// settled jobs have an outcome in this pass.
 	settled map[string]bool
 	// hopeless holds the shapes that found no room: within a pass room only
@@ -124,6 +126,7 @@
 	for _, b := range snapshot.Beside {
 		p.beside[b.Job] = b
 	}
+	p.quiet = snapshot.Now.After(quietSince(snapshot.Jobs))
 	if p.off(MatchPace) {
 		p.cluster.paces = 0
 	}
--- a/internal/coordination/scheduling/scheduling.go
+++ b/internal/coordination/scheduling/scheduling.go
@@ -101,6 +101,8 @@
 	// those with nothing running that have room beside them after this plan.
 	Kept   []Kept
 	Beside []Beside
+	// QuietSince is when work will have stopped coming, if none comes.
+	QuietSince time.Time
 	// Cells, Reservations and Beside go into the next pass's snapshot.
 	Cells        []Cell
 	Reservations []Reservation
@@ -130,6 +132,7 @@
 	p.startRest(queue)
 	p.startStanding(queue)
 	p.noteStanding(queue)
+	p.plan.QuietSince = quietSince(p.snapshot.Jobs)
 	p.plan.Cells = p.cluster.cellList()
 }
 
--- a/internal/coordination/scheduling/standing.go
+++ b/internal/coordination/scheduling/standing.go
@@ -8,11 +8,14 @@
 )
 
 // Beside is a job of which, and of whose workflow, nothing runs although its service has
-// room: over half of each kind that it asks for is free, and it fits there twice over.
+// room: over half of some kind that it asks for is free, and it fits there twice over.
 type Beside struct {
 	Job string
 	// Since is the pass from which on that was so.
 	Since time.Time
+	// Stands is the pass from which on over half of each kind was free, or work had stopped
+	// coming; zero while neither is so.
+	Stands time.Time
 	// Free and All are the room of the job's service.
 	Free, All Room
 }
@@ -58,24 +61,44 @@
 	return s
 }
 
-// muchFree tells whether over half of each kind that a task asks for is free.
-func (s *serviceRoom) muchFree(each amount) bool {
+// muchFree tells whether over half of some kind that a task asks for is free, and whether
+// over half of each is.
+func (s *serviceRoom) muchFree(each amount) (some, all bool) {
+	all = true
 	for _, kind := range []struct{ asked, free, all int64 }{
 		{each.accelerators, s.free.accelerators, s.all.accelerators},
 		{each.cores, s.free.cores, s.all.cores},
 		{each.memory, s.free.memory, s.all.memory},
 	} {
-		if kind.asked > 0 && float64(kind.free) <= besideShare*float64(kind.all) {
-			return false
+		if kind.asked > 0 {
+			much := float64(kind.free) > besideShare*float64(kind.all)
+			some, all = some || much, all && much
 		}
 	}
-	return true
+	return some, all
+}
+
+// quietSince tells from when on no work will have come for as long as work may stand: what
+// waits for near room from then on spares the other room for nobody. Later steps of what
+// came before are no new work.
+func quietSince(jobs []*controlpb.Job) time.Time {
+	newest := int64(0)
+	for _, job := range jobs {
+		if job.Step == 0 {
+			newest = max(newest, job.SubmittedMs)
+		}
+	}
+	return time.UnixMilli(newest).Add(MostStand)
 }
 
 // stoodLong tells whether a job has stood for so long that it begins wherever it may.
 func (p *pass) stoodLong(a *ask) bool {
-	b, stands := p.beside[a.job.Id]
-	return stands && p.snapshot.Now.Sub(b.Since) >= MostStand && !p.off(BeginBeside)
+	b, known := p.beside[a.job.Id]
+	if !known || p.off(BeginBeside) {
+		return false
+	}
+	stood := !b.Stands.IsZero() && p.snapshot.Now.Sub(b.Stands) >= MostStand
+	return stood || (p.quiet && p.snapshot.Now.Sub(b.Since) >= MostStand)
 }
 
 // startStanding begins work that has stood for long, in room that it was kept from: away
@@ -92,7 +115,8 @@
 			continue
 		}
 		wide := p.wideAsk(a.job)
-		if !p.serviceRoom(a.job.Service).muchFree(wide.each) {
+		some, all := p.serviceRoom(a.job.Service).muchFree(wide.each)
+		if !all && !(some && p.quiet) {
 			continue
 		}
 		spots := p.cluster.fit(wide, roomNow)
@@ -153,13 +177,21 @@
 			service = p.serviceRoom(job.Service)
 			services[job.Service] = service
 		}
-		if !service.muchFree(taskSize(job)) || !p.remembersTwice(fits, p.wideAsk(job)) {
+		some, all := service.muchFree(taskSize(job))
+		if !some || !p.remembersTwice(fits, p.wideAsk(job)) {
 			continue
 		}
 		b := Beside{Job: job.Id, Since: p.snapshot.Now, Free: roomOf(service.free), All: roomOf(service.all)}
-		if earlier, ok := p.beside[job.Id]; ok {
+		earlier, known := p.beside[job.Id]
+		if known {
 			b.Since = earlier.Since
 		}
+		if all || p.quiet {
+			b.Stands = p.snapshot.Now
+			if known && !earlier.Stands.IsZero() {
+				b.Stands = earlier.Stands
+			}
+		}
 		p.plan.Beside = append(p.plan.Beside, b)
 	}
 }
--- a/internal/coordination/scheduling/standing_test.go
+++ b/internal/coordination/scheduling/standing_test.go
@@ -58,16 +58,20 @@
 	}
 }
 
-// longestStand replays arrivals and gives for how long a job stood at the most: it waits,
-// over half of the accelerators are free, and it fits twice over.
+// longestStand replays arrivals and gives for how long a job stood at the most: it waits
+// and fits twice over while over half of the accelerators are free, or nothing comes any
+// more, the cores being free all the time.
 func longestStand(workers []Worker, arrivals []arrival, length time.Duration) time.Duration {
 	r := newShortReplay(workers, arrivals)
 	since := map[string]time.Duration{}
-	var longest time.Duration
+	var longest, last time.Duration
+	for _, a := range arrivals {
+		last = max(last, a.at)
+	}
 	for now := time.Duration(0); now <= length; now += replayEvery {
 		r.pass(now)
 		for _, job := range r.active(now) {
-			if job.State != controlpb.JobState_JOB_STATE_WAITING || !r.standsNow(job, now) {
+			if job.State != controlpb.JobState_JOB_STATE_WAITING || !r.standsNow(job, now, now-last > MostStand) {
 				delete(since, job.Id)
 				continue
 			}
@@ -80,9 +84,8 @@
 	return longest
 }
 
-// standsNow counts by itself what runs: over half of the accelerators are free, and there
-// is room for the job's tasks twice over.
-func (r *shortReplay) standsNow(job *controlpb.Job, now time.Duration) bool {
+// standsNow counts by itself what runs.
+func (r *shortReplay) standsNow(job *controlpb.Job, now time.Duration, quiet bool) bool {
 	free := map[string]uint32{}
 	var all, left, fit uint32
 	for _, worker := range r.workers {
@@ -98,7 +101,7 @@
 		left += accelerators
 		fit += accelerators / job.Accelerators
 	}
-	return 2*left > all && fit >= 2*job.Tasks
+	return (quiet || 2*left > all) && fit >= 2*job.Tasks
 }
 
 // drawnBusy draws a cluster with work on it that runs for long, in few or many racks.
