The election timeout follows silences of live leaders and standstills

Cause, traced before (longest_turn_ms of 'control log'): processes stand still for 0.5 to 1.3 s and more, and a silence of 0.4 s ends a leadership whatever was seen before.

Change: a replica bears twice the longest silence of a leader that lived on in its term, or standstill of its own, of the last 24 to 48 s, four timeouts at the most; a leader bears the silence of its quorum likewise. Ruled out: to learn from leaders that come back after they were lost.

A calm leader is replaced as soon as before (TestCalmLeaderIsReplacedSoon).

--- a/internal/coordination/consensus/election.go
+++ b/internal/coordination/consensus/election.go
@@ -10,7 +10,12 @@
 
 func (n *Node) resetTimeout() {
 	n.elapsed = 0
-	n.timeout = n.config.ElectionTicks + n.config.Rand.IntN(n.config.ElectionTicks+1)
+	n.drawn = n.config.Rand.IntN(n.config.ElectionTicks + 1)
+}
+
+func (n *Node) timeout() int {
+	ticks := n.patience.ticks()
+	return ticks + n.drawn*ticks/n.config.ElectionTicks
 }
 
 func (n *Node) becomeFollower(term uint64, leader string) {
@@ -118,7 +123,7 @@
 	if n.role == Leader {
 		return true
 	}
-	return n.leader != "" && n.leader != candidate && n.elapsed < n.config.ElectionTicks
+	return n.leader != "" && n.leader != candidate && n.elapsed < n.patience.ticks()
 }
 
 func (n *Node) handlePreVote(m *consensuspb.Message) {
@@ -170,7 +175,7 @@
 // election timeout. A leader that can send but not hear would otherwise keep
 // the others from electing one and commit nothing, for as long as the cut lasts.
 func (n *Node) tickLeader() {
-	if n.silence() >= n.config.ElectionTicks && !n.disabled.quorumContact {
+	if n.silence() >= n.patience.ticks() && !n.disabled.quorumContact {
 		n.becomeFollower(n.term, "")
 		return
 	}
--- a/internal/coordination/consensus/network_test.go
+++ b/internal/coordination/consensus/network_test.go
@@ -19,6 +19,8 @@
 	sendBeforeSync bool
 	forgetVote     bool
 	oldIdentity    bool // a lost disk starts again under its old identity
+	// patient is no fault: election timeouts follow the silences that are seen.
+	patient bool
 }
 
 type disk struct {
--- a/internal/coordination/consensus/node.go
+++ b/internal/coordination/consensus/node.go
@@ -22,6 +22,9 @@
 	// ElectionTicks is the shortest election timeout; the longest is twice
 	// that, drawn from Rand.
 	ElectionTicks int
+	// MostElectionTicks bounds the shortest election timeout where that follows the silences
+	// and standstills that are seen; 0 where it does not.
+	MostElectionTicks int
 	// HeartbeatTicks is how often a leader sends heartbeats.
 	HeartbeatTicks int
 	// MaxAppendBytes bounds the entries of one append; a single larger entry
@@ -87,8 +90,10 @@
 	now uint64
 	// elapsed counts the ticks since the leader was heard or a campaign began.
 	elapsed int
-	timeout int
-	votes   ballot
+	// drawn lengthens this replica's election timeout by its part of ElectionTicks.
+	drawn    int
+	patience patience
+	votes    ballot
 
 	// progress is a leader's view of the other members, in the order of the
 	// configuration; nil elsewhere.
@@ -110,7 +115,7 @@
 // New makes a Node from what the disk gave back. An empty Recovered is a
 // replica that waits to be added to a configuration.
 func New(config Config, recovered Recovered) *Node {
-	n := &Node{config: config}
+	n := &Node{config: config, patience: newPatience(config)}
 	n.log = newEntryLog(recovered)
 	n.term = recovered.Hard.GetTerm()
 	n.vote = recovered.Hard.GetVote()
@@ -136,11 +141,12 @@
 	}
 	n.now++
 	n.elapsed++
+	n.patience.pass(n.now)
 	if n.role == Leader {
 		n.tickLeader()
 		return
 	}
-	if n.elapsed >= n.timeout {
+	if n.elapsed >= n.timeout() {
 		n.campaign()
 	}
 }
--- a/internal/coordination/consensus/read.go
+++ b/internal/coordination/consensus/read.go
@@ -72,6 +72,9 @@
 // confirmRounds closes the rounds that a quorum has answered.
 func (n *Node) confirmRounds() {
 	answered := n.quorumValue(n.reads.round, func(p *progress) uint64 { return p.round })
+	if n.role == Leader && len(n.reads.open) > 0 && n.reads.open[0].round <= answered {
+		n.patience.learn(n.silence())
+	}
 	for len(n.reads.open) > 0 && n.reads.open[0].round <= answered {
 		n.reads.confirmedTick = n.reads.open[0].tick
 		n.reads.open = n.reads.open[1:]
--- a/internal/coordination/consensus/replication.go
+++ b/internal/coordination/consensus/replication.go
@@ -76,6 +76,7 @@
 		return failure.New(failure.Corrupt, "%s and %s both lead term %d", m.From, n.config.Identity, n.term)
 	}
 	n.becomeFollower(n.term, m.From)
+	n.patience.hearLeader(m.From, n.term, n.now)
 	n.elapsed = 0
 	return nil
 }
--- a/internal/coordination/consensus/status.go
+++ b/internal/coordination/consensus/status.go
@@ -35,6 +35,8 @@
 	Configuration *consensuspb.Configuration
 	// ConfigurationPending tells that it is not committed yet.
 	ConfigurationPending bool
+	// ElectionTicks is the shortest election timeout as it is now.
+	ElectionTicks int
 	// Members is what a leader knows of the others; empty elsewhere.
 	Members []MemberStatus
 	// QuorumAge is, on a leader, the ticks since the newest moment at which a
@@ -71,6 +73,7 @@
 		First:                n.log.base + 1,
 		Last:                 n.log.last(),
 		Commit:               n.log.commit,
+		ElectionTicks:        n.patience.ticks(),
 		Applied:              n.log.applied,
 		Configuration:        n.configurations.newest(),
 		ConfigurationPending: n.configurations.newestIndex() > n.log.commit,
--- a/internal/coordination/replica/strain.go
+++ b/internal/coordination/replica/strain.go
@@ -42,6 +42,7 @@
 		silent = before.QuorumAge
 	}
 	return logrus.Fields{
+		"timeout_ms":      (time.Duration(before.ElectionTicks) * tick).Milliseconds(),
 		"silent_ms":       (time.Duration(silent) * tick).Milliseconds(),
 		"longest_turn_ms": max(s.earlier.turn, s.newer.turn).Milliseconds(),
 		"longest_sync_ms": max(s.earlier.sync, s.newer.sync).Milliseconds(),
