--- a/internal/coordination/dispatch/controller.go
+++ b/internal/coordination/dispatch/controller.go
@@ -111,7 +111,7 @@
 		c.inventory = inventory.Planner{}
 		c.passes = passGate{}
 		c.waits = standing.Watch{}
-		c.newest.Beside = nil
+		c.newest.Standing = nil
 	}
 	if c.led && !leads {
 		tellStanding(standing.Summary{})
@@ -288,7 +288,7 @@
 		Warm:         c.warmth.Look(jobs, c.now()),
 		Cells:        c.newest.Cells,
 		Reservations: c.newest.Reservations,
-		Beside:       c.newest.Beside,
+		Standing:     c.newest.Standing,
 		RunTimes:     c.runTimes.upTo(state),
 	}
 	for _, customer := range state.Customers() {
--- a/internal/coordination/dispatch/lines.go
+++ b/internal/coordination/dispatch/lines.go
@@ -116,7 +116,7 @@
 		"code": wait.Cause.Code, "near": wait.Cause.Near, "others": wait.Others,
 		"tasks": wait.Job.Tasks, "able_ms": wait.Waited.Milliseconds(), "index": state.Index(),
 	}
-	if wait.Cause.Beside {
+	if wait.Cause.Stands {
 		fields["stood_ms"] = wait.Stood.Milliseconds()
 		fields["free_accelerators"], fields["accelerators"] = wait.Free.Accelerators, wait.All.Accelerators
 		fields["free_cores_milli"], fields["cores_milli"] = wait.Free.CoresMilli, wait.All.CoresMilli
--- a/internal/coordination/dispatch/passgate.go
+++ b/internal/coordination/dispatch/passgate.go
@@ -54,10 +54,12 @@
 
 // expectStanding takes note of when work will have stood for as long as it may.
 func (g *passGate) expectStanding(plan *scheduling.Plan) {
-	for _, b := range plan.Beside {
-		g.expectAt(b.Stands.Add(scheduling.MostStand))
+	if len(plan.Waiting) > 0 {
 		g.expectAt(plan.QuietSince.Add(time.Millisecond))
 	}
+	for _, stands := range plan.Standing {
+		g.expectAt(stands.Since.Add(scheduling.MostStand))
+	}
 }
 
 func (g *passGate) expectAt(due time.Time) {
--- a/internal/coordination/scheduling/mechanisms.go
+++ b/internal/coordination/scheduling/mechanisms.go
@@ -19,16 +19,16 @@
 	MatchPace
 	// SpareRoom prolongs the wait for near room while other work waits too.
 	SpareRoom
-	// BeginBeside begins work anywhere that stands beside much free room.
-	BeginBeside
+	// BeginStanding begins work anywhere that stands beside much free room.
+	BeginStanding
 )
 
 var mechanismNames = map[string]Mechanisms{
-	"keep-warm":    KeepWarm,
-	"await-near":   AwaitNear,
-	"match-pace":   MatchPace,
-	"spare-room":   SpareRoom,
-	"begin-beside": BeginBeside,
+	"keep-warm":      KeepWarm,
+	"await-near":     AwaitNear,
+	"match-pace":     MatchPace,
+	"spare-room":     SpareRoom,
+	"begin-standing": BeginStanding,
 }
 
 // ParseMechanisms reads names separated by commas; none is the empty set.
--- a/internal/coordination/scheduling/pass.go
+++ b/internal/coordination/scheduling/pass.go
@@ -20,7 +20,7 @@
 	// waiting has the workflows with work that waits.
 	waiting map[string]bool
 	// beside has the jobs that had room beside after the plan before.
-	beside map[string]Beside
+	standing map[string]Standing
 	// quiet tells that work has stopped coming.
 	quiet bool
 	// settled jobs have an outcome in this pass.
@@ -114,7 +114,7 @@
 		plan:     &Plan{},
 		used:     map[customerID]int64{},
 		waiting:  waitingWorkflows(snapshot.Jobs),
-		beside:   map[string]Beside{},
+		standing: map[string]Standing{},
 		settled:  map[string]bool{},
 		hopeless: map[shapeKey]ReasonCode{},
 		barred:   map[serveKey]bool{},
@@ -123,8 +123,8 @@
 
 		mostTasks: map[Shape]int64{},
 	}
-	for _, b := range snapshot.Beside {
-		p.beside[b.Job] = b
+	for _, b := range snapshot.Standing {
+		p.standing[b.Job] = b
 	}
 	p.quiet = snapshot.Now.After(quietSince(snapshot.Jobs))
 	if p.off(MatchPace) {
--- a/internal/coordination/scheduling/placement.go
+++ b/internal/coordination/scheduling/placement.go
@@ -19,7 +19,7 @@
 	// where it may run only, for the same reason, or empty.
 	adjacency controlpb.Adjacency
 	rack      string
-	// wide asks may go wherever the job may run, kept room and all.
+	// wide asks may go wherever the job may run, also to room kept for urgent work.
 	wide bool
 	// firm work is preemptible but counts as fixed in this pass.
 	firm bool
--- a/internal/coordination/scheduling/scheduling.go
+++ b/internal/coordination/scheduling/scheduling.go
@@ -48,7 +48,7 @@
 	// Reservations are those of the plan before this one, or none.
 	Reservations []Reservation
 	// Beside are those of the plan before this one, or none.
-	Beside []Beside
+	Standing []Standing
 	// Warm are workers that urgent work has just left: room there is kept a moment
 	// for the next.
 	Warm map[string]bool
@@ -99,8 +99,8 @@
 	Waiting     []Reason
 	// Kept are the waiting jobs that are kept to a part of where they may run; Beside are
 	// those with nothing running that have room beside them after this plan.
-	Kept   []Kept
-	Beside []Beside
+	Kept     []Kept
+	Standing []Standing
 	// QuietSince is when work will have stopped coming, if none comes.
 	QuietSince time.Time
 	// Cells, Reservations and Beside go into the next pass's snapshot.
@@ -145,7 +145,7 @@
 		Reservations: snapshot.Reservations,
 		Unmet:        plan.Unmet,
 		Kept:         plan.Kept,
-		Beside:       plan.Beside,
+		Standing:     plan.Standing,
 		Breach:       breach,
 	}
 	for _, assignment := range plan.Assignments {
