--- a/internal/coordination/dispatch/lines.go
+++ b/internal/coordination/dispatch/lines.go
@@ -1,17 +1,12 @@
 package dispatch
 
 import (
-	"expvar"
-	"maps"
 	"time"
 
 	"github.com/sirupsen/logrus"
 
-	"pinewinch.example/pinewinch/internal/coordination/dispatch/quarantine"
-	"pinewinch.example/pinewinch/internal/coordination/dispatch/standing"
 	"pinewinch.example/pinewinch/internal/protocol/controlpb"
 	"pinewinch.example/pinewinch/internal/protocol/failure"
-	"pinewinch.example/pinewinch/internal/protocol/peerpb"
 	"pinewinch.example/pinewinch/internal/state/store"
 )
 
@@ -96,103 +91,6 @@
 	}
 }
 
-// logWaits writes a line for each job that has waited for long, or for a new cause, and a
-// warning for each that has stood for long beside room.
-func (d *Dispatcher) logWaits(state *store.State, told, warned []standing.Wait) {
-	if d.config.Logger == nil {
-		return
-	}
-	for i := range told {
-		d.config.Logger.WithFields(waitFields(state, &told[i])).Info("job waits")
-	}
-	for i := range warned {
-		d.config.Logger.WithFields(waitFields(state, &warned[i])).Warn("job stands beside free room")
-	}
-}
-
-func waitFields(state *store.State, wait *standing.Wait) logrus.Fields {
-	fields := logrus.Fields{
-		"job": wait.Job.Id, "epoch": wait.Job.Epoch, "queue": wait.Job.WorkClass, "customer": wait.Job.Customer,
-		"code": wait.Cause.Code, "near": wait.Cause.Near, "others": wait.Others,
-		"tasks": wait.Job.Tasks, "able_ms": wait.Waited.Milliseconds(), "index": state.Index(),
-	}
-	if wait.Cause.Stands {
-		fields["stood_ms"] = wait.Stood.Milliseconds()
-		fields["free_accelerators"], fields["accelerators"] = wait.Free.Accelerators, wait.All.Accelerators
-		fields["free_cores_milli"], fields["cores_milli"] = wait.Free.CoresMilli, wait.All.CoresMilli
-		fields["free_memory_mb"], fields["memory_mb"] = wait.Free.MemoryMB, wait.All.MemoryMB
-	}
-	return fields
-}
-
-// What stands now, on the leader: jobs with nothing running and room beside, the longest
-// such stand, and the milliseconds of all of them so far.
-var (
-	standingJobs    = expvar.NewInt("dispatch_standing_jobs")
-	standingLongest = expvar.NewInt("dispatch_standing_longest_ms")
-	standingTotal   = expvar.NewInt("dispatch_standing_total_ms")
-)
-
-func tellStanding(summary standing.Summary) {
-	standingJobs.Set(int64(summary.Jobs))
-	standingLongest.Set(summary.Longest.Milliseconds())
-	standingTotal.Add(summary.Total.Milliseconds())
-}
-
-// verdicts remembers the workers that were not healthy when last judged.
-type verdicts map[string]quarantine.Verdict
-
-var workersJudged = expvar.NewMap("dispatch_workers")
-
-// forget drops the workers that are not live.
-func (v verdicts) forget(live []*peerpb.Upstream) {
-	if len(v) == 0 {
-		return
-	}
-	alive := make(map[string]bool, len(live))
-	for _, worker := range live {
-		alive[worker.Id] = true
-	}
-	maps.DeleteFunc(v, func(worker string, _ quarantine.Verdict) bool { return !alive[worker] })
-}
-
-// tell gives the numbers of workers that get no work, or one job as a probe.
-func (v verdicts) tell() {
-	counts := map[quarantine.Verdict]int64{}
-	for _, verdict := range v {
-		counts[verdict]++
-	}
-	for _, verdict := range []quarantine.Verdict{quarantine.CoolingDown, quarantine.Quarantined, quarantine.Probing} {
-		count := &expvar.Int{}
-		count.Set(counts[verdict])
-		workersJudged.Set(verdict.String(), count)
-	}
-}
-
-// logVerdict writes a line for each worker whose verdict is another one than before, with
-// the evidence for it.
-func (d *Dispatcher) logVerdict(state *store.State, known *verdicts, worker string, verdict quarantine.Verdict) {
-	if verdict == (*known)[worker] {
-		return
-	}
-	if *known == nil {
-		*known = verdicts{}
-	}
-	if (*known)[worker] = verdict; verdict == quarantine.Healthy {
-		delete(*known, worker)
-	}
-	if d.config.Logger == nil {
-		return
-	}
-	fields := logrus.Fields{"worker": worker, "verdict": verdict.String(), "index": state.Index()}
-	if health := state.Health(worker); health != nil {
-		fields["failures"] = health.Consecutive
-		fields["jobs"] = quarantine.DistinctJobs(health)
-		fields["code"] = health.Failures[len(health.Failures)-1].Code
-	}
-	d.config.Logger.WithFields(fields).Info("worker judged")
-}
-
 // logRefusal writes a line where a decision was not committed, or took no effect
 // because another leader's term had begun.
 func (d *Dispatcher) logRefusal(result *controlpb.Result, err error) {
--- a/internal/coordination/dispatch/standing/standing.go
+++ b/internal/coordination/dispatch/standing/standing.go
@@ -24,7 +24,7 @@
 	Code string
 	// Near is where the job is kept to, if anywhere.
 	Near string
-	// Beside tells that the job has room beside.
+	// Stands tells that the job stands.
 	Stands bool
 }
 
@@ -66,9 +66,9 @@
 // line, those that are worth a warning, and the summary.
 func (w *Watch) Look(now time.Time, jobs []*controlpb.Job, plan *scheduling.Plan) (told, warned []Wait, summary Summary) {
 	causes := causesOf(jobs, plan, now)
-	beside := map[string]scheduling.Standing{}
-	for _, b := range plan.Standing {
-		beside[b.Job] = b
+	standing := map[string]scheduling.Standing{}
+	for _, stands := range plan.Standing {
+		standing[stands.Job] = stands
 	}
 	others := map[Cause]int{}
 	for _, cause := range causes {
@@ -90,8 +90,8 @@
 		}
 		waits[job.Id] = known
 		found := Wait{Job: job, Cause: cause, Waited: now.Sub(known.since), Others: others[cause] - 1}
-		if b, ok := beside[job.Id]; ok {
-			found.Stood, found.Free, found.All = now.Sub(b.Since), b.Free, b.All
+		if stands, ok := standing[job.Id]; ok {
+			found.Stood, found.Free, found.All = now.Sub(stands.Since), stands.Free, stands.All
 		}
 		summary.add(found, now.Sub(w.looked))
 		if found.Waited >= toldAfter && known.told != cause {
@@ -148,10 +148,10 @@
 			causes[kept.Job] = cause
 		}
 	}
-	for _, beside := range plan.Standing {
-		if cause, ok := causes[beside.Job]; ok {
+	for _, stands := range plan.Standing {
+		if cause, ok := causes[stands.Job]; ok {
 			cause.Stands = true
-			causes[beside.Job] = cause
+			causes[stands.Job] = cause
 		}
 	}
 	return causes
--- a/internal/coordination/scheduling/pass.go
+++ b/internal/coordination/scheduling/pass.go
@@ -19,7 +19,7 @@
 	urgentDemand map[string]int64
 	// waiting has the workflows with work that waits.
 	waiting map[string]bool
-	// beside has the jobs that had room beside after the plan before.
+	// standing has the jobs that stood after the plan before.
 	standing map[string]Standing
 	// quiet tells that work has stopped coming.
 	quiet bool
@@ -123,8 +123,8 @@
 
 		mostTasks: map[Shape]int64{},
 	}
-	for _, b := range snapshot.Standing {
-		p.standing[b.Job] = b
+	for _, stands := range snapshot.Standing {
+		p.standing[stands.Job] = stands
 	}
 	p.quiet = snapshot.Now.After(quietSince(snapshot.Jobs))
 	if p.off(MatchPace) {
