--- a/internal/experiment/overload/overload_test.go
+++ b/internal/experiment/overload/overload_test.go
@@ -58,7 +58,7 @@
 // The pass may not break its own invariants, whatever is switched off.
 func TestNoPlanIsRefused(t *testing.T) {
 	is, d := is.New(t), load(t)
-	for _, off := range []scheduling.Mechanisms{0, scheduling.KeepWarm, scheduling.AwaitNear, scheduling.MatchPace, scheduling.SpareRoom} {
+	for _, off := range []scheduling.Mechanisms{0, scheduling.KeepWarm, scheduling.AwaitNear, scheduling.MatchPace, scheduling.SpareRoom, scheduling.BeginStanding} {
 		is.Equal(Replay(d.Day(3), off).Breaches, 0)
 	}
 }
