Failures that are not a job's own lengthen its pause by seconds, not minutes

What callers saw: a gang of the product's own interface waits for up to 5 min beside idle workers after several workers were lost under it; TestGangsUnderFailure calls it a job forgotten.

Cause: the pause doubled with every failure, whoever's. Change: of those that are not the job's own three count, 4 s at the most. Work that fails by itself waits as before, and is parked as before; units of workflows have a pause of their own and are not concerned.

TestLostWorkersLengthenThePauseLittle fails without the change (32 to 64 s after seven).

--- a/internal/coordination/dispatch/gang/retry.go
+++ b/internal/coordination/dispatch/gang/retry.go
@@ -24,6 +24,9 @@
 	// parkVanished is how many distinct workers may vanish under a job. A worker
 	// that vanishes is not the job's fault until it happens to all of them.
 	parkVanished = 5
+	// mostLost bounds how many failures that were not a job's own lengthen its pause: lost
+	// workers are back, or others in their place, within seconds.
+	mostLost = 3
 )
 
 // backoff is the pause before the next attempt: exponential, with half of it
@@ -31,7 +34,7 @@
 // as a wave, and that every leader draws the same.
 func backoff(job *controlpb.Job) time.Duration {
 	pause := lastBackoff
-	if tries := len(job.Failures); tries < 10 {
+	if tries := triesOf(job); tries < 10 {
 		pause = min(firstBackoff<<max(tries-1, 0), lastBackoff)
 	}
 	var epoch [8]byte
@@ -43,6 +46,19 @@
 	return pause/2 + pause/2*time.Duration(digest.Sum64()%steps)/steps
 }
 
+// triesOf counts the failures that lengthen a job's pause.
+func triesOf(job *controlpb.Job) int {
+	own, lost := 0, 0
+	for _, failed := range job.Failures {
+		if failure.Code(failed.GetCode()).Infrastructure() {
+			lost++
+		} else {
+			own++
+		}
+	}
+	return own + min(lost, mostLost)
+}
+
 // infrastructurePause keeps a job whose worker refused it from asking again in
 // every step: a refusal for want of room lasts until an end is listed.
 const infrastructurePause = 100 * time.Millisecond
--- a/internal/coordination/dispatch/gang/retry_test.go
+++ b/internal/coordination/dispatch/gang/retry_test.go
@@ -62,3 +62,12 @@
 	long := &controlpb.Job{Id: "j", Failures: make([]*controlpb.TaskFailure, 16)}
 	is.True(backoff(long) <= lastBackoff && backoff(long) >= lastBackoff/2)
 }
+
+// A job waits for minutes, with workers idle, since several workers were lost under it.
+func TestLostWorkersLengthenThePauseLittle(t *testing.T) {
+	is := is.New(t)
+	lost := &controlpb.Job{Id: "j", Epoch: 8, Failures: failed("lease_lost", "a", "b", "c", "d", "e", "f", "g")}
+	is.True(backoff(lost) <= 4*time.Second)
+	both := &controlpb.Job{Id: "j", Epoch: 8, Failures: append(failed("x", "a", "b", "c"), lost.Failures...)}
+	is.True(backoff(both) >= 16*time.Second)
+}
