Work that stood may still take room back

What callers could see: guaranteed or urgent work that had stood for 1.5 s and found no room was kept from taking room back; jobs of the product's own interface, which begin nowhere else than before, for as long as they stood, units for one pass.

Cause: a start anywhere had been put in place of a take-back by forbidding the latter, whether or not the former was possible. Found by reading the change.

Change: what stood is started anywhere first, and takes room back where that fails. TestWorkThatStoodStillTakesBack: both cases wait (no_free_capacity) without the change.

--- a/internal/coordination/scheduling/pass.go
+++ b/internal/coordination/scheduling/pass.go
@@ -226,7 +226,7 @@
 	if by == rightOwner && p.startOwn(a) {
 		return true
 	}
-	if p.startFree(a) || (!p.stoodLong(a) && p.hold(a, by)) {
+	if p.startFree(a) || p.startStood(a) || p.hold(a, by) {
 		return true
 	}
 	a.withhold()
--- a/internal/coordination/scheduling/standing.go
+++ b/internal/coordination/scheduling/standing.go
@@ -132,23 +132,32 @@
 	noRoom := map[shapeKey]bool{}
 	begun := map[string]bool{}
 	for _, a := range slices.Backward(queue) {
-		room := rooms.of(p, a.job.Service)
-		if !waiting[a.job.Id] || !p.beginsAnywhere(a) || !p.muchRoom(room, a.each) {
+		room, key := rooms.of(p, a.job.Service), a.key()
+		if !waiting[a.job.Id] || noRoom[key] {
 			continue
 		}
-		wide := p.wideAsk(a.job)
-		if key := wide.key(); noRoom[key] || !p.startWide(wide) {
-			noRoom[key] = true
+		if !p.startAnywhere(a, room) {
+			noRoom[key] = p.beginsAnywhere(a)
 			continue
 		}
-		room.free = room.free.minus(wide.size())
+		room.free = room.free.minus(a.size())
 		begun[a.job.Id] = true
 	}
 	p.plan.Waiting = slices.DeleteFunc(p.plan.Waiting, func(r Reason) bool { return begun[r.Job] })
 }
 
-// startWide starts what fits twice over.
-func (p *pass) startWide(wide *ask) bool {
+// startStood starts a unit that has stood for long, before room is taken back for it.
+func (p *pass) startStood(a *ask) bool {
+	return p.stoodLong(a) && p.startAnywhere(a, p.serviceRoom(a.job.Service))
+}
+
+// startAnywhere starts what has waited for long enough, where much of its service's room is
+// free and it fits twice over.
+func (p *pass) startAnywhere(a *ask, room *serviceRoom) bool {
+	if !p.beginsAnywhere(a) || !p.muchRoom(room, a.each) {
+		return false
+	}
+	wide := p.wideAsk(a.job)
 	if !p.fitsTwice(wide) {
 		return false
 	}
--- a/internal/coordination/scheduling/standing_test.go
+++ b/internal/coordination/scheduling/standing_test.go
@@ -104,6 +104,23 @@
 	return (quiet || 2*left > all) && fit >= 2*job.Tasks
 }
 
+// Guaranteed or urgent work that has stood is kept from taking room back, although it can't
+// begin anywhere.
+func TestWorkThatStoodStillTakesBack(t *testing.T) {
+	one := func() []Worker { return testWorkers(1, 1, 1, 8) }
+	stood := func(snapshot *Snapshot, job string) *Snapshot {
+		snapshot.Standing = []Standing{{Job: job, Since: start.Add(-time.Minute)}}
+		return snapshot
+	}
+	loan := func() *controlpb.Job { return unitJob("loan", "b", 1, 8, running(time.Second, 0, "d0-r0-w0")) }
+	own := waitingJob("j", "a", 1, 8, urgent)
+	runCases(t, []passCase{
+		{name: "a job of no workflow", snapshot: stood(units(one(), own, loan()), "j"), want: map[string]string{"j": "taking_back", "loan": "stop"}},
+		{name: "a unit whose room has gone", snapshot: stood(units(one(), unitJob("j", "a", 1, 8, first, dueIn(4*time.Second)), loan()), "j"),
+			want: map[string]string{"j": "taking_back", "loan": "stop"}},
+	})
+}
+
 // drawnBusy draws a cluster with work on it that runs for long, in few or many racks.
 func drawnBusy(t *rapid.T) ([]Worker, []arrival) {
 	racks, perRack := rapid.IntRange(1, 5).Draw(t, "racks"), rapid.IntRange(1, 6).Draw(t, "workers a rack")
