What a plan hands to the next pass is handed over in one place

When work stopped coming is worked out once a pass, what a pass has started is noted where it is assigned, and an ask that is not narrowed is made in one place (plainAsk). Comments named the list by its old name.

--- a/internal/coordination/dispatch/controller.go
+++ b/internal/coordination/dispatch/controller.go
@@ -280,17 +280,15 @@
 func (c *Controller) snapshot(state *store.State, workers []scheduling.Worker) *scheduling.Snapshot {
 	jobs := state.ActiveJobs()
 	snapshot := &scheduling.Snapshot{
-		Now:          c.now(),
-		Workers:      workers,
-		Jobs:         jobs,
-		Customers:    map[string]*controlpb.Customer{},
-		Rules:        state.Rules(),
-		Warm:         c.warmth.Look(jobs, c.now()),
-		Cells:        c.newest.Cells,
-		Reservations: c.newest.Reservations,
-		Standing:     c.newest.Standing,
-		RunTimes:     c.runTimes.upTo(state),
+		Now:       c.now(),
+		Workers:   workers,
+		Jobs:      jobs,
+		Customers: map[string]*controlpb.Customer{},
+		Rules:     state.Rules(),
+		Warm:      c.warmth.Look(jobs, c.now()),
+		RunTimes:  c.runTimes.upTo(state),
 	}
+	snapshot.GoOnFrom(c.newest)
 	for _, customer := range state.Customers() {
 		snapshot.Customers[customer.Name] = customer
 	}
--- a/internal/coordination/scheduling/pass.go
+++ b/internal/coordination/scheduling/pass.go
@@ -21,10 +21,9 @@
 	waiting map[string]bool
 	// standing has the jobs that stood after the plan before.
 	standing map[string]Standing
-	// quiet tells that work has stopped coming.
-	quiet bool
-	// settled jobs have an outcome in this pass.
+	// settled jobs have an outcome in this pass, and started ones are assigned.
 	settled map[string]bool
+	started map[string]bool
 	// hopeless holds the shapes that found no room: within a pass room only
 	// shrinks, but for what is taken back, which is promised at once.
 	hopeless map[shapeKey]ReasonCode
@@ -116,6 +115,7 @@
 		waiting:  waitingWorkflows(snapshot.Jobs),
 		standing: map[string]Standing{},
 		settled:  map[string]bool{},
+		started:  map[string]bool{},
 		hopeless: map[shapeKey]ReasonCode{},
 		barred:   map[serveKey]bool{},
 		noRoom:   map[shapeKey]int64{},
@@ -126,7 +126,7 @@
 	for _, stands := range snapshot.Standing {
 		p.standing[stands.Job] = stands
 	}
-	p.quiet = snapshot.Now.After(quietSince(snapshot.Jobs))
+	p.plan.QuietSince = quietSince(snapshot.Jobs)
 	if p.off(MatchPace) {
 		p.cluster.paces = 0
 	}
@@ -362,7 +362,7 @@
 		}
 	}
 	p.used[a.customer] += a.size().accelerators
-	p.settled[a.job.Id] = true
+	p.settled[a.job.Id], p.started[a.job.Id] = true, true
 	p.plan.Assignments = append(p.plan.Assignments, assignment)
 }
 
--- a/internal/coordination/scheduling/patience_test.go
+++ b/internal/coordination/scheduling/patience_test.go
@@ -51,7 +51,7 @@
 	jobs := r.active(now)
 	snapshot := units(r.workers, jobs...)
 	snapshot.Now = start.Add(now)
-	snapshot.Cells, snapshot.Reservations, snapshot.Standing = r.plan.Cells, r.plan.Reservations, r.plan.Standing
+	snapshot.GoOnFrom(r.plan)
 	r.plan = Pass(snapshot)
 	for _, assignment := range r.plan.Assignments {
 		i := slices.IndexFunc(jobs, func(job *controlpb.Job) bool { return job.Id == assignment.Job })
--- a/internal/coordination/scheduling/placement.go
+++ b/internal/coordination/scheduling/placement.go
@@ -33,7 +33,14 @@
 }
 
 func (p *pass) ask(job *controlpb.Job) *ask {
-	a := &ask{
+	a := p.plainAsk(job)
+	p.narrow(a)
+	return a
+}
+
+// plainAsk asks for what the job says.
+func (p *pass) plainAsk(job *controlpb.Job) *ask {
+	return &ask{
 		job:       job,
 		customer:  p.cluster.customer(job.Customer),
 		tasks:     int64(max(job.Tasks, 1)),
@@ -41,8 +48,6 @@
 		fixed:     !Preemptible(job),
 		adjacency: job.Adjacency,
 	}
-	p.narrow(a)
-	return a
 }
 
 func (a *ask) size() amount { return a.each.times(a.tasks) }
--- a/internal/coordination/scheduling/scheduling.go
+++ b/internal/coordination/scheduling/scheduling.go
@@ -47,7 +47,7 @@
 	Cells []Cell
 	// Reservations are those of the plan before this one, or none.
 	Reservations []Reservation
-	// Beside are those of the plan before this one, or none.
+	// Standing are those of the plan before this one, or none.
 	Standing []Standing
 	// Warm are workers that urgent work has just left: room there is kept a moment
 	// for the next.
@@ -58,6 +58,11 @@
 	Off Mechanisms
 }
 
+// GoOnFrom takes over what a plan hands to the next pass.
+func (s *Snapshot) GoOnFrom(plan *Plan) {
+	s.Cells, s.Reservations, s.Standing = plan.Cells, plan.Reservations, plan.Standing
+}
+
 // ReasonCode says why a job waits.
 type ReasonCode string
 
@@ -97,13 +102,13 @@
 	Assignments []*controlpb.Assignment
 	Preemptions []*controlpb.Preemption
 	Waiting     []Reason
-	// Kept are the waiting jobs that are kept to a part of where they may run; Beside are
+	// Kept are the waiting jobs that are kept to a part of where they may run; Standing are
 	// those with nothing running that have room beside them after this plan.
 	Kept     []Kept
 	Standing []Standing
 	// QuietSince is when work will have stopped coming, if none comes.
 	QuietSince time.Time
-	// Cells, Reservations and Beside go into the next pass's snapshot.
+	// Cells, Reservations and Standing go into the next pass's snapshot: see GoOnFrom.
 	Cells        []Cell
 	Reservations []Reservation
 	Unmet        []Unmet
@@ -132,7 +137,6 @@
 	p.startRest(queue)
 	p.startStanding(queue)
 	p.noteStanding(queue)
-	p.plan.QuietSince = quietSince(p.snapshot.Jobs)
 	p.plan.Cells = p.cluster.cellList()
 }
 
--- a/internal/coordination/scheduling/standing.go
+++ b/internal/coordination/scheduling/standing.go
@@ -99,11 +99,14 @@
 	return time.UnixMilli(newest).Add(MostStand)
 }
 
+// quiet tells that work has stopped coming.
+func (p *pass) quiet() bool { return p.snapshot.Now.After(p.plan.QuietSince) }
+
 // muchRoom tells whether a service has so much room for such tasks that work must not stand
 // beside it.
 func (p *pass) muchRoom(service *serviceRoom, each amount) bool {
 	some, all := service.muchFree(each)
-	return all || (some && p.quiet)
+	return all || (some && p.quiet())
 }
 
 // stoodLong tells whether a job has stood for so long that it begins wherever it may.
@@ -115,7 +118,7 @@
 // waitedQuietly tells whether a job has waited for as long by the time that work stopped
 // coming: room of some kind was free before, and counts from then on.
 func (p *pass) waitedQuietly(a *ask) bool {
-	return p.quiet && p.nowMs-a.job.SubmittedMs >= MostStand.Milliseconds() && !p.off(BeginStanding)
+	return p.quiet() && p.nowMs-a.job.SubmittedMs >= MostStand.Milliseconds() && !p.off(BeginStanding)
 }
 
 // startStanding begins work that has stood for long in room that it was kept from: away
@@ -130,7 +133,6 @@
 	waiting := p.waitingFreely()
 	rooms := serviceRooms{}
 	noRoom := map[shapeKey]bool{}
-	begun := map[string]bool{}
 	for _, a := range slices.Backward(queue) {
 		room, key := rooms.of(p, a.job.Service), a.key()
 		if !waiting[a.job.Id] || noRoom[key] {
@@ -141,9 +143,8 @@
 			continue
 		}
 		room.free = room.free.minus(a.size())
-		begun[a.job.Id] = true
 	}
-	p.plan.Waiting = slices.DeleteFunc(p.plan.Waiting, func(r Reason) bool { return begun[r.Job] })
+	p.plan.Waiting = slices.DeleteFunc(p.plan.Waiting, func(r Reason) bool { return p.started[r.Job] })
 }
 
 // startStood starts a unit that has stood for long, before room is taken back for it.
@@ -187,16 +188,12 @@
 
 // noteStanding lists what keeps work back that this pass has not started.
 func (p *pass) noteStanding(queue []*ask) {
-	started := make(map[string]bool, len(p.plan.Assignments))
-	for _, assignment := range p.plan.Assignments {
-		started[assignment.Job] = true
-	}
 	for _, a := range queue {
-		if near := a.near(); near != "" && !started[a.job.Id] {
+		if near := a.near(); near != "" && !p.started[a.job.Id] {
 			p.plan.Kept = append(p.plan.Kept, Kept{a.job.Id, near})
 		}
 	}
-	p.noteStands(started)
+	p.noteStands()
 }
 
 func (a *ask) near() string {
@@ -211,16 +208,19 @@
 
 // noteStands lists the jobs with nothing running that have room beside. Those that are
 // being started or stopped are looked at too: what they wait for may last.
-func (p *pass) noteStands(started map[string]bool) {
-	working := workingWorkflows(p.snapshot.Jobs, started)
+func (p *pass) noteStands() {
+	working := p.workingWorkflows()
 	rooms := serviceRooms{}
 	fits := map[shapeKey]bool{}
 	for _, job := range p.snapshot.Jobs {
-		if started[job.Id] || working[job.Workflow] {
+		if p.started[job.Id] || working[job.Workflow] {
 			continue
 		}
 		service := rooms.of(p, job.Service)
-		if !p.muchRoom(service, taskSize(job)) || !p.idle(job) || !p.remembersTwice(fits, p.wideAsk(job)) {
+		if !p.muchRoom(service, taskSize(job)) {
+			continue
+		}
+		if wide := p.wideAsk(job); !p.idle(wide) || !p.remembersTwice(fits, wide) {
 			continue
 		}
 		stands := Standing{Job: job.Id, Since: p.snapshot.Now, Free: roomOf(service.free), All: roomOf(service.all)}
@@ -233,10 +233,10 @@
 
 // workingWorkflows are those of which something runs or is started: the rest of their work
 // waits for its turn.
-func workingWorkflows(jobs []*controlpb.Job, started map[string]bool) map[string]bool {
+func (p *pass) workingWorkflows() map[string]bool {
 	working := map[string]bool{}
-	for _, job := range jobs {
-		runs := job.State == controlpb.JobState_JOB_STATE_RUNNING || started[job.Id]
+	for _, job := range p.snapshot.Jobs {
+		runs := job.State == controlpb.JobState_JOB_STATE_RUNNING || p.started[job.Id]
 		if runs && job.Workflow != "" {
 			working[job.Workflow] = true
 		}
@@ -245,24 +245,23 @@
 }
 
 // idle tells a job that has nothing running and could.
-func (p *pass) idle(job *controlpb.Job) bool {
-	switch job.State {
+func (p *pass) idle(a *ask) bool {
+	switch job := a.job; job.State {
 	case controlpb.JobState_JOB_STATE_STARTING:
 		return true
 	case controlpb.JobState_JOB_STATE_STOPPING:
 		return job.NextState == controlpb.JobState_JOB_STATE_WAITING
 	case controlpb.JobState_JOB_STATE_WAITING:
-		return job.NotBeforeMs <= p.nowMs && !p.overLimit(p.wideAsk(job))
+		return job.NotBeforeMs <= p.nowMs && !p.overLimit(a)
 	}
 	return false
 }
 
 // wideAsk asks for the job wherever it may run at all.
 func (p *pass) wideAsk(job *controlpb.Job) *ask {
-	return &ask{
-		job: job, customer: p.cluster.customer(job.Customer), tasks: int64(max(job.Tasks, 1)),
-		each: taskSize(job), fixed: !Preemptible(job), adjacency: job.Adjacency, wide: true,
-	}
+	a := p.plainAsk(job)
+	a.wide = true
+	return a
 }
 
 // remembersTwice is fitsTwice, remembered by shape.
--- a/internal/experiment/overload/engine.go
+++ b/internal/experiment/overload/engine.go
@@ -240,11 +240,12 @@
 		jobs[i] = u.job
 	}
 	now := time.UnixMilli(0).Add(e.now)
-	e.plan = scheduling.Pass(&scheduling.Snapshot{
+	snapshot := &scheduling.Snapshot{
 		Now: now, Workers: workers, Jobs: jobs, Customers: e.day.customers, Rules: &controlpb.Rules{},
-		Cells: e.plan.Cells, Reservations: e.plan.Reservations, Standing: e.plan.Standing, Warm: e.warm.Look(jobs, now),
-		RunTimes: e.learned, Off: e.off,
-	})
+		Warm: e.warm.Look(jobs, now), RunTimes: e.learned, Off: e.off,
+	}
+	snapshot.GoOnFrom(e.plan)
+	e.plan = scheduling.Pass(snapshot)
 	e.result.Passes++
 	if e.plan.Breach != nil {
 		e.result.Breaches++
--- a/internal/experiment/replay/engine.go
+++ b/internal/experiment/replay/engine.go
@@ -217,8 +217,9 @@
 	}
 	snapshot := &scheduling.Snapshot{
 		Now: epochStart.Add(e.now), Workers: workers, Jobs: e.active, Customers: e.scenario.Customers,
-		Rules: &controlpb.Rules{FragmentationWeight: e.scenario.FragmentationWeight}, Cells: e.plan.Cells, Reservations: e.plan.Reservations, RunTimes: e.learned,
+		Rules: &controlpb.Rules{FragmentationWeight: e.scenario.FragmentationWeight}, RunTimes: e.learned,
 	}
+	snapshot.GoOnFrom(e.plan)
 	began := time.Now()
 	e.plan = e.policy.Pass(snapshot)
 	e.meter.passes = append(e.meter.passes, time.Since(began))
