Verdicts of workers are told where they change; a stopping gang is made in one place

Each step built a map of all live workers to forget those that had gone, and published three counters, whether or not a verdict had changed; now each look makes the verdicts anew and publishes them when they differ. The two tests of stops began with the same four lines.

--- a/internal/coordination/dispatch/controller.go
+++ b/internal/coordination/dispatch/controller.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"expvar"
+	"maps"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -115,8 +116,7 @@
 	}
 	if c.led && !leads {
 		tellStanding(standing.Summary{})
-		c.judged = verdicts{}
-		c.judged.tell()
+		c.nowJudged(nil)
 	}
 	c.led = leads
 	if !leads {
@@ -220,6 +220,7 @@
 // given one job as a probe: none while such a job is on it.
 func (c *Controller) judge(state *store.State, live []*peerpb.Upstream) (workers []scheduling.Worker, probing map[string]bool) {
 	probing = map[string]bool{}
+	judged := verdicts{}
 	workers = make([]scheduling.Worker, 0, len(live))
 	speeds := c.dispatcher.speeds()
 	// Most often no worker is probed, and nobody asks which hold tasks.
@@ -233,7 +234,12 @@
 			probing[worker.Id] = true
 		}
 		refused := verdict == quarantine.CoolingDown || verdict == quarantine.Quarantined
-		c.dispatcher.logVerdict(state, &c.judged, worker.Id, verdict)
+		if verdict != quarantine.Healthy {
+			judged[worker.Id] = verdict
+		}
+		if verdict != c.judged[worker.Id] {
+			c.dispatcher.logVerdict(state, worker.Id, verdict)
+		}
 		workers = append(workers, scheduling.Worker{
 			ID:           worker.Id,
 			DataCentre:   worker.DataCentre,
@@ -248,11 +254,18 @@
 			Unavailable:  worker.Leaving || state.Drained(worker.Id) || refused,
 		})
 	}
-	c.judged.forget(live)
-	c.judged.tell()
+	c.nowJudged(judged)
 	return workers, probing
 }
 
+// nowJudged takes over newer verdicts, and tells their numbers where they have changed.
+func (c *Controller) nowJudged(judged verdicts) {
+	if !maps.Equal(judged, c.judged) {
+		judged.tell()
+	}
+	c.judged = judged
+}
+
 // addressStarts notes for which start of its worker each task is meant.
 func (c *Controller) addressStarts(assignments []*controlpb.Assignment) {
 	for _, assignment := range assignments {
--- a/internal/coordination/dispatch/gang/stops_test.go
+++ b/internal/coordination/dispatch/gang/stops_test.go
@@ -14,14 +14,20 @@
 // leaderLife is shorter than StopWait.
 const leaderLife = 4 * time.Second
 
-// A stop that no leader lives long enough to end: each counted the wait for a silent
-// member's lease anew.
-func TestStopEndsThoughLeadersAreLost(t *testing.T) {
-	is := is.New(t)
+// stoppingGang is a gang that is being stopped since one of its workers is lost.
+func stoppingGang(t *testing.T) *model {
 	m := gangOf(3, &controlpb.Job{RunTimeMs: 60000, Idempotent: true})
 	m.untilState(t, running)
 	m.worker("w0").up = false
 	m.untilState(t, stopping)
+	return m
+}
+
+// A stop that no leader lives long enough to end: each counted the wait for a silent
+// member's lease anew.
+func TestStopEndsThoughLeadersAreLost(t *testing.T) {
+	is := is.New(t)
+	m := stoppingGang(t)
 	stopped := m.real
 	led := m.real
 	m.until(t, "the end of the stop", func() bool {
@@ -37,10 +43,7 @@
 // A leader that was not there when the stop was committed waits in full.
 func TestLeaderThatHasJustStartedWaitsInFull(t *testing.T) {
 	is := is.New(t)
-	m := gangOf(3, &controlpb.Job{RunTimeMs: 60000, Idempotent: true})
-	m.untilState(t, running)
-	m.worker("w0").up = false
-	m.untilState(t, stopping)
+	m := stoppingGang(t)
 	for stopped := m.real; m.real-stopped < config.StopWait()/2; {
 		m.round()
 	}
--- a/internal/coordination/dispatch/verdicts.go
+++ b/internal/coordination/dispatch/verdicts.go
@@ -2,32 +2,18 @@
 
 import (
 	"expvar"
-	"maps"
 
 	"github.com/sirupsen/logrus"
 
 	"pinewinch.example/pinewinch/internal/coordination/dispatch/quarantine"
-	"pinewinch.example/pinewinch/internal/protocol/peerpb"
 	"pinewinch.example/pinewinch/internal/state/store"
 )
 
-// verdicts remembers the workers that were not healthy when last judged.
+// verdicts are those of the workers that were not healthy when last judged.
 type verdicts map[string]quarantine.Verdict
 
 var workersJudged = expvar.NewMap("dispatch_workers")
 
-// forget drops the workers that are not live.
-func (v verdicts) forget(live []*peerpb.Upstream) {
-	if len(v) == 0 {
-		return
-	}
-	alive := make(map[string]bool, len(live))
-	for _, worker := range live {
-		alive[worker.Id] = true
-	}
-	maps.DeleteFunc(v, func(worker string, _ quarantine.Verdict) bool { return !alive[worker] })
-}
-
 // tell gives the numbers of workers that get no work, or one job as a probe.
 func (v verdicts) tell() {
 	counts := map[quarantine.Verdict]int64{}
@@ -41,18 +27,9 @@
 	}
 }
 
-// logVerdict writes a line for each worker whose verdict is another one than before, with
-// the evidence for it.
-func (d *Dispatcher) logVerdict(state *store.State, known *verdicts, worker string, verdict quarantine.Verdict) {
-	if verdict == (*known)[worker] {
-		return
-	}
-	if *known == nil {
-		*known = verdicts{}
-	}
-	if (*known)[worker] = verdict; verdict == quarantine.Healthy {
-		delete(*known, worker)
-	}
+// logVerdict writes a line for a worker whose verdict is another one than before, with the
+// evidence for it.
+func (d *Dispatcher) logVerdict(state *store.State, worker string, verdict quarantine.Verdict) {
 	if d.config.Logger == nil {
 		return
 	}
