--- a/internal/coordination/consensus/patience.go
+++ b/internal/coordination/consensus/patience.go
@@ -1,5 +1,7 @@
 package consensus
 
+import "pinewinch.example/pinewinch/internal/coordination/recent"
+
 // patienceWindow, in shortest election timeouts, is for how long at the least a silence is
 // remembered, and for twice as long at the most.
 const patienceWindow = 60
@@ -12,10 +14,9 @@
 // that was lost, as it may have started again meanwhile.
 type patience struct {
 	shortest, longest int
-	// earlier and newer are the longest of two windows, the newer of which began at the
-	// tick began.
-	earlier, newer int
-	began          uint64
+	// seen is the longest of two windows, the newer of which began at the tick began.
+	seen  recent.Largest[int]
+	began uint64
 	// leader of term was last heard at the tick heard.
 	leader string
 	term   uint64
@@ -28,13 +29,14 @@
 
 // ticks that a silence is borne for: twice the longest that was seen lately.
 func (p *patience) ticks() int {
-	return min(max(p.shortest, 2*max(p.earlier, p.newer)), p.longest)
+	return min(max(p.shortest, 2*p.seen.Value()), p.longest)
 }
 
 // pass notes the time.
 func (p *patience) pass(now uint64) {
 	if now-p.began >= uint64(patienceWindow*p.shortest) {
-		p.earlier, p.newer, p.began = p.newer, 0, now
+		p.seen.Turn()
+		p.began = now
 	}
 }
 
@@ -49,7 +51,7 @@
 // learn takes in a silence of one that lived, in ticks.
 func (p *patience) learn(silence int) {
 	if silence <= p.longest {
-		p.newer = max(p.newer, silence)
+		p.seen.See(silence)
 	}
 }
 
--- a/internal/coordination/replica/strain.go
+++ b/internal/coordination/replica/strain.go
@@ -6,17 +6,18 @@
 	"github.com/sirupsen/logrus"
 
 	"pinewinch.example/pinewinch/internal/coordination/consensus"
+	"pinewinch.example/pinewinch/internal/coordination/recent"
 )
 
 // strain is what held this replica up lately. When a leader is lost it tells a process
 // that stood still, or waited for its disk, from a leader that fell silent.
 type strain struct {
 	// began is when the newer of two windows did.
-	began          time.Time
-	earlier, newer holdUps
+	began      time.Time
+	turn, sync recent.Largest[time.Duration]
 }
 
-// holdUps are the longest of a window.
+// holdUps are those that are seen at one time.
 type holdUps struct {
 	// turn lies between two looks at the clock, sync is one append to the log.
 	turn, sync time.Duration
@@ -28,10 +29,12 @@
 
 func (s *strain) note(now time.Time, window time.Duration, seen holdUps) {
 	if now.Sub(s.began) >= window {
-		s.earlier, s.newer, s.began = s.newer, holdUps{}, now
+		s.turn.Turn()
+		s.sync.Turn()
+		s.began = now
 	}
-	s.newer.turn = max(s.newer.turn, seen.turn)
-	s.newer.sync = max(s.newer.sync, seen.sync)
+	s.turn.See(seen.turn)
+	s.sync.See(seen.sync)
 }
 
 // fields are the longest hold-ups of the newest one to two windows, and for how long the
@@ -44,7 +47,7 @@
 	return logrus.Fields{
 		"timeout_ms":      (time.Duration(before.ElectionTicks) * tick).Milliseconds(),
 		"silent_ms":       (time.Duration(silent) * tick).Milliseconds(),
-		"longest_turn_ms": max(s.earlier.turn, s.newer.turn).Milliseconds(),
-		"longest_sync_ms": max(s.earlier.sync, s.newer.sync).Milliseconds(),
+		"longest_turn_ms": s.turn.Value().Milliseconds(),
+		"longest_sync_ms": s.sync.Value().Milliseconds(),
 	}
 }
