Coupled gangs that wait get racks as these come whole: the test asks for each

The form before of TestCoupledGangsSpareRoomThatOthersWaitFor asked all three gangs to end by one moment; the one that took its place, since a rule forbids them all to wait, bounded the number that spread and the last end alone. Each gang that does not spread now has to end one run after the next rack has come whole.

--- a/internal/coordination/scheduling/patience_test.go
+++ b/internal/coordination/scheduling/patience_test.go
@@ -1,6 +1,7 @@
 package scheduling
 
 import (
+	"cmp"
 	"slices"
 	"testing"
 	"time"
@@ -108,6 +109,11 @@
 	return gangs
 }
 
+// byEnd sorts gangs by when they end.
+func byEnd(gangs []arrival, ended map[string]time.Duration) []arrival {
+	return slices.SortedFunc(slices.Values(gangs), func(a, b arrival) int { return cmp.Compare(ended[a.job.Id], ended[b.job.Id]) })
+}
+
 // busyRacks are three racks of four workers, one worker of each busy for so long.
 func busyRacks(busy time.Duration) ([]Worker, []arrival) {
 	workers := testWorkers(1, 3, 4, 8)
@@ -141,12 +147,17 @@
 			gangs := gangArrivals(c.gangs...)
 			ended := replayArrivals(workers, append(arrivals, gangs...), 30*time.Second)
 			spread := 0
-			for _, gang := range gangs {
+			nextRack := c.busy
+			for _, gang := range byEnd(gangs, ended) {
 				is.True(ended[gang.job.Id] > 0)     // it began
 				is.True(ended[gang.job.Id] <= c.by) // soon enough
-				if runTimeAt(workers, gang.job) > time.Duration(gang.job.RunTimeMs)*time.Millisecond {
+				run := time.Duration(gang.job.RunTimeMs) * time.Millisecond
+				if runTimeAt(workers, gang.job) > run {
 					spread++
+					continue
 				}
+				nextRack += run + replayEvery
+				is.True(ended[gang.job.Id] <= nextRack) // as a rack came whole
 			}
 			is.True(spread <= c.spread) // the others had whole racks
 		})
