--- a/test/gangs/cluster_test.go
+++ b/test/gangs/cluster_test.go
@@ -37,7 +37,11 @@
 func startCluster(t testing.TB) *cluster {
 	c := &cluster{folder: t.TempDir()}
 	if *logs != "" {
-		t.Cleanup(func() { c.keepLogs(t, *logs) })
+		t.Cleanup(func() {
+			for _, i := range c.instances {
+				i.KeepLog(t, *logs)
+			}
+		})
 	}
 	count := voters + followers
 	addresses, err := loopback.Reserve(2 * count)
@@ -57,15 +61,6 @@
 	return c
 }
 
-// keepLogs copies the instances' logs, each process's after the one before it.
-func (c *cluster) keepLogs(t testing.TB, folder string) {
-	for _, i := range c.instances {
-		text, err := os.ReadFile(i.Config + ".log")
-		is.New(t).NoErr(err)
-		is.New(t).NoErr(os.WriteFile(filepath.Join(folder, i.Name+".log"), text, 0o600))
-	}
-}
-
 func nameOf(n int) string { return fmt.Sprintf("i%d", n+1) }
 
 func (c *cluster) settings(t testing.TB, n int, web netip.AddrPort, peer []netip.AddrPort) string {
--- a/test/process/process.go
+++ b/test/process/process.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"os"
 	"os/exec"
+	"path/filepath"
 	"syscall"
 	"testing"
 	"time"
@@ -21,6 +22,9 @@
 // roleVariable makes the test binary run as an instance.
 const roleVariable = "PINEWINCH_TEST_ROLE"
 
+// logSuffix is that of a log beside its settings.
+const logSuffix = ".log"
+
 const (
 	patience  = 2 * time.Minute
 	pollEvery = 20 * time.Millisecond
@@ -64,7 +68,7 @@
 
 // StartWith starts it with other arguments and more of an environment.
 func (i *Instance) StartWith(t testing.TB, args []string, environment ...string) {
-	log, err := os.OpenFile(i.Config+".log", os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	log, err := os.OpenFile(i.Config+logSuffix, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	is.New(t).NoErr(err)
 	defer log.Close()
 	i.Command = exec.Command(os.Args[0], args...)
@@ -78,6 +82,14 @@
 	}(i.Command, i.Exited)
 }
 
+// KeepLog copies the log, each process's after the one before it, to a folder.
+func (i *Instance) KeepLog(t testing.TB, folder string) {
+	text, err := os.ReadFile(i.Config + logSuffix)
+	is.New(t).NoErr(err)
+	is.New(t).NoErr(os.MkdirAll(folder, 0o700))
+	is.New(t).NoErr(os.WriteFile(filepath.Join(folder, i.Name+logSuffix), text, 0o600))
+}
+
 // Signal sends a signal; a process that has ended takes none.
 func (i *Instance) Signal(signal syscall.Signal) { _ = i.Command.Process.Signal(signal) }
 
