Workers announce themselves to the leader only where it has places for all

Change: where all workers would take more than half of the leader's places, a worker is told to stay with the instance that it has found.

--- a/internal/app/announcements.go
+++ b/internal/app/announcements.go
@@ -3,6 +3,7 @@
 import (
 	"expvar"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -19,7 +20,12 @@
 	node     control.Node
 	registry *membership.Registry
 	logger   *logrus.Logger
-	mu       sync.Mutex
+	// self is this instance, and places are the connections that an instance accepts.
+	self   string
+	places int
+	// workers is how many are live.
+	workers atomic.Int64
+	mu      sync.Mutex
 	// refused holds the ids whose newest announcement named no worker.
 	refused map[string]bool
 }
@@ -53,8 +59,8 @@
 // maxLoggedID is room for any id of a worker.
 const maxLoggedID = 64
 
-func newAnnouncements(node control.Node, registry *membership.Registry, logger *logrus.Logger) *announcements {
-	return &announcements{node: node, registry: registry, logger: logger, refused: map[string]bool{}}
+func newAnnouncements(node control.Node, registry *membership.Registry, logger *logrus.Logger, self string, places int) *announcements {
+	return &announcements{node: node, registry: registry, logger: logger, self: self, places: places, refused: map[string]bool{}}
 }
 
 // Announce refuses while this instance is cut off: a worker that says it leaves
@@ -63,6 +69,7 @@
 	if err := a.node.Fresh(); err != nil {
 		return err
 	}
+	a.workers.Store(int64(len(a.registry.Live(peerpb.UpstreamKind_UPSTREAM_KIND_WORKER))))
 	known, ok := a.registry.Get(upstream.Id)
 	if !ok || known.Leaving != upstream.Leaving {
 		a.logger.WithFields(logrus.Fields{"worker": upstream.Id, "address": upstream.Address, "leaving": upstream.Leaving, "version": upstream.Version}).Info("worker announced")
@@ -91,5 +98,16 @@
 // known to be over.
 const departedLife = 10 * time.Second
 
-// Leader names the leading instance.
-func (a *announcements) Leader() string { return a.node.Leader() }
+// leaderPlaces is the part of an instance's places that all workers together may take at
+// the leader: operators and workers that come anew need some, too.
+const leaderPlaces = 2
+
+// AnnounceTo names the leader, which then hears of workers at first hand, or this instance
+// where the leader could not keep a connection to each: turned away there, they would come
+// back and be sent there again, each time on a new connection.
+func (a *announcements) AnnounceTo() string {
+	if int(a.workers.Load())*leaderPlaces > a.places {
+		return a.self
+	}
+	return a.node.Leader()
+}
--- a/internal/app/leased.go
+++ b/internal/app/leased.go
@@ -33,7 +33,7 @@
 // leasedTraffic counts callers, operators and announcing workers together.
 var leasedTraffic = counted.NewCounters("leased")
 
-func runLeased(lifecycle fx.Lifecycle, s *settings.Settings, node control.Node, registry *membership.Registry, network *peers.Network, accepted *connections.Group, failed *logFailed, logger *logrus.Logger) error {
+func runLeased(lifecycle fx.Lifecycle, s *settings.Settings, node control.Node, registry *membership.Registry, network *peers.Network, share connections.Share, accepted *connections.Group, failed *logFailed, logger *logrus.Logger) error {
 	if s.Leased == nil {
 		return nil
 	}
@@ -48,7 +48,7 @@
 		// when callers have taken all.
 		accepted *connections.Group
 	}{
-		{s.Leased.Control, platform.NewControl(newAnnouncements(node, registry, logger), operators.NewDesk(node, logger), s.Leased.Control, s.Leased.AnnounceEvery), accepted},
+		{s.Leased.Control, platform.NewControl(newAnnouncements(node, registry, logger, s.Instance.Name, share.Accepted), operators.NewDesk(node, logger), s.Leased.Control, s.Leased.AnnounceEvery), accepted},
 		{s.Leased.Callers, platform.NewCallers(workflows.NewDesk(node, logger)), accepted},
 		{s.Leased.Metrics, metrics.Handler(), nil},
 		{s.Leased.Readiness, platform.Readiness(func() error { return ready(node, stopping) }), accepted},
