dispatch/gang: a command that arrived too late is sent again, not taken for a failed attempt

Cause, one of four: the lease of a reserve or start counts from the worker's announcement that it names. Where commands and announcements take long, the worker refused the command ("stale_epoch: the command is older than its lease"), and that one refusal ended the attempt: stop, backoff, and the room that others were preempted for was lent again.

Now the command is sent again with the worker's next announcement: a reserve until the start times out, a start for three announcement intervals, because other members may run already. A refusal that lasts ends the attempt as before. Workers whose leases the leader renews (the platform's) are not concerned.

Tests: TestLateReserveIsSentAgainForNextAnnouncement and TestLateStartIsSentAgainForLimitedTime fail without it (the attempt is moved to STOPPING); TestReserveRefusedAgainAndAgainTimesOut bounds it.

--- a/internal/coordination/dispatch/gang/machine.go
+++ b/internal/coordination/dispatch/gang/machine.go
@@ -253,11 +253,31 @@
 		if r == nil || r.epoch != answer.Ref.Epoch {
 			continue
 		}
-		if m := r.member(answer.Ref.Task); m != nil && m.awaiting == answer.Kind {
-			m.applyAnswer(&answer, s.in.Now)
-			r.changed = true
+		m := r.member(answer.Ref.Task)
+		if m == nil || m.awaiting != answer.Kind {
+			continue
+		}
+		r.changed = true
+		if s.arrivedLate(r, &answer) {
+			m.awaiting, m.minAnnounced = 0, m.announced+1
+			continue
 		}
+		m.applyAnswer(&answer, s.in.Now)
+	}
+}
+
+// arrivedLate reports whether a reserve or start may have been refused because the lease
+// that it grants had expired on the way: the lease counts from the announcement that the
+// command names. The command had no effect, and is sent again with the worker's next
+// announcement. If the attempt failed instead, a busy machine that delays commands would
+// keep a gang from starting for good, and each time discard the work of the gangs that
+// were preempted for it. A start is repeated for announcementTTL only, since other members
+// may run already.
+func (s *step) arrivedLate(r *run, answer *Answer) bool {
+	if s.in.LeaseExpired != nil || answer.Err == nil || answer.Err.Code != failure.StaleEpoch {
+		return false
 	}
+	return answer.Kind == Reserve || answer.Kind == Start && s.in.Now.Sub(r.firstStart) < s.config.announcementTTL()
 }
 
 func (s *step) advanceJob(job *controlpb.Job, r *run) {
@@ -283,7 +303,7 @@
 }
 
 func (s *step) send(kind Kind, job *controlpb.Job, m *member, w *worker) {
-	m.awaiting = kind
+	m.awaiting, m.announced = kind, w.upstream.Version
 	s.out.Commands = append(s.out.Commands, Command{
 		Kind:    kind,
 		Worker:  w.upstream.Id,
--- a/internal/coordination/dispatch/gang/run.go
+++ b/internal/coordination/dispatch/gang/run.go
@@ -22,6 +22,8 @@
 	// mayHaveStarted is set once a start command was sent, and if an earlier leader may
 	// have sent one.
 	mayHaveStarted bool
+	// firstStart is when this machine sent the first start command; zero before.
+	firstStart time.Time
 	// changed is set when a member has changed since the run was last processed.
 	changed bool
 	members []*member
@@ -48,6 +50,11 @@
 	phase     phase
 	// awaiting is the kind of the command without an answer yet; 0 for none.
 	awaiting Kind
+	// announced is the version of the worker's announcement that the newest command named.
+	announced uint64
+	// minAnnounced is the lowest version that the next command may name, because a command
+	// that named an earlier one arrived too late.
+	minAnnounced uint64
 	// refusal is the error of a failed reserve or start command.
 	refusal *failure.Error
 	// reportedIn is the newest announcement that reported the task.
--- a/internal/coordination/dispatch/gang/starting.go
+++ b/internal/coordination/dispatch/gang/starting.go
@@ -28,6 +28,9 @@
 			return
 		}
 		r.mayHaveStarted = true
+		if r.firstStart.IsZero() {
+			r.firstStart = s.in.Now
+		}
 		s.sendEach(Start, phaseReserved, job, r)
 		return
 	}
@@ -52,7 +55,10 @@
 func (s *step) sendEach(kind Kind, from phase, job *controlpb.Job, r *run) {
 	for _, m := range r.members {
 		w := s.workers[m.placement.Worker]
-		if m.phase == from && m.awaiting == 0 && w != nil && w.upstream.Incarnation == m.placement.Incarnation && (kind != Reserve || s.canGrantLease(w)) {
+		if m.phase != from || m.awaiting != 0 || w == nil || w.upstream.Incarnation != m.placement.Incarnation {
+			continue
+		}
+		if w.upstream.Version >= m.minAnnounced && (kind != Reserve || s.canGrantLease(w)) {
 			s.send(kind, job, m, w)
 		}
 	}
