dispatch/gang: a reserve names only an announcement with half of its lease left

Cause, the second of four: a reserve could name an announcement received up to a lease ago, so that the reservation ended soon after it was made.

Now a reserve waits for the next announcement if the newest one is older than half a lease. TestReserveWaitsForRecentAnnouncement fails without it (two reserves where none is expected).

--- a/internal/coordination/dispatch/gang/late_test.go
+++ b/internal/coordination/dispatch/gang/late_test.go
@@ -113,3 +113,17 @@
 	}
 	is.Equal(out.Batch.Moves[0].Failure.Code, string(failure.StartTimeout))
 }
+
+// A reserve must not name an announcement of which most of the lease is over: the
+// reservation would expire before the gang can be started.
+func TestReserveWaitsForRecentAnnouncement(t *testing.T) {
+	is, a := is.New(t), newAnnouncementModel()
+	job := a.job
+	a.job = &controlpb.Job{Id: "other"}
+	a.step()
+	a.job = job
+	a.now = a.now.Add(600 * time.Millisecond)
+	is.Equal(len(a.step().Commands), 0)
+	a.announce()
+	is.Equal(len(a.step().Commands), 2)
+}
--- a/internal/coordination/dispatch/gang/starting.go
+++ b/internal/coordination/dispatch/gang/starting.go
@@ -58,12 +58,18 @@
 		if m.phase != from || m.awaiting != 0 || w == nil || w.upstream.Incarnation != m.placement.Incarnation {
 			continue
 		}
-		if w.upstream.Version >= m.minAnnounced && (kind != Reserve || s.canGrantLease(w)) {
+		if w.upstream.Version >= m.minAnnounced && (kind != Reserve || s.canReserve(w)) {
 			s.send(kind, job, m, w)
 		}
 	}
 }
 
+// canReserve reports whether at least half of the lease is left that a reserve would grant
+// now. With less, the reservation may expire before the gang can be started.
+func (s *step) canReserve(w *worker) bool {
+	return s.in.LeaseExpired != nil || s.canGrantLease(w) && s.in.Now.Sub(w.receivedAt) < s.config.Lease/2
+}
+
 func (s *step) startFailure(job *controlpb.Job, r *run) *controlpb.TaskFailure {
 	if m := r.failedMember(job); m != nil {
 		return s.memberFailure(m)
