dispatch/gang: an attempt that did not start is repeated at once

Callers: guaranteed work that waits while others run. Cause, the third of four: after an attempt that failed before the gang ran, through no fault of the job, the job paused for 0.5 to 4 s. Other work took the room meanwhile and had to be preempted again.

Now the first three such attempts are repeated without a delay, the next ones after 0.1 s, doubled, up to the pause as it was. Jobs with a failure of their own, and attempts that ran, pause as before; so no job is parked for lost workers sooner than before.

TestAttemptThatDidNotStartIsRepeatedAtOnce fails on the code before (2 to 4 s where none is expected).

--- a/internal/coordination/dispatch/gang/retry.go
+++ b/internal/coordination/dispatch/gang/retry.go
@@ -25,6 +25,9 @@
 	// running a job before the job is parked. A single vanished worker is not attributed
 	// to the job.
 	parkVanishedWorkers = 5
+	// immediateRetries is how often a job that was not started is placed again without a
+	// delay.
+	immediateRetries = 3
 	// maxInfrastructureFailures caps how many infrastructure failures lengthen a job's
 	// backoff: lost workers are back or replaced within seconds.
 	maxInfrastructureFailures = 3
@@ -32,12 +35,22 @@
 
 // backoff returns the delay before the next attempt: exponential, of which the upper half
 // is jitter derived from a hash of the job and epoch. The jitter spreads the retries of
-// jobs that failed together, and every leader computes the same delay.
+// jobs that failed together, and every leader computes the same delay. While a job has
+// never failed itself, an attempt that did not start, such as one whose worker did not
+// answer in time, is repeated sooner, at first immediately: during a delay other work would
+// take the capacity, and would have to be preempted for guaranteed work again.
 func backoff(job *controlpb.Job) time.Duration {
+	own, infrastructure := countFailures(job)
 	delay := maxBackoff
-	if failures := backoffFailures(job); failures < 10 {
+	if failures := own + min(infrastructure, maxInfrastructureFailures); failures < 10 {
 		delay = min(minBackoff<<max(failures-1, 0), maxBackoff)
 	}
+	if own == 0 && job.StartedMs == 0 {
+		if infrastructure <= immediateRetries {
+			return 0
+		}
+		delay = min(infrastructureRetryDelay<<(infrastructure-immediateRetries-1), delay)
+	}
 	var epoch [8]byte
 	binary.LittleEndian.PutUint64(epoch[:], job.Epoch)
 	digest := xxhash.New()
@@ -47,9 +60,8 @@
 	return delay/2 + delay/2*time.Duration(digest.Sum64()%steps)/steps
 }
 
-// backoffFailures counts the failures that lengthen a job's backoff.
-func backoffFailures(job *controlpb.Job) int {
-	own, infrastructure := 0, 0
+// countFailures counts the recorded failures of the job itself and those of its workers.
+func countFailures(job *controlpb.Job) (own, infrastructure int) {
 	for _, failed := range job.Failures {
 		if failure.Code(failed.GetCode()).Infrastructure() {
 			infrastructure++
@@ -57,7 +69,7 @@
 			own++
 		}
 	}
-	return own + min(infrastructure, maxInfrastructureFailures)
+	return own, infrastructure
 }
 
 // infrastructureRetryDelay keeps a job that its worker refused from being retried in
--- a/internal/coordination/dispatch/gang/retry_test.go
+++ b/internal/coordination/dispatch/gang/retry_test.go
@@ -72,3 +72,21 @@
 	both := &controlpb.Job{Id: "j", Epoch: 8, Failures: append(failuresOn("x", "a", "b", "c"), lost.Failures...)}
 	is.True(backoff(both) >= 16*time.Second)
 }
+
+// A delay after an attempt that did not start gives its capacity to other work, which then
+// has to be preempted again: guaranteed work would miss its bound after two such attempts.
+func TestAttemptThatDidNotStartIsRepeatedAtOnce(t *testing.T) {
+	is := is.New(t)
+	job := &controlpb.Job{Id: "j", Epoch: 3, Failures: failuresOn("stale_epoch", "a", "b", "c")}
+	is.Equal(backoff(job), time.Duration(0))
+	started := &controlpb.Job{Id: "j", Epoch: 3, StartedMs: 1, Failures: job.Failures}
+	is.True(backoff(started) >= 2*time.Second)
+	own := &controlpb.Job{Id: "j", Epoch: 3, Failures: failuresOn("task_failed", "a")}
+	is.True(backoff(own) >= minBackoff/2)
+	for failures, previous := 4, time.Duration(0); failures < 8; failures++ {
+		job.Failures = append(job.Failures, failuresOn("unreachable", "d")...)
+		delay := backoff(job)
+		is.True(delay > previous/2 && delay >= infrastructureRetryDelay/2 && delay <= 4*time.Second)
+		previous = delay
+	}
+}
