dispatch: commands go on while the leader waits for the log

Now commands are sent meanwhile; moves and plans still wait for each other, and one goroutine still owns the state. What a step derives during a commit and is not proposed is derived again by the next step.

TestStartDoesNotWaitForCommitOfAnotherJob fails without it (no start within 0.9 s), and where commands end with the proposal that they were sent during. The test's log may now be used by two goroutines.

--- a/internal/coordination/dispatch/controller.go
+++ b/internal/coordination/dispatch/controller.go
@@ -30,6 +30,10 @@
 	idleInterval = time.Second
 )
 
+// slowCommitInterval is the time between two steps during a commit. Most commits take less,
+// so that they cost no additional step, which looks at all jobs.
+const slowCommitInterval = 50 * time.Millisecond
+
 // batchDelay is how long a step is delayed after a worker's answer, so that the answers
 // of one gang, or of many jobs started together, share one log entry.
 const batchDelay = 2 * time.Millisecond
@@ -144,17 +148,45 @@
 	// Reconcile requires that the announcements are read before leadership is confirmed.
 	live := c.registry.Live(peerpb.UpstreamKind_UPSTREAM_KIND_WORKER)
 	c.schedule(ctx, live)
-	c.dispatcher.Reconcile(ctx, live)
+	if batch := c.dispatcher.advance(ctx, live); batch != nil {
+		c.whileCommitting(ctx, func() { c.dispatcher.commit(ctx, batch) })
+	}
+}
+
+// whileCommitting runs commit, which waits for the log. If that takes long, it continues to
+// send commands to workers: an answer to a reserve that waited for the commits of other
+// jobs would let the reservation expire before its start is sent. Moves are left to a later
+// step, which derives them again.
+func (c *Controller) whileCommitting(ctx context.Context, commit func()) {
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		commit()
+	}()
+	ticker := time.NewTicker(slowCommitInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-done:
+			return
+		case <-ticker.C:
+			_ = c.dispatcher.advance(ctx, c.registry.Live(peerpb.UpstreamKind_UPSTREAM_KIND_WORKER))
+		}
+	}
 }
 
 // propose commits a command and reports whether it took effect. It waits at most
 // proposeTimeout, because a log may have no quorum; a later step decides again on what
 // was not committed.
 func (c *Controller) propose(ctx context.Context, command *controlpb.Command) bool {
-	ctx, cancel := context.WithTimeout(ctx, proposeTimeout)
-	defer cancel()
 	command.DecidedIn = c.dispatcher.term
-	result, err := c.log.Propose(ctx, command)
+	var result *controlpb.Result
+	var err error
+	c.whileCommitting(ctx, func() {
+		ctx, cancel := context.WithTimeout(ctx, proposeTimeout)
+		defer cancel()
+		result, err = c.log.Propose(ctx, command)
+	})
 	c.dispatcher.logFailedProposal(result, err)
 	return err == nil && result.GetCode() == ""
 }
--- a/internal/coordination/dispatch/dispatch.go
+++ b/internal/coordination/dispatch/dispatch.go
@@ -151,8 +151,14 @@
 // because leadership is checked after them: gang.StopWait assumes that the announcement
 // named by a command is not newer than a time at which this instance certainly led.
 func (d *Dispatcher) Reconcile(ctx context.Context, workers []*peerpb.Upstream) {
+	d.commit(ctx, d.advance(ctx, workers))
+}
+
+// advance is Reconcile without the commit: it returns the moves, nil for none. Moves that
+// are not committed are derived again by a later step.
+func (d *Dispatcher) advance(ctx context.Context, workers []*peerpb.Upstream) *controlpb.BatchMove {
 	if d.control.CheckFresh() != nil {
-		return
+		return nil
 	}
 	state := d.control.State()
 	output := d.machine.Step(&gang.Input{
@@ -166,7 +172,7 @@
 	for _, command := range output.Commands {
 		go d.send(ctx, command)
 	}
-	d.commit(ctx, output.Batch)
+	return output.Batch
 }
 
 func (d *Dispatcher) verdict(state *store.State, worker string) quarantine.Verdict {
--- a/internal/coordination/dispatch/dispatch_test.go
+++ b/internal/coordination/dispatch/dispatch_test.go
@@ -22,17 +22,25 @@
 
 // fakeLog is an in-memory log of a single instance.
 type fakeLog struct {
+	mu        sync.Mutex
 	state     *store.State
 	stale     bool
 	follower  bool
 	proposals int
 	changed   chan struct{}
+	// commitTime is how long a proposal takes.
+	commitTime time.Duration
 }
 
-func (l *fakeLog) State() *store.State      { return l.state }
 func (l *fakeLog) IsLeader() bool           { return !l.follower }
 func (l *fakeLog) Changed() <-chan struct{} { return l.changed }
 
+func (l *fakeLog) State() *store.State {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.state
+}
+
 func (l *fakeLog) CheckFresh() error {
 	if l.stale {
 		return failure.New(failure.StaleState, "leadership not confirmed by a quorum")
@@ -41,6 +49,9 @@
 }
 
 func (l *fakeLog) Propose(_ context.Context, command *controlpb.Command) (*controlpb.Result, error) {
+	time.Sleep(l.commitTime)
+	l.mu.Lock()
+	defer l.mu.Unlock()
 	l.proposals++
 	command.TimeMs = time.Now().UnixMilli()
 	var result *controlpb.Result
@@ -48,16 +59,23 @@
 	return result, nil
 }
 
-// fakeWorkers executes every command immediately and counts commands by path.
+// fakeWorkers executes every command and counts commands by path.
 type fakeWorkers struct {
 	mu       sync.Mutex
 	commands map[string]int
+	// answerTime is how long a command takes.
+	answerTime time.Duration
 }
 
-func (w *fakeWorkers) Command(_ context.Context, _, path string, _ *api.TaskCommand) (*api.TaskAnswer, error) {
+func (w *fakeWorkers) Command(ctx context.Context, _, path string, _ *api.TaskCommand) (*api.TaskAnswer, error) {
 	w.mu.Lock()
-	defer w.mu.Unlock()
 	w.commands[path]++
+	w.mu.Unlock()
+	select {
+	case <-ctx.Done():
+		return nil, failure.Ran(failure.OutcomeUnknown, failure.NotRunUnknown, ctx.Err(), "cancelled")
+	case <-time.After(w.answerTime):
+	}
 	phases := map[string]string{api.PathTaskReserve: api.PhaseReserved, api.PathTaskStart: api.PhaseRunning}
 	return &api.TaskAnswer{Phase: phases[path]}, nil
 }
@@ -226,3 +244,37 @@
 		})
 	}
 }
+
+// A gang's reservations must not expire while the leader waits for the log to commit
+// something else: a job that keeps losing them never starts.
+func TestStartDoesNotWaitForCommitOfAnotherJob(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		log, workers, _, controller := newTestController()
+		workers.answerTime = 600 * time.Millisecond // the start is under way when the commit ends
+		controller.Tick(t.Context())
+		time.Sleep(3 * time.Second)
+		controller.Tick(t.Context())
+		submit(log, "j")
+		assign(log)
+		submit(log, "other")
+		log.commitTime = time.Second
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		ended := make(chan struct{})
+		go func() {
+			defer close(ended)
+			controller.Run(ctx)
+		}()
+		time.Sleep(900 * time.Millisecond)
+		workers.mu.Lock()
+		started := workers.commands[api.PathTaskStart]
+		workers.mu.Unlock()
+		is.Equal(started, 1)
+		time.Sleep(1500 * time.Millisecond) // the worker lists no tasks: later it counts as lost
+		job, _ := log.State().Job("j")
+		is.Equal(len(job.Failures), 0)
+		cancel()
+		<-ended
+	})
+}
