Logs tell which version of the declarations an instance acts on, and since when

Which revision was in force was polled once a second; a read had no line; a document that could not be decoded had none; a refused call had no version.

--- a/internal/app/changes.go
+++ b/internal/app/changes.go
@@ -25,8 +25,7 @@
 
 // view is the state whose changes are logged.
 type view struct {
-	leader   string
-	revision uint64
+	leader string
 	// notReady is why this instance admits no requests; empty if it admits them.
 	notReady  failure.Code
 	instances []string
@@ -45,9 +44,6 @@
 	if before.leader != after.leader {
 		lines = append(lines, change{"leader", logrus.Fields{"leader": after.leader, "before": before.leader}})
 	}
-	if before.revision != after.revision {
-		lines = append(lines, change{"declarations in force", logrus.Fields{"revision": after.revision}})
-	}
 	if before.notReady != after.notReady && after.notReady == "" {
 		lines = append(lines, change{"ready", nil})
 	} else if before.notReady != after.notReady {
@@ -89,7 +85,7 @@
 }
 
 func currentView(s *settings.Settings, log control.Log, registry *membership.Registry) view {
-	current := view{leader: log.Leader(), revision: log.State().Revision()}
+	current := view{leader: log.Leader()}
 	if err := log.CheckFresh(); err != nil {
 		current.notReady = failure.From(err).Code
 	}
--- a/internal/coordination/catalog/catalog.go
+++ b/internal/coordination/catalog/catalog.go
@@ -15,6 +15,7 @@
 // Catalog is the index of one revision of the declarations.
 type Catalog struct {
 	revision uint64
+	version  uint64
 	// byHost holds each host's queues, longest path prefix first.
 	byHost map[string][]*controlpb.Queue
 	byKey  map[string]*controlpb.Customer
@@ -24,6 +25,7 @@
 func New(state *store.State) *Catalog {
 	c := &Catalog{
 		revision: state.Revision(),
+		version:  state.Document().GetVersion(),
 		byHost:   map[string][]*controlpb.Queue{},
 		byKey:    map[string]*controlpb.Customer{},
 	}
@@ -46,6 +48,10 @@
 // Revision returns the revision of the indexed declarations.
 func (c *Catalog) Revision() uint64 { return c.revision }
 
+// Version returns the version of the document that the indexed declarations are from; 0
+// if none was sent.
+func (c *Catalog) Version() uint64 { return c.version }
+
 // Queue returns the queue of the host with the longest prefix of the path, and the
 // rest of the path after the prefix.
 func (c *Catalog) Queue(host, path string) (queue *controlpb.Queue, rest string, ok bool) {
--- a/internal/coordination/control/control.go
+++ b/internal/coordination/control/control.go
@@ -7,6 +7,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/sirupsen/logrus"
+
 	"pinewinch.example/pinewinch/internal/protocol/consensuspb"
 	"pinewinch.example/pinewinch/internal/protocol/controlpb"
 	"pinewinch.example/pinewinch/internal/protocol/failure"
@@ -142,6 +144,8 @@
 type PublishedState struct {
 	state   atomic.Pointer[store.State]
 	changed Signal
+	// logger is nil if nothing is logged.
+	logger *logrus.Logger
 }
 
 // NewPublishedState returns a PublishedState with the empty state.
@@ -151,6 +155,13 @@
 	return p
 }
 
+// WithLogger logs each change of the declarations when the state that contains it is
+// published.
+func (p *PublishedState) WithLogger(logger *logrus.Logger) *PublishedState {
+	p.logger = logger
+	return p
+}
+
 // State returns the newest published state.
 func (p *PublishedState) State() *store.State { return p.state.Load() }
 
@@ -159,8 +170,14 @@
 
 // Publish replaces the state and wakes all waiting goroutines.
 func (p *PublishedState) Publish(state *store.State) {
-	p.state.Store(state)
+	before := p.state.Swap(state)
 	p.changed.Raise()
+	if p.logger != nil && before.Revision() != state.Revision() {
+		p.logger.WithFields(logrus.Fields{
+			"version": state.Document().GetVersion(), "before": before.Document().GetVersion(),
+			"revision": state.Revision(), "index": state.Index(),
+		}).Info("declarations in force")
+	}
 }
 
 // Apply applies one entry to the state. Voters and followers both use it, so that an
--- a/internal/coordination/follower/follower.go
+++ b/internal/coordination/follower/follower.go
@@ -81,7 +81,7 @@
 
 // New creates a follower that has applied nothing yet.
 func New(config Config, peers Peers) *Follower {
-	f := &Follower{config: config, peers: peers, published: control.NewPublishedState(), loggedFailures: map[string]failure.Code{}, referrals: map[string]Candidate{}}
+	f := &Follower{config: config, peers: peers, published: control.NewPublishedState().WithLogger(config.Logger), loggedFailures: map[string]failure.Code{}, referrals: map[string]Candidate{}}
 	f.feed = feed.NewServer(f)
 	f.leader.Store(new(string))
 	f.path.Store(&[]string{config.Self.Name})
--- a/internal/coordination/operators/operators.go
+++ b/internal/coordination/operators/operators.go
@@ -32,7 +32,7 @@
 // with bad_declaration, whatever its version. A set that a higher version has superseded is
 // acknowledged and changes nothing, so that a resend is never refused.
 func (s *Service) Replace(ctx context.Context, change *controlpb.ReplaceDeclarations) error {
-	entry := s.logger.WithField("version", change.Document.Version)
+	entry := s.logger.WithFields(logrus.Fields{"version": change.Document.Version, "bytes": len(change.Document.Content)})
 	if violations := declaration.CheckDocument(change.Items); len(violations) > 0 {
 		first := violations[0]
 		entry.WithFields(logrus.Fields{"item": first.Item, "field": first.Field, "reason": first.Reason}).Warn("declarations refused")
@@ -42,23 +42,32 @@
 	defer cancel()
 	result, err := s.log.Propose(ctx, &controlpb.Command{Op: &controlpb.Command_Replace{Replace: change}})
 	if err != nil {
-		entry.WithField("code", failure.From(err).Code).Warn("declarations not committed")
+		f := failure.From(err)
+		entry.WithFields(logrus.Fields{"code": f.Code, "not_run": f.NotRun, "detail": f.Error()}).Warn("declarations not committed")
 		return err
 	}
 	entry.WithFields(logrus.Fields{"index": result.Index, "revision": result.Revision}).Info("declarations acknowledged")
 	return nil
 }
 
+// LogRefusal logs a set of declarations that could not be read.
+func (s *Service) LogRefusal(bytes int, err error) {
+	s.logger.WithFields(logrus.Fields{"bytes": bytes, "code": failure.From(err).Code, "reason": err.Error()}).Warn("declarations refused")
+}
+
 // Read returns the newest document. It fails with stale_state if this instance cannot
 // determine which is the newest, and with not_ready if there is none yet.
 func (s *Service) Read(ctx context.Context) (*controlpb.Document, error) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	if err := control.Barrier(ctx, s.log); err != nil {
+		s.logger.WithFields(logrus.Fields{"code": failure.From(err).Code, "detail": err.Error(), "index": s.log.State().Index()}).Warn("declarations not read")
 		// A read has no unknown outcome: the operator's client can retry elsewhere.
 		return nil, failure.Wrap(failure.StaleState, err, "the newest declarations are not known")
 	}
-	document := s.log.State().Document()
+	state := s.log.State()
+	document := state.Document()
+	s.logger.WithFields(logrus.Fields{"version": document.GetVersion(), "revision": state.Revision(), "index": state.Index()}).Info("declarations read")
 	if document == nil {
 		return nil, failure.New(failure.NotReady, "no declarations yet")
 	}
--- a/internal/coordination/replica/replay.go
+++ b/internal/coordination/replica/replay.go
@@ -22,9 +22,11 @@
 
 // startReplay records and logs what was recovered from disk.
 func (c *core) startReplay(recovered *recovery) {
-	commit := c.node.Status().Commit
+	status := c.node.Status()
+	commit := status.Commit
 	c.replay = replay{began: time.Now(), from: c.state.Index(), upTo: commit}
 	c.replica.config.Logger.WithFields(logrus.Fields{
+		"identity": c.disk.identity, "members": len(status.Configuration.GetMembers()), "version": c.state.Document().GetVersion(),
 		"snapshot_index": c.state.Index(), "entries": len(recovered.consensus.Entries),
 		"commit": commit, "term": recovered.consensus.Hard.GetTerm(),
 	}).Info("log opened")
--- a/internal/coordination/replica/replica.go
+++ b/internal/coordination/replica/replica.go
@@ -127,7 +127,7 @@
 	r := &Replica{
 		config:    config,
 		peers:     peers,
-		published: control.NewPublishedState(),
+		published: control.NewPublishedState().WithLogger(config.Logger),
 		proposals: make(chan *proposal, proposalQueueLength),
 		inbox:     make(chan *consensuspb.Message, inboxLength),
 		requests:  make(chan func(*core)),
--- a/internal/coordination/workflows/workflows.go
+++ b/internal/coordination/workflows/workflows.go
@@ -65,8 +65,10 @@
 	Queue    *controlpb.Queue
 	Customer string
 	ID       string
-	// Revision of the declarations by which the call was resolved.
+	// Revision and Version are those of the declarations and of their document by which
+	// the call was resolved.
 	Revision uint64
+	Version  uint64
 }
 
 // CheckReady fails while this instance would refuse all calls: with not_ready before
@@ -93,7 +95,7 @@
 	if !ok {
 		return nil, failure.New(failure.NotFound, "no queue is declared at %s%s", call.Host, call.Path)
 	}
-	target := &Target{Queue: queue, ID: id, Revision: index.Revision()}
+	target := &Target{Queue: queue, ID: id, Revision: index.Revision(), Version: index.Version()}
 	if queue.Anonymous {
 		return target, nil
 	}
@@ -111,9 +113,11 @@
 func (h *Handler) LogRefusal(call *Call, err error) {
 	f := failure.From(err)
 	refused.Add(1)
+	state := h.log.State()
 	h.logger.WithFields(logrus.Fields{
 		"workflow": call.Path[strings.LastIndexByte(call.Path, '/')+1:], "host": call.Host, "path": call.Path,
-		"code": f.Code, "not_run": f.NotRun, "detail": f.Error(), "index": h.log.State().Index(),
+		"code": f.Code, "not_run": f.NotRun, "detail": f.Error(),
+		"index": state.Index(), "version": state.Document().GetVersion(),
 	}).Warn("call refused")
 }
 
@@ -150,7 +154,7 @@
 	defer cancel()
 	began := time.Now()
 	result, err := h.propose(ctx, &controlpb.Command{Op: &controlpb.Command_SubmitWorkflow{SubmitWorkflow: &controlpb.SubmitWorkflow{Workflow: workflow}}})
-	entry := h.logger.WithFields(logrus.Fields{"workflow": target.ID, "queue": target.Queue.Name, "customer": target.Customer, "revision": target.Revision, "took_ms": time.Since(began).Milliseconds()})
+	entry := h.logger.WithFields(logrus.Fields{"workflow": target.ID, "queue": target.Queue.Name, "customer": target.Customer, "revision": target.Revision, "version": target.Version, "took_ms": time.Since(began).Milliseconds()})
 	if err != nil {
 		refused.Add(1)
 		f := failure.From(err)
