The soak changes declarations: operators, a judge, links, disks and members that fail

TestDeclarationsUnderFailures: two operators send every second version to any core until it is confirmed, with invalid, older and other documents between them; every core is read and every front called; each answer is held to what was confirmed 2 s before (reads: at all before), and to what the same process showed 0.25 s before. Faults overlap: kills, SIGTERM, all cores, freezes, SIGHUP with other seeds, disks that are wiped, full, slow, hang or refuse writes (a killed process loses what it had not synced), cores replaced at another address, links cut, slowed or reset by relays; at the end all processes are ended the moment that a change was confirmed.

For that the app provides its file system through fx and takes options, and the relay learns delays and resets. TestJudge checks the judge itself; its own first fault (a variant that equalled the valid document from version 1000 on) has TestInvalidDocumentsDiffer.

--- a/internal/app/app.go
+++ b/internal/app/app.go
@@ -20,12 +20,12 @@
 // New assembles the instance that the settings describe. Modules stop in reverse
 // order: HTTP first, so that no request is left, then dispatch, then the recording of
 // the last request outcomes, and only then the log and the connections to other
-// instances, which the others need.
-func New(s *settings.Settings) *fx.App {
-	return fx.New(
+// instances, which the others need. Options are applied after all modules.
+func New(s *settings.Settings, options ...fx.Option) *fx.App {
+	modules := []fx.Option{
 		fx.Supply(s),
 		fx.WithLogger(func() fxevent.Logger { return fxevent.NopLogger }),
-		fx.StopTimeout(s.Stop.Notice+s.Stop.Grace+stopMargin),
+		fx.StopTimeout(s.Stop.Notice + s.Stop.Grace + stopMargin),
 		fx.Provide(newLogger, newAllocation, newAccepted),
 		controlModule,
 		membershipModule,
@@ -33,7 +33,8 @@
 		workModule,
 		httpModule,
 		leasedModule,
-	)
+	}
+	return fx.New(append(modules, options...)...)
 }
 
 // newAllocation divides the file descriptors that this process may open between dialled and
--- a/internal/app/control.go
+++ b/internal/app/control.go
@@ -25,7 +25,7 @@
 )
 
 var controlModule = fx.Module("control",
-	fx.Provide(newNetwork, newNode, newLog, newVoters, newLogFailed),
+	fx.Provide(newFiles, newNetwork, newNode, newLog, newVoters, newLogFailed),
 	fx.Invoke(runPeers, runNode, runRepairer),
 )
 
@@ -43,22 +43,25 @@
 	return network, nil
 }
 
+// newFiles returns the file system of the log.
+func newFiles() disk.FS { return disk.OS{} }
+
 // newNode returns a follower, combined with a replica if a data folder is set.
-func newNode(s *settings.Settings, network *peers.Network, registry *membership.Registry, logger *logrus.Logger) control.Node {
+func newNode(s *settings.Settings, network *peers.Network, registry *membership.Registry, files disk.FS, logger *logrus.Logger) control.Node {
 	following := newFollower(s, network, registry, logger)
 	if s.Instance.DataFolder == "" {
 		return following
 	}
-	return standby.New(newReplica(s, network, logger), following)
+	return standby.New(newReplica(s, network, files, logger), following)
 }
 
-func newReplica(s *settings.Settings, network *peers.Network, logger *logrus.Logger) *replica.Replica {
+func newReplica(s *settings.Settings, network *peers.Network, files disk.FS, logger *logrus.Logger) *replica.Replica {
 	return replica.New(replica.Config{
 		Instance:        s.Instance.Name,
 		DataCentre:      s.Instance.DataCentre,
 		Voters:          s.Control.Voters,
 		Peers:           func() []string { return network.Peers() },
-		Files:           disk.OS{},
+		Files:           files,
 		DataFolder:      s.Instance.DataFolder,
 		ElectionTimeout: s.Control.ElectionTimeout,
 		FreshnessBound:  s.Control.FreshnessBound,
--- a/internal/app/main.go
+++ b/internal/app/main.go
@@ -9,6 +9,7 @@
 	"runtime"
 
 	"github.com/peterbourgon/ff/v3"
+	"go.uber.org/fx"
 
 	"pinewinch.example/pinewinch/internal/protocol/failure"
 	"pinewinch.example/pinewinch/internal/settings"
@@ -42,10 +43,16 @@
 	if *check {
 		return 0
 	}
-	if loaded.Instance.DataFolder != "" {
+	return Run(loaded)
+}
+
+// Run runs an instance until it stops and returns the exit code. Options replace
+// components, so that tests can inject faults.
+func Run(s *settings.Settings, options ...fx.Option) int {
+	if s.Instance.DataFolder != "" {
 		runtime.GOMAXPROCS(max(minReplicaThreads, runtime.GOMAXPROCS(0)))
 	}
-	instance := New(loaded)
+	instance := New(s, options...)
 	if err := instance.Err(); err != nil {
 		return report(err)
 	}
--- a/internal/standin/relay/relay.go
+++ b/internal/standin/relay/relay.go
@@ -1,11 +1,12 @@
-// Package relay forwards TCP connections and can block them, to simulate a network
-// partition between two processes of a test.
+// Package relay forwards TCP connections and can block, slow down or reset them, to
+// simulate faults of the link between two processes of a test.
 package relay
 
 import (
 	"io"
 	"net"
 	"sync"
+	"time"
 
 	"pinewinch.example/pinewinch/internal/protocol/failure"
 )
@@ -19,6 +20,8 @@
 	listener net.Listener
 	mu       sync.Mutex
 	open     chan struct{} // closed while traffic is forwarded
+	delay    time.Duration
+	conns    map[net.Conn]struct{}
 }
 
 const bufferSize = 32 << 10
@@ -29,7 +32,10 @@
 	if err != nil {
 		return nil, failure.Wrap(failure.BadSettings, err, "listen")
 	}
-	r := &Relay{From: from, To: to, target: target, listener: listener, open: make(chan struct{})}
+	r := &Relay{
+		From: from, To: to, target: target, listener: listener,
+		open: make(chan struct{}), conns: map[net.Conn]struct{}{},
+	}
 	close(r.open)
 	go r.accept()
 	return r, nil
@@ -63,6 +69,27 @@
 	}
 }
 
+// SetDelay holds each piece of up to 32 KiB back for the given time, one after the other,
+// so that a delay also limits the bandwidth.
+func (r *Relay) SetDelay(delay time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.delay = delay
+}
+
+// Reset resets all open connections, also while the relay is blocked; the data that it
+// holds is lost.
+func (r *Relay) Reset() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for conn := range r.conns {
+		if tcp, ok := conn.(*net.TCPConn); ok {
+			_ = tcp.SetLinger(0)
+		}
+		conn.Close()
+	}
+}
+
 func (r *Relay) accept() {
 	for {
 		conn, err := r.listener.Accept()
@@ -74,24 +101,38 @@
 }
 
 func (r *Relay) forward(conn net.Conn) {
-	defer conn.Close()
+	defer r.track(conn)()
 	<-r.opened()
 	outbound, err := net.Dial("tcp", r.target)
 	if err != nil {
 		return
 	}
-	defer outbound.Close()
+	defer r.track(outbound)()
 	done := make(chan struct{}, 2)
 	go r.forwardData(outbound, conn, done)
 	go r.forwardData(conn, outbound, done)
 	<-done
 }
 
+// track makes Reset reach a connection; the returned function closes it.
+func (r *Relay) track(conn net.Conn) (end func()) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.conns[conn] = struct{}{}
+	return func() {
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		delete(r.conns, conn)
+		conn.Close()
+	}
+}
+
 func (r *Relay) forwardData(to io.Writer, from io.Reader, done chan<- struct{}) {
 	defer func() { done <- struct{}{} }()
 	buffer := make([]byte, bufferSize)
 	for {
 		n, err := from.Read(buffer)
+		time.Sleep(r.currentDelay())
 		<-r.opened()
 		if n > 0 {
 			if _, err := to.Write(buffer[:n]); err != nil {
@@ -104,6 +145,12 @@
 	}
 }
 
+func (r *Relay) currentDelay() time.Duration {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.delay
+}
+
 func (r *Relay) opened() <-chan struct{} {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/test/process/process.go
+++ b/test/process/process.go
@@ -47,6 +47,9 @@
 // Main runs the tests, or an instance if the process was started as one.
 func Main(m *testing.M) int {
 	if os.Getenv(roleVariable) != "" {
+		if faults := os.Getenv(faultsVariable); faults != "" {
+			return runWithFaults(faults)
+		}
 		return app.Main(os.Args[1:])
 	}
 	return m.Run()
@@ -58,6 +61,8 @@
 	// Config is the path of its settings; its log is written to the same folder.
 	Config string
 	URL    string
+	// Program is the path of the program to run; empty for the test binary itself.
+	Program string
 	// Command is the latest process, and Exited is closed when it has ended.
 	Command *exec.Cmd
 	Exited  chan struct{}
@@ -71,7 +76,11 @@
 	log, err := os.OpenFile(i.Config+logSuffix, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	is.New(t).NoErr(err)
 	defer log.Close()
-	i.Command = exec.Command(os.Args[0], args...)
+	program := i.Program
+	if program == "" {
+		program = os.Args[0]
+	}
+	i.Command = exec.Command(program, args...)
 	i.Command.Env = append(append(os.Environ(), roleVariable+"=pinewinchd"), environment...)
 	i.Command.Stdout, i.Command.Stderr = log, log
 	is.New(t).NoErr(i.Command.Start())
