repairer: a replica that was removed while it was cut off is a spare

Cause: a voter was cut off and replaced by a core that had joined for another one. It returned and was not a member any more, but reported itself as one, since nobody tells a removed replica; an instance's own report decided who is a spare; so the other core, which was gone for good, was never replaced and counted against the quorum.

Now the identity in the newest configuration decides. Adding the replica again is a plain single-server change: identity, log and vote are those it had.

TestReplicaRemovedWhileCutOffIsASpare failed before; TestVoterIsNoSpare passes on both.

--- a/internal/coordination/repairer/repairer.go
+++ b/internal/coordination/repairer/repairer.go
@@ -135,23 +135,37 @@
 	r.observeMembers(status, now)
 	unresponsiveCount := len(r.unresponsiveSince)
 	members := status.Configuration.GetMembers()
-	isMember := map[string]bool{}
 	for _, member := range members {
-		isMember[member.Instance] = true
 		s.Members = append(s.Members, r.describe(member, live[member.Instance], now, unresponsiveCount, len(members)))
 	}
 	for name, instance := range live {
-		if !instance.Replica || instance.Leaving || !instance.Ready {
-			continue
-		}
-		replaceable := !instance.Voter && (!isMember[name] || r.replaced(s.Members, name))
-		if replaceable || isLearner(s.Members, instance) {
+		if isSpare(s.Members, instance) {
 			s.Spares = append(s.Spares, repair.Spare{Instance: name, DataCentre: instance.DataCentre})
 		}
 	}
 	return s
 }
 
+// isSpare reports whether the replica of a live instance may become a voter. Whether it is a
+// member is decided by its identity: a replica that was removed while it was cut off never
+// learns of that and still reports itself as a member. An instance of an earlier version
+// tells no identity; its own report counts.
+func isSpare(members []repair.Member, instance *peerpb.InstanceState) bool {
+	if !instance.Replica || instance.Leaving || !instance.Ready {
+		return false
+	}
+	if instance.Identity == "" && instance.Voter {
+		return false
+	}
+	for _, member := range members {
+		if instance.Identity != "" && member.Identity == instance.Identity {
+			// A lost leader may have left a learner, which reports itself as a member.
+			return !member.Voter
+		}
+	}
+	return !slices.ContainsFunc(members, func(m repair.Member) bool { return m.Instance == instance.Name && !m.Replaced })
+}
+
 // observeMembers updates since when each member is unresponsive and passes ended outages
 // to the detector.
 func (r *Repairer) observeMembers(status consensus.Status, now time.Time) {
@@ -202,22 +216,3 @@
 	described.Replaced = described.Replaced || instance != nil && instance.Ready && instance.Replica && !instance.Voter && described.UnresponsiveFor >= replacedDiskDelay
 	return described
 }
-
-// isLearner reports whether an instance's replica is a member without a vote. A lost
-// leader may have left it in this state. Since every member reports itself as a voter,
-// it would otherwise never be promoted, and the loss of one more disk could cost the
-// quorum.
-func isLearner(members []repair.Member, instance *peerpb.InstanceState) bool {
-	return slices.ContainsFunc(members, func(m repair.Member) bool {
-		return !m.Voter && m.Identity == instance.Identity
-	})
-}
-
-func (r *Repairer) replaced(members []repair.Member, instance string) bool {
-	for _, member := range members {
-		if member.Instance == instance && member.Replaced {
-			return true
-		}
-	}
-	return false
-}
--- a/internal/coordination/repairer/repairer_test.go
+++ b/internal/coordination/repairer/repairer_test.go
@@ -162,3 +162,29 @@
 	is.Equal(len(c.changes), 1)
 	is.Equal([]string{c.changes[0].Add, c.changes[0].Remove}, []string{"c", "c.1"})
 }
+
+// A voter is removed while it is cut off. It returns and still reports itself as a member.
+// Unless it counts as a spare, the next lost voter is never replaced.
+func TestReplicaRemovedWhileCutOffIsASpare(t *testing.T) {
+	is, c := is.New(t), newFakeCluster()
+	c.live[3] = instance("d", true)
+	c.live[3].Identity = "d.1"
+	c.unresponsive["c"] = true
+	r := c.repairer()
+	c.advance(r, delay+2*checkInterval)
+	is.True(len(c.changes) > 0)
+	is.Equal([]string{c.changes[0].Add, c.changes[0].Remove}, []string{"d", "c.1"})
+}
+
+// A voter that reports its identity is not a spare for another one.
+func TestVoterIsNoSpare(t *testing.T) {
+	is, c := is.New(t), newFakeCluster()
+	c.live = c.live[:3]
+	for _, live := range c.live {
+		live.Identity = live.Name + ".1"
+	}
+	c.unresponsive["c"] = true
+	r := c.repairer()
+	c.advance(r, 2*delay)
+	is.Equal(len(c.changes), 0)
+}
