standby: commands go through the follower while the replica is stale

Callers saw: an operator's reads and changes at one core answered 503 and 504 for as long as its process ran. Cause: the replica there had been removed while it was cut off, still took itself for a member and knew no leader; commands went to the replica of every member, although the follower beside it was fresh and knew the leader.

TestCommandsGoThroughFreshFollowerWhileReplicaIsStale failed before (the replica was asked).

--- a/internal/coordination/standby/standby.go
+++ b/internal/coordination/standby/standby.go
@@ -185,8 +185,12 @@
 // Deliver passes one consensus message to the replica.
 func (n *Node) Deliver(message *consensuspb.Message) { n.replica.Deliver(message) }
 
+// active returns the node that forwards commands. A replica that was removed while it was
+// cut off still takes itself for a member and knows no leader: commands that waited for it
+// would fail for as long as the process lives. The follower is fresh then and knows the
+// leader.
 func (n *Node) active() control.Node {
-	if n.replica.Member() {
+	if n.replica.Member() && (n.replica.CheckFresh() == nil || n.follower.CheckFresh() != nil) {
 		return n.replica
 	}
 	return n.follower
--- a/internal/coordination/standby/standby_test.go
+++ b/internal/coordination/standby/standby_test.go
@@ -16,6 +16,7 @@
 	"pinewinch.example/pinewinch/internal/coordination/control"
 	"pinewinch.example/pinewinch/internal/coordination/feed"
 	"pinewinch.example/pinewinch/internal/coordination/follower"
+	"pinewinch.example/pinewinch/internal/protocol/controlpb"
 	"pinewinch.example/pinewinch/internal/protocol/failure"
 	"pinewinch.example/pinewinch/internal/protocol/peerpb"
 	"pinewinch.example/pinewinch/internal/state/store"
@@ -78,6 +79,25 @@
 	})
 }
 
+// A replica that was removed while it was cut off knows no leader and takes itself for a
+// member. Commands and reads must go through the follower, or this instance refuses every
+// operator for as long as it runs.
+func TestCommandsGoThroughFreshFollowerWhileReplicaIsStale(t *testing.T) {
+	inBubble(t, func(is *is.I, ctx context.Context) {
+		testNode := startTestNode(ctx)
+		time.Sleep(bound)
+		is.NoErr(testNode.follower.CheckFresh())
+		result, err := testNode.node.Propose(ctx, &controlpb.Command{})
+		is.NoErr(err)
+		is.Equal(result.Detail, "other")
+
+		testNode.replica.catchUp(ctx)
+		result, err = testNode.node.Propose(ctx, &controlpb.Command{})
+		is.NoErr(err)
+		is.Equal(result.Detail, "core")
+	})
+}
+
 func inBubble(t *testing.T, test func(is *is.I, ctx context.Context)) {
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(t.Context())
@@ -169,6 +189,11 @@
 	return err
 }
 
+// Propose returns the start of the path to tell which node was asked.
+func (p *fakeNode) Propose(context.Context, *controlpb.Command) (*controlpb.Result, error) {
+	return &controlpb.Result{Detail: p.path[0]}, nil
+}
+
 func (p *fakeNode) State() *store.State      { return p.PublishedState.State() }
 func (p *fakeNode) Changed() <-chan struct{} { return p.PublishedState.Changed() }
 func (p *fakeNode) Leader() string           { return "other" }
