repairer: a leader that has started since replaces a lost voter, too

Cause: data centres of members were known only from what this process had heard itself. A voter that was lost before the leader's process started had none, an unknown data centre counted as an unreachable one, and voters behind such a one are waited for for 2 h.

Now the data centres come from the replicated list of replicas, which leaders have always published, and one that nobody knows is no reason to wait. A data centre that is known and unreachable is waited for as before.

--- a/internal/coordination/repair/repair.go
+++ b/internal/coordination/repair/repair.go
@@ -22,8 +22,9 @@
 
 // Member is one member of the log's configuration.
 type Member struct {
-	Identity   string
-	Instance   string
+	Identity string
+	Instance string
+	// DataCentre is empty if no leader ever heard from the instance.
 	DataCentre string
 	Voter      bool
 	// UnresponsiveFor is the time since the member stopped responding; 0 for a live one.
@@ -149,7 +150,7 @@
 		return true
 	}
 	delay := voter.Delay
-	if !s.Reachable[voter.DataCentre] {
+	if voter.DataCentre != "" && !s.Reachable[voter.DataCentre] {
 		delay = max(delay, config.PartitionDelay)
 	}
 	return voter.UnresponsiveFor > 0 && voter.UnresponsiveFor >= delay
--- a/internal/coordination/repairer/repairer.go
+++ b/internal/coordination/repairer/repairer.go
@@ -19,6 +19,7 @@
 	"pinewinch.example/pinewinch/internal/protocol/consensuspb"
 	"pinewinch.example/pinewinch/internal/protocol/failure"
 	"pinewinch.example/pinewinch/internal/protocol/peerpb"
+	"pinewinch.example/pinewinch/internal/state/store"
 )
 
 const (
@@ -39,6 +40,8 @@
 // Log is the part of the control log that the repairer uses.
 type Log interface {
 	Status() consensus.Status
+	// State holds the data centre of each replica, as published by earlier leaders.
+	State() *store.State
 	ChangeMembers(ctx context.Context, change *peerpb.ChangeMembers) error
 }
 
@@ -132,6 +135,7 @@
 		r.dataCentres[instance.Name] = instance.DataCentre
 		s.Reachable[instance.DataCentre] = true
 	}
+	r.learnDataCentres()
 	r.observeMembers(status, now)
 	unresponsiveCount := len(r.unresponsiveSince)
 	members := status.Configuration.GetMembers()
@@ -146,6 +150,17 @@
 	return s
 }
 
+// learnDataCentres takes the data centres of replicas that this process has never heard from
+// out of the replicated state. A voter that was lost before this process started would
+// otherwise be taken for one in an unreachable data centre, whose return is waited for.
+func (r *Repairer) learnDataCentres() {
+	for _, replica := range r.log.State().Replicas() {
+		if r.dataCentres[replica.Instance] == "" {
+			r.dataCentres[replica.Instance] = replica.DataCentre
+		}
+	}
+}
+
 // isSpare reports whether the replica of a live instance may become a voter. Whether it is a
 // member is decided by its identity: a replica that was removed while it was cut off never
 // learns of that and still reports itself as a member. An instance of an earlier version
--- a/internal/coordination/repairer/repairer_test.go
+++ b/internal/coordination/repairer/repairer_test.go
@@ -13,7 +13,9 @@
 	"pinewinch.example/pinewinch/internal/coordination/membership/detector"
 	"pinewinch.example/pinewinch/internal/coordination/repair"
 	"pinewinch.example/pinewinch/internal/protocol/consensuspb"
+	"pinewinch.example/pinewinch/internal/protocol/controlpb"
 	"pinewinch.example/pinewinch/internal/protocol/peerpb"
+	"pinewinch.example/pinewinch/internal/state/store"
 )
 
 const delay = time.Minute
@@ -26,7 +28,9 @@
 	// learner is a member without a vote; nil for none.
 	learner *consensuspb.Member
 	live    []*peerpb.InstanceState
-	changes []*peerpb.ChangeMembers
+	// published is the list of replicas in the replicated state.
+	published []*controlpb.ReplicaInstance
+	changes   []*peerpb.ChangeMembers
 }
 
 func newFakeCluster() *fakeCluster {
@@ -57,6 +61,10 @@
 	return s
 }
 
+func (c *fakeCluster) State() *store.State {
+	return store.Restore(&controlpb.Snapshot{Replicas: c.published})
+}
+
 func (c *fakeCluster) ChangeMembers(_ context.Context, change *peerpb.ChangeMembers) error {
 	c.changes = append(c.changes, change)
 	return nil
@@ -188,3 +196,26 @@
 	c.advance(r, 2*delay)
 	is.Equal(len(c.changes), 0)
 }
+
+// A voter is lost before the leader's process starts, so that this process never hears from
+// it. It must be replaced like any other: the next lost disks could cost the quorum. A voter
+// whose whole data centre is unreachable is waited for, as by a leader that knew it.
+func TestVoterLostBeforeLeaderStarted(t *testing.T) {
+	for name, test := range map[string]struct {
+		published []*controlpb.ReplicaInstance
+		changes   bool
+	}{
+		"in the leader's data centre":       {[]*controlpb.ReplicaInstance{{Instance: "c", DataCentre: "dc1"}}, true},
+		"in an unreachable data centre":     {[]*controlpb.ReplicaInstance{{Instance: "c", DataCentre: "dc9"}}, false},
+		"no leader has published it so far": {nil, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := newFakeCluster()
+			c.live = append(c.live[:2:2], c.live[3])
+			c.unresponsive["c"], c.published = true, test.published
+			r := c.repairer()
+			c.advance(r, delay+2*checkInterval)
+			is.New(t).Equal(len(c.changes) > 0, test.changes)
+		})
+	}
+}
