Hosts of queues and calls are compared in one form

Callers saw: 404 on a route that had been added, for a Host that differs in case or by a final dot; and two routes at one place were accepted, of which one was served. Cause: the key of a queue and the lookup of a call took a host's name byte for byte. Both use one canonical form now; declarations written by an earlier version are indexed by it, too.

--- a/internal/coordination/catalog/catalog.go
+++ b/internal/coordination/catalog/catalog.go
@@ -9,6 +9,7 @@
 	"sync/atomic"
 
 	"pinewinch.example/pinewinch/internal/protocol/controlpb"
+	"pinewinch.example/pinewinch/internal/protocol/declaration"
 	"pinewinch.example/pinewinch/internal/state/store"
 )
 
@@ -16,7 +17,7 @@
 type Catalog struct {
 	revision uint64
 	version  uint64
-	// byHost holds each host's queues, longest path prefix first.
+	// byHost holds each host's queues, longest path prefix first; hosts are canonical.
 	byHost map[string][]*controlpb.Queue
 	byKey  map[string]*controlpb.Customer
 }
@@ -30,7 +31,8 @@
 		byKey:    map[string]*controlpb.Customer{},
 	}
 	for _, queue := range state.Queues() {
-		c.byHost[queue.Host] = append(c.byHost[queue.Host], queue)
+		host := declaration.CanonicalHost(queue.Host)
+		c.byHost[host] = append(c.byHost[host], queue)
 	}
 	for _, queues := range c.byHost {
 		slices.SortFunc(queues, func(a, b *controlpb.Queue) int {
@@ -55,7 +57,7 @@
 // Queue returns the queue of the host with the longest prefix of the path, and the
 // rest of the path after the prefix.
 func (c *Catalog) Queue(host, path string) (queue *controlpb.Queue, rest string, ok bool) {
-	for _, queue := range c.byHost[host] {
+	for _, queue := range c.byHost[declaration.CanonicalHost(host)] {
 		if rest, ok := strings.CutPrefix(path, queue.PathPrefix); ok {
 			return queue, rest, true
 		}
--- a/internal/protocol/declaration/declaration.go
+++ b/internal/protocol/declaration/declaration.go
@@ -139,7 +139,13 @@
 func ClassKey(name string) string { return classPrefix + name }
 
 // QueueKey returns the item key of the queue at a host and path prefix.
-func QueueKey(host, pathPrefix string) string { return QueuePrefix + host + pathPrefix }
+func QueueKey(host, pathPrefix string) string {
+	return QueuePrefix + CanonicalHost(host) + pathPrefix
+}
+
+// CanonicalHost returns the one form of a host's name: names of hosts have no case (RFC 4343),
+// and a final dot only marks the root of the name.
+func CanonicalHost(host string) string { return strings.ToLower(strings.TrimSuffix(host, ".")) }
 
 // ServiceKey returns the item key of a service.
 func ServiceKey(name string) string { return ServicePrefix + name }
--- a/internal/protocol/declaration/document.go
+++ b/internal/protocol/declaration/document.go
@@ -31,7 +31,7 @@
 }
 
 func (c *checker) checkQueue(queue *controlpb.Queue) {
-	if queue.Host == "" {
+	if CanonicalHost(queue.Host) == "" {
 		c.addViolation("host", "is missing")
 	}
 	if !strings.HasPrefix(queue.PathPrefix, "/") {
