--- a/internal/coordination/consensus/snapshot.go
+++ b/internal/coordination/consensus/snapshot.go
@@ -1,6 +1,10 @@
 package consensus
 
-import "pinewinch.example/pinewinch/internal/protocol/consensuspb"
+import (
+	"google.golang.org/protobuf/proto"
+
+	"pinewinch.example/pinewinch/internal/protocol/consensuspb"
+)
 
 // Fetch asks the driver to fetch a snapshot that is at least as new as Meta from the
 // replica From, to make it durable in place of the log, and to call Installed with the
@@ -29,6 +33,20 @@
 	n.configurations.compact(n.log.base)
 }
 
+// RetentionIndex returns the index up to which entries may be removed so that the newest ones,
+// at most maxEntries and at most maxBytes in encoded size, remain.
+func (n *Node) RetentionIndex(maxEntries uint64, maxBytes int) uint64 {
+	size := 0
+	for i := len(n.log.entries) - 1; i >= 0; i-- {
+		entry := n.log.entries[i]
+		size += proto.Size(entry)
+		if size > maxBytes || n.log.last()-entry.Index >= maxEntries {
+			return entry.Index
+		}
+	}
+	return n.log.base
+}
+
 // sendSnapshot asks a member to fetch a snapshot because the entries that it needs have
 // been compacted.
 func (n *Node) sendSnapshot(p *progress) {
--- a/internal/coordination/replica/replica_test.go
+++ b/internal/coordination/replica/replica_test.go
@@ -332,3 +332,23 @@
 		is.Equal(len(names), 2)
 	})
 }
+
+// Hundreds of large documents are committed. If the log kept them all in memory, every replica
+// would exceed its limit at about the same time, and the log would have no quorum.
+func TestLargeEntriesAreNotRetained(t *testing.T) {
+	inBubble(t, func(is *is.I, m *mesh) {
+		leader := startAll(m)
+		const count, size = 60, 1 << 20
+		for version := range uint64(count) {
+			document := &controlpb.Document{Version: version + 1, Content: make([]byte, size)}
+			_, err := leader.Propose(background(), &controlpb.Command{Op: &controlpb.Command_Replace{Replace: &controlpb.ReplaceDeclarations{Document: document}}})
+			is.NoErr(err)
+		}
+		time.Sleep(2 * time.Second)
+		for _, r := range m.replicas {
+			status := r.Status()
+			is.Equal(status.Applied, leader.Status().Applied)
+			is.True((status.Last-status.First)*size <= retainedBytes+defaultSnapshotBytes)
+		}
+	})
+}
--- a/internal/coordination/replica/snapshots.go
+++ b/internal/coordination/replica/snapshots.go
@@ -21,9 +21,11 @@
 	// that system has 0.5 MB and is written every 12 s or more.
 	defaultSnapshotEntries = 1_000
 	defaultSnapshotBytes   = 16 << 20
-	// retainedEntries stay in memory after a snapshot, so that a member that was briefly
-	// away catches up without one.
+	// retainedEntries, and at most retainedBytes of them, stay in memory after a snapshot, so
+	// that a member that was briefly away catches up without one. Entries with large
+	// documents would otherwise fill the memory of all replicas at the same time.
 	retainedEntries = 5_000
+	retainedBytes   = 16 << 20
 	// chunkBytes is the size of a chunk of a snapshot on the wire.
 	chunkBytes = 256 << 10
 )
@@ -92,9 +94,7 @@
 		return
 	}
 	snapshotsMade.Add(1)
-	if meta.Index > retainedEntries {
-		c.node.Compact(meta.Index - retainedEntries)
-	}
+	c.node.Compact(min(meta.Index, c.node.RetentionIndex(retainedEntries, retainedBytes)))
 }
 
 // postponeSnapshot leaves the log as long as it is: the state is complete without the
