wal: a large append is written as several records

Now entries beyond 8 MiB go into further records, each synced before the next one is written, since a torn record that valid ones follow counts as damage.

TestLargeAppendIsReadAgain failed before.

--- a/internal/state/wal/wal.go
+++ b/internal/state/wal/wal.go
@@ -10,6 +10,8 @@
 import (
 	"path/filepath"
 
+	"google.golang.org/protobuf/proto"
+
 	"pinewinch.example/pinewinch/internal/protocol/consensuspb"
 	"pinewinch.example/pinewinch/internal/state/disk"
 )
@@ -18,6 +20,10 @@
 // the next record starts a new one.
 const DefaultSegmentBytes = 16 << 20
 
+// targetRecordBytes is the size, in bytes, beyond which entries are written as several
+// records: one of maxBodyBytes can't be read again.
+const targetRecordBytes = 8 << 20
+
 // Options of a log.
 type Options struct {
 	Files disk.FS
@@ -127,16 +133,42 @@
 	return nil
 }
 
-// Append writes a hard state (nil if unchanged) and entries with one write and one sync.
-// Entries at indexes that the log already has replace its tail.
+// Append writes a hard state (nil if unchanged) and entries with one write and one sync, or
+// with more if they exceed targetRecordBytes. Entries at indexes that the log already has
+// replace its tail.
 //
 // It fails with DiskFull if the disk is full, and with OutOfDescriptors if no descriptor is
-// available for the next segment. In both cases nothing was written and the append may be
-// retried. After a failed sync, or a write that failed for another reason, every call fails
+// available for the next segment. In both cases none or some first entries were written and
+// the append may be retried. After a failed sync, or a write that failed for another reason, every call fails
 // with DiskFailed: the kernel may have dropped the data and could still report the next
 // sync as successful.
 func (l *Log) Append(hard *consensuspb.HardState, entries []*consensuspb.Entry) error {
-	return l.write(&consensuspb.LogRecord{Hard: hard, Entries: entries})
+	next := sizeLimited(entries)
+	if err := l.write(&consensuspb.LogRecord{Hard: hard, Entries: entries[:next]}); err != nil {
+		return err
+	}
+	for rest := entries[next:]; len(rest) > 0; rest = rest[next:] {
+		next = sizeLimited(rest)
+		// Each record is synced before the next one is written: a torn record that valid ones
+		// follow counts as damage.
+		if err := l.write(&consensuspb.LogRecord{Entries: rest[:next]}); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// sizeLimited returns how many of the entries share a record: as many as targetRecordBytes
+// hold, but at least one.
+func sizeLimited(entries []*consensuspb.Entry) int {
+	size := 0
+	for i, entry := range entries {
+		size += proto.Size(entry)
+		if i > 0 && size > targetRecordBytes {
+			return i
+		}
+	}
+	return len(entries)
 }
 
 // MarkSnapshot records that a snapshot is durable. If the log has no entry at its index, or one of
--- a/internal/state/wal/wal_test.go
+++ b/internal/state/wal/wal_test.go
@@ -335,3 +335,19 @@
 	}
 	return log
 }
+
+// A replica that was away receives many large entries before its next sync. One record of
+// them all would exceed what can be read again, and the replica would end.
+func TestLargeAppendIsReadAgain(t *testing.T) {
+	is := is.New(t)
+	files := disktest.New()
+	log, _ := open(t, files, 0)
+	large := entries(1, 1, 2, 3, 4, 5, 6, 7)
+	for _, entry := range large {
+		entry.Data = make([]byte, 10<<20)
+	}
+	is.NoErr(log.Append(&consensuspb.HardState{Term: 1, Vote: "a.1"}, large))
+	_, contents := open(t, files.Crash(0), 0)
+	is.Equal(len(contents.Entries), len(large))
+	is.Equal(contents.HardState.Vote, "a.1")
+}
