replica: the largest document can be committed

Operators saw: 413, which ends their call, for a document of 5.7 MB, although documents may have 8 MiB. Cause: a command holds the document and what was decoded from it, and was limited to the 4 MiB that commands which share a sync may have together.

--- a/internal/coordination/replica/core.go
+++ b/internal/coordination/replica/core.go
@@ -21,6 +21,9 @@
 	// maxBatch and maxBatchBytes limit the commands that share one sync.
 	maxBatch      = 1024
 	maxBatchBytes = 4 << 20
+	// maxCommandBytes limits one command: the largest document, of 8 MiB, with the
+	// declarations decoded from it.
+	maxCommandBytes = 24 << 20
 	// maxMessages limits the messages processed before the next sync.
 	maxMessages = 128
 	// maxMissedTicks limits the ticks that are made up for after a pause of the process.
--- a/internal/coordination/replica/propose.go
+++ b/internal/coordination/replica/propose.go
@@ -118,7 +118,7 @@
 	if err != nil {
 		return nil, failure.Wrap(failure.Internal, err, "encode a command")
 	}
-	if len(data) > maxBatchBytes {
+	if len(data) > maxCommandBytes {
 		return nil, failure.New(failure.TooLarge, "command of %d bytes exceeds the limit", len(data))
 	}
 	p := &proposal{data: data, done: make(chan outcome, 1)}
