follower: the age of a state counts the time for which the machine was suspended

Confirmations and pings of followers use the same clock now.

TestStateIsStaleAfterSuspension failed before. The rule leaves such machines out for a while after they wake, so that this alone is not what the users saw.

--- a/internal/coordination/boottime/boottime.go
+++ b/internal/coordination/boottime/boottime.go
@@ -69,8 +69,17 @@
 	}
 }
 
+// simulated is the total suspended time added by SimulateSuspension, in nanoseconds.
+var simulated atomic.Int64
+
+// SimulateSuspension has the effect of a suspension of the machine that has just ended, for
+// tests of other packages.
+func SimulateSuspension(length time.Duration) { simulated.Add(int64(length)) }
+
 // Now returns the current time.
-func Now() Time { return Time{monotonic: time.Now(), suspended: suspended()} }
+func Now() Time {
+	return Time{monotonic: time.Now(), suspended: suspended() + time.Duration(simulated.Load())}
+}
 
 // Age returns the time elapsed since t.
 func (t Time) Age() time.Duration { return Now().Sub(t) }
--- a/internal/coordination/echo/echo.go
+++ b/internal/coordination/echo/echo.go
@@ -5,30 +5,28 @@
 // paused is therefore not taken to be newer than it is.
 package echo
 
-import (
-	"sync"
-	"time"
-)
+import "sync"
 
 // maxTimes limits the pings whose send times are kept.
 const maxTimes = 32
 
-// Times records when the newest pings were sent. The zero value is ready to use.
-type Times struct {
+// Times records when the newest pings were sent, by a clock with times of type T. The zero
+// value is ready to use.
+type Times[T any] struct {
 	mu    sync.Mutex
-	times []sending
+	times []sending[T]
 }
 
-type sending struct {
+type sending[T any] struct {
 	number uint64
-	at     time.Time
+	at     T
 }
 
 // RecordSent records the send time of a ping. It is called before the ping is written.
-func (t *Times) RecordSent(number uint64, at time.Time) {
+func (t *Times[T]) RecordSent(number uint64, at T) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.times = append(t.times, sending{number: number, at: at})
+	t.times = append(t.times, sending[T]{number: number, at: at})
 	if len(t.times) > maxTimes {
 		t.times = t.times[1:]
 	}
@@ -36,7 +34,7 @@
 
 // Acknowledge removes the pings before the echoed one. The echoed one is kept, since
 // later messages may echo it too.
-func (t *Times) Acknowledge(number uint64) {
+func (t *Times[T]) Acknowledge(number uint64) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for len(t.times) > 1 && t.times[0].number < number {
@@ -45,7 +43,7 @@
 }
 
 // SentAt returns when the ping was sent, or false if it is not recorded.
-func (t *Times) SentAt(number uint64) (time.Time, bool) {
+func (t *Times[T]) SentAt(number uint64) (at T, ok bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for _, ping := range t.times {
@@ -53,5 +51,5 @@
 			return ping.at, true
 		}
 	}
-	return time.Time{}, false
+	return at, false
 }
--- a/internal/coordination/follower/follower.go
+++ b/internal/coordination/follower/follower.go
@@ -13,6 +13,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"pinewinch.example/pinewinch/internal/coordination/boottime"
 	"pinewinch.example/pinewinch/internal/coordination/control"
 	"pinewinch.example/pinewinch/internal/coordination/feed"
 	"pinewinch.example/pinewinch/internal/protocol/controlpb"
@@ -64,9 +65,9 @@
 	mu sync.Mutex
 	// partial is a snapshot whose source was lost before its end. mu guards it.
 	partial feed.SnapshotAssembler
-	// confirmed is a time of this process's own clock with its monotonic reading,
-	// so that a step of the wall clock does not make old state look fresh.
-	confirmed atomic.Pointer[time.Time]
+	// confirmed is a time of this process's own clock that counts suspensions of the machine
+	// and no steps of the wall clock: neither makes old state look fresh.
+	confirmed atomic.Pointer[boottime.Time]
 	leader    atomic.Pointer[string]
 	// leaderChanged is raised after leader has changed, also to none.
 	leaderChanged control.Signal
@@ -112,7 +113,7 @@
 	if confirmed == nil {
 		return 0, failure.New(failure.StaleState, "the control state was never confirmed")
 	}
-	age := time.Since(*confirmed)
+	age := confirmed.Age()
 	if age > f.config.FreshnessBound {
 		return 0, failure.New(failure.StaleState, "the control state was confirmed %s ago", age.Round(time.Millisecond))
 	}
--- a/internal/coordination/follower/follower_test.go
+++ b/internal/coordination/follower/follower_test.go
@@ -9,6 +9,7 @@
 	"github.com/matryer/is"
 	"google.golang.org/protobuf/proto"
 
+	"pinewinch.example/pinewinch/internal/coordination/boottime"
 	"pinewinch.example/pinewinch/internal/coordination/feed"
 	"pinewinch.example/pinewinch/internal/protocol/controlpb"
 	"pinewinch.example/pinewinch/internal/protocol/failure"
@@ -188,7 +189,7 @@
 			f := New(Config{Self: relay(1), FreshnessBound: bound}, nil)
 			is.NoErr(f.apply([]*peerpb.LogEntry{entry(1), entry(2)}))
 			l := &link{confirmed: make(chan struct{})}
-			l.pings.RecordSent(1, time.Now())
+			l.pings.RecordSent(1, boottime.Now())
 			err := f.applyBatch(l, test.batch)
 			is.Equal(err == nil, test.code == "")
 			is.True(err == nil || failure.Is(err, test.code))
@@ -198,6 +199,29 @@
 	}
 }
 
+// The machine of an entry instance is suspended for 10 s, in which its monotonic clock stands,
+// while a change is confirmed elsewhere. Batches from before the suspension are still in its
+// buffers. It must refuse callers until its source has confirmed a state after the wake-up.
+func TestStateIsStaleAfterSuspension(t *testing.T) {
+	bubble(t, func(t *testing.T, ctx context.Context) {
+		is := is.New(t)
+		m := newNetwork()
+		v := newVoter(m, "v")
+		f := m.start(ctx, relay(1))
+		advance(10 * time.Second)
+		is.NoErr(f.CheckFresh())
+		m.setCutBoth("v", "r01", true)
+		advance(bound / pingsPerBound)
+		v.change()
+		boottime.SimulateSuspension(10 * time.Second)
+		is.True(failure.Is(f.CheckFresh(), failure.StaleState))
+		m.setCutBoth("v", "r01", false)
+		advance(2 * bound)
+		is.NoErr(f.CheckFresh())
+		is.Equal(f.State().Revision(), uint64(1))
+	})
+}
+
 // Many instances of one data centre start at once. No instance serves more followers than
 // its limit, the others form a tree below, and all become fresh. If the voter is in
 // another data centre, only one instance follows it directly.
--- a/internal/coordination/follower/link.go
+++ b/internal/coordination/follower/link.go
@@ -6,6 +6,7 @@
 	"sync/atomic"
 	"time"
 
+	"pinewinch.example/pinewinch/internal/coordination/boottime"
 	"pinewinch.example/pinewinch/internal/coordination/control"
 	"pinewinch.example/pinewinch/internal/coordination/echo"
 	"pinewinch.example/pinewinch/internal/coordination/feed"
@@ -18,7 +19,7 @@
 	source string
 	stream control.SourceStream
 	cancel context.CancelFunc
-	pings  echo.Times
+	pings  echo.Times[boottime.Time]
 	opened time.Time
 	// leader, path and assembly are guarded by Follower.mu.
 	leader   string
@@ -55,7 +56,7 @@
 		source: source, cancel: cancel, opened: time.Now(), assembly: f.takePartial(),
 		acknowledge: make(chan struct{}, 1), confirmed: make(chan struct{}), ended: make(chan struct{}),
 	}
-	l.pings.RecordSent(1, time.Now())
+	l.pings.RecordSent(1, boottime.Now())
 	opening := time.AfterFunc(f.idleTimeout(), cancel)
 	stream, err := f.peers.Follow(streamCtx, source, f.request(l))
 	if err != nil || !opening.Stop() {
@@ -158,7 +159,7 @@
 		case <-ticker.C:
 		case <-l.acknowledge:
 		}
-		l.pings.RecordSent(number, time.Now())
+		l.pings.RecordSent(number, boottime.Now())
 		if err := l.stream.Send(&peerpb.FollowPing{Number: number, Taken: l.bulk.Load()}); err != nil {
 			l.close()
 			return
--- a/internal/coordination/follower/logging.go
+++ b/internal/coordination/follower/logging.go
@@ -50,7 +50,7 @@
 func (f *Follower) sourceEntry(source string) *logrus.Entry {
 	fields := logrus.Fields{"source": source, "index": f.State().Index()}
 	if confirmed := f.confirmed.Load(); confirmed != nil {
-		fields["age_ms"] = time.Since(*confirmed).Milliseconds()
+		fields["age_ms"] = confirmed.Age().Milliseconds()
 	}
 	return f.config.Logger.WithFields(fields)
 }
--- a/internal/coordination/softstate/watch.go
+++ b/internal/coordination/softstate/watch.go
@@ -37,7 +37,7 @@
 	defer cancel()
 	timeout := time.AfterFunc(x.observer.Timeout(peer), cancel)
 	defer timeout.Stop()
-	pings := &echo.Times{}
+	pings := &echo.Times[time.Time]{}
 	pings.RecordSent(1, time.Now())
 	incarnation, after := x.registry.Position(peer)
 	wanted, _ := x.renewals()
@@ -62,7 +62,7 @@
 	}
 }
 
-func (x *Exchange) handleBatch(peer string, batch *peerpb.SoftBatch, pings *echo.Times) error {
+func (x *Exchange) handleBatch(peer string, batch *peerpb.SoftBatch, pings *echo.Times[time.Time]) error {
 	at, ok := pings.SentAt(batch.Echo)
 	if !ok {
 		return failure.New(failure.WrongAnswer, "%s answered unknown ping %d", peer, batch.Echo)
@@ -75,7 +75,7 @@
 
 // ping sends a heartbeat at a fixed interval, and immediately when this instance starts or
 // stops wanting renewals.
-func (x *Exchange) ping(ctx context.Context, stream SourceStream, pings *echo.Times, renewals bool) {
+func (x *Exchange) ping(ctx context.Context, stream SourceStream, pings *echo.Times[time.Time], renewals bool) {
 	ticker := time.NewTicker(x.config.PingEvery)
 	defer ticker.Stop()
 	for number := uint64(2); ; number++ {
