operators: a resend of the document in force is acknowledged before it is checked

By reading, with the stricter decoder: during an upgrade an instance of the earlier version accepts a document that an instance of this version refuses; its operator sends it again, to any node, and an acknowledged change must not be refused. A text that is the newest document here has been committed and is acknowledged without a further commit.

--- a/internal/coordination/operators/operators.go
+++ b/internal/coordination/operators/operators.go
@@ -3,6 +3,7 @@
 package operators
 
 import (
+	"bytes"
 	"context"
 	"time"
 
@@ -28,6 +29,14 @@
 	return &Service{log: log, logger: logger}
 }
 
+// InForce reports whether the newest document here is this text. It has been committed then, and
+// a resend is acknowledged whatever this version thinks of it: an earlier version may have
+// accepted what this one refuses.
+func (s *Service) InForce(text []byte) bool {
+	document := s.log.State().Document()
+	return document != nil && bytes.Equal(document.Content, text)
+}
+
 // Replace commits a set of declarations. A set with an invalid item is refused as a whole
 // with bad_declaration, whatever its version. A set that a higher version has superseded is
 // acknowledged and changes nothing, so that a resend is never refused.
