--- a/internal/coordination/operators/operators.go
+++ b/internal/coordination/operators/operators.go
@@ -59,9 +59,9 @@
 	return nil
 }
 
-// LogRefusal logs a set of declarations that could not be read.
-func (s *Service) LogRefusal(bytes int, err error) {
-	s.logger.WithFields(logrus.Fields{"bytes": bytes, "code": failure.From(err).Code, "reason": err.Error()}).Warn("declarations refused")
+// LogRefusal logs a set of declarations, of a size in bytes, that could not be read.
+func (s *Service) LogRefusal(size int, err error) {
+	s.logger.WithFields(logrus.Fields{"bytes": size, "code": failure.From(err).Code, "reason": err.Error()}).Warn("declarations refused")
 }
 
 // Read returns the newest document. It fails with stale_state if this instance cannot
