--- a/test/process/disk.go
+++ b/test/process/disk.go
@@ -2,6 +2,7 @@
 
 import (
 	"os"
+	"path/filepath"
 	"strings"
 	"sync"
 	"syscall"
@@ -36,9 +37,15 @@
 
 // SetDisk sets the mode of the disks that were started with this path.
 func SetDisk(t testing.TB, path string, mode DiskMode) {
-	// Written aside, so that no process reads an empty mode.
-	is.New(t).NoErr(os.WriteFile(path+".new", []byte(mode), 0o600))
-	is.New(t).NoErr(os.Rename(path+".new", path))
+	is := is.New(t)
+	// Written to a file of its own, so that no process reads an empty mode and calls may
+	// overlap.
+	file, err := os.CreateTemp(filepath.Dir(path), filepath.Base(path))
+	is.NoErr(err)
+	_, err = file.WriteString(string(mode))
+	is.NoErr(err)
+	is.NoErr(file.Close())
+	is.NoErr(os.Rename(file.Name(), path))
 }
 
 // faultyDisk adds faults to a file system. Written data reaches it with the next sync
