store: orders to evacuate a data centre

Cause: no part of the system knows an order to evacuate a data centre; an operator gets 404 until the call is given up.

--- a/internal/state/store/apply.go
+++ b/internal/state/store/apply.go
@@ -62,7 +62,7 @@
 		return false
 	}
 	switch command.Op.(type) {
-	case *controlpb.Command_SubmitWorkflow, *controlpb.Command_CancelWorkflow:
+	case *controlpb.Command_SubmitWorkflow, *controlpb.Command_CancelWorkflow, *controlpb.Command_SetEvacuation:
 		return true
 	case nil:
 		// A read through the log has no operation.
@@ -107,6 +107,8 @@
 		return s.startRepetitions(op.StartRepetitions)
 	case *controlpb.Command_SetReplicas:
 		return s.setReplicas(op.SetReplicas)
+	case *controlpb.Command_SetEvacuation:
+		return s.setEvacuation(op.SetEvacuation)
 	}
 	return &controlpb.Result{}
 }
--- a/internal/state/store/store.go
+++ b/internal/state/store/store.go
@@ -52,6 +52,8 @@
 	// crashes and lostRuns are replaced, never modified.
 	crashes  []*controlpb.WorkerCrash
 	lostRuns []*controlpb.LostRun
+	// evacuations is sorted by data centre; it is replaced, never modified.
+	evacuations []*controlpb.Evacuation
 }
 
 // New returns the empty state before the first log entry.
@@ -160,6 +162,7 @@
 		Replicas:      s.replicas,
 		WorkerCrashes: s.crashes,
 		LostRuns:      s.lostRuns,
+		Evacuations:   s.evacuations,
 	}
 	walk(s.drained, func(key string, _ bool) { snapshot.Drained = append(snapshot.Drained, key) })
 	snapshot.ProtoReflect().SetUnknown(s.unknown)
@@ -179,6 +182,7 @@
 	s.document = snapshot.Document
 	s.replicas = snapshot.Replicas
 	s.crashes, s.lostRuns = snapshot.WorkerCrashes, snapshot.LostRuns
+	s.evacuations = snapshot.Evacuations
 	s.unknown = snapshot.ProtoReflect().GetUnknown()
 	s.sessionAges = fillSessionAges(snapshot.Sessions)
 	s.sessions = buildTable(snapshot.Sessions, func(v *controlpb.Session) []byte { return []byte(v.Client) })
