settings: switches for optional parts of scheduling, and the cost of stops

Cause: parts that only some deployments ask for need a declared switch, and decisions on stops and restarts need what these cost.

--- a/internal/app/work.go
+++ b/internal/app/work.go
@@ -12,6 +12,7 @@
 	"pinewinch.example/pinewinch/internal/coordination/dispatch/leases"
 	"pinewinch.example/pinewinch/internal/coordination/dispatch/quarantine"
 	"pinewinch.example/pinewinch/internal/coordination/membership"
+	"pinewinch.example/pinewinch/internal/coordination/scheduling"
 	"pinewinch.example/pinewinch/internal/protocol/controlpb"
 	"pinewinch.example/pinewinch/internal/settings"
 	"pinewinch.example/pinewinch/internal/state/store"
@@ -124,6 +125,7 @@
 		Crashes:      w.crashes(),
 		MayLead:      w.mayLead,
 		Speeds:       w.speeds(),
+		Features:     features(s.Scheduling),
 		Wakeups:      w.wakeups,
 		Gang: gang.Config{
 			Lease:          s.Upstreams.Lease,
@@ -140,6 +142,18 @@
 	}, log, w.commands)
 }
 
+func features(s settings.Scheduling) scheduling.Features {
+	return scheduling.Features{
+		ExpectedEnd:        s.ExpectedEnd,
+		BoundedPreemption:  s.BoundedPreemption,
+		AttemptPlacement:   s.AttemptPlacement,
+		Interference:       s.Interference,
+		CheckpointInterval: s.CheckpointInterval,
+		RestoreTime:        s.RestoreTime,
+		StopTime:           s.StopTime,
+	}
+}
+
 func newController(log control.Log, dispatcher *dispatch.Dispatcher, w *workers) *dispatch.Controller {
 	return dispatch.NewController(log, dispatcher, w.registry, time.Now)
 }
--- a/internal/coordination/dispatch/controller.go
+++ b/internal/coordination/dispatch/controller.go
@@ -347,6 +347,7 @@
 		Rules:     state.Rules(),
 		Warm:      c.keepWarm.Update(jobs, c.now()),
 		RunTimes:  c.runTimes.update(state),
+		Features:  c.dispatcher.config.Features,
 	}
 	snapshot.CarryOver(c.lastPlan)
 	for _, customer := range state.Customers() {
--- a/internal/coordination/dispatch/dispatch.go
+++ b/internal/coordination/dispatch/dispatch.go
@@ -14,6 +14,7 @@
 
 	"pinewinch.example/pinewinch/internal/coordination/dispatch/gang"
 	"pinewinch.example/pinewinch/internal/coordination/dispatch/quarantine"
+	"pinewinch.example/pinewinch/internal/coordination/scheduling"
 	"pinewinch.example/pinewinch/internal/protocol/api"
 	"pinewinch.example/pinewinch/internal/protocol/controlpb"
 	"pinewinch.example/pinewinch/internal/protocol/failure"
@@ -71,6 +72,8 @@
 	MayLead bool
 	// Speeds returns the known relative speeds by worker id; nil if none are measured.
 	Speeds func() map[string]float64
+	// Features are the optional parts of scheduling that the settings switch on.
+	Features scheduling.Features
 	// Wakeups is a channel with a buffer of one, to which other components send when
 	// Reconcile should run; nil if only answers to commands wake the dispatcher.
 	Wakeups chan struct{}
--- a/internal/coordination/scheduling/scheduling.go
+++ b/internal/coordination/scheduling/scheduling.go
@@ -59,6 +59,8 @@
 	// RunTimes estimates run times from past runs of each class; nil without
 	// observations.
 	RunTimes *RunTimes
+	// Features are the optional parts that the settings switch on.
+	Features Features
 	// Disabled are mechanisms that an experiment switches off; empty in production.
 	Disabled Mechanisms
 }
--- a/internal/settings/reader.go
+++ b/internal/settings/reader.go
@@ -90,6 +90,9 @@
 	return fallback
 }
 
+// yes reads a switch, which is off by default.
+func (r *reader) yes(section, key string) bool { return r.enum(section, key, "no", "yes") == "yes" }
+
 func (r *reader) address(section, key string) netip.AddrPort {
 	value := r.required(section, key)
 	if value == "" {
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -21,8 +21,10 @@
 	Requests  Requests
 	Stop      Stop
 	Log       Log
-	TLS       TLS
-	PeersTLS  PeersTLS
+	// Scheduling switches optional parts of the scheduler on.
+	Scheduling Scheduling
+	TLS        TLS
+	PeersTLS   PeersTLS
 	// LeaderLeases is nil if workers renew their leases by announcements.
 	LeaderLeases *LeaderLeases
 	// Customers and Operators map a name to the SHA-256 of its token.
@@ -106,6 +108,30 @@
 	Stdout bool
 }
 
+// Scheduling switches optional parts of the scheduler on; all are off by default.
+type Scheduling struct {
+	// ExpectedEnd places, orders and preempts work by when it is expected to end, given
+	// the speeds of the workers.
+	ExpectedEnd bool
+	// BoundedPreemption limits how often a workflow is stopped, and chooses what is
+	// stopped by workflow.
+	BoundedPreemption bool
+	// Admission rejects work that can no longer be served in time.
+	Admission bool
+	// AttemptPlacement chooses the worker of a second attempt with more care than that of
+	// the first.
+	AttemptPlacement bool
+	// Interference keeps tasks apart that slow each other down.
+	Interference bool
+	// EvacuationDrain is how long work that can resume from a checkpoint may continue in a
+	// data centre that is evacuated; 0 for no limit.
+	EvacuationDrain time.Duration
+	// CheckpointInterval, RestoreTime and StopTime are what a stop and a restart cost: the
+	// span of work between two checkpoints, the time of a start from a checkpoint, and the
+	// longest time that a stop takes. 0 where they are not known.
+	CheckpointInterval, RestoreTime, StopTime time.Duration
+}
+
 // LeaderLeases configures the mode in which the leader renews workers' leases and callers
 // submit workflows to queues. A zero address is not served.
 type LeaderLeases struct {
@@ -218,6 +244,17 @@
 			Level:  r.enum("log", "level", "info", "panic", "fatal", "error", "warning", "debug", "trace"),
 			Format: r.enum("log", "format", "text", "json"),
 		},
+		Scheduling: Scheduling{
+			ExpectedEnd:        r.yes("scheduling", "expected_end"),
+			BoundedPreemption:  r.yes("scheduling", "bounded_preemption"),
+			Admission:          r.yes("scheduling", "admission"),
+			AttemptPlacement:   r.yes("scheduling", "attempt_placement"),
+			Interference:       r.yes("scheduling", "interference"),
+			EvacuationDrain:    r.duration("scheduling", "evacuation_drain", 0),
+			CheckpointInterval: r.duration("scheduling", "checkpoint_interval", 0),
+			RestoreTime:        r.duration("scheduling", "restore_time", 0),
+			StopTime:           r.duration("scheduling", "stop_time", 0),
+		},
 		TLS: TLS{Certificate: r.text("tls", "certificate", ""), Key: r.text("tls", "key", "")},
 		PeersTLS: PeersTLS{
 			Certificate: r.text("peers_tls", "certificate", ""),
