settings: resend window of operators' orders, and the data centres of a deployment

Orders to evacuate a data centre are told from late resends by a window, and an order for an unknown data centre is to be refused. Neither was known to an instance.

--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -67,6 +67,12 @@
 	// RepairAfter is the time since a voter's last message after which it is replaced,
 	// while too little is known of how long outages last.
 	RepairAfter time.Duration
+	// OrderResendWindow is how long after an operator's order was committed the same order
+	// may be a resend of it.
+	OrderResendWindow time.Duration
+	// DataCentres are the data centres of the deployment; empty if they are those of the
+	// instances and upstreams.
+	DataCentres []string
 }
 
 // Upstreams configures the announcements, leases and authentication of workers and
@@ -219,11 +225,12 @@
 		},
 		Peers: r.peers(),
 		Control: Control{
-			Voters:          r.list("control", "voters"),
-			FreshnessBound:  r.duration("control", "freshness_bound", 3*time.Second),
-			ElectionTimeout: r.duration("control", "election_timeout", 400*time.Millisecond),
-			AutomaticRepair: r.enum("control", "repair", "manual", "automatic") == "automatic",
-			RepairAfter:     r.duration("control", "repair_after", 10*time.Minute),
+			Voters:            r.list("control", "voters"),
+			FreshnessBound:    r.duration("control", "freshness_bound", 3*time.Second),
+			ElectionTimeout:   r.duration("control", "election_timeout", 400*time.Millisecond),
+			AutomaticRepair:   r.enum("control", "repair", "manual", "automatic") == "automatic",
+			RepairAfter:       r.duration("control", "repair_after", 10*time.Minute),
+			OrderResendWindow: r.duration("control", "order_resend_window", 3*time.Second),
 		},
 		Upstreams: Upstreams{
 			AnnounceEvery: r.duration("upstreams", "announce_every", time.Second),
