operators: orders to evacuate and readmit a data centre

The log's state machine has the orders, but no interface gave them. After a revision_conflict at an instance whose state was stale when the call began the order is not proposed again: the process may have been paused, and the order may be older than the change. Unknown data centres are refused with not_found and nothing is proposed.

go test -race passes for operators, httpapi, command, settings, platform and app. Two tests build the handlers with the new argument; their checks are the same.

--- a/internal/app/http.go
+++ b/internal/app/http.go
@@ -12,6 +12,10 @@
 	"go.uber.org/fx"
 
 	"pinewinch.example/pinewinch/internal/coordination/claims"
+	"pinewinch.example/pinewinch/internal/coordination/control"
+	"pinewinch.example/pinewinch/internal/coordination/membership"
+	"pinewinch.example/pinewinch/internal/coordination/operators"
+	"pinewinch.example/pinewinch/internal/protocol/api"
 	"pinewinch.example/pinewinch/internal/protocol/failure"
 	"pinewinch.example/pinewinch/internal/settings"
 	"pinewinch.example/pinewinch/internal/transport/connections"
@@ -21,10 +25,21 @@
 )
 
 var httpModule = fx.Module("http",
-	fx.Provide(httpapi.New),
+	fx.Provide(httpapi.New, newEvacuations),
 	fx.Invoke(runHTTP, runLeave),
 )
 
+// newEvacuations returns the service of operators' orders, which both HTTP interfaces share.
+func newEvacuations(s *settings.Settings, node control.Log, registry *membership.Registry, logger *logrus.Logger) *operators.Evacuations {
+	return operators.NewEvacuations(operators.EvacuationConfig{
+		ResendWindow:   s.Control.OrderResendWindow,
+		DataCentres:    s.Control.DataCentres,
+		SettleTime:     api.MaxMissedAnnouncements*s.Upstreams.AnnounceEvery + livenessWindow,
+		InstanceWindow: livenessWindow,
+		Now:            time.Now,
+	}, node, registry, logger)
+}
+
 // Timeouts of the HTTP server: a client that sends or reads slowly must not
 // hold a connection forever.
 const (
--- a/internal/app/leased.go
+++ b/internal/app/leased.go
@@ -33,7 +33,7 @@
 // leasedTraffic counts the bytes of callers, operators and announcing workers together.
 var leasedTraffic = counted.NewCounters("leased")
 
-func runLeased(lifecycle fx.Lifecycle, s *settings.Settings, node control.Node, registry *membership.Registry, network *peers.Network, allocation connections.Allocation, accepted *connections.Group, failed *logFailed, logger *logrus.Logger) error {
+func runLeased(lifecycle fx.Lifecycle, s *settings.Settings, node control.Node, registry *membership.Registry, network *peers.Network, evacuations *operators.Evacuations, allocation connections.Allocation, accepted *connections.Group, failed *logFailed, logger *logrus.Logger) error {
 	if s.LeaderLeases == nil {
 		return nil
 	}
@@ -48,7 +48,7 @@
 		// served when callers have taken all connections.
 		accepted *connections.Group
 	}{
-		{s.LeaderLeases.Control, platform.NewControlHandler(newAnnouncements(node, registry, logger, s.Instance.Name, allocation.Accepted), operators.NewService(node, logger), s.LeaderLeases.Control, s.LeaderLeases.AnnounceEvery), accepted},
+		{s.LeaderLeases.Control, platform.NewControlHandler(newAnnouncements(node, registry, logger, s.Instance.Name, allocation.Accepted), operators.NewService(node, logger), evacuations, s.LeaderLeases.Control, s.LeaderLeases.AnnounceEvery), accepted},
 		{s.LeaderLeases.Callers, platform.NewJobHandler(workflows.NewHandler(node, logger)), accepted},
 		{s.LeaderLeases.Metrics, metrics.Handler(), nil},
 		{s.LeaderLeases.Readiness, platform.Readiness(func() error { return ready(node, stopping) }), accepted},
--- a/internal/command/status.go
+++ b/internal/command/status.go
@@ -46,6 +46,9 @@
 		{"lost to retries", seconds(status.Waste.Retried)},
 		{"idle in guarantees", fmt.Sprintf("%d accelerators", status.Waste.IdleInGuarantee)},
 	}
+	if len(status.EvacuatedDataCentres) > 0 {
+		rows = append(rows, []string{"evacuated data centres", strings.Join(status.EvacuatedDataCentres, ", ")})
+	}
 	for _, state := range sortedStates(status.Jobs) {
 		rows = append(rows, []string{"jobs " + state, strconv.Itoa(status.Jobs[state])})
 	}
@@ -133,6 +136,9 @@
 		fmt.Sprintf("accelerators %d/%d", status.Used, status.Accelerators),
 		fmt.Sprintf("fragmentation %.2f", status.Fragmentation),
 		fmt.Sprintf("lost %s", seconds(status.Waste.Preempted+status.Waste.Retried)))
+	if len(status.EvacuatedDataCentres) > 0 {
+		parts = append(parts, "evacuated "+strings.Join(status.EvacuatedDataCentres, " "))
+	}
 	return strings.Join(parts, ", ")
 }
 
--- /dev/null
+++ b/internal/coordination/operators/evacuation_test.go
@@ -0,0 +1,139 @@
+package operators
+
+import (
+	"context"
+	"io"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/sirupsen/logrus"
+
+	"pinewinch.example/pinewinch/internal/coordination/membership"
+	"pinewinch.example/pinewinch/internal/protocol/controlpb"
+	"pinewinch.example/pinewinch/internal/protocol/failure"
+	"pinewinch.example/pinewinch/internal/protocol/peerpb"
+	"pinewinch.example/pinewinch/internal/state/store"
+)
+
+// laggingLog is a log whose local state may be behind the committed one until it is waited
+// for.
+type laggingLog struct {
+	local, committed *store.State
+	timeMs           int64
+	err, stale       error
+	proposals        int
+}
+
+func (l *laggingLog) CheckFresh() error { return l.stale }
+func (l *laggingLog) Leader() string    { return "i1" }
+func (l *laggingLog) IsLeader() bool    { return false }
+func (l *laggingLog) State() *store.State {
+	return l.local
+}
+
+// Changed applies everything that is committed.
+func (l *laggingLog) Changed() <-chan struct{} {
+	l.local = l.committed
+	changed := make(chan struct{})
+	close(changed)
+	return changed
+}
+
+func (l *laggingLog) Propose(_ context.Context, command *controlpb.Command) (*controlpb.Result, error) {
+	l.proposals++
+	if l.err != nil {
+		return nil, l.err
+	}
+	command.TimeMs = l.timeMs
+	state, result := l.committed.Apply(l.committed.Index()+1, command)
+	l.committed = state
+	return result, nil
+}
+
+func newTestEvacuations(config EvacuationConfig) (*Evacuations, *laggingLog, *membership.Registry) {
+	logger := logrus.New()
+	logger.SetOutput(io.Discard)
+	log := &laggingLog{local: store.New(), committed: store.New(), timeMs: 1000}
+	registry := membership.NewRegistry(membership.Config{Now: time.Now})
+	config.Now, config.ResendWindow = time.Now, 3*time.Second
+	return NewEvacuations(config, log, registry, logger), log, registry
+}
+
+// Guards against an order that a 4xx ends for good, or that is reported as not run although
+// it may have been committed.
+func TestOrdersAreResendable(t *testing.T) {
+	for _, code := range failure.Codes() {
+		for _, notRun := range []failure.NotRun{failure.NotRunTrue, failure.NotRunUnknown} {
+			evacuations, log, _ := newTestEvacuations(EvacuationConfig{DataCentres: []string{"north"}})
+			log.err = failure.Ran(code, notRun, nil, "x")
+			f := failure.From(evacuations.Start(context.Background(), "north"))
+			if f.HTTPStatus() < 500 || f.NotRun != notRun {
+				t.Errorf("%s, not run: %s: answered %d, not run: %s", code, notRun, f.HTTPStatus(), f.NotRun)
+			}
+		}
+	}
+}
+
+// Guards against an instance that is behind and refuses a genuine order, and against a
+// process that was paused and lets an old order through after a newer one.
+func TestOrderAtInstanceThatIsBehind(t *testing.T) {
+	for name, stale := range map[string]error{"behind": nil, "paused": failure.New(failure.StaleState, "x")} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			ctx := context.Background()
+			evacuations, log, _ := newTestEvacuations(EvacuationConfig{DataCentres: []string{"north"}})
+			is.NoErr(evacuations.Start(ctx, "north"))
+			log.timeMs = 9000
+			is.NoErr(evacuations.Finish(ctx, "north"))
+			log.local, log.stale, log.timeMs, log.proposals = store.New(), stale, 20000, 0
+			err := evacuations.Start(ctx, "north")
+			if stale == nil {
+				is.NoErr(err)
+				is.Equal(log.proposals, 2) // the second with the newest number of changes
+				is.True(log.committed.Evacuated("north"))
+				return
+			}
+			is.Equal(failure.From(err).HTTPStatus(), 503)
+			is.Equal(failure.From(err).NotRun, failure.NotRunTrue)
+			is.True(!log.committed.Evacuated("north"))
+		})
+	}
+}
+
+// Guards against a late resend of an order that is carried out or ends the operator's call.
+func TestLateResendIsRefusedForNow(t *testing.T) {
+	is := is.New(t)
+	ctx := context.Background()
+	evacuations, log, _ := newTestEvacuations(EvacuationConfig{DataCentres: []string{"north"}})
+	is.NoErr(evacuations.Start(ctx, "north"))
+	is.NoErr(evacuations.Finish(ctx, "north"))
+	f := failure.From(evacuations.Start(ctx, "north"))
+	is.Equal(f.HTTPStatus(), 503)
+	is.Equal(f.NotRun, failure.NotRunTrue)
+	is.True(!log.committed.Evacuated("north"))
+}
+
+// Guards against orders for names that are typing errors, which would be stored, and against
+// a proper order that is refused because this instance has just started or because all
+// machines of the data centre are gone.
+func TestKnownDataCentres(t *testing.T) {
+	is := is.New(t)
+	ctx := context.Background()
+	code := func(err error) failure.Code { return failure.From(err).Code }
+
+	listed, log, _ := newTestEvacuations(EvacuationConfig{DataCentres: []string{"north"}, SettleTime: time.Hour})
+	is.Equal(code(listed.Start(ctx, "nroth")), failure.NotFound)
+	is.Equal(log.proposals, 0)
+
+	starting, _, _ := newTestEvacuations(EvacuationConfig{SettleTime: time.Hour})
+	is.Equal(code(starting.Start(ctx, "north")), failure.NotReady)
+
+	learned, log, registry := newTestEvacuations(EvacuationConfig{})
+	is.NoErr(registry.Merge(&peerpb.Upstream{Id: "m1", Kind: peerpb.UpstreamKind_UPSTREAM_KIND_MINION, DataCentre: "south", Incarnation: 1, TtlMs: 60000}))
+	is.Equal(code(learned.Start(ctx, "north")), failure.NotFound)
+	is.NoErr(learned.Start(ctx, "south"))
+	without := NewEvacuations(learned.config, log, membership.NewRegistry(membership.Config{Now: time.Now}), learned.logger)
+	is.NoErr(without.Finish(ctx, "south")) // its upstreams are gone
+	is.Equal(len(without.List()), 1)
+}
--- a/internal/protocol/api/api.go
+++ b/internal/protocol/api/api.go
@@ -19,6 +19,8 @@
 	PathExplain      = "/v1/explain/{id}"
 	PathMembers      = "/v1/members"
 	PathDrain        = "/v1/upstreams/{id}/drain"
+	PathDataCentres  = "/v1/data-centres"
+	PathEvacuation   = "/v1/data-centres/{id}/evacuation"
 	PathState        = "/debug/state"
 	PathVars         = "/debug/vars"
 	PathHealthy      = "/healthz"
--- a/internal/protocol/api/status.go
+++ b/internal/protocol/api/status.go
@@ -8,7 +8,10 @@
 	Index  uint64 `json:"index"`
 	Leader string `json:"leader"`
 	// Fresh is false if the figures may be older than the freshness bound.
-	Fresh        bool           `json:"fresh"`
+	Fresh bool `json:"fresh"`
+	// EvacuatedDataCentres are the data centres to whose upstreams nothing more is sent.
+	EvacuatedDataCentres []string `json:"evacuated_data_centres,omitempty"`
+
 	Jobs         map[string]int `json:"jobs"`
 	Workers      int            `json:"workers"`
 	Minions      int            `json:"minions"`
--- a/internal/transport/httpapi/operators.go
+++ b/internal/transport/httpapi/operators.go
@@ -30,6 +30,7 @@
 	status.Index = state.Index()
 	status.Leader = s.control.Leader()
 	status.Fresh = s.control.CheckFresh() == nil
+	status.EvacuatedDataCentres = s.evacuated()
 	status.Minions = len(s.registry.Live(peerpb.UpstreamKind_UPSTREAM_KIND_MINION))
 	writeJSON(w, status)
 }
--- a/internal/transport/httpapi/server.go
+++ b/internal/transport/httpapi/server.go
@@ -17,6 +17,7 @@
 	"pinewinch.example/pinewinch/internal/coordination/claims"
 	"pinewinch.example/pinewinch/internal/coordination/control"
 	"pinewinch.example/pinewinch/internal/coordination/membership"
+	"pinewinch.example/pinewinch/internal/coordination/operators"
 	"pinewinch.example/pinewinch/internal/protocol/api"
 	"pinewinch.example/pinewinch/internal/protocol/failure"
 	"pinewinch.example/pinewinch/internal/settings"
@@ -30,14 +31,16 @@
 	executor  *claims.Executor
 	explainer Explainer
 	voters    Voters
+	// evacuations handles the orders to evacuate and readmit data centres.
+	evacuations *operators.Evacuations
 	// started is the time from which this instance receives announcements of upstreams.
 	started  time.Time
 	stopping atomic.Bool
 }
 
 // New creates the server of one instance.
-func New(s *settings.Settings, log control.Log, registry *membership.Registry, executor *claims.Executor, explainer Explainer, voters Voters) *Server {
-	return &Server{settings: s, control: log, registry: registry, executor: executor, explainer: explainer, voters: voters, started: time.Now()}
+func New(s *settings.Settings, log control.Log, registry *membership.Registry, executor *claims.Executor, explainer Explainer, voters Voters, evacuations *operators.Evacuations) *Server {
+	return &Server{settings: s, control: log, registry: registry, executor: executor, explainer: explainer, voters: voters, evacuations: evacuations, started: time.Now()}
 }
 
 // Handler returns the handler of all routes.
@@ -99,6 +102,8 @@
 	routes.HandleFunc(api.PathMembers, s.requireOperator(s.members)).Methods(http.MethodGet)
 	routes.HandleFunc(api.PathMembers, s.requireOperator(s.changeMembers)).Methods(http.MethodPost)
 	routes.HandleFunc(api.PathDrain, s.requireOperator(s.drain)).Methods(http.MethodPost, http.MethodDelete)
+	routes.HandleFunc(api.PathDataCentres, s.requireOperator(s.dataCentres)).Methods(http.MethodGet)
+	routes.HandleFunc(api.PathEvacuation, s.requireOperator(s.orderEvacuation)).Methods(http.MethodPost, http.MethodDelete)
 	routes.HandleFunc(api.PathState, s.requireOperator(s.dump)).Methods(http.MethodGet)
 	routes.HandleFunc(api.PathVars, s.requireOperator(vars)).Methods(http.MethodGet)
 }
--- a/internal/transport/httpapi/server_test.go
+++ b/internal/transport/httpapi/server_test.go
@@ -14,9 +14,11 @@
 
 	"github.com/gorilla/mux"
 	"github.com/matryer/is"
+	"github.com/sirupsen/logrus"
 	"google.golang.org/protobuf/encoding/protojson"
 
 	"pinewinch.example/pinewinch/internal/coordination/membership"
+	"pinewinch.example/pinewinch/internal/coordination/operators"
 	"pinewinch.example/pinewinch/internal/protocol/api"
 	"pinewinch.example/pinewinch/internal/protocol/controlpb"
 	"pinewinch.example/pinewinch/internal/protocol/declaration"
@@ -75,7 +77,9 @@
 		Upstreams: settings.Upstreams{AnnounceEvery: time.Second, Lease: 10 * time.Second, Token: hash("upstream-secret")},
 		Requests:  settings.Requests{MaxBodyBytes: 4096},
 	}
-	return New(s, l, membership.NewRegistry(membership.Config{Now: time.Now}), nil, emptyExplainer{}, nil), l
+	registry := membership.NewRegistry(membership.Config{Now: time.Now})
+	evacuations := operators.NewEvacuations(operators.EvacuationConfig{DataCentres: []string{"north"}, Now: time.Now}, l, registry, logrus.New())
+	return New(s, l, registry, nil, emptyExplainer{}, nil, evacuations), l
 }
 
 // send sends one request and decodes the body of an error.
