--- a/internal/coordination/operators/evacuation.go
+++ b/internal/coordination/operators/evacuation.go
@@ -20,7 +20,7 @@
 
 // applyWait limits how long an acknowledgement waits until this instance has applied the
 // order, so that operators read their own writes. The order is committed in any case.
-const applyWait = 100 * time.Millisecond
+const applyWait = 200 * time.Millisecond
 
 var (
 	evacuationsAcknowledged = expvar.NewInt("operators_evacuations_acknowledged")
