operators: a model of late copies of evacuation orders

Tests had single schedules only. The model lets an operator evacuate and readmit in turn, at instances that lag, with lost answers, copies that arrive within the resend window and proposals held back for up to 10 s. It checks that the newest acknowledged order stays in force, and that an order is not refused for longer than the window.

--- a/internal/coordination/operators/evacuation_test.go
+++ b/internal/coordination/operators/evacuation_test.go
@@ -16,22 +16,34 @@
 	"pinewinch.example/pinewinch/internal/state/store"
 )
 
-// laggingLog is a log whose local state may be behind the committed one until it is waited
-// for.
-type laggingLog struct {
-	local, committed *store.State
-	timeMs           int64
-	err, stale       error
-	proposals        int
+// sharedLog is what is committed, and the time of the next command.
+type sharedLog struct {
+	committed *store.State
+	timeMs    int64
+}
+
+func (s *sharedLog) commit(command *controlpb.Command) *controlpb.Result {
+	command.TimeMs = s.timeMs
+	state, result := s.committed.Apply(s.committed.Index()+1, command)
+	s.committed = state
+	return result
 }
 
-func (l *laggingLog) CheckFresh() error { return l.stale }
-func (l *laggingLog) Leader() string    { return "i1" }
-func (l *laggingLog) IsLeader() bool    { return false }
-func (l *laggingLog) State() *store.State {
-	return l.local
+// laggingLog is an instance's view of a log, which may be behind until it is waited for.
+type laggingLog struct {
+	*sharedLog
+	local      *store.State
+	err, stale error
+	proposals  int
+	// delay holds a proposal back; nil for none.
+	delay func(command *controlpb.Command) bool
 }
 
+func (l *laggingLog) CheckFresh() error   { return l.stale }
+func (l *laggingLog) Leader() string      { return "i1" }
+func (l *laggingLog) IsLeader() bool      { return false }
+func (l *laggingLog) State() *store.State { return l.local }
+
 // Changed applies everything that is committed.
 func (l *laggingLog) Changed() <-chan struct{} {
 	l.local = l.committed
@@ -45,16 +57,16 @@
 	if l.err != nil {
 		return nil, l.err
 	}
-	command.TimeMs = l.timeMs
-	state, result := l.committed.Apply(l.committed.Index()+1, command)
-	l.committed = state
-	return result, nil
+	if l.delay != nil && l.delay(command) {
+		return nil, failure.Ran(failure.OutcomeUnknown, failure.NotRunUnknown, nil, "delayed")
+	}
+	return l.commit(command), nil
 }
 
 func newTestEvacuations(config EvacuationConfig) (*Evacuations, *laggingLog, *membership.Registry) {
 	logger := logrus.New()
 	logger.SetOutput(io.Discard)
-	log := &laggingLog{local: store.New(), committed: store.New(), timeMs: 1000}
+	log := &laggingLog{sharedLog: &sharedLog{committed: store.New(), timeMs: 1000}, local: store.New()}
 	registry := membership.NewRegistry(membership.Config{Now: time.Now})
 	config.Now, config.ResendWindow = time.Now, 3*time.Second
 	return NewEvacuations(config, log, registry, logger), log, registry
