dispatch, routing: start nothing in an evacuated data centre

Cause: the log records orders to evacuate a data centre, but nothing obeys them: work is still placed there, plans that are already committed are started, and requests are routed there.

Change: the workers of an evacuated data centre are unavailable to scheduling, so that plans, cells, reservations, probes and isolation leave them out. A gang that is placed there and has not been started on all its members is stopped as a whole and placed elsewhere without a delay. The check is repeated before a command is sent, and on the platform when the start is built from the newest state. The failure, data_centre_evacuated, is neither an attempt nor evidence against the worker. Minions there get no requests. Work that already runs there runs on. Jobs that wait only because of an evacuation say so. Log lines and metrics show what still runs there.

The simulated machines of the dispatch tests, and the worker of the leases tests, now have a data centre.

--- a/internal/coordination/dispatch/controller.go
+++ b/internal/coordination/dispatch/controller.go
@@ -11,6 +11,7 @@
 
 	"pinewinch.example/pinewinch/internal/coordination/control"
 	"pinewinch.example/pinewinch/internal/coordination/dispatch/crashes"
+	"pinewinch.example/pinewinch/internal/coordination/dispatch/evacuation"
 	"pinewinch.example/pinewinch/internal/coordination/dispatch/isolation"
 	"pinewinch.example/pinewinch/internal/coordination/dispatch/keepwarm"
 	"pinewinch.example/pinewinch/internal/coordination/dispatch/quarantine"
@@ -72,7 +73,8 @@
 	// crashVerdicts has the jobs whose last verdict by crashes was not clear.
 	crashVerdicts map[string]crashes.Verdict
 	// unmet are the guarantees that could not be held in the newest pass.
-	unmet unmetGuarantees
+	unmet       unmetGuarantees
+	evacuations evacuation.Tracker
 }
 
 // NewController returns a controller that has made no plan yet.
@@ -129,6 +131,7 @@
 	if c.led && !leads {
 		publishStarvation(starvation.Summary{})
 		c.setVerdicts(nil)
+		c.forgetEvacuations()
 		c.forgetIsolation()
 	}
 	c.led = leads
@@ -202,6 +205,7 @@
 func (c *Controller) schedule(ctx context.Context, live []*peerpb.Upstream) {
 	state := c.log.State()
 	workers, probing := c.evaluateWorkers(state, live)
+	c.observeEvacuations(state, live)
 	restricted := c.isolate(state, workers)
 	if !c.passGate.admit(state.Index(), workers, c.now()) {
 		return
@@ -280,7 +284,8 @@
 		if verdict == quarantine.Probing {
 			probing[worker.Id] = true
 		}
-		excluded := verdict == quarantine.CoolingDown || verdict == quarantine.Quarantined
+		excluded := worker.Leaving || state.Drained(worker.Id) || verdict == quarantine.CoolingDown || verdict == quarantine.Quarantined
+		evacuated := state.Evacuated(worker.DataCentre)
 		if verdict != quarantine.Healthy {
 			current[worker.Id] = verdict
 		}
@@ -298,7 +303,8 @@
 			MemoryMB:     worker.MemoryMb,
 			Accelerators: worker.Accelerators,
 			Speed:        speeds[worker.Id],
-			Unavailable:  worker.Leaving || state.Drained(worker.Id) || excluded,
+			Unavailable:  excluded || evacuated,
+			Evacuated:    evacuated && !excluded,
 		})
 	}
 	c.setVerdicts(current)
--- a/internal/coordination/dispatch/dispatch.go
+++ b/internal/coordination/dispatch/dispatch.go
@@ -182,6 +182,7 @@
 		Crashes:      unrecorded,
 		GivenUp:      func(job string) string { return givenUp(assessed, job) },
 		Quarantined:  func(worker string) bool { return d.verdict(state, worker) >= quarantine.Quarantined },
+		Evacuated:    state.Evacuated,
 		LeaseExpired: d.config.LeaseExpired,
 	})
 	for _, command := range output.Commands {
@@ -226,7 +227,7 @@
 	defer cancel()
 	commandsSent.Add(1)
 	answer := gang.Answer{Kind: command.Kind, Ref: command.Task.TaskRef}
-	reply, err := d.workers.Command(ctx, command.Address, paths[command.Kind], &command.Task)
+	reply, err := d.execute(ctx, &command)
 	if err != nil {
 		commandsFailed.Add(1)
 		answer.Err = failure.From(err)
@@ -252,6 +253,7 @@
 		return
 	}
 	movesProposed.Add(int64(len(batch.Moves)))
+	countEvacuated(batch)
 	d.logCrashes(batch)
 	d.logMoves(batch)
 	ctx, cancel := context.WithTimeout(ctx, proposeTimeout)
--- a/internal/coordination/dispatch/gang/machine.go
+++ b/internal/coordination/dispatch/gang/machine.go
@@ -34,7 +34,9 @@
 	Kind    Kind
 	Worker  string
 	Address string
-	Task    api.TaskCommand
+	// DataCentre is that of the worker.
+	DataCentre string
+	Task       api.TaskCommand
 }
 
 // Answer is the outcome of a command. Err is nil if the worker carried it out.
@@ -59,6 +61,8 @@
 	Answers []Answer
 	// Quarantined reports whether a worker is in quarantine as unhealthy.
 	Quarantined func(worker string) bool
+	// Evacuated reports whether an evacuation of the data centre is in force; nil for none.
+	Evacuated func(dataCentre string) bool
 	// LeaseExpired reports whether a member of a job whose end is not known can no longer be
 	// running where it is placed. It is nil if workers renew their leases by announcements;
 	// Config.StopWait bounds those leases.
@@ -328,9 +332,10 @@
 func (s *step) send(kind Kind, job *controlpb.Job, m *member, w *worker) {
 	m.awaiting, m.announced = kind, w.upstream.Version
 	s.out.Commands = append(s.out.Commands, Command{
-		Kind:    kind,
-		Worker:  w.upstream.Id,
-		Address: w.upstream.Address,
+		Kind:       kind,
+		Worker:     w.upstream.Id,
+		Address:    w.upstream.Address,
+		DataCentre: w.upstream.DataCentre,
 		Task: api.TaskCommand{
 			TaskRef:        api.TaskRef{Job: job.Id, Task: m.placement.Task, Epoch: job.Epoch},
 			Incarnation:    m.placement.Incarnation,
--- a/internal/coordination/dispatch/gang/retry.go
+++ b/internal/coordination/dispatch/gang/retry.go
@@ -60,12 +60,15 @@
 	return delay/2 + delay/2*time.Duration(digest.Sum64()%steps)/steps
 }
 
-// countFailures counts the recorded failures of the job itself and those of its workers.
+// countFailures counts the recorded failures of the job itself and those of its workers. An
+// order to evacuate a data centre is neither.
 func countFailures(job *controlpb.Job) (own, infrastructure int) {
 	for _, failed := range job.Failures {
-		if failure.Code(failed.GetCode()).Infrastructure() {
+		switch code := failure.Code(failed.GetCode()); {
+		case code == failure.DataCentreEvacuated:
+		case code.Infrastructure():
 			infrastructure++
-		} else {
+		default:
 			own++
 		}
 	}
@@ -89,11 +92,19 @@
 		move.State = controlpb.JobState_JOB_STATE_PARKED
 		return
 	}
-	if job.FailedEpoch != job.Epoch && move.Failure == nil && !job.Preempted {
+	if job.FailedEpoch != job.Epoch && move.Failure == nil && !job.Preempted && !stoppedByEvacuation(job) {
 		move.NotBeforeMs = now.Add(infrastructureRetryDelay).UnixMilli()
 	}
 }
 
+// stoppedByEvacuation reports whether the newest run was not started as a whole because of
+// an evacuation. It is placed elsewhere without a delay: the next pass leaves the data
+// centre out.
+func stoppedByEvacuation(job *controlpb.Job) bool {
+	newest := len(job.Failures) - 1
+	return newest >= 0 && job.Failures[newest].Code == string(failure.DataCentreEvacuated)
+}
+
 // atFault reports whether the recorded failures are attributed to the job itself rather
 // than to its workers.
 func atFault(job *controlpb.Job, quarantined func(worker string) bool) bool {
--- a/internal/coordination/dispatch/gang/starting.go
+++ b/internal/coordination/dispatch/gang/starting.go
@@ -85,6 +85,9 @@
 		if w != nil && s.hasRestarted(w, m) {
 			return s.infrastructureFailure(m, failure.WorkerVanished, "the worker has started again")
 		}
+		if w != nil && s.evacuatedBeforeStart(w, m) {
+			return s.infrastructureFailure(m, failure.DataCentreEvacuated, "the data centre "+w.upstream.DataCentre+" is evacuated")
+		}
 	}
 	if s.in.Now.Sub(r.since) > s.config.startTimeout() {
 		return s.infrastructureFailure(leastAdvanced(r), failure.StartTimeout, "the gang did not start in time")
@@ -92,6 +95,13 @@
 	return nil
 }
 
+// evacuatedBeforeStart reports whether a member that has not been started is on a worker in
+// a data centre that is evacuated. A start without an answer yet may have been carried out,
+// and its answer decides.
+func (s *step) evacuatedBeforeStart(w *worker, m *member) bool {
+	return s.in.Evacuated != nil && m.phase < phaseRunning && m.awaiting != Start && s.in.Evacuated(w.upstream.DataCentre)
+}
+
 // announcementsComplete reports whether this instance has led long enough to have received the
 // announcement of every live worker. Until then a worker without an announcement does
 // not count as dead.
--- a/internal/coordination/dispatch/gang/stopping.go
+++ b/internal/coordination/dispatch/gang/stopping.go
@@ -174,7 +174,9 @@
 		move.State = controlpb.JobState_JOB_STATE_PARKED
 		return
 	}
-	move.NotBeforeMs = s.in.Now.Add(backoff(job)).UnixMilli()
+	if !stoppedByEvacuation(job) {
+		move.NotBeforeMs = s.in.Now.Add(backoff(job)).UnixMilli()
+	}
 }
 
 // unsafeToRetry returns why a job that is not idempotent must not run again, or "". A
--- a/internal/coordination/dispatch/leases/cluster_test.go
+++ b/internal/coordination/dispatch/leases/cluster_test.go
@@ -102,7 +102,7 @@
 	c.ends = append(c.ends, End{Number: c.endCount, Task: "w.0.0.0", Run: 1, Outcome: outcome})
 }
 
-var worker = &peerpb.Upstream{Id: "i-1", Kind: peerpb.UpstreamKind_UPSTREAM_KIND_WORKER, Address: "a", Incarnation: 1, Version: 1}
+var worker = &peerpb.Upstream{Id: "i-1", Kind: peerpb.UpstreamKind_UPSTREAM_KIND_WORKER, Address: "a", DataCentre: "east", Incarnation: 1, Version: 1}
 
 func (c *fakeCluster) clock() int64 { return time.Since(c.clockStart).Milliseconds() }
 
--- a/internal/coordination/dispatch/leases/command.go
+++ b/internal/coordination/dispatch/leases/command.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"expvar"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -34,6 +35,9 @@
 	reportRetryDelay = 5 * time.Millisecond
 )
 
+// startsEvacuated counts starts that were not sent because of an evacuation.
+var startsEvacuated = expvar.NewInt("leases_starts_evacuated")
+
 // startLatency measures the time from sending a start to receiving its response.
 var startLatency = latency.New("leases_start")
 
@@ -209,6 +213,9 @@
 	if isSuperseded(job, command) {
 		return Start{}, s.manager.withhold(state, job, api.PathTaskStart, command)
 	}
+	if err := s.checkEvacuation(state, job, command); err != nil {
+		return Start{}, err
+	}
 	return Start{
 		Token:         s.token,
 		Task:          store.TaskName(job, command.Task),
@@ -218,6 +225,20 @@
 	}, nil
 }
 
+// checkEvacuation fails if the worker's data centre is evacuated. The plan that placed the
+// task may be older than the order.
+func (s *session) checkEvacuation(state *store.State, job *controlpb.Job, command *api.TaskCommand) error {
+	s.mu.Lock()
+	dataCentre := s.dataCentre
+	s.mu.Unlock()
+	if !state.Evacuated(dataCentre) {
+		return nil
+	}
+	startsEvacuated.Add(1)
+	s.commandEntry(store.TaskName(job, command.Task), command.Epoch, state).WithField("data_centre", dataCentre).Info("start withheld by an evacuation")
+	return failure.New(failure.DataCentreEvacuated, "the data centre %s is evacuated", dataCentre)
+}
+
 // isSuperseded reports whether a job is no longer being started under the command's
 // epoch. The job may be cancelled while its start is queued: its epoch is unchanged,
 // but its workflow no longer has the specification, and the worker would receive an
--- a/internal/coordination/dispatch/leases/lives.go
+++ b/internal/coordination/dispatch/leases/lives.go
@@ -228,12 +228,13 @@
 	if s.life.isOther(worker.Incarnation) {
 		if worker.Incarnation != s.life.announced {
 			s.life.announced, s.address, s.viewStale = worker.Incarnation, worker.Address, true
+			s.dataCentre = worker.DataCentre
 			s.life.doubt(s.now())
 			s.requestPoll()
 		}
 		return
 	}
-	s.life.announced, s.address = worker.Incarnation, worker.Address
+	s.life.announced, s.address, s.dataCentre = worker.Incarnation, worker.Address, worker.DataCentre
 	s.leaving = worker.Leaving
 	if worker.Departed {
 		s.gone = true
--- a/internal/coordination/dispatch/leases/manager.go
+++ b/internal/coordination/dispatch/leases/manager.go
@@ -198,6 +198,7 @@
 		token:        m.term,
 		worker:       worker.Id,
 		address:      worker.Address,
+		dataCentre:   worker.DataCentre,
 		life:         life{announced: worker.Incarnation, unconfirmed: map[runKey]time.Time{}},
 		tracker:      NewTracker(m.config.Lease, until),
 		pollRequests: make(chan struct{}, 1),
--- a/internal/coordination/dispatch/leases/session.go
+++ b/internal/coordination/dispatch/leases/session.go
@@ -31,6 +31,8 @@
 	mu sync.Mutex
 	// address is where the worker announced itself last.
 	address string
+	// dataCentre is the data centre that the worker announced last.
+	dataCentre string
 	// tracker is that of the current incarnation.
 	tracker *Tracker
 	life    life
--- a/internal/coordination/dispatch/machines_test.go
+++ b/internal/coordination/dispatch/machines_test.go
@@ -1,6 +1,7 @@
 package dispatch_test
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"io"
@@ -44,15 +45,18 @@
 // machine runs one worker after the other at one address: each crash ends a life, and the
 // next one has a new id.
 type machine struct {
-	address   string
-	life      int
-	up        bool
-	crashedAt time.Time
-	token     uint64
-	running   map[string]*simulatedRun
-	ends      []leases.End
-	endCount  uint64
-	acked     uint64
+	address string
+	// dataCentre is dc if it is empty; lastStart is when a run last began there.
+	dataCentre string
+	lastStart  time.Time
+	life       int
+	up         bool
+	crashedAt  time.Time
+	token      uint64
+	running    map[string]*simulatedRun
+	ends       []leases.End
+	endCount   uint64
+	acked      uint64
 	// endedAt has the clock at each end, lapsed the latest end of a lease.
 	endedAt map[uint64]int64
 	lapsed  int64
@@ -219,7 +223,7 @@
 func (machine *machine) announcement() *peerpb.Upstream {
 	if machine.announced == nil || machine.announced.Id != machine.id() || machine.announced.Incarnation != machine.incarnation() {
 		machine.announced = &peerpb.Upstream{
-			Id: machine.id(), Kind: peerpb.UpstreamKind_UPSTREAM_KIND_WORKER, Address: machine.address, DataCentre: "dc", Rack: "r",
+			Id: machine.id(), Kind: peerpb.UpstreamKind_UPSTREAM_KIND_WORKER, Address: machine.address, DataCentre: cmp.Or(machine.dataCentre, "dc"), Rack: "r",
 			Cores: machine.cores, MemoryMb: 1 << 17, Accelerators: 8, Services: []string{"s"}, Incarnation: machine.incarnation(), Version: 1,
 		}
 	}
@@ -403,7 +407,7 @@
 		m.startsAfterCrashes[start.Task]++
 	}
 	run := &simulatedRun{number: start.Run, endsAt: time.Now().Add(m.taskTime), crashes: start.Specification == crashing}
-	machine.running[start.Task] = run
+	machine.running[start.Task], machine.lastStart = run, time.Now()
 	if run.crashes {
 		time.AfterFunc(crashDelay, func() {
 			m.mu.Lock()
--- a/internal/coordination/dispatch/verdicts_test.go
+++ b/internal/coordination/dispatch/verdicts_test.go
@@ -73,3 +73,17 @@
 		controller.evaluateWorkers(state, live)
 	}
 }
+
+// A quarantined worker of an evacuated data centre must not be probed.
+func TestWorkersOfAnEvacuatedDataCentreAreUnavailable(t *testing.T) {
+	is := is.New(t)
+	controller, state, live := stalledWorkers(4, 0)
+	live = append(live, &peerpb.Upstream{Id: "healthy", DataCentre: "east"}, &peerpb.Upstream{Id: "other", DataCentre: "west"})
+	live[0].DataCentre = "east"
+	state, _ = state.Apply(1, &controlpb.Command{Op: &controlpb.Command_SetEvacuation{SetEvacuation: &controlpb.SetEvacuation{DataCentre: "east", Evacuate: true}}})
+	workers, _ := controller.evaluateWorkers(state, live)
+	for _, worker := range workers {
+		is.Equal(worker.Unavailable, worker.DataCentre == "east")
+		is.Equal(worker.Evacuated, worker.DataCentre == "east")
+	}
+}
--- a/internal/coordination/routing/router_test.go
+++ b/internal/coordination/routing/router_test.go
@@ -150,3 +150,13 @@
 		time.Sleep(2 * time.Second)
 	})
 }
+
+// No request goes to a minion in an evacuated data centre.
+func TestEvacuatedMinionIsNotInTheView(t *testing.T) {
+	is, w := is.New(t), &fakes{}
+	w.state, _ = store.New().Apply(1, &controlpb.Command{Op: &controlpb.Command_SetEvacuation{SetEvacuation: &controlpb.SetEvacuation{DataCentre: "east", Evacuate: true}}})
+	w.live.Store(&[]*peerpb.Upstream{{Id: "m1", DataCentre: "east"}, {Id: "m2", DataCentre: "west"}})
+	view := New(Config{Instance: "a", Now: time.Now}, w, w, w, w).readView()
+	is.Equal(len(view.Minions), 1)
+	is.Equal(view.Minions[0].ID, "m2")
+}
--- a/internal/coordination/routing/send.go
+++ b/internal/coordination/routing/send.go
@@ -135,7 +135,7 @@
 	view := admission.View{Epoch: members.Epoch, Members: members.Members, Departed: members.Departed}
 	r.lease.update(r.config, r.control.CheckFresh() == nil, &view)
 	for _, minion := range r.registry.Live(peerpb.UpstreamKind_UPSTREAM_KIND_MINION) {
-		if minion.Leaving || state.Drained(minion.Id) {
+		if minion.Leaving || state.Drained(minion.Id) || state.Evacuated(minion.DataCentre) {
 			continue
 		}
 		view.Minions = append(view.Minions, admission.Minion{
--- a/internal/coordination/scheduling/cluster.go
+++ b/internal/coordination/scheduling/cluster.go
@@ -98,9 +98,11 @@
 	cells       []placedCell
 	// speeds is the set of speed classes of the available workers; empty where speed
 	// doesn't matter.
-	speeds  speedClass
-	free    resources
-	changes changeLog
+	speeds speedClass
+	// hasEvacuated is set if workers are unavailable because of an evacuation.
+	hasEvacuated bool
+	free         resources
+	changes      changeLog
 	// gangSlab and allocationSlab allocate the gangs and allocations of the index.
 	gangSlab       slab[gang]
 	allocationSlab slab[allocation]
@@ -152,6 +154,7 @@
 	r.nodes = append(r.nodes, n)
 	c.nodes = append(c.nodes, n)
 	c.byID[worker.ID] = n
+	c.hasEvacuated = c.hasEvacuated || worker.Evacuated
 	if worker.Unavailable {
 		return
 	}
--- a/internal/coordination/scheduling/pass.go
+++ b/internal/coordination/scheduling/pass.go
@@ -403,6 +403,8 @@
 	switch {
 	case !p.feasible(req):
 		return ReasonNeverFits
+	case p.waitsForEvacuated(req):
+		return ReasonEvacuated
 	case p.cluster.findPlacement(req, freeOrReservedCapacity) != nil:
 		return ReasonReserved
 	case req.nonPreemptible && p.cluster.findPlacement(req, capacityIgnoringCells) != nil:
--- a/internal/coordination/scheduling/scheduling.go
+++ b/internal/coordination/scheduling/scheduling.go
@@ -27,8 +27,10 @@
 	// unknown.
 	Speed float64
 	// Unavailable workers keep their tasks but get no new ones: they are leaving,
-	// drained or quarantined.
+	// drained, quarantined or in an evacuated data centre.
 	Unavailable bool
+	// Evacuated workers are unavailable only because their data centre is evacuated.
+	Evacuated bool
 	// OnlyFor is the only job that the worker may be given; empty for any.
 	OnlyFor string
 	// Labels are the labels that jobs may require of a worker.
@@ -85,6 +87,7 @@
 	ReasonHasReservation ReasonCode = "has_reservation"
 	ReasonRefused        ReasonCode = "plan_refused"
 	ReasonIsolation      ReasonCode = "waiting_to_run_alone"
+	ReasonEvacuated      ReasonCode = "data_centre_evacuated"
 )
 
 // Reason is why one job was left waiting.
--- a/internal/protocol/failure/failure.go
+++ b/internal/protocol/failure/failure.go
@@ -75,6 +75,9 @@
 	Stalled        Code = "stalled"
 	// CrashesWorkers means that a job was given up because workers crashed under it.
 	CrashesWorkers Code = "crashes_workers"
+	// DataCentreEvacuated means that a task was not started because its worker's data
+	// centre is evacuated.
+	DataCentreEvacuated Code = "data_centre_evacuated"
 )
 
 type statusCodes struct {
@@ -126,7 +129,8 @@
 	Stalled:         {http.StatusBadGateway, 53},
 	CrashesWorkers:  {http.StatusBadGateway, 55},
 
-	OutOfDescriptors: {http.StatusServiceUnavailable, 54},
+	OutOfDescriptors:    {http.StatusServiceUnavailable, 54},
+	DataCentreEvacuated: {http.StatusServiceUnavailable, 56},
 }
 
 // infrastructure holds the codes of failures that are not caused by the work itself,
@@ -147,7 +151,8 @@
 	StartTimeout:    true,
 	Stalled:         true,
 
-	OutOfDescriptors: true,
+	OutOfDescriptors:    true,
+	DataCentreEvacuated: true,
 }
 
 // Infrastructure reports whether a task failure with this code is not counted against
--- a/internal/state/store/health.go
+++ b/internal/state/store/health.go
@@ -32,6 +32,8 @@
 	failure.Overloaded:     true,
 	failure.DeadlinePassed: true,
 	failure.StaleEpoch:     true,
+
+	failure.DataCentreEvacuated: true,
 }
 
 // recordWorkerFailure adds a task failure to its worker's health.
