dispatch: drain and stepwise readmission of evacuated data centres

Cause: some deployments ask that long work does not hold an evacuated data centre open, and workers are slow for a while after they were idle: a data centre that is readmitted as a whole takes work that would end sooner elsewhere.

Change: with scheduling.evacuation_drain, work that can resume from a checkpoint and is expected to run past it is stopped and placed elsewhere, if it fits there. With scheduling.cold_start and cold_per_second (bounds.coldStartS and bounds.coldPerS on the platform), a readmitted data centre gets work on one worker at once and on more in each second. A worker that announces coldRemainingMs counts as slow, so that urgent work and gangs prefer others. Both decisions are pure, in package evacuation. Without these settings nothing changes.

Tests: what is stopped and what is not, the steps of a readmission, urgent work beside cold workers.

--- a/internal/app/work.go
+++ b/internal/app/work.go
@@ -8,6 +8,7 @@
 
 	"pinewinch.example/pinewinch/internal/coordination/control"
 	"pinewinch.example/pinewinch/internal/coordination/dispatch"
+	"pinewinch.example/pinewinch/internal/coordination/dispatch/evacuation"
 	"pinewinch.example/pinewinch/internal/coordination/dispatch/gang"
 	"pinewinch.example/pinewinch/internal/coordination/dispatch/leases"
 	"pinewinch.example/pinewinch/internal/coordination/dispatch/quarantine"
@@ -126,7 +127,10 @@
 		MayLead:      w.mayLead,
 		Speeds:       w.speeds(),
 		Features:     features(s.Scheduling),
-		Wakeups:      w.wakeups,
+		Evacuation: evacuation.Config{
+			Drain: s.Scheduling.EvacuationDrain, ColdStart: s.Scheduling.ColdStart, ColdPerSecond: s.Scheduling.ColdPerSecond,
+		},
+		Wakeups: w.wakeups,
 		Gang: gang.Config{
 			Lease:          s.Upstreams.Lease,
 			FreshnessBound: s.Control.FreshnessBound,
--- a/internal/coordination/dispatch/controller.go
+++ b/internal/coordination/dispatch/controller.go
@@ -220,6 +220,7 @@
 		plansRefused.Add(1)
 	}
 	c.passGate.expectStarvation(plan)
+	c.drainEvacuated(state, snapshot, plan, live)
 	c.reportWaits(state, snapshot, plan)
 	c.reportUnmet(snapshot, plan)
 	assignments := quarantine.LimitProbes(plan.Assignments, func(worker string) bool { return probing[worker] })
@@ -274,6 +275,7 @@
 	current := verdicts{}
 	workers = make([]scheduling.Worker, 0, len(live))
 	speeds := c.dispatcher.speeds()
+	held := c.heldWorkers(state, live)
 	// Computed only on demand: usually no worker is due for a probe.
 	holding := sync.OnceValue(func() map[string]bool { return workersHoldingTasks(state) })
 	for _, worker := range live {
@@ -303,7 +305,8 @@
 			MemoryMB:     worker.MemoryMb,
 			Accelerators: worker.Accelerators,
 			Speed:        speeds[worker.Id],
-			Unavailable:  excluded || evacuated,
+			Cold:         worker.Cold,
+			Unavailable:  excluded || evacuated || held[worker.Id],
 			Evacuated:    evacuated && !excluded,
 		})
 	}
--- a/internal/coordination/dispatch/dispatch.go
+++ b/internal/coordination/dispatch/dispatch.go
@@ -12,6 +12,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"pinewinch.example/pinewinch/internal/coordination/dispatch/evacuation"
 	"pinewinch.example/pinewinch/internal/coordination/dispatch/gang"
 	"pinewinch.example/pinewinch/internal/coordination/dispatch/quarantine"
 	"pinewinch.example/pinewinch/internal/coordination/scheduling"
@@ -72,6 +73,8 @@
 	MayLead bool
 	// Speeds returns the known relative speeds by worker id; nil if none are measured.
 	Speeds func() map[string]float64
+	// Evacuation is what the settings say about evacuations of data centres.
+	Evacuation evacuation.Config
 	// Features are the optional parts of scheduling that the settings switch on.
 	Features scheduling.Features
 	// Wakeups is a channel with a buffer of one, to which other components send when
--- a/internal/coordination/scheduling/evacuated.go
+++ b/internal/coordination/scheduling/evacuated.go
@@ -1,5 +1,12 @@
 package scheduling
 
+import (
+	"slices"
+	"time"
+
+	"pinewinch.example/pinewinch/internal/protocol/controlpb"
+)
+
 // waitsForEvacuated reports whether a job that found no capacity waits only because data
 // centres are evacuated: either it would fit now if they were not, or no other worker could
 // hold it even when empty.
@@ -43,3 +50,16 @@
 	}
 	return min(n.total.tasks(req.perTask), req.tasks)
 }
+
+// Remaining returns how long a job is expected to run on.
+func (s *Snapshot) Remaining(job *controlpb.Job) time.Duration {
+	p := &pass{snapshot: s, nowMs: s.Now.UnixMilli()}
+	return time.Duration(p.remaining(job) * float64(time.Second))
+}
+
+// FitsAvailable reports whether the available workers could hold the job when empty.
+func FitsAvailable(job *controlpb.Job, workers []Worker) bool {
+	suitable := slices.DeleteFunc(slices.Clone(workers), func(w Worker) bool { return !Suits(job, &w) })
+	_, found := FirstThatHold(job, suitable)
+	return found
+}
--- a/internal/coordination/scheduling/speed.go
+++ b/internal/coordination/scheduling/speed.go
@@ -23,6 +23,8 @@
 
 func speedClassOf(worker *Worker) speedClass {
 	switch {
+	case worker.Cold && (worker.Speed == 0 || worker.Speed >= degradedBelow):
+		return speedSlow
 	case worker.Speed == 0:
 		return speedNormal
 	case worker.Speed < degradedBelow:
--- a/internal/coordination/scheduling/speed_test.go
+++ b/internal/coordination/scheduling/speed_test.go
@@ -14,6 +14,14 @@
 	return workers
 }
 
+// cold marks workers by number as cold.
+func cold(workers []Worker, numbers ...int) []Worker {
+	for _, number := range numbers {
+		workers[number].Cold = true
+	}
+	return workers
+}
+
 func urgentPair(id string) *controlpb.Job { return unitJob(id, "a", 2, 8, topPriority) }
 
 // Guards against placement regardless of speed. A gang ends with its slowest member: an
@@ -36,6 +44,8 @@
 			want: map[string]string{"j": "d0-r0-w2"}},
 		{name: "a single task not on a degraded worker", snapshot: unitsSnapshot(mixed(1.25, 0.3, 1), unitJob("j", "b", 1, 1)),
 			want: map[string]string{"j": "d0-r0-w2"}},
+		{name: "urgent work not on cold workers", snapshot: unitsSnapshot(cold(mixed(1.25, 0, 0, 0), 0, 2), urgentPair("j")),
+			want: map[string]string{"j": "d0-r0-w1 d0-r0-w3"}},
 		{name: "a worker of unknown speed counts as normal", snapshot: unitsSnapshot(mixed(0.8, 0, 0.8, 0), unitJob("j", "b", 2, 8)),
 			want: map[string]string{"j": "d0-r0-w1 d0-r0-w3"}},
 	})
--- a/internal/settings/reader.go
+++ b/internal/settings/reader.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/hex"
 	"fmt"
+	"math"
 	"net/netip"
 	"slices"
 	"sort"
@@ -135,6 +136,19 @@
 	return n
 }
 
+func (r *reader) positiveNumber(section, key string, fallback float64) float64 {
+	value := r.text(section, key, "")
+	if value == "" {
+		return fallback
+	}
+	n, err := strconv.ParseFloat(value, 64)
+	if err != nil || !(n > 0) || math.IsInf(n, 0) {
+		r.addProblem(section, key, "%q is not a number above 0", value)
+		return fallback
+	}
+	return n
+}
+
 func (r *reader) list(section, key string) []string {
 	var names []string
 	for _, name := range strings.Split(r.text(section, key, ""), ",") {
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -130,6 +130,11 @@
 	// span of work between two checkpoints, the time of a start from a checkpoint, and the
 	// longest time that a stop takes. 0 where they are not known.
 	CheckpointInterval, RestoreTime, StopTime time.Duration
+	// ColdStart is how long a cold worker takes to reach its full speed, and ColdPerSecond how
+	// many more workers of a readmitted data centre get work in each second; 0 where workers
+	// are never cold.
+	ColdStart     time.Duration
+	ColdPerSecond float64
 }
 
 // LeaderLeases configures the mode in which the leader renews workers' leases and callers
@@ -254,6 +259,8 @@
 			CheckpointInterval: r.duration("scheduling", "checkpoint_interval", 0),
 			RestoreTime:        r.duration("scheduling", "restore_time", 0),
 			StopTime:           r.duration("scheduling", "stop_time", 0),
+			ColdStart:          r.duration("scheduling", "cold_start", 0),
+			ColdPerSecond:      r.positiveNumber("scheduling", "cold_per_second", 0),
 		},
 		TLS: TLS{Certificate: r.text("tls", "certificate", ""), Key: r.text("tls", "key", "")},
 		PeersTLS: PeersTLS{
