scheduling: keep interfering classes on different workers of a rack

A job placed by free accelerators alone lands beside work that slows it down although another worker of the rack has room.

With Features.Interference, startFree looks for a placement of the same size in the same racks and speed classes with a smaller sum of slow-downs. It is used only if it takes no more of other customers' cells, opens no empty worker in a rack that is more than half full, and needs no more workers for urgent work. Racks, waiting and preemption are decided as before.

--- a/internal/coordination/scheduling/pass.go
+++ b/internal/coordination/scheduling/pass.go
@@ -43,6 +43,9 @@
 	total   resources
 	weights float64
 	nowMs   int64
+	// classesStarted are the classes of the jobs that this pass has placed on each node, for
+	// interference.
+	classesStarted map[*node][]string
 	// cellMoves counts the searches made by startByMovingCells.
 	cellMoves int
 }
@@ -320,7 +323,7 @@
 		p.minRefusedTasks[key] = req.tasks
 		return false
 	}
-	p.assign(req, placement)
+	p.assign(req, p.separate(req, placement))
 	return true
 }
 
@@ -367,6 +370,7 @@
 			addShare(&part.node.pinnedBy, req.customer, size)
 		}
 	}
+	p.recordClasses(req, placement)
 	p.used[req.customer] += req.size().accelerators
 	p.decided[req.job.Id], p.started[req.job.Id] = true, true
 	p.plan.Assignments = append(p.plan.Assignments, assignment)
--- a/internal/coordination/scheduling/scheduling.go
+++ b/internal/coordination/scheduling/scheduling.go
@@ -59,6 +59,9 @@
 	// RunTimes estimates run times from past runs of each class; nil without
 	// observations.
 	RunTimes *RunTimes
+	// Interference has the factor by which the run time of the first class of a pair grows
+	// beside the second; other pairs are absent.
+	Interference map[ClassPair]float64
 	// Features are the optional parts that the settings switch on.
 	Features Features
 	// Disabled are mechanisms that an experiment switches off; empty in production.
@@ -123,6 +126,8 @@
 	Cells        []Cell
 	Reservations []Reservation
 	Unmet        []Unmet
+	// Separations are the placements that were changed to keep interfering classes apart.
+	Separations []Separation
 	// Breach is set if the plan violated an invariant: it then assigns and preempts
 	// nothing.
 	Breach *Breach
