leases, dispatch: estimate interference from the workers' reports

Package interference needs the progress of the tasks of a worker between two reports, the classes beside them, and the cpu in use.

The fifth entry of a row of running is decoded as milli-cores, or ignored if it has another form. Each pair that begins or ends is logged, and each changed placement is logged and counted.

TestDecodeReport now expects the fifth entry, which it contained and which used to be dropped. go test -race passes for dispatch (7 s), leases (70 s) and platform (2 s).

--- a/internal/app/work.go
+++ b/internal/app/work.go
@@ -63,6 +63,7 @@
 		Now:            time.Now,
 		Wake:           w.wake,
 		Logger:         logger,
+		Interference:   s.Scheduling.Interference,
 	}
 	w.leaseManager = leases.NewManager(config, log, registry, platform.NewWorkerClient(allocation, logger))
 	w.commands, w.registry = w.leaseManager, w.leaseManager
@@ -101,6 +102,14 @@
 	return w.leaseManager.Speeds
 }
 
+// slowdowns is nil where workers renew leases themselves: they report no progress.
+func (w *workers) slowdowns() func() map[scheduling.ClassPair]float64 {
+	if w.leaseManager == nil {
+		return nil
+	}
+	return w.leaseManager.Slowdowns
+}
+
 // leasedStallAfter is how long a task may make no progress before it is restarted. A
 // restart costs the wait for free capacity and the work since the last checkpoint, some
 // seconds, so a shorter stall is better waited out. Compared with no limit, the mean
@@ -125,6 +134,7 @@
 		Crashes:      w.crashes(),
 		MayLead:      w.mayLead,
 		Speeds:       w.speeds(),
+		Slowdowns:    w.slowdowns(),
 		Features:     features(s.Scheduling),
 		Wakeups:      w.wakeups,
 		Gang: gang.Config{
--- a/internal/coordination/dispatch/controller.go
+++ b/internal/coordination/dispatch/controller.go
@@ -227,6 +227,7 @@
 		return
 	}
 	c.setIncarnations(assignments)
+	c.dispatcher.logSeparations(plan, assignments)
 	commit := &controlpb.CommitPlan{Assignments: assignments, Preemptions: plan.Preemptions}
 	c.dispatcher.logPlan(state, commit, c.registry, c.waits.Waited)
 	c.propose(ctx, &controlpb.Command{Op: &controlpb.Command_Plan{Plan: commit}})
@@ -348,6 +349,8 @@
 		Warm:      c.keepWarm.Update(jobs, c.now()),
 		RunTimes:  c.runTimes.update(state),
 		Features:  c.dispatcher.config.Features,
+
+		Interference: c.dispatcher.slowdowns(),
 	}
 	snapshot.CarryOver(c.lastPlan)
 	for _, customer := range state.Customers() {
--- a/internal/coordination/dispatch/dispatch.go
+++ b/internal/coordination/dispatch/dispatch.go
@@ -72,6 +72,8 @@
 	MayLead bool
 	// Speeds returns the known relative speeds by worker id; nil if none are measured.
 	Speeds func() map[string]float64
+	// Slowdowns returns the pairs of classes that interfere; nil if none are estimated.
+	Slowdowns func() map[scheduling.ClassPair]float64
 	// Features are the optional parts of scheduling that the settings switch on.
 	Features scheduling.Features
 	// Wakeups is a channel with a buffer of one, to which other components send when
@@ -135,6 +137,13 @@
 	return d.config.Speeds()
 }
 
+func (d *Dispatcher) slowdowns() map[scheduling.ClassPair]float64 {
+	if d.config.Slowdowns == nil || !d.config.Features.Interference {
+		return nil
+	}
+	return d.config.Slowdowns()
+}
+
 // Reset starts a new term and discards unprocessed answers. What other leaders did in
 // the meantime is observed from the log and the workers' reports.
 func (d *Dispatcher) Reset(term uint64) {
--- a/internal/coordination/dispatch/leases/client.go
+++ b/internal/coordination/dispatch/leases/client.go
@@ -52,6 +52,10 @@
 	Checkpoint string
 	// Percent is the share of the work that is done, from 0 to 100.
 	Percent uint32
+	// CPUMilli is the cpu in use lately, in thousandths of a core. It is valid only if
+	// HasCPU is set.
+	CPUMilli int64
+	HasCPU   bool
 }
 
 // Outcome is the way in which a run ended.
--- a/internal/coordination/dispatch/leases/manager.go
+++ b/internal/coordination/dispatch/leases/manager.go
@@ -88,7 +88,9 @@
 	// FreshnessBound is the maximum age of the leadership confirmation with which a
 	// leader may send commands.
 	FreshnessBound time.Duration
-	Now            func() time.Time
+	// Interference is set if the manager estimates which classes slow down which others.
+	Interference bool
+	Now          func() time.Time
 	// Wake is called when dispatch has new information to process.
 	Wake   func()
 	Logger *logrus.Logger
@@ -118,6 +120,7 @@
 	speeds       map[string]float64
 	fittedAt     time.Time
 	loggedSpeeds map[string]float64
+	interference interferenceModel
 }
 
 // NewManager returns a Manager that sends commands through client.
--- a/internal/coordination/dispatch/leases/session.go
+++ b/internal/coordination/dispatch/leases/session.go
@@ -9,6 +9,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"pinewinch.example/pinewinch/internal/coordination/control"
+	"pinewinch.example/pinewinch/internal/coordination/dispatch/interference"
 	"pinewinch.example/pinewinch/internal/protocol/controlpb"
 	"pinewinch.example/pinewinch/internal/protocol/failure"
 	"pinewinch.example/pinewinch/internal/protocol/peerpb"
@@ -289,6 +290,10 @@
 	first := !s.polled
 	s.tracker.ApplyReport(report, s.now())
 	rates := s.tracker.rates(s.manager.log.State())
+	var observed *interference.Observation
+	if s.manager.config.Interference && s.tracker.reportClock == report.Clock {
+		observed = s.tracker.observation(s.manager.log.State())
+	}
 	if first {
 		s.polled = true
 		close(s.firstPoll)
@@ -306,6 +311,7 @@
 	}
 	s.mu.Unlock()
 	s.manager.recordRates(s.worker, rates)
+	s.manager.observeInterference(s.worker, observed)
 	s.manager.config.Wake()
 }
 
--- a/internal/coordination/dispatch/leases/tracker.go
+++ b/internal/coordination/dispatch/leases/tracker.go
@@ -32,6 +32,10 @@
 	reportClock int64
 	hasReport   bool
 	running     []Running
+	// previous are the active runs of the report before, and previousClock its clock.
+	previous      []Running
+	previousClock int64
+	hasPrevious   bool
 	// firstReadings holds the first progress reading of each active run.
 	firstReadings map[runKey]progressReading
 	ends          map[uint64]End
@@ -65,6 +69,7 @@
 	if t.hasReport && report.Clock < t.reportClock {
 		return
 	}
+	t.previous, t.previousClock, t.hasPrevious = t.running, t.reportClock, t.hasReport
 	t.hasReport = true
 	t.reportClock = report.Clock
 	t.running = report.Running
--- a/internal/coordination/dispatch/logging.go
+++ b/internal/coordination/dispatch/logging.go
@@ -1,10 +1,13 @@
 package dispatch
 
 import (
+	"expvar"
+	"math"
 	"time"
 
 	"github.com/sirupsen/logrus"
 
+	"pinewinch.example/pinewinch/internal/coordination/scheduling"
 	"pinewinch.example/pinewinch/internal/protocol/controlpb"
 	"pinewinch.example/pinewinch/internal/protocol/failure"
 	"pinewinch.example/pinewinch/internal/state/store"
@@ -65,6 +68,36 @@
 	return fields
 }
 
+// placementsSeparated counts placements that were changed to keep interfering classes apart.
+var placementsSeparated = expvar.NewInt("dispatch_placements_separated")
+
+// maxLoggedSeparations limits the log lines of one pass.
+const maxLoggedSeparations = 20
+
+// logSeparations counts and logs the placements, among those that are carried out, that the
+// pass changed to keep interfering classes apart.
+func (d *Dispatcher) logSeparations(plan *scheduling.Plan, assignments []*controlpb.Assignment) {
+	started := map[string]bool{}
+	for _, assignment := range assignments {
+		started[assignment.Job] = true
+	}
+	logged := 0
+	for _, s := range plan.Separations {
+		if !started[s.Job] {
+			continue
+		}
+		placementsSeparated.Add(1)
+		if d.config.Logger == nil || logged == maxLoggedSeparations {
+			continue
+		}
+		logged++
+		d.config.Logger.WithFields(logrus.Fields{
+			"job": s.Job, "class": s.Class, "beside": s.Beside, "from": s.From, "worker": s.To,
+			"slowdown_before": math.Round(100*s.Before) / 100, "slowdown_after": math.Round(100*s.After) / 100,
+		}).Info("job kept apart from another class")
+	}
+}
+
 func countRacks(assignment *controlpb.Assignment, registry Registry) int {
 	racks := map[string]bool{}
 	for _, placement := range assignment.Placements {
