app, httpapi, command: show which classes slow down which others

Operators could not see the pairs that the leader estimates.

GET /v1/interference and 'pinewinch interference' show each pair with the slow-down and its error, samples, workers, cpu in use, age and last observation; any instance asks the leader, as for explain. Only operators may read it: the classes belong to all customers. go test -race passes for app, httpapi, command and protocol.

--- a/internal/app/explain.go
+++ b/internal/app/explain.go
@@ -6,8 +6,10 @@
 
 	"pinewinch.example/pinewinch/internal/coordination/control"
 	"pinewinch.example/pinewinch/internal/coordination/dispatch"
+	"pinewinch.example/pinewinch/internal/coordination/dispatch/interference"
 	"pinewinch.example/pinewinch/internal/protocol/failure"
 	"pinewinch.example/pinewinch/internal/protocol/peerpb"
+	"pinewinch.example/pinewinch/internal/settings"
 	"pinewinch.example/pinewinch/internal/transport/httpapi"
 	"pinewinch.example/pinewinch/internal/transport/peers"
 )
@@ -21,10 +23,12 @@
 	log        control.Log
 	controller *dispatch.Controller
 	network    *peers.Network
+	// pairs lists the observed pairs of classes; nil if they are not estimated.
+	pairs func() []interference.Pair
 }
 
-func newExplainer(log control.Log, controller *dispatch.Controller, network *peers.Network) *explainer {
-	return &explainer{log: log, controller: controller, network: network}
+func newExplainer(s *settings.Settings, log control.Log, controller *dispatch.Controller, network *peers.Network, w *workers) *explainer {
+	return &explainer{log: log, controller: controller, network: network, pairs: w.pairs(s.Scheduling.Interference)}
 }
 
 func newHTTPExplainer(e *explainer) httpapi.Explainer { return e }
--- a/internal/app/softstate.go
+++ b/internal/app/softstate.go
@@ -100,6 +100,8 @@
 		}
 	case *peerpb.Call_Explain:
 		return s.explain.serve(body.Explain)
+	case *peerpb.Call_AskInterference:
+		return s.explain.serveInterference()
 	case *peerpb.Call_Fetch:
 		return s.executor.ServeFetch(body.Fetch)
 	case *peerpb.Call_CreditAsk:
--- a/internal/command/command.go
+++ b/internal/command/command.go
@@ -86,6 +86,7 @@
 			t.workflowCommand(),
 			t.requestCommand(),
 			t.explainCommand(),
+			t.interferenceCommand(),
 			t.traceCommand(),
 			t.drainCommand(),
 			t.dumpCommand(),
@@ -113,20 +114,21 @@
 
 // help is the short help of each subcommand.
 var help = map[string]string{
-	"apply":    "bring declarations into force",
-	"diff":     "show what an apply would change",
-	"get":      "show the declarations in force, or jobs",
-	"status":   "completion, fragmentation and waste",
-	"watch":    "the same, a line for each change",
-	"submit":   "submit jobs of a class",
-	"cancel":   "cancel jobs",
-	"workflow": "submit, show or cancel a graph of steps",
-	"request":  "send a request to a minion and print its answer",
-	"explain":  "why a job waits",
-	"trace":    "the log lines about an id, from the logs of all processes",
-	"drain":    "give an upstream no new work",
-	"dump":     "what one process knows",
-	"members":  "instances, and who keeps the log",
+	"apply":        "bring declarations into force",
+	"diff":         "show what an apply would change",
+	"get":          "show the declarations in force, or jobs",
+	"status":       "completion, fragmentation and waste",
+	"watch":        "the same, a line for each change",
+	"submit":       "submit jobs of a class",
+	"cancel":       "cancel jobs",
+	"workflow":     "submit, show or cancel a graph of steps",
+	"request":      "send a request to a minion and print its answer",
+	"explain":      "why a job waits",
+	"interference": "which classes slow down which others on one worker",
+	"trace":        "the log lines about an id, from the logs of all processes",
+	"drain":        "give an upstream no new work",
+	"dump":         "what one process knows",
+	"members":      "instances, and who keeps the log",
 }
 
 func options() []ff.Option {
--- a/internal/transport/httpapi/jobs.go
+++ b/internal/transport/httpapi/jobs.go
@@ -28,6 +28,8 @@
 type Explainer interface {
 	// Explain returns an explanation without a code if no pass left the job waiting.
 	Explain(ctx context.Context, job string) (*peerpb.Explanation, error)
+	// Interference returns the pairs of classes that the leader has observed.
+	Interference(ctx context.Context) (*peerpb.Interference, error)
 }
 
 func describe(job *controlpb.Job) api.Job {
--- a/internal/transport/httpapi/server.go
+++ b/internal/transport/httpapi/server.go
@@ -100,6 +100,7 @@
 	routes.HandleFunc(api.PathMembers, s.requireOperator(s.changeMembers)).Methods(http.MethodPost)
 	routes.HandleFunc(api.PathDrain, s.requireOperator(s.drain)).Methods(http.MethodPost, http.MethodDelete)
 	routes.HandleFunc(api.PathState, s.requireOperator(s.dump)).Methods(http.MethodGet)
+	routes.HandleFunc(api.PathInterference, s.requireOperator(s.interference)).Methods(http.MethodGet)
 	routes.HandleFunc(api.PathVars, s.requireOperator(vars)).Methods(http.MethodGet)
 }
 
--- a/internal/transport/httpapi/server_test.go
+++ b/internal/transport/httpapi/server_test.go
@@ -47,6 +47,12 @@
 
 type emptyExplainer struct{}
 
+func (emptyExplainer) Interference(context.Context) (*peerpb.Interference, error) {
+	return &peerpb.Interference{Enabled: true, Pairs: []*peerpb.InterferencePair{{
+		Victim: "maps/2", Aggressor: "batch", Slowdown: 1.5, Interferes: true, Workers: 7, Cpu: 0.6, CpuWithout: -1, SinceMs: 1, LastSeenMs: 1,
+	}}}, nil
+}
+
 func (emptyExplainer) Explain(context.Context, string) (*peerpb.Explanation, error) {
 	return &peerpb.Explanation{}, nil
 }
