--- a/internal/coordination/scheduling/scheduling.go
+++ b/internal/coordination/scheduling/scheduling.go
@@ -63,6 +63,9 @@
 	// RunTimes estimates run times from past runs of each class; nil without
 	// observations.
 	RunTimes *RunTimes
+	// Interference has the factor by which the run time of the first class of a pair grows
+	// beside the second; other pairs are absent.
+	Interference map[ClassPair]float64
 	// Features are the optional parts that the settings switch on.
 	Features Features
 	// Disabled are mechanisms that an experiment switches off; empty in production.
@@ -128,6 +131,8 @@
 	Cells        []Cell
 	Reservations []Reservation
 	Unmet        []Unmet
+	// Separations are the placements that were changed to keep interfering classes apart.
+	Separations []Separation
 	// Breach is set if the plan violated an invariant: it then assigns and preempts
 	// nothing.
 	Breach *Breach
--- a/internal/transport/httpapi/server.go
+++ b/internal/transport/httpapi/server.go
@@ -105,6 +105,7 @@
 	routes.HandleFunc(api.PathDataCentres, s.requireOperator(s.dataCentres)).Methods(http.MethodGet)
 	routes.HandleFunc(api.PathEvacuation, s.requireOperator(s.orderEvacuation)).Methods(http.MethodPost, http.MethodDelete)
 	routes.HandleFunc(api.PathState, s.requireOperator(s.dump)).Methods(http.MethodGet)
+	routes.HandleFunc(api.PathInterference, s.requireOperator(s.interference)).Methods(http.MethodGet)
 	routes.HandleFunc(api.PathVars, s.requireOperator(vars)).Methods(http.MethodGet)
 }
 
