gang: a new leader does not stop what already runs in an evacuated data centre

Cause: a leader that was lost after all starts of a gang, before the log recorded them, is replaced by one that does not know yet what runs. If the data centre is evacuated, it stopped the gang, although work that runs there runs on.

Change: until the workers have announced themselves, a member that may run is asked as usual. Only its start is withheld, which has no effect if the worker reports the run.

Tests: a new leader that learns of the runs only after its first step.

--- a/internal/coordination/dispatch/evacuations.go
+++ b/internal/coordination/dispatch/evacuations.go
@@ -22,8 +22,7 @@
 	// that still run there.
 	dataCentresEvacuated = expvar.NewInt("dispatch_data_centres_evacuated")
 	tasksInEvacuated     = expvar.NewInt("dispatch_tasks_in_evacuated")
-	// startsWithheld counts commands to reserve or start that were not sent because of an
-	// evacuation, and gangsEvacuated gangs that were stopped before all members had started.
+	// startsWithheld counts starts that were not sent because of an evacuation, and gangsEvacuated gangs that were stopped before all members had started.
 	startsWithheld = expvar.NewInt("dispatch_starts_evacuated")
 	gangsEvacuated = expvar.NewInt("dispatch_gangs_evacuated")
 	// jobsDrained counts running jobs that were stopped because of an evacuation, and
@@ -102,10 +101,10 @@
 	workersHeld.Set(0)
 }
 
-// execute sends a command to its worker, unless it would give work to a data centre that has
+// execute sends a command to its worker, unless it would start work in a data centre that has
 // been evacuated since the command was issued: a command may wait until others are answered.
 func (d *Dispatcher) execute(ctx context.Context, command *gang.Command) (*api.TaskAnswer, error) {
-	if command.Kind != gang.Stop && d.control.State().Evacuated(command.DataCentre) {
+	if command.Kind == gang.Start && d.control.State().Evacuated(command.DataCentre) {
 		startsWithheld.Add(1)
 		return nil, failure.New(failure.DataCentreEvacuated, "the data centre %s is evacuated", command.DataCentre)
 	}
--- a/internal/coordination/dispatch/gang/evacuated_test.go
+++ b/internal/coordination/dispatch/gang/evacuated_test.go
@@ -2,13 +2,16 @@
 
 import (
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
+	"google.golang.org/protobuf/proto"
 
 	"pinewinch.example/pinewinch/internal/coordination/dispatch/gang"
 	"pinewinch.example/pinewinch/internal/protocol/api"
 	"pinewinch.example/pinewinch/internal/protocol/controlpb"
 	"pinewinch.example/pinewinch/internal/protocol/failure"
+	"pinewinch.example/pinewinch/internal/protocol/peerpb"
 )
 
 // evacuatedStep is a step while the data centre of the second worker is evacuated.
@@ -64,3 +67,17 @@
 	is.Equal(move.State, stopping)
 	is.Equal(move.Failure.Code, string(failure.DataCentreEvacuated))
 }
+
+// The leader is lost after all members have started, before the log records it. The next one
+// must not stop the gang for an evacuation before the workers have reported what runs.
+func TestNewLeaderKeepsGangThatRunsInAnEvacuatedDataCentre(t *testing.T) {
+	is, l := is.New(t), newLeaderRenewalModel()
+	l.machine = gang.New(gang.Config{Lease: 5 * time.Second, AnnounceEvery: 500 * time.Millisecond, CommandTimeout: time.Second})
+	is.Equal(l.evacuatedStep().Batch, nil)
+	for task, worker := range l.workers {
+		l.workers[task] = proto.CloneOf(worker)
+		l.workers[task].Version++
+		l.workers[task].Tasks = []*peerpb.TaskReport{{Job: "j", Task: uint32(task), Epoch: 1, Phase: peerpb.TaskPhase_TASK_PHASE_RUNNING}}
+	}
+	is.Equal(l.evacuatedStep().Batch.Moves[0].State, controlpb.JobState_JOB_STATE_RUNNING)
+}
--- a/internal/coordination/dispatch/gang/starting.go
+++ b/internal/coordination/dispatch/gang/starting.go
@@ -97,9 +97,11 @@
 
 // evacuatedBeforeStart reports whether a member that has not been started is on a worker in
 // a data centre that is evacuated. A start without an answer yet may have been carried out,
-// and its answer decides.
+// and its answer decides. A new leader does not know yet which members run: it repeats the
+// commands, and a start that is withheld only counts if the worker does not report the run.
 func (s *step) evacuatedBeforeStart(w *worker, m *member) bool {
-	return s.in.Evacuated != nil && m.phase < phaseRunning && m.awaiting != Start && s.in.Evacuated(w.upstream.DataCentre)
+	return s.in.Evacuated != nil && m.phase < phaseRunning && m.awaiting != Start &&
+		s.announcementsComplete() && s.in.Evacuated(w.upstream.DataCentre)
 }
 
 // announcementsComplete reports whether this instance has led long enough to have received the
