scheduling, quarantine: care in the placement of further attempts

Cause: work with two attempts is lost if its second worker fails too. A rack at fault takes both: only the worker of the first failure is excluded, and the others look free, since what they start ends quickly. A single success clears a worker's record.

Change, with scheduling.attempt_placement only: a job that has failed prefers workers with a good record outside of the racks in which it failed, among those that are free now. A success halves a worker's record instead of clearing it, and a worker that has failed three jobs then gets one at a time. A gang that ran and lost a member is placed again without the 100 ms delay. The number of attempts is bounded as before.

Tests: the replay, the order of preference, the records, the delay. The simulated machines of the dispatch tests can fail their runs now.

--- a/internal/app/work.go
+++ b/internal/app/work.go
@@ -137,6 +137,7 @@
 			AnnounceEvery:  s.Upstreams.AnnounceEvery,
 			CommandTimeout: commandTimeout,
 			StallAfter:     w.stallAfter(),
+			ResumeAtOnce:   s.Scheduling.AttemptPlacement,
 		},
 		Quarantine: quarantine.Config{
 			CoolDown: s.Upstreams.Lease / coolDownsPerLease,
--- a/internal/coordination/dispatch/controller.go
+++ b/internal/coordination/dispatch/controller.go
@@ -232,6 +232,7 @@
 		return
 	}
 	c.setIncarnations(assignments)
+	c.reportRetries(state, assignments)
 	commit := &controlpb.CommitPlan{Assignments: assignments, Preemptions: plan.Preemptions}
 	c.dispatcher.logPlan(state, commit, c.registry, c.waits.Waited)
 	c.propose(ctx, &controlpb.Command{Op: &controlpb.Command_Plan{Plan: commit}})
@@ -279,7 +280,7 @@
 	// Computed only on demand: usually no worker is due for a probe.
 	holding := sync.OnceValue(func() map[string]bool { return workersHoldingTasks(state) })
 	for _, worker := range live {
-		verdict := c.dispatcher.verdict(state, worker.Id)
+		verdict, badRecord := c.dispatcher.judgeRecord(state, worker.Id)
 		if verdict == quarantine.Probing && holding()[worker.Id] {
 			verdict = quarantine.Quarantined
 		}
@@ -305,12 +306,14 @@
 			MemoryMB:     worker.MemoryMb,
 			Accelerators: worker.Accelerators,
 			Speed:        speeds[worker.Id],
+			BadRecord:    badRecord,
 			Cold:         worker.Cold,
 			Unavailable:  excluded || evacuated || held[worker.Id],
 			Evacuated:    evacuated && !excluded,
 		})
 	}
 	c.setVerdicts(current)
+	workersBadRecord.Set(int64(c.dispatcher.records.Count()))
 	return workers, probing
 }
 
--- a/internal/coordination/dispatch/dispatch.go
+++ b/internal/coordination/dispatch/dispatch.go
@@ -102,6 +102,8 @@
 	answers  []gang.Answer
 	restarts restarts
 	judge    judge
+	// records are the workers' failures that outlast a success.
+	records quarantine.Records
 }
 
 // New returns a dispatcher that has observed no workers yet.
@@ -144,6 +146,7 @@
 	d.term = term
 	d.machine = d.machine.NextTerm()
 	d.restarts = restarts{}
+	d.records = quarantine.Records{}
 	d.drainAnswers()
 }
 
--- a/internal/coordination/dispatch/gang/lease.go
+++ b/internal/coordination/dispatch/gang/lease.go
@@ -22,6 +22,8 @@
 	// the task counts as stalled; 0 turns the check off, for workers that report no
 	// progress.
 	StallAfter time.Duration
+	// ResumeAtOnce places a gang again without a delay after the loss of a member.
+	ResumeAtOnce bool
 	// CommandTimeout is the time limit of one command to a worker.
 	CommandTimeout time.Duration
 }
--- a/internal/coordination/dispatch/gang/retry.go
+++ b/internal/coordination/dispatch/gang/retry.go
@@ -83,7 +83,7 @@
 // decideBoundedRetry retries a job with a declared maximum of attempts without backoff,
 // and parks it when the attempts are used up. Infrastructure failures don't count as
 // attempts.
-func decideBoundedRetry(job *controlpb.Job, now time.Time, move *controlpb.MoveJob) {
+func (s *step) decideBoundedRetry(job *controlpb.Job, move *controlpb.MoveJob) {
 	failed := job.OwnFailures
 	if move.Failure != nil && !failure.Code(move.Failure.Code).Infrastructure() {
 		failed++
@@ -92,11 +92,26 @@
 		move.State = controlpb.JobState_JOB_STATE_PARKED
 		return
 	}
-	if job.FailedEpoch != job.Epoch && move.Failure == nil && !job.Preempted && !stoppedByEvacuation(job) {
-		move.NotBeforeMs = now.Add(infrastructureRetryDelay).UnixMilli()
+	if job.FailedEpoch != job.Epoch && move.Failure == nil && !job.Preempted && !stoppedByEvacuation(job) && !s.resumesAtOnce(job) {
+		move.NotBeforeMs = s.in.Now.Add(infrastructureRetryDelay).UnixMilli()
 	}
 }
 
+// lostMember are the codes of failures by which a gang has lost a member that ran.
+var lostMember = map[failure.Code]bool{
+	failure.WorkerVanished: true,
+	failure.LeaseLost:      true,
+	failure.Stalled:        true,
+}
+
+// resumesAtOnce reports whether a gang that has lost a member is placed again without a
+// delay. The delay after a refused start would only hold back the rest of the gang: the
+// capacity of the other members is free, and the lost worker gets no work.
+func (s *step) resumesAtOnce(job *controlpb.Job) bool {
+	newest := len(job.Failures) - 1
+	return s.config.ResumeAtOnce && job.StartedMs > 0 && newest >= 0 && lostMember[failure.Code(job.Failures[newest].Code)]
+}
+
 // stoppedByEvacuation reports whether the newest run was not started as a whole because of
 // an evacuation. It is placed elsewhere without a delay: the next pass leaves the data
 // centre out.
--- a/internal/coordination/dispatch/gang/stopping.go
+++ b/internal/coordination/dispatch/gang/stopping.go
@@ -164,7 +164,7 @@
 		return
 	}
 	if job.MaxAttempts > 0 {
-		decideBoundedRetry(job, s.in.Now, move)
+		s.decideBoundedRetry(job, move)
 		return
 	}
 	if job.Preempted {
--- a/internal/coordination/dispatch/machines_test.go
+++ b/internal/coordination/dispatch/machines_test.go
@@ -15,6 +15,8 @@
 	"pinewinch.example/pinewinch/internal/coordination/dispatch"
 	"pinewinch.example/pinewinch/internal/coordination/dispatch/gang"
 	"pinewinch.example/pinewinch/internal/coordination/dispatch/leases"
+	"pinewinch.example/pinewinch/internal/coordination/dispatch/quarantine"
+	"pinewinch.example/pinewinch/internal/coordination/scheduling"
 	"pinewinch.example/pinewinch/internal/protocol/controlpb"
 	"pinewinch.example/pinewinch/internal/protocol/failure"
 	"pinewinch.example/pinewinch/internal/protocol/peerpb"
@@ -26,6 +28,8 @@
 	// start.
 	crashing   = "crash"
 	crashDelay = 60 * time.Millisecond
+	// failDelay is how long a run takes on a machine at fault.
+	failDelay = 100 * time.Millisecond
 	// firstLifeClock is what the clocks of the first lives read at the beginning.
 	firstLifeClock = 400 * time.Second
 	// announcementTTL is how long a worker stays listed after it has crashed.
@@ -40,12 +44,16 @@
 	number  uint64
 	endsAt  time.Time
 	crashes bool
+	fails   bool
 }
 
 // machine runs one worker after the other at one address: each crash ends a life, and the
 // next one has a new id.
 type machine struct {
 	address string
+	// fails is set if each run on the machine fails after failDelay; rack is r if it is empty.
+	fails bool
+	rack  string
 	// dataCentre is dc if it is empty; lastStart is when a run last began there.
 	dataCentre string
 	lastStart  time.Time
@@ -101,6 +109,10 @@
 	list     []*machine
 	pause    time.Duration
 	taskTime time.Duration
+	// features, quarantine and maxAttempts configure the leaders and the work.
+	features    scheduling.Features
+	quarantine  quarantine.Config
+	maxAttempts uint32
 	// starts and crashes count by task; startsAfterCrashes counts the starts from the
 	// third crash on.
 	starts, crashes, startsAfterCrashes map[string]int
@@ -137,6 +149,7 @@
 	dispatcher := dispatch.New(dispatch.Config{
 		Gang:         gang.Config{Lease: simulatedLease, FreshnessBound: 1500 * time.Millisecond, AnnounceEvery: time.Second, CommandTimeout: 2 * time.Second},
 		LeaseExpired: manager.LeaseExpired, Crashes: manager.Crashes, Term: func() uint64 { return term }, MayLead: true, Logger: logger, Now: time.Now,
+		Features: m.features, Quarantine: m.quarantine,
 	}, m, manager)
 	controller := dispatch.NewController(m, dispatcher, manager, time.Now)
 	ctx, cancel := context.WithCancel(t.Context())
@@ -171,7 +184,7 @@
 func (m *machines) submit(id, specification string, step *controlpb.Step) {
 	step.Accelerators, step.RunTimeMs = max(step.Accelerators, 1), m.taskTime.Milliseconds()
 	_, _ = m.Propose(context.Background(), &controlpb.Command{Op: &controlpb.Command_SubmitWorkflow{SubmitWorkflow: &controlpb.SubmitWorkflow{Workflow: &controlpb.Workflow{
-		Id: id, Queue: "q", Service: "s", Specification: specification, MaxAttempts: 3, Steps: []*controlpb.Step{step},
+		Id: id, Queue: "q", Service: "s", Specification: specification, MaxAttempts: cmp.Or(m.maxAttempts, 3), Steps: []*controlpb.Step{step},
 	}}}})
 }
 
@@ -223,7 +236,7 @@
 func (machine *machine) announcement() *peerpb.Upstream {
 	if machine.announced == nil || machine.announced.Id != machine.id() || machine.announced.Incarnation != machine.incarnation() {
 		machine.announced = &peerpb.Upstream{
-			Id: machine.id(), Kind: peerpb.UpstreamKind_UPSTREAM_KIND_WORKER, Address: machine.address, DataCentre: cmp.Or(machine.dataCentre, "dc"), Rack: "r",
+			Id: machine.id(), Kind: peerpb.UpstreamKind_UPSTREAM_KIND_WORKER, Address: machine.address, DataCentre: cmp.Or(machine.dataCentre, "dc"), Rack: cmp.Or(machine.rack, "r"),
 			Cores: machine.cores, MemoryMb: 1 << 17, Accelerators: 8, Services: []string{"s"}, Incarnation: machine.incarnation(), Version: 1,
 		}
 	}
@@ -309,13 +322,16 @@
 	for task, run := range machine.running {
 		switch {
 		case !run.crashes && !time.Now().Before(run.endsAt) && run.endsAt.Sub(machine.born).Milliseconds() < machine.lease:
-			machine.end(task, leases.Done)
+			machine.end(task, outcomes[run.fails])
 		case machine.clock() >= machine.lease:
 			machine.end(task, leases.LeaseExpired)
 		}
 	}
 }
 
+// outcomes has how a run ends, by whether it fails.
+var outcomes = map[bool]leases.Outcome{false: leases.Done, true: leases.Failed}
+
 // extendLease grants a lease by the machine's clock, of limited length.
 func (machine *machine) extendLease(deadline int64) {
 	machine.lease = max(machine.lease, min(deadline, machine.clock()+maxSimulatedLease.Milliseconds()))
@@ -407,6 +423,9 @@
 		m.startsAfterCrashes[start.Task]++
 	}
 	run := &simulatedRun{number: start.Run, endsAt: time.Now().Add(m.taskTime), crashes: start.Specification == crashing}
+	if machine.fails {
+		run.fails, run.endsAt = true, time.Now().Add(failDelay)
+	}
 	machine.running[start.Task], machine.lastStart = run, time.Now()
 	if run.crashes {
 		time.AfterFunc(crashDelay, func() {
--- /dev/null
+++ b/internal/coordination/dispatch/quarantine/records.go
@@ -0,0 +1,141 @@
+package quarantine
+
+import (
+	"slices"
+	"time"
+
+	"pinewinch.example/pinewinch/internal/protocol/controlpb"
+	"pinewinch.example/pinewinch/internal/protocol/failure"
+)
+
+const (
+	// recordRetention is how long a failure counts in a worker's record: minutes, as a worker
+	// that was repaired would otherwise be avoided for too long.
+	recordRetention = 5 * time.Minute
+	// maxRecord limits the failures in a record, so that a few successes clear it.
+	maxRecord = 8
+	// sameFailure is how far the times of one failure may be apart: that in its job is of the
+	// leader's clock, that in the worker's health is of the commit.
+	sameFailure = 2 * time.Second
+)
+
+// Records keeps the failures of workers beyond their next success: each success takes away
+// half of them. The log only keeps those since the last success, so a worker that fails most
+// of what it starts would look healthy after each task that ends well. The records are
+// memory of the leader. A new one begins with the failures that the log still has of jobs,
+// and does not know of the successes in between. The zero value is empty.
+type Records struct {
+	workers map[string]*record
+}
+
+type record struct {
+	// failures are those that count, oldest first.
+	failures []*controlpb.WorkerFailure
+	// seen is the number of consecutive failures in the log at the last update, and newestMs
+	// the time of the newest one.
+	seen     uint32
+	newestMs int64
+}
+
+// Begun reports whether the records contain what the log had at the start of the term.
+func (r *Records) Begun() bool { return r.workers != nil }
+
+// Begin starts the records from the failures of jobs that the log still has.
+func (r *Records) Begin(now time.Time, jobs []*controlpb.Job) {
+	r.workers = map[string]*record{}
+	for _, job := range jobs {
+		if job.State == controlpb.JobState_JOB_STATE_PARKED && job.MaxAttempts == 0 {
+			continue
+		}
+		for _, failed := range job.Failures {
+			if failed.Worker != "" && !failure.Code(failed.Code).Infrastructure() {
+				r.of(failed.Worker).add(&controlpb.WorkerFailure{Job: job.Id, Code: failed.Code, TimeMs: failed.TimeMs})
+			}
+		}
+	}
+	for _, kept := range r.workers {
+		slices.SortStableFunc(kept.failures, func(a, b *controlpb.WorkerFailure) int { return int(a.TimeMs - b.TimeMs) })
+		kept.limit(now)
+	}
+}
+
+// Count returns the number of workers with a record.
+func (r *Records) Count() int { return len(r.workers) }
+
+// Failures returns the number of failures that count against a worker.
+func (r *Records) Failures(worker string) int {
+	if kept := r.workers[worker]; kept != nil {
+		return len(kept.failures)
+	}
+	return 0
+}
+
+func (r *Records) of(worker string) *record {
+	kept := r.workers[worker]
+	if kept == nil {
+		kept = &record{}
+		r.workers[worker] = kept
+	}
+	return kept
+}
+
+// Verdict records what the log says of a worker now, and returns the verdict on it, and
+// whether failures count against it. After a success, a worker that has failed several jobs
+// gets one job at a time until further successes have reduced its record.
+func (r *Records) Verdict(config Config, worker string, health *controlpb.WorkerHealth, now time.Time) (verdict Verdict, badRecord bool) {
+	if r.workers[worker] == nil && health == nil {
+		return Healthy, false
+	}
+	kept := r.of(worker)
+	kept.update(health)
+	kept.limit(now)
+	if len(kept.failures) == 0 && health == nil {
+		delete(r.workers, worker)
+		return Healthy, false
+	}
+	if health == nil {
+		if DistinctJobs(&controlpb.WorkerHealth{Failures: kept.failures}) >= minDistinctJobs {
+			return Probing, true
+		}
+		return Healthy, true
+	}
+	if len(kept.failures) > len(health.Failures) {
+		health = &controlpb.WorkerHealth{
+			Worker: worker, Failures: kept.failures, Consecutive: max(health.Consecutive, uint32(len(kept.failures))),
+		}
+	}
+	return Evaluate(config, health, now), true
+}
+
+// update adds the failures that are new, and halves the record if the log has dropped some,
+// after a success or because their job was at fault.
+func (k *record) update(health *controlpb.WorkerHealth) {
+	newest := int64(0)
+	if health != nil {
+		newest = health.Failures[len(health.Failures)-1].TimeMs
+	}
+	if k.seen > 0 && health.GetConsecutive() < k.seen {
+		k.failures = k.failures[(len(k.failures)+1)/2:]
+	}
+	for _, failed := range health.GetFailures() {
+		if failed.TimeMs > k.newestMs && !slices.ContainsFunc(k.failures, func(f *controlpb.WorkerFailure) bool {
+			return f.Job == failed.Job && max(f.TimeMs-failed.TimeMs, failed.TimeMs-f.TimeMs) < sameFailure.Milliseconds()
+		}) {
+			k.add(failed)
+		}
+	}
+	k.seen, k.newestMs = health.GetConsecutive(), max(k.newestMs, newest)
+}
+
+func (k *record) add(failed *controlpb.WorkerFailure) {
+	k.failures = append(slices.Clip(k.failures), failed)
+}
+
+// limit drops the failures that no longer count.
+func (k *record) limit(now time.Time) {
+	oldest := now.Add(-recordRetention).UnixMilli()
+	k.failures = slices.DeleteFunc(slices.Clone(k.failures), func(f *controlpb.WorkerFailure) bool { return f.TimeMs < oldest })
+	if excess := len(k.failures) - maxRecord; excess > 0 {
+		k.failures = k.failures[excess:]
+	}
+}
--- /dev/null
+++ b/internal/coordination/dispatch/quarantine/records_test.go
@@ -0,0 +1,52 @@
+package quarantine
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"pinewinch.example/pinewinch/internal/protocol/controlpb"
+	"pinewinch.example/pinewinch/internal/protocol/failure"
+)
+
+// A worker that fails most of what it starts must not look healthy after each success. With
+// further successes, or after the retention, it does.
+func TestRecordOutlastsASuccess(t *testing.T) {
+	is, now := is.New(t), time.UnixMilli(1_800_000_000_000)
+	config := Config{CoolDown: time.Second, Probe: 10 * time.Second}
+	var records Records
+	records.Begin(now, []*controlpb.Job{{Id: "before", MaxAttempts: 2, Failures: []*controlpb.TaskFailure{
+		{Worker: "w", Code: string(failure.TaskFailed), TimeMs: now.UnixMilli()},
+		{Worker: "w", Code: string(failure.WorkerVanished), TimeMs: now.UnixMilli()},
+	}}})
+	health := &controlpb.WorkerHealth{Worker: "w"}
+	fail := func(jobs int) {
+		for range jobs {
+			now = now.Add(3 * time.Second)
+			health.Consecutive++
+			health.Failures = append(health.Failures, &controlpb.WorkerFailure{Job: fmt.Sprint("j", now.UnixMilli()), TimeMs: now.UnixMilli()})
+		}
+	}
+	verdict := func(health *controlpb.WorkerHealth) Verdict {
+		verdict, bad := records.Verdict(config, "w", health, now)
+		is.True(bad)
+		return verdict
+	}
+	is.Equal(verdict(nil), Healthy)
+	fail(5)
+	is.Equal(verdict(health), Quarantined)
+	is.Equal(verdict(nil), Probing)
+	is.Equal(verdict(nil), Probing) // one success counts once
+	health = &controlpb.WorkerHealth{Worker: "w"}
+	fail(1)
+	is.Equal(verdict(health), Quarantined)
+	for _, want := range []Verdict{Healthy, Healthy} {
+		is.Equal(verdict(nil), want)
+	}
+	now = now.Add(recordRetention + time.Second)
+	got, bad := records.Verdict(config, "w", nil, now)
+	is.Equal(got, Healthy)
+	is.True(!bad)
+}
--- a/internal/coordination/dispatch/verdicts.go
+++ b/internal/coordination/dispatch/verdicts.go
@@ -28,12 +28,28 @@
 	}
 }
 
+// judgeRecord returns the verdict on a worker, and whether failures count against it. With
+// attempt placement, its record outlasts a success.
+func (d *Dispatcher) judgeRecord(state *store.State, worker string) (verdict quarantine.Verdict, badRecord bool) {
+	if !d.config.Features.AttemptPlacement {
+		return d.verdict(state, worker), false
+	}
+	now := latest(d.config.Now(), state.Time())
+	if !d.records.Begun() {
+		d.records.Begin(now, state.Jobs())
+	}
+	return d.records.Verdict(d.config.Quarantine, worker, state.Health(worker), now)
+}
+
 // logVerdict logs a worker's changed verdict with the failures that it is based on.
 func (d *Dispatcher) logVerdict(state *store.State, worker string, verdict quarantine.Verdict) {
 	if d.config.Logger == nil {
 		return
 	}
 	fields := logrus.Fields{"worker": worker, "verdict": verdict.String(), "index": state.Index()}
+	if record := d.records.Failures(worker); record > 0 {
+		fields["record"] = record
+	}
 	if health := state.Health(worker); health != nil {
 		fields["failures"] = health.Consecutive
 		fields["jobs"] = quarantine.DistinctJobs(health)
--- a/internal/coordination/scheduling/placement.go
+++ b/internal/coordination/scheduling/placement.go
@@ -24,6 +24,8 @@
 	unrestricted bool
 	// restricted requests may only use workers that are kept for the job.
 	restricted bool
+	// careful requests prefer other workers for a further attempt.
+	careful bool
 	// pinned work is preemptible but counts as non-preemptible in this pass.
 	pinned bool
 	// rank and score order the queue, lower values first.
@@ -52,6 +54,7 @@
 		nonPreemptible: !Preemptible(job),
 		adjacency:      job.Adjacency,
 		restricted:     p.snapshot.Restricted[job.Id],
+		careful:        p.snapshot.Features.AttemptPlacement,
 	}
 }
 
@@ -143,6 +146,9 @@
 // findPlacement finds a placement for the whole gang, or nil: on workers of the
 // preferred speed classes, otherwise on any.
 func (c *cluster) findPlacement(req *request, capacity capacityFunc) []nodeTasks {
+	if placement := c.findForRetry(req, capacity); placement != nil {
+		return placement
+	}
 	for _, set := range preferredSpeeds(req) {
 		if c.speeds&^set == 0 {
 			break
--- /dev/null
+++ b/internal/coordination/scheduling/retries_test.go
@@ -0,0 +1,58 @@
+package scheduling
+
+import (
+	"testing"
+
+	"github.com/matryer/is"
+
+	"pinewinch.example/pinewinch/internal/protocol/controlpb"
+	"pinewinch.example/pinewinch/internal/protocol/failure"
+)
+
+// attemptsOn gives the job one failure of its own on each worker.
+func attemptsOn(workers ...string) jobOption {
+	return func(j *controlpb.Job) {
+		for _, worker := range workers {
+			j.OwnFailures++
+			j.Failures = append(j.Failures, &controlpb.TaskFailure{Worker: worker, Code: string(failure.TaskFailed)})
+		}
+	}
+}
+
+// The last attempt of a job must not go to the rack in which it failed, or to a worker with a
+// bad record, where another one is free; and it must not wait for one.
+func TestRetryPrefersAnotherRackAndAGoodRecord(t *testing.T) {
+	badRecord := func(workers []Worker, numbers ...int) []Worker {
+		for _, number := range numbers {
+			workers[number].BadRecord = true
+		}
+		return workers
+	}
+	for name, test := range map[string]struct {
+		workers []Worker
+		job     *controlpb.Job
+		want    string
+	}{
+		"another rack, good record":         {badRecord(testWorkers(1, 2, 2, 8), 2), unitJob("j", "b", 1, 8, attemptsOn("d0-r0-w0")), "d0-r1-w1"},
+		"good record in the same rack":      {badRecord(testWorkers(1, 2, 2, 8), 2, 3), unitJob("j", "b", 1, 8, attemptsOn("d0-r0-w0")), "d0-r0-w1"},
+		"bad record, but another rack":      {badRecord(testWorkers(1, 2, 2, 8), 1, 2, 3), unitJob("j", "b", 1, 8, attemptsOn("d0-r0-w0")), "d0-r1-w0"},
+		"no other worker: no wait":          {badRecord(testWorkers(1, 1, 2, 8), 1), unitJob("j", "b", 1, 8, attemptsOn("d0-r0-w0")), "d0-r0-w1"},
+		"not on a degraded worker":          {withSpeeds(testWorkers(1, 2, 2, 8), 1, 1, 0.3, 0.3), unitJob("j", "b", 1, 8, attemptsOn("d0-r0-w0")), "d0-r0-w1"},
+		"the first attempt is as it was":    {badRecord(testWorkers(1, 2, 2, 8), 0), unitJob("j", "b", 1, 8), "d0-r0-w0"},
+		"no limit on attempts: as it was":   {badRecord(testWorkers(1, 2, 2, 8), 0), unitJob("j", "b", 1, 8, attemptsOn("x"), func(j *controlpb.Job) { j.MaxAttempts = 0 }), "d0-r0-w0"},
+		"failures of workers don't matter":  {testWorkers(1, 2, 2, 8), unitJob("j", "b", 1, 8, attemptsOn("x"), func(j *controlpb.Job) { j.Failures[0].Code = string(failure.WorkerVanished) }), "d0-r0-w0"},
+		"a worker that is no longer known":  {testWorkers(1, 2, 2, 8), unitJob("j", "b", 1, 8, attemptsOn("x")), "d0-r0-w0"},
+		"a gang that fits no other rack":    {testWorkers(1, 1, 3, 8), unitJob("j", "b", 2, 8, attemptsOn("d0-r0-w0")), "d0-r0-w1"},
+		"a gang goes as a whole to another": {testWorkers(1, 2, 3, 8), unitJob("j", "b", 2, 8, attemptsOn("d0-r0-w0")), "d0-r1-w0"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			snapshot := unitsSnapshot(test.workers, test.job)
+			snapshot.Features.AttemptPlacement = true
+			plan := Pass(snapshot)
+			is.Equal(plan.Breach, nil)
+			is.Equal(len(plan.Assignments), 1)
+			is.Equal(plan.Assignments[0].Placements[0].Worker, test.want)
+		})
+	}
+}
--- a/internal/coordination/scheduling/scheduling.go
+++ b/internal/coordination/scheduling/scheduling.go
@@ -26,6 +26,8 @@
 	// Speed is the observed speed of the worker relative to the usual one; 0 if it is
 	// unknown.
 	Speed float64
+	// BadRecord is set if failures count against the worker.
+	BadRecord bool
 	// Cold is set while the worker has not reached its full speed yet.
 	Cold bool
 	// Unavailable workers keep their tasks but get no new ones: they are leaving,
