--- a/internal/coordination/dispatch/crashes_test.go
+++ b/internal/coordination/dispatch/crashes_test.go
@@ -174,3 +174,9 @@
 		is.Equal(len(m.State().Crashes()), 0)
 	})
 }
+
+func (m *machines) crashesOf(task string) int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.crashes[task]
+}
--- a/internal/coordination/dispatch/machines_test.go
+++ b/internal/coordination/dispatch/machines_test.go
@@ -280,12 +280,6 @@
 	m.list[number].silent = silent
 }
 
-func (m *machines) crashesOf(task string) int {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	return m.crashes[task]
-}
-
 // restart replaces the state by what its snapshot restores.
 func (m *machines) restart() {
 	m.fakeLog.mu.Lock()
