overload replay: workers that turn slow, wrong estimates, and features of the pass

A run's end is now the end of its slowest member, whose speed may change while it runs (slow_share, slow_factor, slow_for); declared run times can be off by a factor on top of their spread (estimate_factor); -with switches on features by their names in the settings.

--- a/internal/experiment/benchcmd/overload.go
+++ b/internal/experiment/benchcmd/overload.go
@@ -22,6 +22,7 @@
 	first := flags.Uint64("first-seed", 11, "seed of the first day")
 	last := flags.Uint64("last-seed", 60, "seed of the last day")
 	without := flags.String("without", "", "mechanisms to disable in further variants: names separated by commas within a variant, variants by slashes")
+	with := flags.String("with", "", "features to switch on in further variants, by their names in the settings, in the same form")
 	jobs := flags.Int("jobs", max(runtime.NumCPU()/2, 1), "days at a time")
 	return &ffcli.Command{
 		Name: "overload", FlagSet: flags, ShortUsage: "pinewinch-bench overload [flags]",
@@ -39,6 +40,13 @@
 				}
 				variants = append(variants, overload.Variant{Name: "without " + names, Off: off})
 			}
+			for _, names := range strings.FieldsFunc(*with, func(r rune) bool { return r == '/' }) {
+				on, err := scheduling.ParseFeatures(names)
+				if err != nil {
+					return err
+				}
+				variants = append(variants, overload.Variant{Name: "with " + names, On: on})
+			}
 			var completed atomic.Int64
 			all := len(variants) * int(*last-*first+1)
 			compared := overload.Compare(deployment, variants, *first, *last, *jobs, func() {
--- a/internal/experiment/overload/compare.go
+++ b/internal/experiment/overload/compare.go
@@ -12,10 +12,21 @@
 	"pinewinch.example/pinewinch/internal/protocol/failure"
 )
 
-// Variant is a named set of disabled mechanisms.
+// Variant is a named choice of the pass's parts: the mechanisms that are disabled, and the
+// features that are switched on.
 type Variant struct {
 	Name string
 	Off  scheduling.Mechanisms
+	On   scheduling.Features
+}
+
+// features returns the features with the costs that the deployment declares.
+func (v Variant) features(d *Deployment) scheduling.Features {
+	on := v.On
+	if on != (scheduling.Features{}) {
+		on.CheckpointInterval, on.RestoreTime, on.StopTime = d.CheckpointEvery, d.RestoreTime, d.StopTime
+	}
+	return on
 }
 
 // Comparison holds the results of each variant: Results is indexed by variant, then by seed.
@@ -36,7 +47,7 @@
 			limit <- struct{}{}
 			group.Go(func() {
 				defer func() { <-limit }()
-				c.Results[v][i] = Replay(d.Day(from+uint64(i)), variants[v].Off)
+				c.Results[v][i] = Replay(d.Day(from+uint64(i)), variants[v])
 				progress()
 			})
 		}
--- a/internal/experiment/overload/deployment.go
+++ b/internal/experiment/overload/deployment.go
@@ -47,7 +47,12 @@
 	LeaderAbsent     time.Duration `ini:"leader_absent"`
 	WorkersLostShare float64       `ini:"workers_lost_share"`
 	WorkersLostFor   time.Duration `ini:"workers_lost_for"`
-	Queues           []Queue       `ini:"-"`
+	// SlowShare is the share of workers that turn SlowFactor times slower for SlowFor, each
+	// once a day at a random time.
+	SlowShare  float64       `ini:"slow_share"`
+	SlowFactor float64       `ini:"slow_factor"`
+	SlowFor    time.Duration `ini:"slow_for"`
+	Queues     []Queue       `ini:"-"`
 }
 
 // Queue describes the workflows of one queue.
@@ -87,6 +92,9 @@
 	CancelledShare  float64 `ini:"cancelled_share"`
 	FailedRunShare  float64 `ini:"failed_run_share"`
 	EstimateSpread  float64 `ini:"estimate_spread"`
+	// EstimateFactor is the factor, of at least 1, by which the declared run time of a step
+	// is at most off in addition, in both directions; 0 for none.
+	EstimateFactor float64 `ini:"estimate_factor"`
 	// Burst multiplies the arrival rate for BurstLength, once a day at a random time.
 	Burst       float64       `ini:"burst"`
 	BurstLength time.Duration `ini:"burst_for"`
--- a/internal/experiment/overload/engine.go
+++ b/internal/experiment/overload/engine.go
@@ -50,7 +50,7 @@
 // engine simulates one day.
 type engine struct {
 	day            *Day
-	disabled       scheduling.Mechanisms
+	variant        Variant
 	now            time.Duration
 	events         timeline.Queue[event]
 	active         []*unit
@@ -62,16 +62,19 @@
 	speedEstimator workerspeed.Estimator
 	// speeds holds the latest estimates of speedEstimator.
 	speeds   map[string]float64
+	fittedAt time.Duration
+	// observed is set when a rate was observed since the last fit.
+	observed bool
 	lastPass time.Duration
 	// changed is set when an event was handled since the last pass.
 	changed bool
 	result  Result
 }
 
-// Replay simulates a day with the given mechanisms of the pass disabled.
-func Replay(day *Day, disabled scheduling.Mechanisms) *Result {
+// Replay simulates a day under a variant of the pass.
+func Replay(day *Day, variant Variant) *Result {
 	e := &engine{
-		day: day, disabled: disabled, byJob: map[string]*unit{}, down: map[string]bool{},
+		day: day, variant: variant, byJob: map[string]*unit{}, down: map[string]bool{},
 		plan: &scheduling.Plan{}, learned: scheduling.NewRunTimes(),
 	}
 	for _, w := range day.workflows {
@@ -165,13 +168,14 @@
 // end handles a run that completed.
 func (e *engine) end(u *unit) {
 	e.result.Done++
-	slowestSpeed := e.day.slowestSpeed(u.job.Placements)
+	took := e.now - u.began
+	work := e.day.worked(u, e.now)
 	for _, placement := range u.job.Placements {
 		// Members that are done hold their accelerators until the slowest is done.
-		idleShare := 1 - slowestSpeed/e.day.speeds[placement.Worker]
-		e.result.Lost += idleShare * float64(u.job.Accelerators) * (e.now - u.began).Seconds()
+		own := time.Duration(u.slowdown * float64(e.day.timeFor(placement.Worker, u.began, work)))
+		e.result.Lost += float64(u.job.Accelerators) * max(took-own, 0).Seconds()
 	}
-	e.learned.Observe(u.job.WorkClass, time.Duration(u.job.RunTimeMs)*time.Millisecond, u.run)
+	e.learn(u, took)
 	e.remove(u)
 	w := u.workflow
 	if u.step.left--; u.step.left > 0 {
@@ -200,7 +204,7 @@
 func (e *engine) releaseAfter(u *unit, delay time.Duration) {
 	kept := time.Duration(0)
 	if u.job.Checkpointable {
-		kept = u.worked(e.now) / e.day.CheckpointEvery * e.day.CheckpointEvery
+		kept = e.day.worked(u, e.now) / e.day.CheckpointEvery * e.day.CheckpointEvery
 	}
 	u.done = min(u.done+kept, u.run-time.Millisecond)
 	u.job.CheckpointedMs = u.done.Milliseconds()
@@ -246,7 +250,8 @@
 	now := time.UnixMilli(0).Add(e.now)
 	snapshot := &scheduling.Snapshot{
 		Now: now, Workers: workers, Jobs: jobs, Customers: e.day.customers, Rules: &controlpb.Rules{},
-		Warm: e.locality.Update(jobs, now), RunTimes: e.learned, Disabled: e.disabled,
+		Warm: e.locality.Update(jobs, now), RunTimes: e.learned, Disabled: e.variant.Off,
+		Features: e.variant.features(e.day.Deployment),
 	}
 	snapshot.CarryOver(e.plan)
 	e.plan = scheduling.Pass(snapshot)
@@ -262,31 +267,10 @@
 	}
 }
 
-// minObservedRunTime is the age from which the progress of a gang shows the speeds of its
-// members.
-const minObservedRunTime = 1200 * time.Millisecond
-
-// observe updates the estimated worker speeds from gangs that have run for long enough.
-func (e *engine) observe() {
-	learned := false
-	for _, u := range e.active {
-		if u.observed == u.job.Epoch || u.job.Tasks < 2 || u.job.StartedMs == 0 || e.now-u.began < minObservedRunTime || len(u.job.Placements) == 0 {
-			continue
-		}
-		u.observed, learned = u.job.Epoch, true
-		for _, placement := range u.job.Placements {
-			e.speedEstimator.Observe(workerspeed.Run{Job: u.job.Id, Epoch: u.job.Epoch}, placement.Worker, e.day.speeds[placement.Worker])
-		}
-	}
-	if learned {
-		e.speeds = e.speedEstimator.Speeds()
-	}
-}
-
 func (e *engine) start(u *unit, placements []*controlpb.Placement) {
 	e.result.Runs++
 	u.runs++
-	u.speed = e.day.speedOn(u, placements)
+	u.slowdown = e.day.slowdown(u, placements)
 	u.began = e.now + startDelay
 	u.job.State, u.job.Placements = controlpb.JobState_JOB_STATE_RUNNING, placements
 	u.job.StartedMs = u.began.Milliseconds()
@@ -295,7 +279,7 @@
 	if u.done > 0 {
 		left += e.day.RestoreTime
 	}
-	took := time.Duration(float64(left) / u.speed)
+	took := e.day.runTime(placements, u.began, time.Duration(u.slowdown*float64(left)))
 	if u.runs <= len(u.failAt) && u.failAt[u.runs-1] > 0 {
 		at := u.began + time.Duration(u.failAt[u.runs-1]*float64(took))
 		e.events.Add(at, event{kind: eventFail, unit: u, epoch: u.job.Epoch})
--- a/internal/experiment/overload/overload_test.go
+++ b/internal/experiment/overload/overload_test.go
@@ -27,8 +27,8 @@
 // and the same result.
 func TestReplayIsDeterministic(t *testing.T) {
 	is, d := is.New(t), load(t)
-	is.Equal(Replay(d.Day(5), 0), Replay(d.Day(5), 0))
-	is.True(Replay(d.Day(5), 0).Score() != Replay(d.Day(6), 0).Score())
+	is.Equal(Replay(d.Day(5), Variant{}), Replay(d.Day(5), Variant{}))
+	is.True(Replay(d.Day(5), Variant{}).Score() != Replay(d.Day(6), Variant{}).Score())
 }
 
 // Under overload on workers of three speeds, a gang that mixes speeds ends with its slowest
@@ -59,7 +59,7 @@
 func TestPlansKeepInvariants(t *testing.T) {
 	is, d := is.New(t), load(t)
 	for _, disabled := range []scheduling.Mechanisms{0, scheduling.KeepWarm, scheduling.DelayForLocality, scheduling.MatchSpeed, scheduling.ExtendLocalityWait, scheduling.StartStarved} {
-		is.Equal(Replay(d.Day(3), disabled).Breaches, 0)
+		is.Equal(Replay(d.Day(3), Variant{Off: disabled}).Breaches, 0)
 	}
 }
 
--- a/internal/experiment/overload/unit.go
+++ b/internal/experiment/overload/unit.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"math"
 	"time"
 
 	"google.golang.org/protobuf/proto"
@@ -16,10 +15,11 @@
 	step     *step
 	job      *controlpb.Job
 	run      time.Duration
-	// done is the work saved by checkpoints, speed that of the current run.
-	done  time.Duration
-	speed float64
-	began time.Duration
+	// done is the work saved by checkpoints, slowdown the factor by which the current run
+	// is slower than its workers, for its place.
+	done     time.Duration
+	slowdown float64
+	began    time.Duration
 	// failAt holds, for each of the first runs, the share of its time after which it
 	// fails; 0 for a run that completes.
 	failAt []float64
@@ -51,35 +51,5 @@
 	return u
 }
 
-// worked is the work done since the start of the run.
-func (u *unit) worked(now time.Duration) time.Duration {
-	if u.speed == 0 {
-		return 0
-	}
-	return time.Duration(float64(max(now-u.began, 0)) * u.speed)
-}
-
 // accelerators is the number of accelerators that the unit uses.
 func (u *unit) accelerators() float64 { return float64(u.job.Tasks * u.job.Accelerators) }
-
-// speedOn is the speed of the slowest member, reduced by RemoteFactor when the unit runs
-// away from its data or a tightly coupled gang spans racks.
-func (d *Day) speedOn(u *unit, placements []*controlpb.Placement) float64 {
-	racks := map[string]bool{}
-	for _, placement := range placements {
-		racks[d.rackOf[placement.Worker]] = true
-	}
-	away := u.job.DataRack != "" && (len(racks) > 1 || !racks[u.job.DataRack])
-	if away || (u.job.TightlyCoupled && len(racks) > 1) {
-		return d.slowestSpeed(placements) / d.RemoteFactor
-	}
-	return d.slowestSpeed(placements)
-}
-
-func (d *Day) slowestSpeed(placements []*controlpb.Placement) float64 {
-	slowestSpeed := math.Inf(1)
-	for _, placement := range placements {
-		slowestSpeed = min(slowestSpeed, d.speeds[placement.Worker])
-	}
-	return slowestSpeed
-}
--- a/internal/experiment/overload/workload.go
+++ b/internal/experiment/overload/workload.go
@@ -26,6 +26,8 @@
 	// lost are the workers that are lost, one every lossInterval from lostAt on.
 	lost   []string
 	lostAt time.Duration
+	// slow has the periods in which workers are SlowFactor times slower.
+	slow map[string]window
 }
 
 type window struct{ from, to time.Duration }
@@ -59,7 +61,7 @@
 
 // Day generates the day of a seed.
 func (d *Deployment) Day(seed uint64) *Day {
-	g := &generator{Day: &Day{Deployment: d, speeds: map[string]float64{}, rackOf: map[string]string{}, customers: map[string]*controlpb.Customer{}}, random: rand.New(rand.NewPCG(seed, 1))}
+	g := &generator{Day: &Day{Deployment: d, speeds: map[string]float64{}, rackOf: map[string]string{}, customers: map[string]*controlpb.Customer{}}, random: rand.New(rand.NewPCG(seed, 1)), extra: rand.New(rand.NewPCG(seed, 2))}
 	g.makeWorkers()
 	for i := range d.Customers {
 		name := customerName(i)
@@ -70,12 +72,28 @@
 		g.makeWorkflows(&d.Queues[i])
 	}
 	slices.SortStableFunc(g.workflows, func(a, b *workflow) int { return cmp.Compare(a.at, b.at) })
+	g.drawSlowWorkers()
 	return g.Day
 }
 
 type generator struct {
 	*Day
 	random *rand.Rand
+	// extra draws what was added to the descriptions later, so that it changes nothing
+	// else of a day.
+	extra *rand.Rand
+}
+
+func (g *generator) drawSlowWorkers() {
+	count := int(g.SlowShare * float64(g.Deployment.Workers))
+	if g.SlowFactor <= 1 || count == 0 {
+		return
+	}
+	g.slow = map[string]window{}
+	for _, i := range g.extra.Perm(g.Deployment.Workers)[:count] {
+		from := time.Duration(g.extra.Float64() * float64(g.Length))
+		g.slow[g.workers[i].ID] = window{from, from + g.SlowFor}
+	}
 }
 
 func customerName(i int) string { return fmt.Sprintf("c%02d", i) }
@@ -194,6 +212,9 @@
 		Priority:  q.Priority, Urgent: q.Priority == 0, Idempotent: true, Checkpointable: checkpointable,
 		State: controlpb.JobState_JOB_STATE_WAITING, MaxAttempts: q.MaxAttempts,
 	}
+	if q.EstimateFactor > 1 {
+		job.RunTimeMs = int64(float64(job.RunTimeMs) * math.Pow(q.EstimateFactor, 2*g.extra.Float64()-1))
+	}
 	if g.random.Float64() < q.DataRack {
 		job.DataRack = rackName(g.random.IntN(g.racks()))
 	}
