scheduling: place, order and preempt by expected end

Run times, lateness and preemption ignored the speeds of workers, and placement knew only three classes with fixed limits, so that on workers of nine speeds a gang mixed speeds within a class, and urgent work stopped others on workers where it was late.

With expected_end a pass estimates the end of a unit on a set of nodes from the speed of the slowest, the remote factor, the work left and the time to restore a checkpoint. Urgent work goes where it ends first, a gang where its members idle least, a patient task to the slowest worker that is in time; urgent work stops others only where it then ends in time. Run times of a class are observed without the speed of their workers. The line "job placed" has the speed and the expected run, and two counters tell how many starts are expected to be late. Without expected_end, plans are the same as before.

--- a/internal/coordination/dispatch/controller.go
+++ b/internal/coordination/dispatch/controller.go
@@ -228,7 +228,8 @@
 	}
 	c.setIncarnations(assignments)
 	commit := &controlpb.CommitPlan{Assignments: assignments, Preemptions: plan.Preemptions}
-	c.dispatcher.logPlan(state, commit, c.registry, c.waits.Waited)
+	countExpected(state, plan.Expected, c.now())
+	c.dispatcher.logPlan(state, commit, plan.Expected, c.registry, c.waits.Waited)
 	c.propose(ctx, &controlpb.Command{Op: &controlpb.Command_Plan{Plan: commit}})
 }
 
@@ -346,7 +347,7 @@
 		Customers: map[string]*controlpb.Customer{},
 		Rules:     state.Rules(),
 		Warm:      c.keepWarm.Update(jobs, c.now()),
-		RunTimes:  c.runTimes.update(state),
+		RunTimes:  c.runTimes.update(state, c.runFactors(workers)),
 		Features:  c.dispatcher.config.Features,
 	}
 	snapshot.CarryOver(c.lastPlan)
--- a/internal/coordination/dispatch/logging.go
+++ b/internal/coordination/dispatch/logging.go
@@ -1,10 +1,13 @@
 package dispatch
 
 import (
+	"expvar"
+	"math"
 	"time"
 
 	"github.com/sirupsen/logrus"
 
+	"pinewinch.example/pinewinch/internal/coordination/scheduling"
 	"pinewinch.example/pinewinch/internal/protocol/controlpb"
 	"pinewinch.example/pinewinch/internal/protocol/failure"
 	"pinewinch.example/pinewinch/internal/state/store"
@@ -34,8 +37,24 @@
 	}
 }
 
+// Starts whose end was estimated, and those of them that are expected to miss their objective.
+var (
+	startsEstimated    = expvar.NewInt("dispatch_starts_estimated")
+	startsExpectedLate = expvar.NewInt("dispatch_starts_expected_late")
+)
+
+// countExpected counts the starts of a plan by whether they are expected to end in time.
+func countExpected(state *store.State, expected map[string]scheduling.Expectation, now time.Time) {
+	startsEstimated.Add(int64(len(expected)))
+	for id, expectation := range expected {
+		if job, ok := state.Job(id); ok && job.DeadlineMs > 0 && now.Add(expectation.Runs).UnixMilli() > job.DeadlineMs {
+			startsExpectedLate.Add(1)
+		}
+	}
+}
+
 // logPlan logs each job that a pass places or preempts.
-func (d *Dispatcher) logPlan(state *store.State, plan *controlpb.CommitPlan, registry Registry, waited func(job string, now time.Time) time.Duration) {
+func (d *Dispatcher) logPlan(state *store.State, plan *controlpb.CommitPlan, expected map[string]scheduling.Expectation, registry Registry, waited func(job string, now time.Time) time.Duration) {
 	if d.config.Logger == nil {
 		return
 	}
@@ -44,6 +63,10 @@
 		fields["racks"] = countRacks(assignment, registry)
 		fields["able_ms"] = waited(assignment.Job, d.config.Now()).Milliseconds()
 		fields["job"], fields["epoch"], fields["index"] = assignment.Job, assignment.Epoch+1, state.Index()
+		if expectation, ok := expected[assignment.Job]; ok {
+			fields["speed"] = math.Round(100*expectation.Speed) / 100
+			fields["end_in_ms"] = expectation.Runs.Milliseconds()
+		}
 		d.config.Logger.WithFields(fields).Info("job placed")
 	}
 	for _, preemption := range plan.Preemptions {
--- a/internal/coordination/scheduling/bench_test.go
+++ b/internal/coordination/scheduling/bench_test.go
@@ -110,5 +110,24 @@
 				}
 			}
 		})
+		b.Run(fmt.Sprintf("workers=%d/speeds", workers), func(b *testing.B) {
+			benchmarkSpeeds(b, busyUnits(workers), Features{})
+		})
+		b.Run(fmt.Sprintf("workers=%d/expected-end", workers), func(b *testing.B) {
+			benchmarkSpeeds(b, busyUnits(workers), Features{ExpectedEnd: true})
+		})
+	}
+}
+
+// benchmarkSpeeds measures one pass over workers of different speeds.
+func benchmarkSpeeds(b *testing.B, s *Snapshot, features Features) {
+	for i := range s.Workers {
+		s.Workers[i].Speed = 0.6 + float64(i*7%21)/20
+	}
+	s.Features = features
+	for b.Loop() {
+		if plan := Pass(s); plan.Breach != nil {
+			b.Fatal(plan.Breach)
+		}
 	}
 }
--- a/internal/coordination/scheduling/cluster.go
+++ b/internal/coordination/scheduling/cluster.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"math/bits"
 	"slices"
 
@@ -42,6 +43,8 @@
 	gangs    []*gang
 	// speed is the worker's speed class.
 	speed speedClass
+	// relativeSpeed is the worker's speed, 1 if it is unknown, and logSpeed its logarithm.
+	relativeSpeed, logSpeed float64
 	// warm is set where free capacity is kept for urgent work.
 	warm bool
 	// stepTasks counts tasks by workflow step, for jobs with a spread limit.
@@ -63,6 +66,8 @@
 	free       resources
 	releasing  resources
 	total      resources
+	// bySpeed has the nodes, the fastest first; nil until it is needed.
+	bySpeed []*node
 }
 
 // gang is a job that has workers allocated.
@@ -98,7 +103,13 @@
 	cells       []placedCell
 	// speeds is the set of speed classes of the available workers; empty where speed
 	// doesn't matter.
-	speeds  speedClass
+	speeds speedClass
+	// expectedEnd is set where placements are chosen by their expected end, bySpeed has the
+	// nodes, the fastest first, and scratch is reused by bestWindow.
+	expectedEnd bool
+	bySpeed     []*node
+	scratch     []nodeTasks
+
 	free    resources
 	changes changeLog
 	// gangSlab and allocationSlab allocate the gangs and allocations of the index.
@@ -146,6 +157,8 @@
 		worker: worker, rack: r, index: len(c.nodes), changes: &c.changes,
 		speed: speedClassOf(worker), total: size, free: size, freeMask: 1<<uint(size.accelerators) - 1,
 	}
+	n.relativeSpeed = usableSpeed(worker.Speed)
+	n.logSpeed = math.Log(n.relativeSpeed)
 	if size.accelerators == maxAccelerators {
 		n.freeMask = ^uint64(0)
 	}
--- a/internal/coordination/scheduling/finish.go
+++ b/internal/coordination/scheduling/finish.go
@@ -1,11 +1,16 @@
 package scheduling
 
-import "pinewinch.example/pinewinch/internal/protocol/controlpb"
+import (
+	"math"
+	"time"
+
+	"pinewinch.example/pinewinch/internal/protocol/controlpb"
+)
 
 // RunFactor returns the work that a run does in one second of its time, in seconds of a
 // worker of the usual speed: the speed of its slowest member, less what it loses away from
-// its data or over several racks. workerOf returns a worker's rack and speed, which is 0 if
-// it is unknown.
+// its data or over several racks. workerOf returns a worker's rack and speed, each
+// the zero value if it is unknown.
 func RunFactor(job *controlpb.Job, workerOf func(id string) (rack string, speed float64)) float64 {
 	slowest, rack, racks := 0.0, "", 0
 	for _, placement := range job.Placements {
@@ -13,7 +18,7 @@
 		if speed = usableSpeed(speed); slowest == 0 || speed < slowest {
 			slowest = speed
 		}
-		if racks == 0 || on != rack {
+		if on != "" && on != rack {
 			rack, racks = on, racks+1
 		}
 	}
@@ -39,8 +44,116 @@
 // remoteFactor is the factor by which a job runs longer on workers of one rack, or of
 // several, than close to its data.
 func remoteFactor(job *controlpb.Job, rack string, severalRacks bool) float64 {
-	if severalRacks && (job.TightlyCoupled || job.DataRack != "") || job.DataRack != "" && rack != job.DataRack {
+	away := job.DataRack != "" && rack != "" && rack != job.DataRack
+	if away || severalRacks && (job.TightlyCoupled || job.DataRack != "") {
 		return remoteSlowdown
 	}
 	return 1
 }
+
+// estimateWork sets the work that a request still has, and the time to its objective.
+func (p *pass) estimateWork(req *request) {
+	req.work = p.workLeft(req.job, 0)
+	req.secondsLeft = math.Inf(1)
+	if req.job.DeadlineMs > 0 {
+		req.secondsLeft = float64(req.job.DeadlineMs-p.nowMs) / 1000
+	}
+}
+
+// workLeft returns the work that a job still has after that many seconds' worth of it in
+// its current run, in seconds of a worker of the usual speed. Work that has outlived its
+// estimate is expected to take as long again, as in remaining.
+func (p *pass) workLeft(job *controlpb.Job, done float64) float64 {
+	total := p.snapshot.RunTimes.Estimate(job.WorkClass, time.Duration(job.RunTimeMs)*time.Millisecond)
+	if done += float64(job.CheckpointedMs) / 1000; done >= total {
+		return done
+	}
+	return max(total-done, minRunTime.Seconds())
+}
+
+// restoreSeconds is the time that a start of the job takes to restore its checkpoint.
+func (p *pass) restoreSeconds(job *controlpb.Job) float64 {
+	if job.CheckpointedMs == 0 {
+		return 0
+	}
+	return p.snapshot.Features.RestoreTime.Seconds()
+}
+
+// expectedSeconds returns the expected seconds that a waiting job runs at the given speed;
+// its lateness is judged at the usual speed, 1.
+func (p *pass) expectedSeconds(job *controlpb.Job, speed float64) float64 {
+	return p.restoreSeconds(job) + p.workLeft(job, 0)/speed
+}
+
+// remainingOf returns the expected seconds that a job with workers still runs.
+func (p *pass) remainingOf(g *gang) float64 {
+	if !p.snapshot.Features.ExpectedEnd || len(g.allocations) == 0 || g.job.StartedMs == 0 {
+		return p.remaining(g.job)
+	}
+	speed := g.speed()
+	ran := float64(max(p.nowMs-g.job.StartedMs, 0))/1000 - p.restoreSeconds(g.job)
+	return p.workLeft(g.job, max(ran, 0)*speed) / speed
+}
+
+// speed returns the work that the gang does in a second, like RunFactor.
+func (g *gang) speed() float64 {
+	first := g.allocations[0].node
+	slowest, several := first.relativeSpeed, false
+	for _, a := range g.allocations[1:] {
+		slowest = min(slowest, a.node.relativeSpeed)
+		several = several || a.node.rack != first.rack
+	}
+	return slowest / remoteFactor(g.job, first.rack.name, several)
+}
+
+// Bands of speed, by their number. They are coarse, so that the requests of a pass share
+// few counts of the domains (see tally), and limited to the speeds that workers have.
+const (
+	bandWidth = 0.2
+	firstBand = -15
+	lastBand  = 5
+)
+
+// limitsPreemption reports whether work may be stopped for a request only where the request
+// then ends in time.
+func (p *pass) limitsPreemption(req *request, grounds preemptionGrounds) bool {
+	return p.cluster.expectedEnd && grounds == groundsUrgency && req.job.Workflow != "" && !p.withinGuarantee(req.job)
+}
+
+// inTimeOnly limits a capacityFunc to workers on which the request ends in time, and sets
+// the band of the request to the slowest of these.
+func (req *request) inTimeOnly(inner capacityFunc) capacityFunc {
+	needed := math.Log(max(req.work, minSpeed) / max(req.secondsLeft, minSpeed))
+	req.band = min(max(int(math.Ceil(needed/bandWidth)), firstBand), lastBand)
+	least := float64(req.band) * bandWidth
+	return func(n *node, req *request) int64 {
+		if n.logSpeed < least {
+			return 0
+		}
+		return inner(n, req)
+	}
+}
+
+// Expectation is the estimate for a job that a plan starts: the work that its workers do in
+// a second, as in RunFactor, and how long it is expected to run there.
+type Expectation struct {
+	Speed float64
+	Runs  time.Duration
+}
+
+// expect records the expectation of a request that the plan starts.
+func (p *pass) expect(req *request, placement []nodeTasks) {
+	if !p.snapshot.Features.ExpectedEnd {
+		return
+	}
+	if p.plan.Expected == nil {
+		p.plan.Expected = map[string]Expectation{}
+	}
+	g := gang{job: req.job}
+	for _, part := range placement {
+		g.allocations = append(g.allocations, allocation{node: part.node})
+	}
+	speed := g.speed()
+	runs := time.Duration(p.expectedSeconds(req.job, speed) * float64(time.Second))
+	p.plan.Expected[req.job.Id] = Expectation{speed, runs}
+}
--- a/internal/coordination/scheduling/finish_test.go
+++ b/internal/coordination/scheduling/finish_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 
@@ -36,3 +37,44 @@
 		})
 	}
 }
+
+func byExpectedEnd(s *Snapshot) *Snapshot {
+	s.Features.ExpectedEnd = true
+	return s
+}
+
+// Work must go where its estimate says that it ends in time: with fixed classes, a worker
+// just inside the class of the fast ones is preferred to none that is faster.
+func TestPlacementByExpectedEnd(t *testing.T) {
+	four := func(speeds ...float64) []Worker { return withSpeeds(testWorkers(1, 2, 2, 8), speeds...) }
+	stopped := unitJob("k", "b", 1, 8, running(time.Second, 0, "d0-r0-w0"))
+	runCases(t, []passCase{
+		{name: "urgent work to the fastest worker", snapshot: byExpectedEnd(unitsSnapshot(four(1.15, 1.2, 1.55, 1), unitJob("j", "a", 1, 1, topPriority))),
+			want: map[string]string{"j": "d0-r1-w0"}},
+		{name: "an urgent gang to the rack with the faster slowest member", snapshot: byExpectedEnd(unitsSnapshot(four(0.7, 1.6, 1, 1), unitJob("j", "a", 2, 8, topPriority, coupled))),
+			want: map[string]string{"j": "d0-r1-w0 d0-r1-w1"}},
+		{name: "a gang in time where no member idles", snapshot: byExpectedEnd(unitsSnapshot(four(1.6, 1, 0.9, 0.9), unitJob("j", "a", 2, 8, coupled))),
+			want: map[string]string{"j": "d0-r1-w0 d0-r1-w1"}},
+		{name: "a patient task to the slowest worker that is in time", snapshot: byExpectedEnd(unitsSnapshot(four(1, 0.6, 0.2, 1.6), unitJob("j", "a", 1, 1))),
+			want: map[string]string{"j": "d0-r0-w1"}},
+		{name: "a patient task that is short of time to a fast worker", snapshot: byExpectedEnd(unitsSnapshot(four(1, 0.6, 0.2, 1.6), unitJob("j", "a", 1, 1, dueIn(10*time.Second)))),
+			want: map[string]string{"j": "d0-r1-w1"}},
+		{name: "near its data rather than on a faster worker", snapshot: byExpectedEnd(unitsSnapshot(four(1.6, 1.6, 0.9, 0.9), unitJob("j", "a", 1, 1, topPriority, dataIn("r1")))),
+			want: map[string]string{"j": "d0-r1-w0"}},
+		{name: "nothing is stopped on a worker where the request is late", snapshot: byExpectedEnd(unitsSnapshot(withSpeeds(testWorkers(1, 1, 1, 8), 0.4),
+			unitJob("i", "b", 1, 8, topPriority, dueIn(4*time.Second)), stopped)),
+			want: map[string]string{"i": "no_free_capacity"}},
+		{name: "it is stopped on a worker where the request is in time", snapshot: byExpectedEnd(unitsSnapshot(withSpeeds(testWorkers(1, 1, 1, 8), 0.8),
+			unitJob("i", "b", 1, 8, topPriority, dueIn(4*time.Second)), stopped)),
+			want: map[string]string{"i": "taking_back", "k": "stop"}},
+	})
+}
+
+// The plan's estimate is logged for each start; a wrong one would lead an operator astray.
+func TestExpectedRunOnSlowWorkers(t *testing.T) {
+	is := is.New(t)
+	s := byExpectedEnd(unitsSnapshot(withSpeeds(testWorkers(1, 1, 1, 8), 0.5), unitJob("j", "a", 1, 1)))
+	s.Jobs[0].CheckpointedMs = 4000
+	s.Features.RestoreTime = 100 * time.Millisecond
+	is.Equal(Pass(s).Expected["j"], Expectation{Speed: 0.5, Runs: 12100 * time.Millisecond})
+}
--- a/internal/coordination/scheduling/pass.go
+++ b/internal/coordination/scheduling/pass.go
@@ -133,6 +133,7 @@
 	if p.disabled(MatchSpeed) {
 		p.cluster.speeds = 0
 	}
+	p.cluster.expectedEnd = snapshot.Features.ExpectedEnd && !p.disabled(MatchSpeed)
 	p.total = p.cluster.free
 	p.totalAccelerators = p.total.accelerators
 	for _, customer := range snapshot.Customers {
@@ -144,7 +145,7 @@
 		}
 		g := p.cluster.addGang(job)
 		g.lostWork = p.lostByPreempting(job)
-		g.remainingSeconds = p.remaining(job)
+		g.remainingSeconds = p.remainingOf(g)
 		if !g.stopping {
 			p.used[g.customer] += int64(job.Tasks) * int64(job.Accelerators)
 		}
@@ -370,6 +371,7 @@
 	p.used[req.customer] += req.size().accelerators
 	p.decided[req.job.Id], p.started[req.job.Id] = true, true
 	p.plan.Assignments = append(p.plan.Assignments, assignment)
+	p.expect(req, placement)
 }
 
 // reservePlacement reserves a placement for a job part of whose capacity is still being
--- a/internal/coordination/scheduling/placement.go
+++ b/internal/coordination/scheduling/placement.go
@@ -29,6 +29,11 @@
 	// rank and score order the queue, lower values first.
 	rank  int
 	score float64
+	// work is the work that the job still has, in seconds of a worker of the usual speed,
+	// and secondsLeft the time to its objective; set where ends are estimated.
+	work, secondsLeft float64
+	// band limits the workers for which other work is stopped; see inTimeOnly.
+	band int
 	// reserved is what an earlier plan reserves for the job.
 	reserved []nodeTasks
 	// cellClaims is the part of each reserved nodeTasks that lies in the customer's own
@@ -44,7 +49,7 @@
 
 // declaredRequest is a request with the adjacency that the job declares.
 func (p *pass) declaredRequest(job *controlpb.Job) *request {
-	return &request{
+	req := &request{
 		job:            job,
 		customer:       p.cluster.customer(job.Customer),
 		tasks:          int64(max(job.Tasks, 1)),
@@ -53,6 +58,10 @@
 		adjacency:      job.Adjacency,
 		restricted:     p.snapshot.Restricted[job.Id],
 	}
+	if p.snapshot.Features.ExpectedEnd {
+		p.estimateWork(req)
+	}
+	return req
 }
 
 func (req *request) size() resources { return req.perTask.times(req.tasks) }
@@ -141,8 +150,12 @@
 }
 
 // findPlacement finds a placement for the whole gang, or nil: on workers of the
-// preferred speed classes, otherwise on any.
+// preferred speed classes, otherwise on any; or by its expected end, where that is
+// estimated.
 func (c *cluster) findPlacement(req *request, capacity capacityFunc) []nodeTasks {
+	if c.expectedEnd {
+		return c.findByEnd(req, capacity)
+	}
 	for _, set := range preferredSpeeds(req) {
 		if c.speeds&^set == 0 {
 			break
--- a/internal/coordination/scheduling/preemption.go
+++ b/internal/coordination/scheduling/preemption.go
@@ -60,6 +60,10 @@
 		capacity = unclaimedCellsOnly(ownerFutureCapacity)
 		domains = groups(p.cellNodes(req.customer), req.adjacency)
 	}
+	if p.limitsPreemption(req, grounds) {
+		capacity = req.inTimeOnly(capacity)
+		defer func() { req.band = 0 }()
+	}
 	best := p.bestPreemption(req, domains, capacity, grounds)
 	if best == nil || best.lostWork > p.lossBudget(req) {
 		return false
--- a/internal/coordination/scheduling/runtimes.go
+++ b/internal/coordination/scheduling/runtimes.go
@@ -69,7 +69,13 @@
 // its estimate is expected to take as long again: run times are heavy-tailed, and least
 // attained service (Tiresias, NSDI 2019) also ranks by observed service instead of
 // declared run time.
+//
+// Where ends are estimated, remainingOf is used for running work instead, and the time to
+// restore a checkpoint counts.
 func (p *pass) remaining(job *controlpb.Job) float64 {
+	if p.snapshot.Features.ExpectedEnd && job.State == controlpb.JobState_JOB_STATE_WAITING {
+		return p.expectedSeconds(job, 1)
+	}
 	total := p.snapshot.RunTimes.Estimate(job.WorkClass, time.Duration(job.RunTimeMs)*time.Millisecond)
 	done := float64(job.CheckpointedMs) / 1000
 	if job.State == controlpb.JobState_JOB_STATE_RUNNING && job.StartedMs > 0 {
--- a/internal/coordination/scheduling/scheduling.go
+++ b/internal/coordination/scheduling/scheduling.go
@@ -109,7 +109,9 @@
 type Plan struct {
 	Assignments []*controlpb.Assignment
 	Preemptions []*controlpb.Preemption
-	Waiting     []Reason
+	// Expected has the estimates for the jobs assigned, where ends are estimated.
+	Expected map[string]Expectation
+	Waiting  []Reason
 	// LocalityWaits are the waiting jobs that are restricted to a part of the workers
 	// eligible for them; Starved are the starved jobs: nothing of them runs although
 	// there is free capacity for them after this plan.
--- a/internal/coordination/scheduling/tally.go
+++ b/internal/coordination/scheduling/tally.go
@@ -36,10 +36,12 @@
 	spreadLimit uint32
 	// avoidsWarmNodes is set for work that leaves capacity kept warm to urgent work.
 	avoidsWarmNodes bool
+	// band is the request's.
+	band int
 }
 
 func (req *request) tallyKey() tallyKey {
-	return tallyKey{req.waitKey(), req.job.SpreadLimit, req.avoidsWarmNodes()}
+	return tallyKey{req.waitKey(), req.job.SpreadLimit, req.avoidsWarmNodes(), req.band}
 }
 
 // tally returns the up-to-date count of the domain for a request. All calls must use
