--- a/internal/experiment/overload/overload_test.go
+++ b/internal/experiment/overload/overload_test.go
@@ -60,6 +60,7 @@
 	is, d := is.New(t), load(t)
 	for _, disabled := range []scheduling.Mechanisms{0, scheduling.KeepWarm, scheduling.DelayForLocality, scheduling.MatchSpeed, scheduling.ExtendLocalityWait, scheduling.StartStarved} {
 		is.Equal(Replay(d.Day(3), Variant{Off: disabled}).Breaches, 0)
+		is.Equal(Replay(d.Day(3), Variant{Off: disabled, On: scheduling.Features{ExpectedEnd: true}}).Breaches, 0)
 	}
 }
 
