--- a/internal/coordination/dispatch/interference/interference.go
+++ b/internal/coordination/dispatch/interference/interference.go
@@ -148,6 +148,9 @@
 		}
 		windows[task.Key] = w
 		w.add(o, task, classes[i], present)
+		if job := m.jobs[task.Job]; job != nil {
+			job.seen = o.At
+		}
 		if w.complete(task.Usual) {
 			m.sample(o, worker, task, classes[i], w)
 			w.restart()
@@ -210,12 +213,12 @@
 		w.beside[i].seconds /= w.span.Seconds()
 	}
 	v := m.victims[class]
-	job := m.job(task.Job)
+	job := m.job(task.Job, o.At)
 	jobPrior := v.jobPrior()
-	offsets := worker.offset.value(o.At, workerPrior) + job.value(o.At, jobPrior)
+	offsets := worker.offset.value(o.At, workerMemory, workerPrior) + job.value(o.At, jobMemory, jobPrior)
 	residual := v.observe(o.At, value-offsets, w.samples > 0, w.beside)
-	worker.offset.add(o.At, residual+worker.offset.value(o.At, workerPrior))
-	job.add(o.At, residual+job.value(o.At, jobPrior))
+	worker.offset.add(o.At, workerMemory, residual+worker.offset.value(o.At, workerMemory, workerPrior))
+	job.add(o.At, jobMemory, residual+job.value(o.At, jobMemory, jobPrior))
 	v.recordEvidence(o.At, w, task, residual+v.beside(w.beside), worker.bit)
 }
 
@@ -245,15 +248,15 @@
 		worker = &workerState{bit: workerBit(o.Worker)}
 		m.workers[o.Worker] = worker
 	}
-	worker.offset.touched = o.At
+	worker.offset.seen = o.At
 	return worker
 }
 
 // job returns the offset of a job. Beyond maxJobs the offset is not kept.
-func (m *Model) job(name string) *offset {
+func (m *Model) job(name string, now time.Time) *offset {
 	job := m.jobs[name]
 	if job == nil {
-		job = &offset{}
+		job = &offset{seen: now}
 		if len(m.jobs) < maxJobs {
 			m.jobs[name] = job
 		}
@@ -269,12 +272,12 @@
 	}
 	m.pruned = now
 	for name, worker := range m.workers {
-		if now.Sub(worker.offset.touched) > sourceRetention {
+		if now.Sub(worker.offset.seen) > sourceRetention {
 			delete(m.workers, name)
 		}
 	}
 	for name, job := range m.jobs {
-		if now.Sub(job.touched) > sourceRetention {
+		if now.Sub(job.seen) > sourceRetention {
 			delete(m.jobs, name)
 		}
 	}
--- a/internal/coordination/dispatch/interference/regression.go
+++ b/internal/coordination/dispatch/interference/regression.go
@@ -34,9 +34,12 @@
 	// maxGain bounds the growing weight of new samples before all are scaled down.
 	maxGain = 1e6
 
-	// offsetMemory is the time after which the offset of a worker or job has lost most of
-	// its weight; temporary slowness lasts for some seconds.
-	offsetMemory = 15 * time.Second
+	// workerMemory is the time after which the offset of a worker has lost most of its
+	// weight; temporary slowness lasts for some seconds. The offset of a job lasts as long
+	// as the job: samples of a long task would count as independent otherwise, and uneven
+	// tasks gave false pairs.
+	workerMemory = 15 * time.Second
+	jobMemory    = 24 * time.Hour
 	// workerPrior is the weight, in samples, of the prior that a worker is no different from
 	// others. That of a job is estimated, between the two limits.
 	workerPrior = 3
@@ -242,21 +245,22 @@
 // offset is the deviation of one worker or job from the model, with a prior of none.
 type offset struct {
 	sum, weight float64
-	touched     time.Time
+	// touched is when a sample was added, seen when a report last named the source.
+	touched, seen time.Time
 }
 
-func (o *offset) decay(now time.Time) float64 {
-	return math.Exp(-max(now.Sub(o.touched), 0).Seconds() / offsetMemory.Seconds())
+func (o *offset) decay(now time.Time, memory time.Duration) float64 {
+	return math.Exp(-max(now.Sub(o.touched), 0).Seconds() / memory.Seconds())
 }
 
 // value returns the offset; prior is the weight of the prior in samples.
-func (o *offset) value(now time.Time, prior float64) float64 {
-	decay := o.decay(now)
+func (o *offset) value(now time.Time, memory time.Duration, prior float64) float64 {
+	decay := o.decay(now, memory)
 	return o.sum * decay / (o.weight*decay + prior)
 }
 
-func (o *offset) add(now time.Time, residual float64) {
-	decay := o.decay(now)
+func (o *offset) add(now time.Time, memory time.Duration, residual float64) {
+	decay := o.decay(now, memory)
 	if o.weight*decay > maxOffsetSamples {
 		decay = maxOffsetSamples / o.weight
 	}
