replay: pairs of classes that slow each other down

A scenario can give factors for pairs; rates then change with the tasks beside a run, and the pairs are estimated from the simulated progress.

--- a/internal/experiment/replay/engine.go
+++ b/internal/experiment/replay/engine.go
@@ -55,6 +55,8 @@
 	kind  eventKind
 	job   *run
 	epoch uint64
+	// generation is that of the run's pace.
+	generation int
 }
 
 // run is one job and its progress through the simulation.
@@ -71,6 +73,7 @@
 	// preemptingSince is when the job began to wait for preempted gangs to stop; 0 if it
 	// does not.
 	preemptingSince time.Duration
+	pace            pace
 }
 
 // engine simulates one scenario under one policy.
@@ -87,6 +90,7 @@
 	badWorkerFailures int
 	quarantinedUntil  time.Duration
 	meter             meter
+	neighbours        neighbours
 }
 
 // simulationStart is the absolute time at simulated time 0: the Unix epoch, so that Unix
@@ -115,7 +119,7 @@
 }
 
 func (e *engine) push(at time.Duration, kind eventKind, r *run) {
-	e.events.Add(at, event{kind: kind, job: r, epoch: r.job.Epoch})
+	e.events.Add(at, event{kind: kind, job: r, epoch: r.job.Epoch, generation: r.pace.generation})
 }
 
 // step handles all events of one pass interval and then runs a pass.
@@ -144,7 +148,7 @@
 			e.remove(r)
 		}
 	case eventComplete:
-		if r.job.State == controlpb.JobState_JOB_STATE_RUNNING {
+		if r.job.State == controlpb.JobState_JOB_STATE_RUNNING && next.generation == r.pace.generation {
 			r.complete = true
 			e.runTimes.Observe(r.job.WorkClass, time.Duration(r.job.RunTimeMs)*time.Millisecond, r.RunTime)
 			e.remove(r)
@@ -220,7 +224,9 @@
 	snapshot := &scheduling.Snapshot{
 		Now: simulationStart.Add(e.now), Workers: workers, Jobs: e.active, Customers: e.scenario.Customers,
 		Rules: &controlpb.Rules{FragmentationWeight: e.scenario.FragmentationWeight}, RunTimes: e.runTimes,
+		Interference: e.estimate(),
 	}
+	snapshot.Features.Interference = e.scenario.SeparateClasses
 	snapshot.CarryOver(e.plan)
 	began := time.Now()
 	e.plan = e.policy.Pass(snapshot)
@@ -234,6 +240,7 @@
 	for _, assignment := range e.plan.Assignments {
 		e.start(e.runs[assignment.Job], assignment.Placements)
 	}
+	e.slow()
 	for _, reason := range e.plan.Waiting {
 		r := e.runs[reason.Job]
 		if reason.Code != scheduling.ReasonPreempting {
@@ -261,6 +268,7 @@
 	if r.done > 0 {
 		left += restoreTime
 	}
+	r.pace.begin(e.now, left)
 	e.push(e.now+left, eventComplete, r)
 	if slices.ContainsFunc(placements, func(p *controlpb.Placement) bool { return p.Worker == e.scenario.BadWorker }) {
 		e.push(e.now+min(failAfter, left/2), eventFail, r)
@@ -276,7 +284,8 @@
 	r.job.Epoch++
 	took := stopTime
 	if r.job.Checkpointable {
-		r.done = min(r.RunTime, r.done+max(0, e.elapsed(r)-restoreTime))
+		r.pace.advance(e.now)
+		r.done = min(r.RunTime, max(r.done, r.RunTime-r.pace.left))
 		r.job.CheckpointedMs = r.done.Milliseconds()
 		took += time.Duration(e.random.Int64N(int64(checkpointTime)))
 		e.meter.addLost(r, took+restoreTime)
--- a/internal/experiment/replay/workload.go
+++ b/internal/experiment/replay/workload.go
@@ -27,6 +27,11 @@
 	Window time.Duration
 	// FragmentationWeight is the weight in the scheduling rules, 0 to 100.
 	FragmentationWeight uint32
+	// Slowdown has the factors by which the first class of a pair runs longer beside the
+	// second; empty if no classes interfere.
+	Slowdown map[scheduling.ClassPair]float64
+	// SeparateClasses estimates interference and keeps such classes apart.
+	SeparateClasses bool
 }
 
 // Arrival is one job, including what its declaration does not contain.
