quarantine: commands left unanswered at one moment count as one failure

Cause: a pause of 0.35 s of all workers after an idle time leaves the reserve of every job unanswered that a pass placed there; each counted as the failure of another job. Eight of them quarantined a worker for 480 s, and with it, all workers at once: the workflow of a trial with real processes was still queued after 45 s, without the pause it took 0.4 s.

Change: failures with unreachable or outcome_unknown within a second count as one when the verdict is derived; the log's record is unchanged, so instances of both versions agree.

From the same review: a start is withheld if the leadership is no longer fresh after the wait for a free slot; evacuated capacity does not count for starvation; a session follows the data centre of a worker that has started again; a view of minions is fresh only if its state was read after the check; workers that announce themselves cold count as slow only where cold_start is set, so that other deployments are scheduled as before.

--- a/internal/coordination/dispatch/controller.go
+++ b/internal/coordination/dispatch/controller.go
@@ -309,7 +309,7 @@
 			Accelerators: worker.Accelerators,
 			Speed:        speeds[worker.Id],
 			BadRecord:    badRecord,
-			Cold:         worker.Cold,
+			Cold:         worker.Cold && c.dispatcher.config.Evacuation.ColdStart > 0,
 			Unavailable:  excluded || evacuated || held[worker.Id],
 			Evacuated:    evacuated && !excluded,
 		})
--- a/internal/coordination/dispatch/evacuations.go
+++ b/internal/coordination/dispatch/evacuations.go
@@ -102,11 +102,18 @@
 }
 
 // execute sends a command to its worker, unless it would start work in a data centre that has
-// been evacuated since the command was issued: a command may wait until others are answered.
+// been evacuated since the command was issued. A command may wait until others are answered,
+// so that the leadership is checked again too: a leader that was cut off meanwhile does not
+// know of the order.
 func (d *Dispatcher) execute(ctx context.Context, command *gang.Command) (*api.TaskAnswer, error) {
-	if command.Kind == gang.Start && d.control.State().Evacuated(command.DataCentre) {
-		startsWithheld.Add(1)
-		return nil, failure.New(failure.DataCentreEvacuated, "the data centre %s is evacuated", command.DataCentre)
+	if command.Kind == gang.Start {
+		if err := d.control.CheckFresh(); err != nil {
+			return nil, err
+		}
+		if d.control.State().Evacuated(command.DataCentre) {
+			startsWithheld.Add(1)
+			return nil, failure.New(failure.DataCentreEvacuated, "the data centre %s is evacuated", command.DataCentre)
+		}
 	}
 	return d.workers.Command(ctx, command.Address, paths[command.Kind], &command.Task)
 }
--- a/internal/coordination/dispatch/leases/lives.go
+++ b/internal/coordination/dispatch/leases/lives.go
@@ -225,16 +225,16 @@
 func (s *session) handleAnnouncement(worker *peerpb.Upstream) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.dataCentre = worker.DataCentre
 	if s.life.isOther(worker.Incarnation) {
 		if worker.Incarnation != s.life.announced {
 			s.life.announced, s.address, s.viewStale = worker.Incarnation, worker.Address, true
-			s.dataCentre = worker.DataCentre
 			s.life.doubt(s.now())
 			s.requestPoll()
 		}
 		return
 	}
-	s.life.announced, s.address, s.dataCentre = worker.Incarnation, worker.Address, worker.DataCentre
+	s.life.announced, s.address = worker.Incarnation, worker.Address
 	s.leaving = worker.Leaving
 	if worker.Departed {
 		s.gone = true
--- a/internal/coordination/dispatch/quarantine/quarantine.go
+++ b/internal/coordination/dispatch/quarantine/quarantine.go
@@ -26,6 +26,9 @@
 	minDistinctJobs = 3
 	maxProbeDelay   = time.Hour
 	maxDoublings    = 16
+	// stallSpan is the time within which unanswered commands count as one failure: they are
+	// given up after at most 0.8 s.
+	stallSpan = time.Second
 )
 
 // Verdict says what work a worker may be given.
@@ -57,6 +60,7 @@
 	if health == nil || len(health.Failures) == 0 {
 		return Healthy
 	}
+	health = countStallsOnce(health)
 	since := now.Sub(time.UnixMilli(health.Failures[len(health.Failures)-1].TimeMs))
 	failures := int(health.Consecutive)
 	if !quarantined(health) {
@@ -71,6 +75,30 @@
 	return Probing
 }
 
+// countStallsOnce returns a worker's failures with all commands that it left unanswered at
+// about the same time counted as one. A pause of 0.3 s, of the worker, of a link or of the
+// leader itself, leaves the commands for all jobs unanswered that were placed there in one
+// pass; counted by job, it would quarantine the worker, and with all workers paused the
+// whole system for minutes.
+func countStallsOnce(health *controlpb.WorkerHealth) *controlpb.WorkerHealth {
+	counted := &controlpb.WorkerHealth{Worker: health.Worker, Consecutive: health.Consecutive}
+	var lastMs int64
+	for _, failed := range health.Failures {
+		if unanswered[failure.Code(failed.Code)] {
+			if lastMs != 0 && failed.TimeMs-lastMs < stallSpan.Milliseconds() {
+				counted.Consecutive = max(counted.Consecutive, 2) - 1
+				continue
+			}
+			lastMs = failed.TimeMs
+		}
+		counted.Failures = append(counted.Failures, failed)
+	}
+	return counted
+}
+
+// unanswered holds the codes of commands that a worker did not answer.
+var unanswered = map[failure.Code]bool{failure.Unreachable: true, failure.OutcomeUnknown: true}
+
 // quarantined reports whether several jobs have failed on the worker, or work has stalled on
 // it. One stall suffices: a job does not hang by itself, and a worker that hangs appears
 // idle once its tasks are stopped, so that it would be given the next ones at once.
--- a/internal/coordination/dispatch/quarantine/quarantine_test.go
+++ b/internal/coordination/dispatch/quarantine/quarantine_test.go
@@ -55,6 +55,28 @@
 	}
 }
 
+// unansweredHealth has failures of different jobs at the given times in ms.
+func unansweredHealth(times ...int64) *controlpb.WorkerHealth {
+	h := &controlpb.WorkerHealth{Worker: "w", Consecutive: uint32(len(times))}
+	for i, ms := range times {
+		h.Failures = append(h.Failures, &controlpb.WorkerFailure{Job: string(rune('a' + i)), Code: string(failure.Unreachable), TimeMs: ms})
+	}
+	return h
+}
+
+// Guards against quarantine for a short pause in which a worker leaves the commands for all
+// jobs of one pass unanswered.
+func TestUnansweredCommandsOfOnePauseCountOnce(t *testing.T) {
+	is := is.New(t)
+	at := func(ms int64) time.Time { return time.UnixMilli(ms) }
+	pause := unansweredHealth(1000, 1010, 1020, 1030, 1300)
+	is.Equal(quarantine.Evaluate(config, pause, at(2000)), quarantine.CoolingDown)
+	is.Equal(quarantine.Evaluate(config, pause, at(4000)), quarantine.Healthy)
+	is.Equal(pause.Consecutive, uint32(5)) // the record of the log is unchanged
+	again := unansweredHealth(1000, 1010, 3000, 3010, 5000)
+	is.Equal(quarantine.Evaluate(config, again, at(6000)), quarantine.Quarantined) // three pauses
+}
+
 // A pass, which doesn't know of probes, places three jobs on a worker that is being probed.
 // Only one may be started: if the worker is still faulty, the other two would fail too.
 func TestOneJobProbesAWorker(t *testing.T) {
--- a/internal/coordination/routing/send.go
+++ b/internal/coordination/routing/send.go
@@ -130,10 +130,12 @@
 }
 
 func (r *Router) readView() admission.View {
+	// A pause between the two must not let an old state pass as fresh.
+	fresh := r.control.CheckFresh() == nil
 	state := r.control.State()
 	members := state.CreditMembers()
 	view := admission.View{Epoch: members.Epoch, Members: members.Members, Departed: members.Departed}
-	r.lease.update(r.config, r.control.CheckFresh() == nil, &view)
+	r.lease.update(r.config, fresh, &view)
 	for _, minion := range r.registry.Live(peerpb.UpstreamKind_UPSTREAM_KIND_MINION) {
 		if minion.Leaving || state.Drained(minion.Id) || state.Evacuated(minion.DataCentre) {
 			continue
--- a/internal/coordination/scheduling/starvation.go
+++ b/internal/coordination/scheduling/starvation.go
@@ -50,13 +50,14 @@
 )
 
 // serviceCapacity is the free and total resources of a service's workers, including
-// those that get no new work: their unavailability may be why work is starved.
+// those that get no new work: their unavailability may be why work is starved. Workers in
+// evacuated data centres are left out, as operators ordered that they get none.
 type serviceCapacity struct{ free, total resources }
 
 func (p *pass) serviceCapacity(service string) *serviceCapacity {
 	s := &serviceCapacity{}
 	for _, n := range p.cluster.nodes {
-		if service == "" || slices.Contains(n.worker.Services, service) {
+		if !n.worker.Evacuated && (service == "" || slices.Contains(n.worker.Services, service)) {
 			s.free, s.total = s.free.plus(n.free), s.total.plus(n.total)
 		}
 	}
