--- a/internal/app/work.go
+++ b/internal/app/work.go
@@ -163,7 +163,6 @@
 func features(s settings.Scheduling) scheduling.Features {
 	return scheduling.Features{
 		ExpectedEnd:        s.ExpectedEnd,
-		BoundedPreemption:  s.BoundedPreemption,
 		AttemptPlacement:   s.AttemptPlacement,
 		Interference:       s.Interference,
 		CheckpointInterval: s.CheckpointInterval,
--- a/internal/coordination/scheduling/features.go
+++ b/internal/coordination/scheduling/features.go
@@ -10,9 +10,6 @@
 type Features struct {
 	// ExpectedEnd places, orders and preempts units by when they are expected to end.
 	ExpectedEnd bool
-	// BoundedPreemption limits how often a workflow is stopped, and chooses victims by
-	// workflow.
-	BoundedPreemption bool
 	// AttemptPlacement chooses the workers of a second attempt with more care.
 	AttemptPlacement bool
 	// Interference keeps tasks apart that slow each other down.
@@ -27,8 +24,7 @@
 func ParseFeatures(text string) (Features, error) {
 	var f Features
 	switches := map[string]*bool{
-		"expected_end": &f.ExpectedEnd, "bounded_preemption": &f.BoundedPreemption,
-		"attempt_placement": &f.AttemptPlacement, "interference": &f.Interference,
+		"expected_end": &f.ExpectedEnd, "attempt_placement": &f.AttemptPlacement, "interference": &f.Interference,
 	}
 	for _, name := range strings.FieldsFunc(text, func(r rune) bool { return r == ',' }) {
 		on, ok := switches[name]
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -121,11 +121,6 @@
 	ExpectedEnd bool
 	// ExpectedEndIfUneven does so only while the speeds of the workers differ widely.
 	ExpectedEndIfUneven bool
-	// BoundedPreemption limits how often a workflow is stopped, and chooses what is
-	// stopped by workflow.
-	BoundedPreemption bool
-	// Admission rejects work that can no longer be served in time.
-	Admission bool
 	// AttemptPlacement chooses the worker of a second attempt with more care than that of
 	// the first.
 	AttemptPlacement bool
@@ -262,8 +257,6 @@
 		Scheduling: Scheduling{
 			ExpectedEnd:         expectedEnd == "yes",
 			ExpectedEndIfUneven: expectedEnd == "if_uneven",
-			BoundedPreemption:   r.yes("scheduling", "bounded_preemption"),
-			Admission:           r.yes("scheduling", "admission"),
 			AttemptPlacement:    r.yes("scheduling", "attempt_placement"),
 			Interference:        r.yes("scheduling", "interference"),
 			EvacuationDrain:     r.duration("scheduling", "evacuation_drain", 0),
