scheduling: keep counts with and without a speed limit apart

Cause: a limited urgent request usually has band 0, which was also the value for no limit, so both shared one cached tally and its capacity function. Change: the limit is a value of its own, speedLimit, and part of the tally's key. Result: work without a limit preempts as it does without a limited request before it, and limited work stops nothing where it ends late. TestSpeedLimitsShareNoCounts fails in both cases without the change.

--- a/internal/coordination/scheduling/finish.go
+++ b/internal/coordination/scheduling/finish.go
@@ -120,12 +120,27 @@
 	return p.cluster.expectedEnd && grounds == groundsUrgency && req.job.Workflow != "" && !p.withinGuarantee(req.job)
 }
 
-// inTimeOnly limits a capacityFunc to workers on which the request ends in time, and sets
-// the band of the request to the slowest of these.
-func (req *request) inTimeOnly(inner capacityFunc) capacityFunc {
+// speedLimit limits the workers on which work may be stopped for a request to those on
+// which the request ends in time; the zero value is no limit. Requests with equal limits
+// share counts, so everything that the limit depends on is part of it.
+type speedLimit struct {
+	limited bool
+	// band is the number of the slowest band of speed.
+	band int
+}
+
+// speedLimitInTime is the limit at which the request ends in time.
+func (req *request) speedLimitInTime() speedLimit {
 	needed := math.Log(max(req.work, minSpeed) / max(req.secondsLeft, minSpeed))
-	req.band = min(max(int(math.Ceil(needed/bandWidth)), firstBand), lastBand)
-	least := float64(req.band) * bandWidth
+	return speedLimit{limited: true, band: min(max(int(math.Ceil(needed/bandWidth)), firstBand), lastBand)}
+}
+
+// capacity applies the limit to a capacityFunc.
+func (l speedLimit) capacity(inner capacityFunc) capacityFunc {
+	if !l.limited {
+		return inner
+	}
+	least := float64(l.band) * bandWidth
 	return func(n *node, req *request) int64 {
 		if n.logSpeed < least {
 			return 0
--- a/internal/coordination/scheduling/finish_test.go
+++ b/internal/coordination/scheduling/finish_test.go
@@ -70,6 +70,23 @@
 	})
 }
 
+// Requests of one shape share counts within a pass. A count limited to workers on which a
+// request is in time must not be used for one without that limit, nor the reverse.
+func TestSpeedLimitsShareNoCounts(t *testing.T) {
+	stopped := func(id, worker string) *controlpb.Job {
+		return unitJob(id, "b", 1, 8, running(time.Second, 0, worker), checkpointable)
+	}
+	late := unitJob("l", "b", 1, 8, topPriority, dueIn(2100*time.Millisecond))
+	runCases(t, []passCase{
+		{name: "long-waiting work after limited work", snapshot: byExpectedEnd(unitsSnapshot(withSpeeds(testWorkers(1, 1, 1, 8), 0.9), late,
+			waitingJob("old", "a", 1, 8, adjacency(anywhere), idempotent, waited(3*time.Hour)), stopped("k", "d0-r0-w0"))),
+			want: map[string]string{"l": "no_free_capacity", "old": "taking_back", "k": "stop"}},
+		{name: "limited work after guaranteed work", snapshot: byExpectedEnd(unitsSnapshot(withSpeeds(testWorkers(1, 1, 2, 8), 0.5), late,
+			unitJob("g", "a", 1, 8, topPriority), stopped("k0", "d0-r0-w0"), stopped("k1", "d0-r0-w1"))),
+			want: map[string]string{"l": "no_free_capacity", "g": "taking_back", "k0": "stop"}},
+	})
+}
+
 // The plan's estimate is logged for each start; a wrong one would lead an operator astray.
 func TestExpectedRunOnSlowWorkers(t *testing.T) {
 	is := is.New(t)
--- a/internal/coordination/scheduling/placement.go
+++ b/internal/coordination/scheduling/placement.go
@@ -34,8 +34,8 @@
 	// work is the work that the job still has, in seconds of a worker of the usual speed,
 	// and secondsLeft the time to its objective; set where ends are estimated.
 	work, secondsLeft float64
-	// band limits the workers for which other work is stopped; see inTimeOnly.
-	band int
+	// limit limits the workers on which other work is stopped for the request.
+	limit speedLimit
 	// reserved is what an earlier plan reserves for the job.
 	reserved []nodeTasks
 	// cellClaims is the part of each reserved nodeTasks that lies in the customer's own
--- a/internal/coordination/scheduling/preemption.go
+++ b/internal/coordination/scheduling/preemption.go
@@ -61,10 +61,10 @@
 		domains = groups(p.cellNodes(req.customer), req.adjacency)
 	}
 	if p.limitsPreemption(req, grounds) {
-		capacity = req.inTimeOnly(capacity)
-		defer func() { req.band = 0 }()
+		req.limit = req.speedLimitInTime()
+		defer func() { req.limit = speedLimit{} }()
 	}
-	best := p.bestPreemption(req, domains, capacity, grounds)
+	best := p.bestPreemption(req, domains, req.limit.capacity(capacity), grounds)
 	if best == nil || best.lostWork > p.lossBudget(req) {
 		return false
 	}
--- a/internal/coordination/scheduling/tally.go
+++ b/internal/coordination/scheduling/tally.go
@@ -36,12 +36,11 @@
 	spreadLimit uint32
 	// avoidsWarmNodes is set for work that leaves capacity kept warm to urgent work.
 	avoidsWarmNodes bool
-	// band is the request's.
-	band int
+	limit           speedLimit
 }
 
 func (req *request) tallyKey() tallyKey {
-	return tallyKey{req.waitKey(), req.job.SpreadLimit, req.avoidsWarmNodes(), req.band}
+	return tallyKey{req.waitKey(), req.job.SpreadLimit, req.avoidsWarmNodes(), req.limit}
 }
 
 // tally returns the up-to-date count of the domain for a request. All calls must use
