scheduling: a refusal holds for requests with the same speed limit only

Cause: cannotPreempt lacked the limit of speed, so work that could stop others in time was refused unseen after work of its shape with a tighter objective. Change: the limit is set before the look-up and is part of preemptionKey. Result: the case of a loose after a tight objective in TestSpeedLimitsAreKeptApart fails without the change and passes with it.

--- a/internal/coordination/scheduling/finish_test.go
+++ b/internal/coordination/scheduling/finish_test.go
@@ -70,14 +70,18 @@
 	})
 }
 
-// Requests of one shape share counts within a pass. A count limited to workers on which a
-// request is in time must not be used for one without that limit, nor the reverse.
-func TestSpeedLimitsShareNoCounts(t *testing.T) {
+// Requests of one shape share counts and refusals within a pass. Those of a request limited
+// to workers on which it is in time must not be used for one with another limit or none.
+func TestSpeedLimitsAreKeptApart(t *testing.T) {
 	stopped := func(id, worker string) *controlpb.Job {
 		return unitJob(id, "b", 1, 8, running(time.Second, 0, worker), checkpointable)
 	}
 	late := unitJob("l", "b", 1, 8, topPriority, dueIn(2100*time.Millisecond))
+	loose := unitJob("m", "b", 1, 8, topPriority, dueIn(4*time.Second))
 	runCases(t, []passCase{
+		{name: "loose work after work refused for its tight objective", snapshot: byExpectedEnd(unitsSnapshot(withSpeeds(testWorkers(1, 1, 1, 8), 0.85),
+			unitJob("l", "b", 1, 8, topPriority, dueIn(2050*time.Millisecond)), loose, stopped("k", "d0-r0-w0"))),
+			want: map[string]string{"l": "no_free_capacity", "m": "taking_back", "k": "stop"}},
 		{name: "long-waiting work after limited work", snapshot: byExpectedEnd(unitsSnapshot(withSpeeds(testWorkers(1, 1, 1, 8), 0.9), late,
 			waitingJob("old", "a", 1, 8, adjacency(anywhere), idempotent, waited(3*time.Hour)), stopped("k", "d0-r0-w0"))),
 			want: map[string]string{"l": "no_free_capacity", "old": "taking_back", "k": "stop"}},
--- a/internal/coordination/scheduling/pass.go
+++ b/internal/coordination/scheduling/pass.go
@@ -50,11 +50,12 @@
 	cellMoves int
 }
 
-// preemptionKey is a shape and what it may preempt. The age of a long-waiting job
+// preemptionKey is a shape, what it may preempt and on which workers. The age of a long-waiting job
 // matters too, but the oldest goes first, and a younger one may preempt less.
 type preemptionKey struct {
 	shape   shapeKey
 	grounds preemptionGrounds
+	limit   speedLimit
 }
 
 // shapeKey is what determines whether a request finds capacity.
@@ -227,7 +228,11 @@
 // startOrPreempt starts a job, or preempts others for it. Free capacity elsewhere is
 // used before borrowed capacity is reclaimed, since stopping work discards some of it.
 func (p *pass) startOrPreempt(req *request, grounds preemptionGrounds) bool {
-	key := preemptionKey{req.key(), grounds}
+	if p.limitsPreemption(req, grounds) {
+		req.limit = req.speedLimitInTime()
+		defer func() { req.limit = speedLimit{} }()
+	}
+	key := preemptionKey{req.key(), grounds, req.limit}
 	if p.refusedByLimit(req) || (req.reserved == nil && p.cannotPreempt[key]) {
 		return false
 	}
--- a/internal/coordination/scheduling/preemption.go
+++ b/internal/coordination/scheduling/preemption.go
@@ -60,10 +60,6 @@
 		capacity = unclaimedCellsOnly(ownerFutureCapacity)
 		domains = groups(p.cellNodes(req.customer), req.adjacency)
 	}
-	if p.limitsPreemption(req, grounds) {
-		req.limit = req.speedLimitInTime()
-		defer func() { req.limit = speedLimit{} }()
-	}
 	best := p.bestPreemption(req, domains, req.limit.capacity(capacity), grounds)
 	if best == nil || best.lostWork > p.lossBudget(req) {
 		return false
