scheduling: limit preemption by the whole estimate, in bands of 5%

Cause: bands of 20% rounded the needed speed up by as much as 22%, so that workers fast enough were refused; the restore and the remote slow-down were left out. Change: bands of 5%, the step of ranks; the needed speed counts the restore time, the slow-down away from the data, and that of a gang that may span racks.

--- a/internal/coordination/scheduling/finish.go
+++ b/internal/coordination/scheduling/finish.go
@@ -106,12 +106,13 @@
 	return slowest / remoteFactor(g.job, first.rack.name, several)
 }
 
-// Bands of speed, by their number. They are coarse, so that the requests of a pass share
-// few counts of the domains (see tally), and limited to the speeds that workers have.
+// Bands of speed, by their number, limited to the speeds that workers have. A band is as
+// wide as a step of ranks, since estimates are no better: bands of 0.2 refused workers up
+// to 22% faster than needed. Narrower ones would let fewer requests share a count.
 const (
-	bandWidth = 0.2
-	firstBand = -15
-	lastBand  = 5
+	bandWidth = rankStep
+	firstBand = -60
+	lastBand  = 28
 )
 
 // limitsPreemption reports whether work may be stopped for a request only where the request
@@ -127,12 +128,29 @@
 	limited bool
 	// band is the number of the slowest band of speed.
 	band int
+	// dataRack is where this band holds, workers elsewhere have to be faster by the remote
+	// slowdown; empty if the band holds everywhere.
+	dataRack string
 }
 
-// speedLimitInTime is the limit at which the request ends in time.
-func (req *request) speedLimitInTime() speedLimit {
-	needed := math.Log(max(req.work, minSpeed) / max(req.secondsLeft, minSpeed))
-	return speedLimit{limited: true, band: min(max(int(math.Ceil(needed/bandWidth)), firstBand), lastBand)}
+// speedLimitInTime is the limit at which the request ends in time, restore included. A gang
+// that may be placed in several racks is taken to be.
+func (p *pass) speedLimitInTime(req *request) speedLimit {
+	needed := math.Log(max(req.work, minSpeed) / max(req.secondsLeft-p.restoreSeconds(req.job), minSpeed))
+	limit := speedLimit{limited: true}
+	if remoteFactor(req.job, "", req.spansRacks()) > 1 {
+		needed += logRemoteSlowdown
+	} else {
+		limit.dataRack = req.job.DataRack
+	}
+	limit.band = min(max(int(math.Ceil(needed/bandWidth)), firstBand), lastBand)
+	return limit
+}
+
+// spansRacks reports whether the request may be placed over several racks.
+func (req *request) spansRacks() bool {
+	oneRack := req.adjacency == controlpb.Adjacency_ADJACENCY_WORKER || req.adjacency == controlpb.Adjacency_ADJACENCY_RACK
+	return req.tasks > 1 && !oneRack && req.rack == ""
 }
 
 // capacity applies the limit to a capacityFunc.
@@ -142,7 +160,11 @@
 	}
 	least := float64(l.band) * bandWidth
 	return func(n *node, req *request) int64 {
-		if n.logSpeed < least {
+		speed := n.logSpeed
+		if l.dataRack != "" && n.rack.name != l.dataRack {
+			speed -= logRemoteSlowdown
+		}
+		if speed < least {
 			return 0
 		}
 		return inner(n, req)
--- a/internal/coordination/scheduling/finish_test.go
+++ b/internal/coordination/scheduling/finish_test.go
@@ -70,6 +70,37 @@
 	})
 }
 
+// Work is stopped where the request ends in time by its whole estimate, and only there.
+func TestPreemptionByWholeEstimate(t *testing.T) {
+	stopped := func(worker string) *controlpb.Job {
+		return unitJob("k-"+worker, "b", 1, 8, running(time.Second, 0, worker))
+	}
+	restored := func(j *controlpb.Job) { j.CheckpointedMs, j.Checkpointable = 500, true }
+	for name, c := range map[string]struct {
+		speed    float64
+		tasks    uint32
+		due      time.Duration
+		option   jobOption
+		preempts bool
+	}{
+		"a worker just fast enough":       {0.9, 1, 2350 * time.Millisecond, idempotent, true},
+		"late with the restore":           {0.83, 1, 2 * time.Second, restored, false},
+		"in time with the restore":        {0.96, 1, 2 * time.Second, restored, true},
+		"late over two racks":             {1, 2, 4 * time.Second, coupled, false},
+		"in time over two racks":          {1, 2, 7 * time.Second, coupled, true},
+		"a loose gang over two racks":     {1, 2, 4 * time.Second, idempotent, true},
+		"late away from its data":         {1, 1, 4 * time.Second, dataIn("r9"), false},
+		"in time in the rack of its data": {1, 1, 4 * time.Second, dataIn("r1"), true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := byExpectedEnd(unitsSnapshot(withSpeeds(testWorkers(1, 2, 1, 8), c.speed),
+				unitJob("i", "b", c.tasks, 8, topPriority, dueIn(c.due), c.option), stopped("d0-r0-w0"), stopped("d0-r1-w0")))
+			s.Features.RestoreTime = 400 * time.Millisecond
+			is.New(t).Equal(len(Pass(s).Preemptions) > 0, c.preempts)
+		})
+	}
+}
+
 // Requests of one shape share counts and refusals within a pass. Those of a request limited
 // to workers on which it is in time must not be used for one with another limit or none.
 func TestSpeedLimitsAreKeptApart(t *testing.T) {
--- a/internal/coordination/scheduling/pass.go
+++ b/internal/coordination/scheduling/pass.go
@@ -229,7 +229,7 @@
 // used before borrowed capacity is reclaimed, since stopping work discards some of it.
 func (p *pass) startOrPreempt(req *request, grounds preemptionGrounds) bool {
 	if p.limitsPreemption(req, grounds) {
-		req.limit = req.speedLimitInTime()
+		req.limit = p.speedLimitInTime(req)
 		defer func() { req.limit = speedLimit{} }()
 	}
 	key := preemptionKey{req.key(), grounds, req.limit}
