scheduling: single tasks avoid degraded and remote workers

Cause: a single task in time went to the slowest worker however slow, and work without a deadline always is in time; a slow enough remote worker outranked one near the data. Change: degraded workers and those away from the data rank behind all others, among themselves by the end. Result: three cases of TestPlacementByExpectedEnd fail without the change.

--- a/internal/coordination/scheduling/placebyend.go
+++ b/internal/coordination/scheduling/placebyend.go
@@ -21,6 +21,9 @@
 	// Expected ends within a step count as equal, since estimates are no better; then the
 	// accelerators left over decide.
 	rankStep = 0.05
+	// longRank separates windows in which a single task holds its worker for much longer
+	// than on others: degraded ones and those away from its data.
+	longRank = 250
 	// riskyRank separates windows in which a request may end after its objective if its
 	// estimate is too low, lateRank those in which it does.
 	riskyRank = 500
@@ -30,7 +33,8 @@
 // windowRank orders windows for a request by the time that it runs there. Urgent work, and
 // work that ends after its objective, goes where it ends first. A gang that ends in time goes
 // where its members idle least while they wait for the slowest. A single task that ends in
-// time goes to the slowest worker, and so leaves the others to work that needs them.
+// time goes to the slowest worker, and so leaves the others to work that needs them, but to
+// a degraded one or away from its data only if there is no other, and then where it ends first.
 func (req *request) windowRank(fastest, slowest *node, remote float64) int64 {
 	seconds := req.work * remote / slowest.relativeSpeed
 	end := -slowest.logSpeed
@@ -44,9 +48,10 @@
 		return riskyRank + rankOf(end)
 	case req.tasks > 1:
 		return rankOf(fastest.logSpeed - slowest.logSpeed + gangEnd*end)
+	case remote > 1 || slowest.relativeSpeed < degradedBelow:
+		return longRank + rankOf(end)
 	}
-	// Away from its data the end is later by the remote slowdown, which is never preferred.
-	return rankOf(slowest.logSpeed + 2*(end+slowest.logSpeed))
+	return rankOf(slowest.logSpeed)
 }
 
 var logRemoteSlowdown = math.Log(remoteSlowdown)
