scheduling: RunFactor tells racks of different data centres apart

Cause: racks are named within a data centre, but RunFactor compared the names only, so a coupled gang over d0/r0 and d1/r0 had factor 1 and its class seemed three times as long. Change: RunFactor gets the workers and compares data centres too.

--- a/internal/coordination/dispatch/runtimes.go
+++ b/internal/coordination/dispatch/runtimes.go
@@ -66,12 +66,7 @@
 	for i := range workers {
 		byID[workers[i].ID] = &workers[i]
 	}
-	workerOf := func(id string) (rack string, speed float64) {
-		if worker := byID[id]; worker != nil {
-			return worker.Rack, worker.Speed
-		}
-		return "", 0
-	}
+	workerOf := func(id string) *scheduling.Worker { return byID[id] }
 	return func(job *controlpb.Job) float64 { return scheduling.RunFactor(job, workerOf) }
 }
 
--- a/internal/coordination/scheduling/finish.go
+++ b/internal/coordination/scheduling/finish.go
@@ -9,23 +9,33 @@
 
 // RunFactor returns the work that a run does in one second of its time, in seconds of a
 // worker of the usual speed: the speed of its slowest member, less what it loses away from
-// its data or over several racks. workerOf returns a worker's rack and speed, each
-// the zero value if it is unknown.
-func RunFactor(job *controlpb.Job, workerOf func(id string) (rack string, speed float64)) float64 {
-	slowest, rack, racks := 0.0, "", 0
+// its data or over several racks. workerOf returns nil for an unknown worker, which
+// counts as one of the usual speed near the data.
+func RunFactor(job *controlpb.Job, workerOf func(id string) *Worker) float64 {
+	slowest, severalRacks := 0.0, false
+	var first *Worker
 	for _, placement := range job.Placements {
-		on, speed := workerOf(placement.Worker)
-		if speed = usableSpeed(speed); slowest == 0 || speed < slowest {
-			slowest = speed
+		worker, speed := workerOf(placement.Worker), 1.0
+		if worker != nil {
+			speed = usableSpeed(worker.Speed)
+			if first == nil {
+				first = worker
+			}
+			// Racks are named within a data centre.
+			severalRacks = severalRacks || worker.Rack != first.Rack || worker.DataCentre != first.DataCentre
 		}
-		if on != "" && on != rack {
-			rack, racks = on, racks+1
+		if slowest == 0 || speed < slowest {
+			slowest = speed
 		}
 	}
 	if slowest == 0 {
 		return 1
 	}
-	return slowest / remoteFactor(job, rack, racks > 1)
+	rack := ""
+	if first != nil {
+		rack = first.Rack
+	}
+	return slowest / remoteFactor(job, rack, severalRacks)
 }
 
 // Limits of a speed that estimates use: an estimate outside is an error of the observation.
--- a/internal/experiment/overload/speed.go
+++ b/internal/experiment/overload/speed.go
@@ -110,6 +110,8 @@
 	e.learned.Observe(u.job.WorkClass, time.Duration(u.job.RunTimeMs)*time.Millisecond, ran)
 }
 
-func (e *engine) workerOf(id string) (rack string, speed float64) {
-	return e.day.rackOf[id], e.speeds[id]
+// workerOf returns what scheduling.RunFactor needs of a worker; the racks of a day have
+// different names.
+func (e *engine) workerOf(id string) *scheduling.Worker {
+	return &scheduling.Worker{ID: id, Rack: e.day.rackOf[id], Speed: e.speeds[id]}
 }
