scheduling: prune racks by a true bound for single tasks

Cause: bestRank took the better of a rack's fastest and slowest node. For a single task in time neither need be the best: the slowest may be late and the next in time. Change: for such tasks the bound is the best rank of any node of the rack; for gangs and urgent work it is the rank of the fastest. Result: the case with speeds 1.5, 0.9 and 0.2 of TestPlacementByExpectedEnd fails without the change.

--- a/internal/coordination/scheduling/finish_test.go
+++ b/internal/coordination/scheduling/finish_test.go
@@ -66,6 +66,8 @@
 			want: map[string]string{"j": "d0-r0-w0"}},
 		{name: "near its data rather than on a slower worker", snapshot: byExpectedEnd(snapshotOf(four(0.08, 0.08, 1, 1), nil, waitingJob("j", "a", 1, 1, adjacency(anywhere), dataIn("r1")))),
 			want: map[string]string{"j": "d0-r1-w0"}},
+		{name: "to the slowest that is in time, in a rack with one that is not", snapshot: byExpectedEnd(unitsSnapshot(withSpeeds(testWorkers(1, 2, 3, 8), 1.2, 1.2, 1.2, 1.5, 0.9, 0.2), unitJob("j", "a", 1, 1))),
+			want: map[string]string{"j": "d0-r1-w1"}},
 		{name: "a patient task that is short of time to a fast worker", snapshot: byExpectedEnd(unitsSnapshot(four(1, 0.6, 0.2, 1.6), unitJob("j", "a", 1, 1, dueIn(10*time.Second)))),
 			want: map[string]string{"j": "d0-r1-w1"}},
 		{name: "near its data rather than on a faster worker", snapshot: byExpectedEnd(unitsSnapshot(four(1.6, 1.6, 0.9, 0.9), unitJob("j", "a", 1, 1, topPriority, dataIn("r1")))),
--- a/internal/coordination/scheduling/placebyend.go
+++ b/internal/coordination/scheduling/placebyend.go
@@ -58,11 +58,18 @@
 
 func rankOf(value float64) int64 { return int64(math.Round(value / rankStep)) }
 
-// bestRank returns the least rank that a window of the rack can have.
+// bestRank returns a lower bound of the ranks of the rack's windows. Only for single tasks
+// that are not urgent may a slower worker rank before the fastest.
 func (r *rack) bestRank(req *request, remote float64) int64 {
 	nodes := r.inOrderOfSpeed()
-	fastest, slowest := nodes[0], nodes[len(nodes)-1]
-	return min(req.windowRank(fastest, fastest, remote), req.windowRank(slowest, slowest, remote))
+	if req.tasks > 1 || req.job.Urgent {
+		nodes = nodes[:1]
+	}
+	best := int64(math.MaxInt64)
+	for _, n := range nodes {
+		best = min(best, req.windowRank(n, n, remote))
+	}
+	return best
 }
 
 // endMargin is the share by which an estimate may be too low and work still ends in time.
@@ -161,11 +168,12 @@
 			continue
 		}
 		remote := remoteFactor(req.job, r.name, false)
-		if best != nil && r.bestRank(req, remote) > bestRank {
+		bound := r.bestRank(req, remote)
+		if best != nil && bound > bestRank {
 			continue
 		}
 		cost := r.cost(req)
-		if best != nil && cost >= bestCost && r.bestRank(req, remote) == bestRank {
+		if best != nil && bound == bestRank && cost >= bestCost {
 			continue
 		}
 		found, ok := c.bestWindow(r.inOrderOfSpeed(), req, capacity, func(*node) float64 { return remote })
