scheduling: a gang placed by its end spans as few racks as fit

Cause: spreadByEnd filled the nodes of its window without regard to racks, and the window left out nodes of the same rank, so a gang could span racks it did not need. Change: the window's slower nodes of the same rank count too; the racks with the most room come first, and the smallest that takes the rest comes last.

--- a/internal/coordination/scheduling/placebyend.go
+++ b/internal/coordination/scheduling/placebyend.go
@@ -12,6 +12,8 @@
 type window struct {
 	// candidates are the nodes from the fastest to the slowest.
 	candidates []nodeTasks
+	// equal are the candidates and the slower nodes with which the rank is the same.
+	equal []nodeTasks
 	// rank is the order among windows, the lowest first.
 	rank int64
 }
@@ -101,7 +103,11 @@
 		slowest := candidates[last].node
 		rank := req.windowRank(candidates[first].node, slowest, remote(slowest))
 		if !found || rank < best.rank {
-			best, found = window{candidates[first : last+1], rank}, true
+			end := last + 1
+			for end < len(candidates) && req.windowRank(candidates[first].node, candidates[end].node, remote(candidates[end].node)) == rank {
+				end++
+			}
+			best, found = window{candidates[first : last+1], candidates[first:end], rank}, true
 		}
 		sum -= candidates[first].tasks
 	}
@@ -187,7 +193,8 @@
 	return best
 }
 
-// spreadByEnd places a gang over several racks.
+// spreadByEnd places a gang over several racks: among the nodes of the best window, and the
+// slower ones with which its rank stays the same, over as few racks as fit.
 func (c *cluster) spreadByEnd(req *request, capacity capacityFunc) []nodeTasks {
 	if c.bySpeed == nil {
 		c.bySpeed = inOrderOfSpeed(c.nodes)
@@ -197,7 +204,40 @@
 	if !ok {
 		return nil
 	}
-	return tightestFit(slices.Clone(found.candidates), req.tasks)
+	return fewestRacks(found.equal, req.tasks)
+}
+
+// fewestRacks places that many tasks on candidates, which have enough capacity for them: in
+// the racks with the most room first, the fullest of equal ones, and at the end in the
+// one with the least room that takes the rest.
+func fewestRacks(candidates []nodeTasks, tasks int64) []nodeTasks {
+	var racks []*rack
+	inRack, room := map[*rack][]nodeTasks{}, map[*rack]int64{}
+	for _, candidate := range candidates {
+		r := candidate.node.rack
+		if inRack[r] == nil {
+			racks = append(racks, r)
+		}
+		inRack[r] = append(inRack[r], candidate)
+		room[r] += candidate.tasks
+	}
+	slices.SortStableFunc(racks, func(x, y *rack) int {
+		return cmp.Or(cmp.Compare(room[y], room[x]), cmp.Compare(x.free.accelerators, y.free.accelerators))
+	})
+	var placement []nodeTasks
+	for i, r := range racks {
+		for _, smaller := range racks[i+1:] {
+			if room[smaller] >= tasks && room[smaller] < room[r] {
+				r = smaller
+			}
+		}
+		here := min(room[r], tasks)
+		placement = append(placement, tightestFit(inRack[r], here)...)
+		if tasks -= here; tasks == 0 {
+			break
+		}
+	}
+	return placement
 }
 
 func (r *rack) inOrderOfSpeed() []*node {
