--- a/internal/coordination/scheduling/finish.go
+++ b/internal/coordination/scheduling/finish.go
@@ -9,23 +9,33 @@
 
 // RunFactor returns the work that a run does in one second of its time, in seconds of a
 // worker of the usual speed: the speed of its slowest member, less what it loses away from
-// its data or over several racks. workerOf returns a worker's rack and speed, each
-// the zero value if it is unknown.
-func RunFactor(job *controlpb.Job, workerOf func(id string) (rack string, speed float64)) float64 {
-	slowest, rack, racks := 0.0, "", 0
+// its data or over several racks. workerOf returns nil for an unknown worker, which
+// counts as one of the usual speed near the data.
+func RunFactor(job *controlpb.Job, workerOf func(id string) *Worker) float64 {
+	slowest, severalRacks := 0.0, false
+	var first *Worker
 	for _, placement := range job.Placements {
-		on, speed := workerOf(placement.Worker)
-		if speed = usableSpeed(speed); slowest == 0 || speed < slowest {
-			slowest = speed
+		worker, speed := workerOf(placement.Worker), 1.0
+		if worker != nil {
+			speed = usableSpeed(worker.Speed)
+			if first == nil {
+				first = worker
+			}
+			// Racks are named within a data centre.
+			severalRacks = severalRacks || worker.Rack != first.Rack || worker.DataCentre != first.DataCentre
 		}
-		if on != "" && on != rack {
-			rack, racks = on, racks+1
+		if slowest == 0 || speed < slowest {
+			slowest = speed
 		}
 	}
 	if slowest == 0 {
 		return 1
 	}
-	return slowest / remoteFactor(job, rack, racks > 1)
+	rack := ""
+	if first != nil {
+		rack = first.Rack
+	}
+	return slowest / remoteFactor(job, rack, severalRacks)
 }
 
 // Limits of a speed that estimates use: an estimate outside is an error of the observation.
@@ -106,12 +116,13 @@
 	return slowest / remoteFactor(g.job, first.rack.name, several)
 }
 
-// Bands of speed, by their number. They are coarse, so that the requests of a pass share
-// few counts of the domains (see tally), and limited to the speeds that workers have.
+// Bands of speed, by their number, limited to the speeds that workers have. A band is as
+// wide as a step of ranks, since estimates are no better: bands of 0.2 refused workers up
+// to 22% faster than needed. Narrower ones would let fewer requests share a count.
 const (
-	bandWidth = 0.2
-	firstBand = -15
-	lastBand  = 5
+	bandWidth = rankStep
+	firstBand = -60
+	lastBand  = 28
 )
 
 // limitsPreemption reports whether work may be stopped for a request only where the request
@@ -120,14 +131,50 @@
 	return p.cluster.expectedEnd && grounds == groundsUrgency && req.job.Workflow != "" && !p.withinGuarantee(req.job)
 }
 
-// inTimeOnly limits a capacityFunc to workers on which the request ends in time, and sets
-// the band of the request to the slowest of these.
-func (req *request) inTimeOnly(inner capacityFunc) capacityFunc {
-	needed := math.Log(max(req.work, minSpeed) / max(req.secondsLeft, minSpeed))
-	req.band = min(max(int(math.Ceil(needed/bandWidth)), firstBand), lastBand)
-	least := float64(req.band) * bandWidth
+// speedLimit limits the workers on which work may be stopped for a request to those on
+// which the request ends in time; the zero value is no limit. Requests with equal limits
+// share counts, so everything that the limit depends on is part of it.
+type speedLimit struct {
+	limited bool
+	// band is the number of the slowest band of speed.
+	band int
+	// dataRack is where this band holds, workers elsewhere have to be faster by the remote
+	// slowdown; empty if the band holds everywhere.
+	dataRack string
+}
+
+// speedLimitInTime is the limit at which the request ends in time, restore included. A gang
+// that may be placed in several racks is taken to be.
+func (p *pass) speedLimitInTime(req *request) speedLimit {
+	needed := math.Log(max(req.work, minSpeed) / max(req.secondsLeft-p.restoreSeconds(req.job), minSpeed))
+	limit := speedLimit{limited: true}
+	if remoteFactor(req.job, "", req.spansRacks()) > 1 {
+		needed += logRemoteSlowdown
+	} else {
+		limit.dataRack = req.job.DataRack
+	}
+	limit.band = min(max(int(math.Ceil(needed/bandWidth)), firstBand), lastBand)
+	return limit
+}
+
+// spansRacks reports whether the request may be placed over several racks.
+func (req *request) spansRacks() bool {
+	oneRack := req.adjacency == controlpb.Adjacency_ADJACENCY_WORKER || req.adjacency == controlpb.Adjacency_ADJACENCY_RACK
+	return req.tasks > 1 && !oneRack && req.rack == ""
+}
+
+// capacity applies the limit to a capacityFunc.
+func (l speedLimit) capacity(inner capacityFunc) capacityFunc {
+	if !l.limited {
+		return inner
+	}
+	least := float64(l.band) * bandWidth
 	return func(n *node, req *request) int64 {
-		if n.logSpeed < least {
+		speed := n.logSpeed
+		if l.dataRack != "" && n.rack.name != l.dataRack {
+			speed -= logRemoteSlowdown
+		}
+		if speed < least {
 			return 0
 		}
 		return inner(n, req)
--- a/internal/coordination/scheduling/placebyend.go
+++ b/internal/coordination/scheduling/placebyend.go
@@ -12,6 +12,8 @@
 type window struct {
 	// candidates are the nodes from the fastest to the slowest.
 	candidates []nodeTasks
+	// equal are the candidates and the slower nodes with which the rank is the same.
+	equal []nodeTasks
 	// rank is the order among windows, the lowest first.
 	rank int64
 }
@@ -21,6 +23,9 @@
 	// Expected ends within a step count as equal, since estimates are no better; then the
 	// accelerators left over decide.
 	rankStep = 0.05
+	// longRank separates windows in which a single task holds its worker for much longer
+	// than on others: degraded ones and those away from its data.
+	longRank = 250
 	// riskyRank separates windows in which a request may end after its objective if its
 	// estimate is too low, lateRank those in which it does.
 	riskyRank = 500
@@ -30,7 +35,8 @@
 // windowRank orders windows for a request by the time that it runs there. Urgent work, and
 // work that ends after its objective, goes where it ends first. A gang that ends in time goes
 // where its members idle least while they wait for the slowest. A single task that ends in
-// time goes to the slowest worker, and so leaves the others to work that needs them.
+// time goes to the slowest worker, and so leaves the others to work that needs them, but to
+// a degraded one or away from its data only if there is no other, and then where it ends first.
 func (req *request) windowRank(fastest, slowest *node, remote float64) int64 {
 	seconds := req.work * remote / slowest.relativeSpeed
 	end := -slowest.logSpeed
@@ -44,20 +50,28 @@
 		return riskyRank + rankOf(end)
 	case req.tasks > 1:
 		return rankOf(fastest.logSpeed - slowest.logSpeed + gangEnd*end)
+	case remote > 1 || slowest.relativeSpeed < degradedBelow:
+		return longRank + rankOf(end)
 	}
-	// Away from its data the end is later by the remote slowdown, which is never preferred.
-	return rankOf(slowest.logSpeed + 2*(end+slowest.logSpeed))
+	return rankOf(slowest.logSpeed)
 }
 
 var logRemoteSlowdown = math.Log(remoteSlowdown)
 
 func rankOf(value float64) int64 { return int64(math.Round(value / rankStep)) }
 
-// bestRank returns the least rank that a window of the rack can have.
+// bestRank returns a lower bound of the ranks of the rack's windows. Only for single tasks
+// that are not urgent may a slower worker rank before the fastest.
 func (r *rack) bestRank(req *request, remote float64) int64 {
 	nodes := r.inOrderOfSpeed()
-	fastest, slowest := nodes[0], nodes[len(nodes)-1]
-	return min(req.windowRank(fastest, fastest, remote), req.windowRank(slowest, slowest, remote))
+	if req.tasks > 1 || req.job.Urgent {
+		nodes = nodes[:1]
+	}
+	best := int64(math.MaxInt64)
+	for _, n := range nodes {
+		best = min(best, req.windowRank(n, n, remote))
+	}
+	return best
 }
 
 // endMargin is the share by which an estimate may be too low and work still ends in time.
@@ -89,7 +103,11 @@
 		slowest := candidates[last].node
 		rank := req.windowRank(candidates[first].node, slowest, remote(slowest))
 		if !found || rank < best.rank {
-			best, found = window{candidates[first : last+1], rank}, true
+			end := last + 1
+			for end < len(candidates) && req.windowRank(candidates[first].node, candidates[end].node, remote(candidates[end].node)) == rank {
+				end++
+			}
+			best, found = window{candidates[first : last+1], candidates[first:end], rank}, true
 		}
 		sum -= candidates[first].tasks
 	}
@@ -156,11 +174,12 @@
 			continue
 		}
 		remote := remoteFactor(req.job, r.name, false)
-		if best != nil && r.bestRank(req, remote) > bestRank {
+		bound := r.bestRank(req, remote)
+		if best != nil && bound > bestRank {
 			continue
 		}
 		cost := r.cost(req)
-		if best != nil && cost >= bestCost && r.bestRank(req, remote) == bestRank {
+		if best != nil && bound == bestRank && cost >= bestCost {
 			continue
 		}
 		found, ok := c.bestWindow(r.inOrderOfSpeed(), req, capacity, func(*node) float64 { return remote })
@@ -174,7 +193,8 @@
 	return best
 }
 
-// spreadByEnd places a gang over several racks.
+// spreadByEnd places a gang over several racks: among the nodes of the best window, and the
+// slower ones with which its rank stays the same, over as few racks as fit.
 func (c *cluster) spreadByEnd(req *request, capacity capacityFunc) []nodeTasks {
 	if c.bySpeed == nil {
 		c.bySpeed = inOrderOfSpeed(c.nodes)
@@ -184,7 +204,40 @@
 	if !ok {
 		return nil
 	}
-	return tightestFit(slices.Clone(found.candidates), req.tasks)
+	return fewestRacks(found.equal, req.tasks)
+}
+
+// fewestRacks places that many tasks on candidates, which have enough capacity for them: in
+// the racks with the most room first, the fullest of equal ones, and at the end in the
+// one with the least room that takes the rest.
+func fewestRacks(candidates []nodeTasks, tasks int64) []nodeTasks {
+	var racks []*rack
+	inRack, room := map[*rack][]nodeTasks{}, map[*rack]int64{}
+	for _, candidate := range candidates {
+		r := candidate.node.rack
+		if inRack[r] == nil {
+			racks = append(racks, r)
+		}
+		inRack[r] = append(inRack[r], candidate)
+		room[r] += candidate.tasks
+	}
+	slices.SortStableFunc(racks, func(x, y *rack) int {
+		return cmp.Or(cmp.Compare(room[y], room[x]), cmp.Compare(x.free.accelerators, y.free.accelerators))
+	})
+	var placement []nodeTasks
+	for i, r := range racks {
+		for _, smaller := range racks[i+1:] {
+			if room[smaller] >= tasks && room[smaller] < room[r] {
+				r = smaller
+			}
+		}
+		here := min(room[r], tasks)
+		placement = append(placement, tightestFit(inRack[r], here)...)
+		if tasks -= here; tasks == 0 {
+			break
+		}
+	}
+	return placement
 }
 
 func (r *rack) inOrderOfSpeed() []*node {
