scheduling: place a further attempt with care only where that is as good

The preference for a good record and another rack came before all other choices. Where no room was left, up to three more searches were made for each job.

The usual placement is now found first. Without one, no search follows; a preferred one is accepted only if it has no more racks, is no farther from the data and isn't late where the usual one is in time.

TestRetryIsNotPlacedWorse fails in its three cases before the change and passes after it.

--- a/internal/coordination/scheduling/bench_test.go
+++ b/internal/coordination/scheduling/bench_test.go
@@ -131,3 +131,20 @@
 		}
 	}
 }
+
+// BenchmarkRetriesWithoutRoom measures one pass over further attempts that find no room:
+// the preference for other workers must cost nothing where there is no choice.
+func BenchmarkRetriesWithoutRoom(b *testing.B) {
+	nodes := testWorkers(1, 210, 9, 8)
+	var jobs []*controlpb.Job
+	for i, n := range nodes {
+		jobs = append(jobs,
+			unitJob(fmt.Sprint("r", i), "b", 1, 7, running(time.Second, 0, n.ID), dueIn(20*time.Second)),
+			unitJob(fmt.Sprint("w", i), "b", 1, 2, attemptsOn(n.ID), dueIn(20*time.Second)))
+	}
+	for _, careful := range []bool{false, true} {
+		b.Run(fmt.Sprint("careful=", careful), func(b *testing.B) {
+			benchmarkSpeeds(b, unitsSnapshot(nodes, jobs...), Features{AttemptPlacement: careful})
+		})
+	}
+}
--- a/internal/coordination/scheduling/finish.go
+++ b/internal/coordination/scheduling/finish.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 
 	"pinewinch.example/pinewinch/internal/protocol/controlpb"
@@ -97,13 +98,35 @@
 
 // speed returns the work that the gang does in a second, like RunFactor.
 func (g *gang) speed() float64 {
-	first := g.allocations[0].node
-	slowest, several := first.relativeSpeed, false
+	slowest := g.allocations[0].node.relativeSpeed
 	for _, a := range g.allocations[1:] {
 		slowest = min(slowest, a.node.relativeSpeed)
-		several = several || a.node.rack != first.rack
 	}
-	return slowest / remoteFactor(g.job, first.rack.name, several)
+	return slowest / g.remoteFactor()
+}
+
+// remoteFactor is that of the gang's job on its workers.
+func (g *gang) remoteFactor() float64 {
+	first := g.allocations[0].node.rack
+	several := slices.ContainsFunc(g.allocations, func(a allocation) bool { return a.node.rack != first })
+	return remoteFactor(g.job, first.name, several)
+}
+
+func (g *gang) rackCount() int {
+	racks := map[*rack]bool{}
+	for _, a := range g.allocations {
+		racks[a.node.rack] = true
+	}
+	return len(racks)
+}
+
+// placedGang is a gang as a placement would start it.
+func placedGang(job *controlpb.Job, placement []nodeTasks) *gang {
+	g := &gang{job: job}
+	for _, part := range placement {
+		g.allocations = append(g.allocations, allocation{node: part.node})
+	}
+	return g
 }
 
 // Bands of speed, by their number. They are coarse, so that the requests of a pass share
@@ -149,11 +172,7 @@
 	if p.plan.Expected == nil {
 		p.plan.Expected = map[string]Expectation{}
 	}
-	g := gang{job: req.job}
-	for _, part := range placement {
-		g.allocations = append(g.allocations, allocation{node: part.node})
-	}
-	speed := g.speed()
+	speed := placedGang(req.job, placement).speed()
 	runs := time.Duration(p.expectedSeconds(req.job, speed) * float64(time.Second))
 	p.plan.Expected[req.job.Id] = Expectation{speed, runs}
 }
--- a/internal/coordination/scheduling/placement.go
+++ b/internal/coordination/scheduling/placement.go
@@ -152,13 +152,19 @@
 	}
 }
 
-// findPlacement finds a placement for the whole gang, or nil: on workers of the
-// preferred speed classes, otherwise on any; or by its expected end, where that is
-// estimated.
+// findPlacement finds a placement for the whole gang, or nil.
 func (c *cluster) findPlacement(req *request, capacity capacityFunc) []nodeTasks {
-	if placement := c.findForRetry(req, capacity); placement != nil {
-		return placement
+	usual := c.findUsual(req, capacity)
+	if usual == nil || !req.careful || !isRetry(req.job) {
+		return usual
 	}
+	return c.findForRetry(req, capacity, usual)
+}
+
+// findUsual finds a placement without regard to earlier failures of the job, or nil: on
+// workers of the preferred speed classes, otherwise on any; or by its expected end, where
+// that is estimated.
+func (c *cluster) findUsual(req *request, capacity capacityFunc) []nodeTasks {
 	if c.expectedEnd {
 		return c.findByEnd(req, capacity)
 	}
--- a/internal/coordination/scheduling/retries.go
+++ b/internal/coordination/scheduling/retries.go
@@ -15,15 +15,10 @@
 // isRetry reports whether the job has a limit on its attempts and has used some of them.
 func isRetry(job *controlpb.Job) bool { return job.MaxAttempts > 0 && job.OwnFailures > 0 }
 
-// findForRetry finds a placement on workers that suit a further attempt, or returns nil: best
-// with a good record and in a rack in which the job has not failed, else with one of both. It
-// is a preference only: without such a placement the job is placed like any other.
-func (c *cluster) findForRetry(req *request, capacity capacityFunc) []nodeTasks {
-	if !req.careful || !isRetry(req.job) {
-		return nil
-	}
-	plain := *req
-	plain.careful = false
+// findForRetry returns a placement on workers that suit a further attempt: best with a good
+// record and in a rack in which the job has not failed, else with one of both. It returns
+// usual, the placement of any other job, if there is none that is as good otherwise.
+func (c *cluster) findForRetry(req *request, capacity capacityFunc, usual []nodeTasks) []nodeTasks {
 	failed := c.racksWithFailure(req.job)
 	elsewhere := func(n *node) bool { return !slices.Contains(failed, n.rack) }
 	reliable := func(n *node) bool { return !n.worker.BadRecord }
@@ -38,11 +33,23 @@
 			}
 			return capacity(n, req)
 		}
-		if placement := c.findPlacement(&plain, limited); placement != nil {
+		if placement := c.findUsual(req, limited); placement != nil && c.suitsAsWell(req, placement, usual) {
 			return placement
 		}
 	}
-	return nil
+	return usual
+}
+
+// suitsAsWell reports whether a placement has no more racks than the usual one, is no farther
+// from the data, and doesn't end late where the usual one ends in time. A gang over several
+// racks, or a task away from its data, runs several times as long.
+func (c *cluster) suitsAsWell(req *request, placement, usual []nodeTasks) bool {
+	runs, usually := placedGang(req.job, placement), placedGang(req.job, usual)
+	if runs.rackCount() > usually.rackCount() || runs.remoteFactor() > usually.remoteFactor() {
+		return false
+	}
+	late := func(g *gang) bool { return req.work/g.speed() > req.secondsLeft }
+	return !c.expectedEnd || !late(runs) || late(usually)
 }
 
 // racksWithFailure returns the racks in which the job has failed for a reason of its own.
--- a/internal/coordination/scheduling/retries_test.go
+++ b/internal/coordination/scheduling/retries_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 
@@ -56,3 +57,44 @@
 		})
 	}
 }
+
+// The preference must not spread a gang over more racks, take a task away from its data or
+// make it late: each makes the attempt run several times as long.
+func TestRetryIsNotPlacedWorse(t *testing.T) {
+	full := func(workers []Worker, numbers ...int) []Worker {
+		for _, number := range numbers {
+			workers[number].Unavailable = true
+		}
+		return workers
+	}
+	past := func(j *controlpb.Job) { j.SubmittedMs = start.Add(-time.Hour).UnixMilli() } // past its locality wait
+	for name, test := range map[string]struct {
+		workers []Worker
+		job     *controlpb.Job
+		want    string
+	}{
+		"a coupled gang stays in one rack": {
+			full(testWorkers(1, 3, 3, 8), 3, 4, 6, 7),
+			unitJob("j", "b", 2, 8, attemptsOn("d0-r0-w0"), adjacency(anywhere), past, func(j *controlpb.Job) { j.TightlyCoupled = true }), "d0-r0-w1",
+		},
+		"a task stays with its data": {
+			testWorkers(1, 2, 2, 8),
+			unitJob("j", "b", 1, 8, attemptsOn("d0-r0-w0"), past, func(j *controlpb.Job) { j.DataRack = "r0" }), "d0-r0-w1",
+		},
+		"a late worker is not taken": {
+			withSpeeds(testWorkers(1, 2, 2, 8), 1, 1, 0.8, 0.8),
+			unitJob("j", "b", 1, 8, attemptsOn("d0-r0-w0"), func(j *controlpb.Job) { j.DeadlineMs = start.UnixMilli() + j.RunTimeMs*11/10 }), "d0-r0-w1",
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			snapshot := unitsSnapshot(test.workers, test.job)
+			snapshot.Features.AttemptPlacement = true
+			snapshot.Features.ExpectedEnd = test.job.DeadlineMs > 0
+			plan := Pass(snapshot)
+			is.Equal(plan.Breach, nil)
+			is.Equal(len(plan.Assignments), 1)
+			is.Equal(plan.Assignments[0].Placements[0].Worker, test.want)
+		})
+	}
+}
