dispatch: let each success halve a worker's record

The record was halved when the log dropped failures, which only the first success after a failure causes. Later successes changed nothing: of 8 failures 4 stayed, and the worker ran one job at a time until their retention of 5 minutes ended, beside waiting work.

The leader now counts the completions that it commits, each of which halves the record of its worker. The drop in the log still halves it where the leader saw no success, as when a commit's answer was lost.

TestEverySuccessHalvesTheRecord (8, 4, 2, 1, 0 failures; probing only at 4) fails without the count and passes with it.

--- a/internal/coordination/dispatch/dispatch.go
+++ b/internal/coordination/dispatch/dispatch.go
@@ -273,10 +273,17 @@
 	d.logMoves(batch)
 	ctx, cancel := context.WithTimeout(ctx, proposeTimeout)
 	defer cancel()
+	completed := completedOn(d.control.State(), batch)
 	command := &controlpb.Command{DecidedIn: d.term, Op: &controlpb.Command_BatchMove{BatchMove: batch}}
 	result, err := d.control.Propose(ctx, command)
 	d.logFailedProposal(result, err)
 	if err != nil {
 		batchesUncommitted.Add(1)
+		return
+	}
+	if result.GetCode() == "" {
+		for _, worker := range completed {
+			d.records.Succeeded(worker)
+		}
 	}
 }
--- a/internal/coordination/dispatch/quarantine/records.go
+++ b/internal/coordination/dispatch/quarantine/records.go
@@ -35,6 +35,8 @@
 	// the time of the newest one.
 	seen     uint32
 	newestMs int64
+	// halved is whether a success has halved the record since the last update.
+	halved bool
 }
 
 // Begun reports whether the records contain what the log had at the start of the term.
@@ -70,6 +72,14 @@
 	return 0
 }
 
+// Succeeded records that a task has completed on a worker.
+func (r *Records) Succeeded(worker string) {
+	if kept := r.workers[worker]; kept != nil {
+		kept.halve()
+		kept.halved = true
+	}
+}
+
 func (r *Records) of(worker string) *record {
 	kept := r.workers[worker]
 	if kept == nil {
@@ -107,16 +117,17 @@
 	return Evaluate(config, health, now), true
 }
 
-// update adds the failures that are new, and halves the record if the log has dropped some,
-// after a success or because their job was at fault.
+// update adds the failures that are new. It halves the record if the log has dropped some
+// because their job was at fault, or after a success that the leader did not see commit.
 func (k *record) update(health *controlpb.WorkerHealth) {
 	newest := int64(0)
 	if health != nil {
 		newest = health.Failures[len(health.Failures)-1].TimeMs
 	}
-	if k.seen > 0 && health.GetConsecutive() < k.seen {
-		k.failures = k.failures[(len(k.failures)+1)/2:]
+	if k.seen > 0 && health.GetConsecutive() < k.seen && !k.halved {
+		k.halve()
 	}
+	k.halved = false
 	for _, failed := range health.GetFailures() {
 		if failed.TimeMs > k.newestMs && !slices.ContainsFunc(k.failures, func(f *controlpb.WorkerFailure) bool {
 			return f.Job == failed.Job && max(f.TimeMs-failed.TimeMs, failed.TimeMs-f.TimeMs) < sameFailure.Milliseconds()
@@ -127,6 +138,8 @@
 	k.seen, k.newestMs = health.GetConsecutive(), max(k.newestMs, newest)
 }
 
+func (k *record) halve() { k.failures = k.failures[(len(k.failures)+1)/2:] }
+
 func (k *record) add(failed *controlpb.WorkerFailure) {
 	k.failures = append(slices.Clip(k.failures), failed)
 }
--- a/internal/coordination/dispatch/quarantine/records_test.go
+++ b/internal/coordination/dispatch/quarantine/records_test.go
@@ -50,3 +50,28 @@
 	is.Equal(got, Healthy)
 	is.True(!bad)
 }
+
+// Each success must halve the record, also while the log has no failures: a worker would
+// get one job at a time until the retention ends, beside waiting work.
+func TestEverySuccessHalvesTheRecord(t *testing.T) {
+	is, now := is.New(t), time.UnixMilli(1_800_000_000_000)
+	var records Records
+	records.Begin(now, nil)
+	health := &controlpb.WorkerHealth{Worker: "w", Consecutive: 8}
+	for n := range 8 {
+		now = now.Add(3 * time.Second)
+		health.Failures = append(health.Failures, &controlpb.WorkerFailure{Job: fmt.Sprint(n), TimeMs: now.UnixMilli()})
+	}
+	for successes, want := range []struct {
+		verdict  Verdict
+		failures int
+	}{{Quarantined, 8}, {Probing, 4}, {Healthy, 2}, {Healthy, 1}, {Healthy, 0}} {
+		if successes > 0 {
+			records.Succeeded("w")
+			health = nil
+		}
+		verdict, _ := records.Verdict(Config{CoolDown: time.Second, Probe: 10 * time.Second}, "w", health, now)
+		is.Equal(verdict, want.verdict)
+		is.Equal(records.Failures("w"), want.failures)
+	}
+}
--- a/internal/coordination/dispatch/verdicts.go
+++ b/internal/coordination/dispatch/verdicts.go
@@ -2,10 +2,12 @@
 
 import (
 	"expvar"
+	"slices"
 
 	"github.com/sirupsen/logrus"
 
 	"pinewinch.example/pinewinch/internal/coordination/dispatch/quarantine"
+	"pinewinch.example/pinewinch/internal/protocol/controlpb"
 	"pinewinch.example/pinewinch/internal/state/store"
 )
 
@@ -41,6 +43,20 @@
 	return d.records.Verdict(d.config.Quarantine, worker, state.Health(worker), now)
 }
 
+// completedOn returns the worker of each task that the batch completes.
+func completedOn(state *store.State, batch *controlpb.BatchMove) (workers []string) {
+	for _, finished := range batch.Finished {
+		job, ok := state.Job(finished.Job)
+		if !ok || job.Epoch != finished.Epoch || slices.Contains(job.DoneTasks, finished.Task) {
+			continue
+		}
+		if placement := store.PlacementOf(job, finished.Task); placement != nil {
+			workers = append(workers, placement.Worker)
+		}
+	}
+	return workers
+}
+
 // logVerdict logs a worker's changed verdict with the failures that it is based on.
 func (d *Dispatcher) logVerdict(state *store.State, worker string, verdict quarantine.Verdict) {
 	if d.config.Logger == nil {
--- a/internal/coordination/dispatch/verdicts_test.go
+++ b/internal/coordination/dispatch/verdicts_test.go
@@ -87,3 +87,16 @@
 		is.Equal(worker.Evacuated, worker.DataCentre == "east")
 	}
 }
+
+// The leader must count each task that completes on a worker, once: the log shows only the
+// first success after a failure.
+func TestCompletionsCountAsSuccesses(t *testing.T) {
+	is := is.New(t)
+	state := store.Restore(&controlpb.Snapshot{Jobs: []*controlpb.Job{{
+		Id: "j", Tasks: 3, Epoch: 2, State: controlpb.JobState_JOB_STATE_RUNNING, DoneTasks: []uint32{1},
+		Placements: []*controlpb.Placement{{Task: 0, Worker: "w0"}, {Task: 1, Worker: "w1"}, {Task: 2, Worker: "w2"}},
+	}}})
+	is.Equal(completedOn(state, &controlpb.BatchMove{Finished: []*controlpb.FinishedTask{
+		{Job: "j", Epoch: 2, Task: 0}, {Job: "j", Epoch: 2, Task: 1}, {Job: "j", Epoch: 1, Task: 2}, {Job: "gone", Epoch: 1},
+	}}), []string{"w0"})
+}
