dispatch/quarantine: begin records with what the log counts

A new leader began its records with failures whose codes the log doesn't count against workers, such as exceeded memory, and with those of parked jobs, which the store removes from the workers' health. Three jobs that exceeded memory on one worker limited it to one job at a time after a change of leader.

The store's rule is now exported (CountsAgainstWorker) and used here, parked jobs are skipped, and failures before the term make a record bad without a verdict of their own.

TestRecordsBeginAsTheLogCounts fails in its three cases before the change and passes after it.

--- a/internal/coordination/dispatch/quarantine/records.go
+++ b/internal/coordination/dispatch/quarantine/records.go
@@ -5,7 +5,7 @@
 	"time"
 
 	"pinewinch.example/pinewinch/internal/protocol/controlpb"
-	"pinewinch.example/pinewinch/internal/protocol/failure"
+	"pinewinch.example/pinewinch/internal/state/store"
 )
 
 const (
@@ -26,6 +26,9 @@
 // and does not know of the successes in between. The zero value is empty.
 type Records struct {
 	workers map[string]*record
+	// begunMs is when the records began. Earlier failures make a record bad but lead to no
+	// verdict beyond that of the log, which knows of the successes since.
+	begunMs int64
 }
 
 type record struct {
@@ -44,13 +47,14 @@
 
 // Begin starts the records from the failures of jobs that the log still has.
 func (r *Records) Begin(now time.Time, jobs []*controlpb.Job) {
-	r.workers = map[string]*record{}
+	r.workers, r.begunMs = map[string]*record{}, now.UnixMilli()
 	for _, job := range jobs {
-		if job.State == controlpb.JobState_JOB_STATE_PARKED && job.MaxAttempts == 0 {
+		// A parked job was at fault itself: the log doesn't count its failures either.
+		if job.State == controlpb.JobState_JOB_STATE_PARKED {
 			continue
 		}
 		for _, failed := range job.Failures {
-			if failed.Worker != "" && !failure.Code(failed.Code).Infrastructure() {
+			if store.CountsAgainstWorker(failed) {
 				r.of(failed.Worker).add(&controlpb.WorkerFailure{Job: job.Id, Code: failed.Code, TimeMs: failed.TimeMs})
 			}
 		}
@@ -103,15 +107,16 @@
 		delete(r.workers, worker)
 		return Healthy, false
 	}
+	observed := kept.since(r.begunMs)
 	if health == nil {
-		if DistinctJobs(&controlpb.WorkerHealth{Failures: kept.failures}) >= minDistinctJobs {
+		if DistinctJobs(&controlpb.WorkerHealth{Failures: observed}) >= minDistinctJobs {
 			return Probing, true
 		}
 		return Healthy, true
 	}
-	if len(kept.failures) > len(health.Failures) {
+	if len(observed) > len(health.Failures) {
 		health = &controlpb.WorkerHealth{
-			Worker: worker, Failures: kept.failures, Consecutive: max(health.Consecutive, uint32(len(kept.failures))),
+			Worker: worker, Failures: observed, Consecutive: max(health.Consecutive, uint32(len(observed))),
 		}
 	}
 	return Evaluate(config, health, now), true
@@ -144,6 +149,15 @@
 	k.failures = append(slices.Clip(k.failures), failed)
 }
 
+// since returns the failures after a time.
+func (k *record) since(ms int64) []*controlpb.WorkerFailure {
+	first := slices.IndexFunc(k.failures, func(f *controlpb.WorkerFailure) bool { return f.TimeMs > ms })
+	if first < 0 {
+		return nil
+	}
+	return k.failures[first:]
+}
+
 // limit drops the failures that no longer count.
 func (k *record) limit(now time.Time) {
 	oldest := now.Add(-recordRetention).UnixMilli()
--- a/internal/coordination/dispatch/quarantine/records_test.go
+++ b/internal/coordination/dispatch/quarantine/records_test.go
@@ -75,3 +75,34 @@
 		is.Equal(records.Failures("w"), want.failures)
 	}
 }
+
+// After a change of leader, failures that the log doesn't count must not make a record, and
+// those before the term must not make a worker look at fault that has succeeded since.
+func TestRecordsBeginAsTheLogCounts(t *testing.T) {
+	now := time.UnixMilli(1_800_000_000_000)
+	for _, test := range []struct {
+		name  string
+		code  failure.Code
+		state controlpb.JobState
+		bad   bool
+	}{
+		{"failures of tasks", failure.TaskFailed, controlpb.JobState_JOB_STATE_WAITING, true},
+		{"memory exceeded", failure.MemoryExceeded, controlpb.JobState_JOB_STATE_WAITING, false},
+		{"parked jobs", failure.TaskFailed, controlpb.JobState_JOB_STATE_PARKED, false},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			var jobs []*controlpb.Job
+			for n := range 3 {
+				jobs = append(jobs, &controlpb.Job{Id: fmt.Sprint(n), MaxAttempts: 2, State: test.state, Failures: []*controlpb.TaskFailure{
+					{Worker: "w", Code: string(test.code), TimeMs: now.UnixMilli() - 1000},
+				}})
+			}
+			var records Records
+			records.Begin(now, jobs)
+			verdict, bad := records.Verdict(Config{CoolDown: time.Second, Probe: 10 * time.Second}, "w", nil, now)
+			is.Equal(verdict, Healthy)
+			is.Equal(bad, test.bad)
+		})
+	}
+}
--- a/internal/state/store/health.go
+++ b/internal/state/store/health.go
@@ -36,9 +36,14 @@
 	failure.DataCentreEvacuated: true,
 }
 
+// CountsAgainstWorker reports whether a task failure counts against its worker.
+func CountsAgainstWorker(failed *controlpb.TaskFailure) bool {
+	return failed.Worker != "" && !notWorkerFault[failure.Code(failed.Code)]
+}
+
 // recordWorkerFailure adds a task failure to its worker's health.
 func (s *State) recordWorkerFailure(job string, failed *controlpb.TaskFailure) {
-	if failed.Worker == "" || notWorkerFault[failure.Code(failed.Code)] {
+	if !CountsAgainstWorker(failed) {
 		return
 	}
 	health := &controlpb.WorkerHealth{Worker: failed.Worker}
