scheduling: keep speed and record when classes are kept apart

A placement that avoids interference kept only the racks and speed classes of the one before. An urgent task that fits its deadline only on a worker of speed 1.55 was moved to one of 1.12, of the same class, and was late; a further attempt was moved from a worker with a good record to one with a bad record.

With expected ends, workers slower than the placement's slowest are now left out; for a further attempt, workers with a bad record, unless the placement has one.

The two new cases of TestInterferingClassesAreKeptApart fail before the change and pass after it.

--- a/internal/coordination/scheduling/interference.go
+++ b/internal/coordination/scheduling/interference.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"strconv"
 
@@ -45,7 +46,8 @@
 
 // separate returns a placement in the same racks, on workers of the same speed classes, on
 // which fewer tasks slow each other down, or the given one if there is none. It never
-// uses more of other customers' cells, and doesn't spread urgent work over more workers.
+// uses more of other customers' cells, doesn't spread urgent work over more workers, and
+// uses no slower worker where ends are estimated.
 func (p *pass) separate(req *request, placement []nodeTasks) []nodeTasks {
 	if !p.separates() {
 		return placement
@@ -99,7 +101,7 @@
 		tasks[part.node.rack] += part.tasks
 		speeds |= part.node.speed
 	}
-	capacity := onlySpeeds(speeds, freeCapacity)
+	capacity := onlySpeeds(speeds, p.asSuitable(req, placement, freeCapacity))
 	var other []nodeTasks
 	for _, r := range racks {
 		here := p.leastConflictIn(r, req, class, tasks[r], capacity)
@@ -111,6 +113,23 @@
 	return other
 }
 
+// asSuitable limits a capacityFunc to nodes that keep what the choice of a placement has
+// achieved: none slower than its slowest, where ends are estimated, and for a further attempt
+// none with a bad record, unless the placement has one.
+func (p *pass) asSuitable(req *request, placement []nodeTasks, inner capacityFunc) capacityFunc {
+	slowest, reliable := math.Inf(1), req.careful && isRetry(req.job)
+	for _, part := range placement {
+		slowest = min(slowest, part.node.relativeSpeed)
+		reliable = reliable && !part.node.worker.BadRecord
+	}
+	return func(n *node, req *request) int64 {
+		if p.cluster.expectedEnd && n.relativeSpeed < slowest || reliable && n.worker.BadRecord {
+			return 0
+		}
+		return inner(n, req)
+	}
+}
+
 func (p *pass) leastConflictIn(r *rack, req *request, class string, tasks int64, capacity capacityFunc) []nodeTasks {
 	var candidates []nodeTasks
 	var sum int64
--- a/internal/coordination/scheduling/interference_test.go
+++ b/internal/coordination/scheduling/interference_test.go
@@ -40,7 +40,13 @@
 	lent := rackOfTwo(quiet(1, checkpointable))
 	lent.Customers["b"] = guarantee("b", 1, 3, onWorker)
 	lent.Cells = []Cell{{Customer: "b", Parts: []CellPart{{Worker: "d0-r0-w1", Accelerators: 3}}}}
+	fast := withInterference(rackOfTwo(quiet(1, urgent, func(j *controlpb.Job) { j.DeadlineMs = start.UnixMilli() + j.RunTimeMs*7/10 })))
+	fast.Workers[0].Speed, fast.Workers[1].Speed, fast.Features.ExpectedEnd = 1.55, 1.12, true
+	retried := withInterference(rackOfTwo(quiet(1, attemptsOn("x"), func(j *controlpb.Job) { j.MaxAttempts = 2 })))
+	retried.Workers[1].BadRecord, retried.Features.AttemptPlacement = true, true
 	runCases(t, []passCase{
+		{"not on a slower worker, late", fast, map[string]string{"quiet": "d0-r0-w0"}, 0},
+		{"a further attempt not on a worker with a bad record", retried, map[string]string{"quiet": "d0-r0-w0"}, 0},
 		{"switched off", rackOfTwo(quiet(1)), map[string]string{"quiet": "d0-r0-w0"}, 0},
 		{"kept apart", withInterference(rackOfTwo(quiet(1))), map[string]string{"quiet": "d0-r0-w1"}, 0},
 		{"another class is not affected", withInterference(rackOfTwo(waitingJob("quiet", "a", 1, 1))), map[string]string{"quiet": "d0-r0-w0"}, 0},
