dispatch/quarantine: remove expired records of workers that have left

Records were only shortened when their worker was judged, which needs a live worker, so those of workers that had left stayed for the whole term: 1,000 vanished ids left 1,000 records an hour later.

Each pass now removes the records of workers that aren't live and whose newest failure no longer counts. TestRecordsOfDepartedWorkersAreRemoved covers it; before, there was nothing that removed them.

--- a/internal/coordination/dispatch/controller.go
+++ b/internal/coordination/dispatch/controller.go
@@ -315,6 +315,7 @@
 		})
 	}
 	c.setVerdicts(current)
+	c.dispatcher.removeDeparted(live)
 	workersBadRecord.Set(int64(c.dispatcher.records.Count()))
 	return workers, probing
 }
--- a/internal/coordination/dispatch/quarantine/records.go
+++ b/internal/coordination/dispatch/quarantine/records.go
@@ -68,6 +68,19 @@
 // Count returns the number of workers with a record.
 func (r *Records) Count() int { return len(r.workers) }
 
+// RemoveDeparted removes the records of workers that aren't live and whose newest failure no
+// longer counts.
+func (r *Records) RemoveDeparted(live func(worker string) bool, now time.Time) {
+	for worker, kept := range r.workers {
+		if live(worker) {
+			continue
+		}
+		if kept.limit(now); len(kept.failures) == 0 {
+			delete(r.workers, worker)
+		}
+	}
+}
+
 // Failures returns the number of failures that count against a worker.
 func (r *Records) Failures(worker string) int {
 	if kept := r.workers[worker]; kept != nil {
--- a/internal/coordination/dispatch/quarantine/records_test.go
+++ b/internal/coordination/dispatch/quarantine/records_test.go
@@ -106,3 +106,19 @@
 		})
 	}
 }
+
+// Records of workers that never return must not be kept for the whole term.
+func TestRecordsOfDepartedWorkersAreRemoved(t *testing.T) {
+	is, now := is.New(t), time.UnixMilli(1_800_000_000_000)
+	var records Records
+	records.Begin(now, nil)
+	for n := range 1000 {
+		health := &controlpb.WorkerHealth{Consecutive: 1, Failures: []*controlpb.WorkerFailure{{Job: "j", TimeMs: now.UnixMilli()}}}
+		records.Verdict(Config{}, fmt.Sprint(n), health, now)
+	}
+	live := func(worker string) bool { return worker == "7" }
+	records.RemoveDeparted(live, now.Add(recordRetention))
+	is.Equal(records.Count(), 1000)
+	records.RemoveDeparted(live, now.Add(recordRetention+time.Second))
+	is.Equal(records.Count(), 1)
+}
--- a/internal/coordination/dispatch/verdicts.go
+++ b/internal/coordination/dispatch/verdicts.go
@@ -8,6 +8,7 @@
 
 	"pinewinch.example/pinewinch/internal/coordination/dispatch/quarantine"
 	"pinewinch.example/pinewinch/internal/protocol/controlpb"
+	"pinewinch.example/pinewinch/internal/protocol/peerpb"
 	"pinewinch.example/pinewinch/internal/state/store"
 )
 
@@ -43,6 +44,18 @@
 	return d.records.Verdict(d.config.Quarantine, worker, state.Health(worker), now)
 }
 
+// removeDeparted removes the expired records of workers that aren't live.
+func (d *Dispatcher) removeDeparted(live []*peerpb.Upstream) {
+	if d.records.Count() == 0 {
+		return
+	}
+	ids := make(map[string]bool, len(live))
+	for _, worker := range live {
+		ids[worker.Id] = true
+	}
+	d.records.RemoveDeparted(func(worker string) bool { return ids[worker] }, d.config.Now())
+}
+
 // completedOn returns the worker of each task that the batch completes.
 func completedOn(state *store.State, batch *controlpb.BatchMove) (workers []string) {
 	for _, finished := range batch.Finished {
