dispatch/leases: read fitted pairs without the lock

The fit of interfering pairs and its log lines ran under the lock that Slowdowns takes, so a scheduling pass waited for the fit.

The result of a fit is now immutable and stored in an atomic pointer.

--- a/internal/coordination/dispatch/leases/interference.go
+++ b/internal/coordination/dispatch/leases/interference.go
@@ -4,6 +4,7 @@
 	"expvar"
 	"math"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -36,10 +37,25 @@
 type interferenceModel struct {
 	mu       sync.Mutex
 	model    interference.Model
-	pairs    []interference.Pair
-	slowdown map[scheduling.ClassPair]float64
 	fittedAt time.Time
 	ignored  int
+	// fitted is the newest fit. Readers don't take the lock, which is held during a fit: a
+	// scheduling pass would wait for it.
+	fitted atomic.Pointer[fittedPairs]
+}
+
+// fittedPairs is the immutable result of a fit.
+type fittedPairs struct {
+	pairs    []interference.Pair
+	slowdown map[scheduling.ClassPair]float64
+}
+
+// newest returns the newest fit, empty before the first.
+func (i *interferenceModel) newest() *fittedPairs {
+	if fitted := i.fitted.Load(); fitted != nil {
+		return fitted
+	}
+	return &fittedPairs{}
 }
 
 // observation returns what the worker did between its newest two reports, in the form of
@@ -122,18 +138,18 @@
 // fit estimates the pairs again and logs those that begin or stop to interfere. The caller
 // must hold the lock.
 func (i *interferenceModel) fit(now time.Time, logger *logrus.Logger) {
-	i.pairs, i.fittedAt = i.model.Pairs(now), now
-	slowdown := map[scheduling.ClassPair]float64{}
-	for _, pair := range i.pairs {
+	i.fittedAt = now
+	pairs, slowdown, earlier := i.model.Pairs(now), map[scheduling.ClassPair]float64{}, i.newest().slowdown
+	for _, pair := range pairs {
 		key := scheduling.ClassPair{Victim: pair.Victim, Aggressor: pair.Aggressor}
 		if pair.Interferes {
 			slowdown[key] = pair.Slowdown
 		}
-		if _, before := i.slowdown[key]; before != pair.Interferes {
+		if _, before := earlier[key]; before != pair.Interferes {
 			logPair(logger, &pair)
 		}
 	}
-	i.slowdown = slowdown
+	i.fitted.Store(&fittedPairs{pairs, slowdown})
 	interferencePairs.Set(int64(len(slowdown)))
 }
 
@@ -150,15 +166,11 @@
 
 // Slowdowns returns the factors of the pairs that interfere. The result must not be changed.
 func (m *Manager) Slowdowns() map[scheduling.ClassPair]float64 {
-	m.interference.mu.Lock()
-	defer m.interference.mu.Unlock()
-	return m.interference.slowdown
+	return m.interference.newest().slowdown
 }
 
 // InterferencePairs returns all observed pairs as of the newest fit. The result must not be
 // changed.
 func (m *Manager) InterferencePairs() []interference.Pair {
-	m.interference.mu.Lock()
-	defer m.interference.mu.Unlock()
-	return m.interference.pairs
+	return m.interference.newest().pairs
 }
--- a/internal/coordination/dispatch/leases/interference_test.go
+++ b/internal/coordination/dispatch/leases/interference_test.go
@@ -39,3 +39,21 @@
 	is.Equal(started.Share, partialShare)
 	is.Equal(ended.CPUUsed, int64(-1))
 }
+
+// A fit takes the lock for tens of milliseconds; a scheduling pass must not wait for it.
+func TestSlowdownsDontWaitForAFit(t *testing.T) {
+	m := &Manager{}
+	m.interference.mu.Lock()
+	defer m.interference.mu.Unlock()
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		m.Slowdowns()
+		m.InterferencePairs()
+	}()
+	select {
+	case <-done:
+	case <-time.After(5 * time.Second):
+		t.Error("the readers wait for the lock")
+	}
+}
