scheduling: build the interference class of a gang once

InterferenceClass builds a string for units of workflows, and was called for each gang on each node of each placement that was compared. The class is now cached on the gang for the pass. TestClassOfAGangIsBuiltOnce checks that reading it again allocates nothing.

--- a/internal/coordination/scheduling/cluster.go
+++ b/internal/coordination/scheduling/cluster.go
@@ -82,6 +82,8 @@
 	lostWork float64
 	// remainingSeconds is the expected time until it ends by itself.
 	remainingSeconds float64
+	// class caches interferenceClass.
+	class string
 }
 
 type allocation struct {
--- a/internal/coordination/scheduling/interference.go
+++ b/internal/coordination/scheduling/interference.go
@@ -9,6 +9,14 @@
 	"pinewinch.example/pinewinch/internal/protocol/controlpb"
 )
 
+// interferenceClass returns the class of the gang's job, which is built once in a pass.
+func (g *gang) interferenceClass() string {
+	if g.class == "" {
+		g.class = InterferenceClass(g.job)
+	}
+	return g.class
+}
+
 // ClassPair names two classes, in the form of InterferenceClass, of which the second slows
 // down the first on the same worker.
 type ClassPair struct{ Victim, Aggressor string }
@@ -190,7 +198,7 @@
 	}
 	for _, g := range n.gangs {
 		if !g.stopping && !g.preempted {
-			add(InterferenceClass(g.job))
+			add(g.interferenceClass())
 		}
 	}
 	for _, other := range p.classesStarted[n] {
--- a/internal/coordination/scheduling/interference_test.go
+++ b/internal/coordination/scheduling/interference_test.go
@@ -102,3 +102,10 @@
 	}
 	return racks
 }
+
+// A pass compares each gang with many placements, and must not build its class each time.
+func TestClassOfAGangIsBuiltOnce(t *testing.T) {
+	g := &gang{job: unitJob("j", "b", 1, 1, class("quiet"))}
+	is.New(t).Equal(g.interferenceClass(), InterferenceClass(g.job))
+	is.New(t).Equal(testing.AllocsPerRun(10, func() { g.interferenceClass() }), 0.0)
+}
