dispatch: count further attempts after the commit

dispatch_careful_retries and the line "job retried with care" included plans that were not committed and, contrary to their names, placements that no preferred worker was found for. They are now reported after the commit; the comment says what is counted, and the line reads "job given a further attempt". The deviation of the regression was documented twice and differently; one comment stays.

--- a/internal/coordination/dispatch/controller.go
+++ b/internal/coordination/dispatch/controller.go
@@ -233,11 +233,12 @@
 	}
 	c.setIncarnations(assignments)
 	c.dispatcher.logSeparations(plan, assignments)
-	c.reportRetries(state, assignments)
 	commit := &controlpb.CommitPlan{Assignments: assignments, Preemptions: plan.Preemptions}
 	countExpected(state, plan.Expected, c.now())
 	c.dispatcher.logPlan(state, commit, plan.Expected, c.registry, c.waits.Waited)
-	c.propose(ctx, &controlpb.Command{Op: &controlpb.Command_Plan{Plan: commit}})
+	if c.propose(ctx, &controlpb.Command{Op: &controlpb.Command_Plan{Plan: commit}}) {
+		c.reportRetries(state, assignments)
+	}
 }
 
 // reportWaits logs the jobs that the plan leaves waiting and publishes the metrics of
--- a/internal/coordination/dispatch/interference/regression.go
+++ b/internal/coordination/dispatch/interference/regression.go
@@ -63,8 +63,6 @@
 	products [width][width]float64
 	moments  [width]float64
 	gain     float64
-	// scale is the deviation of the first samples of runs: later ones deviate less, since
-	// the offset of their job is known, and are no measure of the error.
 	// scale is the deviation of the first samples of runs, and later that of the others,
 	// which is less where tasks are uneven, since the offset of their job is known.
 	scale, later float64
--- a/internal/coordination/dispatch/retries.go
+++ b/internal/coordination/dispatch/retries.go
@@ -11,13 +11,15 @@
 )
 
 var (
-	// carefulRetries counts further attempts that were placed with care, and
-	// workersBadRecord the workers against which failures count.
+	// carefulRetries counts the further attempts in committed plans, also those for which no
+	// preferred worker was free. workersBadRecord is the number of workers against which
+	// failures count.
 	carefulRetries   = expvar.NewInt("dispatch_careful_retries")
 	workersBadRecord = expvar.NewInt("dispatch_workers_bad_record")
 )
 
-// reportRetries logs and counts the further attempts of jobs with a limit on them.
+// reportRetries logs and counts the further attempts in a committed plan, of jobs with a
+// limit on them; state is that before the commit.
 func (c *Controller) reportRetries(state *store.State, assignments []*controlpb.Assignment) {
 	if !c.dispatcher.config.Features.AttemptPlacement {
 		return
@@ -32,7 +34,7 @@
 			c.dispatcher.config.Logger.WithFields(logrus.Fields{
 				"job": job.Id, "epoch": assignment.Epoch + 1, "worker": assignment.Placements[0].Worker, "index": state.Index(),
 				"failed": job.OwnFailures, "allowed": job.MaxAttempts, "same_rack": c.reusesRack(job, assignment),
-			}).Info("job retried with care")
+			}).Info("job given a further attempt")
 		}
 	}
 }
