--- a/internal/coordination/dispatch/quarantine/records.go
+++ b/internal/coordination/dispatch/quarantine/records.go
@@ -5,7 +5,7 @@
 	"time"
 
 	"pinewinch.example/pinewinch/internal/protocol/controlpb"
-	"pinewinch.example/pinewinch/internal/protocol/failure"
+	"pinewinch.example/pinewinch/internal/state/store"
 )
 
 const (
@@ -26,6 +26,9 @@
 // and does not know of the successes in between. The zero value is empty.
 type Records struct {
 	workers map[string]*record
+	// begunMs is when the records began. Earlier failures make a record bad but lead to no
+	// verdict beyond that of the log, which knows of the successes since.
+	begunMs int64
 }
 
 type record struct {
@@ -35,6 +38,8 @@
 	// the time of the newest one.
 	seen     uint32
 	newestMs int64
+	// halved is whether a success has halved the record since the last update.
+	halved bool
 }
 
 // Begun reports whether the records contain what the log had at the start of the term.
@@ -42,13 +47,14 @@
 
 // Begin starts the records from the failures of jobs that the log still has.
 func (r *Records) Begin(now time.Time, jobs []*controlpb.Job) {
-	r.workers = map[string]*record{}
+	r.workers, r.begunMs = map[string]*record{}, now.UnixMilli()
 	for _, job := range jobs {
-		if job.State == controlpb.JobState_JOB_STATE_PARKED && job.MaxAttempts == 0 {
+		// A parked job was at fault itself: the log doesn't count its failures either.
+		if job.State == controlpb.JobState_JOB_STATE_PARKED {
 			continue
 		}
 		for _, failed := range job.Failures {
-			if failed.Worker != "" && !failure.Code(failed.Code).Infrastructure() {
+			if store.CountsAgainstWorker(failed) {
 				r.of(failed.Worker).add(&controlpb.WorkerFailure{Job: job.Id, Code: failed.Code, TimeMs: failed.TimeMs})
 			}
 		}
@@ -62,6 +68,19 @@
 // Count returns the number of workers with a record.
 func (r *Records) Count() int { return len(r.workers) }
 
+// RemoveDeparted removes the records of workers that aren't live and whose newest failure no
+// longer counts.
+func (r *Records) RemoveDeparted(live func(worker string) bool, now time.Time) {
+	for worker, kept := range r.workers {
+		if live(worker) {
+			continue
+		}
+		if kept.limit(now); len(kept.failures) == 0 {
+			delete(r.workers, worker)
+		}
+	}
+}
+
 // Failures returns the number of failures that count against a worker.
 func (r *Records) Failures(worker string) int {
 	if kept := r.workers[worker]; kept != nil {
@@ -70,6 +89,14 @@
 	return 0
 }
 
+// Succeeded records that a task has completed on a worker.
+func (r *Records) Succeeded(worker string) {
+	if kept := r.workers[worker]; kept != nil {
+		kept.halve()
+		kept.halved = true
+	}
+}
+
 func (r *Records) of(worker string) *record {
 	kept := r.workers[worker]
 	if kept == nil {
@@ -93,30 +120,32 @@
 		delete(r.workers, worker)
 		return Healthy, false
 	}
+	observed := kept.since(r.begunMs)
 	if health == nil {
-		if DistinctJobs(&controlpb.WorkerHealth{Failures: kept.failures}) >= minDistinctJobs {
+		if DistinctJobs(&controlpb.WorkerHealth{Failures: observed}) >= minDistinctJobs {
 			return Probing, true
 		}
 		return Healthy, true
 	}
-	if len(kept.failures) > len(health.Failures) {
+	if len(observed) > len(health.Failures) {
 		health = &controlpb.WorkerHealth{
-			Worker: worker, Failures: kept.failures, Consecutive: max(health.Consecutive, uint32(len(kept.failures))),
+			Worker: worker, Failures: observed, Consecutive: max(health.Consecutive, uint32(len(observed))),
 		}
 	}
 	return Evaluate(config, health, now), true
 }
 
-// update adds the failures that are new, and halves the record if the log has dropped some,
-// after a success or because their job was at fault.
+// update adds the failures that are new. It halves the record if the log has dropped some
+// because their job was at fault, or after a success that the leader did not see commit.
 func (k *record) update(health *controlpb.WorkerHealth) {
 	newest := int64(0)
 	if health != nil {
 		newest = health.Failures[len(health.Failures)-1].TimeMs
 	}
-	if k.seen > 0 && health.GetConsecutive() < k.seen {
-		k.failures = k.failures[(len(k.failures)+1)/2:]
+	if k.seen > 0 && health.GetConsecutive() < k.seen && !k.halved {
+		k.halve()
 	}
+	k.halved = false
 	for _, failed := range health.GetFailures() {
 		if failed.TimeMs > k.newestMs && !slices.ContainsFunc(k.failures, func(f *controlpb.WorkerFailure) bool {
 			return f.Job == failed.Job && max(f.TimeMs-failed.TimeMs, failed.TimeMs-f.TimeMs) < sameFailure.Milliseconds()
@@ -127,10 +156,21 @@
 	k.seen, k.newestMs = health.GetConsecutive(), max(k.newestMs, newest)
 }
 
+func (k *record) halve() { k.failures = k.failures[(len(k.failures)+1)/2:] }
+
 func (k *record) add(failed *controlpb.WorkerFailure) {
 	k.failures = append(slices.Clip(k.failures), failed)
 }
 
+// since returns the failures after a time.
+func (k *record) since(ms int64) []*controlpb.WorkerFailure {
+	first := slices.IndexFunc(k.failures, func(f *controlpb.WorkerFailure) bool { return f.TimeMs > ms })
+	if first < 0 {
+		return nil
+	}
+	return k.failures[first:]
+}
+
 // limit drops the failures that no longer count.
 func (k *record) limit(now time.Time) {
 	oldest := now.Add(-recordRetention).UnixMilli()
--- a/internal/coordination/dispatch/verdicts.go
+++ b/internal/coordination/dispatch/verdicts.go
@@ -2,10 +2,13 @@
 
 import (
 	"expvar"
+	"slices"
 
 	"github.com/sirupsen/logrus"
 
 	"pinewinch.example/pinewinch/internal/coordination/dispatch/quarantine"
+	"pinewinch.example/pinewinch/internal/protocol/controlpb"
+	"pinewinch.example/pinewinch/internal/protocol/peerpb"
 	"pinewinch.example/pinewinch/internal/state/store"
 )
 
@@ -41,6 +44,32 @@
 	return d.records.Verdict(d.config.Quarantine, worker, state.Health(worker), now)
 }
 
+// removeDeparted removes the expired records of workers that aren't live.
+func (d *Dispatcher) removeDeparted(live []*peerpb.Upstream) {
+	if d.records.Count() == 0 {
+		return
+	}
+	ids := make(map[string]bool, len(live))
+	for _, worker := range live {
+		ids[worker.Id] = true
+	}
+	d.records.RemoveDeparted(func(worker string) bool { return ids[worker] }, d.config.Now())
+}
+
+// completedOn returns the worker of each task that the batch completes.
+func completedOn(state *store.State, batch *controlpb.BatchMove) (workers []string) {
+	for _, finished := range batch.Finished {
+		job, ok := state.Job(finished.Job)
+		if !ok || job.Epoch != finished.Epoch || slices.Contains(job.DoneTasks, finished.Task) {
+			continue
+		}
+		if placement := store.PlacementOf(job, finished.Task); placement != nil {
+			workers = append(workers, placement.Worker)
+		}
+	}
+	return workers
+}
+
 // logVerdict logs a worker's changed verdict with the failures that it is based on.
 func (d *Dispatcher) logVerdict(state *store.State, worker string, verdict quarantine.Verdict) {
 	if d.config.Logger == nil {
--- a/internal/coordination/scheduling/interference.go
+++ b/internal/coordination/scheduling/interference.go
@@ -2,12 +2,21 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"strconv"
 
 	"pinewinch.example/pinewinch/internal/protocol/controlpb"
 )
 
+// interferenceClass returns the class of the gang's job, which is built once in a pass.
+func (g *gang) interferenceClass() string {
+	if g.class == "" {
+		g.class = InterferenceClass(g.job)
+	}
+	return g.class
+}
+
 // ClassPair names two classes, in the form of InterferenceClass, of which the second slows
 // down the first on the same worker.
 type ClassPair struct{ Victim, Aggressor string }
@@ -45,7 +54,8 @@
 
 // separate returns a placement in the same racks, on workers of the same speed classes, on
 // which fewer tasks slow each other down, or the given one if there is none. It never
-// uses more of other customers' cells, and doesn't spread urgent work over more workers.
+// uses more of other customers' cells, doesn't spread urgent work over more workers, and
+// uses no slower worker where ends are estimated.
 func (p *pass) separate(req *request, placement []nodeTasks) []nodeTasks {
 	if !p.separates() {
 		return placement
@@ -99,7 +109,7 @@
 		tasks[part.node.rack] += part.tasks
 		speeds |= part.node.speed
 	}
-	capacity := onlySpeeds(speeds, freeCapacity)
+	capacity := onlySpeeds(speeds, p.asSuitable(req, placement, freeCapacity))
 	var other []nodeTasks
 	for _, r := range racks {
 		here := p.leastConflictIn(r, req, class, tasks[r], capacity)
@@ -111,6 +121,23 @@
 	return other
 }
 
+// asSuitable limits a capacityFunc to nodes that keep what the choice of a placement has
+// achieved: none slower than its slowest, where ends are estimated, and for a further attempt
+// none with a bad record, unless the placement has one.
+func (p *pass) asSuitable(req *request, placement []nodeTasks, inner capacityFunc) capacityFunc {
+	slowest, reliable := math.Inf(1), req.careful && isRetry(req.job)
+	for _, part := range placement {
+		slowest = min(slowest, part.node.relativeSpeed)
+		reliable = reliable && !part.node.worker.BadRecord
+	}
+	return func(n *node, req *request) int64 {
+		if p.cluster.expectedEnd && n.relativeSpeed < slowest || reliable && n.worker.BadRecord {
+			return 0
+		}
+		return inner(n, req)
+	}
+}
+
 func (p *pass) leastConflictIn(r *rack, req *request, class string, tasks int64, capacity capacityFunc) []nodeTasks {
 	var candidates []nodeTasks
 	var sum int64
@@ -171,7 +198,7 @@
 	}
 	for _, g := range n.gangs {
 		if !g.stopping && !g.preempted {
-			add(InterferenceClass(g.job))
+			add(g.interferenceClass())
 		}
 	}
 	for _, other := range p.classesStarted[n] {
