scheduling: members whose end is recorded hold no cores and memory

Cause: a gang that is being stopped keeps its placements until the lease of its last member is over, 4 to 6 s after a worker was cut off. The log frees the accelerators of each member that has acknowledged its stop, but the index of a pass went on counting its cores and memory, so that the accelerators were free on paper only.

Change: the index leaves out members whose end the log records. The workers have listed these ends, after which the room is theirs to give.

--- a/internal/coordination/scheduling/cluster.go
+++ b/internal/coordination/scheduling/cluster.go
@@ -190,7 +190,8 @@
 }
 
 // addGang adds a job that has workers to the index. Placements on workers that are no
-// longer known are ignored.
+// longer known are ignored, and so are members whose end the log records: their worker has
+// reported it, and their cores and memory are free while the job waits for the others.
 func (c *cluster) addGang(job *controlpb.Job) *gang {
 	g := &c.gangSlab.alloc(1)[0]
 	g.job = job
@@ -200,7 +201,7 @@
 	perTask := taskSize(job)
 	for _, placement := range job.Placements {
 		n, ok := c.byID[placement.Worker]
-		if !ok {
+		if !ok || memberEnded(job, placement.Task) {
 			continue
 		}
 		for _, number := range placement.Accelerators {
@@ -213,6 +214,14 @@
 	return g
 }
 
+// memberEnded reports whether the log records that the member no longer runs.
+func memberEnded(job *controlpb.Job, task uint32) bool {
+	if slices.Contains(job.DoneTasks, task) {
+		return true
+	}
+	return slices.ContainsFunc(job.StoppedTasks, func(t *controlpb.StoppedTask) bool { return t.Task == task })
+}
+
 func (c *cluster) allocateToGang(n *node, g *gang, size resources) {
 	c.allocate(n, size)
 	n.countStepTasks(g.job, 1)
