--- a/scripts/compare.py
+++ b/scripts/compare.py
@@ -4,9 +4,13 @@
   scripts/compare.py --bench PROGRAM --site FILE --days D,D --seeds 11-20 \
       --why TEXT CHECKOUT [CHECKOUT...]
 
-The first checkout is the baseline. For each checkout the script prints the mean worth
+The first checkout is the baseline. All checkouts play one day and seed at the same time,
+and the next begins when all have ended: plays beside different loads differ by more than
+most changes do. With --noise the baseline is played twice, as if it were another checkout:
+its difference from itself is what the same code varies by. For each checkout the script
+prints the mean worth
 (the score of a day), the mean difference from the baseline with its standard error over
-the pairs of day and seed, the components of the worth, and by queue the shares of the
+the pairs of day and seed, the load of the machine, the components of the worth, and by queue the shares of the
 work owed that were done in time, late and not at all. CPU time is not counted unless
 --cpu is given, so that runs are mostly reproducible.
 """
@@ -29,8 +33,8 @@
     return seeds
 
 
-def play(args, checkout, day, seed):
-    """Runs one day and returns its report, or None if the run wrote none."""
+def play(args, label, checkout, day, seed):
+    """Runs one day in a checkout and returns its report, or None if the run wrote none."""
     with tempfile.NamedTemporaryFile(suffix=".json") as report:
         command = [args.bench, "run", args.site, day, "--seed", str(seed), "--report", report.name, "--why", args.why]
         if args.log:
@@ -43,7 +47,7 @@
             print(f"{checkout} {day} {seed}: {done.stdout[-300:]}", file=sys.stderr)
             return None
         if args.keep:
-            name = f"{os.path.basename(checkout)}-{os.path.basename(day)}-{seed}"
+            name = f"{os.path.basename(label)}-{os.path.basename(day)}-{seed}"
             with open(os.path.join(args.keep, name + ".json"), "w", encoding="utf-8") as kept:
                 kept.write(text)
             with open(os.path.join(args.keep, name + ".log"), "w", encoding="utf-8") as kept:
@@ -51,6 +55,17 @@
         return json.loads(text)
 
 
+def play_side_by_side(args, checkouts, day, seed):
+    """Returns the reports of one day and seed by label of the checkout, played at the same time."""
+    with concurrent.futures.ThreadPoolExecutor(len(checkouts)) as pool:
+        plays = {label: pool.submit(play, args, label, folder, day, seed) for label, folder in checkouts.items()}
+        reports = {label: future.result() for label, future in plays.items()}
+    load = os.getloadavg()[0]
+    worth = {label: round(report["G"], 3) if report else None for label, report in reports.items()}
+    print(f"{day}/{seed}, load {load:.0f}: {worth}", flush=True)
+    return reports, load
+
+
 def queue_shares(reports):
     """Returns a line per queue: the number owed, and the shares in time, late and not at all."""
     sums = {}
@@ -86,7 +101,7 @@
     parser.add_argument("--site", required=True)
     parser.add_argument("--days", required=True)
     parser.add_argument("--seeds", required=True)
-    parser.add_argument("--jobs", type=int, default=max(1, os.cpu_count() // 2))
+    parser.add_argument("--noise", action="store_true", help="play the baseline twice")
     parser.add_argument("--cpu", action="store_true", help="count CPU time")
     parser.add_argument("--keep", help="folder for the reports and the output of the runs")
     parser.add_argument("--log", help="machines whose output is kept")
@@ -97,11 +112,17 @@
     for checkout in args.checkouts:
         subprocess.run([args.bench, "build"], cwd=checkout, capture_output=True, check=True)
     pairs = [(day, seed) for seed in seeds_of(args.seeds) for day in args.days.split(",")]
-    with concurrent.futures.ThreadPoolExecutor(args.jobs) as pool:
-        plays = {(c, pair): pool.submit(play, args, c, *pair) for pair in pairs for c in args.checkouts}
-    results = {key: future.result() for key, future in plays.items()}
+    checkouts = {checkout: checkout for checkout in args.checkouts}
     base = args.checkouts[0]
-    for checkout in args.checkouts:
+    if args.noise:
+        checkouts[base + " (again)"] = base
+    results, loads = {}, []
+    for pair in pairs:
+        reports, load = play_side_by_side(args, checkouts, *pair)
+        results |= {(label, pair): report for label, report in reports.items()}
+        loads.append(load)
+    print(f"load average after each pair: mean {statistics.mean(loads):.1f}, highest {max(loads):.1f}")
+    for checkout in checkouts:
         whole = [pair for pair in pairs if results[checkout, pair] and results[base, pair]]
         reports = [results[checkout, pair] for pair in whole]
         worth = [report["G"] for report in reports]
@@ -113,7 +134,7 @@
         for pair, report in zip(whole, reports):
             if report["breaks"] or report["exits_n"]:
                 print(f"    BROKEN {pair}: {report['breaks']} exits {report['exits_n']}")
-    print("by day:", {f"{d}/{s}": [round(results[c, (d, s)]["G"], 3) if results[c, (d, s)] else None for c in args.checkouts] for d, s in pairs})
+    print("by day:", {f"{d}/{s}": [round(results[c, (d, s)]["G"], 3) if results[c, (d, s)] else None for c in checkouts] for d, s in pairs})
 
 
 if __name__ == "__main__":
