--- a/scripts/compare.py
+++ b/scripts/compare.py
@@ -8,11 +8,10 @@
 and the next begins when all have ended: plays beside different loads differ by more than
 most changes do. With --noise the baseline is played twice, as if it were another checkout:
 its difference from itself is what the same code varies by. For each checkout the script
-prints the mean worth
-(the score of a day), the mean difference from the baseline with its standard error over
-the pairs of day and seed, the load of the machine, the components of the worth, and by queue the shares of the
-work owed that were done in time, late and not at all. CPU time is not counted unless
---cpu is given, so that runs are mostly reproducible.
+prints the mean worth (the score of a day), the mean difference from the baseline with its
+standard error over the pairs of day and seed, the components of the worth, and by queue the
+shares of the work owed that were done in time, late and not at all. CPU time is not counted
+unless --cpu is given.
 """
 import argparse
 import concurrent.futures
