state: ended jobs are looked at only once the oldest is due

In a CPU profile under load (9,528 workflows, real processes) this was 0.11 s of 1.24 s of an entry instance and 0.75 s of 15.5 s of the five cores.

Change: the state keeps a lower bound of the ends of ended jobs, and passes over them until that is due. A restored state knows none and looks at all, and removes the same jobs at the same index.

--- a/internal/state/store/apply.go
+++ b/internal/state/store/apply.go
@@ -117,14 +117,37 @@
 func (s *State) expireAll() {
 	s.expireSessions()
 	s.expireClaims(maxExpiredPerApply)
-	oldJob := s.timeMs - endedJobRetention.Milliseconds()
-	s.jobs = expire(s.jobs, func(j *controlpb.Job) bool { return Ended(j.State) && j.EndedMs < oldJob })
+	s.expireJobs()
 	s.workflows = expire(s.workflows, s.workflowExpired)
 	s.health = expire(s.health, s.healthExpired)
 	s.occurrences = expire(s.occurrences, s.occurrenceExpired)
 	s.crashes, s.lostRuns = s.recentCrashes(), s.recentLostRuns()
 }
 
+// expireJobs removes ended jobs. It looks at the jobs only once the oldest ended one is due:
+// all of them are retained for hours, by every process of the system.
+func (s *State) expireJobs() {
+	due := s.timeMs - endedJobRetention.Milliseconds()
+	if s.oldestEndMs >= due {
+		return
+	}
+	before := s.jobs.Len()
+	oldest := s.timeMs
+	s.jobs = expire(s.jobs, func(j *controlpb.Job) bool {
+		if !Ended(j.State) {
+			return false
+		}
+		if j.EndedMs >= due {
+			oldest = min(oldest, j.EndedMs)
+		}
+		return j.EndedMs < due
+	})
+	if before-s.jobs.Len() < maxExpiredPerApply {
+		// All jobs were looked at.
+		s.oldestEndMs = oldest
+	}
+}
+
 func expire[T any](t *table[T], expired func(T) bool) *table[T] {
 	txn := t.Txn()
 	removed := 0
--- a/internal/state/store/store.go
+++ b/internal/state/store/store.go
@@ -27,7 +27,9 @@
 	jobs     *table[*controlpb.Job]
 	active   *table[*controlpb.Job]
 	held     *heldTable
-	claims   *table[*controlpb.Claim]
+	// oldestEndMs is a lower bound of the ends of all ended jobs; 0 if none is known.
+	oldestEndMs int64
+	claims      *table[*controlpb.Claim]
 	// claimExpiry orders the keys of claims by expiry time.
 	claimExpiry *table[struct{}]
 	spent       *table[*controlpb.SpentKeys]
