dispatch: absence from a new leader's view counts as before

Cause, by reading: where the workers of a gang are really cut off as a leader is lost, the early stop frees the gang's other members 5 s sooner.

--- a/internal/app/work.go
+++ b/internal/app/work.go
@@ -103,14 +103,6 @@
 	return w.leaseManager.Speeds
 }
 
-// reported is nil where workers renew leases themselves: their announcements list their runs.
-func (w *workers) reported() func(worker string) bool {
-	if w.leaseManager == nil {
-		return nil
-	}
-	return w.leaseManager.Reported
-}
-
 // slowdowns is nil where workers renew leases themselves: they report no progress.
 func (w *workers) slowdowns() func() map[scheduling.ClassPair]float64 {
 	if w.leaseManager == nil {
@@ -140,7 +132,6 @@
 		Logger:       logger,
 		Term:         w.term,
 		LeaseExpired: w.leaseExpired(),
-		Reported:     w.reported(),
 		Crashes:      w.crashes(),
 		MayLead:      w.mayLead,
 		Speeds:       w.speeds(),
--- a/internal/coordination/dispatch/dispatch.go
+++ b/internal/coordination/dispatch/dispatch.go
@@ -65,9 +65,6 @@
 	// LeaseExpired is passed to gang.Input.LeaseExpired; nil if workers renew their leases
 	// by announcements.
 	LeaseExpired func(job *controlpb.Job, placement *controlpb.Placement) bool
-	// Reported is passed to gang.Input.Reported; nil if workers renew their leases by
-	// announcements.
-	Reported func(worker string) bool
 	// Crashes returns the known crashes of workers that the state does not record; nil if
 	// they are found only by announcements.
 	Crashes func(state *store.State) []*controlpb.WorkerCrash
@@ -205,7 +202,6 @@
 		Quarantined:  func(worker string) bool { return d.verdict(state, worker) >= quarantine.Quarantined },
 		Evacuated:    state.Evacuated,
 		LeaseExpired: d.config.LeaseExpired,
-		Reported:     d.config.Reported,
 	})
 	for _, command := range output.Commands {
 		go d.send(ctx, command)
--- a/internal/coordination/dispatch/gang/machine.go
+++ b/internal/coordination/dispatch/gang/machine.go
@@ -67,9 +67,6 @@
 	// running where it is placed. It is nil if workers renew their leases by announcements;
 	// Config.StopWait bounds those leases.
 	LeaseExpired func(job *controlpb.Job, placement *controlpb.Placement) bool
-	// Reported reports whether a worker has reported its runs in this leadership term. It is
-	// nil if each announcement lists them.
-	Reported func(worker string) bool
 	// Crashes are the crashes of workers that the log does not record yet.
 	Crashes []*controlpb.WorkerCrash
 	// GivenUp returns why a job is given up for crashing its workers, or ""; nil for none.
--- a/internal/coordination/dispatch/gang/running.go
+++ b/internal/coordination/dispatch/gang/running.go
@@ -94,11 +94,6 @@
 	if s.hasRestarted(w, m) {
 		return "the worker has started again"
 	}
-	if s.in.Reported != nil && !s.in.Reported(m.placement.Worker) {
-		// Polls of a new leader have not been answered yet, so nothing is known of its runs.
-		// A worker that stays silent is left out of the live ones once its lease is over.
-		return ""
-	}
 	if m.absentSince.IsZero() {
 		m.absentSince = s.in.Now
 	}
--- a/internal/coordination/dispatch/leases/instance_model_test.go
+++ b/internal/coordination/dispatch/leases/instance_model_test.go
@@ -71,7 +71,6 @@
 	i.dispatcher = dispatch.New(dispatch.Config{
 		Gang:         gang.Config{Lease: leaseDuration, FreshnessBound: freshnessBound, AnnounceEvery: 500 * time.Millisecond, CommandTimeout: 2 * time.Second},
 		LeaseExpired: i.leaseExpired,
-		Reported:     i.manager.Reported,
 		Term:         i.Term,
 		Now:          time.Now,
 	}, i, i)
--- a/internal/coordination/dispatch/leases/manager.go
+++ b/internal/coordination/dispatch/leases/manager.go
@@ -311,18 +311,6 @@
 	return views
 }
 
-// Reported reports whether a worker has answered a poll under the current token, so that its
-// runs are known.
-func (m *Manager) Reported(worker string) bool {
-	s := m.session(worker)
-	if s == nil {
-		return false
-	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.tracker.HasReport()
-}
-
 // LeaseExpired reports whether a member of a job can no longer run where it is placed,
 // although its worker has not reported its end: the lease has expired even with the maximum
 // clock lag, or another incarnation has replaced the worker's and can't begin the run either.
--- a/internal/coordination/dispatch/machines_test.go
+++ b/internal/coordination/dispatch/machines_test.go
@@ -148,7 +148,7 @@
 	}, m, m, m)
 	dispatcher := dispatch.New(dispatch.Config{
 		Gang:         gang.Config{Lease: simulatedLease, FreshnessBound: 1500 * time.Millisecond, AnnounceEvery: time.Second, CommandTimeout: 2 * time.Second},
-		LeaseExpired: manager.LeaseExpired, Reported: manager.Reported, Crashes: manager.Crashes, Term: func() uint64 { return term }, MayLead: true, Logger: logger, Now: time.Now,
+		LeaseExpired: manager.LeaseExpired, Crashes: manager.Crashes, Term: func() uint64 { return term }, MayLead: true, Logger: logger, Now: time.Now,
 		Features: m.features, Quarantine: m.quarantine,
 	}, m, manager)
 	controller := dispatch.NewController(m, dispatcher, manager, time.Now)
