--- a/review/build.sh
+++ b/review/build.sh
@@ -3,4 +3,4 @@
 set -e
 cd "$(dirname "$0")"
 mkdir -p ../target/review
-GOFLAGS=-mod=mod GOWORK=off go build -o ../target/review/standin ./standin
+GOFLAGS=-mod=mod GOWORK=off go build -o ../target/review/standin .
--- a/review/standin/cases_test.go
+++ b/review/cases_test.go
@@ -12,7 +12,7 @@
 func TestReview(t *testing.T) {
 	for _, number := range []string{"1", "2", "3", "4", "5"} {
 		t.Run(number, func(t *testing.T) {
-			out, err := exec.Command("../" + number + "/run.sh").CombinedOutput()
+			out, err := exec.Command("./" + number + "/run.sh").CombinedOutput()
 			var exit *exec.ExitError
 			switch {
 			case errors.As(err, &exit) && exit.ExitCode() == couldNot:
