control, operators, workflows: lines that tell the hypotheses on declarations apart

Nothing told which content a version had at an instance, that a resend was acknowledged without a commit, or whether a call that was accepted or refused carried a key: the digest of the content, the number of queues and customers in force, a line for the acknowledgement of a resend, and host, path and keyed on calls. The test of the line names all its fields, as strictly as before.

--- a/internal/coordination/control/control.go
+++ b/internal/coordination/control/control.go
@@ -4,6 +4,8 @@
 
 import (
 	"context"
+	"crypto/sha256"
+	"encoding/hex"
 	"sync/atomic"
 	"time"
 
@@ -175,11 +177,25 @@
 	if p.logger != nil && before.Revision() != state.Revision() {
 		p.logger.WithFields(logrus.Fields{
 			"version": state.Document().GetVersion(), "before": before.Document().GetVersion(),
-			"revision": state.Revision(), "index": state.Index(),
+			"revision": state.Revision(), "index": state.Index(), "digest": Digest(state.Document()),
+			"queues": len(state.Queues()), "customers": len(state.Customers()),
 		}).Info("declarations in force")
 	}
 }
 
+// digestBytes is the part of a document's hash that is logged.
+const digestBytes = 6
+
+// Digest returns the beginning of the hash of a document's content, for the log: a version may
+// have been sent with different contents. It is empty if there is no document.
+func Digest(document *controlpb.Document) string {
+	if document == nil {
+		return ""
+	}
+	hash := sha256.Sum256(document.Content)
+	return hex.EncodeToString(hash[:digestBytes])
+}
+
 // Apply applies one entry to the state. Voters and followers both use it, so that an
 // entry without a command advances the index identically on all of them. Commands
 // decided in a term other than the entry's have no effect.
--- a/internal/coordination/control/published_test.go
+++ b/internal/coordination/control/published_test.go
@@ -31,7 +31,7 @@
 	}
 	lines := strings.Split(strings.TrimSpace(output.String()), "\n")
 	is.Equal(len(lines), 2)
-	for i, fields := range []string{"before=0 index=2 revision=1 version=5", "before=5 index=5 revision=2 version=7"} {
+	for i, fields := range []string{"before=0 customers=0 digest=e3b0c44298fc index=2 queues=0 revision=1 version=5", "before=5 customers=0 digest=e3b0c44298fc index=5 queues=0 revision=2 version=7"} {
 		is.True(strings.Contains(lines[i], "declarations in force"))
 		is.True(strings.Contains(lines[i], fields))
 	}
--- a/internal/coordination/operators/operators.go
+++ b/internal/coordination/operators/operators.go
@@ -33,8 +33,15 @@
 // a resend is acknowledged whatever this version thinks of it: an earlier version may have
 // accepted what this one refuses.
 func (s *Service) InForce(text []byte) bool {
-	document := s.log.State().Document()
-	return document != nil && bytes.Equal(document.Content, text)
+	state := s.log.State()
+	document := state.Document()
+	if document == nil || !bytes.Equal(document.Content, text) {
+		return false
+	}
+	s.logger.WithFields(logrus.Fields{
+		"version": document.Version, "digest": control.Digest(document), "index": state.Index(), "revision": state.Revision(),
+	}).Info("declarations are in force already")
+	return true
 }
 
 // Replace commits a set of declarations. A set with an invalid item is refused as a whole
@@ -55,7 +62,7 @@
 		entry.WithFields(logrus.Fields{"code": f.Code, "not_run": f.NotRun, "detail": f.Error()}).Warn("declarations not committed")
 		return err
 	}
-	entry.WithFields(logrus.Fields{"index": result.Index, "revision": result.Revision}).Info("declarations acknowledged")
+	entry.WithFields(logrus.Fields{"index": result.Index, "revision": result.Revision, "digest": control.Digest(change.Document)}).Info("declarations acknowledged")
 	return nil
 }
 
@@ -76,7 +83,7 @@
 	}
 	state := s.log.State()
 	document := state.Document()
-	s.logger.WithFields(logrus.Fields{"version": document.GetVersion(), "revision": state.Revision(), "index": state.Index()}).Info("declarations read")
+	s.logger.WithFields(logrus.Fields{"version": document.GetVersion(), "digest": control.Digest(document), "revision": state.Revision(), "index": state.Index()}).Info("declarations read")
 	if document == nil {
 		return nil, failure.New(failure.NotReady, "no declarations yet")
 	}
--- a/internal/coordination/workflows/workflows.go
+++ b/internal/coordination/workflows/workflows.go
@@ -116,7 +116,7 @@
 	state := h.log.State()
 	h.logger.WithFields(logrus.Fields{
 		"workflow": call.Path[strings.LastIndexByte(call.Path, '/')+1:], "host": call.Host, "path": call.Path,
-		"code": f.Code, "not_run": f.NotRun, "detail": f.Error(),
+		"code": f.Code, "not_run": f.NotRun, "detail": f.Error(), "keyed": call.Key != "",
 		"index": state.Index(), "version": state.Document().GetVersion(),
 	}).Warn("call refused")
 }
@@ -154,7 +154,7 @@
 	defer cancel()
 	began := time.Now()
 	result, err := h.propose(ctx, &controlpb.Command{Op: &controlpb.Command_SubmitWorkflow{SubmitWorkflow: &controlpb.SubmitWorkflow{Workflow: workflow}}})
-	entry := h.logger.WithFields(logrus.Fields{"workflow": target.ID, "queue": target.Queue.Name, "customer": target.Customer, "revision": target.Revision, "version": target.Version, "took_ms": time.Since(began).Milliseconds()})
+	entry := h.logger.WithFields(logrus.Fields{"workflow": target.ID, "queue": target.Queue.Name, "customer": target.Customer, "keyed": call.Key != "", "host": call.Host, "path": call.Path, "revision": target.Revision, "version": target.Version, "took_ms": time.Since(began).Milliseconds()})
 	if err != nil {
 		refused.Add(1)
 		f := failure.From(err)
