declaration, catalog: a key that no call can carry is refused and admits nobody

What callers see: after a document with an empty key ("", or null) every call without X-Api-Key is accepted as that customer's; a key with a space around it (" k9") is confirmed and then answered 401, as a header field loses the space. Cause: keys were only checked for being shared; a call without a key has the empty one. Class: a value that stands for 'none' at one end is an ordinary one at the other.

Such documents are refused as a whole with 422 and the number of the key (not its text: it may be a secret), and the lookup leaves such keys out, since an earlier version may have committed one.

--- a/internal/coordination/catalog/catalog.go
+++ b/internal/coordination/catalog/catalog.go
@@ -41,7 +41,11 @@
 	}
 	for _, customer := range state.Customers() {
 		for _, key := range customer.Keys {
-			c.byKey[key] = customer
+			// A document that an earlier version has accepted may contain an empty key, which
+			// would admit every call without one.
+			if declaration.ValidKey(key) {
+				c.byKey[key] = customer
+			}
 		}
 	}
 	return c
--- a/internal/coordination/catalog/catalog_test.go
+++ b/internal/coordination/catalog/catalog_test.go
@@ -52,3 +52,17 @@
 	_, ok = cache.Get(newer).Customer("k2")
 	is.True(!ok)
 }
+
+// A document that an earlier version has accepted has an empty key among a customer's keys. A call
+// without a key was admitted as that customer's.
+func TestEmptyKeyAdmitsNobody(t *testing.T) {
+	is := is.New(t)
+	customer := &controlpb.Customer{Name: "c", Keys: []string{"", " ", "k1"}}
+	index := New(store.Restore(&controlpb.Snapshot{Items: []*controlpb.Item{{Key: "customer/c", Body: &controlpb.Item_Customer{Customer: customer}}}}))
+	for _, key := range []string{"", " "} {
+		_, ok := index.Customer(key)
+		is.True(!ok) // no call without a key belongs to a customer
+	}
+	_, ok := index.Customer("k1")
+	is.True(ok)
+}
--- a/internal/protocol/declaration/document.go
+++ b/internal/protocol/declaration/document.go
@@ -6,6 +6,15 @@
 	"pinewinch.example/pinewinch/internal/protocol/controlpb"
 )
 
+// ValidKey reports whether a call can carry an API key in a header field, whose value loses the
+// spaces and tabs around it. An empty key is none: a call without the header would have it.
+func ValidKey(key string) bool {
+	if key == "" || strings.Trim(key, " \t") != key {
+		return false
+	}
+	return !strings.ContainsFunc(key, func(r rune) bool { return r != '\t' && (r < ' ' || r == '\x7f') })
+}
+
 // CheckDocument returns the violations of a complete set of queues, services and
 // customers. A document with any violation is rejected as a whole.
 func CheckDocument(items []*controlpb.Item) []Violation {
@@ -45,10 +54,13 @@
 	}
 }
 
-// checkAPIKeys rejects a key that two customers share: a call with it could not be
-// attributed to one customer.
+// checkAPIKeys rejects a key that no call can carry, and one that two customers share: a call
+// with it could not be attributed to one customer.
 func (c *checker) checkAPIKeys(customer *controlpb.Customer, owners map[string]string) {
-	for _, key := range customer.Keys {
+	for number, key := range customer.Keys {
+		if !ValidKey(key) {
+			c.addViolation("keys", "key %d of %d cannot be sent in a header: a key is not empty, has no space around it and no control characters", number+1, len(customer.Keys))
+		}
 		if owner, taken := owners[key]; taken && owner != customer.Name {
 			c.addViolation("keys", "a key is shared with %s", CustomerKey(owner))
 		}
