declaration: hosts are compared without their port, and must be sendable

What callers see: a route declared on host x.example:80 is confirmed, and calls to it are answered 404, with the port in Host and without. Cause: a call's port was taken off, a route's was not. Class: the same name in two forms (as before: case, final dot).

There is one form, CanonicalHost, for both ends: no port, no brackets, no case, no final dot. Two routes that differ by port alone are at one place and refused (422), since which of the two a call means can't be told at a load balancer's port. A host that no Host header can carry (a space, a slash, letters that are no ASCII) is refused: its route could never be served.

--- a/internal/protocol/declaration/declaration.go
+++ b/internal/protocol/declaration/declaration.go
@@ -4,6 +4,7 @@
 package declaration
 
 import (
+	"net"
 	"os"
 	"path/filepath"
 	"sort"
@@ -144,8 +145,23 @@
 }
 
 // CanonicalHost returns the one form of a host's name: names of hosts have no case (RFC 4343),
-// and a final dot only marks the root of the name.
-func CanonicalHost(host string) string { return strings.ToLower(strings.TrimSuffix(host, ".")) }
+// a final dot only marks the root of the name, and a port names no host. An instance is called at
+// whatever port the load balancer has.
+func CanonicalHost(host string) string {
+	if name, _, err := net.SplitHostPort(host); err == nil {
+		host = name
+	}
+	if bare, ok := strings.CutPrefix(host, "["); ok {
+		host = strings.TrimSuffix(bare, "]")
+	}
+	return strings.ToLower(strings.TrimSuffix(host, "."))
+}
+
+// validHost reports whether a call can carry the host in its Host header.
+func validHost(host string) bool {
+	unsent := func(r rune) bool { return r <= ' ' || r >= '\x7f' || strings.ContainsRune(`"#/<>?@\^`+"`{|}", r) }
+	return !strings.ContainsFunc(host, unsent)
+}
 
 // ServiceKey returns the item key of a service.
 func ServiceKey(name string) string { return ServicePrefix + name }
--- a/internal/protocol/declaration/document.go
+++ b/internal/protocol/declaration/document.go
@@ -40,8 +40,11 @@
 }
 
 func (c *checker) checkQueue(queue *controlpb.Queue) {
-	if CanonicalHost(queue.Host) == "" {
+	switch {
+	case CanonicalHost(queue.Host) == "":
 		c.addViolation("host", "is missing")
+	case !validHost(queue.Host):
+		c.addViolation("host", "%q cannot be sent in a Host header", queue.Host)
 	}
 	if !strings.HasPrefix(queue.PathPrefix, "/") {
 		c.addViolation("path_prefix", "%q does not begin with a slash", queue.PathPrefix)
