declaration, catalog: path prefixes are compared without escapes

What callers see: a route with prefix /%70/ is confirmed, and a call to /%70/ID is answered 404; where a route has /p/, the same call is served. Cause: a call's path is unescaped, a route's prefix was not. Class: the same name in two forms, as for hosts.

A prefix has one form, without escapes (CanonicalPath), in the key of its queue and in the lookup, so that documents committed by an earlier version are served too. Two routes whose prefixes differ by escapes alone are at one place and refused; so is an escape that can't be read, since no call can carry it. A prefix /a%2Fb/ is the same as /a/b/: a call to the one was served by a route of the other before.

Before: TestPrefixesAreComparedWithoutEscapes failed. After: it passes.

--- a/internal/coordination/catalog/catalog.go
+++ b/internal/coordination/catalog/catalog.go
@@ -17,27 +17,33 @@
 type Catalog struct {
 	revision uint64
 	version  uint64
-	// byHost holds each host's queues, longest path prefix first; hosts are canonical.
-	byHost map[string][]*controlpb.Queue
+	// byHost holds each host's places, longest path prefix first; hosts are canonical.
+	byHost map[string][]place
 	byKey  map[string]*controlpb.Customer
 }
 
+// place is a queue with its canonical path prefix.
+type place struct {
+	prefix string
+	queue  *controlpb.Queue
+}
+
 // New builds the index of a state's declarations.
 func New(state *store.State) *Catalog {
 	c := &Catalog{
 		revision: state.Revision(),
 		version:  state.Document().GetVersion(),
-		byHost:   map[string][]*controlpb.Queue{},
+		byHost:   map[string][]place{},
 		byKey:    map[string]*controlpb.Customer{},
 	}
 	for _, queue := range state.Queues() {
 		host := declaration.CanonicalHost(queue.Host)
-		c.byHost[host] = append(c.byHost[host], queue)
+		c.byHost[host] = append(c.byHost[host], place{declaration.CanonicalPath(queue.PathPrefix), queue})
 	}
-	for _, queues := range c.byHost {
-		slices.SortFunc(queues, func(a, b *controlpb.Queue) int {
-			return cmp.Compare(len(b.PathPrefix), len(a.PathPrefix))
-		})
+	for _, places := range c.byHost {
+		// Stable, so that all instances choose the same of two queues at one place, which an earlier
+		// version accepted in two forms.
+		slices.SortStableFunc(places, func(a, b place) int { return cmp.Compare(len(b.prefix), len(a.prefix)) })
 	}
 	for _, customer := range state.Customers() {
 		for _, key := range customer.Keys {
@@ -58,12 +64,12 @@
 // if none was sent.
 func (c *Catalog) Version() uint64 { return c.version }
 
-// Queue returns the queue of the host with the longest prefix of the path, and the
-// rest of the path after the prefix.
+// Queue returns the queue of the host with the longest prefix of the path, which has no escapes,
+// and the rest of the path after the prefix.
 func (c *Catalog) Queue(host, path string) (queue *controlpb.Queue, rest string, ok bool) {
-	for _, queue := range c.byHost[declaration.CanonicalHost(host)] {
-		if rest, ok := strings.CutPrefix(path, queue.PathPrefix); ok {
-			return queue, rest, true
+	for _, place := range c.byHost[declaration.CanonicalHost(host)] {
+		if rest, ok := strings.CutPrefix(path, place.prefix); ok {
+			return place.queue, rest, true
 		}
 	}
 	return nil, "", false
--- a/internal/protocol/declaration/declaration.go
+++ b/internal/protocol/declaration/declaration.go
@@ -5,6 +5,7 @@
 
 import (
 	"net"
+	"net/url"
 	"os"
 	"path/filepath"
 	"sort"
@@ -141,7 +142,16 @@
 
 // QueueKey returns the item key of the queue at a host and path prefix.
 func QueueKey(host, pathPrefix string) string {
-	return QueuePrefix + CanonicalHost(host) + pathPrefix
+	return QueuePrefix + CanonicalHost(host) + CanonicalPath(pathPrefix)
+}
+
+// CanonicalPath returns the one form of a path prefix, without escapes. One whose escapes can't be
+// read is returned as it is.
+func CanonicalPath(prefix string) string {
+	if path, err := url.PathUnescape(prefix); err == nil {
+		return path
+	}
+	return prefix
 }
 
 // CanonicalHost returns the one form of a host's name: names of hosts have no case (RFC 4343),
--- a/internal/protocol/declaration/document.go
+++ b/internal/protocol/declaration/document.go
@@ -1,6 +1,7 @@
 package declaration
 
 import (
+	"net/url"
 	"strings"
 
 	"pinewinch.example/pinewinch/internal/protocol/controlpb"
@@ -46,6 +47,9 @@
 	case !validHost(queue.Host):
 		c.addViolation("host", "%q cannot be sent in a Host header", queue.Host)
 	}
+	if _, err := url.PathUnescape(queue.PathPrefix); err != nil {
+		c.addViolation("path_prefix", "%q has an invalid escape; no call can carry it", queue.PathPrefix)
+	}
 	if !strings.HasPrefix(queue.PathPrefix, "/") {
 		c.addViolation("path_prefix", "%q does not begin with a slash", queue.PathPrefix)
 	}
