declaration: services and customers without a name are refused

A null in the list of services or customers, or an empty name, was taken (200): the item is decoded to empty values. A customer without a name is the one of calls on anonymous queues, so that its keys and its guarantee counted for those. A document that can't be read as it was meant is refused whole.

Before: TestItemsWithoutNameAreRefused failed in 5 of 6 cases. After: it passes.

--- a/internal/protocol/declaration/document.go
+++ b/internal/protocol/declaration/document.go
@@ -33,13 +33,24 @@
 		switch body := item.Body.(type) {
 		case *controlpb.Item_Queue:
 			c.checkQueue(body.Queue)
+		case *controlpb.Item_Service:
+			c.checkPresent(body.Service.Name)
 		case *controlpb.Item_Customer:
+			c.checkPresent(body.Customer.Name)
 			c.checkAPIKeys(body.Customer, owners)
 		}
 	}
 	return c.violations
 }
 
+// checkPresent rejects an empty name: it is what a null in a list is decoded to, and the customer
+// of calls on anonymous queues.
+func (c *checker) checkPresent(name string) {
+	if name == "" {
+		c.addViolation("name", "is missing")
+	}
+}
+
 func (c *checker) checkQueue(queue *controlpb.Queue) {
 	switch {
 	case CanonicalHost(queue.Host) == "":
