--- a/internal/standin/relay/relay.go
+++ b/internal/standin/relay/relay.go
@@ -21,10 +21,16 @@
 	mu       sync.Mutex
 	open     chan struct{} // closed while traffic is forwarded
 	delay    time.Duration
-	conns    map[net.Conn]struct{}
+	// rate is in bytes per second; 0 for no limit.
+	rate  int
+	conns map[net.Conn]struct{}
 }
 
-const bufferSize = 32 << 10
+const (
+	bufferSize = 32 << 10
+	// piecesPerSecond is how often data is forwarded on a link with a rate.
+	piecesPerSecond = 20
+)
 
 // Start listens on a free port of 127.0.0.1 and forwards connections to the target.
 func Start(from, to, target string) (*Relay, error) {
@@ -77,6 +83,14 @@
 	r.delay = delay
 }
 
+// SetRate limits what each connection forwards in one direction, in bytes per second; 0 removes the
+// limit.
+func (r *Relay) SetRate(bytesPerSecond int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.rate = bytesPerSecond
+}
+
 // Reset resets all open connections, also while the relay is blocked; the data that it
 // holds is lost.
 func (r *Relay) Reset() {
@@ -131,7 +145,11 @@
 	defer func() { done <- struct{}{} }()
 	buffer := make([]byte, bufferSize)
 	for {
-		n, err := from.Read(buffer)
+		rate := r.currentRate()
+		n, err := from.Read(buffer[:pieceSize(rate)])
+		if rate > 0 {
+			time.Sleep(time.Duration(n) * time.Second / time.Duration(rate))
+		}
 		time.Sleep(r.currentDelay())
 		<-r.opened()
 		if n > 0 {
@@ -151,6 +169,20 @@
 	return r.delay
 }
 
+func (r *Relay) currentRate() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.rate
+}
+
+// pieceSize returns the most bytes that are forwarded at once at a rate.
+func pieceSize(rate int) int {
+	if rate == 0 {
+		return bufferSize
+	}
+	return min(max(rate/piecesPerSecond, 1), bufferSize)
+}
+
 func (r *Relay) opened() <-chan struct{} {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/test/process/faults.go
+++ b/test/process/faults.go
@@ -6,10 +6,12 @@
 	"fmt"
 	"net/netip"
 	"os"
+	"time"
 
 	"go.uber.org/fx"
 
 	"pinewinch.example/pinewinch/internal/app"
+	"pinewinch.example/pinewinch/internal/coordination/boottime"
 	"pinewinch.example/pinewinch/internal/coordination/control"
 	"pinewinch.example/pinewinch/internal/coordination/follower"
 	"pinewinch.example/pinewinch/internal/coordination/standby"
@@ -32,6 +34,12 @@
 	AlwaysFresh bool
 	// LocalReads removes the safeguard that reads go through the log.
 	LocalReads bool
+	// StandingClock removes the safeguard that ages include suspensions: the clock of ages leaves
+	// out the time for which the process was stopped.
+	StandingClock bool
+	// EqualVersions removes the safeguard that a version is not replaced by another content under its
+	// number.
+	EqualVersions bool
 }
 
 // Environment returns the environment variable that passes the faults to a process.
@@ -63,12 +71,34 @@
 	if f.Disk != "" {
 		options = append(options, fx.Decorate(func(files disk.FS) disk.FS { return &faultyDisk{FS: files, modePath: f.Disk} }))
 	}
-	if f.AlwaysFresh || f.LocalReads {
+	if f.AlwaysFresh || f.LocalReads || f.EqualVersions {
 		options = append(options, fx.Decorate(f.withoutSafeguards))
 	}
+	if f.StandingClock {
+		go leaveOutStops()
+	}
 	return options
 }
 
+const (
+	stopPollInterval = 2 * time.Millisecond
+	// minStop is longer than a busy machine lets a process wait.
+	minStop = 500 * time.Millisecond
+)
+
+// leaveOutStops sets the clock of ages back by the time for which the process was stopped, as if
+// that had not passed.
+func leaveOutStops() {
+	for last := time.Now(); ; {
+		time.Sleep(stopPollInterval)
+		now := time.Now()
+		if stopped := now.Sub(last); stopped >= minStop {
+			boottime.SimulateSuspension(-stopped)
+		}
+		last = now
+	}
+}
+
 func (f Faults) withoutSafeguards(node control.Node) control.Node {
 	switch node := node.(type) {
 	case *follower.Follower:
@@ -76,8 +106,11 @@
 			return alwaysFresh{node}
 		}
 	case *standby.Node:
-		if f.LocalReads {
+		switch {
+		case f.LocalReads:
 			return localReads{node}
+		case f.EqualVersions:
+			return equalVersions{node}
 		}
 	}
 	return node
@@ -97,3 +130,16 @@
 	}
 	return n.Node.Propose(ctx, command)
 }
+
+type equalVersions struct{ *standby.Node }
+
+// replacementsPerVersion is how many contents of one version a test may send.
+const replacementsPerVersion = 1 << 20
+
+// Propose gives each document of the same version a higher number than the one before.
+func (n equalVersions) Propose(ctx context.Context, command *controlpb.Command) (*controlpb.Result, error) {
+	if replace := command.GetReplace(); replace != nil {
+		replace.Document.Version = replace.Document.Version*replacementsPerVersion + n.State().Document().GetVersion()%replacementsPerVersion + 1
+	}
+	return n.Node.Propose(ctx, command)
+}
