replica: a core with an older copy of its disk is found out before it votes

What callers see: a confirmed version comes back older at every core. Cause: a data folder that was put back to an older copy (an image of the disk, a machine rolled back, an identity without its log) keeps its identity, so its replica votes and acknowledges although it has forgotten votes and entries. With one such core, one that had been cut off and the leader's process gone, the other two elect a leader without the confirmed version.

Each start is recorded in the data folder and announced; the leader keeps the newest one of each member in the replicated state. Before the first message of a peer is processed the replica asks that peer which start it knows of. One that the folder doesn't know ends the process; its next start sets the content aside and begins as a new replica, which is replaced as after a lost disk. It is enough where a peer that takes part has the state of registeredWithin ago; a peer without that knowledge keeps nobody out, so an honest replica is never excluded.

--- a/internal/app/members.go
+++ b/internal/app/members.go
@@ -14,6 +14,7 @@
 	"pinewinch.example/pinewinch/internal/protocol/consensuspb"
 	"pinewinch.example/pinewinch/internal/protocol/controlpb"
 	"pinewinch.example/pinewinch/internal/protocol/failure"
+	"pinewinch.example/pinewinch/internal/protocol/peerpb"
 	"pinewinch.example/pinewinch/internal/transport/peers"
 )
 
@@ -31,7 +32,10 @@
 }
 
 // logStatus is implemented by nodes that hold a replica of the log.
-type logStatus interface{ Status() consensus.Status }
+type logStatus interface {
+	Status() consensus.Status
+	Start() *controlpb.ReplicaStart
+}
 
 func (m *members) run(ctx context.Context) {
 	replica, isReplica := m.node.(logStatus)
@@ -51,19 +55,8 @@
 }
 
 func (m *members) publishReplicas(ctx context.Context, current []*consensuspb.Member) {
-	centres := map[string]string{}
-	for _, instance := range m.registry.Instances(livenessWindow) {
-		centres[instance.Name] = instance.DataCentre
-	}
 	published := m.node.State().Replicas()
-	var list []*controlpb.ReplicaInstance
-	for _, member := range current {
-		centre := centres[member.Instance]
-		if i := slices.IndexFunc(published, func(r *controlpb.ReplicaInstance) bool { return r.Instance == member.Instance }); centre == "" && i >= 0 {
-			centre = published[i].DataCentre
-		}
-		list = append(list, &controlpb.ReplicaInstance{Instance: member.Instance, DataCentre: centre})
-	}
+	list := replicaList(current, published, m.registry.Instances(livenessWindow))
 	if slices.EqualFunc(list, published, func(a, b *controlpb.ReplicaInstance) bool { return proto.Equal(a, b) }) {
 		return
 	}
@@ -74,3 +67,34 @@
 		m.logger.WithField("code", failure.From(err).Code).Warn("list of replicas was not committed")
 	}
 }
+
+// replicaList describes the members by what their live instances say, or else as published
+// before.
+func replicaList(current []*consensuspb.Member, published []*controlpb.ReplicaInstance, live []*peerpb.InstanceState) []*controlpb.ReplicaInstance {
+	var list []*controlpb.ReplicaInstance
+	for _, member := range current {
+		replica := &controlpb.ReplicaInstance{Instance: member.Instance, Identity: member.Identity}
+		for _, known := range published {
+			if known.Instance == member.Instance {
+				replica.DataCentre = known.DataCentre
+			}
+			if known.Identity == member.Identity {
+				replica.Start = known.Start
+			}
+		}
+		for _, instance := range live {
+			if instance.Name != member.Instance {
+				continue
+			}
+			if instance.DataCentre != "" {
+				replica.DataCentre = instance.DataCentre
+			}
+			// A lower number is that of a data folder put back to an older copy.
+			if instance.Identity == member.Identity && instance.Start.GetNumber() > replica.Start.GetNumber() {
+				replica.Start = instance.Start
+			}
+		}
+		list = append(list, replica)
+	}
+	return list
+}
--- a/internal/app/softstate.go
+++ b/internal/app/softstate.go
@@ -71,6 +71,7 @@
 	}
 	if replica, ok := s.node.(logStatus); ok {
 		self.Identity = replica.Status().Identity
+		self.Start = replica.Start()
 	}
 	s.router.AddSoftState(self)
 	return self
--- a/internal/coordination/replica/bootstrap.go
+++ b/internal/coordination/replica/bootstrap.go
@@ -145,7 +145,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, introduceTimeout)
 	defer cancel()
-	reply, err := r.peers.Call(ctx, instance, &peerpb.Call{Body: &peerpb.Call_Introduce{Introduce: &peerpb.Introduce{}}})
+	reply, err := r.peers.Call(ctx, instance, &peerpb.Call{Body: &peerpb.Call_Introduce{Introduce: &peerpb.Introduce{Identity: r.disk.identity}}})
 	if err != nil {
 		return nil, err
 	}
--- a/internal/coordination/replica/core.go
+++ b/internal/coordination/replica/core.go
@@ -168,6 +168,13 @@
 		messagesDropped.Add(1)
 		return
 	}
+	admitted, ask := c.replica.startCheck.admits(message)
+	if ask {
+		go c.replica.checkStartWith(c.links.ctx, disk.Instance(message.From))
+	}
+	if !admitted {
+		return
+	}
 	err := c.node.Step(message)
 	if failure.Is(err, failure.Corrupt) {
 		c.failure = err
--- a/internal/coordination/replica/replica.go
+++ b/internal/coordination/replica/replica.go
@@ -112,6 +112,7 @@
 	initialConfiguration atomic.Pointer[consensuspb.Configuration]
 	// introductions wakes the bootstrap when a new peer appears.
 	introductions introductions
+	startCheck    startCheck
 	// ended is closed when Run ends.
 	ended chan struct{}
 }
--- a/internal/coordination/replica/serve.go
+++ b/internal/coordination/replica/serve.go
@@ -33,7 +33,9 @@
 	switch body := call.Body.(type) {
 	case *peerpb.Call_Introduce:
 		r.introductions.peerIntroduced(call.From)
-		return &peerpb.Reply{Body: &peerpb.Reply_Introduction{Introduction: r.introduction()}}, nil
+		introduction := r.introduction()
+		introduction.KnownStart = r.knownStart(body.Introduce.GetIdentity())
+		return &peerpb.Reply{Body: &peerpb.Reply_Introduction{Introduction: introduction}}, nil
 	case *peerpb.Call_Confirm:
 		confirmation, err := r.serveConfirm(ctx, body.Confirm)
 		if err != nil {
--- a/internal/coordination/replica/storage.go
+++ b/internal/coordination/replica/storage.go
@@ -35,6 +35,8 @@
 	// initial is the initial configuration; nil if this replica did not take part in the
 	// bootstrap.
 	initial *consensuspb.Configuration
+	// starts are the starts that the folder remembers, up to the present one.
+	starts disk.Starts
 }
 
 // recovery is what was recovered from disk.
@@ -61,6 +63,9 @@
 }
 
 func (s *storage) open(instance string) (*recovery, error) {
+	if err := disk.SetAside(s.files, s.folder, []string{logFolder, snapshotFolder, initialFile}, ulid.Make()); err != nil {
+		return nil, err
+	}
 	used, err := s.used()
 	if err != nil {
 		return nil, err
@@ -68,6 +73,9 @@
 	if s.identity, err = disk.Identity(s.files, s.folder, instance, used, ulid.Make()); err != nil {
 		return nil, err
 	}
+	if err := s.recordStart(); err != nil {
+		return nil, err
+	}
 	log, contents, err := wal.Open(wal.Options{Files: s.files, Dir: s.path(logFolder)})
 	if err != nil {
 		return nil, err
@@ -88,6 +96,20 @@
 	return s.recover(contents)
 }
 
+// recordStart records this start in the folder. Without room for it the replica goes on under its
+// last start.
+func (s *storage) recordStart() error {
+	starts, err := disk.ReadStarts(s.files, s.folder)
+	if err != nil {
+		return err
+	}
+	s.starts, err = starts.Record(s.files, s.folder, ulid.Make())
+	if disk.Retryable(err) {
+		return nil
+	}
+	return err
+}
+
 // used reports whether the folder ever contained a log: if so and its identity is
 // missing, it is damaged rather than new.
 func (s *storage) used() (bool, error) {
--- a/internal/coordination/standby/standby.go
+++ b/internal/coordination/standby/standby.go
@@ -27,6 +27,8 @@
 	Member() bool
 	// Status returns the replica's own view of the log.
 	Status() consensus.Status
+	// Start returns the replica's present start; nil before its log is open.
+	Start() *controlpb.ReplicaStart
 }
 
 // Node combines a replica and a follower into one control node.
@@ -136,6 +138,9 @@
 // Status returns the replica's own view of the log.
 func (n *Node) Status() consensus.Status { return n.replica.Status() }
 
+// Start returns the replica's present start; nil before its log is open.
+func (n *Node) Start() *controlpb.ReplicaStart { return n.replica.Start() }
+
 // Term returns the newest consensus term known to this replica.
 func (n *Node) Term() uint64 { return n.replica.Status().Term }
 
--- a/internal/coordination/standby/standby_test.go
+++ b/internal/coordination/standby/standby_test.go
@@ -194,11 +194,13 @@
 	return &controlpb.Result{Detail: p.path[0]}, nil
 }
 
-func (p *fakeNode) State() *store.State      { return p.PublishedState.State() }
-func (p *fakeNode) Changed() <-chan struct{} { return p.PublishedState.Changed() }
-func (p *fakeNode) Leader() string           { return "other" }
-func (p *fakeNode) Path() []string           { return p.path }
-func (p *fakeNode) Member() bool             { return true }
+func (p *fakeNode) State() *store.State            { return p.PublishedState.State() }
+func (p *fakeNode) Changed() <-chan struct{}       { return p.PublishedState.Changed() }
+func (p *fakeNode) Leader() string                 { return "other" }
+func (p *fakeNode) Path() []string                 { return p.path }
+func (p *fakeNode) Member() bool                   { return true }
+func (p *fakeNode) Start() *controlpb.ReplicaStart { return nil }
+
 func (p *fakeNode) Status() consensus.Status { return consensus.Status{} }
 
 func (p *fakeNode) ServeFollow(ctx context.Context, follow *peerpb.Follow, stream control.Stream) error {
--- a/internal/state/disk/disktest/disktest.go
+++ b/internal/state/disk/disktest/disktest.go
@@ -5,6 +5,7 @@
 import (
 	"io"
 	"io/fs"
+	"maps"
 	"path/filepath"
 	"sort"
 	"sync"
@@ -143,19 +144,38 @@
 	return names, nil
 }
 
-// Rename renames a file.
+// Rename renames a file, or a directory with the files in it. The new names of the latter are
+// durable.
 func (f *FS) Rename(from, to string) error {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	c, ok := f.names[from]
 	if !ok {
-		return fs.ErrNotExist
+		return f.renameDir(from, to)
 	}
 	f.names[to] = c
 	delete(f.names, from)
 	return nil
 }
 
+// renameDir renames a directory; the caller holds the lock.
+func (f *FS) renameDir(from, to string) error {
+	found := false
+	for _, names := range []map[string]*content{f.names, f.synced} {
+		for path, c := range maps.Clone(names) {
+			if filepath.Dir(path) == filepath.Clean(from) {
+				names[filepath.Join(to, filepath.Base(path))] = c
+				delete(names, path)
+				found = true
+			}
+		}
+	}
+	if !found {
+		return fs.ErrNotExist
+	}
+	return nil
+}
+
 // Remove removes a file.
 func (f *FS) Remove(path string) error {
 	f.mu.Lock()
--- a/test/process/faults.go
+++ b/test/process/faults.go
@@ -40,6 +40,8 @@
 	// EqualVersions removes the safeguard that a version is not replaced by another content under its
 	// number.
 	EqualVersions bool
+	// UnknownStarts removes the safeguard that others know of a replica's starts.
+	UnknownStarts bool
 }
 
 // Environment returns the environment variable that passes the faults to a process.
@@ -71,7 +73,7 @@
 	if f.Disk != "" {
 		options = append(options, fx.Decorate(func(files disk.FS) disk.FS { return &faultyDisk{FS: files, modePath: f.Disk} }))
 	}
-	if f.AlwaysFresh || f.LocalReads || f.EqualVersions {
+	if f.AlwaysFresh || f.LocalReads || f.EqualVersions || f.UnknownStarts {
 		options = append(options, fx.Decorate(f.withoutSafeguards))
 	}
 	if f.StandingClock {
@@ -111,6 +113,8 @@
 			return localReads{node}
 		case f.EqualVersions:
 			return equalVersions{node}
+		case f.UnknownStarts:
+			return unknownStarts{node}
 		}
 	}
 	return node
@@ -143,3 +147,8 @@
 	}
 	return n.Node.Propose(ctx, command)
 }
+
+type unknownStarts struct{ *standby.Node }
+
+// Start tells nobody of the replica's start.
+func (unknownStarts) Start() *controlpb.ReplicaStart { return nil }
