leases: what proves that a run has ended, in one place

What callers see: a task is started elsewhere while its first run goes on (TWICE): after a deregistration whose confirmation is lost, and after a check-in of another writer that names another server's address. Cause: the deregistration, and the 421 of an address that was merely announced, were taken for proof that nothing runs on the worker any more. Class: a message about a process is taken for the process's end.

proof.go lists the proofs and what is none, and every path asks session.proofOf. The lease of a departed worker is not extended: what it runs starts elsewhere when that is over, or with its reported end. A 421 counts at the address from which the worker's reports came or, before the first one, where the log has placed it. The wait is enough since a worker ends its runs with its lease by its own clock.

TestDepartedWorkerIsNotListed expected the fault: a departed worker was gone at once.

--- a/internal/coordination/dispatch/leases/cluster_test.go
+++ b/internal/coordination/dispatch/leases/cluster_test.go
@@ -1,6 +1,7 @@
 package leases
 
 import (
+	"cmp"
 	"context"
 	"io"
 	"sync"
@@ -32,6 +33,8 @@
 	partitioned bool
 	delay       time.Duration
 	replaced    bool
+	// announcedAt is the address that the worker's announcements name; empty for its own.
+	announcedAt string
 	// refusesConnections is set while nothing listens at the worker's address.
 	refusesConnections bool
 	// outOfDescriptors is set while the leader has no file descriptor for a connection.
@@ -85,12 +88,10 @@
 func (c *fakeCluster) Live(peerpb.UpstreamKind) []*peerpb.Upstream {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.departed {
-		departed := proto.CloneOf(worker)
-		departed.Departed = true
-		return []*peerpb.Upstream{departed}
-	}
-	return []*peerpb.Upstream{worker}
+	announced := proto.CloneOf(worker)
+	announced.Departed = c.departed
+	announced.Address = cmp.Or(c.announcedAt, worker.Address)
+	return []*peerpb.Upstream{announced}
 }
 
 // end ends the run of the placed task in the given way.
@@ -107,7 +108,7 @@
 func (c *fakeCluster) clock() int64 { return time.Since(c.clockStart).Milliseconds() }
 
 // deliver delivers a request to the worker after the configured delay, or never.
-func (c *fakeCluster) deliver(ctx context.Context, token uint64) error {
+func (c *fakeCluster) deliver(ctx context.Context, address string, token uint64) error {
 	c.mu.Lock()
 	partitioned, delay, outOfDescriptors := c.partitioned, c.delay, c.outOfDescriptors
 	c.mu.Unlock()
@@ -124,7 +125,7 @@
 	if c.refusesConnections {
 		return failure.New(failure.OutcomeUnknown, "connection refused")
 	}
-	if c.replaced {
+	if c.replaced || address != worker.Address {
 		return failure.New(failure.WorkerVanished, "another boot")
 	}
 	if token < c.token {
@@ -134,8 +135,8 @@
 	return nil
 }
 
-func (c *fakeCluster) Poll(ctx context.Context, _ Target, request Poll) (*Report, error) {
-	if err := c.deliver(ctx, request.Token); err != nil {
+func (c *fakeCluster) Poll(ctx context.Context, target Target, request Poll) (*Report, error) {
+	if err := c.deliver(ctx, target.Address, request.Token); err != nil {
 		return nil, err
 	}
 	time.Sleep(request.Wait)
@@ -155,8 +156,8 @@
 	return report, nil
 }
 
-func (c *fakeCluster) Start(ctx context.Context, _ Target, start Start) (int64, error) {
-	if err := c.deliver(ctx, start.Token); err != nil {
+func (c *fakeCluster) Start(ctx context.Context, target Target, start Start) (int64, error) {
+	if err := c.deliver(ctx, target.Address, start.Token); err != nil {
 		return 0, err
 	}
 	c.mu.Lock()
@@ -170,8 +171,8 @@
 	return c.clock(), nil
 }
 
-func (c *fakeCluster) Stop(ctx context.Context, _ Target, stop Stop) (int64, error) {
-	if err := c.deliver(ctx, stop.Token); err != nil {
+func (c *fakeCluster) Stop(ctx context.Context, target Target, stop Stop) (int64, error) {
+	if err := c.deliver(ctx, target.Address, stop.Token); err != nil {
 		return 0, err
 	}
 	c.mu.Lock()
--- a/internal/coordination/dispatch/leases/command.go
+++ b/internal/coordination/dispatch/leases/command.go
@@ -158,8 +158,8 @@
 	s.mu.Unlock()
 	s.requestPoll()
 	var clock int64
-	err = s.roundTrip(func() (err error) {
-		clock, err = s.manager.client.Start(ctx, s.currentTarget(), start)
+	_, err = s.roundTrip(func(target Target) (err error) {
+		clock, err = s.manager.client.Start(ctx, target, start)
 		return err
 	})
 	entry := s.commandEntry(start.Task, start.Run, state).WithField("specification_bytes", len(start.Specification))
@@ -305,8 +305,8 @@
 	ctx, cancel := context.WithTimeout(ctx, stopTimeout)
 	defer cancel()
 	var clock int64
-	err := s.roundTrip(func() (err error) {
-		clock, err = s.manager.client.Stop(ctx, s.currentTarget(), stop)
+	_, err := s.roundTrip(func(target Target) (err error) {
+		clock, err = s.manager.client.Stop(ctx, target, stop)
 		return err
 	})
 	if err != nil {
--- a/internal/coordination/dispatch/leases/departure_test.go
+++ b/internal/coordination/dispatch/leases/departure_test.go
@@ -49,16 +49,51 @@
 	})
 }
 
-// A departed worker without uncommitted ends is not listed.
-func TestDepartedWorkerIsNotListed(t *testing.T) {
+// A worker deregisters and doesn't get the confirmation, so that it runs on for seconds. Its task must
+// not be started elsewhere before its lease is over, and is not held for longer than that. A
+// departed worker without uncommitted ends is not listed then.
+func TestDepartedWorkerMayRunUntilItsLeaseIsOver(t *testing.T) {
+	for name, ended := range map[string]bool{"it runs on": false, "it has ended": true} {
+		t.Run(name, func(t *testing.T) {
+			withManager(t, func(is *is.I, c *fakeCluster, m *Manager) {
+				_, err := sendCommand(m, api.PathTaskStart)
+				is.NoErr(err)
+				time.Sleep(2 * pollWait)
+				departedAt := time.Now()
+				c.set(func() { c.departed, c.refusesConnections = true, ended })
+				for !expired(m, "i-1") {
+					c.set(func() {
+						if !ended && c.lease < c.clock() {
+							delete(c.running, "w.0.0.0") // the worker ends it, by its own clock
+						}
+					})
+					time.Sleep(refreshInterval)
+				}
+				c.set(func() { is.True(ended || len(c.running) == 0) }) // no run is active that may be started elsewhere
+				is.True(time.Since(departedAt) <= LeaseUpperBound(lease)+2*refreshInterval)
+				is.Equal(len(m.Live(worker.Kind)), 0)
+				polls := 0
+				time.Sleep(pollWait + pollMargin) // the poll in flight
+				c.set(func() { polls = c.polls })
+				time.Sleep(10 * pollWait)
+				c.set(func() { is.Equal(c.polls, polls) }) // nothing more is asked of it
+			})
+		})
+	}
+}
+
+// Another server answers 421 at an address that was only announced under a worker's id. The worker's
+// task must not be started elsewhere, since it still runs.
+func TestAnswerOfAnotherAddressProvesNoEnd(t *testing.T) {
 	withManager(t, func(is *is.I, c *fakeCluster, m *Manager) {
 		_, err := sendCommand(m, api.PathTaskStart)
 		is.NoErr(err)
-		c.set(func() { c.departed = true })
-		time.Sleep(4 * refreshInterval)
-		is.Equal(len(m.Live(worker.Kind)), 0)
-		answer, err := sendCommand(m, api.PathTaskStop)
-		is.NoErr(err)
-		is.Equal(answer.Phase, "")
+		time.Sleep(2 * pollWait)
+		c.set(func() { c.announcedAt = "elsewhere" })
+		time.Sleep(pollWait + pollMargin)
+		is.True(!expired(m, "i-1"))
+		c.set(func() { c.announcedAt, c.replaced = "", true })
+		time.Sleep(pollWait + pollMargin + lostPollDelay)
+		is.True(expired(m, "i-1")) // another boot at its own address proves it
 	})
 }
--- a/internal/coordination/dispatch/leases/events_model_test.go
+++ b/internal/coordination/dispatch/leases/events_model_test.go
@@ -15,7 +15,7 @@
 	target int
 }
 
-var eventKinds = []string{"leader", "leader cut off", "leader cut off", "leader frozen", "leader frozen", "split", "cut", "cut", "uncut", "refuse", "crash", "preempt", "preempt", "cancel", "chaos", "quiet"}
+var eventKinds = []string{"leader", "leader cut off", "leader cut off", "leader frozen", "leader frozen", "split", "cut", "cut", "uncut", "refuse", "crash", "preempt", "preempt", "cancel", "chaos", "quiet", "depart", "depart", "foreign"}
 
 func (sim *simulation) injectFaults(s schedule) {
 	start := time.Now()
@@ -57,6 +57,11 @@
 		for _, b := range sim.workers {
 			sim.restartInPlace(b)
 		}
+	case "depart":
+		sim.departWorker(worker)
+	case "foreign":
+		other := sim.workers[(e.target+1)%len(sim.workers)]
+		worker.foreignUntil, worker.foreignAddress = time.Now().Add(time.Duration(1+e.target)*time.Second), other.id
 	case "preempt":
 		sim.preempt(e.target)
 	case "cancel":
@@ -116,9 +121,34 @@
 	sim.workers = append(sim.workers, next)
 }
 
+// departWorker deregisters a worker, whose confirmation is lost or not, and adds another one.
+func (sim *simulation) departWorker(worker *workerProcess) {
+	if worker.crashed || !worker.departedAt.IsZero() {
+		return
+	}
+	runsOn := time.Duration(0)
+	if sim.rand.IntN(2) == 0 {
+		runsOn = time.Duration(1+sim.rand.IntN(9)) * time.Second
+	}
+	worker.depart(time.Now(), runsOn)
+	time.AfterFunc(runsOn, func() {
+		sim.mu.Lock()
+		defer sim.mu.Unlock()
+		sim.advance(time.Now())
+		for task, active := range worker.running {
+			delete(worker.running, task)
+			sim.breakGang(task, active.run, time.Now())
+		}
+		worker.crash()
+	})
+	next := newWorkerProcess(sim, fmt.Sprint("w", len(sim.workers)), 0.98+0.02*sim.rand.Float64())
+	next.nameIncarnation()
+	sim.workers = append(sim.workers, next)
+}
+
 // restartInPlace starts a worker again under its id. Its announcements say so a little later.
 func (sim *simulation) restartInPlace(worker *workerProcess) {
-	if worker.crashed {
+	if worker.crashed || !worker.departedAt.IsZero() {
 		return
 	}
 	for task, active := range worker.running {
--- a/internal/coordination/dispatch/leases/instance_model_test.go
+++ b/internal/coordination/dispatch/leases/instance_model_test.go
@@ -33,6 +33,10 @@
 	treatStopAsReport
 	// overlongLease requests longer leases than are waited for.
 	overlongLease
+	// trustDepartures takes a deregistration for proof that nothing runs.
+	trustDepartures
+	// trustAnnouncedAddresses takes the answer at any announced address for the worker's.
+	trustAnnouncedAddresses
 	// ignoreIncarnations takes all reports under an id for those of one incarnation.
 	ignoreIncarnations
 	// ignoreLateStarts lets no later incarnation refuse the starts meant for an earlier one.
@@ -79,12 +83,26 @@
 
 func (i *instance) leaseExpired(job *controlpb.Job, placement *controlpb.Placement) bool {
 	i.waitWhileFrozen()
-	if i.simulation.fault == assumeLeaseExpired {
+	if i.simulation.fault == assumeLeaseExpired || i.takenForProof(placement.Worker) {
 		return true
 	}
 	return i.manager.LeaseExpired(job, placement)
 }
 
+// takenForProof reports whether an injected fault takes the worker's end for proven.
+func (i *instance) takenForProof(worker string) bool {
+	i.simulation.mu.Lock()
+	defer i.simulation.mu.Unlock()
+	b, now := i.simulation.workerByID(worker), time.Now()
+	switch i.simulation.fault {
+	case trustDepartures:
+		return !b.departedAt.IsZero()
+	case trustAnnouncedAddresses:
+		return b.announcedAddress(now) != b.id
+	}
+	return false
+}
+
 // isolatedFromLog reports whether the instance receives nothing from the log.
 func (i *instance) isolatedFromLog() bool { return i.partitioned || time.Now().Before(i.logResumesAt) }
 
@@ -165,11 +183,13 @@
 	defer i.simulation.mu.Unlock()
 	var live []*peerpb.Upstream
 	for _, b := range i.simulation.workers {
-		if !b.crashed {
-			live = append(live, &peerpb.Upstream{
-				Id: b.id, Kind: peerpb.UpstreamKind_UPSTREAM_KIND_WORKER, Address: b.id, Incarnation: max(b.announced, 1), Version: 1, Accelerators: 4,
-			})
+		if !b.listed(time.Now()) {
+			continue
 		}
+		live = append(live, &peerpb.Upstream{
+			Id: b.id, Kind: peerpb.UpstreamKind_UPSTREAM_KIND_WORKER, Address: b.announcedAddress(time.Now()), Incarnation: max(b.announced, 1), Version: 1, Accelerators: 4,
+			Leaving: !b.departedAt.IsZero(), Departed: !b.departedAt.IsZero(),
+		})
 	}
 	return live
 }
--- a/internal/coordination/dispatch/leases/lives.go
+++ b/internal/coordination/dispatch/leases/lives.go
@@ -183,7 +183,7 @@
 	l.past = append(l.past, &pastLife{incarnation: l.incarnation, tracker: s.tracker, endedAt: now, unconfirmed: recent})
 	l.past = l.past[max(len(l.past)-maxPast, 0):]
 	l.incarnation = report.Incarnation
-	s.leaving = false
+	s.leaving, s.departed = false, false
 	s.tracker = NewTracker(s.manager.config.Lease, now)
 	s.manager.recheck.Store(true)
 	s.fence = append(s.fence, slices.Collect(maps.Keys(recent))...)
@@ -219,8 +219,7 @@
 	return Target{Worker: s.worker, Address: s.address}
 }
 
-// handleAnnouncement processes an announcement. A worker that announces its departure has
-// no runs any more. One that names another incarnation than the reports is polled where it
+// handleAnnouncement processes an announcement. One that names another incarnation than the reports is polled where it
 // says that it is: either of them may be the later one.
 func (s *session) handleAnnouncement(worker *peerpb.Upstream) {
 	s.mu.Lock()
@@ -236,9 +235,7 @@
 	}
 	s.life.announced, s.address = worker.Incarnation, worker.Address
 	s.leaving = worker.Leaving
-	if worker.Departed {
-		s.gone = true
-	}
+	s.recordDeparture(worker)
 }
 
 // isReplaced reports whether a worker that had ended announces another incarnation, for
@@ -246,7 +243,7 @@
 func (s *session) isReplaced(worker *peerpb.Upstream) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if !s.gone || worker.Departed || worker.Incarnation == s.life.announced {
+	if !s.over() || worker.Departed || worker.Incarnation == s.life.announced {
 		return false
 	}
 	state := s.manager.log.State()
@@ -270,28 +267,6 @@
 	return len(s.pastEnds(state)) > 0 || len(s.tracker.UncommittedEnds(state)) > 0
 }
 
-// runOver reports whether a run on the given incarnation of the worker can no longer be
-// active, although no end of it is known. The caller must hold the lock.
-func (s *session) runOver(task string, run uint64, incarnation int64) bool {
-	now := s.now()
-	if s.gone {
-		return true
-	}
-	// The current incarnation may have begun a run that was meant for an earlier one.
-	if status, _ := s.tracker.Find(task, run); status == Active || !s.life.isOther(incarnation) {
-		return s.leaseOver()
-	}
-	past := s.life.findPast(incarnation)
-	if past == nil {
-		// The commands of earlier leaders are refused from the first report on.
-		return s.tracker.HasReport()
-	}
-	if _, unconfirmed := past.unconfirmed[runKey{task, run}]; !unconfirmed {
-		return true
-	}
-	return now.Sub(past.endedAt) > maxCommandDelay+LeaseUpperBound(s.manager.config.MaxLease)
-}
-
 // endOnPast returns the end that an earlier incarnation has reported of a run. The caller
 // must hold the lock.
 func (s *session) endOnPast(task string, run uint64, incarnation int64) (End, bool) {
--- a/internal/coordination/dispatch/leases/lives_test.go
+++ b/internal/coordination/dispatch/leases/lives_test.go
@@ -48,7 +48,7 @@
 			manager: m, token: 1, worker: "i-1", tracker: NewTracker(5*time.Second, time.Now()), pollRequests: make(chan struct{}, 1),
 			firstPoll: make(chan struct{}), nextReport: make(chan struct{}), life: life{announced: firstLife, unconfirmed: map[runKey]time.Time{}},
 		}
-		f.applyReport(&Report{Clock: 400_000, Incarnation: firstLife, Ends: []End{{Number: 1, Task: "gone", Run: 1, Outcome: Done}}}, time.Now())
+		f.applyReport(&Report{Clock: 400_000, Incarnation: firstLife, Ends: []End{{Number: 1, Task: "gone", Run: 1, Outcome: Done}}}, time.Now(), worker.Address)
 		test(t, f)
 	})
 }
@@ -60,9 +60,9 @@
 		is := is.New(t)
 		early := time.Now()
 		time.Sleep(10 * time.Millisecond)
-		f.applyReport(&Report{Clock: 5, Incarnation: secondLife}, time.Now())
+		f.applyReport(&Report{Clock: 5, Incarnation: secondLife}, time.Now(), worker.Address)
 		is.Equal(f.life.incarnation, int64(secondLife))
-		f.applyReport(&Report{Clock: 400_020, Incarnation: firstLife, Running: []Running{{Task: "w.0.0.0", Run: 1}}}, early)
+		f.applyReport(&Report{Clock: 400_020, Incarnation: firstLife, Running: []Running{{Task: "w.0.0.0", Run: 1}}}, early, worker.Address)
 		is.Equal(f.life.incarnation, int64(secondLife))
 		is.Equal(len(f.tracker.running), 0)
 		is.Equal(len(f.crashes), 1)
@@ -80,11 +80,11 @@
 		is.True(f.polls[0].Deadline > 0)
 		for name, happens := range map[string]func(){
 			"a long pause":           func() { time.Sleep(time.Second) },
-			"a broken connection":    func() { f.recordFailure(failure.New(failure.OutcomeUnknown, "EOF")) },
+			"a broken connection":    func() { f.recordFailure(failure.New(failure.OutcomeUnknown, "EOF"), worker.Address) },
 			"another one announced":  func() { f.announce(secondLife) },
 			"a clock that goes back": func() { f.observeClock(3, firstLife) },
 		} {
-			f.applyReport(&Report{Clock: 400_000, Incarnation: firstLife}, time.Now())
+			f.applyReport(&Report{Clock: 400_000, Incarnation: firstLife}, time.Now(), worker.Address)
 			f.polls = nil
 			happens()
 			is.NoErr(f.poll(t.Context()))
@@ -122,13 +122,13 @@
 		is := is.New(t)
 		f.life.unconfirmed[runKey{"w.0.0.0", 1}] = time.Now()
 		f.life.unconfirmed[runKey{"w.0.0.0", 2}] = time.Now()
-		f.applyReport(&Report{Clock: 400_001, Incarnation: firstLife, Running: []Running{{Task: "w.0.0.0", Run: 2}}}, time.Now())
-		f.applyReport(&Report{Clock: 5, Incarnation: secondLife}, time.Now())
+		f.applyReport(&Report{Clock: 400_001, Incarnation: firstLife, Running: []Running{{Task: "w.0.0.0", Run: 2}}}, time.Now(), worker.Address)
+		f.applyReport(&Report{Clock: 5, Incarnation: secondLife}, time.Now(), worker.Address)
 		is.Equal(f.fence, []runKey{{"w.0.0.0", 1}})
-		is.True(!f.runOver("w.0.0.0", 1, firstLife))
-		is.True(f.runOver("w.0.0.0", 2, firstLife)) // a report had shown it
+		is.Equal(f.proofOf(runKey{"w.0.0.0", 1}, firstLife), unproven)
+		is.Equal(f.proofOf(runKey{"w.0.0.0", 2}, firstLife), startedAnew) // a report had shown it
 		time.Sleep(maxCommandDelay + 11*time.Second)
-		is.True(f.runOver("w.0.0.0", 1, firstLife))
+		is.Equal(f.proofOf(runKey{"w.0.0.0", 1}, firstLife), startTooLate)
 	})
 }
 
@@ -148,7 +148,7 @@
 					is.NoErr(f.poll(t.Context()))
 				}
 				time.Sleep(time.Second)
-				f.applyReport(&Report{Clock: 5, Incarnation: secondLife}, time.Now())
+				f.applyReport(&Report{Clock: 5, Incarnation: secondLife}, time.Now(), worker.Address)
 				is.Equal(f.viewOf(worker).Leaving, answersOthers)
 			})
 		})
@@ -160,7 +160,7 @@
 func TestLeaseOfAYoungLife(t *testing.T) {
 	withLives(t, func(t *testing.T, f *livesFixture) {
 		is := is.New(t)
-		f.applyReport(&Report{Clock: 5, Incarnation: secondLife}, time.Now())
+		f.applyReport(&Report{Clock: 5, Incarnation: secondLife}, time.Now(), worker.Address)
 		time.Sleep(LeaseUpperBound(5*time.Second) + time.Second)
 		is.True(!f.leaseExpired())
 		time.Sleep(maxCommandDelay + 10*time.Second)
--- a/internal/coordination/dispatch/leases/manager.go
+++ b/internal/coordination/dispatch/leases/manager.go
@@ -330,7 +330,7 @@
 	if s != nil {
 		s.mu.Lock()
 		defer s.mu.Unlock()
-		return s.runOver(store.TaskName(job, placement.Task), job.Epoch, placement.Incarnation)
+		return s.proofOf(runKey{store.TaskName(job, placement.Task), job.Epoch}, placement.Incarnation) != unproven
 	}
 	// There has been no session under this token, so only earlier leaders can have sent
 	// commands to the worker.
--- a/internal/coordination/dispatch/leases/network_model_test.go
+++ b/internal/coordination/dispatch/leases/network_model_test.go
@@ -38,12 +38,12 @@
 	return []delivery{requestLost, responseLost, requestDelayed}[sim.rand.IntN(3)]
 }
 
-// deliver delivers a request to its worker. handle runs with the simulation locked.
-func deliver[T any](ctx context.Context, i *instance, worker string, handle func(b *workerProcess, now time.Time) (T, error)) (T, error) {
+// deliver delivers a request to the address, which is the id of the worker there. handle runs with the simulation locked.
+func deliver[T any](ctx context.Context, i *instance, target leases.Target, handle func(b *workerProcess, now time.Time) (T, error)) (T, error) {
 	i.waitWhileFrozen()
 	sim := i.simulation
 	sim.mu.Lock()
-	outcome := i.drawDelivery(worker)
+	outcome := i.drawDelivery(target.Address)
 	latency := time.Duration(1+sim.rand.IntN(5)) * time.Millisecond
 	longDelay := time.Duration(2000+sim.rand.IntN(10000)) * time.Millisecond
 	sim.mu.Unlock()
@@ -52,10 +52,13 @@
 		sim.mu.Lock()
 		defer sim.mu.Unlock()
 		sim.advance(time.Now())
-		b := sim.workerByID(worker)
-		if b.crashed {
-			var zero T
+		b := sim.workerByID(target.Address)
+		var zero T
+		switch {
+		case b.crashed:
 			return zero, failure.New(failure.Unreachable, "down")
+		case b.id != target.Worker:
+			return zero, failure.New(failure.WorkerVanished, "another worker answers at %s", target.Address)
 		}
 		return handle(b, time.Now())
 	}
@@ -91,7 +94,7 @@
 func (i *instance) Poll(ctx context.Context, target leases.Target, request leases.Poll) (*leases.Report, error) {
 	request.Deadline = i.applyLeaseFault(request.Deadline)
 	intended := i.simulation.incarnationOf(target.Worker)
-	report, err := deliver(ctx, i, target.Worker, func(b *workerProcess, now time.Time) (*leases.Report, error) {
+	report, err := deliver(ctx, i, target, func(b *workerProcess, now time.Time) (*leases.Report, error) {
 		if b.incarnation != intended {
 			// No leader can tell what a late acknowledgement made a later incarnation forget.
 			request.Acknowledged = 0
@@ -144,12 +147,12 @@
 // Start implements leases.Client.
 func (i *instance) Start(ctx context.Context, target leases.Target, start leases.Start) (int64, error) {
 	start.Deadline = i.applyLeaseFault(start.Deadline)
-	return deliver(ctx, i, target.Worker, func(b *workerProcess, now time.Time) (int64, error) { return b.start(start, now) })
+	return deliver(ctx, i, target, func(b *workerProcess, now time.Time) (int64, error) { return b.start(start, now) })
 }
 
 // Stop implements leases.Client.
 func (i *instance) Stop(ctx context.Context, target leases.Target, stop leases.Stop) (int64, error) {
-	clock, err := deliver(ctx, i, target.Worker, func(b *workerProcess, now time.Time) (int64, error) {
+	clock, err := deliver(ctx, i, target, func(b *workerProcess, now time.Time) (int64, error) {
 		if i.simulation.fault == ignoreLateStarts && b.running[stop.Task] == nil {
 			return b.clockAt(now), nil
 		}
--- /dev/null
+++ b/internal/coordination/dispatch/leases/proof.go
@@ -0,0 +1,121 @@
+package leases
+
+import (
+	"github.com/sirupsen/logrus"
+
+	"pinewinch.example/pinewinch/internal/protocol/failure"
+	"pinewinch.example/pinewinch/internal/protocol/peerpb"
+)
+
+// A task may be started again, or elsewhere, only once the end of its run is proven. This file is
+// the one place that says what proves it; session.proofOf is what every path asks.
+//
+// These are no proofs, since the process may run on: a deregistration (the worker ends only when
+// it has the confirmation, or some seconds later); an announcement, which may be late or another
+// writer's; the answer 421 of an address at which this incarnation is not known to have answered; connections
+// that are refused or break, which a cut does, too; silence.
+
+// proof is why a run is known to have ended.
+type proof string
+
+const (
+	// unproven: the run may be active.
+	unproven proof = ""
+	// addressTaken: at the address where this incarnation has answered, another one does now.
+	addressTaken proof = "another boot answers at its address"
+	// leaseEnded: no command can have extended the lease beyond this time, by the worker's clock.
+	leaseEnded proof = "its lease is over"
+	// startedAnew: the worker itself has reported another start, which refuses commands for this one.
+	startedAnew proof = "the worker reports a later start"
+	// startTooLate: the start was never confirmed, and can't arrive any more.
+	startTooLate proof = "its start can't arrive any more"
+)
+
+// proofOf returns why a run on the given incarnation of the worker can no longer be active,
+// although no end of it has been reported. The caller must hold the lock.
+func (s *session) proofOf(run runKey, incarnation int64) proof {
+	now := s.now()
+	if s.gone {
+		return addressTaken
+	}
+	// The current incarnation may have begun a run that was meant for an earlier one.
+	if status, _ := s.tracker.Find(run.task, run.run); status == Active || !s.life.isOther(incarnation) {
+		if s.leaseOver() {
+			return leaseEnded
+		}
+		return unproven
+	}
+	past := s.life.findPast(incarnation)
+	if past == nil {
+		// The commands of earlier leaders are refused from the first report on.
+		if s.tracker.HasReport() {
+			return startedAnew
+		}
+		return unproven
+	}
+	if _, unconfirmed := past.unconfirmed[run]; !unconfirmed {
+		return startedAnew
+	}
+	if now.Sub(past.endedAt) > maxCommandDelay+LeaseUpperBound(s.manager.config.MaxLease) {
+		return startTooLate
+	}
+	return unproven
+}
+
+// recordMisdirected records that another boot answered at an address. It proves that the
+// incarnation has ended only where that one has answered before: an address that was merely
+// announced may be another worker's. The caller must hold the lock.
+func (s *session) recordMisdirected(address string, cause *failure.Error) {
+	entry := s.logEntry().WithFields(logrus.Fields{
+		"reason": cause.Error(), "address": address, "leaving": s.leaving, "runs": s.tracker.runNames(maxLoggedRuns), "silent_ms": s.now().Sub(s.unansweredSince).Milliseconds(),
+	})
+	if !s.answersFrom(address) {
+		if address != s.misdirectedAt {
+			entry.WithField("answered_from", s.answeredFrom).Warn("another boot answers at an address where the worker never did")
+		}
+		s.misdirectedAt = address
+		return
+	}
+	if s.gone {
+		return
+	}
+	s.gone = true
+	if crash := s.crashOf(s.life.current()); crash != nil {
+		s.crashes = append(s.crashes, crash)
+	}
+	entry.Warn("another boot answers in the worker's place")
+	s.manager.config.Wake()
+}
+
+// answersFrom reports whether the incarnation has answered at an address: by its reports or, if
+// there is none yet, by the log, which has where each run was placed. The caller must hold the
+// lock.
+func (s *session) answersFrom(address string) bool {
+	if s.answeredFrom != "" {
+		return address == s.answeredFrom
+	}
+	state, placedAt := s.manager.log.State(), map[string]bool{}
+	for _, job := range state.ActiveJobs() {
+		for _, placement := range job.Placements {
+			if placement.Worker == s.worker {
+				placedAt[placement.Address] = true
+			}
+		}
+	}
+	for _, lost := range state.LostRuns() {
+		if lost.Worker == s.worker {
+			placedAt[lost.Address] = true
+		}
+	}
+	return len(placedAt) == 1 && placedAt[address]
+}
+
+// recordDeparture records whether the worker has deregistered. Its lease isn't extended from then
+// on: it ends within seconds, and what it runs is started elsewhere when the lease is over. The
+// caller must hold the lock.
+func (s *session) recordDeparture(worker *peerpb.Upstream) {
+	if worker.Departed && !s.departed {
+		s.logEntry().WithField("runs", s.tracker.runNames(maxLoggedRuns)).Info("the lease of a departed worker is not extended")
+	}
+	s.departed = worker.Departed
+}
--- a/internal/coordination/dispatch/leases/schedules_test.go
+++ b/internal/coordination/dispatch/leases/schedules_test.go
@@ -104,6 +104,8 @@
 		"commands without leadership":                    ignoreLeadershipLoss,
 		"response to a stop taken for a report":          treatStopAsReport,
 		"leases longer than the wait for their expiry":   overlongLease,
+		"a deregistration taken for proof":               trustDepartures,
+		"an announced address taken for proof":           trustAnnouncedAddresses,
 		"incarnations not told apart":                    ignoreIncarnations,
 		"late starts for an earlier incarnation":         ignoreLateStarts,
 	}
--- a/internal/coordination/dispatch/leases/session.go
+++ b/internal/coordination/dispatch/leases/session.go
@@ -41,8 +41,14 @@
 	fence []runKey
 	// nextReport is closed by the next report and then replaced.
 	nextReport chan struct{}
-	// gone is set once the worker is known to have ended, and no other answers under its id.
+	// gone is set once another boot answers where the worker has answered.
 	gone bool
+	// departed is that of the latest announcement of the current incarnation.
+	departed bool
+	// answeredFrom is the address from which the newest report came; empty before the first one.
+	answeredFrom string
+	// misdirectedAt is the latest address at which another boot answered that proves nothing.
+	misdirectedAt string
 	// crashes are the incarnations that have ended without notice.
 	crashes []*controlpb.WorkerCrash
 	// leaving is that of the latest announcement of the current incarnation.
@@ -77,7 +83,7 @@
 
 // run polls the worker for as long as it may have runs.
 func (s *session) run(ctx context.Context) {
-	for ctx.Err() == nil && !s.isGone() {
+	for ctx.Err() == nil && !s.isOver() {
 		if s.idle() {
 			select {
 			case <-ctx.Done():
@@ -110,6 +116,16 @@
 	return s.gone
 }
 
+func (s *session) isOver() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.over()
+}
+
+// over reports whether nothing more is to be learnt from the worker: its place is taken, or it has
+// deregistered and its lease is over. The caller must hold the lock.
+func (s *session) over() bool { return s.gone || s.departed && s.leaseOver() }
+
 // idle reports whether the worker has no runs, no ends and no recent commands, and
 // therefore needs no lease. A worker with an unanswered command or poll is polled until
 // it responds: nothing else would detect its recovery, and it would count as lost for
@@ -146,8 +162,10 @@
 		request.Acknowledged = acknowledged
 	}
 	if certain && s.tracker.HasReport() && s.failedPolls == 0 && !s.unresponsive() {
-		request.Deadline = s.tracker.ExtendLease(s.now())
 		request.Wait = pollWait
+		if !s.departed {
+			request.Deadline = s.tracker.ExtendLease(s.now())
+		}
 	}
 	s.mu.Unlock()
 	return s.sendPoll(ctx, request)
@@ -159,8 +177,8 @@
 	defer cancel()
 	var report *Report
 	sent := s.now()
-	err := s.roundTrip(func() (err error) {
-		report, err = s.manager.client.Poll(ctx, s.currentTarget(), request)
+	target, err := s.roundTrip(func(target Target) (err error) {
+		report, err = s.manager.client.Poll(ctx, target, request)
 		return err
 	})
 	if err != nil {
@@ -168,32 +186,33 @@
 		s.recordFailedPoll(err, request, sent)
 		return err
 	}
-	s.applyReport(report, sent)
+	s.applyReport(report, sent, target.Address)
 	s.sendFences(ctx)
 	s.stopOrphans(ctx)
 	return nil
 }
 
-// roundTrip sends one command or poll and records what a failure says about the worker.
-// A request that could not be sent for lack of a file descriptor says nothing.
-func (s *session) roundTrip(send func() error) error {
+// roundTrip sends one command or poll, records what a failure says about the worker, and returns
+// where it was sent. A request that could not be sent for lack of a file descriptor says nothing.
+func (s *session) roundTrip(send func(target Target) error) (Target, error) {
 	previous := s.recordRequest()
-	err := send()
+	target := s.currentTarget()
+	err := send(target)
 	if failure.Is(err, failure.OutOfDescriptors) {
 		s.mu.Lock()
 		s.unansweredSince = previous
 		s.mu.Unlock()
-		return err
+		return target, err
 	}
 	if err != nil {
-		s.recordFailure(err)
+		s.recordFailure(err, target.Address)
 	}
-	return err
+	return target, err
 }
 
 // recordFailure records that the incarnation is gone or that the worker has become
 // unconfirmed or unresponsive.
-func (s *session) recordFailure(err error) {
+func (s *session) recordFailure(err error, address string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	f := failure.From(err)
@@ -208,16 +227,8 @@
 		s.logEntry().WithField("reason", f.Error()).Info("worker in doubt")
 		s.requestPoll()
 	}
-	if f.Code == failure.WorkerVanished && !s.gone {
-		s.gone = true
-		if crash := s.crashOf(s.life.current()); crash != nil {
-			s.crashes = append(s.crashes, crash)
-		}
-		s.logEntry().WithFields(logrus.Fields{
-			"reason": f.Error(), "leaving": s.leaving, "runs": s.tracker.runNames(maxLoggedRuns), "silent_ms": s.now().Sub(s.unansweredSince).Milliseconds(),
-		}).Warn("another boot answers in the worker's place")
-		s.manager.config.Wake()
-		return
+	if f.Code == failure.WorkerVanished {
+		s.recordMisdirected(address, f)
 	}
 	if !s.loggedUnresponsive && s.unresponsive() {
 		s.loggedUnresponsive = true
@@ -281,14 +292,15 @@
 	return !s.unansweredSince.IsZero() && s.now().Sub(s.unansweredSince) >= unresponsiveAfter
 }
 
-// applyReport records a report that was requested at sent.
-func (s *session) applyReport(report *Report, sent time.Time) {
+// applyReport records a report that was requested at sent and came from an address.
+func (s *session) applyReport(report *Report, sent time.Time, address string) {
 	s.mu.Lock()
 	if !s.identify(report, sent) {
 		s.requestPoll()
 		s.mu.Unlock()
 		return
 	}
+	s.answeredFrom = address
 	first := !s.polled
 	s.tracker.ApplyReport(report, s.now())
 	rates := s.tracker.rates(s.manager.log.State())
@@ -362,10 +374,11 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, orphanStopTimeout)
 	defer cancel()
-	return s.roundTrip(func() error {
-		_, err := s.manager.client.Stop(ctx, s.currentTarget(), stop)
+	_, err := s.roundTrip(func(target Target) error {
+		_, err := s.manager.client.Stop(ctx, target, stop)
 		return err
 	})
+	return err
 }
 
 // hasUniqueState reports whether this session has information that a new one would
@@ -373,7 +386,7 @@
 func (s *session) hasUniqueState() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.gone || s.tracker.Busy() || len(s.pastEnds(s.manager.log.State())) > 0
+	return s.over() || s.tracker.Busy() || len(s.pastEnds(s.manager.log.State())) > 0
 }
 
 // leaseExpired reports whether nothing started under this incarnation can still run.
@@ -403,7 +416,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	state := s.manager.log.State()
-	if s.gone || (s.unresponsive() && s.leaseOver()) {
+	if s.over() || (s.unresponsive() && s.leaseOver()) {
 		return s.endsView(worker, state)
 	}
 	if s.view != nil && s.viewSource == worker && !s.viewStale {
@@ -412,7 +425,7 @@
 	view := proto.CloneOf(worker)
 	s.version++
 	view.Version = s.version
-	view.Leaving = worker.Leaving || !s.tracker.HasReport() || s.unconfirmed || !s.life.doubtedAt.IsZero() || !s.life.forgetfulSince.IsZero()
+	view.Leaving = worker.Leaving || s.departed || !s.tracker.HasReport() || s.unconfirmed || !s.life.doubtedAt.IsZero() || !s.life.forgetfulSince.IsZero()
 	view.Tasks = append(s.tracker.Tasks(state), s.pastEnds(state)...)
 	if s.life.named() {
 		view.Incarnation = s.life.incarnation
--- a/internal/coordination/dispatch/leases/worker_model_test.go
+++ b/internal/coordination/dispatch/leases/worker_model_test.go
@@ -43,6 +43,11 @@
 	// incarnation is what reports and announcements name; 0 for workers that name none.
 	// announced is that of the newest announcement.
 	incarnation, announced int64
+	// departedAt is when the worker deregistered; zero if it didn't. It ends at endsAt.
+	departedAt, endsAt time.Time
+	// foreignUntil is until when another writer announces the worker at foreignAddress.
+	foreignUntil   time.Time
+	foreignAddress string
 	// fencedBefore holds the runs that were stopped or ended before the worker started again.
 	fencedBefore map[string]uint64
 }
@@ -199,3 +204,30 @@
 	b.crashed = true
 	b.running = map[string]*activeRun{}
 }
+
+// departedTTL is how long a departed worker is still listed.
+const departedTTL = 10 * time.Second
+
+// depart deregisters the worker. Without the confirmation it runs on for a while.
+func (b *workerProcess) depart(now time.Time, runsOn time.Duration) {
+	if b.crashed || !b.departedAt.IsZero() {
+		return
+	}
+	b.departedAt, b.endsAt = now, now.Add(runsOn)
+}
+
+// listed reports whether the instances know the worker from announcements.
+func (b *workerProcess) listed(now time.Time) bool {
+	if !b.departedAt.IsZero() {
+		return now.Sub(b.departedAt) < departedTTL
+	}
+	return !b.crashed
+}
+
+// announcedAddress returns the address in the newest announcement.
+func (b *workerProcess) announcedAddress(now time.Time) string {
+	if now.Before(b.foreignUntil) {
+		return b.foreignAddress
+	}
+	return b.id
+}
