membership: announcements of other writers change nothing that is known

What callers see: work stands, or runs twice, after check-ins of another writer under the ids of workers: their service isn't one of the declarations, their address another server's. Cause: any well-formed announcement was taken for the worker's own. Class: a message is taken for its sender's by the id that it names.

CheckClaim refuses (400, a line once per id, announcements_refused) a service that the declarations don't name, another address within one life, and a next life at another live worker's address. What a worker has announced before stays accepted, so that one whose service was removed keeps its work. Until there are declarations any service may be one.

--- a/internal/app/announcements.go
+++ b/internal/app/announcements.go
@@ -66,13 +66,17 @@
 
 // Announce fails while this instance is not fresh: a worker that announces its
 // departure must be known to the leader as leaving soon after it gets the
-// acknowledgement.
+// acknowledgement. It fails with bad_request if the announcement is another writer's.
 func (a *announcements) Announce(upstream *peerpb.Upstream) error {
 	if err := a.node.CheckFresh(); err != nil {
 		return err
 	}
 	a.workers.Store(int64(len(a.registry.Live(peerpb.UpstreamKind_UPSTREAM_KIND_WORKER))))
 	known, ok := a.registry.Get(upstream.Id)
+	if err := a.checkClaim(upstream, known); err != nil {
+		a.Refused(upstream.Id, err)
+		return err
+	}
 	if !ok || known.Leaving != upstream.Leaving || known.Incarnation != upstream.Incarnation {
 		a.logger.WithFields(logrus.Fields{
 			"worker": upstream.Id, "address": upstream.Address, "leaving": upstream.Leaving, "incarnation": upstream.Incarnation, "version": upstream.Version,
@@ -81,6 +85,17 @@
 	return a.registry.Merge(upstream)
 }
 
+// checkClaim fails if an announcement is not that of a worker. Until there are declarations, each
+// service may be one.
+func (a *announcements) checkClaim(upstream, known *peerpb.Upstream) error {
+	state := a.node.State()
+	declared := func(service string) bool {
+		_, named := state.Service(service)
+		return named || state.Document() == nil
+	}
+	return membership.CheckClaim(upstream, known, declared, a.registry.Live(peerpb.UpstreamKind_UPSTREAM_KIND_WORKER))
+}
+
 // Departed records that an incarnation of a worker has departed, under a version higher
 // than those of its announcements; 0 stands for the known one. A departure of another
 // incarnation is late: the worker has started again since. It fails while this instance is
--- a/internal/app/announcements_test.go
+++ b/internal/app/announcements_test.go
@@ -11,6 +11,7 @@
 	"pinewinch.example/pinewinch/internal/coordination/control"
 	"pinewinch.example/pinewinch/internal/coordination/membership"
 	"pinewinch.example/pinewinch/internal/protocol/peerpb"
+	"pinewinch.example/pinewinch/internal/state/store"
 )
 
 // freshNode is a node that is fresh and knows the leader.
@@ -19,6 +20,9 @@
 func (freshNode) CheckFresh() error { return nil }
 func (freshNode) Leader() string    { return "leader" }
 
+// State has no declarations.
+func (freshNode) State() *store.State { return store.New() }
+
 // Guards against redirecting more workers to the leader than it accepts connections:
 // those it refuses would come back and be redirected to it again.
 func TestWorkersAreRedirectedOnlyToALeaderWithFreeConnections(t *testing.T) {
