workflows: a job is known by the place that its caller names

What callers see: after a version that gives a route another name, GET and DELETE of an accepted job are answered 410 and its resend 409, while it runs (LOST). Cause: jobs were known by the name of their queue, which calls don't carry. Class: what is in force is compared by a name that callers do not send.

A workflow keeps the key of its queue at submission (host and prefix in their one form), and is found by that; one of an earlier version by the name, as before. Two queues of one name no longer share jobs. The log compares as before, with the name at submission, so that two builds in one cluster apply the same.

--- a/internal/coordination/workflows/workflows.go
+++ b/internal/coordination/workflows/workflows.go
@@ -13,6 +13,7 @@
 	"pinewinch.example/pinewinch/internal/coordination/catalog"
 	"pinewinch.example/pinewinch/internal/coordination/control"
 	"pinewinch.example/pinewinch/internal/protocol/controlpb"
+	"pinewinch.example/pinewinch/internal/protocol/declaration"
 	"pinewinch.example/pinewinch/internal/protocol/failure"
 	"pinewinch.example/pinewinch/internal/protocol/latency"
 	"pinewinch.example/pinewinch/internal/state/store"
@@ -65,6 +66,8 @@
 	Queue    *controlpb.Queue
 	Customer string
 	ID       string
+	// Place is the key of the queue: its host and its prefix.
+	Place string
 	// Revision and Version are those of the declarations and of their document by which
 	// the call was resolved.
 	Revision uint64
@@ -95,7 +98,7 @@
 	if !ok {
 		return nil, failure.New(failure.NotFound, "no queue is declared at %s%s", call.Host, call.Path)
 	}
-	target := &Target{Queue: queue, ID: id, Revision: index.Revision(), Version: index.Version()}
+	target := &Target{Queue: queue, ID: id, Place: declaration.QueueKey(queue.Host, queue.PathPrefix), Revision: index.Revision(), Version: index.Version()}
 	if queue.Anonymous {
 		return target, nil
 	}
@@ -142,6 +145,7 @@
 		return err
 	}
 	workflow.Id = target.ID
+	workflow.Place = target.Place
 	workflow.Queue = target.Queue.Name
 	workflow.Customer = target.Customer
 	workflow.Service = target.Queue.Service
@@ -153,7 +157,7 @@
 	ctx, cancel := call.withTimeout(ctx)
 	defer cancel()
 	began := time.Now()
-	result, err := h.propose(ctx, &controlpb.Command{Op: &controlpb.Command_SubmitWorkflow{SubmitWorkflow: &controlpb.SubmitWorkflow{Workflow: workflow}}})
+	result, err := h.submit(ctx, target, workflow)
 	entry := h.logger.WithFields(logrus.Fields{"workflow": target.ID, "queue": target.Queue.Name, "customer": target.Customer, "keyed": call.Key != "", "host": call.Host, "path": call.Path, "revision": target.Revision, "version": target.Version, "took_ms": time.Since(began).Milliseconds()})
 	if err != nil {
 		refused.Add(1)
@@ -167,11 +171,28 @@
 	return nil
 }
 
-// Cancel commits the cancellation of a workflow.
+// submit proposes a workflow. One that was accepted at the place before, as a resend of it, is
+// accepted again, also if the queue there has another name now.
+func (h *Handler) submit(ctx context.Context, target *Target, workflow *controlpb.Workflow) (*controlpb.Result, error) {
+	result, err := h.propose(ctx, &controlpb.Command{Op: &controlpb.Command_SubmitWorkflow{SubmitWorkflow: &controlpb.SubmitWorkflow{Workflow: workflow}}})
+	if failure.Is(err, failure.Conflict) {
+		if known, findErr := h.find(ctx, target); findErr == nil {
+			return &controlpb.Result{Index: h.log.State().Index(), Workflow: known}, nil
+		}
+		return nil, err
+	}
+	if err == nil && !target.names(result.Workflow) {
+		return nil, failure.New(failure.Conflict, "the id is in use at another place")
+	}
+	return result, err
+}
+
+// Cancel commits the cancellation of a workflow. It fails with not_found if there is no such
+// workflow.
 func (h *Handler) Cancel(ctx context.Context, call *Call, target *Target) error {
 	ctx, cancel := call.withTimeout(ctx)
 	defer cancel()
-	result, err := h.propose(ctx, &controlpb.Command{Op: &controlpb.Command_CancelWorkflow{CancelWorkflow: &controlpb.CancelWorkflow{Id: target.ID, Queue: target.Queue.Name}}})
+	result, err := h.cancel(ctx, target)
 	entry := h.logger.WithFields(logrus.Fields{"workflow": target.ID, "queue": target.Queue.Name})
 	if err != nil {
 		entry.WithField("code", failure.From(err).Code).Warn("workflow not cancelled")
@@ -182,6 +203,31 @@
 	return nil
 }
 
+func (h *Handler) cancel(ctx context.Context, target *Target) (*controlpb.Result, error) {
+	workflow, err := h.find(ctx, target)
+	if err != nil {
+		return nil, err
+	}
+	// The log compares the queue's name at submission.
+	return h.propose(ctx, &controlpb.Command{Op: &controlpb.Command_CancelWorkflow{CancelWorkflow: &controlpb.CancelWorkflow{Id: workflow.Id, Queue: workflow.Queue}}})
+}
+
+// find returns the workflow of a call. One that is not in the local state may just have been
+// accepted by another instance, so the state is first brought up to date with the log. It
+// fails with not_found if there is no such workflow.
+func (h *Handler) find(ctx context.Context, target *Target) (*controlpb.Workflow, error) {
+	if w, ok := findWorkflow(h.log.State(), target); ok {
+		return w, nil
+	}
+	if err := control.Barrier(ctx, h.log); err != nil {
+		return nil, err
+	}
+	if w, ok := findWorkflow(h.log.State(), target); ok {
+		return w, nil
+	}
+	return nil, failure.New(failure.NotFound, "no workflow %s", target.ID)
+}
+
 func (h *Handler) propose(ctx context.Context, command *controlpb.Command) (*controlpb.Result, error) {
 	result, err := h.log.Propose(ctx, command)
 	if err != nil {
@@ -193,26 +239,20 @@
 	return result, nil
 }
 
-// Status returns the state of a workflow. A workflow that is not in the local
-// state may just have been accepted by another instance, so the state is first
-// brought up to date with the log. It fails with answer_gone if there is no such
+// Status returns the state of a workflow. It fails with answer_gone if there is no such
 // workflow.
 func (h *Handler) Status(ctx context.Context, call *Call, target *Target) (controlpb.WorkflowState, error) {
 	began := time.Now()
-	if w, ok := findWorkflow(h.log.State(), target); ok {
-		return w.State, nil
-	}
 	ctx, cancel := call.withTimeout(ctx)
 	defer cancel()
-	err := control.Barrier(ctx, h.log)
-	state := h.log.State()
-	if err != nil {
-		return 0, h.statusError(target, state, began, withRetryAfter(failure.From(err)))
-	}
-	if w, ok := findWorkflow(state, target); ok {
-		return w.State, nil
+	w, err := h.find(ctx, target)
+	switch {
+	case failure.Is(err, failure.NotFound):
+		return 0, h.statusError(target, h.log.State(), began, failure.New(failure.AnswerGone, "no workflow %s", target.ID))
+	case err != nil:
+		return 0, h.statusError(target, h.log.State(), began, withRetryAfter(failure.From(err)))
 	}
-	return 0, h.statusError(target, state, began, failure.New(failure.AnswerGone, "no workflow %s", target.ID))
+	return w.State, nil
 }
 
 // statusError logs and counts a failed status call and returns its error. Without
@@ -229,8 +269,17 @@
 
 func findWorkflow(state *store.State, target *Target) (*controlpb.Workflow, bool) {
 	w, ok := state.Workflow(target.ID)
-	return w, ok && w.Queue == target.Queue.Name
+	return w, ok && target.names(w)
+}
+
+// names reports whether the call names the place of a workflow. What the queue there is called, a
+// caller does not know: a version that renames it leaves its workflows where they are.
+func (t *Target) names(w *controlpb.Workflow) bool {
+	if w.Place == "" {
+		return w.Queue == t.Queue.Name
+	}
+	return w.Place == t.Place
 }
 
 // Pending returns the number of the queue's workflows of which no task has started.
-func (h *Handler) Pending(target *Target) int { return h.log.State().Pending(target.Queue.Name) }
+func (h *Handler) Pending(target *Target) int { return h.log.State().Pending(target.names) }
--- a/internal/state/store/workflows.go
+++ b/internal/state/store/workflows.go
@@ -20,11 +20,11 @@
 // OpenWorkflows lists the workflows that have not ended, by id.
 func (s *State) OpenWorkflows() []*controlpb.Workflow { return list(s.openWorkflows) }
 
-// Pending counts the workflows of a queue that have not started any task.
-func (s *State) Pending(queue string) int {
+// Pending counts the workflows that have not started any task, of those that counts accepts.
+func (s *State) Pending(counts func(*controlpb.Workflow) bool) int {
 	pending := 0
 	walk(s.openWorkflows, func(_ string, w *controlpb.Workflow) {
-		if w.Queue == queue && w.State == controlpb.WorkflowState_WORKFLOW_STATE_QUEUED {
+		if counts(w) && w.State == controlpb.WorkflowState_WORKFLOW_STATE_QUEUED {
 			pending++
 		}
 	})
