workflows: a customer reads and cancels its own jobs only

A key of one customer read and cancelled the jobs of another on the same queue: only the id and the queue were compared. A job of another customer is unknown (410); on an anonymous queue everyone may read.

--- a/internal/coordination/workflows/workflows.go
+++ b/internal/coordination/workflows/workflows.go
@@ -269,7 +269,7 @@
 
 func findWorkflow(state *store.State, target *Target) (*controlpb.Workflow, bool) {
 	w, ok := state.Workflow(target.ID)
-	return w, ok && target.names(w)
+	return w, ok && target.names(w) && target.owns(w)
 }
 
 // names reports whether the call names the place of a workflow. What the queue there is called, a
@@ -281,5 +281,11 @@
 	return w.Place == t.Place
 }
 
+// owns reports whether the customer of the call may know of a workflow. On an anonymous queue
+// everyone may.
+func (t *Target) owns(w *controlpb.Workflow) bool {
+	return t.Customer == "" || w.Customer == "" || t.Customer == w.Customer
+}
+
 // Pending returns the number of the queue's workflows of which no task has started.
 func (h *Handler) Pending(target *Target) int { return h.log.State().Pending(target.names) }
