crashes: a gang is given up only if one task of it crashes workers

What callers see: a gang under which three workers crash, each time that of another task, is shown as failed although none of its runs ended so (LOST). Cause: the crashes of all members counted as one job's. Class: evidence against one is charged to many.

Two workers must have crashed under one and the same task, which is what the users allow to be given up.

--- a/internal/coordination/dispatch/crashes/crashes.go
+++ b/internal/coordination/dispatch/crashes/crashes.go
@@ -28,6 +28,10 @@
 	// them single it out and came alike after its start.
 	faultCrashes = 3
 	faultSingled = 2
+	// faultOfTask is the number of workers that must have crashed under one and the same task before
+	// its job is given up: the members of a gang run on many workers, and their crashes are each
+	// other's only if the same member is hit again.
+	faultOfTask = 2
 	// alikeFactor and alikeMargin bound how much longer than one run another one may have
 	// lasted that ended alike.
 	alikeFactor = 1.5
@@ -88,6 +92,8 @@
 	// epochs and quick hold the placements of the job that ended with a crash: all, and those
 	// alone on the worker and within quickCrash.
 	epochs, quick map[uint64]bool
+	// perTask counts the placements of each task that ended with a crash.
+	perTask map[uint32]int
 	// singled holds the length in ms of the runs that ended alone while no other worker
 	// crashed, by placement.
 	singled map[uint64]int64
@@ -123,7 +129,7 @@
 	for _, job := range e.jobs {
 		r := a.records[job]
 		if r == nil {
-			r = &record{epochs: map[uint64]bool{}, quick: map[uint64]bool{}, singled: map[uint64]int64{}}
+			r = &record{epochs: map[uint64]bool{}, quick: map[uint64]bool{}, perTask: map[uint32]int{}, singled: map[uint64]int64{}}
 			a.records[job] = r
 		}
 		r.events = append(r.events, e)
@@ -135,6 +141,7 @@
 	for _, run := range e.crash.Runs {
 		r := a.records[run.Job]
 		r.epochs[run.Epoch] = true
+		r.perTask[run.Task]++
 		if e.alone() && run.RanMs <= quickCrash.Milliseconds() {
 			r.quick[run.Epoch] = true
 		}
@@ -180,9 +187,9 @@
 	}
 	crashes := len(r.epochs)
 	switch {
-	case crashes >= faultCrashes && r.singledAlike(),
-		crashes >= maxCrashes && (len(r.singled) >= maxSingled || len(r.quick) >= faultSingled),
-		suspicious >= maxCrashes:
+	case r.hitsOneTask() && (crashes >= faultCrashes && r.singledAlike() ||
+		crashes >= maxCrashes && (len(r.singled) >= maxSingled || len(r.quick) >= faultSingled) ||
+		suspicious >= maxCrashes):
 		return AtFault
 	case suspicious >= isolatedSuspicious, crashes >= isolatedCrashes && unexplained > 0:
 		return Isolated
@@ -192,6 +199,16 @@
 	return Clear
 }
 
+// hitsOneTask reports whether faultOfTask workers have crashed under one task of the job.
+func (r *record) hitsOneTask() bool {
+	for _, crashes := range r.perTask {
+		if crashes >= faultOfTask {
+			return true
+		}
+	}
+	return false
+}
+
 // singledAlike reports whether faultSingled crashes that single the job out came after runs
 // of about the same length. Workers that crash by themselves end runs of any length.
 func (r *record) singledAlike() bool {
--- a/internal/coordination/dispatch/crashes/crashes_test.go
+++ b/internal/coordination/dispatch/crashes/crashes_test.go
@@ -11,7 +11,8 @@
 	"pinewinch.example/pinewinch/internal/protocol/controlpb"
 )
 
-// crash returns the crash of a worker at a time in ms, with runs written as "job run ran_ms".
+// crash returns the crash of a worker at a time in ms, with runs written as "job run ran_ms", or
+// "job run ran_ms task" where it is not task 0.
 func crash(worker string, at int64, runs ...string) *controlpb.WorkerCrash {
 	c := &controlpb.WorkerCrash{Worker: worker, Incarnation: 1, EarliestMs: at, LatestMs: at}
 	for _, text := range runs {
@@ -23,6 +24,9 @@
 		for _, digit := range fields[2] {
 			run.RanMs = run.RanMs*10 + int64(digit-'0')
 		}
+		if len(fields) > 3 {
+			run.Task = uint32(fields[3][0] - '0')
+		}
 		c.Runs = append(c.Runs, run)
 	}
 	return c
@@ -99,6 +103,21 @@
 			},
 			map[string]crashes.Verdict{"g": crashes.AtFault},
 		},
+		"a gang under which three workers crash, each time another member's": {
+			[]*controlpb.WorkerCrash{crash("w1", 1000, "g 1 3000 0"), crash("w2", 9000, "g 2 3000 1"), crash("w3", 17000, "g 3 3000 2")},
+			map[string]crashes.Verdict{"g": crashes.Isolated},
+		},
+		"a gang under which five workers crash, each time another member's": {
+			[]*controlpb.WorkerCrash{
+				crash("w1", 1000, "g 1 60 0"), crash("w2", 9000, "g 2 60 1"), crash("w3", 17000, "g 3 60 2"),
+				crash("w4", 25000, "g 4 60 3"), crash("w5", 33000, "g 5 60 4"),
+			},
+			map[string]crashes.Verdict{"g": crashes.Isolated},
+		},
+		"a gang one member of which crashes its workers": {
+			[]*controlpb.WorkerCrash{crash("w1", 1000, "g 1 3000 0"), crash("w2", 9000, "g 2 3000 1"), crash("w3", 17000, "g 3 3000 1")},
+			map[string]crashes.Verdict{"g": crashes.AtFault},
+		},
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
