quarantine: one bad workflow keeps no sound worker out of use

What callers see: after one job of 20 that can never be done, sound jobs have nothing running for 21 s and more although all 6 workers are up, empty and sound (LOST). Cause: each task of a workflow was a witness of its own, so that three of them quarantined a worker; nothing limited how many workers were out of use, and the wait for a probe doubled up to an hour. Class: evidence of one counted many times, without a bound on what it may cost.

The tasks of one workflow are one witness against a worker. Of each service half of the workers, and one at the least, stay in use whatever has failed on them, those with the least evidence against them (quarantine.KeepInUse, with a line and dispatch_workers_kept_in_use). A probe is due within a minute.

--- a/internal/coordination/dispatch/controller.go
+++ b/internal/coordination/dispatch/controller.go
@@ -63,11 +63,13 @@
 	waiting    atomic.Pointer[[]scheduling.Reason]
 	led        bool
 	// lastPlan is the newest plan; the next one keeps its cells in place.
-	lastPlan  *scheduling.Plan
-	runTimes  *runTimes
-	keepWarm  keepwarm.Tracker
-	waits     starvation.Tracker
-	verdicts  verdicts
+	lastPlan *scheduling.Plan
+	runTimes *runTimes
+	keepWarm keepwarm.Tracker
+	waits    starvation.Tracker
+	verdicts verdicts
+	// kept are the workers that are given work although their failures exclude them.
+	kept      map[string]bool
 	workflows openWorkflows
 	isolation isolation.Keeper
 	// crashVerdicts has the jobs whose last verdict by crashes was not clear.
@@ -284,15 +286,14 @@
 	held := c.heldWorkers(state, live)
 	// Computed only on demand: usually no worker is due for a probe.
 	holding := sync.OnceValue(func() map[string]bool { return workersHoldingTasks(state) })
+	judged := c.judgeWorkers(state, live, holding)
+	kept := c.keepInUse(state, live, judged)
 	for _, worker := range live {
-		verdict, badRecord := c.dispatcher.judgeRecord(state, worker.Id)
-		if verdict == quarantine.Probing && holding()[worker.Id] {
-			verdict = quarantine.Quarantined
-		}
+		verdict, badRecord := judged[worker.Id].verdict, judged[worker.Id].badRecord
 		if verdict == quarantine.Probing {
 			probing[worker.Id] = true
 		}
-		excluded := worker.Leaving || state.Drained(worker.Id) || verdict == quarantine.CoolingDown || verdict == quarantine.Quarantined
+		excluded := worker.Leaving || state.Drained(worker.Id) || !kept[worker.Id] && (verdict == quarantine.CoolingDown || verdict == quarantine.Quarantined)
 		evacuated := state.Evacuated(worker.DataCentre)
 		if verdict != quarantine.Healthy {
 			current[worker.Id] = verdict
@@ -323,6 +324,48 @@
 	return workers, probing
 }
 
+// judgement is what the failures of a worker lead to.
+type judgement struct {
+	verdict   quarantine.Verdict
+	badRecord bool
+}
+
+func (c *Controller) judgeWorkers(state *store.State, live []*peerpb.Upstream, holding func() map[string]bool) map[string]judgement {
+	judged := make(map[string]judgement, len(live))
+	for _, worker := range live {
+		verdict, badRecord := c.dispatcher.judgeRecord(state, worker.Id)
+		if verdict == quarantine.Probing && holding()[worker.Id] {
+			verdict = quarantine.Quarantined
+		}
+		judged[worker.Id] = judgement{verdict, badRecord}
+	}
+	return judged
+}
+
+// keepInUse returns the workers that are given work although their failures exclude them.
+func (c *Controller) keepInUse(state *store.State, live []*peerpb.Upstream, judged map[string]judgement) map[string]bool {
+	var usable []quarantine.Judged
+	excluded := false
+	for _, worker := range live {
+		if worker.Leaving || state.Drained(worker.Id) || state.Evacuated(worker.DataCentre) {
+			continue
+		}
+		j := quarantine.Judged{Worker: worker.Id, Services: worker.Services, Verdict: judged[worker.Id].verdict}
+		if health := state.Health(worker.Id); health != nil && len(health.Failures) > 0 {
+			j.Failures, j.NewestMs = health.Consecutive, health.Failures[len(health.Failures)-1].TimeMs
+		}
+		excluded = excluded || j.Verdict != quarantine.Healthy
+		usable = append(usable, j)
+	}
+	var kept map[string]bool
+	if excluded {
+		kept = quarantine.KeepInUse(usable)
+	}
+	c.dispatcher.logKept(c.kept, kept)
+	c.kept = kept
+	return kept
+}
+
 // setVerdicts stores the verdicts and publishes their counts if any has changed.
 func (c *Controller) setVerdicts(current verdicts) {
 	if !maps.Equal(current, c.verdicts) {
--- a/internal/coordination/dispatch/dispatch.go
+++ b/internal/coordination/dispatch/dispatch.go
@@ -210,7 +210,7 @@
 }
 
 func (d *Dispatcher) verdict(state *store.State, worker string) quarantine.Verdict {
-	return quarantine.Evaluate(d.config.Quarantine, state.Health(worker), latest(d.config.Now(), state.Time()))
+	return quarantine.Evaluate(d.config.Quarantine, bySource(state, state.Health(worker)), latest(d.config.Now(), state.Time()))
 }
 
 // latest returns the later of two times, so that recorded failures are never in the
--- a/internal/coordination/dispatch/quarantine/quarantine.go
+++ b/internal/coordination/dispatch/quarantine/quarantine.go
@@ -24,8 +24,9 @@
 	// minDistinctJobs is how many different jobs must fail on a worker without a success
 	// in between before it is quarantined: with fewer, the jobs may be at fault.
 	minDistinctJobs = 3
-	maxProbeDelay   = time.Hour
-	maxDoublings    = 16
+	// maxProbeDelay limits the wait of a worker that may have been sound all the time.
+	maxProbeDelay = time.Minute
+	maxDoublings  = 16
 	// stallSpan is the time within which unanswered commands count as one failure: they are
 	// given up after at most 0.8 s.
 	stallSpan = time.Second
--- a/internal/coordination/dispatch/quarantine/records.go
+++ b/internal/coordination/dispatch/quarantine/records.go
@@ -1,6 +1,7 @@
 package quarantine
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -55,7 +56,7 @@
 		}
 		for _, failed := range job.Failures {
 			if store.CountsAgainstWorker(failed) {
-				r.of(failed.Worker).add(&controlpb.WorkerFailure{Job: job.Id, Code: failed.Code, TimeMs: failed.TimeMs})
+				r.of(failed.Worker).add(&controlpb.WorkerFailure{Job: cmp.Or(job.Workflow, job.Id), Code: failed.Code, TimeMs: failed.TimeMs})
 			}
 		}
 	}
--- a/internal/coordination/dispatch/verdicts.go
+++ b/internal/coordination/dispatch/verdicts.go
@@ -16,7 +16,10 @@
 // last evaluation.
 type verdicts map[string]quarantine.Verdict
 
-var workerVerdicts = expvar.NewMap("dispatch_workers")
+var (
+	workerVerdicts = expvar.NewMap("dispatch_workers")
+	workersInUse   = expvar.NewInt("dispatch_workers_kept_in_use")
+)
 
 // publish sets the metrics that count workers by verdict, for every verdict but healthy.
 func (v verdicts) publish() {
@@ -41,7 +44,7 @@
 	if !d.records.Begun() {
 		d.records.Begin(now, state.Jobs())
 	}
-	return d.records.Verdict(d.config.Quarantine, worker, state.Health(worker), now)
+	return d.records.Verdict(d.config.Quarantine, worker, bySource(state, state.Health(worker)), now)
 }
 
 // removeDeparted removes the expired records of workers that aren't live.
@@ -70,6 +73,41 @@
 	return workers
 }
 
+// logKept logs the workers that begin or cease to be kept in use.
+func (d *Dispatcher) logKept(before, now map[string]bool) {
+	workersInUse.Set(int64(len(now)))
+	if d.config.Logger == nil {
+		return
+	}
+	for worker := range now {
+		if !before[worker] {
+			d.config.Logger.WithField("worker", worker).Info("worker kept in use")
+		}
+	}
+	for worker := range before {
+		if !now[worker] {
+			d.config.Logger.WithField("worker", worker).Info("worker no longer kept in use")
+		}
+	}
+}
+
+// bySource returns a worker's failures by the workflows that their jobs belong to: the tasks of one
+// workflow are one witness against a worker.
+func bySource(state *store.State, health *controlpb.WorkerHealth) *controlpb.WorkerHealth {
+	if health == nil {
+		return nil
+	}
+	counted := &controlpb.WorkerHealth{Worker: health.Worker, Consecutive: health.Consecutive}
+	for _, failed := range health.Failures {
+		source := failed.Job
+		if job, ok := state.Job(failed.Job); ok && job.Workflow != "" {
+			source = job.Workflow
+		}
+		counted.Failures = append(counted.Failures, &controlpb.WorkerFailure{Job: source, Code: failed.Code, TimeMs: failed.TimeMs})
+	}
+	return counted
+}
+
 // logVerdict logs a worker's changed verdict with the failures that it is based on.
 func (d *Dispatcher) logVerdict(state *store.State, worker string, verdict quarantine.Verdict) {
 	if d.config.Logger == nil {
@@ -81,7 +119,7 @@
 	}
 	if health := state.Health(worker); health != nil {
 		fields["failures"] = health.Consecutive
-		fields["jobs"] = quarantine.DistinctJobs(health)
+		fields["jobs"] = quarantine.DistinctJobs(bySource(state, health))
 		fields["code"] = health.Failures[len(health.Failures)-1].Code
 	}
 	d.config.Logger.WithFields(fields).Info("worker judged")
--- a/internal/coordination/dispatch/verdicts_test.go
+++ b/internal/coordination/dispatch/verdicts_test.go
@@ -100,3 +100,39 @@
 		{Job: "j", Epoch: 2, Task: 0}, {Job: "j", Epoch: 2, Task: 1}, {Job: "j", Epoch: 1, Task: 2}, {Job: "gone", Epoch: 1},
 	}}), []string{"w0"})
 }
+
+// One workflow that can never be done fails on all workers. They were all quarantined, and sound work
+// had nothing running.
+func TestOneBadWorkflowKeepsWorkersInUse(t *testing.T) {
+	is := is.New(t)
+	snapshot := &controlpb.Snapshot{}
+	var live []*peerpb.Upstream
+	for i := range 6 {
+		id := fmt.Sprint("w", i)
+		live = append(live, &peerpb.Upstream{Id: id, Services: []string{"s"}})
+		health := &controlpb.WorkerHealth{Worker: id, Consecutive: 4}
+		for task := range 4 {
+			job := fmt.Sprintf("bad.0.0.%d", task)
+			health.Failures = append(health.Failures, &controlpb.WorkerFailure{Job: job, Code: string(failure.TaskFailed), TimeMs: evaluatedAt.Add(-time.Second).UnixMilli()})
+			if i == 0 {
+				snapshot.Jobs = append(snapshot.Jobs, &controlpb.Job{Id: job, Workflow: "bad", Tasks: 1, State: controlpb.JobState_JOB_STATE_WAITING})
+			}
+		}
+		snapshot.Health = append(snapshot.Health, health)
+	}
+	now := evaluatedAt
+	config := Config{Now: func() time.Time { return now }, Quarantine: quarantine.Config{CoolDown: time.Second, Probe: 15 * time.Second}}
+	controller := NewController(nil, New(config, nil, nil), nil, config.Now)
+	available := func() (count int) {
+		workers, _ := controller.evaluateWorkers(store.Restore(snapshot), live)
+		for _, worker := range workers {
+			if !worker.Unavailable {
+				count++
+			}
+		}
+		return count
+	}
+	is.Equal(available(), 3) // half stays in use
+	now = now.Add(15 * time.Second)
+	is.Equal(available(), 6) // one workflow is one witness: nobody is quarantined
+}
