scheduling: a job that has failed on every worker of its service is tried again

A task ends failed on each of the 3 workers of its service and has a fourth attempt: it was never made, and the job was shown as running for ever, with nothing running (LOST). Workers on which a job has failed were excluded for good. They are excluded while another available one could run it.

--- a/internal/coordination/scheduling/eligible.go
+++ b/internal/coordination/scheduling/eligible.go
@@ -21,7 +21,26 @@
 	if req.rack != "" && n.rack.name != req.rack {
 		return false
 	}
-	return runsOn(job, n.worker) && !hasFailedOn(job, n.worker.ID)
+	return runsOn(job, n.worker) && (req.retriesAnywhere || !hasFailedOn(job, n.worker.ID))
+}
+
+// hasFailedEverywhere reports whether the job has failed on all available workers that run its
+// service. It would otherwise wait for ever for one on which it has not, with attempts left.
+func (c *cluster) hasFailedEverywhere(job *controlpb.Job) bool {
+	if job.MaxAttempts == 0 || len(job.Failures) == 0 {
+		return false
+	}
+	failed := false
+	for _, n := range c.nodes {
+		if n.worker.Unavailable || !runsOn(job, n.worker) {
+			continue
+		}
+		if !hasFailedOn(job, n.worker.ID) {
+			return false
+		}
+		failed = true
+	}
+	return failed
 }
 
 // runsOn reports whether the worker runs the job's service and has the label it requires.
--- a/internal/coordination/scheduling/retries_test.go
+++ b/internal/coordination/scheduling/retries_test.go
@@ -98,3 +98,33 @@
 		})
 	}
 }
+
+// A job has failed on every worker of its service and has attempts left. It waited for ever for a worker
+// on which it had not failed, and was shown as running.
+func TestJobThatFailedEverywhereIsTriedAgain(t *testing.T) {
+	all := []string{"d0-r0-w0", "d0-r0-w1", "d0-r1-w0"}
+	for name, test := range map[string]struct {
+		failedOn []string
+		prepare  func(workers []Worker)
+		placed   bool
+	}{
+		"on all":                            {failedOn: all, placed: true},
+		"on all that are available":         {failedOn: all[:2], prepare: func(w []Worker) { w[2].Unavailable = true }, placed: true},
+		"on all but one that is full":       {failedOn: all[:2], prepare: func(w []Worker) { w[2].Accelerators = 4 }},
+		"on all but one of another service": {failedOn: all[:2], prepare: func(w []Worker) { w[2].Services = []string{"other"} }, placed: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			workers := testWorkers(1, 2, 2, 8)[:3]
+			for i := range workers {
+				workers[i].Services = []string{"s"}
+			}
+			if test.prepare != nil {
+				test.prepare(workers)
+			}
+			job := unitJob("j", "b", 1, 8, attemptsOn(test.failedOn...), func(j *controlpb.Job) { j.Service, j.MaxAttempts = "s", 4 })
+			plan := Pass(unitsSnapshot(workers, job))
+			is.Equal(len(plan.Assignments) > 0, test.placed)
+		})
+	}
+}
