gang: work without an estimate may take a minute for one percent

Tasks of 15 minutes without an estimate were stopped as stalled again and again, since 1% takes longer than 8 s. Where the length is not known, a minute counts; estimated work as before. TestWorkWithoutEstimateIsNotStalled failed before.

--- a/internal/coordination/dispatch/gang/progress.go
+++ b/internal/coordination/dispatch/gang/progress.go
@@ -45,9 +45,16 @@
 	return m.progress.reportedAt.Sub(since) >= max(s.config.StallAfter, maxTimePerPercent(job))
 }
 
+// unknownTimePerPercent is how long 1% of work of unknown length may take: 50 min of work at a usual speed
+// change their percentage every 30 s.
+const unknownTimePerPercent = time.Minute
+
 // maxTimePerPercent is the time that 1% of the job's work takes at the lowest speed that
 // counts as progress (minSpeedRatio).
 func maxTimePerPercent(job *controlpb.Job) time.Duration {
+	if job.RunTimeMs == 0 {
+		return unknownTimePerPercent
+	}
 	expected := time.Duration(job.RunTimeMs) * time.Millisecond
 	return time.Duration(float64(expected) / api.CompletePercent / minSpeedRatio)
 }
--- a/internal/coordination/dispatch/gang/progress_test.go
+++ b/internal/coordination/dispatch/gang/progress_test.go
@@ -111,3 +111,21 @@
 		is.True(failed == nil || failed.Code != string(failure.Stalled))
 	}
 }
+
+// Work of minutes whose caller gave no estimate changes its percentage every 9 s. It was stopped as
+// stalled again and again; work that hangs is still stopped.
+func TestWorkWithoutEstimateIsNotStalled(t *testing.T) {
+	is := is.New(t)
+	m := newProgressModel(1, 0)
+	is.Equal(m.report(0, 0), nil)
+	for i := range 100 {
+		for range 9 {
+			is.Equal(m.report(time.Second, i), nil)
+		}
+	}
+	hanging := newProgressModel(1, 0)
+	is.Equal(hanging.report(0, 10), nil)
+	is.Equal(hanging.report(time.Minute-time.Second, 10), nil)
+	failed := hanging.report(time.Second, 10)
+	is.True(failed != nil && failed.Code == string(failure.Stalled))
+}
