workflows: a task that asks for more than any worker can have is refused

memMb of 2^64-1 counted as -1 MB, so that the task was started and the worker seemed to have 1 MB more. Beyond the limits of a worker's announcement (64 TiB, 16,384 cores, 1,024 accelerators) a job is refused with 400. The three new cases of TestRefusedCalls failed before.

--- a/internal/coordination/workflows/check.go
+++ b/internal/coordination/workflows/check.go
@@ -12,6 +12,10 @@
 	maxSteps         = 64
 	maxTasks         = 10000
 	maxRepetitions   = 10000
+	// Limits of one task, far above any worker's capacity. They keep sums far from overflow.
+	maxCoresMilli   = 16384 * 1000
+	maxMemoryMB     = 64 << 20
+	maxAccelerators = 1024
 )
 
 // Check validates a workflow before it is proposed. It fails with bad_request.
@@ -44,6 +48,9 @@
 	if step.Count == 0 {
 		return badRequest("step %d has no tasks", number)
 	}
+	if step.CoresMilli > maxCoresMilli || step.MemoryMb > maxMemoryMB || step.Accelerators > maxAccelerators {
+		return badRequest("a task of step %d asks for more than a worker can have", number)
+	}
 	for _, earlier := range step.After {
 		if int(earlier) >= number {
 			return badRequest("step %d waits for step %d, which does not precede it", number, earlier)
