membership: a departure is the last word of its incarnation

A deregistration at another core than that of the worker's announcements was answered 200, and the leader went on: its version was that core's own plus one, lower than the newest announcement. TestDepartureAtAnotherInstanceWins failed before.

--- a/internal/coordination/membership/registry.go
+++ b/internal/coordination/membership/registry.go
@@ -195,7 +195,9 @@
 	return false
 }
 
-// older orders the announcements of one upstream by incarnation and version.
+// older orders the announcements of one upstream by incarnation and version. A departure is the
+// last of its incarnation, whatever its version: the instance that it reached may not have heard
+// the newest announcement.
 func older(a, b *peerpb.Upstream) bool {
 	if b == nil {
 		return false
@@ -203,6 +205,9 @@
 	if a.Incarnation != b.Incarnation {
 		return a.Incarnation < b.Incarnation
 	}
+	if a.Departed != b.Departed {
+		return b.Departed
+	}
 	return a.Version < b.Version
 }
 
--- a/internal/coordination/membership/registry_test.go
+++ b/internal/coordination/membership/registry_test.go
@@ -359,3 +359,31 @@
 		is.Equal(known.Incarnation, int64(1000))
 	}
 }
+
+// A worker deregisters at an instance that has an older announcement of it than the one at which it
+// announces itself. The departure must win everywhere, or the leader goes on giving it work.
+func TestDepartureAtAnotherInstanceWins(t *testing.T) {
+	is, c := is.New(t), newClock()
+	home, other, leader := c.registry("home"), c.registry("other"), c.registry("leader")
+	is.NoErr(home.Merge(announcement("w", 5, false)))
+	exchange(is, c, home, other)
+	is.NoErr(home.Merge(announcement("w", 9, true)))
+	is.NoErr(home.Merge(announcement("w", 10, false)))
+	departed := announcement("w", 6, true)
+	departed.Departed = true
+	is.NoErr(other.Merge(departed))
+	for range 2 {
+		exchange(is, c, home, leader)
+		exchange(is, c, other, leader)
+		exchange(is, c, other, home)
+	}
+	for _, registry := range []*Registry{leader, home, other} {
+		known, ok := registry.Get("w")
+		is.True(ok && known.Departed)
+	}
+	next := announcement("w", 1, false)
+	next.Incarnation = 2
+	is.NoErr(home.Merge(next)) // its next life is another matter
+	known, _ := home.Get("w")
+	is.True(!known.Departed)
+}
