app: the list of replicas is kept on every deployment

It was kept on the platform only, so that elsewhere nobody knew of the starts of replicas, and a core with an older copy of its disk was not found out.

--- a/internal/app/control.go
+++ b/internal/app/control.go
@@ -26,7 +26,7 @@
 
 var controlModule = fx.Module("control",
 	fx.Provide(newFiles, newNetwork, newNode, newLog, newVoters, newLogFailed),
-	fx.Invoke(runPeers, runNode, runRepairer),
+	fx.Invoke(runPeers, runNode, runRepairer, runMembers),
 )
 
 func newNetwork(s *settings.Settings) (*peers.Network, error) {
--- a/internal/app/leased.go
+++ b/internal/app/leased.go
@@ -22,7 +22,6 @@
 	"pinewinch.example/pinewinch/internal/transport/connections"
 	"pinewinch.example/pinewinch/internal/transport/counted"
 	"pinewinch.example/pinewinch/internal/transport/metrics"
-	"pinewinch.example/pinewinch/internal/transport/peers"
 	"pinewinch.example/pinewinch/platform"
 )
 
@@ -33,13 +32,11 @@
 // leasedTraffic counts the bytes of callers, operators and announcing workers together.
 var leasedTraffic = counted.NewCounters("leased")
 
-func runLeased(lifecycle fx.Lifecycle, s *settings.Settings, node control.Node, registry *membership.Registry, network *peers.Network, evacuations *operators.Evacuations, allocation connections.Allocation, accepted *connections.Group, failed *logFailed, logger *logrus.Logger) error {
+func runLeased(lifecycle fx.Lifecycle, s *settings.Settings, node control.Node, registry *membership.Registry, evacuations *operators.Evacuations, allocation connections.Allocation, accepted *connections.Group, failed *logFailed, logger *logrus.Logger) error {
 	if s.LeaderLeases == nil {
 		return nil
 	}
 	ignoreHangUp(lifecycle, logger)
-	members := &members{node: node, registry: registry, network: network, logger: logger}
-	background(lifecycle, members.run)
 	stopping := &atomic.Bool{}
 	servers := []struct {
 		address netip.AddrPort
--- a/internal/app/members.go
+++ b/internal/app/members.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/sirupsen/logrus"
+	"go.uber.org/fx"
 	"google.golang.org/protobuf/proto"
 
 	"pinewinch.example/pinewinch/internal/coordination/consensus"
@@ -31,6 +32,10 @@
 	logger   *logrus.Logger
 }
 
+func runMembers(lifecycle fx.Lifecycle, node control.Node, registry *membership.Registry, network *peers.Network, logger *logrus.Logger) {
+	background(lifecycle, (&members{node: node, registry: registry, network: network, logger: logger}).run)
+}
+
 // logStatus is implemented by nodes that hold a replica of the log.
 type logStatus interface {
 	Status() consensus.Status
