leases: a leaving worker's lease is short

While it announces that it leaves, its lease is 3 s (3.6 s by the slowest clock) and polls wait 0.5 s, so that one of them may be lost. The tracker keeps the time by which everything has ended in place of the time of the newest command, since leases differ in length now.

--- a/internal/coordination/dispatch/leases/cluster_test.go
+++ b/internal/coordination/dispatch/leases/cluster_test.go
@@ -39,7 +39,8 @@
 	refusesConnections bool
 	// outOfDescriptors is set while the leader has no file descriptor for a connection.
 	outOfDescriptors bool
-	// departed is the departure flag of the worker's latest announcement.
+	// leaving and departed are the flags of the worker's latest announcement.
+	leaving    bool
 	departed   bool
 	token      uint64
 	lease      int64
@@ -89,7 +90,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	announced := proto.CloneOf(worker)
-	announced.Departed = c.departed
+	announced.Leaving, announced.Departed = c.leaving, c.departed
 	announced.Address = cmp.Or(c.announcedAt, worker.Address)
 	return []*peerpb.Upstream{announced}
 }
--- a/internal/coordination/dispatch/leases/command.go
+++ b/internal/coordination/dispatch/leases/command.go
@@ -151,7 +151,7 @@
 		return nil, err
 	}
 	s.mu.Lock()
-	start.Deadline = s.tracker.ExtendLease(s.now())
+	start.Deadline = s.tracker.ExtendLease(s.now(), s.manager.config.Lease)
 	s.lastCommand = s.now()
 	sent, incarnation := s.now(), s.life.incarnation
 	s.life.recordStart(runKey{start.Task, start.Run}, sent)
--- a/internal/coordination/dispatch/leases/departure_test.go
+++ b/internal/coordination/dispatch/leases/departure_test.go
@@ -97,3 +97,26 @@
 		is.True(expired(m, "i-1")) // another boot at its own address proves it
 	})
 }
+
+// What a worker still runs when it has left waits for its lease. That of a leaving worker is short, but
+// outlasts a lost poll.
+func TestLeaseOfLeavingWorkerIsShort(t *testing.T) {
+	withManager(t, func(is *is.I, c *fakeCluster, m *Manager) {
+		_, err := sendCommand(m, api.PathTaskStart)
+		is.NoErr(err)
+		c.set(func() { c.leaving = true })
+		time.Sleep(LeaseUpperBound(lease)) // that of the commands before
+		c.set(func() { c.partitioned = true })
+		time.Sleep(leavingPollWait)
+		c.set(func() { c.partitioned = false })
+		time.Sleep(leavingPollWait + pollMargin + pollRetryDelay)
+		c.set(func() { is.True(c.lease > c.clock()) }) // one poll was lost
+		time.Sleep(leavingPollWait + pollRetryDelay)
+		departedAt := time.Now()
+		c.set(func() { c.departed, c.refusesConnections = true, true })
+		for !expired(m, "i-1") {
+			time.Sleep(refreshInterval)
+		}
+		is.True(time.Since(departedAt) <= LeaseUpperBound(leavingLease)+2*refreshInterval)
+	})
+}
--- a/internal/coordination/dispatch/leases/events_model_test.go
+++ b/internal/coordination/dispatch/leases/events_model_test.go
@@ -18,7 +18,7 @@
 var eventKinds = []string{"leader", "leader cut off", "leader cut off", "leader frozen", "leader frozen", "split", "cut", "cut", "uncut", "refuse", "crash", "preempt", "preempt", "cancel", "chaos", "quiet"}
 
 // announcementKinds are events in what workers, or other writers, announce.
-var announcementKinds = []string{"depart", "depart", "foreign"}
+var announcementKinds = []string{"depart", "foreign"}
 
 func (sim *simulation) injectFaults(s schedule) {
 	start := time.Now()
--- a/internal/coordination/dispatch/leases/manager.go
+++ b/internal/coordination/dispatch/leases/manager.go
@@ -21,6 +21,10 @@
 	// pollWait is how long a worker may delay its response to a poll while no run ends.
 	// Two polls fit into a lease, so one may be lost.
 	pollWait = 1500 * time.Millisecond
+	// leavingLease and leavingPollWait are those of a worker that is leaving: what it still runs when
+	// it has gone starts elsewhere after its lease. One poll may be lost, too.
+	leavingLease    = 3 * time.Second
+	leavingPollWait = 500 * time.Millisecond
 	// pollMargin is how long a poll may take in addition to its wait.
 	pollMargin = time.Second
 	// pollRetryDelay is the pause after a failed poll.
--- a/internal/coordination/dispatch/leases/schedules_test.go
+++ b/internal/coordination/dispatch/leases/schedules_test.go
@@ -98,6 +98,12 @@
 	return s
 }
 
+// drawAnnouncements draws a schedule in which mostly announcements are misleading, while gangs are
+// broken and stopped.
+func drawAnnouncements(t *rapid.T) schedule {
+	return drawScheduleOf(t, append(slices.Repeat(announcementKinds, 2), "foreign", "foreign", "preempt", "preempt", "preempt", "preempt"))
+}
+
 // Disables each safeguard of the leases in turn. If the checks passed without the
 // safeguard, they would not detect an error in it either.
 func TestInjectedFaultsAreDetected(t *testing.T) {
@@ -115,8 +121,11 @@
 	for name, fault := range faults {
 		t.Run(name, func(t *testing.T) {
 			generator := rapid.Custom(drawSchedule)
-			if fault >= ignoreIncarnations {
+			switch {
+			case fault >= ignoreIncarnations:
 				generator = rapid.Custom(drawRestarts)
+			case fault >= trustDepartures:
+				generator = rapid.Custom(drawAnnouncements)
 			}
 			for n := range schedulesPerFault {
 				if runSchedule(t, generator.Example(n), fault) != "" {
--- a/internal/coordination/dispatch/leases/session.go
+++ b/internal/coordination/dispatch/leases/session.go
@@ -162,9 +162,13 @@
 		request.Acknowledged = acknowledged
 	}
 	if certain && s.tracker.HasReport() && s.failedPolls == 0 && !s.unresponsive() {
+		lease := s.manager.config.Lease
 		request.Wait = pollWait
+		if s.leaving {
+			request.Wait, lease = leavingPollWait, min(lease, leavingLease)
+		}
 		if !s.departed {
-			request.Deadline = s.tracker.ExtendLease(s.now())
+			request.Deadline = s.tracker.ExtendLease(s.now(), lease)
 		}
 	}
 	s.mu.Unlock()
--- a/internal/coordination/dispatch/leases/tracker.go
+++ b/internal/coordination/dispatch/leases/tracker.go
@@ -40,9 +40,8 @@
 	firstReadings map[runKey]progressReading
 	ends          map[uint64]End
 	acked         uint64
-	// lastExtended is when the latest command that may extend the lease was sent.
-	lastExtended time.Time
-	lease        time.Duration
+	// endsBy is the time by which all runs covered by the commands sent so far have ended.
+	endsBy time.Time
 	// bornBy is the latest time at which the incarnation can have started, by its clock;
 	// zero if it may be any.
 	bornBy time.Time
@@ -51,7 +50,7 @@
 // NewTracker returns the Tracker of an incarnation. until is the latest time at which
 // an earlier leader, whose commands are not known here, can have sent one.
 func NewTracker(lease time.Duration, until time.Time) *Tracker {
-	return &Tracker{lease: lease, ends: map[uint64]End{}, lastExtended: until}
+	return &Tracker{ends: map[uint64]End{}, endsBy: until.Add(LeaseUpperBound(lease))}
 }
 
 // HasReport reports whether the worker has answered a poll under the token. From then
@@ -115,22 +114,20 @@
 // slowly as allowed, so the lease is too short rather than too long. A report must have
 // been received: without the worker's clock no deadline can be computed.
 //
-// An earlier leader may have sent a command later than now, so lastExtended never moves
-// back. Otherwise runs that such a command keeps alive would be started a second time
-// elsewhere.
-func (t *Tracker) ExtendLease(now time.Time) int64 {
-	if now.After(t.lastExtended) {
-		t.lastExtended = now
+// An earlier leader may have sent a command later than now, or one with a longer lease may have been
+// sent before, so the end never moves back. Otherwise runs that such a command keeps alive would
+// be started a second time elsewhere.
+func (t *Tracker) ExtendLease(now time.Time, lease time.Duration) int64 {
+	if end := now.Add(LeaseUpperBound(lease)); end.After(t.endsBy) {
+		t.endsBy = end
 	}
 	since := float64(now.Sub(t.clockAt).Milliseconds()) * (1 - maxClockLag)
-	return t.clock + int64(since) + t.lease.Milliseconds()
+	return t.clock + int64(since) + lease.Milliseconds()
 }
 
 // LeaseExpired reports whether all runs covered by commands sent so far have ended. The
 // worker measures the lease by its own clock, which may be slow.
-func (t *Tracker) LeaseExpired(now time.Time) bool {
-	return now.Sub(t.lastExtended) > LeaseUpperBound(t.lease)
-}
+func (t *Tracker) LeaseExpired(now time.Time) bool { return now.After(t.endsBy) }
 
 // LeaseUpperBound is the time after which all runs covered by a command have ended,
 // counted from sending it. The deadline in the command is a time on the worker's clock,
--- a/internal/coordination/dispatch/leases/tracker_test.go
+++ b/internal/coordination/dispatch/leases/tracker_test.go
@@ -103,7 +103,7 @@
 	is := is.New(t)
 	tracker := NewTracker(lease, startTime.Add(-time.Hour))
 	tracker.ApplyReport(&Report{Clock: 1000}, at(0))
-	deadline := tracker.ExtendLease(at(0))
+	deadline := tracker.ExtendLease(at(0), lease)
 	is.Equal(deadline, int64(6000))
 	longestLease := lease * 100 / 98
 	is.True(!tracker.LeaseExpired(startTime.Add(longestLease)))
@@ -125,7 +125,7 @@
 	is := is.New(t)
 	tracker := NewTracker(lease, at(1500))
 	tracker.ApplyReport(&Report{Clock: 1000}, at(50))
-	tracker.ExtendLease(at(100))
+	tracker.ExtendLease(at(100), lease)
 	is.True(!tracker.LeaseExpired(at(101).Add(LeaseUpperBound(lease))))
 	is.True(tracker.LeaseExpired(at(1501).Add(LeaseUpperBound(lease))))
 }
