peers: the sender of consensus messages notices that its receiver has ended

A core was stopped for 5.8 s; afterwards nothing of its leader's messages was processed there, while other streams between the two went on. Cause, by reading: the receiver gives up reading when a write of its (the update of the window) took longer than 5 s, as after a stop; the sender of a stream that carries nothing in return never reads, so it doesn't see the end, fills the window (messages lost without an error) and then waits, until the library ends the stream after 5 min. Class: a stream in one direction whose sender can't learn that nobody reads. All other streams have a reader at both ends.

The sender reads until the end and closes the stream, so that the next message opens another. TestSenderNoticesThatItsReceiverEnded wrote for 10 s without an error before, and passes.

--- a/internal/transport/peers/peers_test.go
+++ b/internal/transport/peers/peers_test.go
@@ -11,6 +11,7 @@
 	"github.com/hashicorp/yamux"
 	"github.com/matryer/is"
 
+	"pinewinch.example/pinewinch/internal/protocol/consensuspb"
 	"pinewinch.example/pinewinch/internal/protocol/failure"
 	"pinewinch.example/pinewinch/internal/protocol/peerpb"
 )
@@ -98,3 +99,44 @@
 	listener.Close()
 	is.NoErr(<-served)
 }
+
+// The receiver of consensus messages gives up reading, as after its process was stopped for seconds, while
+// the session lives. The sender must get an error and open another stream: it went on writing, and
+// nothing arrived.
+func TestSenderNoticesThatItsReceiverEnded(t *testing.T) {
+	is := is.New(t)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	network := NewNetwork("a", map[string]netip.AddrPort{"b": netip.MustParseAddrPort(listener.Addr().String())})
+	defer network.Close()
+	handler := &messageHandler{received: make(chan *consensuspb.Message, 16)}
+	go func() { _ = NewNetwork("b", nil).Serve(t.Context(), listener, handler) }()
+	defer listener.Close()
+
+	messages, err := network.Messages(t.Context(), "b")
+	is.NoErr(err)
+	is.NoErr(messages.Send(&consensuspb.Message{Term: 1}))
+	is.Equal((<-handler.received).Term, uint64(1))
+	// A length beyond the limit ends the receiver's reading.
+	_, err = messages.(*messageStream).stream.Write([]byte{0xff, 0xff, 0xff, 0xff})
+	is.NoErr(err)
+	for deadline := time.Now().Add(10 * time.Second); messages.Send(&consensuspb.Message{Term: 2}) == nil; time.Sleep(10 * time.Millisecond) {
+		if time.Now().After(deadline) {
+			t.Fatal("the sender writes on although nobody reads")
+		}
+	}
+	is.NoErr(messages.Close())
+	again, err := network.Messages(t.Context(), "b")
+	is.NoErr(err)
+	is.NoErr(again.Send(&consensuspb.Message{Term: 3}))
+	is.Equal((<-handler.received).Term, uint64(3))
+}
+
+// messageHandler passes on the consensus messages that arrive.
+type messageHandler struct {
+	Handler
+	received chan *consensuspb.Message
+}
+
+// Deliver passes on one message.
+func (h *messageHandler) Deliver(message *consensuspb.Message) { h.received <- message }
--- a/internal/transport/peers/replicate.go
+++ b/internal/transport/peers/replicate.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"io"
 	"net"
 
 	"pinewinch.example/pinewinch/internal/coordination/control"
@@ -43,9 +44,19 @@
 		return nil, failure.Wrap(failure.Unreachable, err, "replicate to %s", to)
 	}
 	stop := context.AfterFunc(ctx, func() { stream.Close() })
+	go closeWithReceiver(stream)
 	return &messageStream{to: to, stream: stream, writer: bufio.NewWriter(stream), stop: stop}, nil
 }
 
+// closeWithReceiver closes a stream, which carries nothing in return, once its receiver has closed it.
+// A receiver gives up reading when its process was stopped for longer than a write may take; messages
+// written afterwards would be lost without an error for as long as the session lives, and a follower
+// would hear nothing of its leader.
+func closeWithReceiver(stream net.Conn) {
+	_, _ = io.Copy(io.Discard, stream)
+	stream.Close()
+}
+
 // Send writes the messages and flushes them together.
 func (s *messageStream) Send(messages ...*consensuspb.Message) error {
 	for _, message := range messages {
