--- a/internal/coordination/dispatch/leases/departure_test.go
+++ b/internal/coordination/dispatch/leases/departure_test.go
@@ -72,6 +72,10 @@
 				c.set(func() { is.True(ended || len(c.running) == 0) }) // no run is active that may be started elsewhere
 				is.True(time.Since(departedAt) <= LeaseUpperBound(lease)+2*refreshInterval)
 				is.Equal(len(m.Live(worker.Kind)), 0)
+				if answer, err := sendCommand(m, api.PathTaskStop); !ended {
+					is.NoErr(err)
+					is.Equal(answer.Phase, "") // no end of the run was reported
+				}
 				polls := 0
 				time.Sleep(pollWait + pollMargin) // the poll in flight
 				c.set(func() { polls = c.polls })
