--- a/internal/app/members_test.go
+++ b/internal/app/members_test.go
@@ -11,8 +11,7 @@
 	"pinewinch.example/pinewinch/internal/protocol/peerpb"
 )
 
-// The newest start of a replica must stay known while its instance is away and after its data folder
-// was put back; the start of another identity at its address must not be taken for its own.
+// A start that is forgotten while its instance is away lets an older copy of the data folder vote.
 func TestReplicaListKeepsNewestStart(t *testing.T) {
 	start := func(number uint64) *controlpb.ReplicaStart { return &controlpb.ReplicaStart{Number: number} }
 	known := &controlpb.ReplicaInstance{Instance: "i1", DataCentre: "dc1", Identity: "i1.a", Start: start(3)}
--- a/internal/coordination/catalog/catalog_test.go
+++ b/internal/coordination/catalog/catalog_test.go
@@ -53,8 +53,7 @@
 	is.True(!ok)
 }
 
-// A document that an earlier version has accepted has an empty key among a customer's keys. A call
-// without a key was admitted as that customer's.
+// An empty key among a customer's keys, as in an earlier version's document, admits calls without a key.
 func TestEmptyKeyAdmitsNobody(t *testing.T) {
 	is := is.New(t)
 	customer := &controlpb.Customer{Name: "c", Keys: []string{"", " ", "k1"}}
--- a/internal/coordination/dispatch/gang/progress_test.go
+++ b/internal/coordination/dispatch/gang/progress_test.go
@@ -112,8 +112,7 @@
 	}
 }
 
-// Work of minutes whose caller gave no estimate changes its percentage every 9 s. It was stopped as
-// stalled again and again; work that hangs is still stopped.
+// Work of minutes without an estimate is stopped as stalled again and again.
 func TestWorkWithoutEstimateIsNotStalled(t *testing.T) {
 	is := is.New(t)
 	m := newProgressModel(1, 0)
--- a/internal/coordination/dispatch/leases/departure_test.go
+++ b/internal/coordination/dispatch/leases/departure_test.go
@@ -49,9 +49,7 @@
 	})
 }
 
-// A worker deregisters and doesn't get the confirmation, so that it runs on for seconds. Its task must
-// not be started elsewhere before its lease is over, and is not held for longer than that. A
-// departed worker without uncommitted ends is not listed then.
+// A task is started elsewhere while a worker without the confirmation of its deregistration runs it on.
 func TestDepartedWorkerMayRunUntilItsLeaseIsOver(t *testing.T) {
 	for name, ended := range map[string]bool{"it runs on": false, "it has ended": true} {
 		t.Run(name, func(t *testing.T) {
@@ -86,8 +84,7 @@
 	}
 }
 
-// Another server answers 421 at an address that was only announced under a worker's id. The worker's
-// task must not be started elsewhere, since it still runs.
+// A task runs twice after another server's 421 at an address that was only announced under its worker's id.
 func TestAnswerOfAnotherAddressProvesNoEnd(t *testing.T) {
 	withManager(t, func(is *is.I, c *fakeCluster, m *Manager) {
 		_, err := sendCommand(m, api.PathTaskStart)
@@ -102,8 +99,7 @@
 	})
 }
 
-// What a worker still runs when it has left waits for its lease. That of a leaving worker is short, but
-// outlasts a lost poll.
+// A task waits the whole lease of a worker that left, or a lost poll ends the task.
 func TestLeaseOfLeavingWorkerIsShort(t *testing.T) {
 	withManager(t, func(is *is.I, c *fakeCluster, m *Manager) {
 		_, err := sendCommand(m, api.PathTaskStart)
--- a/internal/coordination/dispatch/quarantine/share_test.go
+++ b/internal/coordination/dispatch/quarantine/share_test.go
@@ -12,8 +12,7 @@
 	"pinewinch.example/pinewinch/internal/coordination/dispatch/quarantine"
 )
 
-// Work that fails everywhere takes all workers of a service out of use, and sound work waits beside
-// them.
+// Work that fails everywhere takes all workers of a service out of use.
 func TestShareOfEachServiceStaysInUse(t *testing.T) {
 	judged := func(service string, verdicts ...quarantine.Verdict) []quarantine.Judged {
 		var workers []quarantine.Judged
--- a/internal/coordination/dispatch/verdicts_test.go
+++ b/internal/coordination/dispatch/verdicts_test.go
@@ -101,8 +101,7 @@
 	}}), []string{"w0"})
 }
 
-// One workflow that can never be done fails on all workers. They were all quarantined, and sound work
-// had nothing running.
+// A workflow that can never be done puts all workers into quarantine, and sound work waits.
 func TestOneBadWorkflowKeepsWorkersInUse(t *testing.T) {
 	is := is.New(t)
 	snapshot := &controlpb.Snapshot{}
--- a/internal/coordination/membership/claim_test.go
+++ b/internal/coordination/membership/claim_test.go
@@ -21,8 +21,7 @@
 
 func declared(service string) bool { return service == "s" || service == "t" }
 
-// Another writer announces under a worker's id. Taken for the worker's own, the worker gets no more
-// work, or its tasks run twice.
+// An announcement of another writer under a worker's id takes the worker's work away or runs it twice.
 func TestClaimsOfOtherWriters(t *testing.T) {
 	live := []*peerpb.Upstream{claimOf("w1", "a1", "s", 5), claimOf("w2", "a2", "s", 5), claimOf("old", "a3", "gone", 5)}
 	departed := claimOf("w4", "a4", "s", 5)
@@ -57,8 +56,7 @@
 	}
 }
 
-// Announcements of another writer, of a service that isn't declared, come under all workers' ids all the
-// time, in any mix with the workers' own. They must change nothing that is known.
+// Announcements of an undeclared service, in any mix with the workers' own, change what is known.
 func TestForeignClaimsChangeNothing(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
 		registry := NewRegistry(Config{Self: "self", Incarnation: 1, OriginTTL: time.Minute, Now: time.Now})
--- a/internal/coordination/membership/registry_test.go
+++ b/internal/coordination/membership/registry_test.go
@@ -360,8 +360,7 @@
 	}
 }
 
-// A worker deregisters at an instance that has an older announcement of it than the one at which it
-// announces itself. The departure must win everywhere, or the leader goes on giving it work.
+// A worker that deregisters at an instance with an older announcement of it goes on getting work.
 func TestDepartureAtAnotherInstanceWins(t *testing.T) {
 	is, c := is.New(t), newClock()
 	home, other, leader := c.registry("home"), c.registry("other"), c.registry("leader")
--- a/internal/coordination/scheduling/retries_test.go
+++ b/internal/coordination/scheduling/retries_test.go
@@ -99,8 +99,7 @@
 	}
 }
 
-// A job has failed on every worker of its service and has attempts left. It waited for ever for a worker
-// on which it had not failed, and was shown as running.
+// A job with attempts left that has failed on every worker of its service waits for ever.
 func TestJobThatFailedEverywhereIsTriedAgain(t *testing.T) {
 	all := []string{"d0-r0-w0", "d0-r0-w1", "d0-r1-w0"}
 	for name, test := range map[string]struct {
--- a/internal/state/disk/starts_test.go
+++ b/internal/state/disk/starts_test.go
@@ -23,8 +23,7 @@
 	return starts
 }
 
-// A data directory that was put back to an older copy must be told from one that others lag behind,
-// or a replica that has lost its votes votes on, or an honest one is kept out.
+// A replica on an older copy of its data directory votes, or an honest one is kept out.
 func TestStartsTellAnOlderCopy(t *testing.T) {
 	files := disktest.New()
 	copied := recordStarts(t, files, 3)
@@ -51,8 +50,7 @@
 	}
 }
 
-// A start that others know of must survive a loss of power, or an honest folder is taken for an
-// older copy. Without room it isn't recorded, and nobody may be told of it.
+// An honest folder is taken for an older copy since a start that others know of was lost with the power.
 func TestRecordedStartsAreDurable(t *testing.T) {
 	is, files := is.New(t), disktest.New()
 	starts := recordStarts(t, files, 2)
@@ -65,8 +63,7 @@
 	is.Equal(same, starts)
 }
 
-// A superseded directory is set aside: the next identity starts with nothing of it, also if the
-// process ends in between, and its content is kept.
+// The next identity starts with content of a superseded directory, or that content is lost.
 func TestSupersededDirectoryIsSetAside(t *testing.T) {
 	is, files := is.New(t), disktest.New()
 	first, err := disk.Identity(files, "/data", "i1", false, ulid.Make())
--- a/internal/transport/peers/peers_test.go
+++ b/internal/transport/peers/peers_test.go
@@ -100,9 +100,7 @@
 	is.NoErr(<-served)
 }
 
-// The receiver of consensus messages gives up reading, as after its process was stopped for seconds, while
-// the session lives. The sender must get an error and open another stream: it went on writing, and
-// nothing arrived.
+// The sender of consensus messages writes on to a receiver that gave up reading, and nothing arrives.
 func TestSenderNoticesThatItsReceiverEnded(t *testing.T) {
 	is := is.New(t)
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
