--- a/internal/coordination/dispatch/leases/schedules_test.go
+++ b/internal/coordination/dispatch/leases/schedules_test.go
@@ -98,10 +98,29 @@
 	return s
 }
 
-// drawAnnouncements draws a schedule in which mostly announcements are misleading, while gangs are
-// broken and stopped.
+// Guards against the same when announcements are misleading and stops are lost.
+func TestMisleadingAnnouncementsUnderAnySchedule(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		s := drawAnnouncements(rt)
+		if violation := runSchedule(t, s, noFault); violation != "" {
+			rt.Fatalf("%s", violation)
+		}
+	})
+}
+
+// drawAnnouncements draws a schedule of misleading announcements. Just before each, an instance is cut
+// off from the worker, and just after it all jobs are preempted: a stop that is lost leaves a run
+// whose end only a proof can show.
 func drawAnnouncements(t *rapid.T) schedule {
-	return drawScheduleOf(t, append(slices.Repeat(announcementKinds, 2), "foreign", "foreign", "preempt", "preempt", "preempt", "preempt"))
+	const before, after = 100 * time.Millisecond, 50 * time.Millisecond
+	s := drawScheduleOf(t, announcementKinds)
+	for _, announced := range s.events {
+		s.events = append(s.events, event{at: max(0, announced.at-before), kind: "cut", target: announced.target})
+		for third := range 3 {
+			s.events = append(s.events, event{at: announced.at + time.Duration(1+third)*after, kind: "preempt", target: third})
+		}
+	}
+	return s
 }
 
 // Disables each safeguard of the leases in turn. If the checks passed without the
