workflows: a call that is answered 410 logs whose the job is

A job of another customer is answered like one that doesn't exist, and the line of the call didn't tell the two apart, nor a place that differs from an owner that does. The lines of refused state queries and cancellations have whether the id is recorded, its owner and its place.

--- a/internal/coordination/workflows/workflows.go
+++ b/internal/coordination/workflows/workflows.go
@@ -193,9 +193,9 @@
 	ctx, cancel := call.withTimeout(ctx)
 	defer cancel()
 	result, err := h.cancel(ctx, target)
-	entry := h.logger.WithFields(logrus.Fields{"workflow": target.ID, "queue": target.Queue.Name})
+	entry := h.logger.WithFields(logrus.Fields{"workflow": target.ID, "queue": target.Queue.Name, "customer": target.Customer})
 	if err != nil {
-		entry.WithField("code", failure.From(err).Code).Warn("workflow not cancelled")
+		entry.WithField("code", failure.From(err).Code).WithFields(recorded(h.log.State(), target.ID)).Warn("workflow not cancelled")
 		return err
 	}
 	cancelled.Add(1)
@@ -263,10 +263,20 @@
 		"workflow": target.ID, "queue": target.Queue.Name, "customer": target.Customer,
 		"code": f.Code, "not_run": f.NotRun, "detail": f.Error(),
 		"index": state.Index(), "took_ms": time.Since(began).Milliseconds(),
-	}).Warn("state not answered")
+	}).WithFields(recorded(state, target.ID)).Warn("state not answered")
 	return f
 }
 
+// recorded returns what the state has under the id of a call that was refused: a job of another
+// customer, or at another place, is answered like one that doesn't exist.
+func recorded(state *store.State, id string) logrus.Fields {
+	w, ok := state.Workflow(id)
+	if !ok {
+		return logrus.Fields{"recorded": false}
+	}
+	return logrus.Fields{"recorded": true, "owner": w.Customer, "place": w.Place}
+}
+
 func findWorkflow(state *store.State, target *Target) (*controlpb.Workflow, bool) {
 	w, ok := state.Workflow(target.ID)
 	return w, ok && target.names(w) && target.owns(w)
