state: a renamed customer keeps its jobs, guarantee and all

What callers saw: after one version gave a tenant another name with the same key, GET and DELETE of its running job were answered 410 at every instance, a resend 200, and the tasks ran on with nobody who could cancel them.

Cause: compares the customer's name at submission with the name that the key has now. Callers send keys and never names, so a version that renames a customer made it another one. The same name keeps a job's guarantee and share. And only the queries compared owners: a resend was answered from the id alone.

Customers that are no longer declared are remembered while they have workflows. The owner of a call is looked up by its key in the state that has the job, and a submission carries the key, since a rename may be committed between its check and its commit. A resend that is not its owner's is refused (409). A job whose route has become anonymous is reached without a key, as its owner calls.

An instance of an earlier build in the same cluster does not hand jobs over: until it is replaced, it answers as before for jobs that run while a version renames their customer.

--- a/internal/coordination/workflows/workflows.go
+++ b/internal/coordination/workflows/workflows.go
@@ -66,6 +66,9 @@
 	Queue    *controlpb.Queue
 	Customer string
 	ID       string
+	// Key is the key of the call, by which the owner of a workflow is known: a later version may
+	// give its customer another name.
+	Key string
 	// Place is the key of the queue: its host and its prefix.
 	Place string
 	// Revision and Version are those of the declarations and of their document by which
@@ -98,7 +101,7 @@
 	if !ok {
 		return nil, failure.New(failure.NotFound, "no queue is declared at %s%s", call.Host, call.Path)
 	}
-	target := &Target{Queue: queue, ID: id, Place: declaration.QueueKey(queue.Host, queue.PathPrefix), Revision: index.Revision(), Version: index.Version()}
+	target := &Target{Queue: queue, ID: id, Key: call.Key, Place: declaration.QueueKey(queue.Host, queue.PathPrefix), Revision: index.Revision(), Version: index.Version()}
 	if queue.Anonymous {
 		return target, nil
 	}
@@ -174,9 +177,9 @@
 // submit proposes a workflow. One that was accepted at the place before, as a resend of it, is
 // accepted again, also if the queue there has another name now.
 func (h *Handler) submit(ctx context.Context, target *Target, workflow *controlpb.Workflow) (*controlpb.Result, error) {
-	result, err := h.propose(ctx, &controlpb.Command{Op: &controlpb.Command_SubmitWorkflow{SubmitWorkflow: &controlpb.SubmitWorkflow{Workflow: workflow}}})
+	result, err := h.propose(ctx, &controlpb.Command{Op: &controlpb.Command_SubmitWorkflow{SubmitWorkflow: &controlpb.SubmitWorkflow{Workflow: workflow, Key: target.Key}}})
 	if failure.Is(err, failure.Conflict) {
-		if known, findErr := h.find(ctx, target); findErr == nil {
+		if known, findErr := h.findInLog(ctx, target); findErr == nil {
 			return &controlpb.Result{Index: h.log.State().Index(), Workflow: known}, nil
 		}
 		return nil, err
@@ -214,18 +217,35 @@
 
 // find returns the workflow of a call. One that is not in the local state may just have been
 // accepted by another instance, so the state is first brought up to date with the log. It
-// fails with not_found if there is no such workflow.
+// fails with not_found if there is no such workflow, and with unauthorized if the key has been removed.
 func (h *Handler) find(ctx context.Context, target *Target) (*controlpb.Workflow, error) {
-	if w, ok := findWorkflow(h.log.State(), target); ok {
-		return w, nil
+	w, err := h.findLocally(target)
+	if failure.Is(err, failure.NotFound) {
+		return h.findInLog(ctx, target)
 	}
+	return w, err
+}
+
+// findInLog is find in a state that is up to date with the log.
+func (h *Handler) findInLog(ctx context.Context, target *Target) (*controlpb.Workflow, error) {
 	if err := control.Barrier(ctx, h.log); err != nil {
 		return nil, err
 	}
-	if w, ok := findWorkflow(h.log.State(), target); ok {
-		return w, nil
+	return h.findLocally(target)
+}
+
+// findLocally is find in the local state. The owner is compared by that state, which may be newer than
+// the one by which the call was resolved.
+func (h *Handler) findLocally(target *Target) (*controlpb.Workflow, error) {
+	state := h.log.State()
+	w, ok := state.Workflow(target.ID)
+	if !ok || !target.names(w) {
+		return nil, failure.New(failure.NotFound, "no workflow %s", target.ID)
+	}
+	if err := target.checkOwner(w, h.cache.Get(state)); err != nil {
+		return nil, err
 	}
-	return nil, failure.New(failure.NotFound, "no workflow %s", target.ID)
+	return w, nil
 }
 
 func (h *Handler) propose(ctx context.Context, command *controlpb.Command) (*controlpb.Result, error) {
@@ -277,11 +297,6 @@
 	return logrus.Fields{"recorded": true, "owner": w.Customer, "place": w.Place}
 }
 
-func findWorkflow(state *store.State, target *Target) (*controlpb.Workflow, bool) {
-	w, ok := state.Workflow(target.ID)
-	return w, ok && target.names(w) && target.owns(w)
-}
-
 // names reports whether the call names the place of a workflow. What the queue there is called, a
 // caller does not know: a version that renames it leaves its workflows where they are.
 func (t *Target) names(w *controlpb.Workflow) bool {
@@ -291,10 +306,21 @@
 	return w.Place == t.Place
 }
 
-// owns reports whether the customer of the call may know of a workflow. On an anonymous queue
-// everyone may.
-func (t *Target) owns(w *controlpb.Workflow) bool {
-	return t.Customer == "" || w.Customer == "" || t.Customer == w.Customer
+// checkOwner fails unless the workflow is the caller's, by the declarations of the index. A workflow
+// accepted at an anonymous queue has no owner. At a queue that is anonymous by now its owner sends
+// no key.
+func (t *Target) checkOwner(w *controlpb.Workflow, index *catalog.Catalog) error {
+	if w.Customer == "" {
+		return nil
+	}
+	customer, known := index.Customer(t.Key)
+	switch {
+	case !known && t.Queue.Anonymous, known && customer.Name == w.Customer:
+		return nil
+	case !known:
+		return failure.New(failure.Unauthorized, "the key belongs to no customer")
+	}
+	return failure.New(failure.NotFound, "no workflow %s", t.ID)
 }
 
 // Pending returns the number of the queue's workflows of which no task has started.
--- a/internal/state/store/document.go
+++ b/internal/state/store/document.go
@@ -18,11 +18,6 @@
 	return listDeclared(s, declaration.QueuePrefix, (*controlpb.Item).GetQueue)
 }
 
-// Customers lists the declared customers.
-func (s *State) Customers() []*controlpb.Customer {
-	return listDeclared(s, declaration.CustomerPrefix, (*controlpb.Item).GetCustomer)
-}
-
 // listDeclared lists the declarations under a key prefix in key order.
 func listDeclared[T any](s *State, prefix string, body func(*controlpb.Item) T) []T {
 	var bodies []T
@@ -44,6 +39,7 @@
 	if s.document != nil && op.Document.Version <= s.document.Version {
 		return &controlpb.Result{}
 	}
+	customers := s.Customers()
 	txn := s.items.Txn()
 	walk(s.items, func(key string, _ *controlpb.Item) {
 		for _, prefix := range documentPrefixes {
@@ -58,6 +54,7 @@
 	s.items = txn.Commit()
 	s.document = op.Document
 	s.revision++
+	s.succeedCustomers(customers)
 	return &controlpb.Result{}
 }
 
--- a/internal/state/store/store.go
+++ b/internal/state/store/store.go
@@ -56,6 +56,9 @@
 	lostRuns []*controlpb.LostRun
 	// evacuations is sorted by data centre; it is replaced, never modified.
 	evacuations []*controlpb.Evacuation
+	// formerCustomers are the customers that are no longer declared but have workflows, by name. It
+	// is replaced, never modified.
+	formerCustomers []*controlpb.Customer
 }
 
 // New returns the empty state before the first log entry.
@@ -165,6 +168,8 @@
 		WorkerCrashes: s.crashes,
 		LostRuns:      s.lostRuns,
 		Evacuations:   s.evacuations,
+
+		FormerCustomers: s.formerCustomers,
 	}
 	walk(s.drained, func(key string, _ bool) { snapshot.Drained = append(snapshot.Drained, key) })
 	snapshot.ProtoReflect().SetUnknown(s.unknown)
@@ -185,6 +190,7 @@
 	s.replicas = snapshot.Replicas
 	s.crashes, s.lostRuns = snapshot.WorkerCrashes, snapshot.LostRuns
 	s.evacuations = snapshot.Evacuations
+	s.formerCustomers = snapshot.FormerCustomers
 	s.unknown = snapshot.ProtoReflect().GetUnknown()
 	s.sessionAges = fillSessionAges(snapshot.Sessions)
 	s.sessions = buildTable(snapshot.Sessions, func(v *controlpb.Session) []byte { return []byte(v.Client) })
--- a/internal/state/store/workflows.go
+++ b/internal/state/store/workflows.go
@@ -43,15 +43,22 @@
 }
 
 // submitWorkflow accepts a workflow once: a second submission with the same id returns
-// the existing one.
+// the existing one, if the caller is its owner.
 func (s *State) submitWorkflow(op *controlpb.SubmitWorkflow) *controlpb.Result {
+	caller, keyed := s.customerWithKey(op.Key)
 	if known, ok := s.Workflow(op.Workflow.Id); ok {
 		if known.Queue != op.Workflow.Queue {
 			return refusal(0, failure.Conflict, "the id is in use in another queue")
 		}
+		if keyed && known.Customer != "" && known.Customer != caller.Name {
+			return refusal(0, failure.Conflict, "the id is in use")
+		}
 		return &controlpb.Result{Workflow: known}
 	}
 	w := proto.CloneOf(op.Workflow)
+	if keyed && w.Customer != "" {
+		w.Customer = caller.Name
+	}
 	w.State = controlpb.WorkflowState_WORKFLOW_STATE_QUEUED
 	w.SubmittedMs = s.timeMs
 	if w.Repetitions == 0 {
