--- a/internal/coordination/control/control.go
+++ b/internal/coordination/control/control.go
@@ -6,6 +6,7 @@
 	"context"
 	"crypto/sha256"
 	"encoding/hex"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -175,12 +176,29 @@
 	before := p.state.Swap(state)
 	p.changed.Raise()
 	if p.logger != nil && before.Revision() != state.Revision() {
-		p.logger.WithFields(logrus.Fields{
+		entry := p.logger.WithFields(logrus.Fields{
 			"version": state.Document().GetVersion(), "before": before.Document().GetVersion(),
 			"revision": state.Revision(), "index": state.Index(), "digest": Digest(state.Document()),
 			"queues": len(state.Queues()), "customers": len(state.Customers()),
-		}).Info("declarations in force")
+		})
+		if successors := renamed(before, state); len(successors) > 0 {
+			entry = entry.WithField("successors", successors)
+		}
+		entry.Info("declarations in force")
+	}
+}
+
+// renamed lists the customers whose work belongs to another name after a change of the declarations,
+// for the log.
+func renamed(before, after *store.State) []string {
+	var changes []string
+	for old, successor := range store.Successors(before.Customers(), after.Customers()) {
+		if old != successor {
+			changes = append(changes, old+">"+successor)
+		}
 	}
+	slices.Sort(changes)
+	return changes
 }
 
 // digestBytes is the part of a document's hash that is logged.
