state: what is learnt of a queue's work belongs to its place, not to its name

Run times and interference were learnt under the name of the queue, which a document may exchange with another queue's: their classes mixed, and a renamed queue began without estimates. The class of a job is now the host and prefix by which callers name the queue. TestClassesOfQueuesThatExchangeNames fails before. Estimates learnt by an earlier build begin anew.

--- a/internal/state/store/workflows.go
+++ b/internal/state/store/workflows.go
@@ -1,6 +1,7 @@
 package store
 
 import (
+	"cmp"
 	"strconv"
 
 	"google.golang.org/protobuf/proto"
@@ -163,7 +164,7 @@
 	step := w.Steps[number]
 	return &controlpb.Job{
 		Customer:       w.Customer,
-		WorkClass:      w.Queue,
+		WorkClass:      workClass(w),
 		Accelerators:   step.Accelerators,
 		CoresMilli:     step.CoresMilli,
 		MemoryMb:       step.MemoryMb,
@@ -187,6 +188,10 @@
 	}
 }
 
+// workClass returns the class under which run times and interference of a workflow's jobs are learnt:
+// the place of its queue, since a document may exchange the names of two queues.
+func workClass(w *controlpb.Workflow) string { return cmp.Or(w.Place, w.Queue) }
+
 // targetCompletion returns the time, in Unix milliseconds, by which a repetition should be
 // complete: the critical path of the estimated run times multiplied by the queue's slack,
 // plus its target latency.
--- a/internal/state/store/workflows_test.go
+++ b/internal/state/store/workflows_test.go
@@ -298,3 +298,19 @@
 	is.True(proto.Size(l.state.Snapshot()) < 200)
 	is.Equal(l.submit(0, w).Workflow.State, controlpb.WorkflowState_WORKFLOW_STATE_CANCELLED)
 }
+
+// Two queues exchange names, and the run times of the one are taken for the other's.
+func TestClassesOfQueuesThatExchangeNames(t *testing.T) {
+	is, l := is.New(t), newWorkflowLog(t)
+	classOf := func(id, queue, place string) string {
+		w := diamond()
+		w.Id, w.Queue, w.Place = id, queue, place
+		l.submit(1000, w)
+		job, _ := l.state.Job(id + ".0.0")
+		return job.WorkClass
+	}
+	before, renamed := classOf("w1", "a", "queue/h/p/"), classOf("w2", "b", "queue/h/p/")
+	is.Equal(before, renamed)
+	is.True(before != classOf("w3", "a", "queue/h/q/"))
+	is.Equal(classOf("w4", "a", ""), "a") // of an earlier version
+}
