leases: a schedule of the model plays the same each time

Whoever acts on the simulation now takes a moment of its own first, drawn from the schedule and from what it is about to do; one goroutine runs at a time; no garbage collection interrupts one. A schedule's order draws other orders of the same events. In the product, stops for a next incarnation and the choice of forgetful workers are sorted, too.

--- a/internal/coordination/dispatch/leases/events_model_test.go
+++ b/internal/coordination/dispatch/leases/events_model_test.go
@@ -118,13 +118,26 @@
 	sim.addWorker()
 }
 
+// moment draws a time that no two events share. The caller must hold the lock.
+func (sim *simulation) moment() time.Duration { return time.Duration(sim.rand.Int64N(int64(maxTurn))) }
+
 // endWorker ends a worker's process and breaks the gangs of its runs.
 func (sim *simulation) endWorker(worker *workerProcess) {
-	for task, active := range worker.running {
+	sim.dropRuns(worker)
+	worker.crash()
+}
+
+// dropRuns ends the runs of a worker without a record and breaks their gangs.
+func (sim *simulation) dropRuns(worker *workerProcess) {
+	for _, task := range worker.tasks() {
+		active := worker.running[task]
+		if active == nil {
+			// It ended with its gang.
+			continue
+		}
 		delete(worker.running, task)
 		sim.breakGang(task, active.run, time.Now())
 	}
-	worker.crash()
 }
 
 // addWorker adds a worker under an id that no other has had.
@@ -144,7 +157,7 @@
 		runsOn = time.Duration(1+sim.rand.IntN(9)) * time.Second
 	}
 	worker.depart(time.Now(), runsOn)
-	time.AfterFunc(runsOn, func() {
+	time.AfterFunc(runsOn+sim.moment(), func() {
 		sim.mu.Lock()
 		defer sim.mu.Unlock()
 		sim.advance(time.Now())
@@ -158,16 +171,13 @@
 	if worker.crashed || !worker.departedAt.IsZero() {
 		return
 	}
-	for task, active := range worker.running {
-		delete(worker.running, task)
-		sim.breakGang(task, active.run, time.Now())
-	}
+	sim.dropRuns(worker)
 	born := time.Now().UnixMilli()
 	if sim.rand.IntN(3) == 0 {
 		born -= time.Hour.Milliseconds()
 	}
 	worker.restart(born+int64(sim.rand.IntN(100)), time.Now())
-	time.AfterFunc(time.Duration(sim.rand.IntN(1000))*time.Millisecond, func() {
+	time.AfterFunc(time.Duration(sim.rand.IntN(1000))*time.Millisecond+sim.moment(), func() {
 		sim.mu.Lock()
 		defer sim.mu.Unlock()
 		worker.announced = worker.incarnation
--- a/internal/coordination/dispatch/leases/instance_model_test.go
+++ b/internal/coordination/dispatch/leases/instance_model_test.go
@@ -82,7 +82,7 @@
 }
 
 func (i *instance) leaseExpired(job *controlpb.Job, placement *controlpb.Placement) bool {
-	i.waitWhileFrozen()
+	i.waitWhileFrozen("lease", job.Id, placement.Task)
 	if i.simulation.fault == assumeLeaseExpired || i.takenForProof(placement.Worker) {
 		return true
 	}
@@ -141,12 +141,16 @@
 	return i.simulation.term
 }
 
-// waitWhileFrozen blocks while the instance is suspended.
-func (i *instance) waitWhileFrozen() {
+// waitWhileFrozen blocks while the instance is suspended. What waits then goes on in the order of
+// the actions.
+func (i *instance) waitWhileFrozen(action ...any) {
 	i.simulation.mu.Lock()
 	until := i.frozen
 	i.simulation.mu.Unlock()
-	time.Sleep(time.Until(until))
+	if wait := time.Until(until); wait > 0 {
+		time.Sleep(wait)
+		i.simulation.takeTurn(i.number, action)
+	}
 }
 
 func (i *instance) CheckFresh() error {
@@ -162,9 +166,10 @@
 
 // Propose commits a command through the current leader, whichever instance decided it.
 func (i *instance) Propose(ctx context.Context, command *controlpb.Command) (*controlpb.Result, error) {
-	time.Sleep(10 * time.Millisecond)
-	i.waitWhileFrozen()
 	sim := i.simulation
+	sim.takeTurn(i.number)
+	time.Sleep(10 * time.Millisecond)
+	i.waitWhileFrozen("propose")
 	sim.mu.Lock()
 	defer sim.mu.Unlock()
 	if i.partitioned {
@@ -196,7 +201,7 @@
 
 // runController runs one iteration of the instance's controller.
 func (i *instance) runController(ctx context.Context) {
-	i.waitWhileFrozen()
+	i.waitWhileFrozen("controller")
 	if !i.IsLeader() {
 		return
 	}
--- a/internal/coordination/dispatch/leases/lives.go
+++ b/internal/coordination/dispatch/leases/lives.go
@@ -1,6 +1,7 @@
 package leases
 
 import (
+	"cmp"
 	"context"
 	"maps"
 	"slices"
@@ -186,7 +187,7 @@
 	s.leaving, s.departed = false, false
 	s.tracker = NewTracker(s.manager.config.Lease, now)
 	s.manager.recheck.Store(true)
-	s.fence = append(s.fence, slices.Collect(maps.Keys(recent))...)
+	s.fence = append(s.fence, slices.SortedFunc(maps.Keys(recent), compareRuns)...)
 }
 
 // sendFences stops the runs whose starts a later incarnation than the intended one might
@@ -309,6 +310,7 @@
 			forgetful = append(forgetful, s)
 		}
 	}
+	slices.SortFunc(forgetful, func(a, b *session) int { return cmp.Compare(a.worker, b.worker) })
 	excess := len(forgetful) - len(m.sessions)/2
 	for _, s := range forgetful[:max(excess, 0)] {
 		s.mu.Lock()
--- a/internal/coordination/dispatch/leases/network_model_test.go
+++ b/internal/coordination/dispatch/leases/network_model_test.go
@@ -39,9 +39,10 @@
 }
 
 // deliver delivers a request to the address, which is the id of the worker there. handle runs with the simulation locked.
-func deliver[T any](ctx context.Context, i *instance, target leases.Target, handle func(b *workerProcess, now time.Time) (T, error)) (T, error) {
-	i.waitWhileFrozen()
+func deliver[T any](ctx context.Context, i *instance, target leases.Target, request any, handle func(b *workerProcess, now time.Time) (T, error)) (T, error) {
+	i.waitWhileFrozen(target.Worker, request)
 	sim := i.simulation
+	sim.takeTurn(i.number, target.Worker, request, ctx.Value(commandKey{}))
 	sim.mu.Lock()
 	outcome := i.drawDelivery(target.Address)
 	latency := time.Duration(1+sim.rand.IntN(5)) * time.Millisecond
@@ -94,7 +95,7 @@
 func (i *instance) Poll(ctx context.Context, target leases.Target, request leases.Poll) (*leases.Report, error) {
 	request.Deadline = i.applyLeaseFault(request.Deadline)
 	intended := i.simulation.incarnationOf(target.Worker)
-	report, err := deliver(ctx, i, target, func(b *workerProcess, now time.Time) (*leases.Report, error) {
+	report, err := deliver(ctx, i, target, request, func(b *workerProcess, now time.Time) (*leases.Report, error) {
 		if b.incarnation != intended {
 			// No leader can tell what a late acknowledgement made a later incarnation forget.
 			request.Acknowledged = 0
@@ -147,12 +148,12 @@
 // Start implements leases.Client.
 func (i *instance) Start(ctx context.Context, target leases.Target, start leases.Start) (int64, error) {
 	start.Deadline = i.applyLeaseFault(start.Deadline)
-	return deliver(ctx, i, target, func(b *workerProcess, now time.Time) (int64, error) { return b.start(start, now) })
+	return deliver(ctx, i, target, start, func(b *workerProcess, now time.Time) (int64, error) { return b.start(start, now) })
 }
 
 // Stop implements leases.Client.
 func (i *instance) Stop(ctx context.Context, target leases.Target, stop leases.Stop) (int64, error) {
-	clock, err := deliver(ctx, i, target, func(b *workerProcess, now time.Time) (int64, error) {
+	clock, err := deliver(ctx, i, target, stop, func(b *workerProcess, now time.Time) (int64, error) {
 		if i.simulation.fault == ignoreLateStarts && b.running[stop.Task] == nil {
 			return b.clockAt(now), nil
 		}
--- a/internal/coordination/dispatch/leases/progress.go
+++ b/internal/coordination/dispatch/leases/progress.go
@@ -1,6 +1,7 @@
 package leases
 
 import (
+	"cmp"
 	"time"
 
 	"pinewinch.example/pinewinch/internal/coordination/dispatch/workerspeed"
@@ -14,6 +15,10 @@
 	run  uint64
 }
 
+func compareRuns(a, b runKey) int {
+	return cmp.Or(cmp.Compare(a.task, b.task), cmp.Compare(a.run, b.run))
+}
+
 // progressReading is the progress of a run at a time on the worker's clock in ms.
 type progressReading struct {
 	percent uint32
--- a/internal/coordination/dispatch/leases/schedules_test.go
+++ b/internal/coordination/dispatch/leases/schedules_test.go
@@ -5,6 +5,8 @@
 	"flag"
 	"fmt"
 	"os"
+	"runtime"
+	"runtime/debug"
 	"slices"
 	"strings"
 	"testing"
@@ -50,6 +52,8 @@
 	cancellations map[string]cancellation
 	// named makes the workers name their incarnations.
 	named bool
+	// order selects one of the orders of what happens at one moment.
+	order uint64
 }
 
 func drawSchedule(t *rapid.T) schedule {
@@ -123,6 +127,23 @@
 	return s
 }
 
+// A schedule that fails does not fail when it is played again, and can be neither traced nor kept.
+func TestScheduleIsReproducible(t *testing.T) {
+	generator := rapid.Custom(drawRestarts)
+	for n := range 30 {
+		s := generator.Example(n)
+		_, first := playSchedule(t, s, noFault)
+		for range 3 {
+			_, again := playSchedule(t, s, noFault)
+			for at := range min(len(first), len(again)) {
+				if first[at] != again[at] {
+					t.Fatalf("schedule %d differs in line %d of %d: %q, %q", n, at, len(first), first[at], again[at])
+				}
+			}
+		}
+	}
+}
+
 // Disables each safeguard of the leases in turn. If the checks passed without the
 // safeguard, they would not detect an error in it either.
 func TestInjectedFaultsAreDetected(t *testing.T) {
@@ -157,8 +178,28 @@
 	}
 }
 
+// runOneAtATime lets one goroutine run at a time, and no garbage collection interrupt one, so that a schedule
+// plays the same each time. It returns how to end that.
+func runOneAtATime() (end func()) {
+	processors, percent := runtime.GOMAXPROCS(1), debug.SetGCPercent(-1)
+	return func() {
+		debug.SetGCPercent(percent)
+		runtime.GOMAXPROCS(processors)
+	}
+}
+
 // runSchedule returns the first violation, or an empty string.
 func runSchedule(t *testing.T, s schedule, fault injectedFault) (violation string) {
+	violation, trace := playSchedule(t, s, fault)
+	if violation != "" && *printTrace {
+		t.Log(strings.Join(trace, "\n"))
+	}
+	return violation
+}
+
+// playSchedule returns the first violation, or an empty string, and what happened.
+func playSchedule(t *testing.T, s schedule, fault injectedFault) (violation string, trace []string) {
+	defer runOneAtATime()()
 	synctest.Test(t, func(t *testing.T) {
 		sim := newSimulation(s.seed, fault)
 		ctx, cancel := context.WithCancel(context.Background())
@@ -170,21 +211,21 @@
 			time.Sleep(time.Second)
 		}
 		violation = sim.result()
-		if violation != "" && *printTrace {
-			t.Log(strings.Join(sim.trace, "\n"))
-		}
+		sim.mu.Lock()
+		trace = slices.Clone(sim.trace)
+		sim.mu.Unlock()
 		cancel()
 		// Requests that are still in flight are delivered before the bubble ends.
 		time.Sleep(15 * time.Second)
 	})
-	return violation
+	return violation, trace
 }
 
 func (sim *simulation) start(ctx context.Context, s schedule) {
 	sim.mu.Lock()
 	sim.term, sim.leader, sim.faultPercent = 1, sim.instances[0], 3
 	sim.maxQueueDelay, sim.cancellations = s.maxQueueDelay, s.cancellations
-	sim.named = s.named
+	sim.named, sim.order = s.named, s.order
 	for _, b := range sim.workers {
 		b.nameIncarnation()
 	}
@@ -193,8 +234,12 @@
 	}
 	sim.mu.Unlock()
 	for _, i := range sim.instances {
-		go i.manager.Run(ctx)
 		go func() {
+			sim.takeTurn(i.number, "manager")
+			i.manager.Run(ctx)
+		}()
+		go func() {
+			sim.takeTurn(i.number, "controller")
 			for ctx.Err() == nil {
 				i.runController(ctx)
 				time.Sleep(100 * time.Millisecond)
--- a/internal/coordination/dispatch/leases/simulation_model_test.go
+++ b/internal/coordination/dispatch/leases/simulation_model_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"hash/fnv"
 	"math/rand/v2"
 	"slices"
 	"sync"
@@ -20,18 +21,22 @@
 	// that is not extended.
 	shortWork = 2 * time.Second
 	longWork  = 12 * time.Second
+	// maxTurn is the longest time that takeTurn takes.
+	maxTurn = time.Millisecond
 )
 
 // simulation holds a log, the instances that lead it one after another, the workers,
 // and a network that loses requests, delays them by up to 12 s and reorders them.
 type simulation struct {
-	mu        sync.Mutex
-	rand      *rand.Rand
-	fault     injectedFault
-	state     *store.State
-	term      uint64
-	leader    *instance
-	instances []*instance
+	mu sync.Mutex
+	// seed and order decide what happens first of what happens at one moment.
+	seed, order uint64
+	rand        *rand.Rand
+	fault       injectedFault
+	state       *store.State
+	term        uint64
+	leader      *instance
+	instances   []*instance
 	// refuseConnections is set while connections across a partition are refused;
 	// otherwise they get no response.
 	refuseConnections bool
@@ -59,8 +64,8 @@
 
 func newSimulation(seed uint64, injected injectedFault) *simulation {
 	sim := &simulation{
-		startedAt: time.Now(),
-		rand:      rand.New(rand.NewPCG(seed, 1)), fault: injected, state: store.New(),
+		startedAt: time.Now(), seed: seed,
+		rand: rand.New(rand.NewPCG(seed, 1)), fault: injected, state: store.New(),
 		taskDuration: map[string]time.Duration{}, gangSizes: map[string]int{}, completed: map[string][]*completedRun{},
 	}
 	for i := range 3 {
@@ -72,6 +77,14 @@
 	return sim
 }
 
+// takeTurn orders what happens at one moment, which the scheduler of goroutines would leave open: whoever acts
+// on the simulation takes a moment of its own first, drawn from the schedule and from what it is about to do.
+func (sim *simulation) takeTurn(action ...any) {
+	hash := fnv.New64a()
+	fmt.Fprint(hash, sim.seed, sim.order, time.Since(sim.startedAt), action)
+	time.Sleep(1 + time.Duration(hash.Sum64()%uint64(maxTurn)))
+}
+
 // apply commits one command to the log in the current term.
 func (sim *simulation) apply(command *controlpb.Command) *controlpb.Result {
 	command.TimeMs = time.Now().UnixMilli()
--- a/internal/coordination/dispatch/leases/starts_model_test.go
+++ b/internal/coordination/dispatch/leases/starts_model_test.go
@@ -49,9 +49,14 @@
 	})
 }
 
+// commandKey is the key of the command for which a request is sent, in its context.
+type commandKey struct{}
+
 // Command forwards a command to the manager after a random queueing delay.
 func (i *instance) Command(ctx context.Context, address, path string, command *api.TaskCommand) (*api.TaskAnswer, error) {
+	i.simulation.takeTurn(i.number, path, command.Job, command.Epoch, command.Task)
 	time.Sleep(i.simulation.queueDelay())
+	ctx = context.WithValue(ctx, commandKey{}, fmt.Sprint(path, command.Job, command.Epoch, command.Task))
 	return i.manager.Command(ctx, address, path, command)
 }
 
--- a/internal/coordination/dispatch/leases/work_model_test.go
+++ b/internal/coordination/dispatch/leases/work_model_test.go
@@ -32,7 +32,8 @@
 		}
 		end := b.leaseEnd()
 		consider(end, func() { sim.expireLease(b, end) })
-		for task, active := range b.running {
+		for _, task := range b.tasks() {
+			active := b.running[task]
 			if !active.stopsAt.IsZero() {
 				consider(active.stopsAt, func() { sim.endRun(b, task, leases.Stopped, active.stopsAt) })
 			}
@@ -76,10 +77,10 @@
 func workflowOf(task string) string { return task[:strings.IndexByte(task, '.')] }
 
 func (sim *simulation) expireLease(b *workerProcess, now time.Time) {
-	expired := maps.Clone(b.running)
+	tasks, expired := b.tasks(), maps.Clone(b.running)
 	b.expireLease(now)
-	for task, active := range expired {
-		sim.breakGang(task, active.run, now)
+	for _, task := range tasks {
+		sim.breakGang(task, expired[task].run, now)
 	}
 }
 
@@ -98,8 +99,8 @@
 
 func (sim *simulation) endGang(job string, run uint64, outcome leases.Outcome, now time.Time) {
 	for _, b := range sim.workers {
-		for name, active := range b.running {
-			if _, of := sim.gangOf(name); of == job && active.run == run {
+		for _, name := range b.tasks() {
+			if _, of := sim.gangOf(name); of == job && b.running[name].run == run {
 				b.end(name, outcome, now)
 			}
 		}
--- a/internal/coordination/dispatch/leases/worker_model_test.go
+++ b/internal/coordination/dispatch/leases/worker_model_test.go
@@ -1,6 +1,8 @@
 package leases_test
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"pinewinch.example/pinewinch/internal/coordination/dispatch/leases"
@@ -79,6 +81,9 @@
 	b.ends, b.endCount, b.acked, b.incarnation = nil, 0, 0, incarnation
 }
 
+// tasks lists the tasks that run, by name.
+func (b *workerProcess) tasks() []string { return slices.Sorted(maps.Keys(b.running)) }
+
 func (b *workerProcess) clockAt(now time.Time) int64 {
 	return int64(float64(now.Sub(b.startedAt)) * b.clockRate / float64(time.Millisecond))
 }
@@ -149,7 +154,8 @@
 func (b *workerProcess) report(request leases.Poll, now time.Time) *leases.Report {
 	b.acknowledge(request.Acknowledged, now)
 	report := &leases.Report{Clock: b.clockAt(now), Incarnation: b.incarnation}
-	for task, active := range b.running {
+	for _, task := range b.tasks() {
+		active := b.running[task]
 		report.Running = append(report.Running, leases.Running{Task: task, Run: active.run, Checkpoint: b.simulation.checkpointName(task, active.run)})
 	}
 	for _, end := range b.ends {
@@ -195,7 +201,7 @@
 // expireLease ends all runs when the lease expires.
 func (b *workerProcess) expireLease(now time.Time) {
 	b.leaseExpiredAt = now
-	for task := range b.running {
+	for _, task := range b.tasks() {
 		b.end(task, leases.LeaseExpired, now)
 	}
 }
