leases: an incarnation that got an acknowledgement for the one before gets no work

What callers saw in the model: work that never ends; a task that had ended well was started again and again.

Cause: a poll acknowledges ends if a report came within the last 500 ms. A worker that starts again within that time answers it, and forgets its own ends up to that number before anybody has listed them. The leader saw the next incarnation in that very answer, and gave it work.

Change: the answer of another incarnation to a request that acknowledged ends marks it as one that may forget ends; such a worker gets no work, as before for polls that may arrive late. Where the answer is lost, nothing shows it: as before, open.

TestAcknowledgementAnsweredByTheNextIncarnation fails without it.

--- a/internal/coordination/dispatch/leases/lives.go
+++ b/internal/coordination/dispatch/leases/lives.go
@@ -63,8 +63,8 @@
 	// It becomes lateAck if the worker answers something later: then it did not end with that
 	// poll, which may still be carried out.
 	unansweredAck, lateAck time.Time
-	// forgetfulSince is when an incarnation began that a late poll for an earlier one may
-	// reach; zero for others. The poll may acknowledge more ends than this one has had, so
+	// forgetfulSince is when an incarnation began that a poll for an earlier one has reached or
+	// may reach late; zero for others. The poll may acknowledge more ends than this one has had, so
 	// that it drops each end before it is known here, for as long as it lasts.
 	forgetfulSince time.Time
 	past           []*pastLife
@@ -136,7 +136,7 @@
 // identify reports whether a report, requested at sent, is one of the current incarnation,
 // which it may begin. It returns false for one that may be older than what is known. The
 // caller must hold the lock.
-func (s *session) identify(report *Report, sent time.Time) bool {
+func (s *session) identify(report *Report, acknowledged uint64, sent time.Time) bool {
 	l, now := &s.life, s.now()
 	switch {
 	case report.Incarnation == 0 || report.Incarnation == l.incarnation:
@@ -151,7 +151,7 @@
 		s.logEntry().WithFields(logrus.Fields{"incarnation": report.Incarnation, "current": l.incarnation, "clock_ms": report.Clock}).Info("report of another start ignored")
 		return false
 	default:
-		s.beginLife(report)
+		s.beginLife(report, acknowledged)
 	}
 	l.seenAt, l.sentAt = now, sent
 	if !sent.Before(l.doubtedAt) {
@@ -162,14 +162,15 @@
 	return true
 }
 
-// beginLife continues the session with the worker's next incarnation. The caller must hold
-// the lock.
-func (s *session) beginLife(report *Report) {
+// beginLife continues the session with the worker's next incarnation, whose first report answers a request
+// that acknowledged ends of the one before. The caller must hold the lock.
+func (s *session) beginLife(report *Report, acknowledged uint64) {
 	l, now := &s.life, s.now()
 	recent := l.recentStarts(now)
+	forgetful := acknowledged > 0 || now.Sub(l.lateAck) <= maxCommandDelay
 	s.logEntry().WithFields(logrus.Fields{
 		"incarnation": report.Incarnation, "previous": l.incarnation, "clock_ms": report.Clock, "leaving": s.leaving,
-		"runs": s.tracker.runNames(maxLoggedRuns), "unconfirmed": len(recent), "usable": now.Sub(l.lateAck) > maxCommandDelay,
+		"runs": s.tracker.runNames(maxLoggedRuns), "unconfirmed": len(recent), "usable": !forgetful,
 	}).Warn("worker has started again")
 	if s.failedAt.IsZero() {
 		s.failedAt = now
@@ -178,7 +179,7 @@
 		s.crashes = append(s.crashes, crash)
 	}
 	l.forgetfulSince, l.unansweredAck = time.Time{}, time.Time{}
-	if now.Sub(l.lateAck) <= maxCommandDelay {
+	if forgetful {
 		l.forgetfulSince = now
 	}
 	l.past = append(l.past, &pastLife{incarnation: l.incarnation, tracker: s.tracker, endedAt: now, unconfirmed: recent})
--- a/internal/coordination/dispatch/leases/lives_test.go
+++ b/internal/coordination/dispatch/leases/lives_test.go
@@ -48,7 +48,7 @@
 			manager: m, token: 1, worker: "i-1", tracker: NewTracker(5*time.Second, time.Now()), pollRequests: make(chan struct{}, 1),
 			firstPoll: make(chan struct{}), nextReport: make(chan struct{}), life: life{announced: firstLife, unconfirmed: map[runKey]time.Time{}},
 		}
-		f.applyReport(&Report{Clock: 400_000, Incarnation: firstLife, Ends: []End{{Number: 1, Task: "gone", Run: 1, Outcome: Done}}}, time.Now(), worker.Address)
+		f.applyReport(&Report{Clock: 400_000, Incarnation: firstLife, Ends: []End{{Number: 1, Task: "gone", Run: 1, Outcome: Done}}}, 0, time.Now(), worker.Address)
 		test(t, f)
 	})
 }
@@ -60,9 +60,9 @@
 		is := is.New(t)
 		early := time.Now()
 		time.Sleep(10 * time.Millisecond)
-		f.applyReport(&Report{Clock: 5, Incarnation: secondLife}, time.Now(), worker.Address)
+		f.applyReport(&Report{Clock: 5, Incarnation: secondLife}, 0, time.Now(), worker.Address)
 		is.Equal(f.life.incarnation, int64(secondLife))
-		f.applyReport(&Report{Clock: 400_020, Incarnation: firstLife, Running: []Running{{Task: "w.0.0.0", Run: 1}}}, early, worker.Address)
+		f.applyReport(&Report{Clock: 400_020, Incarnation: firstLife, Running: []Running{{Task: "w.0.0.0", Run: 1}}}, 0, early, worker.Address)
 		is.Equal(f.life.incarnation, int64(secondLife))
 		is.Equal(len(f.tracker.running), 0)
 		is.Equal(len(f.crashes), 1)
@@ -84,7 +84,7 @@
 			"another one announced":  func() { f.announce(secondLife) },
 			"a clock that goes back": func() { f.observeClock(3, firstLife) },
 		} {
-			f.applyReport(&Report{Clock: 400_000, Incarnation: firstLife}, time.Now(), worker.Address)
+			f.applyReport(&Report{Clock: 400_000, Incarnation: firstLife}, 0, time.Now(), worker.Address)
 			f.polls = nil
 			happens()
 			is.NoErr(f.poll(t.Context()))
@@ -122,8 +122,8 @@
 		is := is.New(t)
 		f.life.unconfirmed[runKey{"w.0.0.0", 1}] = time.Now()
 		f.life.unconfirmed[runKey{"w.0.0.0", 2}] = time.Now()
-		f.applyReport(&Report{Clock: 400_001, Incarnation: firstLife, Running: []Running{{Task: "w.0.0.0", Run: 2}}}, time.Now(), worker.Address)
-		f.applyReport(&Report{Clock: 5, Incarnation: secondLife}, time.Now(), worker.Address)
+		f.applyReport(&Report{Clock: 400_001, Incarnation: firstLife, Running: []Running{{Task: "w.0.0.0", Run: 2}}}, 0, time.Now(), worker.Address)
+		f.applyReport(&Report{Clock: 5, Incarnation: secondLife}, 0, time.Now(), worker.Address)
 		is.Equal(f.fence, []runKey{{"w.0.0.0", 1}})
 		is.Equal(f.proofOf(runKey{"w.0.0.0", 1}, firstLife), unproven)
 		is.Equal(f.proofOf(runKey{"w.0.0.0", 2}, firstLife), startedAnew) // a report had shown it
@@ -148,7 +148,7 @@
 					is.NoErr(f.poll(t.Context()))
 				}
 				time.Sleep(time.Second)
-				f.applyReport(&Report{Clock: 5, Incarnation: secondLife}, time.Now(), worker.Address)
+				f.applyReport(&Report{Clock: 5, Incarnation: secondLife}, 0, time.Now(), worker.Address)
 				is.Equal(f.viewOf(worker).Leaving, answersOthers)
 			})
 		})
@@ -160,10 +160,21 @@
 func TestLeaseOfAYoungLife(t *testing.T) {
 	withLives(t, func(t *testing.T, f *livesFixture) {
 		is := is.New(t)
-		f.applyReport(&Report{Clock: 5, Incarnation: secondLife}, time.Now(), worker.Address)
+		f.applyReport(&Report{Clock: 5, Incarnation: secondLife}, 0, time.Now(), worker.Address)
 		time.Sleep(LeaseUpperBound(5*time.Second) + time.Second)
 		is.True(!f.leaseExpired())
 		time.Sleep(maxCommandDelay + 10*time.Second)
 		is.True(f.leaseExpired())
 	})
 }
+
+// A poll that acknowledges ends is answered by the next incarnation, which forgets its own ends up to that number:
+// work that has ended well there is started again.
+func TestAcknowledgementAnsweredByTheNextIncarnation(t *testing.T) {
+	for _, acknowledged := range []uint64{0, 1} {
+		withLives(t, func(t *testing.T, f *livesFixture) {
+			f.applyReport(&Report{Clock: 5, Incarnation: secondLife}, acknowledged, time.Now(), worker.Address)
+			is.New(t).Equal(f.viewOf(worker).Leaving, acknowledged > 0)
+		})
+	}
+}
--- a/internal/coordination/dispatch/leases/session.go
+++ b/internal/coordination/dispatch/leases/session.go
@@ -190,7 +190,7 @@
 		s.recordFailedPoll(err, request, sent)
 		return err
 	}
-	s.applyReport(report, sent, target.Address)
+	s.applyReport(report, request.Acknowledged, sent, target.Address)
 	s.sendFences(ctx)
 	s.stopOrphans(ctx)
 	return nil
@@ -296,10 +296,11 @@
 	return !s.unansweredSince.IsZero() && s.now().Sub(s.unansweredSince) >= unresponsiveAfter
 }
 
-// applyReport records a report that was requested at sent and came from an address.
-func (s *session) applyReport(report *Report, sent time.Time, address string) {
+// applyReport records a report that was requested at sent, with an acknowledgement of ends, and came from
+// an address.
+func (s *session) applyReport(report *Report, acknowledged uint64, sent time.Time, address string) {
 	s.mu.Lock()
-	if !s.identify(report, sent) {
+	if !s.identify(report, acknowledged, sent) {
 		s.requestPoll()
 		s.mu.Unlock()
 		return
