leases: a leader that a worker hasn't answered yet knows how old its incarnation is

What callers saw in the model: two runs of one task.

Cause: for 26 s after the start of an incarnation its lease counts as the longest that a worker grants, but only where the worker's own report says how old it is. Without a report the incarnation counted as old.

Change: the registry knows since when an incarnation is announced, and a session without a report counts from then; a worker without a session from the beginning of the term, since the log has a placement on it. No other writer can name an incarnation before it exists, and a later announcement only makes it younger. The time is longer by the half second in which commands for the one before are still sent. A live upstream's version is kept however long it doesn't change.

Workers that name no incarnation wait as before, as do those that have been announced for 26.4 s, unless all processes have started again since. TestLeaseOfAYoungIncarnationWithoutReport and TestIncarnationIsKnownSinceItsFirstAnnouncement fail without it.

--- a/internal/coordination/dispatch/leases/cluster_test.go
+++ b/internal/coordination/dispatch/leases/cluster_test.go
@@ -85,7 +85,8 @@
 }
 func (c *fakeCluster) Changed() <-chan struct{} { return nil }
 
-func (c *fakeCluster) Get(id string) (*peerpb.Upstream, bool) { return c.Live(0)[0], true }
+func (c *fakeCluster) Get(id string) (*peerpb.Upstream, bool)     { return c.Live(0)[0], true }
+func (c *fakeCluster) KnownSince(string, int64) (time.Time, bool) { return time.Time{}, false }
 func (c *fakeCluster) Live(peerpb.UpstreamKind) []*peerpb.Upstream {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/coordination/dispatch/leases/events_model_test.go
+++ b/internal/coordination/dispatch/leases/events_model_test.go
@@ -180,7 +180,7 @@
 	time.AfterFunc(time.Duration(sim.rand.IntN(1000))*time.Millisecond+sim.moment(), func() {
 		sim.mu.Lock()
 		defer sim.mu.Unlock()
-		worker.announced = worker.incarnation
+		worker.announce()
 	})
 }
 
--- a/internal/coordination/dispatch/leases/instance_model_test.go
+++ b/internal/coordination/dispatch/leases/instance_model_test.go
@@ -39,6 +39,8 @@
 	trustAnnouncedAddresses
 	// ignoreIncarnations takes all reports under an id for those of one incarnation.
 	ignoreIncarnations
+	// trustYoungIncarnations takes each incarnation for one that has lasted long.
+	trustYoungIncarnations
 	// ignoreLateStarts lets no later incarnation refuse the starts meant for an earlier one.
 	ignoreLateStarts
 )
@@ -199,6 +201,17 @@
 	return live
 }
 
+// KnownSince implements leases.Registry.
+func (i *instance) KnownSince(id string, incarnation int64) (time.Time, bool) {
+	i.simulation.mu.Lock()
+	defer i.simulation.mu.Unlock()
+	b := i.simulation.workerByID(id)
+	if i.simulation.fault == trustYoungIncarnations {
+		return time.Time{}, true
+	}
+	return b.announcedSince, b.announced == incarnation && b.listed(time.Now())
+}
+
 // runController runs one iteration of the instance's controller.
 func (i *instance) runController(ctx context.Context) {
 	i.waitWhileFrozen("controller")
--- a/internal/coordination/dispatch/leases/lives.go
+++ b/internal/coordination/dispatch/leases/lives.go
@@ -55,8 +55,10 @@
 	// doubtedAt is when something happened after which another incarnation may answer; zero
 	// if nothing did since the newest report.
 	doubtedAt time.Time
-	// announced is the incarnation of the newest announcement.
-	announced int64
+	// announced is the incarnation of the newest announcement, and announcedSince a time at which it
+	// existed already.
+	announced      int64
+	announcedSince time.Time
 	// unconfirmed are the starts that no report has listed yet, with the time of sending.
 	unconfirmed map[runKey]time.Time
 	// unansweredAck is when the newest poll was sent that acknowledged ends and got no answer.
@@ -229,17 +231,30 @@
 	s.dataCentre = worker.DataCentre
 	if s.life.isOther(worker.Incarnation) {
 		if worker.Incarnation != s.life.announced {
-			s.life.announced, s.address, s.viewStale = worker.Incarnation, worker.Address, true
+			s.announce(worker.Incarnation)
+			s.address, s.viewStale = worker.Address, true
 			s.life.doubt(s.now())
 			s.requestPoll()
 		}
 		return
 	}
-	s.life.announced, s.address = worker.Incarnation, worker.Address
-	s.leaving = worker.Leaving
+	s.announce(worker.Incarnation)
+	s.address, s.leaving = worker.Address, worker.Leaving
 	s.recordDeparture(worker)
 }
 
+// announce records the incarnation of the newest announcement. Since when it has been announced is a time at
+// which it existed: no other writer can name one before. The caller must hold the lock.
+func (s *session) announce(incarnation int64) {
+	if incarnation == s.life.announced && !s.life.announcedSince.IsZero() {
+		return
+	}
+	s.life.announced, s.life.announcedSince = incarnation, s.now()
+	if since, ok := s.manager.registry.KnownSince(s.worker, incarnation); ok {
+		s.life.announcedSince = since
+	}
+}
+
 // isReplaced reports whether a worker that had ended announces another incarnation, for
 // which a new session is due: all that this one knows is in the log.
 func (s *session) isReplaced(worker *peerpb.Upstream) bool {
--- a/internal/coordination/dispatch/leases/lives_test.go
+++ b/internal/coordination/dispatch/leases/lives_test.go
@@ -178,3 +178,25 @@
 		})
 	}
 }
+
+// A leader that a young worker hasn't answered yet takes the lease for over while starts for the incarnation before
+// have extended it, and starts the task elsewhere.
+func TestLeaseOfAYoungIncarnationWithoutReport(t *testing.T) {
+	for name, test := range map[string]struct{ known, over time.Duration }{
+		"announced now":      {0, certainty + maxCommandDelay + LeaseUpperBound(10*time.Second)},
+		"announced for long": {time.Hour, LeaseUpperBound(5 * time.Second)},
+	} {
+		t.Run(name, func(t *testing.T) {
+			withLives(t, func(t *testing.T, f *livesFixture) {
+				is := is.New(t)
+				f.life, f.tracker = life{unconfirmed: map[runKey]time.Time{}}, NewTracker(5*time.Second, time.Now())
+				f.announce(firstLife)
+				f.life.announcedSince = time.Now().Add(-test.known)
+				time.Sleep(test.over - time.Millisecond)
+				is.Equal(f.proofOf(runKey{"w.0.0.0", 1}, firstLife), unproven)
+				time.Sleep(2 * time.Millisecond)
+				is.Equal(f.proofOf(runKey{"w.0.0.0", 1}, firstLife), leaseEnded)
+			})
+		})
+	}
+}
--- a/internal/coordination/dispatch/leases/manager.go
+++ b/internal/coordination/dispatch/leases/manager.go
@@ -82,6 +82,9 @@
 type Registry interface {
 	Get(id string) (*peerpb.Upstream, bool)
 	Live(kind peerpb.UpstreamKind) []*peerpb.Upstream
+	// KnownSince returns since when the incarnation has been announced as the worker's newest; false if
+	// it isn't.
+	KnownSince(id string, incarnation int64) (time.Time, bool)
 }
 
 // Config configures a Manager.
@@ -338,6 +341,20 @@
 	}
 	// There has been no session under this token, so only earlier leaders can have sent
 	// commands to the worker.
-	until := leaderSince.Add(m.config.FreshnessBound)
-	return m.config.Now().Sub(until) > LeaseUpperBound(m.config.Lease)
+	now, until := m.config.Now(), leaderSince.Add(m.config.FreshnessBound)
+	if placement.Incarnation <= UnnamedIncarnation {
+		return now.Sub(until) > LeaseUpperBound(m.config.Lease)
+	}
+	// The incarnation was known to an earlier leader.
+	known := leaderSince
+	if since, ok := m.registry.KnownSince(placement.Worker, placement.Incarnation); ok && since.Before(known) {
+		known = since
+	}
+	return now.Sub(until) > LeaseUpperBound(m.config.Lease) && now.Sub(known) > m.youngPeriod()
+}
+
+// youngPeriod is how long after the start of an incarnation commands for the one before may extend
+// its lease. They were sent within certainty after the start.
+func (m *Manager) youngPeriod() time.Duration {
+	return certainty + maxCommandDelay + LeaseUpperBound(m.config.MaxLease)
 }
--- a/internal/coordination/dispatch/leases/schedules_test.go
+++ b/internal/coordination/dispatch/leases/schedules_test.go
@@ -102,6 +102,39 @@
 	return s
 }
 
+// Guards against the same when a leader that can't reach a worker takes over from one whose late starts have
+// extended the lease of the worker's next incarnation.
+func TestYoungIncarnationsUnderAnySchedule(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		s := drawYoungIncarnations(rt)
+		if violation := runSchedule(t, s, noFault); violation != "" {
+			rt.Fatalf("%s", violation)
+		}
+	})
+}
+
+// drawYoungIncarnations draws a schedule in which many starts are delayed, all workers start again, and the
+// leader is lost soon after to one that can't reach a worker.
+func drawYoungIncarnations(t *rapid.T) schedule {
+	const delayed, quiet = 1500 * time.Millisecond, 400 * time.Millisecond
+	restart := time.Duration(rapid.IntRange(3000, 9000).Draw(t, "restart")) * time.Millisecond
+	loss := time.Duration(rapid.IntRange(500, 3000).Draw(t, "loss")) * time.Millisecond
+	s := schedule{seed: rapid.Uint64().Draw(t, "seed"), workflows: 4, named: true}
+	// An odd number cuts the second instance, which leads after the loss.
+	for _, target := range []int{1, 3, 5}[:rapid.IntRange(1, 3).Draw(t, "cuts")] {
+		s.events = append(s.events, event{kind: "cut", target: target})
+	}
+	s.events = append(s.events, event{at: restart - delayed, kind: "chaos"})
+	for third := range 3 {
+		s.events = append(s.events, event{at: restart - delayed + 50*time.Millisecond, kind: "preempt", target: third})
+	}
+	return schedule{seed: s.seed, workflows: s.workflows, named: true, events: append(s.events,
+		event{at: restart, kind: "restart all"},
+		event{at: restart + quiet, kind: "quiet"},
+		event{at: restart + loss, kind: "leader cut off"},
+	)}
+}
+
 // Guards against the same when announcements are misleading and stops are lost.
 func TestMisleadingAnnouncementsUnderAnySchedule(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
@@ -156,12 +189,15 @@
 		"a deregistration taken for proof":               trustDepartures,
 		"an announced address taken for proof":           trustAnnouncedAddresses,
 		"incarnations not told apart":                    ignoreIncarnations,
+		"young incarnations taken for old ones":          trustYoungIncarnations,
 		"late starts for an earlier incarnation":         ignoreLateStarts,
 	}
 	for name, fault := range faults {
 		t.Run(name, func(t *testing.T) {
 			generator := rapid.Custom(drawSchedule)
 			switch {
+			case fault == trustYoungIncarnations:
+				generator = rapid.Custom(drawYoungIncarnations)
 			case fault >= ignoreIncarnations:
 				generator = rapid.Custom(drawRestarts)
 			case fault >= trustDepartures:
--- a/internal/coordination/dispatch/leases/session.go
+++ b/internal/coordination/dispatch/leases/session.go
@@ -401,12 +401,24 @@
 	return s.gone || s.leaseOver()
 }
 
-// leaseOver reports whether nothing of the current incarnation can run any more without a
+// leaseOver reports whether nothing that the current incarnation has begun can run any more without a
 // report. Shortly after its start, commands for the incarnation before may still extend its
 // lease to the longest that a worker grants. The caller must hold the lock.
 func (s *session) leaseOver() bool {
 	now := s.now()
-	return s.tracker.LeaseExpired(now) && s.tracker.olderThan(maxCommandDelay+LeaseUpperBound(s.manager.config.MaxLease), now)
+	return s.tracker.LeaseExpired(now) && !now.Before(s.grownUpAt())
+}
+
+// grownUpAt returns from when on no command for an earlier incarnation can extend the lease of the
+// current one; zero for workers whose starts have ids of their own. The caller must hold the lock.
+func (s *session) grownUpAt() time.Time {
+	switch {
+	case s.life.named():
+		return s.tracker.bornBy.Add(s.manager.youngPeriod())
+	case s.life.announced > UnnamedIncarnation:
+		return s.life.announcedSince.Add(s.manager.youngPeriod())
+	}
+	return time.Time{}
 }
 
 // viewOf returns the worker as dispatch sees it. It returns nil for a worker that is
--- a/internal/coordination/dispatch/leases/tracker.go
+++ b/internal/coordination/dispatch/leases/tracker.go
@@ -88,12 +88,6 @@
 	}
 }
 
-// olderThan reports whether the incarnation has surely lasted longer than age; it is true
-// for workers whose starts have ids of their own.
-func (t *Tracker) olderThan(age time.Duration, now time.Time) bool {
-	return t.bornBy.IsZero() || now.Sub(t.bornBy) > age
-}
-
 func (t *Tracker) setClock(clock int64, now time.Time) {
 	if clock < t.clock {
 		return
--- a/internal/coordination/dispatch/leases/worker_model_test.go
+++ b/internal/coordination/dispatch/leases/worker_model_test.go
@@ -45,6 +45,8 @@
 	// incarnation is what reports and announcements name; 0 for workers that name none.
 	// announced is that of the newest announcement.
 	incarnation, announced int64
+	// announcedSince is when that incarnation was announced first.
+	announcedSince time.Time
 	// departedAt is when the worker deregistered; zero if it didn't. It ends at endsAt.
 	departedAt, endsAt time.Time
 	// foreignUntil is until when another writer announces the worker at foreignAddress.
@@ -65,10 +67,13 @@
 func (b *workerProcess) nameIncarnation() {
 	if b.simulation.named {
 		b.incarnation = time.Now().UnixMilli()
-		b.announced = b.incarnation
+		b.announce()
 	}
 }
 
+// announce announces the current incarnation.
+func (b *workerProcess) announce() { b.announced, b.announcedSince = b.incarnation, time.Now() }
+
 // restart starts the worker again under its id. It then knows nothing of before, and its
 // time of day may have been set back. Of a run that was stopped or had ended before, no late
 // start arrives: no leader could keep it from running beside a later one.
--- a/internal/coordination/dispatch/machines_test.go
+++ b/internal/coordination/dispatch/machines_test.go
@@ -213,6 +213,8 @@
 	return nil, false
 }
 
+func (m *machines) KnownSince(string, int64) (time.Time, bool) { return time.Time{}, false }
+
 func (m *machines) Live(peerpb.UpstreamKind) []*peerpb.Upstream {
 	m.mu.Lock()
 	defer m.mu.Unlock()
--- a/internal/coordination/membership/registry.go
+++ b/internal/coordination/membership/registry.go
@@ -34,8 +34,8 @@
 	// maxRemovals is the maximum number of removals kept for watchers; a watcher
 	// that is further behind gets a full snapshot.
 	maxRemovals = 4096
-	// versionRetention is how long the newest version of an upstream is remembered
-	// after the upstream was last received or reported; older announcements that
+	// versionRetention is how long the newest version of an upstream is remembered at least
+	// after the upstream was last received, reported or live; older announcements that
 	// arrive meanwhile are ignored.
 	versionRetention = time.Minute
 )
@@ -88,6 +88,8 @@
 type versionRecord struct {
 	newest      *peerpb.Upstream
 	retainUntil time.Time
+	// since is when the incarnation of the newest version became known.
+	since time.Time
 }
 
 // NewRegistry returns an empty registry.
@@ -166,7 +168,19 @@
 	if r.outdated(upstream, now) {
 		newest = r.newest(upstream.Id)
 	}
-	r.versions[upstream.Id] = versionRecord{newest: newest, retainUntil: now.Add(versionRetention)}
+	since := now
+	if known := r.versions[upstream.Id]; known.newest.GetIncarnation() == newest.Incarnation {
+		since = known.since
+	}
+	r.versions[upstream.Id] = versionRecord{newest: newest, retainUntil: now.Add(versionRetention), since: since}
+}
+
+// KnownSince returns since when the incarnation has been known as the upstream's newest; false if it is not.
+func (r *Registry) KnownSince(id string, incarnation int64) (time.Time, bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	known, ok := r.versions[id]
+	return known.since, ok && known.newest.Incarnation == incarnation
 }
 
 // outdated reports whether a newer announcement of the upstream is known. The number of an
@@ -227,7 +241,12 @@
 		}
 	}
 	for id, record := range r.versions {
-		if now.After(record.retainUntil) {
+		switch {
+		case !now.After(record.retainUntil):
+		case r.isLive(record.newest, now):
+			record.retainUntil = now.Add(versionRetention)
+			r.versions[id] = record
+		default:
 			delete(r.versions, id)
 		}
 	}
--- a/internal/coordination/membership/registry_test.go
+++ b/internal/coordination/membership/registry_test.go
@@ -159,6 +159,39 @@
 	}
 }
 
+// A leader takes an incarnation for older than it is, or one that another instance has reported for long for a new one.
+func TestIncarnationIsKnownSinceItsFirstAnnouncement(t *testing.T) {
+	is, c := is.New(t), newClock()
+	a, b := c.registry("a"), c.registry("b")
+	announce := func(incarnation int64, version uint64) {
+		announced := announcement("w", version, false)
+		announced.Incarnation = incarnation
+		is.NoErr(a.Merge(announced))
+		exchange(is, c, a, b)
+	}
+	since := func(r *Registry, incarnation int64) time.Duration {
+		known, ok := r.KnownSince("w", incarnation)
+		is.True(ok)
+		return c.now.Sub(known)
+	}
+	announce(1, 1)
+	for version := range uint64(100) {
+		c.now = c.now.Add(time.Second)
+		announce(1, 2+version)
+		exchange(is, c, a, b)
+		b.Sweep()
+	}
+	is.Equal(since(a, 1), 100*time.Second)
+	is.Equal(since(b, 1), 100*time.Second)
+	announce(2, 1)
+	is.Equal(since(a, 2), time.Duration(0))
+	is.Equal(since(b, 2), time.Duration(0))
+	_, ok := a.KnownSince("w", 1)
+	is.True(!ok)
+	_, ok = a.KnownSince("x", 1)
+	is.True(!ok)
+}
+
 // A batch that starts after the watcher's position omits changes; applying it would
 // lose them for good.
 func TestBatchWithGapIsRejected(t *testing.T) {
