leases: an unanswered start outlives the lease on workers that start again under their ids

What callers saw in the model: two runs of one task. A start gets no answer; its worker is cut off, the lease ends after 5.7 s, and the task starts elsewhere; meanwhile the worker has started again, and its next incarnation carries out the start, which came up to 12 s late.

Cause: the end of the lease proves that nothing runs on the incarnation that the commands were sent to. A command whose answer is missing may still reach the next one, which has seen no token and knows of no stop.

Change: a run whose start was sent without an answer counts as over by its lease only 25.9 s after that (15 s in which a command may arrive, and the longest lease that a worker grants), or once the next incarnation has answered and refused it, as before. Where earlier leaders may have sent it, the time counts from the end of their right to do so, unless the log has the start or a report lists the run. Workers that name no incarnation wait as before: their next start has another id, which commands for this one don't reach.

What it costs: only starts in flight when a worker with a born of its own is lost for good, 26 s in place of 6.

The schedules draw workers that have run for a minute. The control "late starts forgotten with the lease" finds two runs of one task.

A start that was stopped, not given up, is as it was: the stop's answer counts (docs/design/dispatch.md, "Not covered").

--- a/internal/coordination/dispatch/leases/command.go
+++ b/internal/coordination/dispatch/leases/command.go
@@ -154,7 +154,7 @@
 	start.Deadline = s.tracker.ExtendLease(s.now(), s.manager.config.Lease)
 	s.lastCommand = s.now()
 	sent, incarnation := s.now(), s.life.incarnation
-	s.life.recordStart(runKey{start.Task, start.Run}, sent)
+	s.life.recordStart(runKey{start.Task, start.Run}, s.manager.lateStartPeriod(), sent)
 	s.mu.Unlock()
 	s.requestPoll()
 	var clock int64
--- a/internal/coordination/dispatch/leases/instance_model_test.go
+++ b/internal/coordination/dispatch/leases/instance_model_test.go
@@ -41,6 +41,8 @@
 	ignoreIncarnations
 	// trustYoungIncarnations takes each incarnation for one that has lasted long.
 	trustYoungIncarnations
+	// trustLeases takes a run for ended with the lease, whichever incarnation may begin it later.
+	trustLeases
 	// ignoreLateStarts lets no later incarnation refuse the starts meant for an earlier one.
 	ignoreLateStarts
 )
@@ -88,6 +90,9 @@
 	if i.simulation.fault == assumeLeaseExpired || i.takenForProof(placement.Worker) {
 		return true
 	}
+	if i.simulation.fault == trustLeases {
+		placement = &controlpb.Placement{Task: placement.Task, Worker: placement.Worker, Incarnation: leases.UnnamedIncarnation}
+	}
 	return i.manager.LeaseExpired(job, placement)
 }
 
--- a/internal/coordination/dispatch/leases/lives.go
+++ b/internal/coordination/dispatch/leases/lives.go
@@ -112,15 +112,19 @@
 
 // recentStarts returns the unconfirmed starts that may still be carried out.
 func (l *life) recentStarts(now time.Time) map[runKey]time.Time {
+	return l.startsWithin(maxCommandDelay, now)
+}
+
+func (l *life) startsWithin(period time.Duration, now time.Time) map[runKey]time.Time {
 	recent := maps.Clone(l.unconfirmed)
-	maps.DeleteFunc(recent, func(_ runKey, sent time.Time) bool { return now.Sub(sent) > maxCommandDelay })
+	maps.DeleteFunc(recent, func(_ runKey, sent time.Time) bool { return now.Sub(sent) > period })
 	return recent
 }
 
-// recordStart records that a start is sent.
-func (l *life) recordStart(run runKey, now time.Time) {
+// recordStart records that a start is sent whose run may be active for a period.
+func (l *life) recordStart(run runKey, period time.Duration, now time.Time) {
 	if l.named() {
-		l.unconfirmed = l.recentStarts(now)
+		l.unconfirmed = l.startsWithin(period, now)
 		l.unconfirmed[run] = now
 	}
 }
--- a/internal/coordination/dispatch/leases/lives_test.go
+++ b/internal/coordination/dispatch/leases/lives_test.go
@@ -125,10 +125,10 @@
 		f.applyReport(&Report{Clock: 400_001, Incarnation: firstLife, Running: []Running{{Task: "w.0.0.0", Run: 2}}}, 0, time.Now(), worker.Address)
 		f.applyReport(&Report{Clock: 5, Incarnation: secondLife}, 0, time.Now(), worker.Address)
 		is.Equal(f.fence, []runKey{{"w.0.0.0", 1}})
-		is.Equal(f.proofOf(runKey{"w.0.0.0", 1}, firstLife), unproven)
-		is.Equal(f.proofOf(runKey{"w.0.0.0", 2}, firstLife), startedAnew) // a report had shown it
+		is.Equal(f.proofOf(runKey{"w.0.0.0", 1}, firstLife, false), unproven)
+		is.Equal(f.proofOf(runKey{"w.0.0.0", 2}, firstLife, false), startedAnew) // a report had shown it
 		time.Sleep(maxCommandDelay + 11*time.Second)
-		is.Equal(f.proofOf(runKey{"w.0.0.0", 1}, firstLife), startTooLate)
+		is.Equal(f.proofOf(runKey{"w.0.0.0", 1}, firstLife, false), startTooLate)
 	})
 }
 
@@ -193,9 +193,38 @@
 				f.announce(firstLife)
 				f.life.announcedSince = time.Now().Add(-test.known)
 				time.Sleep(test.over - time.Millisecond)
-				is.Equal(f.proofOf(runKey{"w.0.0.0", 1}, firstLife), unproven)
+				is.Equal(f.proofOf(runKey{"w.0.0.0", 1}, firstLife, true), unproven)
 				time.Sleep(2 * time.Millisecond)
-				is.Equal(f.proofOf(runKey{"w.0.0.0", 1}, firstLife), leaseEnded)
+				is.Equal(f.proofOf(runKey{"w.0.0.0", 1}, firstLife, true), leaseEnded)
+			})
+		})
+	}
+}
+
+// A start without an answer is carried out by the worker's next incarnation after the lease is over, beside the run
+// that was started elsewhere since.
+func TestUnansweredStartOutlivesTheLease(t *testing.T) {
+	for name, test := range map[string]struct {
+		change    func(f *livesFixture)
+		confirmed bool
+		over      time.Duration
+	}{
+		"sent by this leader":      {change: func(f *livesFixture) { f.life.recordStart(runKey{"w.0.0.0", 1}, time.Minute, time.Now()) }, over: maxCommandDelay + LeaseUpperBound(10*time.Second)},
+		"sent by an earlier one":   {change: func(f *livesFixture) { f.inheritedUntil = time.Now() }, over: maxCommandDelay + LeaseUpperBound(10*time.Second)},
+		"the log has its start":    {change: func(f *livesFixture) { f.inheritedUntil = time.Now() }, confirmed: true, over: LeaseUpperBound(5 * time.Second)},
+		"shown by a report":        {change: func(f *livesFixture) { f.tracker.running = []Running{{Task: "w.0.0.0", Run: 1}} }, over: LeaseUpperBound(5 * time.Second)},
+		"not sent in a long term":  {change: func(f *livesFixture) { f.inheritedUntil = time.Now().Add(-time.Hour) }, over: LeaseUpperBound(5 * time.Second)},
+		"the worker names no life": {change: func(f *livesFixture) { f.inheritedUntil, f.life = time.Now(), life{} }, over: LeaseUpperBound(5 * time.Second)},
+	} {
+		t.Run(name, func(t *testing.T) {
+			withLives(t, func(t *testing.T, f *livesFixture) {
+				is := is.New(t)
+				test.change(f)
+				incarnation := max(f.life.incarnation, UnnamedIncarnation)
+				time.Sleep(test.over - time.Millisecond)
+				is.Equal(f.proofOf(runKey{"w.0.0.0", 1}, incarnation, test.confirmed), unproven)
+				time.Sleep(2 * time.Millisecond)
+				is.Equal(f.proofOf(runKey{"w.0.0.0", 1}, incarnation, test.confirmed), leaseEnded)
 			})
 		})
 	}
--- a/internal/coordination/dispatch/leases/manager.go
+++ b/internal/coordination/dispatch/leases/manager.go
@@ -204,16 +204,17 @@
 func (m *Manager) openSession(ctx context.Context, worker *peerpb.Upstream) *session {
 	until := m.leaderSince.Add(m.config.FreshnessBound)
 	s := &session{
-		manager:      m,
-		token:        m.term,
-		worker:       worker.Id,
-		address:      worker.Address,
-		dataCentre:   worker.DataCentre,
-		life:         life{announced: worker.Incarnation, unconfirmed: map[runKey]time.Time{}},
-		tracker:      NewTracker(m.config.Lease, until),
-		pollRequests: make(chan struct{}, 1),
-		firstPoll:    make(chan struct{}),
-		nextReport:   make(chan struct{}),
+		manager:        m,
+		token:          m.term,
+		worker:         worker.Id,
+		inheritedUntil: until,
+		address:        worker.Address,
+		dataCentre:     worker.DataCentre,
+		life:           life{announced: worker.Incarnation, unconfirmed: map[runKey]time.Time{}},
+		tracker:        NewTracker(m.config.Lease, until),
+		pollRequests:   make(chan struct{}, 1),
+		firstPoll:      make(chan struct{}),
+		nextReport:     make(chan struct{}),
 	}
 	sessionCtx, cancel := context.WithCancel(ctx)
 	s.cancel = cancel
@@ -337,7 +338,7 @@
 	if s != nil {
 		s.mu.Lock()
 		defer s.mu.Unlock()
-		return s.proofOf(runKey{store.TaskName(job, placement.Task), job.Epoch}, placement.Incarnation) != unproven
+		return s.proofOf(runKey{store.TaskName(job, placement.Task), job.Epoch}, placement.Incarnation, job.StartedMs > 0) != unproven
 	}
 	// There has been no session under this token, so only earlier leaders can have sent
 	// commands to the worker.
@@ -345,6 +346,9 @@
 	if placement.Incarnation <= UnnamedIncarnation {
 		return now.Sub(until) > LeaseUpperBound(m.config.Lease)
 	}
+	if job.StartedMs == 0 {
+		return now.Sub(until) > m.lateStartPeriod()
+	}
 	// The incarnation was known to an earlier leader.
 	known := leaderSince
 	if since, ok := m.registry.KnownSince(placement.Worker, placement.Incarnation); ok && since.Before(known) {
@@ -355,6 +359,4 @@
 
 // youngPeriod is how long after the start of an incarnation commands for the one before may extend
 // its lease. They were sent within certainty after the start.
-func (m *Manager) youngPeriod() time.Duration {
-	return certainty + maxCommandDelay + LeaseUpperBound(m.config.MaxLease)
-}
+func (m *Manager) youngPeriod() time.Duration { return certainty + m.lateStartPeriod() }
--- a/internal/coordination/dispatch/leases/proof.go
+++ b/internal/coordination/dispatch/leases/proof.go
@@ -1,6 +1,8 @@
 package leases
 
 import (
+	"time"
+
 	"github.com/sirupsen/logrus"
 
 	"pinewinch.example/pinewinch/internal/protocol/failure"
@@ -32,15 +34,16 @@
 )
 
 // proofOf returns why a run on the given incarnation of the worker can no longer be active,
-// although no end of it has been reported. The caller must hold the lock.
-func (s *session) proofOf(run runKey, incarnation int64) proof {
+// although no end of it has been reported. confirmed is set if the log has that it was started. The
+// caller must hold the lock.
+func (s *session) proofOf(run runKey, incarnation int64, confirmed bool) proof {
 	now := s.now()
 	if s.gone {
 		return addressTaken
 	}
 	// The current incarnation may have begun a run that was meant for an earlier one.
 	if status, _ := s.tracker.Find(run.task, run.run); status == Active || !s.life.isOther(incarnation) {
-		if s.leaseOver() {
+		if s.leaseOver() && (status == Active || !s.mayStartLate(run, incarnation, confirmed)) {
 			return leaseEnded
 		}
 		return unproven
@@ -56,12 +59,31 @@
 	if _, unconfirmed := past.unconfirmed[run]; !unconfirmed {
 		return startedAnew
 	}
-	if now.Sub(past.endedAt) > maxCommandDelay+LeaseUpperBound(s.manager.config.MaxLease) {
+	if now.Sub(past.endedAt) > s.manager.lateStartPeriod() {
 		return startTooLate
 	}
 	return unproven
 }
 
+// mayStartLate reports whether a start of the run that has not been confirmed, by this leader or an
+// earlier one, may still be carried out by an incarnation after the one that it was meant for, or may
+// have been a lease ago. The caller must hold the lock.
+func (s *session) mayStartLate(run runKey, incarnation int64, confirmed bool) bool {
+	if incarnation <= UnnamedIncarnation {
+		return false
+	}
+	if sent, ok := s.life.unconfirmed[run]; ok {
+		return s.now().Sub(sent) <= s.manager.lateStartPeriod()
+	}
+	return !confirmed && s.now().Sub(s.inheritedUntil) <= s.manager.lateStartPeriod()
+}
+
+// lateStartPeriod is how long after its sending the run of a start may be active, on any incarnation
+// of the worker.
+func (m *Manager) lateStartPeriod() time.Duration {
+	return maxCommandDelay + LeaseUpperBound(m.config.MaxLease)
+}
+
 // recordMisdirected records that another boot answered at an address. It proves that the
 // incarnation has ended only where that one has answered before: an address that was merely
 // announced may be another worker's. The caller must hold the lock.
--- a/internal/coordination/dispatch/leases/schedules_test.go
+++ b/internal/coordination/dispatch/leases/schedules_test.go
@@ -52,6 +52,8 @@
 	cancellations map[string]cancellation
 	// named makes the workers name their incarnations.
 	named bool
+	// age is how long the workers have run when the schedule begins.
+	age time.Duration
 	// order selects one of the orders of what happens at one moment.
 	order uint64
 }
@@ -99,6 +101,7 @@
 func drawRestarts(t *rapid.T) schedule {
 	s := drawScheduleOf(t, append([]string{"restart", "restart", "restart", "restart all"}, eventKinds...))
 	s.named = true
+	s.age = time.Duration(rapid.SampledFrom([]int{0, 60}).Draw(t, "age")) * time.Second
 	return s
 }
 
@@ -135,6 +138,29 @@
 	)}
 }
 
+// Guards against the same when starts are carried out by the next incarnation of a worker that the leader has given up.
+func TestLateStartsUnderAnySchedule(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		s := drawLateStarts(rt)
+		if violation := runSchedule(t, s, noFault); violation != "" {
+			rt.Fatalf("%s", violation)
+		}
+	})
+}
+
+// drawLateStarts draws a schedule in which the first starts are delayed, the leader is cut off from a worker that has
+// run for long, and the worker starts again.
+func drawLateStarts(t *rapid.T) schedule {
+	// An even number cuts the first leader.
+	target := 2 * rapid.IntRange(0, 2).Draw(t, "cut")
+	return schedule{seed: rapid.Uint64().Draw(t, "seed"), workflows: 4, named: true, age: time.Minute, events: []event{
+		{kind: "chaos"},
+		{at: time.Duration(rapid.IntRange(200, 900).Draw(t, "at")) * time.Millisecond, kind: "cut", target: target},
+		{at: time.Second, kind: "quiet"},
+		{at: time.Duration(rapid.IntRange(1500, 9000).Draw(t, "restart")) * time.Millisecond, kind: "restart", target: target},
+	}}
+}
+
 // Guards against the same when announcements are misleading and stops are lost.
 func TestMisleadingAnnouncementsUnderAnySchedule(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
@@ -190,6 +216,7 @@
 		"an announced address taken for proof":           trustAnnouncedAddresses,
 		"incarnations not told apart":                    ignoreIncarnations,
 		"young incarnations taken for old ones":          trustYoungIncarnations,
+		"late starts forgotten with the lease":           trustLeases,
 		"late starts for an earlier incarnation":         ignoreLateStarts,
 	}
 	for name, fault := range faults {
@@ -198,6 +225,8 @@
 			switch {
 			case fault == trustYoungIncarnations:
 				generator = rapid.Custom(drawYoungIncarnations)
+			case fault == trustLeases:
+				generator = rapid.Custom(drawLateStarts)
 			case fault >= ignoreIncarnations:
 				generator = rapid.Custom(drawRestarts)
 			case fault >= trustDepartures:
@@ -263,7 +292,9 @@
 	sim.maxQueueDelay, sim.cancellations = s.maxQueueDelay, s.cancellations
 	sim.named, sim.order = s.named, s.order
 	for _, b := range sim.workers {
+		b.startedAt = b.startedAt.Add(-s.age)
 		b.nameIncarnation()
+		b.announcedSince = b.startedAt
 	}
 	for n := range s.workflows {
 		sim.submit(n)
--- a/internal/coordination/dispatch/leases/session.go
+++ b/internal/coordination/dispatch/leases/session.go
@@ -45,6 +45,8 @@
 	gone bool
 	// departed is that of the latest announcement of the current incarnation.
 	departed bool
+	// inheritedUntil is until when earlier leaders may have sent commands.
+	inheritedUntil time.Time
 	// answeredFrom is the address from which the newest report came; empty before the first one.
 	answeredFrom string
 	// misdirectedAt is the latest address at which another boot answered that proves nothing.
@@ -387,11 +389,12 @@
 }
 
 // hasUniqueState reports whether this session has information that a new one would
-// lack: runs, unacknowledged ends, or that the incarnation is gone.
+// lack: runs, starts that may still be carried out, unacknowledged ends, or that the incarnation is gone.
 func (s *session) hasUniqueState() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.over() || s.tracker.Busy() || len(s.pastEnds(s.manager.log.State())) > 0
+	return s.over() || s.tracker.Busy() || len(s.pastEnds(s.manager.log.State())) > 0 ||
+		len(s.life.startsWithin(s.manager.lateStartPeriod(), s.now())) > 0
 }
 
 // leaseExpired reports whether nothing started under this incarnation can still run.
--- a/internal/coordination/dispatch/leases/worker_model_test.go
+++ b/internal/coordination/dispatch/leases/worker_model_test.go
@@ -66,7 +66,7 @@
 // nameIncarnation names the worker's first incarnation, if workers name them.
 func (b *workerProcess) nameIncarnation() {
 	if b.simulation.named {
-		b.incarnation = time.Now().UnixMilli()
+		b.incarnation = b.startedAt.UnixMilli()
 		b.announce()
 	}
 }
