leases: workers that are known to forget ends are used again at once if they are too many

What callers saw in the model: all workers started again and answered acknowledgements for the incarnations before; nothing was placed for 15 s after each round of lost ends. The 15 s are for acknowledgements that may still arrive late; what a worker is known to forget doesn't become less by waiting, only by further ends.

--- a/internal/coordination/dispatch/leases/lives.go
+++ b/internal/coordination/dispatch/leases/lives.go
@@ -339,7 +339,7 @@
 	excess := len(forgetful) - len(m.sessions)/2
 	for _, s := range forgetful[:max(excess, 0)] {
 		s.mu.Lock()
-		if s.now().Sub(s.life.forgetfulSince) > maxCommandDelay {
+		if s.now().Sub(s.life.lateAck) > maxCommandDelay {
 			s.life.forgetfulSince, s.viewStale = time.Time{}, true
 			s.logEntry().Warn("worker that may forget ends is used again: too many do")
 		}
