quarantine: half of each service's room stays in use, not half of its workers

What callers would see: accepted work that stands beside free room (LOST), though half of the workers are in use: those that are well have shrunk to nothing, are small, or have no accelerators, and the others are quarantined by jobs that fail everywhere. The share that keeps sound work going was counted in workers; workers that an evacuation holds back were counted as in use, too.

The share is counted in cores and in accelerators now, to the nearest whole worker, and where all workers are alike it is what it was. TestShareOfRoomStaysInUse: five of its six cases fail with workers counted.

--- a/internal/coordination/dispatch/controller.go
+++ b/internal/coordination/dispatch/controller.go
@@ -287,7 +287,7 @@
 	// Computed only on demand: usually no worker is due for a probe.
 	holding := sync.OnceValue(func() map[string]bool { return workersHoldingTasks(state) })
 	judged := c.judgeWorkers(state, live, holding)
-	kept := c.keepInUse(state, live, judged)
+	kept := c.keepInUse(state, live, judged, held)
 	for _, worker := range live {
 		verdict, badRecord := judged[worker.Id].verdict, judged[worker.Id].badRecord
 		if verdict == quarantine.Probing {
@@ -342,15 +342,19 @@
 	return judged
 }
 
-// keepInUse returns the workers that are given work although their failures exclude them.
-func (c *Controller) keepInUse(state *store.State, live []*peerpb.Upstream, judged map[string]judgement) map[string]bool {
+// keepInUse returns the workers that are given work although their failures exclude them. Those that get none
+// for another reason keep no sound work going, so that they are not counted.
+func (c *Controller) keepInUse(state *store.State, live []*peerpb.Upstream, judged map[string]judgement, held map[string]bool) map[string]bool {
 	var usable []quarantine.Judged
 	excluded := false
 	for _, worker := range live {
-		if worker.Leaving || state.Drained(worker.Id) || state.Evacuated(worker.DataCentre) {
+		if worker.Leaving || state.Drained(worker.Id) || state.Evacuated(worker.DataCentre) || held[worker.Id] {
 			continue
 		}
-		j := quarantine.Judged{Worker: worker.Id, Services: worker.Services, Verdict: judged[worker.Id].verdict}
+		j := quarantine.Judged{
+			Worker: worker.Id, Services: worker.Services, Verdict: judged[worker.Id].verdict,
+			Room: quarantine.Room{CoresMilli: max(int64(worker.CoresMilli), 1000*int64(worker.Cores)), Accelerators: int64(worker.Accelerators)},
+		}
 		if health := state.Health(worker.Id); health != nil && len(health.Failures) > 0 {
 			j.Failures, j.NewestMs = health.Consecutive, health.Failures[len(health.Failures)-1].TimeMs
 		}
--- a/internal/coordination/dispatch/quarantine/share_test.go
+++ b/internal/coordination/dispatch/quarantine/share_test.go
@@ -42,3 +42,27 @@
 		})
 	}
 }
+
+// The workers that are well have shrunk or are small: half of the workers are in use and hardly any of the room.
+func TestShareOfRoomStaysInUse(t *testing.T) {
+	const h, q = quarantine.Healthy, quarantine.Quarantined
+	worker := func(name string, verdict quarantine.Verdict, cores, accelerators int64) quarantine.Judged {
+		return quarantine.Judged{Worker: name, Services: []string{"s"}, Verdict: verdict, Room: quarantine.Room{CoresMilli: cores, Accelerators: accelerators}}
+	}
+	for name, test := range map[string]struct {
+		workers []quarantine.Judged
+		want    string
+	}{
+		"shrunk to nothing":       {[]quarantine.Judged{worker("a", h, 0, 0), worker("b", h, 0, 0), worker("c", q, 8000, 4), worker("d", q, 8000, 4)}, "c"},
+		"small":                   {[]quarantine.Judged{worker("a", h, 100, 0), worker("b", h, 100, 0), worker("c", q, 8000, 0), worker("d", q, 8000, 0)}, "c"},
+		"without accelerators":    {[]quarantine.Judged{worker("a", h, 8000, 0), worker("b", h, 8000, 0), worker("c", q, 8000, 4), worker("d", q, 8000, 4)}, "c"},
+		"large":                   {[]quarantine.Judged{worker("a", h, 8000, 8), worker("b", q, 1000, 1), worker("c", q, 1000, 1), worker("d", q, 1000, 1)}, ""},
+		"out, and without room":   {[]quarantine.Judged{worker("a", q, 0, 0), worker("b", q, 8000, 4), worker("c", q, 8000, 4)}, "b"},
+		"all have shrunk equally": {[]quarantine.Judged{worker("a", q, 0, 0), worker("b", q, 0, 0)}, "a"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			kept := slices.Sorted(maps.Keys(quarantine.KeepInUse(test.workers)))
+			is.New(t).Equal(strings.Join(kept, " "), test.want)
+		})
+	}
+}
