isolation: a gang that would wait for more empty workers than are ever emptied runs like any other

What callers would see: accepted work that stands beside free room (LOST). Two crashes of workers, under different members, isolate a gang: it waits for workers of its own. Where each of them runs something, no more than an eighth of all are emptied at once, and a gang that needs more waited for as long as the others were in use, though half of their room was free. Such a gang is not isolated now, as one that fits on no half of the workers.

TestGangOnBusyWorkersIsNotIsolated fails without it. What it costs: a gang that does crash its workers may do so beside other work until it is given up.

--- a/internal/coordination/dispatch/isolation/isolation.go
+++ b/internal/coordination/dispatch/isolation/isolation.go
@@ -157,7 +157,8 @@
 			cmp.Compare(x.Id, y.Id),
 		)
 	})
-	toEmpty := max(len(u.workers)/emptiedShare, 1)
+	mayEmpty := max(len(u.workers)/emptiedShare, 1)
+	toEmpty := mayEmpty
 	toKeep := max(len(u.workers)/keptShare, 1) - len(u.plan.OnlyFor)
 	for _, job := range waiting {
 		kept, fits := u.choose(job)
@@ -170,6 +171,11 @@
 		if occupied > 0 && !u.plan.Restricted[job.Id] {
 			continue
 		}
+		if occupied > mayEmpty {
+			// So many are never emptied for it: it would wait while the rest of their room is free.
+			delete(u.plan.Restricted, job.Id)
+			continue
+		}
 		if len(kept.workers) == 0 || len(kept.workers) > toKeep || occupied > toEmpty {
 			continue
 		}
--- a/internal/coordination/dispatch/isolation/isolation_test.go
+++ b/internal/coordination/dispatch/isolation/isolation_test.go
@@ -122,3 +122,16 @@
 	is.Equal(len(plan.OnlyFor), 3)
 	is.True(plan.Restricted["g"])
 }
+
+// A gang waits for as many empty workers as are never emptied at once, beside free room on all of them.
+func TestGangOnBusyWorkersIsNotIsolated(t *testing.T) {
+	is := is.New(t)
+	gang := &controlpb.Job{Id: "g", Tasks: 24, Accelerators: 1, State: waiting}
+	jobs := []*controlpb.Job{gang}
+	for n := range 8 {
+		jobs = append(jobs, job(fmt.Sprint("j", n), running, fmt.Sprint("w", n)))
+	}
+	judged := verdicts{"g": crashes.Isolated}
+	is.True(!(&isolation.Keeper{}).Update(start, jobs, workers(8), judged).Restricted["g"])
+	is.True((&isolation.Keeper{}).Update(start, jobs[:6], workers(8), judged).Restricted["g"]) // three are empty
+}
