gang: workers that vanish under different members are not counted against one job

What callers of the product's own interface would see: a gang given up after five of its workers had vanished, each under another member; of 128 workers that is an ordinary week. TestVanishedWorkersCountByTask fails without it.

--- a/internal/coordination/dispatch/gang/retry.go
+++ b/internal/coordination/dispatch/gang/retry.go
@@ -22,8 +22,8 @@
 	// on whichever workers it ran: a small system has fewer than three workers to try.
 	parkOwnFailures = 8
 	// parkVanishedWorkers is the number of distinct workers that have to vanish while
-	// running a job before the job is parked. A single vanished worker is not attributed
-	// to the job.
+	// running one task before its job is parked. A single vanished worker is not attributed
+	// to the task, nor those of the other members of its gang.
 	parkVanishedWorkers = 5
 	// immediateRetries is how often a job that was not started is placed again without a
 	// delay.
@@ -124,12 +124,15 @@
 // than to its workers.
 func atFault(job *controlpb.Job, quarantined func(worker string) bool) bool {
 	healthy := map[string]bool{}
-	vanished := map[string]bool{}
+	vanished := map[uint32]map[string]bool{}
 	own := 0
 	for _, failed := range job.Failures {
 		switch code := failure.Code(failed.Code); {
 		case code == failure.WorkerVanished:
-			vanished[failed.Worker] = true
+			if vanished[failed.Task] == nil {
+				vanished[failed.Task] = map[string]bool{}
+			}
+			vanished[failed.Task][failed.Worker] = true
 		case code.Infrastructure():
 		case code == failure.MemoryExceeded:
 			own++
@@ -140,5 +143,10 @@
 			}
 		}
 	}
-	return len(healthy) >= parkHealthyWorkers || own >= parkOwnFailures || len(vanished) >= parkVanishedWorkers
+	for _, workers := range vanished {
+		if len(workers) >= parkVanishedWorkers {
+			return true
+		}
+	}
+	return len(healthy) >= parkHealthyWorkers || own >= parkOwnFailures
 }
--- a/internal/coordination/dispatch/gang/retry_test.go
+++ b/internal/coordination/dispatch/gang/retry_test.go
@@ -46,6 +46,15 @@
 	}
 }
 
+// A gang is given up after five of its workers have vanished, each under another member: an ordinary week of a large one.
+func TestVanishedWorkersCountByTask(t *testing.T) {
+	failures := failuresOn("worker_vanished", "a", "b", "c", "d", "e")
+	for task, failed := range failures {
+		failed.Task = uint32(task)
+	}
+	is.New(t).True(!atFault(&controlpb.Job{Failures: failures}, func(string) bool { return false }))
+}
+
 // The backoff grows up to a cap, is the same on every leader, and differs between jobs
 // that failed together.
 func TestBackoff(t *testing.T) {
