--- a/internal/coordination/scheduling/eligible.go
+++ b/internal/coordination/scheduling/eligible.go
@@ -24,25 +24,38 @@
 	return runsOn(job, n.worker) && (req.retriesAnywhere || !hasFailedOn(job, n.worker.ID))
 }
 
-// hasFailedEverywhere reports whether the job has failed on all available workers that run its
-// service. It would otherwise wait for ever for one on which it has not, with attempts left.
-func (c *cluster) hasFailedEverywhere(job *controlpb.Job) bool {
+// hasTriedAll reports whether the workers on which the job has not failed can't hold it, even when they
+// are empty. It would otherwise wait for ever for them, with attempts left.
+func (c *cluster) hasTriedAll(job *controlpb.Job) bool {
 	if job.MaxAttempts == 0 || len(job.Failures) == 0 {
 		return false
 	}
 	failed := false
+	held := map[string]int64{}
 	for _, n := range c.nodes {
-		if n.worker.Unavailable || !runsOn(job, n.worker) {
-			continue
-		}
-		if !hasFailedOn(job, n.worker.ID) {
-			return false
+		switch {
+		case n.worker.Unavailable || !runsOn(job, n.worker):
+		case hasFailedOn(job, n.worker.ID):
+			failed = true
+		default:
+			domain := domainOf(job.Adjacency, n.worker)
+			if held[domain] += tasksWhenEmpty(job, n.worker); held[domain] >= int64(max(job.Tasks, 1)) {
+				return false
+			}
 		}
-		failed = true
 	}
 	return failed
 }
 
+// tasksWhenEmpty returns how many tasks of the job the worker holds when it is empty.
+func tasksWhenEmpty(job *controlpb.Job, worker *Worker) int64 {
+	tasks := workerSize(worker).tasks(taskSize(job))
+	if job.SpreadLimit > 0 {
+		return min(tasks, int64(job.SpreadLimit))
+	}
+	return tasks
+}
+
 // runsOn reports whether the worker runs the job's service and has the label it requires.
 func runsOn(job *controlpb.Job, worker *Worker) bool {
 	if job.Service != "" && !slices.Contains(worker.Services, job.Service) {
@@ -80,7 +93,7 @@
 			continue
 		}
 		ids = append(ids, workers[i].ID)
-		if left -= workerSize(&workers[i]).tasks(taskSize(job)); left <= 0 {
+		if left -= tasksWhenEmpty(job, &workers[i]); left <= 0 {
 			return ids, true
 		}
 	}
--- a/internal/coordination/scheduling/placement.go
+++ b/internal/coordination/scheduling/placement.go
@@ -24,8 +24,8 @@
 	unrestricted bool
 	// restricted requests may only use workers that are kept for the job.
 	restricted bool
-	// retriesAnywhere requests may return to workers on which the job has failed: it has failed on
-	// every one that could run it.
+	// retriesAnywhere requests may return to workers on which the job has failed: the others can't
+	// hold it, or it has waited for them beside free capacity.
 	retriesAnywhere bool
 	// careful requests prefer other workers for a further attempt.
 	careful bool
@@ -64,7 +64,7 @@
 		restricted:     p.snapshot.Restricted[job.Id],
 		careful:        p.snapshot.Features.AttemptPlacement,
 	}
-	req.retriesAnywhere = p.cluster.hasFailedEverywhere(job)
+	req.retriesAnywhere = p.cluster.hasTriedAll(job)
 	if p.snapshot.Features.ExpectedEnd {
 		p.estimateWork(req)
 	}
