leases: ends are acknowledged only where there is something to acknowledge, and soon after a report

All three workers started again at 6.300 s; the polls of 6.448 to 6.473 s acknowledged 4, 8 and 4 ends of the incarnations before, since reports had come at 6.25 s, and each next incarnation forgot as many of its own.

Cause: each poll within half a second after a report carried the acknowledgement, also one that was known already; and one that waited for a commit left up to 200 ms after the report.

Change, at workers that name their incarnations: a poll acknowledges only if the latest report lists an end that may be forgotten, and within 100 ms after it. A later one sends none; the worker answers it at once, as it still lists the end, and the poll after that acknowledges. It costs a look where a commit takes longer than 100 ms. Other workers are asked as before.

TestAcknowledgementsAreSentOnlyWhereNeeded fails without either part.

--- a/internal/coordination/dispatch/leases/command.go
+++ b/internal/coordination/dispatch/leases/command.go
@@ -368,10 +368,7 @@
 func (s *session) plainPoll() Poll {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if !s.life.certain(s.now()) {
-		return Poll{Token: s.token}
-	}
-	return Poll{Token: s.token, Acknowledged: s.tracker.acked}
+	return Poll{Token: s.token, Acknowledged: s.acknowledged()}
 }
 
 // stopResult returns the status of a stopped run, the answer if the latest report
--- a/internal/coordination/dispatch/leases/lives.go
+++ b/internal/coordination/dispatch/leases/lives.go
@@ -29,6 +29,9 @@
 	// certainty is how long after a report of the worker a request may rely on reaching the
 	// same incarnation. A worker that ends breaks its connections, and starts take longer.
 	certainty = 500 * time.Millisecond
+	// ackCertainty is how long after a report of the worker a request may acknowledge ends. An
+	// acknowledgement that waits longer goes with the poll after the next report.
+	ackCertainty = 100 * time.Millisecond
 	// maxCommandDelay is how long after it was sent a command may still be carried out, also
 	// by a later incarnation than the one it was sent to.
 	maxCommandDelay = 15 * time.Second
--- a/internal/coordination/dispatch/leases/lives_test.go
+++ b/internal/coordination/dispatch/leases/lives_test.go
@@ -271,3 +271,21 @@
 		f.manager.sessions = nil
 	})
 }
+
+// A worker starts again within the half second after a report, and the next incarnation forgets its own ends up to the
+// number of an acknowledgement that had nothing to say, or waited for a commit.
+func TestAcknowledgementsAreSentOnlyWhereNeeded(t *testing.T) {
+	withLives(t, func(t *testing.T, f *livesFixture) {
+		is := is.New(t)
+		is.NoErr(f.poll(t.Context()))
+		is.Equal(f.polls[0].Acknowledged, uint64(1))
+		is.NoErr(f.poll(t.Context()))
+		is.Equal(f.polls[1].Acknowledged, uint64(0)) // the worker lists no end any more
+		is.True(f.polls[1].Deadline > 0)
+		f.applyReport(&Report{Clock: 400_001, Incarnation: firstLife, Ends: []End{{Number: 2, Task: "gone", Run: 2, Outcome: Done}}}, 0, time.Now(), worker.Address)
+		time.Sleep(ackCertainty + time.Millisecond)
+		is.NoErr(f.poll(t.Context()))
+		is.Equal(f.polls[2].Acknowledged, uint64(0))
+		is.True(f.polls[2].Deadline > 0)
+	})
+}
--- a/internal/coordination/dispatch/leases/schedules_test.go
+++ b/internal/coordination/dispatch/leases/schedules_test.go
@@ -109,7 +109,7 @@
 func TestSchedulesThatFailed(t *testing.T) {
 	const orders = 20
 	generator := rapid.Custom(drawRestarts)
-	for _, seed := range []int{92336, 183819, 1071419, 2225496, 3429178, 4137933, 8919479, 9213282, 11236672, 13994796, 20261943} {
+	for _, seed := range []int{92336, 183819, 1071419, 2225496, 2341217, 3429178, 4137933, 8919479, 9213282, 11236672, 13994796, 20261943} {
 		for order := range uint64(orders) {
 			s := generator.Example(seed)
 			s.order = order
--- a/internal/coordination/dispatch/leases/session.go
+++ b/internal/coordination/dispatch/leases/session.go
@@ -160,9 +160,8 @@
 	s.mu.Lock()
 	request := Poll{Token: s.token}
 	certain := s.life.certain(s.now())
-	if acknowledged := s.tracker.AcknowledgeCommitted(s.manager.log.State()); certain {
-		request.Acknowledged = acknowledged
-	}
+	s.tracker.AcknowledgeCommitted(s.manager.log.State())
+	request.Acknowledged = s.acknowledged()
 	if certain && s.tracker.HasReport() && s.failedPolls == 0 && !s.unresponsive() {
 		lease := s.manager.config.Lease
 		request.Wait = pollWait
@@ -177,6 +176,20 @@
 	return s.sendPoll(ctx, request)
 }
 
+// acknowledged returns the number of the newest end that a poll sent now may acknowledge; 0 for none. At a worker that
+// may start again under its id, only a poll that has something to acknowledge does, soon after a report: the next
+// incarnation would forget its own ends up to that number. The caller must hold the lock.
+func (s *session) acknowledged() uint64 {
+	now := s.now()
+	if !s.life.certain(now) {
+		return 0
+	}
+	if s.life.named() && (!s.tracker.listsAcknowledged() || now.Sub(s.life.seenAt) > ackCertainty) {
+		return 0
+	}
+	return s.tracker.acked
+}
+
 func (s *session) sendPoll(ctx context.Context, request Poll) error {
 	pollsSent.Add(1)
 	ctx, cancel := context.WithTimeout(ctx, request.Wait+pollMargin)
--- a/internal/coordination/dispatch/leases/tracker.go
+++ b/internal/coordination/dispatch/leases/tracker.go
@@ -40,6 +40,8 @@
 	firstReadings map[runKey]progressReading
 	ends          map[uint64]End
 	acked         uint64
+	// listed is the lowest number of an end in the latest report; 0 for none.
+	listed uint64
 	// endsBy is the time by which all runs covered by the commands sent so far have ended.
 	endsBy time.Time
 	// bornBy is the latest time at which the incarnation can have started, by its clock;
@@ -72,10 +74,24 @@
 	t.hasReport = true
 	t.reportClock = report.Clock
 	t.running = report.Running
+	t.listed = lowestEnd(report)
 	t.recordProgress(report)
 	t.setClock(report.Clock, now)
 }
 
+func lowestEnd(report *Report) uint64 {
+	lowest := uint64(0)
+	for _, end := range report.Ends {
+		if lowest == 0 || end.Number < lowest {
+			lowest = end.Number
+		}
+	}
+	return lowest
+}
+
+// listsAcknowledged reports whether the worker still listed an end that may be acknowledged.
+func (t *Tracker) listsAcknowledged() bool { return t.listed > 0 && t.listed <= t.acked }
+
 // maxListedEnds is how many ends a worker lists in one report.
 const maxListedEnds = 500
 
