--- a/internal/coordination/dispatch/leases/schedules_test.go
+++ b/internal/coordination/dispatch/leases/schedules_test.go
@@ -75,27 +75,22 @@
 	return s
 }
 
-// Guards against two concurrent runs of a task, a run after its successful end, and
-// work that never ends, under any schedule.
-func TestRunsAndLeasesUnderAnySchedule(t *testing.T) {
+// checkSchedules plays schedules and fails with the first violation of one.
+func checkSchedules(t *testing.T, draw func(*rapid.T) schedule) {
 	rapid.Check(t, func(rt *rapid.T) {
-		s := drawSchedule(rt)
-		if violation := runSchedule(t, s, noFault); violation != "" {
+		if violation := runSchedule(t, draw(rt), noFault); violation != "" {
 			rt.Fatalf("%s", violation)
 		}
 	})
 }
 
+// Guards against two concurrent runs of a task, a run after its successful end, and
+// work that never ends, under any schedule.
+func TestRunsAndLeasesUnderAnySchedule(t *testing.T) { checkSchedules(t, drawSchedule) }
+
 // Guards against the same when workers start again under their ids, alone or all at once,
 // with late commands for the incarnation before and times of day that are set back.
-func TestRestartsInPlaceUnderAnySchedule(t *testing.T) {
-	rapid.Check(t, func(rt *rapid.T) {
-		s := drawRestarts(rt)
-		if violation := runSchedule(t, s, noFault); violation != "" {
-			rt.Fatalf("%s", violation)
-		}
-	})
-}
+func TestRestartsInPlaceUnderAnySchedule(t *testing.T) { checkSchedules(t, drawRestarts) }
 
 // drawRestarts draws a schedule with workers that start again under their ids.
 func drawRestarts(t *rapid.T) schedule {
@@ -124,14 +119,7 @@
 
 // Guards against the same when a leader that can't reach a worker takes over from one whose late starts have
 // extended the lease of the worker's next incarnation.
-func TestYoungIncarnationsUnderAnySchedule(t *testing.T) {
-	rapid.Check(t, func(rt *rapid.T) {
-		s := drawYoungIncarnations(rt)
-		if violation := runSchedule(t, s, noFault); violation != "" {
-			rt.Fatalf("%s", violation)
-		}
-	})
-}
+func TestYoungIncarnationsUnderAnySchedule(t *testing.T) { checkSchedules(t, drawYoungIncarnations) }
 
 // drawYoungIncarnations draws a schedule in which many starts are delayed, all workers start again, and the
 // leader is lost soon after to one that can't reach a worker.
@@ -156,14 +144,7 @@
 }
 
 // Guards against the same when starts are carried out by the next incarnation of a worker that the leader has given up.
-func TestLateStartsUnderAnySchedule(t *testing.T) {
-	rapid.Check(t, func(rt *rapid.T) {
-		s := drawLateStarts(rt)
-		if violation := runSchedule(t, s, noFault); violation != "" {
-			rt.Fatalf("%s", violation)
-		}
-	})
-}
+func TestLateStartsUnderAnySchedule(t *testing.T) { checkSchedules(t, drawLateStarts) }
 
 // drawLateStarts draws a schedule in which the first starts are delayed, the leader is cut off from a worker that has
 // run for long, and the worker starts again.
@@ -179,14 +160,7 @@
 }
 
 // Guards against the same when announcements are misleading and stops are lost.
-func TestMisleadingAnnouncementsUnderAnySchedule(t *testing.T) {
-	rapid.Check(t, func(rt *rapid.T) {
-		s := drawAnnouncements(rt)
-		if violation := runSchedule(t, s, noFault); violation != "" {
-			rt.Fatalf("%s", violation)
-		}
-	})
-}
+func TestMisleadingAnnouncementsUnderAnySchedule(t *testing.T) { checkSchedules(t, drawAnnouncements) }
 
 // drawAnnouncements draws a schedule of misleading announcements. Just before each, an instance is cut
 // off from the worker, and just after it all jobs are preempted: a stop that is lost leaves a run
