leases: a start that was answered is waited for no longer than the lease

A start on a worker that names its incarnations counted as one that may arrive late until a report listed its run, up to the 1.5 s of a poll later. A worker that ended silently within that time after any start kept those tasks waiting for 26 s in place of 6. The answer shows that the start was carried out, by the incarnation that it was meant for unless its clock has gone back; and a start for which no connection was opened can't arrive at all.

TestUnansweredStartOutlivesTheLease has both ("answered, in no report", "answered by the next one"); the first fails without the change.

--- a/internal/coordination/dispatch/leases/command.go
+++ b/internal/coordination/dispatch/leases/command.go
@@ -169,7 +169,7 @@
 	if err != nil {
 		f := failure.From(err)
 		entry.WithFields(logrus.Fields{"code": f.Code, "detail": f.Error()}).Warn("start refused or lost")
-		if !isUnanswered(f.Code) {
+		if !isUnanswered(f.Code) || isUnsent(f.Code) {
 			s.mu.Lock()
 			delete(s.life.unconfirmed, runKey{start.Task, start.Run})
 			s.mu.Unlock()
@@ -179,24 +179,33 @@
 	entry.Info("started")
 	startLatency.Record(s.now().Sub(sent))
 	s.mu.Lock()
-	s.observeClock(clock, incarnation)
+	if s.observeClock(clock, incarnation) {
+		s.life.recordAnsweredStart(runKey{start.Task, start.Run})
+	}
 	s.recordAnswer()
 	s.mu.Unlock()
 	return &api.TaskAnswer{Incarnation: command.Incarnation, Phase: api.PhaseRunning}, nil
 }
 
+// isUnsent reports whether a failure shows that no connection was opened, so that nothing can arrive late.
+func isUnsent(code failure.Code) bool {
+	return code == failure.Unreachable || code == failure.OutOfDescriptors
+}
+
 // observeClock records the worker's clock from the answer to a command that was sent to an
-// incarnation. A clock that has gone back is that of a later one. The caller must hold the
-// lock.
-func (s *session) observeClock(clock, incarnation int64) {
+// incarnation, and reports whether that one has answered: a clock that has gone back is that of a later
+// one. The caller must hold the lock.
+func (s *session) observeClock(clock, incarnation int64) bool {
 	switch {
 	case incarnation != s.life.incarnation:
+		return false
 	case s.life.named() && clock < s.tracker.ReportClock():
 		s.life.doubt(s.now())
 		s.viewStale = true
-	default:
-		s.tracker.ObserveClock(clock, s.now())
+		return false
 	}
+	s.tracker.ObserveClock(clock, s.now())
+	return true
 }
 
 // newStart builds a start command, unless the job's state has changed since the command
--- a/internal/coordination/dispatch/leases/lives.go
+++ b/internal/coordination/dispatch/leases/lives.go
@@ -64,6 +64,8 @@
 	announcedSince time.Time
 	// unconfirmed are the starts that no report has listed yet, with the time of sending.
 	unconfirmed map[runKey]time.Time
+	// answered are those of them that the incarnation has answered: they can't be carried out any more.
+	answered map[runKey]bool
 	// unansweredAck is when the newest poll was sent that acknowledged ends and got no answer.
 	// It becomes lateAck if the worker answers something later: then it did not end with that
 	// poll, which may still be carried out.
@@ -133,6 +135,15 @@
 	if l.named() {
 		l.unconfirmed = l.startsWithin(period, now)
 		l.unconfirmed[run] = now
+		delete(l.answered, run)
+		maps.DeleteFunc(l.answered, func(run runKey, _ bool) bool { return l.unconfirmed[run].IsZero() })
+	}
+}
+
+// recordAnsweredStart records that the incarnation has carried out a start.
+func (l *life) recordAnsweredStart(run runKey) {
+	if _, ok := l.unconfirmed[run]; ok {
+		l.answered[run] = true
 	}
 }
 
--- a/internal/coordination/dispatch/leases/lives_test.go
+++ b/internal/coordination/dispatch/leases/lives_test.go
@@ -46,7 +46,7 @@
 		m.term = 1
 		f.session = &session{
 			manager: m, token: 1, worker: "i-1", tracker: NewTracker(5*time.Second, time.Now()), pollRequests: make(chan struct{}, 1),
-			firstPoll: make(chan struct{}), nextReport: make(chan struct{}), life: life{announced: firstLife, unconfirmed: map[runKey]time.Time{}},
+			firstPoll: make(chan struct{}), nextReport: make(chan struct{}), life: life{announced: firstLife, unconfirmed: map[runKey]time.Time{}, answered: map[runKey]bool{}},
 		}
 		f.applyReport(&Report{Clock: 400_000, Incarnation: firstLife, Ends: []End{{Number: 1, Task: "gone", Run: 1, Outcome: Done}}}, 0, time.Now(), worker.Address)
 		test(t, f)
@@ -189,7 +189,7 @@
 		t.Run(name, func(t *testing.T) {
 			withLives(t, func(t *testing.T, f *livesFixture) {
 				is := is.New(t)
-				f.life, f.tracker = life{unconfirmed: map[runKey]time.Time{}}, NewTracker(5*time.Second, time.Now())
+				f.life, f.tracker = life{unconfirmed: map[runKey]time.Time{}, answered: map[runKey]bool{}}, NewTracker(5*time.Second, time.Now())
 				f.announce(firstLife)
 				f.life.announcedSince = time.Now().Add(-test.known)
 				time.Sleep(test.over - time.Millisecond)
@@ -201,6 +201,16 @@
 	}
 }
 
+// startOnce sends a start of the run that the tests ask for, which is answered with the worker's clock of the latest
+// report and an offset in ms.
+func (f *livesFixture) startOnce(offset int64) {
+	run := runKey{"w.0.0.0", 1}
+	f.life.recordStart(run, time.Minute, time.Now())
+	if f.observeClock(400_000+offset, f.life.incarnation) {
+		f.life.recordAnsweredStart(run)
+	}
+}
+
 // A start without an answer is carried out by the worker's next incarnation after the lease is over, beside the run
 // that was started elsewhere since.
 func TestUnansweredStartOutlivesTheLease(t *testing.T) {
@@ -210,6 +220,8 @@
 		over      time.Duration
 	}{
 		"sent by this leader":      {change: func(f *livesFixture) { f.life.recordStart(runKey{"w.0.0.0", 1}, time.Minute, time.Now()) }, over: maxCommandDelay + LeaseUpperBound(10*time.Second)},
+		"answered, in no report":   {change: func(f *livesFixture) { f.startOnce(0) }, over: LeaseUpperBound(5 * time.Second)},
+		"answered by the next one": {change: func(f *livesFixture) { f.startOnce(-400_000) }, over: maxCommandDelay + LeaseUpperBound(10*time.Second)},
 		"sent by an earlier one":   {change: func(f *livesFixture) { f.inheritedUntil = time.Now() }, over: maxCommandDelay + LeaseUpperBound(10*time.Second)},
 		"the log has its start":    {change: func(f *livesFixture) { f.inheritedUntil = time.Now() }, confirmed: true, over: LeaseUpperBound(5 * time.Second)},
 		"shown by a report":        {change: func(f *livesFixture) { f.tracker.running = []Running{{Task: "w.0.0.0", Run: 1}} }, over: LeaseUpperBound(5 * time.Second)},
--- a/internal/coordination/dispatch/leases/manager.go
+++ b/internal/coordination/dispatch/leases/manager.go
@@ -210,7 +210,7 @@
 		inheritedUntil: until,
 		address:        worker.Address,
 		dataCentre:     worker.DataCentre,
-		life:           life{announced: worker.Incarnation, unconfirmed: map[runKey]time.Time{}},
+		life:           life{announced: worker.Incarnation, unconfirmed: map[runKey]time.Time{}, answered: map[runKey]bool{}},
 		tracker:        NewTracker(m.config.Lease, until),
 		pollRequests:   make(chan struct{}, 1),
 		firstPoll:      make(chan struct{}),
--- a/internal/coordination/dispatch/leases/proof.go
+++ b/internal/coordination/dispatch/leases/proof.go
@@ -72,6 +72,9 @@
 	if incarnation <= UnnamedIncarnation {
 		return false
 	}
+	if s.life.answered[run] {
+		return false
+	}
 	if sent, ok := s.life.unconfirmed[run]; ok {
 		return s.now().Sub(sent) <= s.manager.lateStartPeriod()
 	}
