--- a/internal/coordination/dispatch/leases/proof.go
+++ b/internal/coordination/dispatch/leases/proof.go
@@ -87,6 +87,26 @@
 	return maxCommandDelay + LeaseUpperBound(m.config.MaxLease)
 }
 
+// leaseOver reports whether nothing that the current incarnation has begun can run any more without a
+// report. Shortly after its start, commands for the incarnation before may still extend its
+// lease to the longest that a worker grants. The caller must hold the lock.
+func (s *session) leaseOver() bool {
+	now := s.now()
+	return s.tracker.LeaseExpired(now) && !now.Before(s.grownUpAt())
+}
+
+// grownUpAt returns from when on no command for an earlier incarnation can extend the lease of the
+// current one; zero for workers whose starts have ids of their own. The caller must hold the lock.
+func (s *session) grownUpAt() time.Time {
+	switch {
+	case s.life.named():
+		return s.tracker.bornBy.Add(s.manager.youngPeriod())
+	case s.life.announced > UnnamedIncarnation:
+		return s.life.announcedSince.Add(s.manager.youngPeriod())
+	}
+	return time.Time{}
+}
+
 // recordMisdirected records that another boot answered at an address. It proves that the
 // incarnation has ended only where that one has answered before: an address that was merely
 // announced may be another worker's. The caller must hold the lock.
--- a/internal/coordination/dispatch/machines_test.go
+++ b/internal/coordination/dispatch/machines_test.go
@@ -203,7 +203,7 @@
 	}
 }
 
-// Get and Live implement the registry.
+// Get, KnownSince and Live implement the registry.
 func (m *machines) Get(id string) (*peerpb.Upstream, bool) {
 	for _, upstream := range m.Live(peerpb.UpstreamKind_UPSTREAM_KIND_WORKER) {
 		if upstream.Id == id {
@@ -214,7 +214,6 @@
 }
 
 func (m *machines) KnownSince(string, int64) (time.Time, bool) { return time.Time{}, false }
-
 func (m *machines) Live(peerpb.UpstreamKind) []*peerpb.Upstream {
 	m.mu.Lock()
 	defer m.mu.Unlock()
