--- a/internal/coordination/scheduling/placement.go
+++ b/internal/coordination/scheduling/placement.go
@@ -25,7 +25,7 @@
 	// restricted requests may only use workers that are kept for the job.
 	restricted bool
 	// retriesAnywhere requests may return to workers on which the job has failed: the others can't
-	// hold it, or it has waited for them beside free capacity.
+	// hold it.
 	retriesAnywhere bool
 	// careful requests prefer other workers for a further attempt.
 	careful bool
--- a/internal/coordination/scheduling/starvation.go
+++ b/internal/coordination/scheduling/starvation.go
@@ -268,11 +268,10 @@
 	return false
 }
 
-// unrestrictedRequest is a request for any worker eligible for the job, and for those on which it
-// has failed: one that waits for the others may wait beside free capacity for as long as they are in use.
+// unrestrictedRequest is a request for any worker eligible for the job.
 func (p *pass) unrestrictedRequest(job *controlpb.Job) *request {
 	req := p.declaredRequest(job)
-	req.unrestricted, req.retriesAnywhere = true, true
+	req.unrestricted = true
 	return req
 }
 
