dispatch: lines that tell why urgent work has no place, and which ends count nowhere

A job inside its customer's guarantee waited for 8 s, and no line said whether it counted as covered, or how many of the workers that could hold it were kept for other jobs, unavailable, or held by urgent work. An end of a run from which its job had moved on was acknowledged without a line.

--- a/internal/coordination/dispatch/controller.go
+++ b/internal/coordination/dispatch/controller.go
@@ -250,7 +250,7 @@
 func (c *Controller) reportWaits(state *store.State, snapshot *scheduling.Snapshot, plan *scheduling.Plan) {
 	toLog, toWarn, summary := c.waits.Observe(snapshot.Now, snapshot.Jobs, plan)
 	publishStarvation(summary)
-	c.dispatcher.logWaits(state, toLog, toWarn)
+	c.dispatcher.logWaits(state, snapshot, toLog, toWarn)
 }
 
 // toAnnouncedWorkers drops assignments that use a worker which has not announced itself
--- a/internal/coordination/dispatch/leases/manager.go
+++ b/internal/coordination/dispatch/leases/manager.go
@@ -63,6 +63,8 @@
 	pollsSent   = expvar.NewInt("leases_looks")
 	pollsFailed = expvar.NewInt("leases_looks_failed")
 	orphansSeen = expvar.NewInt("leases_unwanted_runs")
+	// endsSuperseded counts the acknowledged ends, done or failed, of runs from which their jobs had moved on.
+	endsSuperseded = expvar.NewInt("leases_ends_superseded")
 	// commandsWithheld counts the commands that were not sent because the job's state had
 	// changed.
 	commandsWithheld = expvar.NewInt("leases_orders_withheld")
--- a/internal/coordination/dispatch/leases/session.go
+++ b/internal/coordination/dispatch/leases/session.go
@@ -12,6 +12,7 @@
 	"pinewinch.example/pinewinch/internal/protocol/controlpb"
 	"pinewinch.example/pinewinch/internal/protocol/failure"
 	"pinewinch.example/pinewinch/internal/protocol/peerpb"
+	"pinewinch.example/pinewinch/internal/state/store"
 )
 
 // session manages one worker during one term of the leader.
@@ -158,7 +159,7 @@
 	s.mu.Lock()
 	request := Poll{Token: s.token}
 	certain := s.life.certain(s.now())
-	s.tracker.AcknowledgeCommitted(s.manager.log.State())
+	s.acknowledgeCommitted()
 	request.Acknowledged = s.acknowledged()
 	if certain && s.tracker.HasReport() && s.failedPolls == 0 && !s.unresponsive() {
 		lease := s.manager.config.Lease
@@ -174,6 +175,19 @@
 	return s.sendPoll(ctx, request)
 }
 
+// acknowledgeCommitted acknowledges the ends that the state contains, and logs those that count in
+// no state. The caller must hold the lock.
+func (s *session) acknowledgeCommitted() {
+	s.tracker.AcknowledgeCommitted(s.manager.log.State())
+	for _, superseded := range s.tracker.takeSuperseded() {
+		endsSuperseded.Add(1)
+		s.logEntry().WithFields(logrus.Fields{
+			"task": superseded.end.Task, "run": superseded.end.Run, "number": superseded.end.Number, "outcome": superseded.end.Outcome,
+			"epoch": superseded.epoch, "state": store.StateName(superseded.state),
+		}).Warn("end of an earlier run is acknowledged")
+	}
+}
+
 // acknowledged returns the number of the newest end that a poll sent now may acknowledge; 0 for none. At a worker that
 // may start again under its id, only a poll that has something to acknowledge does, soon after a report: the next
 // incarnation would forget its own ends up to that number. The caller must hold the lock.
@@ -356,7 +370,7 @@
 	for {
 		changed := s.manager.log.Changed()
 		s.mu.Lock()
-		s.tracker.AcknowledgeCommitted(s.manager.log.State())
+		s.acknowledgeCommitted()
 		uncommitted := len(s.tracker.ends) > 0
 		s.mu.Unlock()
 		if !uncommitted {
--- a/internal/coordination/dispatch/leases/tracker.go
+++ b/internal/coordination/dispatch/leases/tracker.go
@@ -42,6 +42,8 @@
 	acked         uint64
 	// listed is the lowest number of an end in the latest report; 0 for none.
 	listed uint64
+	// superseded are the acknowledged ends that count in no state, because their job had moved on.
+	superseded []supersededEnd
 	// endsBy is the time by which all runs covered by the commands sent so far have ended.
 	endsBy time.Time
 	// bornBy is the latest time at which the incarnation can have started, by its clock;
@@ -229,6 +231,7 @@
 		if !isCommitted(state, end) {
 			return t.acked
 		}
+		t.recordSuperseded(state, end)
 		delete(t.ends, end.Number)
 		t.acked = end.Number
 	}
@@ -264,6 +267,33 @@
 	return slices.Contains(job.DoneTasks, task) || store.StopAcknowledged(job, task)
 }
 
+// supersededEnd is the end of a run from which its job had moved on when it was acknowledged, and
+// the job's epoch and state then.
+type supersededEnd struct {
+	end   End
+	epoch uint64
+	state controlpb.JobState
+}
+
+// recordSuperseded records an end, of a run that has done its work or failed, that the state doesn't count.
+func (t *Tracker) recordSuperseded(state *store.State, end End) {
+	job, task, ok := FindTask(state, end.Task)
+	if !ok || store.Ended(job.State) || end.Outcome != Done && end.Outcome != Failed {
+		return
+	}
+	if job.Epoch == end.Run && (slices.Contains(job.DoneTasks, task) || job.FailedEpoch == end.Run) {
+		return
+	}
+	t.superseded = append(t.superseded, supersededEnd{end, job.Epoch, job.State})
+}
+
+// takeSuperseded returns the superseded ends that have been recorded since the last call.
+func (t *Tracker) takeSuperseded() []supersededEnd {
+	superseded := t.superseded
+	t.superseded = nil
+	return superseded
+}
+
 // Orphans lists the active runs that the state no longer wants.
 func (t *Tracker) Orphans(state *store.State) []Running {
 	var orphans []Running
--- a/internal/coordination/dispatch/waits.go
+++ b/internal/coordination/dispatch/waits.go
@@ -6,6 +6,7 @@
 	"github.com/sirupsen/logrus"
 
 	"pinewinch.example/pinewinch/internal/coordination/dispatch/starvation"
+	"pinewinch.example/pinewinch/internal/coordination/scheduling"
 	"pinewinch.example/pinewinch/internal/state/store"
 )
 
@@ -26,12 +27,16 @@
 
 // logWaits logs each job that has waited for long or for a new cause, and warns of each
 // that has been starved for long.
-func (d *Dispatcher) logWaits(state *store.State, toLog, toWarn []starvation.Wait) {
+func (d *Dispatcher) logWaits(state *store.State, snapshot *scheduling.Snapshot, toLog, toWarn []starvation.Wait) {
 	if d.config.Logger == nil {
 		return
 	}
 	for i := range toLog {
-		d.config.Logger.WithFields(waitFields(state, &toLog[i])).Info("job waits")
+		entry := d.config.Logger.WithFields(waitFields(state, &toLog[i]))
+		if job := toLog[i].Job; job.Urgent && job.Workflow != "" {
+			entry = entry.WithFields(urgentWaitFields(scheduling.DescribeUrgentWait(snapshot, job)))
+		}
+		entry.Info("job waits")
 	}
 	for i := range toWarn {
 		d.config.Logger.WithFields(waitFields(state, &toWarn[i])).Warn("job stands beside free room")
@@ -52,3 +57,10 @@
 	}
 	return fields
 }
+
+func urgentWaitFields(wait scheduling.UrgentWait) logrus.Fields {
+	return logrus.Fields{
+		"demand": wait.Demand, "guaranteed": wait.Guaranteed, "covered": wait.Covered, "workers": wait.Workers,
+		"unavailable": wait.Unavailable, "kept_for_others": wait.KeptForOthers, "held_by_urgent": wait.HeldByUrgent,
+	}
+}
