--- a/internal/coordination/scheduling/units_test.go
+++ b/internal/coordination/scheduling/units_test.go
@@ -32,6 +32,13 @@
 	return func(j *controlpb.Job) { j.DeadlineMs = start.Add(d).UnixMilli() }
 }
 
+// lostWith is a job that has lost a run with the worker.
+func lostWith(worker string) jobOption {
+	return func(j *controlpb.Job) {
+		j.Failures = append(j.Failures, &controlpb.TaskFailure{Worker: worker, Code: "worker_vanished"})
+	}
+}
+
 func requiring(label string) jobOption { return func(j *controlpb.Job) { j.Requirement = label } }
 
 func dataIn(rack string) jobOption { return func(j *controlpb.Job) { j.DataRack = rack } }
@@ -167,3 +174,24 @@
 			want: map[string]string{"i": "no_free_capacity", "j": "no_free_capacity", "o": "d0-r0-w8"}},
 	})
 }
+
+// Guards against urgent work of a customer inside its guarantee that waits because work which crashed
+// workers have thrown back counts towards the guarantee, while that itself waits or runs elsewhere.
+func TestWorkThatLostItsWorkersLeavesTheGuaranteeToNewWork(t *testing.T) {
+	workers := func() []Worker { return testWorkers(1, 1, 2, 8) }
+	thrownBack := func(options ...jobOption) *controlpb.Job {
+		return unitJob("h", "a", 1, 8, append(options, topPriority, waited(20*time.Second), lostWith("gone"))...)
+	}
+	fresh := unitJob("i", "a", 1, 8, topPriority, waited(time.Second), dueIn(-time.Second))
+	other := func(id, worker string) *controlpb.Job {
+		return unitJob(id, "b", 1, 8, topPriority, running(time.Second, 0, worker))
+	}
+	runCases(t, []passCase{
+		{name: "while it waits", snapshot: unitsSnapshot(workers(), thrownBack(), fresh, other("j", "d0-r0-w0"), other("k", "d0-r0-w1")),
+			want: map[string]string{"h": "no_free_capacity", "i": "taking_back", "j": "stop"}},
+		{name: "also by the place of what runs on again", snapshot: unitsSnapshot(workers(), thrownBack(running(time.Second, 0, "d0-r0-w0")), fresh, other("k", "d0-r0-w1")),
+			want: map[string]string{"i": "taking_back", "h": "stop"}},
+		{name: "and has it where there is no other", snapshot: unitsSnapshot(workers(), thrownBack(), other("j", "d0-r0-w0"), other("k", "d0-r0-w1")),
+			want: map[string]string{"h": "taking_back", "j": "stop"}},
+	})
+}
