scheduling: work that has lost its workers counts last towards its customer's guarantee

All urgent work of a customer was covered or none of it, and the demand included gangs that crashed workers had thrown back: they wait for a worker of their own for up to 44 s, so that for as long no new job of that customer was covered, and might stop nothing but what loses little. They count last now: new work is covered if the work that has lost no run fits into the guarantee, and what has lost one if all fits.

--- a/internal/coordination/dispatch/waits.go
+++ b/internal/coordination/dispatch/waits.go
@@ -60,7 +60,7 @@
 
 func urgentWaitFields(wait scheduling.UrgentWait) logrus.Fields {
 	return logrus.Fields{
-		"demand": wait.Demand, "guaranteed": wait.Guaranteed, "covered": wait.Covered, "workers": wait.Workers,
+		"demand": wait.Demand, "disturbed": wait.Disturbed, "guaranteed": wait.Guaranteed, "covered": wait.Covered, "workers": wait.Workers,
 		"unavailable": wait.Unavailable, "kept_for_others": wait.KeptForOthers, "held_by_urgent": wait.HeldByUrgent,
 	}
 }
--- a/internal/coordination/scheduling/objective.go
+++ b/internal/coordination/scheduling/objective.go
@@ -2,9 +2,11 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 
 	"pinewinch.example/pinewinch/internal/protocol/controlpb"
+	"pinewinch.example/pinewinch/internal/protocol/failure"
 )
 
 // Weights of the order among units of workflows; each outweighs all that follow.
@@ -70,21 +72,50 @@
 	return maxLossRatio * weightedSize(req.job) * p.remaining(req.job)
 }
 
-// withinGuarantee reports whether a job is covered by its customer's guaranteed number
-// of accelerators, which holds while all urgent work of the customer together needs no
-// more.
+// withinGuarantee reports whether a job is covered by its customer's guaranteed number of
+// accelerators, which holds while the customer's urgent work needs no more. Work that has lost a
+// run with its worker counts last: it may wait for long, and as part of the demand it would take the
+// guarantee from all urgent work that comes after it.
 func (p *pass) withinGuarantee(job *controlpb.Job) bool {
 	if !job.Urgent || job.Workflow == "" {
 		return false
 	}
 	if p.urgentDemand == nil {
-		p.urgentDemand = map[string]int64{}
-		for _, other := range p.snapshot.Jobs {
-			if other.Urgent && other.Workflow != "" {
-				p.urgentDemand[other.Customer] += int64(other.Tasks) * int64(other.Accelerators)
-			}
+		p.countUrgentDemand()
+	}
+	demand := p.urgentDemand[job.Customer]
+	needed := demand.undisturbed
+	if hasLostRun(job) {
+		needed += demand.disturbed
+	}
+	return needed <= int64(p.snapshot.Customers[job.Customer].GetGuaranteedAccelerators())
+}
+
+// urgentDemand is the number of accelerators that a customer's open urgent units ask for: those
+// that have lost a run with its worker, and the others.
+type urgentDemand struct{ undisturbed, disturbed int64 }
+
+func (p *pass) countUrgentDemand() {
+	p.urgentDemand = map[string]urgentDemand{}
+	for _, job := range p.snapshot.Jobs {
+		if !job.Urgent || job.Workflow == "" {
+			continue
+		}
+		demand := p.urgentDemand[job.Customer]
+		size := int64(job.Tasks) * int64(job.Accelerators)
+		if hasLostRun(job) {
+			demand.disturbed += size
+		} else {
+			demand.undisturbed += size
 		}
+		p.urgentDemand[job.Customer] = demand
 	}
-	guarantee := p.snapshot.Customers[job.Customer].GetGuaranteedAccelerators()
-	return p.urgentDemand[job.Customer] <= int64(guarantee)
+}
+
+// hasLostRun reports whether a run of the job, or of a member of its gang, has ended with its worker.
+func hasLostRun(job *controlpb.Job) bool {
+	return slices.ContainsFunc(job.Failures, func(f *controlpb.TaskFailure) bool {
+		code := failure.Code(f.Code)
+		return code == failure.WorkerVanished || code == failure.LeaseLost
+	})
 }
--- a/internal/coordination/scheduling/pass.go
+++ b/internal/coordination/scheduling/pass.go
@@ -14,9 +14,8 @@
 	plan     *Plan
 	// used is the number of accelerators that each customer uses.
 	used map[customerID]int64
-	// urgentDemand is the number of accelerators that each customer's urgent workflows
-	// ask for; nil until it is first needed.
-	urgentDemand map[string]int64
+	// urgentDemand is what each customer's urgent units ask for; nil until it is first needed.
+	urgentDemand map[string]urgentDemand
 	// waitingWorkflows has the workflows with waiting jobs.
 	waitingWorkflows map[string]bool
 	// previouslyStarved has the jobs that the previous plan listed as starved.
--- a/internal/coordination/scheduling/urgentwait.go
+++ b/internal/coordination/scheduling/urgentwait.go
@@ -5,10 +5,10 @@
 // UrgentWait says why an urgent job may have no place although urgent work may stop other work.
 type UrgentWait struct {
 	// Demand is the number of accelerators that all open urgent work of the job's customer asks
-	// for, Guaranteed the number that the customer is guaranteed. Covered is set if the job counts
-	// as part of the guarantee.
-	Demand, Guaranteed int64
-	Covered            bool
+	// for, Disturbed the part of it that has lost a run with its worker, and Guaranteed the number
+	// that the customer is guaranteed. Covered is set if the job counts as part of the guarantee.
+	Demand, Disturbed, Guaranteed int64
+	Covered                       bool
 	// Workers is the number of workers that would hold a task of the job if they were empty. Of
 	// these, Unavailable get no new work, KeptForOthers are kept for other jobs, and on HeldByUrgent
 	// so much is used by urgent work that no task fits beside it.
@@ -22,8 +22,9 @@
 	wait := UrgentWait{
 		Covered:    p.withinGuarantee(job),
 		Guaranteed: int64(snapshot.Customers[job.Customer].GetGuaranteedAccelerators()),
-		Demand:     p.urgentDemand[job.Customer],
 	}
+	demand := p.urgentDemand[job.Customer]
+	wait.Demand, wait.Disturbed = demand.undisturbed+demand.disturbed, demand.disturbed
 	urgent := urgentWorkByWorker(snapshot.Jobs)
 	perTask := taskSize(job)
 	for i := range snapshot.Workers {
