scheduling, isolation: guaranteed work passes isolation; what is kept for suspects is bounded

Guaranteed work that has found no place for a second may use kept workers, and stop what runs there; a suspect doesn't join it, and gets another worker. A suspect that ran like any other job, as no workers could be kept for it, kept all of its workers once it ran: half of the workers is the bound now. A job waited to run alone for up to 44 s while others were: 20 s now.

--- a/internal/coordination/dispatch/crashes.go
+++ b/internal/coordination/dispatch/crashes.go
@@ -123,7 +123,9 @@
 	plan := c.isolation.Update(c.now(), state.ActiveJobs(), workers, judged)
 	for i := range workers {
 		workers[i].OnlyFor = plan.OnlyFor[workers[i].ID]
-		workers[i].Unavailable = workers[i].Unavailable || plan.Emptying[workers[i].ID]
+		if plan.Emptying[workers[i].ID] {
+			workers[i].OnlyFor = scheduling.NoJob
+		}
 	}
 	c.reportIsolation(state, plan, judged)
 	return plan.Restricted
--- a/internal/coordination/dispatch/isolation/isolation.go
+++ b/internal/coordination/dispatch/isolation/isolation.go
@@ -33,6 +33,9 @@
 	// maxEmptying is how long a job waits for its worker to become empty before it runs
 	// beside what is still there. The worker gets no other work either way.
 	maxEmptying = 20 * time.Second
+	// maxIsolationWait is how long a job waits to run alone since its newest run or its submission. Then it
+	// runs where any job may: workers that are kept for other suspects would hold it up without end.
+	maxIsolationWait = 20 * time.Second
 )
 
 // Suspects says which jobs are suspected.
@@ -65,10 +68,11 @@
 	newest time.Time
 }
 
-// choice is the workers that are kept for a job since a time.
+// choice is the workers that are kept for a job since a time, and how many tasks of others they held then.
 type choice struct {
 	workers []string
 	since   time.Time
+	tasks   int
 }
 
 // Update returns the plan for the current jobs and workers.
@@ -78,17 +82,18 @@
 		plan: &Plan{OnlyFor: map[string]string{}, Emptying: map[string]bool{}, Restricted: map[string]bool{}},
 	}
 	var waiting []*controlpb.Job
+	mayKeep := max(len(workers)/keptShare, 1)
 	for _, job := range jobs {
 		verdict := suspects.Verdict(job.Id)
 		switch {
 		case job.State != controlpb.JobState_JOB_STATE_WAITING:
 			if verdict != crashes.Clear && u.onProbation(job, verdict) {
-				u.keepRunning(job)
+				u.keepRunning(job, mayKeep)
 			}
 		case verdict == crashes.AtFault || suspects.Held(job.Id):
 			u.plan.Restricted[job.Id] = true
 		case verdict != crashes.Clear:
-			u.plan.Restricted[job.Id] = verdict == crashes.Isolated
+			u.plan.Restricted[job.Id] = verdict == crashes.Isolated && !u.waitedTooLong(job)
 			if now.Add(maxEmptying).UnixMilli() >= job.NotBeforeMs {
 				waiting = append(waiting, job)
 			}
@@ -96,7 +101,7 @@
 	}
 	if len(waiting) > 0 {
 		u.countTasks(jobs)
-		u.keepWaiting(waiting)
+		u.keepWaiting(waiting, mayKeep-len(u.plan.OnlyFor))
 	}
 	k.chosen, k.newest = u.chosen, u.newest
 	return u.plan
@@ -131,12 +136,29 @@
 	return u.now.Sub(time.UnixMilli(job.StartedMs)) < ran+probationMargin
 }
 
-func (u *update) keepRunning(job *controlpb.Job) {
+// keepRunning keeps a running suspect's workers for it, unless more than mayKeep workers would then be
+// kept: a gang that found none of its own runs on workers that other work needs.
+func (u *update) keepRunning(job *controlpb.Job, mayKeep int) {
+	added := map[string]bool{}
 	for _, placement := range job.Placements {
-		u.plan.OnlyFor[placement.Worker] = job.Id
+		if u.plan.OnlyFor[placement.Worker] == "" {
+			added[placement.Worker] = true
+		}
+	}
+	if len(u.plan.OnlyFor)+len(added) > mayKeep {
+		return
+	}
+	for worker := range added {
+		u.plan.OnlyFor[worker] = job.Id
 	}
 }
 
+// waitedTooLong reports whether a job has waited for maxIsolationWait to run alone.
+func (u *update) waitedTooLong(job *controlpb.Job) bool {
+	sinceMs := max(job.SubmittedMs, job.StoppingMs, job.NotBeforeMs)
+	return sinceMs > 0 && u.now.Sub(time.UnixMilli(sinceMs)) > maxIsolationWait
+}
+
 func (u *update) countTasks(jobs []*controlpb.Job) {
 	u.tasks = map[string]int{}
 	for _, job := range jobs {
@@ -149,7 +171,7 @@
 // keepWaiting keeps workers for waiting suspects, those with the most crashes and the
 // shortest runs before them first: they are the likeliest causes, and once a cause is
 // found, most of the others are no longer suspected.
-func (u *update) keepWaiting(waiting []*controlpb.Job) {
+func (u *update) keepWaiting(waiting []*controlpb.Job, toKeep int) {
 	slices.SortStableFunc(waiting, func(x, y *controlpb.Job) int {
 		return cmp.Or(
 			-cmp.Compare(u.suspects.Crashes(x.Id), u.suspects.Crashes(y.Id)),
@@ -159,7 +181,6 @@
 	})
 	mayEmpty := max(len(u.workers)/emptiedShare, 1)
 	toEmpty := mayEmpty
-	toKeep := max(len(u.workers)/keptShare, 1) - len(u.plan.OnlyFor)
 	for _, job := range waiting {
 		kept, fits := u.choose(job)
 		if !fits {
@@ -199,6 +220,14 @@
 	return true
 }
 
+func (u *update) tasksOn(workers []string) int {
+	count := 0
+	for _, worker := range workers {
+		count += u.tasks[worker]
+	}
+	return count
+}
+
 // occupied counts the workers that run something.
 func (u *update) occupied(workers []string) int {
 	count := 0
@@ -238,7 +267,8 @@
 			free = append(free, worker)
 		}
 	}
-	if previous, ok := u.previous[job.Id]; ok && containsAll(free, previous.workers) {
+	// Guaranteed work may have taken a worker that was kept: another one is sooner empty.
+	if previous, ok := u.previous[job.Id]; ok && containsAll(free, previous.workers) && u.tasksOn(previous.workers) <= previous.tasks {
 		return previous, true
 	}
 	slices.SortStableFunc(free, func(x, y scheduling.Worker) int {
@@ -252,7 +282,7 @@
 	if len(chosen) > max(len(suitable)/2, 1) {
 		return choice{}, false
 	}
-	return choice{workers: chosen, since: u.now}, true
+	return choice{workers: chosen, since: u.now, tasks: u.tasksOn(chosen)}, true
 }
 
 func containsAll(workers []scheduling.Worker, ids []string) bool {
--- a/internal/coordination/dispatch/isolation/isolation_test.go
+++ b/internal/coordination/dispatch/isolation/isolation_test.go
@@ -135,3 +135,42 @@
 	is.True(!(&isolation.Keeper{}).Update(start, jobs, workers(8), judged).Restricted["g"])
 	is.True((&isolation.Keeper{}).Update(start, jobs[:6], workers(8), judged).Restricted["g"]) // three are empty
 }
+
+// Guards against guaranteed work that waits because most workers are kept for suspects: a gang that
+// ran like any other job, as no workers could be kept for it, kept all of them once it ran.
+func TestHalfOfTheWorkersAreKeptAtMost(t *testing.T) {
+	is := is.New(t)
+	keeper := &isolation.Keeper{}
+	wide := job("wide", running, "w0", "w1", "w2")
+	narrow := job("narrow", running, "w3")
+	narrow.StartedMs, wide.StartedMs = start.UnixMilli(), start.UnixMilli()
+	plan := keeper.Update(start, []*controlpb.Job{wide, narrow}, workers(4), verdicts{"wide": crashes.Isolated, "narrow": crashes.Isolated})
+	is.Equal(plan.OnlyFor, map[string]string{"w3": "narrow"})
+}
+
+// Guards against a job that waits without end to run alone, while workers are kept for others.
+func TestWaitToRunAloneEnds(t *testing.T) {
+	is := is.New(t)
+	keeper := &isolation.Keeper{}
+	other := job("other", running, "w0")
+	suspect := job("s", waiting)
+	suspect.SubmittedMs = start.UnixMilli()
+	for elapsed := time.Duration(0); elapsed <= 30*time.Second; elapsed += time.Second {
+		now := start.Add(elapsed)
+		other.StartedMs = now.UnixMilli()
+		plan := keeper.Update(now, []*controlpb.Job{other, suspect}, workers(2), verdicts{"s": crashes.Isolated, "other": crashes.Isolated})
+		is.Equal(plan.Restricted["s"], elapsed <= 20*time.Second)
+	}
+}
+
+// Guards against a suspect that waits for a worker that guaranteed work has taken, beside an empty one.
+func TestTakenWorkerIsReplaced(t *testing.T) {
+	is := is.New(t)
+	keeper := &isolation.Keeper{}
+	isolated := verdicts{"s": crashes.Isolated}
+	plan := keeper.Update(start, []*controlpb.Job{job("s", waiting)}, workers(3), isolated)
+	is.Equal(plan.OnlyFor, map[string]string{"w0": "s"})
+	plan = keeper.Update(start.Add(time.Second), []*controlpb.Job{job("g", running, "w0"), job("s", waiting)}, workers(3), isolated)
+	is.Equal(plan.OnlyFor, map[string]string{"w1": "s"})
+	is.True(!plan.Emptying["w1"])
+}
--- a/internal/coordination/scheduling/cluster.go
+++ b/internal/coordination/scheduling/cluster.go
@@ -32,6 +32,8 @@
 	cellClaims []share
 	// freeMask has a bit for each accelerator that no task holds.
 	freeMask uint64
+	// isolationPassed is set once this pass has given the node work although it is kept for another job.
+	isolationPassed bool
 	// nonPreemptible is held by work that can't be preempted, in total and by customer.
 	nonPreemptible   resources
 	nonPreemptibleBy []share
--- a/internal/coordination/scheduling/eligible.go
+++ b/internal/coordination/scheduling/eligible.go
@@ -12,7 +12,7 @@
 // free.
 func (n *node) isEligible(req *request) bool {
 	job := req.job
-	if n.worker.OnlyFor != job.Id && (n.worker.OnlyFor != "" || req.restricted) {
+	if !n.isolationAdmits(req) {
 		return false
 	}
 	if n.warm && req.avoidsWarmNodes() {
@@ -24,6 +24,18 @@
 	return runsOn(job, n.worker) && (req.retriesAnywhere || !hasFailedOn(job, n.worker.ID))
 }
 
+// isolationAdmits reports whether the node may take the job as far as nodes are kept for suspected
+// jobs. A suspected job doesn't join work that has passed the isolation of its node in this pass.
+func (n *node) isolationAdmits(req *request) bool {
+	switch n.worker.OnlyFor {
+	case "":
+		return !req.restricted
+	case req.job.Id:
+		return !n.isolationPassed
+	}
+	return req.passesIsolation && !req.restricted
+}
+
 // hasTriedAll reports whether the workers on which the job has not failed can't hold it, even when they
 // are empty. It would otherwise wait for ever for them, with attempts left.
 func (c *cluster) hasTriedAll(job *controlpb.Job) bool {
--- a/internal/coordination/scheduling/objective.go
+++ b/internal/coordination/scheduling/objective.go
@@ -54,9 +54,9 @@
 	// work that it allows to start. Short urgent work is worth several times as much
 	// for its size as the work it preempts, but not any multiple.
 	maxLossRatio = 2.0
-	// unlimitedLossAfter is the wait after which guaranteed work may preempt whatever
+	// UnlimitedLossAfter is the wait after which guaranteed work may preempt whatever
 	// the loss; that leaves time for a stop and a start before the work has to run.
-	unlimitedLossAfter = time.Second
+	UnlimitedLossAfter = time.Second
 )
 
 // lossBudget returns how much work may be discarded to start the request, in
@@ -65,13 +65,19 @@
 	if req.job.Workflow == "" {
 		return math.Inf(1)
 	}
-	waited := time.Duration(p.nowMs-req.job.SubmittedMs) * time.Millisecond
-	if waited >= unlimitedLossAfter && p.withinGuarantee(req.job) {
+	if p.unlimitedLoss(req) {
 		return math.Inf(1)
 	}
 	return maxLossRatio * weightedSize(req.job) * p.remaining(req.job)
 }
 
+// unlimitedLoss reports whether a unit is guaranteed work that has waited so long that it may discard
+// any work.
+func (p *pass) unlimitedLoss(req *request) bool {
+	waited := time.Duration(p.nowMs-req.job.SubmittedMs) * time.Millisecond
+	return waited >= UnlimitedLossAfter && p.withinGuarantee(req.job)
+}
+
 // withinGuarantee reports whether a job is covered by its customer's guaranteed number of
 // accelerators, which holds while the customer's urgent work needs no more. Work that has lost a
 // run with its worker counts last: it may wait for long, and as part of the demand it would take the
--- a/internal/coordination/scheduling/pass.go
+++ b/internal/coordination/scheduling/pass.go
@@ -143,12 +143,25 @@
 // borrow.
 func (p *pass) startUrgent(queue []*request) {
 	for _, req := range queue {
-		if req.job.Urgent && !p.decided[req.job.Id] && p.worthPreempting(req) {
+		if !req.job.Urgent || p.decided[req.job.Id] || !p.worthPreempting(req) {
+			continue
+		}
+		if !p.startOrPreempt(req, groundsUrgency) && p.mayPassIsolation(req) {
+			req.passesIsolation = true
 			p.startOrPreempt(req, groundsUrgency)
+			req.passesIsolation = false
 		}
 	}
 }
 
+// mayPassIsolation reports whether guaranteed work that finds no other place may use workers that
+// are kept for suspected jobs. A guarantee is promised against all workers, and after crashes of many
+// workers up to half of them are kept for longer than guaranteed work may wait. A suspected job that
+// does crash its worker then takes that work with it, and both are suspected.
+func (p *pass) mayPassIsolation(req *request) bool {
+	return !req.restricted && p.unlimitedLoss(req)
+}
+
 // preemptionGrounds is why a job may preempt others.
 type preemptionGrounds int
 
@@ -308,6 +321,7 @@
 		p.cluster.allocate(part.node, size)
 		part.node.countStepTasks(req.job, part.tasks)
 		part.node.use(req.customer, size, req.nonPreemptible)
+		part.node.isolationPassed = part.node.isolationPassed || req.passesIsolation
 		if req.pinned {
 			addShare(&part.node.pinnedBy, req.customer, size)
 		}
@@ -326,6 +340,7 @@
 		size := req.perTask.times(part.tasks)
 		p.cluster.allocateFreeOrReleasing(part.node, size)
 		part.node.use(req.customer, size, req.nonPreemptible)
+		part.node.isolationPassed = part.node.isolationPassed || req.passesIsolation
 		if req.nonPreemptible {
 			addShare(&part.node.pinnedBy, req.customer, size)
 		}
--- a/internal/coordination/scheduling/placement.go
+++ b/internal/coordination/scheduling/placement.go
@@ -24,6 +24,8 @@
 	unrestricted bool
 	// restricted requests may only use workers that are kept for the job.
 	restricted bool
+	// passesIsolation requests may also use workers that are kept for other jobs.
+	passesIsolation bool
 	// retriesAnywhere requests may return to workers on which the job has failed: the others can't
 	// hold it.
 	retriesAnywhere bool
--- a/internal/coordination/scheduling/scheduling.go
+++ b/internal/coordination/scheduling/scheduling.go
@@ -35,7 +35,8 @@
 	Unavailable bool
 	// Evacuated workers are unavailable only because their data centre is evacuated.
 	Evacuated bool
-	// OnlyFor is the only job that the worker may be given; empty for any.
+	// OnlyFor is the only job that the worker may be given; empty for any, NoJob for none yet. Guaranteed
+	// work that finds no other place may use the worker all the same.
 	OnlyFor string
 	// Labels are the labels that jobs may require of a worker.
 	Labels []string
@@ -43,6 +44,9 @@
 	Services []string
 }
 
+// NoJob is the OnlyFor of a worker that is being emptied for a job.
+const NoJob = "-"
+
 // Snapshot is the input of one pass.
 type Snapshot struct {
 	Now       time.Time
--- a/internal/coordination/scheduling/shapekey.go
+++ b/internal/coordination/scheduling/shapekey.go
@@ -30,6 +30,8 @@
 	requirement  string
 	rack         string
 	unrestricted bool
+	// passesIsolation is set where nodes that are kept for others are eligible.
+	passesIsolation bool
 	// job is set where eligibility depends on the job itself.
 	job string
 	// step is set where the tasks of the step count towards a spread limit.
@@ -37,7 +39,10 @@
 }
 
 func (req *request) constraints() constraintsKey {
-	key := constraintsKey{service: req.job.Service, requirement: req.job.Requirement, rack: req.rack, unrestricted: req.unrestricted}
+	key := constraintsKey{
+		service: req.job.Service, requirement: req.job.Requirement, rack: req.rack,
+		unrestricted: req.unrestricted, passesIsolation: req.passesIsolation,
+	}
 	if req.restricted || req.job.MaxAttempts > 0 && len(req.job.Failures) > 0 {
 		key.job = req.job.Id
 	}
--- a/internal/coordination/scheduling/units_test.go
+++ b/internal/coordination/scheduling/units_test.go
@@ -195,3 +195,36 @@
 			want: map[string]string{"h": "taking_back", "j": "stop"}},
 	})
 }
+
+// Guards against urgent work inside its customer's guarantee that waits while workers are kept for jobs
+// that are suspected of crashing workers, however long they are.
+func TestGuaranteedWorkPassesIsolation(t *testing.T) {
+	kept := func(onlyFor ...string) []Worker {
+		workers := testWorkers(1, 1, len(onlyFor), 8)
+		for i := range workers {
+			workers[i].OnlyFor = onlyFor[i]
+		}
+		return workers
+	}
+	covered := func(options ...jobOption) *controlpb.Job {
+		return unitJob("i", "a", 1, 8, append(options, topPriority, dueIn(-time.Second))...)
+	}
+	long := waited(UnlimitedLossAfter)
+	suspect := unitJob("s", "b", 1, 1)
+	restricted := unitsSnapshot(kept("s"), covered(long), suspect)
+	restricted.Restricted = map[string]bool{"s": true}
+	runCases(t, []passCase{
+		{name: "an empty worker, which the suspect then does not join", snapshot: restricted,
+			want: map[string]string{"i": "d0-r0-w0", "s": "no_free_capacity"}},
+		{name: "a worker that is being emptied", snapshot: unitsSnapshot(kept(NoJob), covered(long), unitJob("j", "b", 1, 8, running(time.Second, 0, "d0-r0-w0"))),
+			want: map[string]string{"i": "taking_back", "j": "stop"}},
+		{name: "a worker on which the suspect runs", snapshot: unitsSnapshot(kept("s"), covered(long), unitJob("s", "b", 1, 8, running(time.Second, 0, "d0-r0-w0"))),
+			want: map[string]string{"i": "taking_back", "s": "stop"}},
+		{name: "but another one first", snapshot: unitsSnapshot(kept("s", ""), covered(long), unitJob("j", "b", 1, 8, running(time.Second, 0, "d0-r0-w1"))),
+			want: map[string]string{"i": "taking_back", "j": "stop"}},
+		{name: "not before it has waited", snapshot: unitsSnapshot(kept("s"), covered()),
+			want: map[string]string{"i": "no_free_capacity"}},
+		{name: "not work outside the guarantee", snapshot: unitsSnapshot(kept("s"), unitJob("i", "b", 1, 8, topPriority, long)),
+			want: map[string]string{"i": "no_free_capacity"}},
+	})
+}
