dispatch: a crash counts only against work that may have started there

A gang that was placed on workers that had crashed already, but were not known to have, was counted as crashed by each of them, though its reserve was not answered and no start was sent. Three such placements isolated it, and two more crashes in real losses of power gave it up: a sound job was shown as `failed`.

The leader that knows that no start has arrived says so with the crash: the command names the members, and the state machine leaves them out. A member whose start found no connection is neither counted nor a lost run.

--- a/internal/coordination/dispatch/crashes.go
+++ b/internal/coordination/dispatch/crashes.go
@@ -163,7 +163,7 @@
 }
 
 // logCrashes counts and logs the crashes that are about to be committed, with the runs that
-// they ended.
+// they ended and those that had never started there.
 func (d *Dispatcher) logCrashes(batch *controlpb.BatchMove) {
 	workersCrashed.Add(int64(len(batch.Crashes)))
 	if d.config.Logger == nil {
@@ -171,13 +171,12 @@
 	}
 	state := d.control.State()
 	for _, crash := range batch.Crashes {
-		runs := []string{}
-		for _, run := range state.RunsOn(crash) {
-			runs = append(runs, run.Job)
-		}
 		fields := logrus.Fields{
 			"worker": crash.Worker, "incarnation": crash.Incarnation, "by": logTime(crash.LatestMs),
-			"runs": runs[:min(len(runs), maxLoggedRuns)], "index": state.Index(),
+			"runs": jobsOf(state.RunsOn(crash)), "index": state.Index(),
+		}
+		if len(crash.Runs) > 0 {
+			fields["never_started"] = jobsOf(crash.Runs)
 		}
 		if crash.EarliestMs > 0 {
 			fields["after"] = logTime(crash.EarliestMs)
@@ -186,6 +185,15 @@
 	}
 }
 
+// jobsOf returns the jobs of runs for a log line.
+func jobsOf(runs []*controlpb.CrashedRun) []string {
+	jobs := []string{}
+	for _, run := range runs[:min(len(runs), maxLoggedRuns)] {
+		jobs = append(jobs, run.Job)
+	}
+	return jobs
+}
+
 // logTime formats a time in Unix ms like the times of log lines.
 func logTime(ms int64) string { return time.UnixMilli(ms).UTC().Format("15:04:05.000") }
 
--- a/internal/coordination/dispatch/crashes_test.go
+++ b/internal/coordination/dispatch/crashes_test.go
@@ -141,6 +141,31 @@
 	})
 }
 
+// Half of the workers lose power again and again, and gangs are placed on them before it is known.
+// No crash may count against a gang that never started there.
+func TestCrashesCountOnlyForWorkThatStarted(t *testing.T) {
+	simulate(t, 6, func(t *testing.T, m *machines) {
+		is := is.New(t)
+		m.pause, m.linger = 100*time.Millisecond, true
+		for n := range 8 {
+			m.losePower(m.list[:3]...)
+			time.Sleep(200 * time.Millisecond)
+			m.submit(fmt.Sprint("gang", n), "x", &controlpb.Step{Count: 5, Accelerators: 8, CoresMilli: 4000, Gang: true})
+			time.Sleep(6 * time.Second)
+		}
+		for n := range 8 {
+			m.await(t, time.Minute, "the gangs complete", func() bool { return m.workflowState(fmt.Sprint("gang", n)) == workflowCompleted })
+		}
+		m.mu.Lock()
+		defer m.mu.Unlock()
+		for _, crash := range m.State().Crashes() {
+			for _, run := range crash.Runs {
+				is.True(m.startedOn[startKey(fmt.Sprint(run.Job, ".", run.Task), run.Epoch, crash.Worker)])
+			}
+		}
+	})
+}
+
 // Single workers crash for reasons of their own, one after the other, under tasks that fill
 // them. No task may be given up.
 func TestWorkersThatCrashByThemselves(t *testing.T) {
--- a/internal/coordination/dispatch/gang/machine.go
+++ b/internal/coordination/dispatch/gang/machine.go
@@ -149,9 +149,6 @@
 	s.readAnnouncements()
 	s.applyAnswers()
 	tracked := make(map[string]*run, len(in.Jobs))
-	if len(in.Crashes) > 0 {
-		s.batch().Crashes = in.Crashes
-	}
 	for _, job := range in.Jobs {
 		if len(job.Placements) == 0 {
 			s.giveUp(job)
@@ -162,6 +159,9 @@
 		s.advanceJob(job, r)
 	}
 	m.runs = tracked
+	if len(in.Crashes) > 0 {
+		s.batch().Crashes = s.namedCrashes()
+	}
 	return s.out
 }
 
@@ -331,6 +331,7 @@
 
 func (s *step) send(kind Kind, job *controlpb.Job, m *member, w *worker) {
 	m.awaiting, m.announced = kind, w.upstream.Version
+	m.startSent = m.startSent || kind == Start
 	s.out.Commands = append(s.out.Commands, Command{
 		Kind:       kind,
 		Worker:     w.upstream.Id,
--- a/internal/coordination/dispatch/gang/run.go
+++ b/internal/coordination/dispatch/gang/run.go
@@ -22,6 +22,8 @@
 	// mayHaveStarted is set once a start command was sent, and if an earlier leader may
 	// have sent one.
 	mayHaveStarted bool
+	// inherited is set if an earlier leader may have sent start commands.
+	inherited bool
 	// firstStart is when this machine sent the first start command; zero before.
 	firstStart time.Time
 	// changed is set when a member has changed since the run was last processed.
@@ -50,6 +52,8 @@
 	phase     phase
 	// awaiting is the kind of the command without an answer yet; 0 for none.
 	awaiting Kind
+	// startSent is set once a start command was sent that may have arrived.
+	startSent bool
 	// announced is the version of the worker's announcement that the newest command named.
 	announced uint64
 	// minAnnounced is the lowest version that the next command may name, because a command
@@ -98,7 +102,8 @@
 
 func (s *step) beginRun(job *controlpb.Job) *run {
 	// A new leader may not have applied all decisions of the previous one yet.
-	r := &run{epoch: job.Epoch, mayHaveStarted: job.StartedMs > 0 || !s.announcementsComplete()}
+	r := &run{epoch: job.Epoch, inherited: job.StartedMs > 0 || !s.announcementsComplete()}
+	r.mayHaveStarted = r.inherited
 	for _, placement := range job.Placements {
 		m := &member{placement: placement, checkpointedMs: job.CheckpointedMs}
 		if w := s.workers[placement.Worker]; w != nil {
@@ -186,6 +191,9 @@
 		return
 	}
 	m.refusal = answer.Err
+	if answer.Kind == Start && answer.Err.Code == failure.Unreachable {
+		m.startSent = false
+	}
 }
 
 func (m *member) advance(p phase, checkpointedMs int64) {
--- a/internal/coordination/dispatch/gang/stopping.go
+++ b/internal/coordination/dispatch/gang/stopping.go
@@ -84,7 +84,7 @@
 		CheckpointedMs: commonCheckpoint(job, r),
 		Checkpoint:     r.selectCheckpoint(),
 		Failure:        s.failureDuringStop(job, r),
-		LostTasks:      lostTasks(job, r, unacknowledged),
+		LostTasks:      s.lostTasks(job, r, unacknowledged),
 	}
 	if job.NextState == controlpb.JobState_JOB_STATE_WAITING {
 		s.decideRetry(job, r, unacknowledged, move)
@@ -94,13 +94,13 @@
 
 // lostTasks lists the members that may have run and of which no end is known. unacknowledged
 // is the number of members without an acknowledged stop; it is 0 where none has started.
-func lostTasks(job *controlpb.Job, r *run, unacknowledged int) []uint32 {
+func (s *step) lostTasks(job *controlpb.Job, r *run, unacknowledged int) []uint32 {
 	if unacknowledged == 0 {
 		return nil
 	}
 	var lost []uint32
 	for _, m := range r.members {
-		if !endKnown(job, m) {
+		if !endKnown(job, m) && !s.neverStarted(r, m) {
 			lost = append(lost, m.placement.Task)
 		}
 	}
--- a/internal/coordination/dispatch/gang/unstarted_test.go
+++ b/internal/coordination/dispatch/gang/unstarted_test.go
@@ -105,3 +105,66 @@
 	is.Equal(l.step(answerOf(gang.Start, 0, failure.New(failure.StaleEpoch, "the job has moved on"))).Batch, nil)
 	is.Equal(l.step().Batch, nil)
 }
+
+// crashedIn returns what a step with crashes of both workers names as never started, by worker.
+func (l *leaderRenewalModel) crashedIn(answers ...gang.Answer) map[string][]*controlpb.CrashedRun {
+	l.now = l.now.Add(10 * time.Millisecond)
+	output := l.machine.Step(&gang.Input{
+		Now: l.now, Jobs: []*controlpb.Job{l.job}, Workers: l.workers, Answers: answers, LeaseExpired: leaseNotExpired,
+		Crashes: []*controlpb.WorkerCrash{{Worker: "w1", Incarnation: 1}, {Worker: "w2", Incarnation: 1}, {Worker: "w2", Incarnation: 2}},
+	})
+	named := map[string][]*controlpb.CrashedRun{}
+	for _, crash := range output.Batch.Crashes {
+		if len(crash.Runs) > 0 {
+			named[crash.Worker] = append(named[crash.Worker], crash.Runs...)
+		}
+	}
+	return named
+}
+
+// A gang is placed on workers that have crashed already, and no start is sent. Their crashes must not
+// count against it.
+func TestCrashNamesMembersThatNeverStarted(t *testing.T) {
+	is, l := is.New(t), newLeaderRenewalModel()
+	l.step()
+	named := l.crashedIn(answerOf(gang.Reserve, 0, nil), answerOf(gang.Reserve, 1, failure.New(failure.Unreachable, "no answer")))
+	is.Equal(len(named["w1"]), 1)
+	is.Equal(len(named["w2"]), 1)
+	is.True(proto.Equal(named["w2"][0], &controlpb.CrashedRun{Job: "j", Epoch: 1, Task: 1}))
+}
+
+// A start without an answer may have crashed the worker, and so may one that was sent in the step
+// that learns of the crash.
+func TestCrashNamesNoMemberThatMayHaveStarted(t *testing.T) {
+	is, l := is.New(t), newLeaderRenewalModel()
+	l.step()
+	is.Equal(len(l.crashedIn(answerOf(gang.Reserve, 0, nil), answerOf(gang.Reserve, 1, nil))), 0)
+	is.Equal(len(l.crashedIn(answerOf(gang.Start, 0, failure.Ran(failure.OutcomeUnknown, failure.NotRunUnknown, nil, "broken")))), 0)
+	l.job = proto.CloneOf(l.job)
+	l.job.State = stopping
+	is.Equal(len(l.crashedIn()), 0)
+}
+
+// A start for which no connection was opened has not arrived: neither a crash nor a lost run counts
+// for that member.
+func TestMemberWhoseStartWasNotSentIsNotLost(t *testing.T) {
+	is, l := is.New(t), newLeaderRenewalModel()
+	l.step()
+	l.step(answerOf(gang.Reserve, 0, nil), answerOf(gang.Reserve, 1, nil))
+	named := l.crashedIn(answerOf(gang.Start, 1, failure.New(failure.Unreachable, "dial")))
+	is.Equal(len(named["w1"]), 0)
+	is.Equal(len(named["w2"]), 1)
+	l.job = proto.CloneOf(l.job)
+	l.job.State = stopping
+	released := l.machine.Step(&gang.Input{
+		Now: l.now, Jobs: []*controlpb.Job{l.job}, Workers: l.workers, LeaseExpired: func(*controlpb.Job, *controlpb.Placement) bool { return true },
+	})
+	is.Equal(released.Batch.Moves[0].LostTasks, []uint32{0})
+}
+
+// A new leader doesn't know which starts the one before has sent.
+func TestNewLeaderNamesNoMemberAsNeverStarted(t *testing.T) {
+	is, l := is.New(t), newLeaderRenewalModel()
+	l.machine = l.machine.NextTerm()
+	is.Equal(len(l.crashedIn()), 0)
+}
--- a/internal/coordination/dispatch/machines_test.go
+++ b/internal/coordination/dispatch/machines_test.go
@@ -83,6 +83,8 @@
 	// cores is what the machine has.
 	cores     uint32
 	announced *peerpb.Upstream
+	// crashedLife is the announcement of the life before this one.
+	crashedLife *peerpb.Upstream
 }
 
 func (m *machine) id() string {
@@ -104,10 +106,12 @@
 // It implements the log, the registry and the client that a leader uses.
 type machines struct {
 	*fakeLog
-	mu       sync.Mutex
-	term     uint64
-	list     []*machine
-	pause    time.Duration
+	mu    sync.Mutex
+	term  uint64
+	list  []*machine
+	pause time.Duration
+	// linger keeps crashed lives listed beside the next ones for announcementTTL.
+	linger   bool
 	taskTime time.Duration
 	// features, quarantine and maxAttempts configure the leaders and the work.
 	features    scheduling.Features
@@ -116,6 +120,8 @@
 	// starts and crashes count by task; startsAfterCrashes counts the starts from the
 	// third crash on.
 	starts, crashes, startsAfterCrashes map[string]int
+	// startedOn has each task, run and worker of a start that was carried out.
+	startedOn map[string]bool
 	// stop ends the current leader.
 	stop func()
 	// done has the tasks with a successful end that was acknowledged.
@@ -127,7 +133,7 @@
 	m := &machines{
 		fakeLog: &fakeLog{state: store.New(), changed: make(chan struct{})},
 		pause:   time.Second, taskTime: 700 * time.Millisecond,
-		starts: map[string]int{}, crashes: map[string]int{}, startsAfterCrashes: map[string]int{}, done: map[string]bool{},
+		starts: map[string]int{}, crashes: map[string]int{}, startsAfterCrashes: map[string]int{}, startedOn: map[string]bool{}, done: map[string]bool{},
 	}
 	for n := range count {
 		m.list = append(m.list, &machine{address: fmt.Sprint("m", n), life: 1, up: true, running: map[string]*simulatedRun{}, endedAt: map[uint64]int64{}, cores: 32, born: time.Now().Add(-firstLifeClock), dayTime: time.Now().Add(-firstLifeClock)})
@@ -222,6 +228,9 @@
 		if machine.up || time.Since(machine.crashedAt) < announcementTTL {
 			live = append(live, machine.announcement())
 		}
+		if m.linger && machine.up && time.Since(machine.crashedAt) < announcementTTL {
+			live = append(live, machine.crashedLife)
+		}
 	}
 	slices.SortFunc(live, func(a, b *peerpb.Upstream) int {
 		if a.Id < b.Id {
@@ -250,7 +259,7 @@
 	if !machine.up {
 		return
 	}
-	machine.up, machine.crashedAt = false, time.Now()
+	machine.up, machine.crashedAt, machine.crashedLife = false, time.Now(), machine.announcement()
 	for task := range machine.running {
 		m.crashes[task]++
 	}
@@ -414,6 +423,7 @@
 		m.violations = append(m.violations, start.Task+" started after it was done")
 	}
 	m.starts[start.Task]++
+	m.startedOn[startKey(start.Task, start.Run, target.Worker)] = true
 	if m.crashes[start.Task] >= 3 {
 		m.startsAfterCrashes[start.Task]++
 	}
@@ -434,6 +444,10 @@
 	return machine.clock(), nil
 }
 
+func startKey(task string, run uint64, worker string) string {
+	return fmt.Sprint(task, " ", run, " ", worker)
+}
+
 // Stop implements leases.Client.
 func (m *machines) Stop(_ context.Context, target leases.Target, stop leases.Stop) (int64, error) {
 	time.Sleep(time.Millisecond)
--- a/internal/state/store/crashes.go
+++ b/internal/state/store/crashes.go
@@ -32,7 +32,7 @@
 }
 
 // recordCrash records the crash of a worker with the runs that it ended, once for each
-// incarnation.
+// incarnation. The runs that the command names never started and are left out.
 func (s *State) recordCrash(crash *controlpb.WorkerCrash) {
 	if s.CrashRecorded(crash.Worker, crash.Incarnation) {
 		return
@@ -61,7 +61,7 @@
 }
 
 // RunsOn lists the runs that the crash of a worker ended, as far as they are known, in the
-// order of their jobs.
+// order of their jobs. The crash is that of a command: its own runs never started.
 func (s *State) RunsOn(crash *controlpb.WorkerCrash) []*controlpb.CrashedRun {
 	runs, _ := s.runsOn(crash)
 	return runs
@@ -71,6 +71,9 @@
 func (s *State) runsOn(crash *controlpb.WorkerCrash) (runs []*controlpb.CrashedRun, began int64) {
 	add := func(job string, epoch uint64, task uint32, startedMs int64) {
 		run := &controlpb.CrashedRun{Job: job, Epoch: epoch, Task: task}
+		if slices.ContainsFunc(crash.Runs, func(never *controlpb.CrashedRun) bool { return proto.Equal(never, run) }) {
+			return
+		}
 		if startedMs > 0 {
 			run.RanMs = max(crash.LatestMs-startedMs, 0)
 			began = max(began, startedMs)
--- a/internal/state/store/crashes_test.go
+++ b/internal/state/store/crashes_test.go
@@ -78,3 +78,17 @@
 	is.Equal(len(m.state.Crashes()[0].Runs), 2)
 	is.Equal(len(m.state.LostRuns()), 0)
 }
+
+// A crash of a worker on which a job was placed and never started must not count for that job.
+func TestCrashLeavesOutRunsThatNeverStarted(t *testing.T) {
+	is := is.New(t)
+	m := crashedState()
+	batch := crashOf("w", 1)
+	batch.Crashes[0].Runs = []*controlpb.CrashedRun{{Job: "a", Epoch: 2}, {Job: "b", Epoch: 1}}
+	is.Equal(len(m.state.RunsOn(batch.Crashes[0])), 1)
+	m.batch(batch)
+	runs := m.state.Crashes()[0].Runs
+	is.Equal(len(runs), 1)
+	is.Equal(runs[0].Job, "b")
+	is.Equal(runs[0].Epoch, uint64(2))
+}
