leases: model check with slow checks and commits, expired announcements and late work

TestBusyLeadersUnderAnySchedule draws leaders that are slow or stand still between a check of their leadership and the command that follows, commits of up to 1.5 s, and announcements that expire of workers that still answer. TestStopsBesideStartsUnderAnySchedule draws work that arrives when the leases are over and is preempted at once.

--- a/internal/coordination/dispatch/leases/events_model_test.go
+++ b/internal/coordination/dispatch/leases/events_model_test.go
@@ -65,6 +65,11 @@
 	case "foreign":
 		other := sim.workers[(e.target+1)%len(sim.workers)]
 		worker.foreignUntil, worker.foreignAddress = time.Now().Add(time.Duration(1+e.target)*time.Second), other.id
+	case "unannounced":
+		worker.unannouncedUntil = time.Now().Add(time.Duration(1+2*e.target) * time.Second)
+	case "submit":
+		// These numbers are not those of the workflows with which the schedule began.
+		sim.submit(10 + e.target)
 	case "preempt":
 		sim.preempt(e.target)
 	case "cancel":
--- a/internal/coordination/dispatch/leases/instance_model_test.go
+++ b/internal/coordination/dispatch/leases/instance_model_test.go
@@ -160,15 +160,25 @@
 	}
 }
 
+// CheckFresh may be followed by a pause, in which all that was checked changes.
 func (i *instance) CheckFresh() error {
-	i.simulation.mu.Lock()
-	defer i.simulation.mu.Unlock()
-	if !i.believesLeading(freshnessBound) {
+	if !i.isFresh() {
 		return failure.New(failure.StaleState, "not confirmed")
 	}
+	if limit := i.simulation.maxCheckTime; limit > 0 {
+		i.simulation.takeTurn(i.number, "check")
+		i.simulation.delayUpTo(limit, i.number, "check")
+		i.waitWhileFrozen("check")
+	}
 	return nil
 }
 
+func (i *instance) isFresh() bool {
+	i.simulation.mu.Lock()
+	defer i.simulation.mu.Unlock()
+	return i.believesLeading(freshnessBound)
+}
+
 func (i *instance) Changed() <-chan struct{} { return nil }
 
 // Propose commits a command through the current leader, whichever instance decided it.
@@ -176,6 +186,7 @@
 	sim := i.simulation
 	sim.takeTurn(i.number)
 	time.Sleep(10 * time.Millisecond)
+	sim.delayUpTo(sim.maxCommitTime, i.number, "commit")
 	i.waitWhileFrozen("propose")
 	sim.mu.Lock()
 	defer sim.mu.Unlock()
--- a/internal/coordination/dispatch/leases/schedules_test.go
+++ b/internal/coordination/dispatch/leases/schedules_test.go
@@ -50,6 +50,9 @@
 	// that commands are sent immediately and that no caller cancels.
 	maxQueueDelay time.Duration
 	cancellations map[string]cancellation
+	// maxCommitTime and maxCheckTime are passed to the simulation; zero means that commits and checks of
+	// leadership take no longer than usual.
+	maxCommitTime, maxCheckTime time.Duration
 	// named makes the workers name their incarnations.
 	named bool
 	// age is how long the workers have run when the schedule begins.
@@ -177,6 +180,38 @@
 	return s
 }
 
+// Guards against the same when leaders are slow or stand still between a check of their leadership and the command that
+// follows, when commits are slow, and when announcements expire of workers that still answer.
+func TestBusyLeadersUnderAnySchedule(t *testing.T) { checkSchedules(t, drawBusyLeaders) }
+
+// drawBusyLeaders draws a schedule with slow leaders, commits and announcements, and workers without names.
+func drawBusyLeaders(t *rapid.T) schedule {
+	s := drawScheduleOf(t, slices.Concat(eventKinds, announcementKinds, []string{"unannounced", "unannounced", "preempt", "preempt", "preempt"}))
+	s.maxCommitTime = time.Duration(rapid.SampledFrom([]int{0, 300, 1500}).Draw(t, "commit")) * time.Millisecond
+	s.maxCheckTime = time.Duration(rapid.SampledFrom([]int{0, 50, 500}).Draw(t, "check")) * time.Millisecond
+	s.age = time.Duration(rapid.SampledFrom([]int{0, 60}).Draw(t, "age")) * time.Second
+	return s
+}
+
+// Guards against the same when work is stopped on a worker without a lease while its start is on the way.
+func TestStopsBesideStartsUnderAnySchedule(t *testing.T) { checkSchedules(t, drawStopsBesideStarts) }
+
+// drawStopsBesideStarts draws a schedule in which work arrives when the workers' leases are over, and is preempted at
+// once, by leaders that take long to send a start.
+func drawStopsBesideStarts(t *rapid.T) schedule {
+	s := schedule{seed: rapid.Uint64().Draw(t, "seed"), maxCheckTime: 1500 * time.Millisecond}
+	s.maxCommitTime = time.Duration(rapid.SampledFrom([]int{0, 100}).Draw(t, "commit")) * time.Millisecond
+	arrival := time.Duration(rapid.IntRange(15000, 25000).Draw(t, "arrival")) * time.Millisecond
+	for target := range 3 {
+		s.events = append(s.events, event{at: arrival, kind: "submit", target: target})
+	}
+	for range rapid.IntRange(1, 6).Draw(t, "preemptions") {
+		at := arrival + time.Duration(rapid.IntRange(100, 1500).Draw(t, "at"))*time.Millisecond
+		s.events = append(s.events, event{at: at, kind: "preempt", target: rapid.IntRange(0, 2).Draw(t, "third")})
+	}
+	return s
+}
+
 // A schedule that fails does not fail when it is played again, and can be neither traced nor kept.
 func TestScheduleIsReproducible(t *testing.T) {
 	generator := rapid.Custom(drawRestarts)
@@ -281,6 +316,7 @@
 	sim.mu.Lock()
 	sim.term, sim.leader, sim.faultPercent = 1, sim.instances[0], 3
 	sim.maxQueueDelay, sim.cancellations = s.maxQueueDelay, s.cancellations
+	sim.maxCommitTime, sim.maxCheckTime = s.maxCommitTime, s.maxCheckTime
 	sim.named, sim.order = s.named, s.order
 	for _, b := range sim.workers {
 		b.startedAt = b.startedAt.Add(-s.age)
--- a/internal/coordination/dispatch/leases/simulation_model_test.go
+++ b/internal/coordination/dispatch/leases/simulation_model_test.go
@@ -54,6 +54,9 @@
 	named bool
 	// maxQueueDelay is how long a command may be queued at the leader.
 	maxQueueDelay time.Duration
+	// maxCommitTime is how long a commit may take, and maxCheckTime how long a leader may take from a check of its
+	// leadership to what follows, in addition to the usual times.
+	maxCommitTime, maxCheckTime time.Duration
 	// completed holds the successful ends of each task.
 	completed map[string][]*completedRun
 	violation string
@@ -85,6 +88,20 @@
 	time.Sleep(1 + time.Duration(hash.Sum64()%uint64(maxTurn)))
 }
 
+// delayUpTo sleeps for a time below a limit that is drawn from the schedule and from the action: none in three of four
+// cases, so that what is slow meets what is not.
+func (sim *simulation) delayUpTo(limit time.Duration, action ...any) {
+	if limit == 0 {
+		return
+	}
+	hash := fnv.New64a()
+	fmt.Fprint(hash, "delay", sim.seed, sim.order, time.Since(sim.startedAt), action)
+	if sum := hash.Sum64(); sum%4 == 0 {
+		time.Sleep(time.Duration(sum / 4 % uint64(limit)))
+	}
+	sim.takeTurn(action)
+}
+
 // apply commits one command to the log in the current term.
 func (sim *simulation) apply(command *controlpb.Command) *controlpb.Result {
 	command.TimeMs = time.Now().UnixMilli()
--- a/internal/coordination/dispatch/leases/worker_model_test.go
+++ b/internal/coordination/dispatch/leases/worker_model_test.go
@@ -52,6 +52,8 @@
 	// foreignUntil is until when another writer announces the worker at foreignAddress.
 	foreignUntil   time.Time
 	foreignAddress string
+	// unannouncedUntil is until when no announcement of the worker arrives anywhere, although it answers.
+	unannouncedUntil time.Time
 	// fencedBefore holds the runs that were stopped or ended before the worker started again.
 	fencedBefore map[string]uint64
 }
@@ -229,6 +231,9 @@
 
 // listed reports whether the instances know the worker from announcements.
 func (b *workerProcess) listed(now time.Time) bool {
+	if now.Before(b.unannouncedUntil) {
+		return false
+	}
 	if !b.departedAt.IsZero() {
 		return now.Sub(b.departedAt) < departedTTL
 	}
