leases: a run whose start is on the way is not over

A worker without runs is not polled, so its lease is over. A start read the job's state, then checked the leadership, and only then extended the lease (session.start). If the job was stopped in between, as by a preemption or a refused start of another member of its gang, LeaseExpired found the lease over: the job was released and placed again, and the start was sent all the same. The run of the first placement then began beside, or after, the one of the next, and its end "done" was acknowledged as that of an earlier run.

A start now counts from before the state is read until the lease covers it (session.preparing); the lease is extended before the leadership is checked, so that a pause after the check extends no deadline either.

--- a/internal/coordination/dispatch/leases/cluster_test.go
+++ b/internal/coordination/dispatch/leases/cluster_test.go
@@ -49,6 +49,8 @@
 	ends       []End
 	endCount   uint64
 	polls      int
+	// beforeState and afterCheck are called before State returns, and after CheckFresh has looked; nil for none.
+	beforeState, afterCheck func()
 	// started holds the start commands that were received.
 	started []Start
 }
@@ -59,8 +61,12 @@
 
 func (c *fakeCluster) State() *store.State {
 	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.state
+	state, hook := c.state, c.beforeState
+	c.mu.Unlock()
+	if hook != nil {
+		hook()
+	}
+	return state
 }
 
 func (c *fakeCluster) IsLeader() bool {
@@ -77,12 +83,17 @@
 
 func (c *fakeCluster) CheckFresh() error {
 	c.mu.Lock()
-	defer c.mu.Unlock()
-	if !c.fresh {
+	fresh, hook := c.fresh, c.afterCheck
+	c.mu.Unlock()
+	if hook != nil {
+		hook()
+	}
+	if !fresh {
 		return failure.New(failure.StaleState, "leadership not confirmed")
 	}
 	return nil
 }
+
 func (c *fakeCluster) Changed() <-chan struct{} { return nil }
 
 func (c *fakeCluster) Get(id string) (*peerpb.Upstream, bool)     { return c.Live(0)[0], true }
--- a/internal/coordination/dispatch/leases/command.go
+++ b/internal/coordination/dispatch/leases/command.go
@@ -140,22 +140,16 @@
 	if err := s.confirmIncarnation(ctx, command.Incarnation); err != nil {
 		return nil, err
 	}
-	// Everything that decides whether the start is sent, and what it contains, is read
-	// after the last wait and from a single state.
-	state := s.manager.log.State()
-	start, err := s.newStart(state, command)
+	prepared, err := s.prepareStart(command)
 	if err != nil {
 		return nil, err
 	}
+	// The deadline is computed before, so that a pause after the check does not extend it.
 	if err := s.manager.checkLeadership(s.token); err != nil {
+		s.withdrawStart(prepared)
 		return nil, err
 	}
-	s.mu.Lock()
-	start.Deadline = s.tracker.ExtendLease(s.now(), s.manager.config.Lease)
-	s.lastCommand = s.now()
-	sent, incarnation := s.now(), s.life.incarnation
-	s.life.recordStart(runKey{start.Task, start.Run}, s.manager.lateStartPeriod(), sent)
-	s.mu.Unlock()
+	start, state, sent := prepared.start, prepared.state, prepared.at
 	s.requestPoll()
 	var clock int64
 	_, err = s.roundTrip(func(target Target) (err error) {
@@ -179,7 +173,7 @@
 	entry.Info("started")
 	startLatency.Record(s.now().Sub(sent))
 	s.mu.Lock()
-	if s.observeClock(clock, incarnation) {
+	if s.observeClock(clock, prepared.incarnation) {
 		s.life.recordAnsweredStart(runKey{start.Task, start.Run})
 	}
 	s.recordAnswer()
@@ -187,6 +181,53 @@
 	return &api.TaskAnswer{Incarnation: command.Incarnation, Phase: api.PhaseRunning}, nil
 }
 
+// preparedStart is a start that is about to be sent.
+type preparedStart struct {
+	start Start
+	// state is the one from which the start was built.
+	state *store.State
+	// incarnation is the worker's, and at the time, when the lease was extended.
+	incarnation int64
+	at          time.Time
+	// repeated is set if a start of the same run was recorded before.
+	repeated bool
+}
+
+// prepareStart builds a start and extends the lease for it. Everything that decides whether the start is sent, and what
+// it contains, is read after the last wait and from a single state. The job may be stopped after that, so from before
+// it is read until the lease is extended the run does not count as over.
+func (s *session) prepareStart(command *api.TaskCommand) (*preparedStart, error) {
+	s.mu.Lock()
+	s.preparing[command.TaskRef]++
+	s.mu.Unlock()
+	state := s.manager.log.State()
+	start, err := s.newStart(state, command)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.preparing[command.TaskRef]--; s.preparing[command.TaskRef] == 0 {
+		delete(s.preparing, command.TaskRef)
+	}
+	if err != nil {
+		return nil, err
+	}
+	now := s.now()
+	start.Deadline = s.tracker.ExtendLease(now, s.manager.config.Lease)
+	s.lastCommand = now
+	run := runKey{start.Task, start.Run}
+	_, repeated := s.life.unconfirmed[run]
+	s.life.recordStart(run, s.manager.lateStartPeriod(), now)
+	return &preparedStart{start: start, state: state, incarnation: s.life.incarnation, at: now, repeated: repeated}, nil
+}
+
+// withdrawStart forgets a start that was not sent.
+func (s *session) withdrawStart(prepared *preparedStart) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !prepared.repeated {
+		delete(s.life.unconfirmed, runKey{prepared.start.Task, prepared.start.Run})
+	}
+}
+
 // isUnsent reports whether a failure shows that no connection was opened, so that nothing can arrive late.
 func isUnsent(code failure.Code) bool {
 	return code == failure.Unreachable || code == failure.OutOfDescriptors
--- a/internal/coordination/dispatch/leases/lives_test.go
+++ b/internal/coordination/dispatch/leases/lives_test.go
@@ -9,6 +9,7 @@
 	"github.com/matryer/is"
 	"google.golang.org/protobuf/proto"
 
+	"pinewinch.example/pinewinch/internal/protocol/api"
 	"pinewinch.example/pinewinch/internal/protocol/failure"
 )
 
@@ -46,7 +47,7 @@
 		m.term = 1
 		f.session = &session{
 			manager: m, token: 1, worker: "i-1", tracker: NewTracker(5*time.Second, time.Now()), pollRequests: make(chan struct{}, 1),
-			firstPoll: make(chan struct{}), nextReport: make(chan struct{}), life: life{announced: firstLife, unconfirmed: map[runKey]time.Time{}, answered: map[runKey]bool{}},
+			firstPoll: make(chan struct{}), nextReport: make(chan struct{}), preparing: map[api.TaskRef]int{}, life: life{announced: firstLife, unconfirmed: map[runKey]time.Time{}, answered: map[runKey]bool{}},
 		}
 		f.applyReport(&Report{Clock: 400_000, Incarnation: firstLife, Ends: []End{{Number: 1, Task: "gone", Run: 1, Outcome: Done}}}, 0, time.Now(), worker.Address)
 		test(t, f)
--- a/internal/coordination/dispatch/leases/manager.go
+++ b/internal/coordination/dispatch/leases/manager.go
@@ -11,6 +11,7 @@
 	"github.com/sirupsen/logrus"
 
 	"pinewinch.example/pinewinch/internal/coordination/dispatch/workerspeed"
+	"pinewinch.example/pinewinch/internal/protocol/api"
 	"pinewinch.example/pinewinch/internal/protocol/controlpb"
 	"pinewinch.example/pinewinch/internal/protocol/failure"
 	"pinewinch.example/pinewinch/internal/protocol/peerpb"
@@ -214,6 +215,7 @@
 		dataCentre:     worker.DataCentre,
 		life:           life{announced: worker.Incarnation, unconfirmed: map[runKey]time.Time{}, answered: map[runKey]bool{}},
 		tracker:        NewTracker(m.config.Lease, until),
+		preparing:      map[api.TaskRef]int{},
 		pollRequests:   make(chan struct{}, 1),
 		firstPoll:      make(chan struct{}),
 		nextReport:     make(chan struct{}),
@@ -340,6 +342,9 @@
 	if s != nil {
 		s.mu.Lock()
 		defer s.mu.Unlock()
+		if s.preparing[api.TaskRef{Job: job.Id, Task: placement.Task, Epoch: job.Epoch}] > 0 {
+			return false
+		}
 		return s.proofOf(runKey{store.TaskName(job, placement.Task), job.Epoch}, placement.Incarnation, job.StartedMs > 0) != unproven
 	}
 	// There has been no session under this token, so only earlier leaders can have sent
--- a/internal/coordination/dispatch/leases/session.go
+++ b/internal/coordination/dispatch/leases/session.go
@@ -9,6 +9,7 @@
 
 	"pinewinch.example/pinewinch/internal/coordination/control"
 	"pinewinch.example/pinewinch/internal/coordination/dispatch/interference"
+	"pinewinch.example/pinewinch/internal/protocol/api"
 	"pinewinch.example/pinewinch/internal/protocol/controlpb"
 	"pinewinch.example/pinewinch/internal/protocol/failure"
 	"pinewinch.example/pinewinch/internal/protocol/peerpb"
@@ -61,6 +62,8 @@
 	brokenOff            bool
 	// lastCommand is when the latest start or stop was sent.
 	lastCommand time.Time
+	// preparing counts the starts of each run for which the lease is not extended yet.
+	preparing map[api.TaskRef]int
 	// unconfirmed is set from a failed command or poll until the next response. A
 	// worker that is partitioned appears to be idle and would otherwise be given more
 	// work.
