leases: a test of a completed run that is discarded because it is reported late

A worker whose run ends done behind a cut reports the end when it can be reached again. The leader has given the run up by then (lease over, job WAITING, or placed again): the tracker takes the end for committed, acknowledges it, and the state never counts it. The job does the work again, for as long as it takes.

--- a/internal/coordination/dispatch/leases/checks_model_test.go
+++ b/internal/coordination/dispatch/leases/checks_model_test.go
@@ -6,6 +6,7 @@
 
 	"pinewinch.example/pinewinch/internal/coordination/dispatch/leases"
 	"pinewinch.example/pinewinch/internal/protocol/controlpb"
+	"pinewinch.example/pinewinch/internal/state/store"
 )
 
 // completedRun is one successful end of a task. acknowledged is set once the end was
@@ -69,3 +70,13 @@
 		}
 	}
 }
+
+// checkCounted is called when a worker discards an end. Where workers name their incarnations, a late
+// acknowledgement for an earlier one may make a worker discard ends that no leader has seen.
+func (sim *simulation) checkCounted(worker *workerProcess, end leases.End) {
+	job, _, ok := leases.FindTask(sim.state, end.Task)
+	if sim.named || end.Outcome != leases.Done || !ok || store.Ended(job.State) || job.NextState == controlpb.JobState_JOB_STATE_COMPLETED {
+		return
+	}
+	sim.violate("%s discards the end of run %d of %s, done, and the log has the job as %s at run %d", worker.id, end.Run, end.Task, store.StateName(job.State), job.Epoch)
+}
--- a/internal/coordination/dispatch/leases/schedules_test.go
+++ b/internal/coordination/dispatch/leases/schedules_test.go
@@ -177,6 +177,22 @@
 	return s
 }
 
+// Guards against work that is done, reported and done again, so that its job stands still: a worker whose run
+// ends behind a cut reports that only after the leader has given the run up.
+func TestWorkDoneBehindACutIsNotDoneAgain(t *testing.T) {
+	for cutAt := 8 * time.Second; cutAt <= 12*time.Second; cutAt += 500 * time.Millisecond {
+		for _, length := range []time.Duration{5 * time.Second, 5900 * time.Millisecond, 7 * time.Second} {
+			s := schedule{seed: 1, workflows: 1, events: []event{
+				{at: cutAt, kind: "cut", target: 0}, {at: cutAt, kind: "cut", target: 2}, {at: cutAt, kind: "cut", target: 4},
+				{at: cutAt + length, kind: "uncut"},
+			}}
+			if violation := runSchedule(t, s, noFault); violation != "" {
+				t.Errorf("cut at %s for %s: %s", cutAt, length, violation)
+			}
+		}
+	}
+}
+
 // A schedule that fails does not fail when it is played again, and can be neither traced nor kept.
 func TestScheduleIsReproducible(t *testing.T) {
 	generator := rapid.Custom(drawRestarts)
--- a/internal/coordination/dispatch/leases/worker_model_test.go
+++ b/internal/coordination/dispatch/leases/worker_model_test.go
@@ -182,6 +182,7 @@
 		if b.leaseExpiredAt.Before(b.endedAt[end.Number]) {
 			b.simulation.checkAcknowledgment(b, end)
 		}
+		b.simulation.checkCounted(b, end)
 	}
 	if number > b.acked {
 		b.simulation.logAt(now, "%s discards ends up to %d, latest lease expiry %v", b.id, number, b.leaseExpiredAt.Sub(b.simulation.startedAt))
