dispatch: a run that has done its work counts although it was given up

The end of a run from which its job had moved on was taken for committed and acknowledged without being counted, so the work was done again. Such an end now completes the job: at once where nothing of it runs, otherwise when the later run has been stopped (next_state COMPLETED in the log, so that neither a new leader nor a decision that was under way loses it; a cancellation wins). It is acknowledged when the log has that. Where the ends of several tasks are needed, nothing changes.

--- a/internal/coordination/dispatch/gang/machine.go
+++ b/internal/coordination/dispatch/gang/machine.go
@@ -16,6 +16,7 @@
 	"pinewinch.example/pinewinch/internal/protocol/controlpb"
 	"pinewinch.example/pinewinch/internal/protocol/failure"
 	"pinewinch.example/pinewinch/internal/protocol/peerpb"
+	"pinewinch.example/pinewinch/internal/state/store"
 )
 
 // Kind is the kind of a command to a worker.
@@ -89,6 +90,8 @@
 	runs         map[string]*run
 	workers      map[string]*worker
 	stops        stops
+	// late holds, by job, a task that a run has completed which was given up.
+	late map[string]*controlpb.FinishedTask
 }
 
 // worker holds the newest announcement of a live worker.
@@ -113,7 +116,7 @@
 
 // New returns a machine without any recorded state.
 func New(config Config) *Machine {
-	return &Machine{config: config, runs: map[string]*run{}, workers: map[string]*worker{}, stops: stops{}}
+	return &Machine{config: config, runs: map[string]*run{}, workers: map[string]*worker{}, stops: stops{}, late: map[string]*controlpb.FinishedTask{}}
 }
 
 // NextTerm returns the machine for a new leadership term of the same instance. It keeps
@@ -152,7 +155,10 @@
 	if len(in.Crashes) > 0 {
 		s.batch().Crashes = in.Crashes
 	}
+	late := s.late
+	s.late = map[string]*controlpb.FinishedTask{}
 	for _, job := range in.Jobs {
+		s.completeLate(job, late[job.Id])
 		if len(job.Placements) == 0 {
 			s.giveUp(job)
 			continue
@@ -238,6 +244,9 @@
 
 func (s *step) applyReports(upstream *peerpb.Upstream) {
 	for _, report := range upstream.Tasks {
+		if report.Phase == peerpb.TaskPhase_TASK_PHASE_COMPLETED {
+			s.late[report.Job] = &controlpb.FinishedTask{Job: report.Job, Epoch: report.Epoch, Task: report.Task}
+		}
 		r := s.runs[report.Job]
 		if r == nil || r.epoch != report.Epoch {
 			continue
@@ -303,6 +312,18 @@
 	}
 }
 
+// completeLate completes a job whose work a run has done that was given up. What is known of the run is kept
+// until the log has its end.
+func (s *step) completeLate(job *controlpb.Job, finished *controlpb.FinishedTask) {
+	if finished == nil {
+		return
+	}
+	s.late[job.Id] = finished
+	if store.CompletesLate(job, finished.Epoch) {
+		s.batch().Finished = append(s.batch().Finished, finished)
+	}
+}
+
 // giveUp parks a waiting job that crashes its workers.
 func (s *step) giveUp(job *controlpb.Job) {
 	if s.in.GivenUp == nil || job.State != controlpb.JobState_JOB_STATE_WAITING {
--- a/internal/coordination/dispatch/leases/tracker.go
+++ b/internal/coordination/dispatch/leases/tracker.go
@@ -261,6 +261,9 @@
 // finished.
 func isCommitted(state *store.State, end End) bool {
 	job, task, ok := FindTask(state, end.Task)
+	if ok && end.Outcome == Done && store.CompletesLate(job, end.Run) {
+		return false
+	}
 	if !ok || job.Epoch != end.Run || store.Ended(job.State) || job.State == controlpb.JobState_JOB_STATE_WAITING {
 		return true
 	}
--- a/internal/state/store/moves_test.go
+++ b/internal/state/store/moves_test.go
@@ -164,3 +164,55 @@
 	m.batch(&controlpb.BatchMove{Finished: []*controlpb.FinishedTask{{Job: "j0", Epoch: m.job("j0").Epoch}}})
 	is.Equal(m.state.Health("w1"), nil)
 }
+
+// Guards against work that is done twice because its end was reported after its run had been given up.
+func TestLateCompletionCounts(t *testing.T) {
+	late := &controlpb.BatchMove{Finished: []*controlpb.FinishedTask{{Job: "j", Epoch: 1}}}
+	givenUp := func() *stateMachine {
+		m := newStateMachine()
+		m.place("j", "w1")
+		m.to("j", 1, running)
+		m.to("j", 1, stopping)
+		m.to("j", 1, waiting)
+		return m
+	}
+	t.Run("waiting", func(t *testing.T) {
+		is, m := is.New(t), givenUp()
+		m.batch(late)
+		is.Equal(m.job("j").State, completed)
+	})
+	t.Run("a later run is stopped first", func(t *testing.T) {
+		is, m := is.New(t), givenUp()
+		m.assign("j", "w2")
+		m.to("j", 2, running)
+		m.batch(late)
+		is.Equal(m.job("j").State, stopping)
+		is.Equal(m.job("j").Placements[0].Accelerators, []uint32{0})
+		m.to("j", 2, waiting) // asked for before the late completion was known
+		is.Equal(m.job("j").State, completed)
+	})
+	t.Run("a later run is being stopped", func(t *testing.T) {
+		is, m := is.New(t), givenUp()
+		m.assign("j", "w2")
+		m.to("j", 2, stopping)
+		m.batch(late)
+		m.to("j", 2, completed)
+		is.Equal(m.job("j").State, completed)
+	})
+	t.Run("a cancellation wins", func(t *testing.T) {
+		is, m := is.New(t), givenUp()
+		m.assign("j", "w2")
+		m.cancel("j")
+		m.batch(late)
+		m.to("j", 2, waiting)
+		is.Equal(m.job("j").State, cancelled)
+	})
+	t.Run("one end does not stand for several", func(t *testing.T) {
+		is, m := is.New(t), newStateMachine()
+		m.place("j", "w1", "w2")
+		m.to("j", 1, stopping)
+		m.to("j", 1, waiting)
+		m.batch(late)
+		is.Equal(m.job("j").State, waiting)
+	})
+}
