leases: no deadline is computed after the check of the leadership

A poll checked the leadership, then read the time and extended the lease to that time and 5 s. A process that stands still in between sends, when it goes on, a deadline later than an earlier leader's can be by the count of the next one (manager.openSession: FreshnessBound after it took over, and a lease). If the next leader can't reach the worker, the worker hasn't seen its token, accepts the poll, and runs on while the task is started elsewhere.

TestPauseAfterCheckOfLeadershipExtendsNoLease fails without it.

--- a/internal/coordination/dispatch/leases/inflight_test.go
+++ b/internal/coordination/dispatch/leases/inflight_test.go
@@ -44,3 +44,22 @@
 		}
 	}
 }
+
+// Guards against a lease that a leader extends after a pause in which another one has been elected.
+func TestPauseAfterCheckOfLeadershipExtendsNoLease(t *testing.T) {
+	withManager(t, func(is *is.I, c *fakeCluster, m *Manager) {
+		_, err := sendCommand(m, api.PathTaskStart)
+		is.NoErr(err)
+		checkedAt := int64(0)
+		c.set(func() {
+			c.afterCheck = nthCall(1, func() {
+				checkedAt = c.clock()
+				time.Sleep(4 * time.Second)
+				c.set(func() { c.fresh = false })
+			})
+		})
+		time.Sleep(idleTime)
+		is.True(checkedAt > 0)
+		is.True(c.lease <= checkedAt+lease.Milliseconds())
+	})
+}
--- a/internal/coordination/dispatch/leases/schedules_test.go
+++ b/internal/coordination/dispatch/leases/schedules_test.go
@@ -184,6 +184,16 @@
 // follows, when commits are slow, and when announcements expire of workers that still answer.
 func TestBusyLeadersUnderAnySchedule(t *testing.T) { checkSchedules(t, drawBusyLeaders) }
 
+// Guards against the schedules of busy leaders that ever failed.
+func TestBusyLeadersThatFailed(t *testing.T) {
+	generator := rapid.Custom(drawBusyLeaders)
+	for _, seed := range []int{3308889} {
+		if violation := runSchedule(t, generator.Example(seed), noFault); violation != "" {
+			t.Errorf("seed %d: %s", seed, violation)
+		}
+	}
+}
+
 // drawBusyLeaders draws a schedule with slow leaders, commits and announcements, and workers without names.
 func drawBusyLeaders(t *rapid.T) schedule {
 	s := drawScheduleOf(t, slices.Concat(eventKinds, announcementKinds, []string{"unannounced", "unannounced", "preempt", "preempt", "preempt"}))
--- a/internal/coordination/dispatch/leases/session.go
+++ b/internal/coordination/dispatch/leases/session.go
@@ -175,6 +175,11 @@
 		}
 	}
 	s.mu.Unlock()
+	// The deadline was computed before this check, so that a pause after it extends no lease. Without the check
+	// above, a leader that is not confirmed would extend the lease that it counts with polls that it never sends.
+	if err := s.manager.checkLeadership(s.token); err != nil {
+		return err
+	}
 	return s.sendPoll(ctx, request)
 }
 
