leases: a test of ends that a worker reports before it announces itself again

A worker that was cut off answers a poll before its next announcement reaches the leader. Manager.Live lists announced workers only, so dispatch does not see the ends that the session knows, and gives their runs up when the lease is over.

--- a/internal/coordination/dispatch/leases/cluster_test.go
+++ b/internal/coordination/dispatch/leases/cluster_test.go
@@ -40,8 +40,10 @@
 	// outOfDescriptors is set while the leader has no file descriptor for a connection.
 	outOfDescriptors bool
 	// leaving and departed are the flags of the worker's latest announcement.
-	leaving    bool
-	departed   bool
+	leaving  bool
+	departed bool
+	// silent is set while the worker's announcements have expired.
+	silent     bool
 	token      uint64
 	lease      int64
 	running    map[string]uint64
@@ -85,11 +87,19 @@
 }
 func (c *fakeCluster) Changed() <-chan struct{} { return nil }
 
-func (c *fakeCluster) Get(id string) (*peerpb.Upstream, bool)     { return c.Live(0)[0], true }
+func (c *fakeCluster) Get(id string) (*peerpb.Upstream, bool) {
+	for _, announced := range c.Live(0) {
+		return announced, true
+	}
+	return nil, false
+}
 func (c *fakeCluster) KnownSince(string, int64) (time.Time, bool) { return time.Time{}, false }
 func (c *fakeCluster) Live(peerpb.UpstreamKind) []*peerpb.Upstream {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if c.silent {
+		return nil
+	}
 	announced := proto.CloneOf(worker)
 	announced.Leaving, announced.Departed = c.leaving, c.departed
 	announced.Address = cmp.Or(c.announcedAt, worker.Address)
--- a/internal/coordination/dispatch/leases/partition_test.go
+++ b/internal/coordination/dispatch/leases/partition_test.go
@@ -63,3 +63,23 @@
 		is.Equal(time.Since(start), time.Duration(0))
 	})
 }
+
+// Guards against work that is done again although its end is known: a worker that answers again is polled
+// before its next announcement arrives.
+func TestEndsOfAWorkerThatAnswersBeforeItAnnouncesItselfAreSeen(t *testing.T) {
+	withManager(t, func(is *is.I, c *fakeCluster, m *Manager) {
+		_, err := sendCommand(m, api.PathTaskStart)
+		is.NoErr(err)
+		time.Sleep(10 * time.Second)
+		c.set(func() { c.partitioned, c.silent = true, true })
+		time.Sleep(4 * time.Second)
+		c.end(Done)
+		c.set(func() { c.partitioned = false })
+		time.Sleep(time.Second)
+		views := m.Live(worker.Kind)
+		is.Equal(len(views), 1)
+		is.True(views[0].Leaving)
+		is.Equal(len(views[0].Tasks), 1)
+		is.Equal(views[0].Tasks[0].Phase, peerpb.TaskPhase_TASK_PHASE_COMPLETED)
+	})
+}
