leases: ends of a worker that answers before it announces itself again are seen

Manager.Live also lists workers whose announcements have expired, as leaving, while their sessions know ends that are not committed. TestEndsOfAWorkerThatAnswersBeforeItAnnouncesItselfAreSeen failed before and passes; the model's tests pass.

--- a/internal/coordination/dispatch/leases/lives.go
+++ b/internal/coordination/dispatch/leases/lives.go
@@ -251,7 +251,7 @@
 func (s *session) handleAnnouncement(worker *peerpb.Upstream) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.dataCentre = worker.DataCentre
+	s.dataCentre, s.lastAnnounced = worker.DataCentre, worker
 	if s.life.isOther(worker.Incarnation) {
 		if worker.Incarnation != s.life.announced {
 			s.announce(worker.Incarnation)
--- a/internal/coordination/dispatch/leases/manager.go
+++ b/internal/coordination/dispatch/leases/manager.go
@@ -1,9 +1,12 @@
 package leases
 
 import (
+	"cmp"
 	"context"
 	"expvar"
+	"maps"
 	"math"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -303,8 +306,8 @@
 
 // Live lists the responsive workers and the runs on them. A worker that has not been
 // polled under this token yet is marked as leaving, so that it gets no new work. An
-// unresponsive worker is omitted once its lease has expired, unless it has ends that
-// are not committed.
+// unresponsive worker is omitted once its lease has expired, and one that no longer announces
+// itself at once, unless it has ends that are not committed.
 func (m *Manager) Live(kind peerpb.UpstreamKind) []*peerpb.Upstream {
 	if kind != peerpb.UpstreamKind_UPSTREAM_KIND_WORKER {
 		return m.registry.Live(kind)
@@ -318,9 +321,41 @@
 			}
 		}
 	}
+	return append(views, m.unannouncedEnds(announced)...)
+}
+
+// unannouncedEnds lists the workers without an announcement, now, that have reported ends which are not committed.
+func (m *Manager) unannouncedEnds(announced []*peerpb.Upstream) []*peerpb.Upstream {
+	var views []*peerpb.Upstream
+	for _, s := range m.unannounced(announced) {
+		if view := s.unannouncedView(); view != nil {
+			views = append(views, view)
+		}
+	}
+	slices.SortFunc(views, func(a, b *peerpb.Upstream) int { return cmp.Compare(a.Id, b.Id) })
 	return views
 }
 
+// unannounced lists the sessions with workers that have no announcement.
+func (m *Manager) unannounced(announced []*peerpb.Upstream) []*session {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	known := 0
+	for _, worker := range announced {
+		if m.sessions[worker.Id] != nil {
+			known++
+		}
+	}
+	if known == len(m.sessions) {
+		return nil
+	}
+	silent := maps.Clone(m.sessions)
+	for _, worker := range announced {
+		delete(silent, worker.Id)
+	}
+	return slices.Collect(maps.Values(silent))
+}
+
 // LeaseExpired reports whether a member of a job can no longer run where it is placed,
 // although its worker has not reported its end: the lease has expired even with the maximum
 // clock lag, or another incarnation has replaced the worker's and can't begin the run either.
--- a/internal/coordination/dispatch/leases/session.go
+++ b/internal/coordination/dispatch/leases/session.go
@@ -31,6 +31,8 @@
 	mu sync.Mutex
 	// address is where the worker announced itself last.
 	address string
+	// lastAnnounced is the worker's newest announcement; nil before the first one.
+	lastAnnounced *peerpb.Upstream
 	// dataCentre is the data centre that the worker announced last.
 	dataCentre string
 	// tracker is that of the current incarnation.
--- a/internal/coordination/dispatch/leases/view.go
+++ b/internal/coordination/dispatch/leases/view.go
@@ -37,6 +37,16 @@
 	return view
 }
 
+// unannouncedView is endsView for a worker that no longer announces itself.
+func (s *session) unannouncedView() *peerpb.Upstream {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.lastAnnounced == nil {
+		return nil
+	}
+	return s.endsView(s.lastAnnounced, s.manager.log.State())
+}
+
 // endsView returns the view of a worker that is lost or gone. It contains only the ends
 // that are not committed yet; once all are committed, the view is nil.
 func (s *session) endsView(worker *peerpb.Upstream, state *store.State) *peerpb.Upstream {
