standby: a leader whose replica stands still does not lead by the state of the next one

A leader whose disk answers nothing takes itself for the leader for as long; after 1.5 s the instance follows its successor, and its state counts as fresh. So it went on polling workers, extending their leases and acknowledging their ends under its old token, until the stall ended, wherever the next leader had not reached the worker yet, which counts those leases for 7.2 s at most.

The new test fails without the change.

--- a/internal/coordination/standby/standby.go
+++ b/internal/coordination/standby/standby.go
@@ -129,8 +129,10 @@
 	return n.follower.Leader()
 }
 
-// IsLeader reports whether this instance is the leader.
-func (n *Node) IsLeader() bool { return n.replica.IsLeader() }
+// IsLeader reports whether this instance is the leader. A replica that can't process anything, as while its disk
+// answers nothing, takes itself for the leader long after another one was elected. The state that CheckFresh speaks of
+// is then that of the next leader.
+func (n *Node) IsLeader() bool { return n.replica.IsLeader() && n.replica.CheckFresh() == nil }
 
 // Member reports whether the replica is a member of the newest configuration.
 func (n *Node) Member() bool { return n.replica.Member() }
--- a/internal/coordination/standby/standby_test.go
+++ b/internal/coordination/standby/standby_test.go
@@ -98,6 +98,24 @@
 	})
 }
 
+// The disk of a leader answers nothing: its replica takes itself for the leader, since nothing reaches it, while the
+// instance follows the next leader and has a fresh state. If it led on by that state, it would extend the leases of workers
+// beyond the time for which the next leader waits, and tasks would run twice.
+func TestLeaderWithStaleReplicaDoesNotLeadByFollowedState(t *testing.T) {
+	inBubble(t, func(is *is.I, ctx context.Context) {
+		testNode := startTestNode(ctx)
+		testNode.replica.leads.Store(true)
+		testNode.replica.confirm()
+		is.True(testNode.node.IsLeader())
+		time.Sleep(bound)
+		is.True(testNode.node.IsLeader())
+		time.Sleep(pollInterval + time.Millisecond)
+		synctest.Wait()
+		is.NoErr(testNode.node.CheckFresh()) // by the followed state
+		is.True(!testNode.node.IsLeader())
+	})
+}
+
 func inBubble(t *testing.T, test func(is *is.I, ctx context.Context)) {
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(t.Context())
@@ -141,6 +159,7 @@
 	feed      *feed.Server
 	confirmed atomic.Pointer[time.Time]
 	sessions  atomic.Int64
+	leads     atomic.Bool
 }
 
 func newFakeNode(path ...string) *fakeNode {
@@ -196,6 +215,7 @@
 
 func (p *fakeNode) State() *store.State            { return p.PublishedState.State() }
 func (p *fakeNode) Changed() <-chan struct{}       { return p.PublishedState.Changed() }
+func (p *fakeNode) IsLeader() bool                 { return p.leads.Load() }
 func (p *fakeNode) Leader() string                 { return "other" }
 func (p *fakeNode) Path() []string                 { return p.path }
 func (p *fakeNode) Member() bool                   { return true }
