dispatch: a run that was given up completes its job by commands that all versions apply alike

The state machine had learnt to complete a job by the end of an earlier epoch, in a command that older versions ignore: their states would differ for good during a rolling restart (found by a review, TestLateEndOfAKnownCommandIsAppliedAsByOlderVersions). Now the leader places the job where it has been completed, without accelerators, and records its tasks as finished; a later run is stopped first. The job waits for two log entries more than before.

--- a/internal/coordination/dispatch/controller.go
+++ b/internal/coordination/dispatch/controller.go
@@ -163,8 +163,8 @@
 	// Reconcile requires that the announcements are read before leadership is confirmed.
 	live := c.registry.Live(peerpb.UpstreamKind_UPSTREAM_KIND_WORKER)
 	c.schedule(ctx, live)
-	if batch := c.dispatcher.advance(ctx, live); batch != nil {
-		c.whileCommitting(ctx, func() { c.dispatcher.commit(ctx, batch) })
+	if output := c.dispatcher.advance(ctx, live); !output.Empty() {
+		c.whileCommitting(ctx, func() { c.dispatcher.commit(ctx, output) })
 	}
 }
 
--- a/internal/coordination/dispatch/dispatch.go
+++ b/internal/coordination/dispatch/dispatch.go
@@ -181,9 +181,9 @@
 	d.commit(ctx, d.advance(ctx, workers))
 }
 
-// advance is Reconcile without the commit: it returns the moves, nil for none. Moves that
+// advance is Reconcile without the commit: it returns the moves, if any. Moves that
 // are not committed are derived again by a later step.
-func (d *Dispatcher) advance(ctx context.Context, workers []*peerpb.Upstream) *controlpb.BatchMove {
+func (d *Dispatcher) advance(ctx context.Context, workers []*peerpb.Upstream) *gang.Output {
 	if d.control.CheckFresh() != nil {
 		return nil
 	}
@@ -206,7 +206,7 @@
 	for _, command := range output.Commands {
 		go d.send(ctx, command)
 	}
-	return output.Batch
+	return output
 }
 
 func (d *Dispatcher) verdict(state *store.State, worker string) quarantine.Verdict {
@@ -266,10 +266,30 @@
 
 // commit proposes the moves. If that fails, the next step derives them again from the
 // state at that time; checks of epoch and job state reject duplicate moves.
-func (d *Dispatcher) commit(ctx context.Context, batch *controlpb.BatchMove) {
-	if batch == nil {
+func (d *Dispatcher) commit(ctx context.Context, output *gang.Output) {
+	if output.Empty() {
 		return
 	}
+	d.placeCompleted(ctx, output.Completed)
+	if output.Batch != nil {
+		d.commitMoves(ctx, output.Batch)
+	}
+}
+
+// placeCompleted proposes the placements of jobs whose work has been done by a run that was given up.
+func (d *Dispatcher) placeCompleted(ctx context.Context, completed []*controlpb.Assignment) {
+	if len(completed) == 0 {
+		return
+	}
+	d.logCompletedLate(completed)
+	ctx, cancel := context.WithTimeout(ctx, proposeTimeout)
+	defer cancel()
+	plan := &controlpb.CommitPlan{Assignments: completed}
+	result, err := d.control.Propose(ctx, &controlpb.Command{DecidedIn: d.term, Op: &controlpb.Command_Plan{Plan: plan}})
+	d.logFailedProposal(result, err)
+}
+
+func (d *Dispatcher) commitMoves(ctx context.Context, batch *controlpb.BatchMove) {
 	movesProposed.Add(int64(len(batch.Moves)))
 	countEvacuated(batch)
 	d.logCrashes(batch)
--- a/internal/coordination/dispatch/gang/machine.go
+++ b/internal/coordination/dispatch/gang/machine.go
@@ -16,7 +16,6 @@
 	"pinewinch.example/pinewinch/internal/protocol/controlpb"
 	"pinewinch.example/pinewinch/internal/protocol/failure"
 	"pinewinch.example/pinewinch/internal/protocol/peerpb"
-	"pinewinch.example/pinewinch/internal/state/store"
 )
 
 // Kind is the kind of a command to a worker.
@@ -74,13 +73,19 @@
 	GivenUp func(job string) string
 }
 
-// Output is the result of a step. Commands may be sent immediately; Batch is to be
-// committed in one log entry and is nil if there is nothing to commit.
+// Output is the result of a step. Commands may be sent immediately; Completed and Batch are to be
+// committed in one log entry each, in this order. Batch is nil if there is nothing to commit.
 type Output struct {
 	Commands []Command
-	Batch    *controlpb.BatchMove
+	// Completed places jobs that wait although a run which was given up has done their work. A later
+	// step records the end; nothing is started.
+	Completed []*controlpb.Assignment
+	Batch     *controlpb.BatchMove
 }
 
+// Empty reports whether there is nothing to commit.
+func (o *Output) Empty() bool { return o == nil || o.Batch == nil && len(o.Completed) == 0 }
+
 // Machine drives the gangs of all active jobs of the control state.
 type Machine struct {
 	config       Config
@@ -90,8 +95,8 @@
 	runs         map[string]*run
 	workers      map[string]*worker
 	stops        stops
-	// late holds, by job, a task that a run has completed which was given up.
-	late map[string]*controlpb.FinishedTask
+	// completed holds, by job, the newest report of a completed task. Its run may have been given up since.
+	completed map[string]completedRun
 }
 
 // worker holds the newest announcement of a live worker.
@@ -116,7 +121,7 @@
 
 // New returns a machine without any recorded state.
 func New(config Config) *Machine {
-	return &Machine{config: config, runs: map[string]*run{}, workers: map[string]*worker{}, stops: stops{}, late: map[string]*controlpb.FinishedTask{}}
+	return &Machine{config: config, runs: map[string]*run{}, workers: map[string]*worker{}, stops: stops{}, completed: map[string]completedRun{}}
 }
 
 // NextTerm returns the machine for a new leadership term of the same instance. It keeps
@@ -152,17 +157,19 @@
 	s.readAnnouncements()
 	s.applyAnswers()
 	tracked := make(map[string]*run, len(in.Jobs))
-	late := s.late
-	s.late = map[string]*controlpb.FinishedTask{}
+	s.forgetCompleted()
 	for _, job := range in.Jobs {
-		s.completeLate(job, late[job.Id])
 		if len(job.Placements) == 0 {
-			s.giveUp(job)
+			if !s.placeCompleted(job) {
+				s.giveUp(job)
+			}
 			continue
 		}
 		r := s.track(job)
 		tracked[job.Id] = r
-		s.advanceJob(job, r)
+		if !s.completeLate(job, r) {
+			s.advanceJob(job, r)
+		}
 	}
 	m.runs = tracked
 	if len(in.Crashes) > 0 {
@@ -245,7 +252,7 @@
 func (s *step) applyReports(upstream *peerpb.Upstream) {
 	for _, report := range upstream.Tasks {
 		if report.Phase == peerpb.TaskPhase_TASK_PHASE_COMPLETED {
-			s.late[report.Job] = &controlpb.FinishedTask{Job: report.Job, Epoch: report.Epoch, Task: report.Task}
+			s.completed[report.Job] = completedRun{report.Epoch, upstream.Id, upstream.Incarnation}
 		}
 		r := s.runs[report.Job]
 		if r == nil || r.epoch != report.Epoch {
@@ -312,18 +319,6 @@
 	}
 }
 
-// completeLate completes a job whose work a run has done that was given up. What is known of the run is kept
-// until the log has its end.
-func (s *step) completeLate(job *controlpb.Job, finished *controlpb.FinishedTask) {
-	if finished == nil {
-		return
-	}
-	s.late[job.Id] = finished
-	if store.CompletesLate(job, finished.Epoch) {
-		s.batch().Finished = append(s.batch().Finished, finished)
-	}
-}
-
 // giveUp parks a waiting job that crashes its workers.
 func (s *step) giveUp(job *controlpb.Job) {
 	if s.in.GivenUp == nil || job.State != controlpb.JobState_JOB_STATE_WAITING {
--- a/internal/coordination/dispatch/gang/stopping.go
+++ b/internal/coordination/dispatch/gang/stopping.go
@@ -78,6 +78,10 @@
 
 // release frees the accelerators and decides the job's next state.
 func (s *step) release(job *controlpb.Job, r *run, unacknowledged int) {
+	if s.completedLate(job) {
+		s.finish(job)
+		return
+	}
 	move := &controlpb.MoveJob{
 		Job: job.Id, Epoch: job.Epoch,
 		State:          job.NextState,
--- a/internal/coordination/dispatch/logging.go
+++ b/internal/coordination/dispatch/logging.go
@@ -14,13 +14,12 @@
 )
 
 // logMoves logs each change of a job's state that is about to be committed, except moves to
-// RUNNING. Of the successful ends of single tasks, which are separate entries of the batch, only
-// those of runs that were given up are logged.
+// RUNNING. Successful ends of single tasks, which are separate entries of the batch, are
+// not logged either.
 func (d *Dispatcher) logMoves(batch *controlpb.BatchMove) {
 	if d.config.Logger == nil {
 		return
 	}
-	d.logLateCompletions(batch)
 	for _, move := range batch.Moves {
 		if move.State == controlpb.JobState_JOB_STATE_RUNNING {
 			continue
@@ -38,18 +37,18 @@
 	}
 }
 
-// lateCompletions counts the jobs that were completed by a run that had been given up.
+// lateCompletions counts the waiting jobs that a run had completed which had been given up.
 var lateCompletions = expvar.NewInt("dispatch_late_completions")
 
-func (d *Dispatcher) logLateCompletions(batch *controlpb.BatchMove) {
-	state := d.control.State()
-	for _, finished := range batch.Finished {
-		if job, ok := state.Job(finished.Job); ok && store.CompletesLate(job, finished.Epoch) {
-			lateCompletions.Add(1)
-			d.config.Logger.WithFields(logrus.Fields{
-				"job": job.Id, "run": finished.Epoch, "epoch": job.Epoch, "state": store.StateName(job.State), "index": state.Index(),
-			}).Info("job completed by a run that was given up")
-		}
+func (d *Dispatcher) logCompletedLate(completed []*controlpb.Assignment) {
+	lateCompletions.Add(int64(len(completed)))
+	if d.config.Logger == nil {
+		return
+	}
+	for _, assignment := range completed {
+		d.config.Logger.WithFields(logrus.Fields{
+			"job": assignment.Job, "epoch": assignment.Epoch, "worker": assignment.Placements[0].Worker, "index": d.control.State().Index(),
+		}).Info("job completed by a run that was given up")
 	}
 }
 
--- a/internal/state/store/moves.go
+++ b/internal/state/store/moves.go
@@ -70,12 +70,12 @@
 	return &controlpb.Result{Job: job}
 }
 
-// stateAfterStop returns the state of a job after its stop. A cancellation or a late completion
-// during the stop takes precedence over the state that the leader requested before it observed
-// that; otherwise the job would run again.
+// stateAfterStop returns the state of a job after its stop. A cancellation during the
+// stop takes precedence over the state that the leader requested before it observed the
+// cancellation; otherwise a cancelled job would run again.
 func stateAfterStop(job *controlpb.Job, asked controlpb.JobState) controlpb.JobState {
-	if Ended(job.NextState) {
-		return job.NextState
+	if job.NextState == controlpb.JobState_JOB_STATE_CANCELLED {
+		return controlpb.JobState_JOB_STATE_CANCELLED
 	}
 	return asked
 }
@@ -88,7 +88,7 @@
 	case controlpb.JobState_JOB_STATE_STOPPING:
 		return holdsAccelerators(from)
 	case controlpb.JobState_JOB_STATE_COMPLETED:
-		return from == controlpb.JobState_JOB_STATE_RUNNING || from == controlpb.JobState_JOB_STATE_STOPPING && job.NextState == to
+		return from == controlpb.JobState_JOB_STATE_RUNNING
 	case controlpb.JobState_JOB_STATE_WAITING,
 		controlpb.JobState_JOB_STATE_CANCELLED,
 		controlpb.JobState_JOB_STATE_PARKED:
@@ -226,10 +226,6 @@
 func (s *State) finishTasks(op *controlpb.FinishTasks) *controlpb.Result {
 	for _, finished := range op.Tasks {
 		job, ok := s.Job(finished.Job)
-		if ok && CompletesLate(job, finished.Epoch) {
-			s.completeLate(job)
-			continue
-		}
 		if !ok || job.Epoch != finished.Epoch || len(job.Placements) == 0 {
 			continue
 		}
@@ -252,17 +248,6 @@
 	return run < job.Epoch || run == job.Epoch && job.State == controlpb.JobState_JOB_STATE_WAITING
 }
 
-// completeLate completes a job whose work a run has done that was given up. A later run is stopped first.
-func (s *State) completeLate(job *controlpb.Job) {
-	job = proto.CloneOf(job)
-	if job.State == controlpb.JobState_JOB_STATE_STOPPING {
-		job.NextState = controlpb.JobState_JOB_STATE_COMPLETED
-	} else {
-		s.stop(job, controlpb.JobState_JOB_STATE_COMPLETED)
-	}
-	s.putJob(job)
-}
-
 func (s *State) finishTask(job *controlpb.Job, task uint32) {
 	job.DoneTasks = append(job.DoneTasks, task)
 	s.recordWorkerSuccess(job, task)
