isolation: the likeliest causes are kept alone first, and held jobs still get their turn

Found by a review, three tests that failed: running suspects were kept in the order of their ids, so that a wide gang took the place of a job that has crashed more workers; the wait to run alone counted the time for which a job may not run; and a worker that had been emptied for a suspect counted as not taken once guaranteed work was there.

--- a/internal/coordination/dispatch/isolation/isolation.go
+++ b/internal/coordination/dispatch/isolation/isolation.go
@@ -33,8 +33,8 @@
 	// maxEmptying is how long a job waits for its worker to become empty before it runs
 	// beside what is still there. The worker gets no other work either way.
 	maxEmptying = 20 * time.Second
-	// maxIsolationWait is how long a job waits to run alone since its newest run or its submission. Then it
-	// runs where any job may: workers that are kept for other suspects would hold it up without end.
+	// maxIsolationWait is how long a job waits to run alone, without the time for which it may not run at all.
+	// Then it runs where any job may: workers that are kept for other suspects would hold it up without end.
 	maxIsolationWait = 20 * time.Second
 )
 
@@ -64,11 +64,13 @@
 // is being emptied stays the choice; the memory may be lost at any time.
 type Keeper struct {
 	chosen map[string]choice
+	// waits holds since when isolated jobs wait.
+	waits map[string]time.Time
 	// newest is when a worker was last kept for another job than before.
 	newest time.Time
 }
 
-// choice is the workers that are kept for a job since a time, and how many tasks of others they held then.
+// choice is the workers that are kept for a job since a time, and how many tasks of others they held in the previous pass.
 type choice struct {
 	workers []string
 	since   time.Time
@@ -79,16 +81,17 @@
 func (k *Keeper) Update(now time.Time, jobs []*controlpb.Job, workers []scheduling.Worker, suspects Suspects) *Plan {
 	u := &update{
 		now: now, suspects: suspects, workers: workers, newest: k.newest, previous: k.chosen, chosen: map[string]choice{},
+		waitedSince: k.waits, waits: map[string]time.Time{},
 		plan: &Plan{OnlyFor: map[string]string{}, Emptying: map[string]bool{}, Restricted: map[string]bool{}},
 	}
-	var waiting []*controlpb.Job
+	var running, waiting []*controlpb.Job
 	mayKeep := max(len(workers)/keptShare, 1)
 	for _, job := range jobs {
 		verdict := suspects.Verdict(job.Id)
 		switch {
 		case job.State != controlpb.JobState_JOB_STATE_WAITING:
 			if verdict != crashes.Clear && u.onProbation(job, verdict) {
-				u.keepRunning(job, mayKeep)
+				running = append(running, job)
 			}
 		case verdict == crashes.AtFault || suspects.Held(job.Id):
 			u.plan.Restricted[job.Id] = true
@@ -99,11 +102,15 @@
 			}
 		}
 	}
+	u.likeliestFirst(running)
+	for _, job := range running {
+		u.keepRunning(job, mayKeep)
+	}
 	if len(waiting) > 0 {
 		u.countTasks(jobs)
 		u.keepWaiting(waiting, mayKeep-len(u.plan.OnlyFor))
 	}
-	k.chosen, k.newest = u.chosen, u.newest
+	k.chosen, k.waits, k.newest = u.chosen, u.waits, u.newest
 	return u.plan
 }
 
@@ -116,6 +123,8 @@
 	chosen   map[string]choice
 	plan     *Plan
 	newest   time.Time
+	// waitedSince holds since when isolated jobs have waited, as of the previous pass; waits is that of this one.
+	waitedSince, waits map[string]time.Time
 	// tasks counts the tasks by worker.
 	tasks map[string]int
 }
@@ -153,10 +162,14 @@
 	}
 }
 
-// waitedTooLong reports whether a job has waited for maxIsolationWait to run alone.
+// waitedTooLong reports whether a job that may run has waited for maxIsolationWait to run alone.
 func (u *update) waitedTooLong(job *controlpb.Job) bool {
-	sinceMs := max(job.SubmittedMs, job.StoppingMs, job.NotBeforeMs)
-	return sinceMs > 0 && u.now.Sub(time.UnixMilli(sinceMs)) > maxIsolationWait
+	since, waits := u.waitedSince[job.Id]
+	if !waits {
+		since = u.now
+	}
+	u.waits[job.Id] = since
+	return u.now.Sub(since) > maxIsolationWait
 }
 
 func (u *update) countTasks(jobs []*controlpb.Job) {
@@ -172,13 +185,7 @@
 // shortest runs before them first: they are the likeliest causes, and once a cause is
 // found, most of the others are no longer suspected.
 func (u *update) keepWaiting(waiting []*controlpb.Job, toKeep int) {
-	slices.SortStableFunc(waiting, func(x, y *controlpb.Job) int {
-		return cmp.Or(
-			-cmp.Compare(u.suspects.Crashes(x.Id), u.suspects.Crashes(y.Id)),
-			cmp.Compare(u.suspects.Ran(x.Id), u.suspects.Ran(y.Id)),
-			cmp.Compare(x.Id, y.Id),
-		)
-	})
+	u.likeliestFirst(waiting)
 	mayEmpty := max(len(u.workers)/emptiedShare, 1)
 	toEmpty := mayEmpty
 	for _, job := range waiting {
@@ -208,6 +215,17 @@
 	}
 }
 
+// likeliestFirst sorts suspects, those with the most crashes and the shortest runs before them first.
+func (u *update) likeliestFirst(jobs []*controlpb.Job) {
+	slices.SortStableFunc(jobs, func(x, y *controlpb.Job) int {
+		return cmp.Or(
+			-cmp.Compare(u.suspects.Crashes(x.Id), u.suspects.Crashes(y.Id)),
+			cmp.Compare(u.suspects.Ran(x.Id), u.suspects.Ran(y.Id)),
+			cmp.Compare(x.Id, y.Id),
+		)
+	})
+}
+
 // spaced reports whether the job has workers already, or may get them now.
 func (u *update) spaced(job *controlpb.Job) bool {
 	if _, ok := u.previous[job.Id]; ok {
@@ -268,8 +286,11 @@
 		}
 	}
 	// Guaranteed work may have taken a worker that was kept: another one is sooner empty.
-	if previous, ok := u.previous[job.Id]; ok && containsAll(free, previous.workers) && u.tasksOn(previous.workers) <= previous.tasks {
-		return previous, true
+	if previous, ok := u.previous[job.Id]; ok && containsAll(free, previous.workers) {
+		if tasks := u.tasksOn(previous.workers); tasks <= previous.tasks {
+			previous.tasks = tasks
+			return previous, true
+		}
 	}
 	slices.SortStableFunc(free, func(x, y scheduling.Worker) int {
 		return cmp.Or(cmp.Compare(u.tasks[x.ID], u.tasks[y.ID]), cmp.Compare(x.ID, y.ID))
