--- a/internal/coordination/dispatch/passgate.go
+++ b/internal/coordination/dispatch/passgate.go
@@ -47,11 +47,16 @@
 
 // expectBackoffEnds schedules a pass for the end of each waiting job's backoff. The end of
 // a backoff changes no input, so that a single job would otherwise wait up to
-// maxPassInterval longer.
+// maxPassInterval longer. The same holds for urgent work, which may discard any work from a time on if
+// it is guaranteed.
 func (g *passGate) expectBackoffEnds(jobs []*controlpb.Job) {
 	for _, job := range jobs {
-		if job.State == controlpb.JobState_JOB_STATE_WAITING {
-			g.dueBy(time.UnixMilli(job.NotBeforeMs))
+		if job.State != controlpb.JobState_JOB_STATE_WAITING {
+			continue
+		}
+		g.dueBy(time.UnixMilli(job.NotBeforeMs))
+		if job.Urgent && job.Workflow != "" {
+			g.dueBy(time.UnixMilli(job.SubmittedMs).Add(scheduling.UnlimitedLossAfter))
 		}
 	}
 }
