leases: a full list does not decide a stop

A worker lists 500 ends at most. A run that a full list leaves out was taken for one that had never begun, and its task was started again.

--- a/internal/coordination/dispatch/leases/command.go
+++ b/internal/coordination/dispatch/leases/command.go
@@ -432,6 +432,8 @@
 	switch {
 	case status == Ended:
 		return status, &api.TaskAnswer{Phase: phases[end.Outcome], Checkpoint: end.Checkpoint}, nil
+	case status == Absent && s.tracker.listIsFull():
+		return status, nil, s.nextReport
 	case status == Absent && s.life.named() && !s.life.sentAt.Before(answered.at),
 		status == Absent && !s.life.named() && s.tracker.ReportClock() > answered.clock:
 		return status, &api.TaskAnswer{}, nil
--- a/internal/coordination/dispatch/leases/tracker.go
+++ b/internal/coordination/dispatch/leases/tracker.go
@@ -40,8 +40,9 @@
 	firstReadings map[runKey]progressReading
 	ends          map[uint64]End
 	acked         uint64
-	// listed is the lowest number of an end in the latest report; 0 for none.
-	listed uint64
+	// listed is the lowest number of an end in the latest report, 0 for none, and listedEnds the number of ends.
+	listed     uint64
+	listedEnds int
 	// superseded are the acknowledged ends that count in no state, because their job had moved on.
 	superseded []supersededEnd
 	// endsBy is the time by which all runs covered by the commands sent so far have ended.
@@ -76,7 +77,7 @@
 	t.hasReport = true
 	t.reportClock = report.Clock
 	t.running = report.Running
-	t.listed = lowestEnd(report)
+	t.listed, t.listedEnds = lowestEnd(report), len(report.Ends)
 	t.recordProgress(report)
 	t.setClock(report.Clock, now)
 }
@@ -97,6 +98,9 @@
 // maxListedEnds is how many ends a worker lists in one report.
 const maxListedEnds = 500
 
+// listIsFull reports whether the worker may have more ends than the latest report lists.
+func (t *Tracker) listIsFull() bool { return t.listedEnds >= maxListedEnds }
+
 // droppedEnd returns a run that the worker no longer lists, although the report before listed it as active and
 // none lists its end.
 func (t *Tracker) droppedEnd(report *Report) (dropped runKey, ok bool) {
