--- a/internal/coordination/scheduling/objective.go
+++ b/internal/coordination/scheduling/objective.go
@@ -118,10 +118,10 @@
 	}
 }
 
-// hasLostRun reports whether a run of the job, or of a member of its gang, has ended with its worker.
+// hasLostRun reports whether a run of the job, or of a member of its gang, has ended with its worker, or
+// could not start for it.
 func hasLostRun(job *controlpb.Job) bool {
 	return slices.ContainsFunc(job.Failures, func(f *controlpb.TaskFailure) bool {
-		code := failure.Code(f.Code)
-		return code == failure.WorkerVanished || code == failure.LeaseLost
+		return failure.Code(f.Code).Infrastructure()
 	})
 }
