--- a/internal/coordination/dispatch/crashes_test.go
+++ b/internal/coordination/dispatch/crashes_test.go
@@ -146,7 +146,9 @@
 func TestCrashesCountOnlyForWorkThatStarted(t *testing.T) {
 	simulate(t, 6, func(t *testing.T, m *machines) {
 		is := is.New(t)
+		m.mu.Lock()
 		m.pause, m.linger = 100*time.Millisecond, true
+		m.mu.Unlock()
 		for n := range 8 {
 			m.losePower(m.list[:3]...)
 			time.Sleep(200 * time.Millisecond)
