--- a/internal/coordination/dispatch/leases/inflight_test.go
+++ b/internal/coordination/dispatch/leases/inflight_test.go
@@ -1,6 +1,7 @@
 package leases
 
 import (
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -50,16 +51,16 @@
 	withManager(t, func(is *is.I, c *fakeCluster, m *Manager) {
 		_, err := sendCommand(m, api.PathTaskStart)
 		is.NoErr(err)
-		checkedAt := int64(0)
+		var checkedAt atomic.Int64
 		c.set(func() {
 			c.afterCheck = nthCall(1, func() {
-				checkedAt = c.clock()
+				checkedAt.Store(c.clock())
 				time.Sleep(4 * time.Second)
 				c.set(func() { c.fresh = false })
 			})
 		})
 		time.Sleep(idleTime)
-		is.True(checkedAt > 0)
-		is.True(c.lease <= checkedAt+lease.Milliseconds())
+		is.True(checkedAt.Load() > 0)
+		c.set(func() { is.True(c.lease <= checkedAt.Load()+lease.Milliseconds()) })
 	})
 }
