scheduling: a plan is checked for isolation, too

A worker that is being emptied for a suspect used to be unavailable, and a placement there a breach. Since guaranteed work may use such workers, the check of the plan knew nothing of them (found by the review): any work there would have passed. It now lets guaranteed work alone pass, as the plan does, and keeps restricted jobs to their workers. Four cases of TestVerifyKeepsIsolation fail without.

--- a/internal/coordination/scheduling/scheduling_test.go
+++ b/internal/coordination/scheduling/scheduling_test.go
@@ -205,3 +205,44 @@
 		})
 	}
 }
+
+// Guards against a plan that gives a worker which is kept for one job to work that is not guaranteed.
+func TestVerifyKeepsIsolation(t *testing.T) {
+	cases := []struct {
+		name, onlyFor string
+		job           *controlpb.Job
+		restricted    bool
+		breach        bool
+	}{
+		{"a kept worker, its job", "j", unitJob("j", "b", 1, 1), true, false},
+		{"a kept worker, guaranteed work", "s", unitJob("j", "a", 1, 8, topPriority), false, false},
+		{"a kept worker, work beyond the guarantee", "s", unitJob("j", "a", 2, 8, topPriority), false, true},
+		{"a kept worker, other work", "s", unitJob("j", "a", 1, 1), false, true},
+		{"a worker that is being emptied", NoJob, unitJob("j", "a", 1, 1), false, true},
+		{"any worker, a restricted job", "", unitJob("j", "b", 1, 1), true, true},
+		{"any worker", "", unitJob("j", "b", 1, 1), false, false},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			workers := testWorkers(1, 1, 2, 8)
+			workers[0].OnlyFor, workers[1].OnlyFor = c.onlyFor, c.onlyFor
+			s := unitsSnapshot(workers, c.job)
+			s.Restricted = map[string]bool{"j": c.restricted}
+			is.Equal(Verify(s, &Plan{Assignments: []*controlpb.Assignment{filling(c.job, workers)}}) != nil, c.breach)
+		})
+	}
+}
+
+// filling assigns one task of the job to each worker, on its first accelerators.
+func filling(job *controlpb.Job, workers []Worker) *controlpb.Assignment {
+	assignment := &controlpb.Assignment{Job: job.Id}
+	for task := range job.Tasks {
+		placement := &controlpb.Placement{Task: task, Worker: workers[task].ID}
+		for number := range job.Accelerators {
+			placement.Accelerators = append(placement.Accelerators, number)
+		}
+		assignment.Placements = append(assignment.Placements, placement)
+	}
+	return assignment
+}
--- a/internal/coordination/scheduling/verify.go
+++ b/internal/coordination/scheduling/verify.go
@@ -37,8 +37,8 @@
 
 // Verify checks a plan against its snapshot, in one pass over the running and assigned
 // work: every gang is complete and adjacent, no accelerator is allocated twice, no
-// worker is overcommitted, and the cells hold every guarantee but the unmet ones and
-// can all be reclaimed at once. It counts anew, without the index that the plan was
+// worker is overcommitted, isolation is kept, and the cells hold every guarantee but the
+// unmet ones and can all be reclaimed at once. It counts anew, without the index that the plan was
 // made with, in order to catch faults of that index: their symptom would be a customer
 // who can't get its guarantee back. It returns nil for a valid plan.
 func Verify(snapshot *Snapshot, plan *Plan) *Breach {
@@ -52,8 +52,13 @@
 			c.addGang(job)
 		}
 	}
+	isolation := &pass{snapshot: snapshot}
 	for _, assignment := range plan.Assignments {
-		if breach := c.verifyAssignment(waiting[assignment.Job], assignment); breach != nil {
+		job := waiting[assignment.Job]
+		if breach := c.verifyAssignment(job, assignment); breach != nil {
+			return breach
+		}
+		if breach := c.verifyIsolation(isolation, job, assignment); breach != nil {
 			return breach
 		}
 	}
@@ -98,6 +103,22 @@
 	return nil
 }
 
+// verifyIsolation checks that workers which are kept for other jobs take guaranteed work only, and
+// that restricted jobs use no others than their own.
+func (c *cluster) verifyIsolation(p *pass, job *controlpb.Job, assignment *controlpb.Assignment) *Breach {
+	restricted := p.snapshot.Restricted[job.Id]
+	for _, placement := range assignment.Placements {
+		onlyFor := c.byID[placement.Worker].worker.OnlyFor
+		if onlyFor == job.Id || onlyFor == "" && !restricted {
+			continue
+		}
+		if restricted || !p.withinGuarantee(job) {
+			return &Breach{Kind: BreachUnusableWorker, Job: job.Id, Worker: placement.Worker}
+		}
+	}
+	return nil
+}
+
 func (c *cluster) verifyPlacement(job *controlpb.Job, assignment *controlpb.Assignment, placement *controlpb.Placement) *Breach {
 	n, ok := c.byID[placement.Worker]
 	if !ok || n.worker.Unavailable {
