--- a/internal/coordination/dispatch/dispatch.go
+++ b/internal/coordination/dispatch/dispatch.go
@@ -289,6 +289,7 @@
 	d.logFailedProposal(result, err)
 }
 
+// commitMoves proposes the moves of one step.
 func (d *Dispatcher) commitMoves(ctx context.Context, batch *controlpb.BatchMove) {
 	movesProposed.Add(int64(len(batch.Moves)))
 	countEvacuated(batch)
--- /dev/null
+++ b/internal/coordination/dispatch/leases/start.go
@@ -0,0 +1,193 @@
+package leases
+
+import (
+	"context"
+	"expvar"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"pinewinch.example/pinewinch/internal/protocol/api"
+	"pinewinch.example/pinewinch/internal/protocol/controlpb"
+	"pinewinch.example/pinewinch/internal/protocol/failure"
+	"pinewinch.example/pinewinch/internal/protocol/latency"
+	"pinewinch.example/pinewinch/internal/state/store"
+)
+
+// startTimeout bounds a start. A response normally takes milliseconds, and the
+// other members of a gang wait for it.
+const startTimeout = 800 * time.Millisecond
+
+// startsEvacuated counts starts that were not sent because of an evacuation.
+var startsEvacuated = expvar.NewInt("leases_starts_evacuated")
+
+// startLatency measures the time from sending a start to receiving its response.
+var startLatency = latency.New("leases_start")
+
+// start sends a start command. The run is covered by the worker's lease, which the
+// command may extend, so the extension is recorded before the command is sent.
+func (s *session) start(ctx context.Context, command *api.TaskCommand) (*api.TaskAnswer, error) {
+	ctx, cancel := context.WithTimeout(ctx, startTimeout)
+	defer cancel()
+	if err := s.awaitFirstPoll(ctx); err != nil {
+		return nil, err
+	}
+	if err := s.confirmIncarnation(ctx, command.Incarnation); err != nil {
+		return nil, err
+	}
+	prepared, err := s.prepareStart(command)
+	if err != nil {
+		return nil, err
+	}
+	// The deadline is computed before, so that a pause after the check does not extend it.
+	if err := s.manager.checkLeadership(s.token); err != nil {
+		s.withdrawStart(prepared)
+		return nil, err
+	}
+	start, state, sent := prepared.start, prepared.state, prepared.at
+	s.requestPoll()
+	var clock int64
+	_, err = s.roundTrip(func(target Target) (err error) {
+		clock, err = s.manager.client.Start(ctx, target, start)
+		return err
+	})
+	entry := s.commandEntry(start.Task, start.Run, state).WithField("specification_bytes", len(start.Specification))
+	if start.Checkpoint != "" {
+		entry = entry.WithField("checkpoint", start.Checkpoint)
+	}
+	if err != nil {
+		f := failure.From(err)
+		entry.WithFields(logrus.Fields{"code": f.Code, "detail": f.Error()}).Warn("start refused or lost")
+		if !isUnanswered(f.Code) || isUnsent(f.Code) {
+			s.mu.Lock()
+			delete(s.life.unconfirmed, runKey{start.Task, start.Run})
+			s.mu.Unlock()
+		}
+		return nil, err
+	}
+	entry.Info("started")
+	startLatency.Record(s.now().Sub(sent))
+	s.mu.Lock()
+	if s.observeClock(clock, prepared.incarnation) {
+		s.life.recordAnsweredStart(runKey{start.Task, start.Run})
+	}
+	s.recordAnswer()
+	s.mu.Unlock()
+	return &api.TaskAnswer{Incarnation: command.Incarnation, Phase: api.PhaseRunning}, nil
+}
+
+// preparedStart is a start that is about to be sent.
+type preparedStart struct {
+	start Start
+	// state is the one from which the start was built.
+	state *store.State
+	// incarnation is the worker's, and at the time, when the lease was extended.
+	incarnation int64
+	at          time.Time
+	// repeated is set if a start of the same run was recorded before.
+	repeated bool
+}
+
+// prepareStart builds a start and extends the lease for it. Everything that decides whether the start is sent, and what
+// it contains, is read after the last wait and from a single state. The job may be stopped after that, so from before
+// it is read until the lease is extended the run does not count as over.
+func (s *session) prepareStart(command *api.TaskCommand) (*preparedStart, error) {
+	s.mu.Lock()
+	s.preparing[command.TaskRef]++
+	s.mu.Unlock()
+	state := s.manager.log.State()
+	start, err := s.newStart(state, command)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.preparing[command.TaskRef]--; s.preparing[command.TaskRef] == 0 {
+		delete(s.preparing, command.TaskRef)
+	}
+	if err != nil {
+		return nil, err
+	}
+	now := s.now()
+	start.Deadline = s.tracker.ExtendLease(now, s.manager.config.Lease)
+	s.lastCommand = now
+	run := runKey{start.Task, start.Run}
+	_, repeated := s.life.unconfirmed[run]
+	s.life.recordStart(run, s.manager.lateStartPeriod(), now)
+	return &preparedStart{start: start, state: state, incarnation: s.life.incarnation, at: now, repeated: repeated}, nil
+}
+
+// withdrawStart forgets a start that was not sent.
+func (s *session) withdrawStart(prepared *preparedStart) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !prepared.repeated {
+		delete(s.life.unconfirmed, runKey{prepared.start.Task, prepared.start.Run})
+	}
+}
+
+// isUnsent reports whether a failure shows that no connection was opened, so that nothing can arrive late.
+func isUnsent(code failure.Code) bool {
+	return code == failure.Unreachable || code == failure.OutOfDescriptors
+}
+
+// observeClock records the worker's clock from the answer to a command that was sent to an
+// incarnation, and reports whether that one has answered: a clock that has gone back is that of a later
+// one. The caller must hold the lock.
+func (s *session) observeClock(clock, incarnation int64) bool {
+	switch {
+	case incarnation != s.life.incarnation:
+		return false
+	case s.life.named() && clock < s.tracker.ReportClock():
+		s.life.doubt(s.now())
+		s.viewStale = true
+		return false
+	}
+	s.tracker.ObserveClock(clock, s.now())
+	return true
+}
+
+// newStart builds a start command, unless the job's state has changed since the command
+// was issued.
+func (s *session) newStart(state *store.State, command *api.TaskCommand) (Start, error) {
+	job, ok := state.Job(command.Job)
+	if !ok {
+		return Start{}, failure.New(failure.NotFound, "no such job")
+	}
+	workflow, ok := state.Workflow(job.Workflow)
+	if !ok {
+		return Start{}, failure.New(failure.NotFound, "no workflow %s", job.Workflow)
+	}
+	if isSuperseded(job, command) {
+		return Start{}, s.manager.withhold(state, job, api.PathTaskStart, command)
+	}
+	if err := s.checkEvacuation(state, job, command); err != nil {
+		return Start{}, err
+	}
+	return Start{
+		Token:         s.token,
+		Task:          store.TaskName(job, command.Task),
+		Run:           command.Epoch,
+		Specification: workflow.Specification,
+		Checkpoint:    job.Checkpoint,
+	}, nil
+}
+
+// checkEvacuation fails if the worker's data centre is evacuated. The plan that placed the
+// task may be older than the order.
+func (s *session) checkEvacuation(state *store.State, job *controlpb.Job, command *api.TaskCommand) error {
+	s.mu.Lock()
+	dataCentre := s.dataCentre
+	s.mu.Unlock()
+	if !state.Evacuated(dataCentre) {
+		return nil
+	}
+	startsEvacuated.Add(1)
+	s.commandEntry(store.TaskName(job, command.Task), command.Epoch, state).WithField("data_centre", dataCentre).Info("start withheld by an evacuation")
+	return failure.New(failure.DataCentreEvacuated, "the data centre %s is evacuated", dataCentre)
+}
+
+// isSuperseded reports whether a job is no longer being started under the command's
+// epoch. The job may be cancelled while its start is queued: its epoch is unchanged,
+// but its workflow no longer has the specification, and the worker would receive an
+// empty one.
+func isSuperseded(job *controlpb.Job, command *api.TaskCommand) bool {
+	return job.Epoch != command.Epoch || job.State != controlpb.JobState_JOB_STATE_STARTING
+}
--- a/internal/coordination/dispatch/leases/tracker.go
+++ b/internal/coordination/dispatch/leases/tracker.go
@@ -262,7 +262,7 @@
 
 // isCommitted reports whether the state contains the end. The leader's state holds
 // every run for which a start was ever sent, so a run that is not in the state is
-// finished.
+// finished. A run that was given up and has done its work completes its job first.
 func isCommitted(state *store.State, end End) bool {
 	job, task, ok := FindTask(state, end.Task)
 	if ok && end.Outcome == Done && store.CompletesLate(job, end.Run) {
