dispatch: lines tell which members a stop waits for and what is known of their leases

Nothing between the move to STOPPING and its end named the members that are waited for, whether their workers answer this leader, or until when it would wait, so that a wait that each leader begins anew looked like a worker that doesn't get its stop. 'stop lasts' tells them apart; 'job moved' from STOPPING has stopping_ms and the number of members without a known end, and the histogram dispatch_stop holds the times.

--- a/internal/app/work.go
+++ b/internal/app/work.go
@@ -87,6 +87,14 @@
 	return w.leaseManager.LeaseExpired
 }
 
+// describeLease is nil where workers renew leases themselves.
+func (w *workers) describeLease() func(*controlpb.Placement) logrus.Fields {
+	if w.leaseManager == nil {
+		return nil
+	}
+	return w.leaseManager.DescribeLease
+}
+
 // crashes is nil where workers are only known by their announcements.
 func (w *workers) crashes() func(*store.State) []*controlpb.WorkerCrash {
 	if w.leaseManager == nil {
@@ -129,14 +137,15 @@
 
 func newDispatcher(s *settings.Settings, log control.Log, w *workers, logger *logrus.Logger) *dispatch.Dispatcher {
 	return dispatch.New(dispatch.Config{
-		Logger:       logger,
-		Term:         w.term,
-		LeaseExpired: w.leaseExpired(),
-		Crashes:      w.crashes(),
-		MayLead:      w.mayLead,
-		Speeds:       w.speeds(),
-		Slowdowns:    w.slowdowns(),
-		Features:     features(s.Scheduling),
+		Logger:        logger,
+		Term:          w.term,
+		LeaseExpired:  w.leaseExpired(),
+		DescribeLease: w.describeLease(),
+		Crashes:       w.crashes(),
+		MayLead:       w.mayLead,
+		Speeds:        w.speeds(),
+		Slowdowns:     w.slowdowns(),
+		Features:      features(s.Scheduling),
 
 		ExpectedEndIfUneven: s.Scheduling.ExpectedEndIfUneven,
 
--- a/internal/coordination/dispatch/dispatch.go
+++ b/internal/coordination/dispatch/dispatch.go
@@ -65,6 +65,9 @@
 	// LeaseExpired is passed to gang.Input.LeaseExpired; nil if workers renew their leases
 	// by announcements.
 	LeaseExpired func(job *controlpb.Job, placement *controlpb.Placement) bool
+	// DescribeLease describes, for the log, what is known of the lease of a placed member; nil
+	// if LeaseExpired is.
+	DescribeLease func(placement *controlpb.Placement) logrus.Fields
 	// Crashes returns the known crashes of workers that the state does not record; nil if
 	// they are found only by announcements.
 	Crashes func(state *store.State) []*controlpb.WorkerCrash
@@ -206,6 +209,7 @@
 	for _, command := range output.Commands {
 		go d.send(ctx, command)
 	}
+	d.logSlowStops(state, output.SlowStops)
 	return output
 }
 
--- a/internal/coordination/dispatch/gang/machine.go
+++ b/internal/coordination/dispatch/gang/machine.go
@@ -81,6 +81,8 @@
 	// step records the end; nothing is started.
 	Completed []*controlpb.Assignment
 	Batch     *controlpb.BatchMove
+	// SlowStops are to be logged.
+	SlowStops []SlowStop
 }
 
 // Empty reports whether there is nothing to commit.
--- a/internal/coordination/dispatch/gang/run.go
+++ b/internal/coordination/dispatch/gang/run.go
@@ -28,7 +28,9 @@
 	firstStart time.Time
 	// changed is set when a member has changed since the run was last processed.
 	changed bool
-	members []*member
+	// slowStopReported is set once this machine has reported that the stop lasts.
+	slowStopReported bool
+	members          []*member
 }
 
 // phase is the phase of a member. It only increases, so that delayed reports and answers
--- a/internal/coordination/dispatch/gang/stopping.go
+++ b/internal/coordination/dispatch/gang/stopping.go
@@ -12,8 +12,18 @@
 const (
 	minStopRetryDelay = 200 * time.Millisecond
 	maxStopRetryDelay = 2 * time.Second
+	// slowStop is how long a stop may take under one leader before it is reported.
+	slowStop = time.Second
 )
 
+// SlowStop is a stop that has lasted for long under this leader.
+type SlowStop struct {
+	Job   *controlpb.Job
+	Since time.Time
+	// Waiting are the members of which no end is known.
+	Waiting []*controlpb.Placement
+}
+
 // stopRetryDelay returns the delay before a stop is sent again after that many failures:
 // exponential, up to maxStopRetryDelay.
 func stopRetryDelay(failedStops int) time.Duration {
@@ -49,11 +59,27 @@
 	}
 	if unacknowledged > 0 && !leasesExpired {
 		s.recordStops(job, r)
+		s.reportSlowStop(job, r)
 		return
 	}
 	s.release(job, r, unacknowledged)
 }
 
+// reportSlowStop reports, once under each leader, a stop that lasts.
+func (s *step) reportSlowStop(job *controlpb.Job, r *run) {
+	if r.slowStopReported || s.in.Now.Sub(r.since) < slowStop {
+		return
+	}
+	r.slowStopReported = true
+	slow := SlowStop{Job: job, Since: r.since}
+	for _, m := range r.members {
+		if !endKnown(job, m) {
+			slow.Waiting = append(slow.Waiting, m.placement)
+		}
+	}
+	s.out.SlowStops = append(s.out.SlowStops, slow)
+}
+
 // leaseExpired reports whether the lease of a member that did not acknowledge the stop
 // has certainly expired.
 func (s *step) leaseExpired(job *controlpb.Job, m *member, r *run) bool {
--- a/internal/coordination/dispatch/leases/manager.go
+++ b/internal/coordination/dispatch/leases/manager.go
@@ -399,6 +399,26 @@
 	return now.Sub(until) > LeaseUpperBound(m.config.Lease) && now.Sub(known) > m.youngPeriod()
 }
 
+// DescribeLease describes, for the log, what is known of the lease under which a member was placed.
+func (m *Manager) DescribeLease(placement *controlpb.Placement) logrus.Fields {
+	m.mu.Lock()
+	s := m.sessions[placement.Worker]
+	leaderSince := m.leaderSince
+	m.mu.Unlock()
+	now := m.config.Now()
+	fields := logrus.Fields{"leading_ms": now.Sub(leaderSince).Milliseconds(), "known": s != nil}
+	if s == nil {
+		return fields
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	fields["answered"], fields["lease_left_ms"] = s.polled, s.tracker.endsBy.Sub(now).Milliseconds()
+	if !s.unansweredSince.IsZero() {
+		fields["silent_ms"] = now.Sub(s.unansweredSince).Milliseconds()
+	}
+	return fields
+}
+
 // youngPeriod is how long after the start of an incarnation commands for the one before may extend
 // its lease. They were sent within certainty after the start.
 func (m *Manager) youngPeriod() time.Duration { return certainty + m.lateStartPeriod() }
--- a/internal/coordination/dispatch/logging.go
+++ b/internal/coordination/dispatch/logging.go
@@ -7,12 +7,18 @@
 
 	"github.com/sirupsen/logrus"
 
+	"pinewinch.example/pinewinch/internal/coordination/dispatch/gang"
 	"pinewinch.example/pinewinch/internal/coordination/scheduling"
 	"pinewinch.example/pinewinch/internal/protocol/controlpb"
 	"pinewinch.example/pinewinch/internal/protocol/failure"
+	"pinewinch.example/pinewinch/internal/protocol/latency"
 	"pinewinch.example/pinewinch/internal/state/store"
 )
 
+// stopLatency measures the time from the commit of a stop to its end, across leaders. It is by their
+// times of day.
+var stopLatency = latency.New("dispatch_stop")
+
 // logMoves logs each change of a job's state that is about to be committed, except moves to
 // RUNNING. Successful ends of single tasks, which are separate entries of the batch, are
 // not logged either.
@@ -33,10 +39,40 @@
 		if move.Checkpoint != "" {
 			fields["checkpoint"] = move.Checkpoint
 		}
+		if job, ok := d.control.State().Job(move.Job); ok && job.State == controlpb.JobState_JOB_STATE_STOPPING {
+			took := time.Duration(d.config.Now().UnixMilli()-job.StoppingMs) * time.Millisecond
+			stopLatency.Record(took)
+			fields["stopping_ms"], fields["lost"] = took.Milliseconds(), len(move.LostTasks)
+		}
 		d.config.Logger.WithFields(fields).Info("job moved")
 	}
 }
 
+// maxLoggedMembers limits the members of one gang that get a line.
+const maxLoggedMembers = 4
+
+// logSlowStops logs, for each stop that lasts, the members that it waits for and what is known of
+// their leases. Ages in the log's time count from the stop, whichever instance led then.
+func (d *Dispatcher) logSlowStops(state *store.State, slow []gang.SlowStop) {
+	if d.config.Logger == nil {
+		return
+	}
+	now := d.config.Now()
+	for _, stop := range slow {
+		for _, placement := range stop.Waiting[:min(len(stop.Waiting), maxLoggedMembers)] {
+			entry := d.config.Logger.WithFields(logrus.Fields{
+				"job": stop.Job.Id, "epoch": stop.Job.Epoch, "task": placement.Task, "worker": placement.Worker,
+				"waiting": len(stop.Waiting), "stopping_ms": now.UnixMilli() - stop.Job.StoppingMs,
+				"here_ms": now.Sub(stop.Since).Milliseconds(), "index": state.Index(),
+			})
+			if d.config.DescribeLease != nil {
+				entry = entry.WithFields(d.config.DescribeLease(placement))
+			}
+			entry.Warn("stop lasts")
+		}
+	}
+}
+
 // lateCompletions counts the waiting jobs that a run had completed which had been given up.
 var lateCompletions = expvar.NewInt("dispatch_late_completions")
 
