dispatch: the ends of all other members prove that of a silent one

Cause: a member without a word counts as active until its lease is over, also where each other member reports that it ended because another one had: that can only be the silent one. Its class: evidence that is at hand and not used.

Change: the report says so (gang_ended), the log keeps it with the acknowledged stop, and a gang whose members but one say so starts again once the last one's stop is left unanswered. How that one ended is not known; it may have failed, so this needs an attempt to spare whatever the lost members of all runs did.

--- a/internal/coordination/dispatch/gang/run.go
+++ b/internal/coordination/dispatch/gang/run.go
@@ -247,6 +247,16 @@
 	return slices.ContainsFunc(r.members, func(m *member) bool { return m.phase == phaseCompleted })
 }
 
+// endedWithGang reports whether the member's worker ended it because another member had ended.
+func endedWithGang(job *controlpb.Job, m *member) bool {
+	if m.phase == phaseStopped && m.endReport.GetCode() == string(failure.GangEnded) {
+		return true
+	}
+	return slices.ContainsFunc(job.StoppedTasks, func(t *controlpb.StoppedTask) bool {
+		return t.Task == m.placement.Task && t.EndedWithGang
+	})
+}
+
 // endKnown reports whether the member's task is known to have ended, from its worker's
 // reports and answers or from the log.
 func endKnown(job *controlpb.Job, m *member) bool {
--- a/internal/coordination/dispatch/gang/stopping.go
+++ b/internal/coordination/dispatch/gang/stopping.go
@@ -57,7 +57,7 @@
 			s.send(Stop, job, m, w)
 		}
 	}
-	if unacknowledged > 0 && !leasesExpired {
+	if unacknowledged > 0 && !leasesExpired && !s.endProvenByGang(job, r) {
 		s.recordStops(job, r)
 		s.reportSlowStop(job, r)
 		return
@@ -65,6 +65,54 @@
 	s.release(job, r, unacknowledged)
 }
 
+// endProvenByGang reports whether the last member without a known end has ended, because all others report that
+// they ended after another member: that can only be this one. The wait for its lease, seconds in which
+// nothing of the job runs, isn't needed then. How it ended is not known. It may have failed by itself, so
+// this counts only while the job has attempts left whatever the lost members did.
+func (s *step) endProvenByGang(job *controlpb.Job, r *run) bool {
+	if s.in.LeaseExpired == nil || !job.EndsTogether || !hasSpareAttempt(job) {
+		return false
+	}
+	var lost *member
+	for _, m := range r.members {
+		switch {
+		case endedWithGang(job, m):
+		case lost != nil || endKnown(job, m):
+			return false
+		default:
+			lost = m
+		}
+	}
+	return lost != nil && len(r.members) > 1 && s.notAnswering(lost)
+}
+
+// notAnswering reports whether a member's worker has left its stop unanswered or is not listed any more. One that
+// answers tells itself how the member ended. A worker that may start again under its id might still carry
+// out a late start of the run.
+func (s *step) notAnswering(m *member) bool {
+	if m.placement.Incarnation > unnamedIncarnation {
+		return false
+	}
+	return m.failedStops > 0 || s.workers[m.placement.Worker] == nil && s.hasLedFor(firstAnswers)
+}
+
+// firstAnswers is the time in which the workers that can be reached answer a new leader.
+const firstAnswers = 500 * time.Millisecond
+
+// hasLedFor reports whether this instance has led for at least the duration.
+func (s *step) hasLedFor(duration time.Duration) bool {
+	return s.in.Now.Sub(s.leadingSince) >= duration
+}
+
+// unnamedIncarnation is the incarnation of workers of which each start has an id of its own.
+const unnamedIncarnation = 1
+
+// hasSpareAttempt reports whether another run may begin even if each run that lost a member had failed by itself.
+func hasSpareAttempt(job *controlpb.Job) bool {
+	_, infrastructure := countFailures(job)
+	return job.MaxAttempts > 0 && job.OwnFailures+uint32(infrastructure) < job.MaxAttempts
+}
+
 // reportSlowStop reports, once under each leader, a stop that lasts.
 func (s *step) reportSlowStop(job *controlpb.Job, r *run) {
 	if r.slowStopReported || s.in.Now.Sub(r.since) < slowStop {
@@ -97,7 +145,10 @@
 		}
 		s.batch().Stopped = append(s.batch().Stopped, &controlpb.StopAcknowledged{
 			Job: job.Id, Epoch: job.Epoch,
-			Stopped: &controlpb.StoppedTask{Task: m.placement.Task, CheckpointedMs: m.checkpointedMs, OutcomeUnknown: m.outcomeUnknown, Checkpoint: m.checkpoint},
+			Stopped: &controlpb.StoppedTask{
+				Task: m.placement.Task, CheckpointedMs: m.checkpointedMs, OutcomeUnknown: m.outcomeUnknown,
+				Checkpoint: m.checkpoint, EndedWithGang: endedWithGang(job, m),
+			},
 		})
 	}
 }
--- a/internal/coordination/dispatch/leases/instance_model_test.go
+++ b/internal/coordination/dispatch/leases/instance_model_test.go
@@ -49,6 +49,8 @@
 	renewSuspendedLeases
 	// resumeBeforeCommit renews a lease before the log leaves it out.
 	resumeBeforeCommit
+	// trustAnyEnd takes each end of a member for one that followed another member's.
+	trustAnyEnd
 )
 
 // instance is an instance that may lead, with its view of the log, its manager and its
--- a/internal/coordination/dispatch/leases/network_model_test.go
+++ b/internal/coordination/dispatch/leases/network_model_test.go
@@ -137,11 +137,16 @@
 	return report, nil
 }
 
-// applyReportFault returns the report without the incarnation if that fault is injected.
+// applyReportFault returns the report without the incarnation, or with other ends, if that fault is injected.
 func (i *instance) applyReportFault(report *leases.Report) *leases.Report {
 	if i.simulation.fault == ignoreIncarnations {
 		report.Incarnation = 0
 	}
+	for n := range report.Ends {
+		if i.simulation.fault == trustAnyEnd && report.Ends[n].Outcome != leases.Done {
+			report.Ends[n].Outcome = leases.GangBroken
+		}
+	}
 	return report
 }
 
--- a/internal/coordination/dispatch/leases/schedules_test.go
+++ b/internal/coordination/dispatch/leases/schedules_test.go
@@ -53,6 +53,8 @@
 	// maxCommitTime and maxCheckTime are passed to the simulation; zero means that commits and checks of
 	// leadership take no longer than usual.
 	maxCommitTime, maxCheckTime time.Duration
+	// gangsBreakUnevenly is passed to the simulation.
+	gangsBreakUnevenly bool
 	// named makes the workers name their incarnations.
 	named bool
 	// age is how long the workers have run when the schedule begins.
@@ -231,6 +233,7 @@
 // while, and of commits that take long.
 func drawLostLeaders(t *rapid.T) schedule {
 	s := schedule{seed: rapid.Uint64().Draw(t, "seed"), workflows: rapid.IntRange(1, 4).Draw(t, "workflows")}
+	s.gangsBreakUnevenly = rapid.Bool().Draw(t, "uneven")
 	s.maxCommitTime = time.Duration(rapid.SampledFrom([]int{0, 0, 300, 1500}).Draw(t, "commit")) * time.Millisecond
 	s.maxCheckTime = time.Duration(rapid.SampledFrom([]int{0, 0, 500}).Draw(t, "check")) * time.Millisecond
 	kinds := []string{"leader", "leader", "leader cut off", "leader frozen", "cut", "cut", "cut", "uncut", "uncut", "uncut", "crash", "preempt"}
@@ -322,11 +325,14 @@
 		"late starts for an earlier incarnation":         ignoreLateStarts,
 		"suspended leases renewed":                       renewSuspendedLeases,
 		"leases renewed before the log says so":          resumeBeforeCommit,
+		"any end taken for one that followed another":    trustAnyEnd,
 	}
 	for name, fault := range faults {
 		t.Run(name, func(t *testing.T) {
 			generator := rapid.Custom(drawSchedule)
 			switch {
+			case fault == trustAnyEnd:
+				generator = rapid.Custom(drawLostLeaders)
 			case fault >= renewSuspendedLeases:
 				generator = rapid.Custom(drawResumedLeases)
 			case fault == trustYoungIncarnations:
@@ -397,7 +403,7 @@
 	sim.term, sim.leader, sim.faultPercent = 1, sim.instances[0], 3
 	sim.maxQueueDelay, sim.cancellations = s.maxQueueDelay, s.cancellations
 	sim.maxCommitTime, sim.maxCheckTime = s.maxCommitTime, s.maxCheckTime
-	sim.named, sim.order = s.named, s.order
+	sim.named, sim.order, sim.gangsBreakUnevenly = s.named, s.order, s.gangsBreakUnevenly
 	for _, b := range sim.workers {
 		b.startedAt = b.startedAt.Add(-s.age)
 		b.nameIncarnation()
--- a/internal/coordination/dispatch/leases/simulation_model_test.go
+++ b/internal/coordination/dispatch/leases/simulation_model_test.go
@@ -45,6 +45,9 @@
 	faultPercent int
 	// crashesBreakPolls makes the crash of a worker break the polls that wait there.
 	crashesBreakPolls bool
+	// gangsBreakUnevenly lets a member on a worker that the leader can't reach go on until its lease is over when another one
+	// has ended.
+	gangsBreakUnevenly bool
 	// taskDuration is how long a task of each workflow takes.
 	taskDuration map[string]time.Duration
 	// gangSizes holds the sizes of gang steps by job ID.
--- a/internal/coordination/dispatch/leases/tracker.go
+++ b/internal/coordination/dispatch/leases/tracker.go
@@ -393,6 +393,9 @@
 	case Failed:
 		report.Phase = peerpb.TaskPhase_TASK_PHASE_FAILED
 		report.Code = string(failure.TaskFailed)
+	case GangBroken:
+		report.Phase = peerpb.TaskPhase_TASK_PHASE_STOPPED
+		report.Code = string(failure.GangEnded)
 	default:
 		report.Phase = peerpb.TaskPhase_TASK_PHASE_STOPPED
 	}
--- a/internal/coordination/dispatch/leases/work_model_test.go
+++ b/internal/coordination/dispatch/leases/work_model_test.go
@@ -48,6 +48,9 @@
 // naturalEnd returns when and how a run ends by itself. A gang works from the start of
 // its last member.
 func (sim *simulation) naturalEnd(task string, active *activeRun) (time.Time, leases.Outcome) {
+	if active.detached {
+		return time.Time{}, 0
+	}
 	size, job := sim.gangOf(task)
 	if size == 0 {
 		return active.began.Add(sim.taskDuration[workflowOf(task)]), leases.Done
@@ -100,9 +103,14 @@
 func (sim *simulation) endGang(job string, run uint64, outcome leases.Outcome, now time.Time) {
 	for _, b := range sim.workers {
 		for _, name := range b.tasks() {
-			if _, of := sim.gangOf(name); of == job && b.running[name].run == run {
-				b.end(name, outcome, now)
+			if _, of := sim.gangOf(name); of != job || b.running[name].run != run {
+				continue
+			}
+			if sim.gangsBreakUnevenly && outcome == leases.GangBroken && sim.leader.unreachable[b.id] {
+				b.running[name].detached = true
+				continue
 			}
+			b.end(name, outcome, now)
 		}
 	}
 }
--- a/internal/coordination/dispatch/leases/worker_model_test.go
+++ b/internal/coordination/dispatch/leases/worker_model_test.go
@@ -21,6 +21,8 @@
 	run     uint64
 	began   time.Time
 	stopsAt time.Time
+	// detached is set if it goes on although another member of its gang has ended.
+	detached bool
 }
 
 // workerProcess is one incarnation of a worker. It follows the rules of real workers:
--- a/internal/protocol/failure/failure.go
+++ b/internal/protocol/failure/failure.go
@@ -72,6 +72,9 @@
 	MemoryExceeded Code = "memory_exceeded"
 	TaskFailed     Code = "task_failed"
 	LeaseLost      Code = "lease_lost"
+	// GangEnded is the end of a run whose worker ended it because another member of its gang
+	// had ended.
+	GangEnded      Code = "gang_ended"
 	WorkerVanished Code = "worker_vanished"
 	StartTimeout   Code = "start_timeout"
 	Stalled        Code = "stalled"
@@ -127,6 +130,7 @@
 	MemoryExceeded:   {http.StatusInsufficientStorage, 45},
 	TaskFailed:       {http.StatusBadGateway, 46},
 	LeaseLost:        {http.StatusBadGateway, 47},
+	GangEnded:        {http.StatusBadGateway, 47},
 	WorkerVanished:   {http.StatusBadGateway, 48},
 	StartTimeout:     {http.StatusGatewayTimeout, 49},
 	Stalled:          {http.StatusBadGateway, 53},
@@ -150,6 +154,7 @@
 	NotReady:        true,
 	DeadlinePassed:  true,
 	LeaseLost:       true,
+	GangEnded:       true,
 	WorkerVanished:  true,
 	StartTimeout:    true,
 	Stalled:         true,
