dispatch: a member is not lost because a new leader has not heard from its worker

Cause: the new leader's view of a worker that has not answered it has no tasks, and after 1.5 s that counted as a worker without the task. Its class: silence taken for a statement.

Change: until the worker has answered a poll of the term, its members are lost only once its lease is over; they could start nowhere else before.

--- a/internal/coordination/dispatch/dispatch.go
+++ b/internal/coordination/dispatch/dispatch.go
@@ -65,6 +65,8 @@
 	// LeaseExpired is passed to gang.Input.LeaseExpired; nil if workers renew their leases
 	// by announcements.
 	LeaseExpired func(job *controlpb.Job, placement *controlpb.Placement) bool
+	// Unheard is passed to gang.Input.Unheard; nil if LeaseExpired is.
+	Unheard func(worker string) bool
 	// Suspensions lists the leases that are not renewed, if the state has another list, and
 	// SuspensionsCommitted says that the log has one; nil if LeaseExpired is.
 	Suspensions          func(state *store.State) *controlpb.LeaseSuspensions
@@ -209,6 +211,7 @@
 		Quarantined:  func(worker string) bool { return d.verdict(state, worker) >= quarantine.Quarantined },
 		Evacuated:    state.Evacuated,
 		LeaseExpired: d.config.LeaseExpired,
+		Unheard:      d.config.Unheard,
 	})
 	for _, command := range output.Commands {
 		go d.send(ctx, command)
--- a/internal/coordination/dispatch/gang/machine.go
+++ b/internal/coordination/dispatch/gang/machine.go
@@ -67,6 +67,9 @@
 	// running where it is placed. It is nil if workers renew their leases by announcements;
 	// Config.StopWait bounds those leases.
 	LeaseExpired func(job *controlpb.Job, placement *controlpb.Placement) bool
+	// Unheard reports whether a worker has not told this leader yet what runs there; nil if workers
+	// announce that.
+	Unheard func(worker string) bool
 	// Crashes are the crashes of workers that the log does not record yet.
 	Crashes []*controlpb.WorkerCrash
 	// GivenUp returns why a job is given up for crashing its workers, or ""; nil for none.
--- a/internal/coordination/dispatch/gang/running.go
+++ b/internal/coordination/dispatch/gang/running.go
@@ -52,7 +52,7 @@
 			return failed
 		}
 		if s.scan {
-			if detail := s.vanished(m); detail != "" {
+			if detail := s.vanished(job, m); detail != "" {
 				return s.infrastructureFailure(m, failure.WorkerVanished, detail)
 			}
 		}
@@ -74,14 +74,27 @@
 	return !w.upstream.Leaving && w.upstream.Incarnation != m.placement.Incarnation
 }
 
+// lostWithItsLease returns how a member was lost whose worker has told this leader nothing, or "". It may run until its
+// lease is over, and could be started nowhere else before. If it counted as lost when a new leader is
+// elected that can't reach its worker, a gang that works would be stopped and then wait for that lease.
+func (s *step) lostWithItsLease(job *controlpb.Job, m *member) string {
+	if s.hasLedFor(firstAnswers) && s.in.LeaseExpired(job, m.placement) {
+		return "the worker is silent and its lease is over"
+	}
+	return ""
+}
+
 // vanished returns how a member was lost, or "" if it was not: its worker announces itself
 // to no instance, or announces itself without the task. The registry merges the
 // announcements received by all instances, so a worker that only the leader cannot reach
 // has not vanished. A restarted worker is recognized by its incarnation. A worker that has
 // not restarted may have sent its announcement before it accepted the task, so the task
 // must be missing for announcementTTL.
-func (s *step) vanished(m *member) string {
+func (s *step) vanished(job *controlpb.Job, m *member) string {
 	w := s.workers[m.placement.Worker]
+	if s.in.Unheard != nil && s.in.Unheard(m.placement.Worker) {
+		return s.lostWithItsLease(job, m)
+	}
 	if w == nil {
 		if s.announcementsComplete() {
 			return "the worker is silent or has ended"
--- a/internal/coordination/dispatch/leases/instance_model_test.go
+++ b/internal/coordination/dispatch/leases/instance_model_test.go
@@ -85,6 +85,7 @@
 	i.dispatcher = dispatch.New(dispatch.Config{
 		Gang:         gang.Config{Lease: leaseDuration, FreshnessBound: freshnessBound, AnnounceEvery: 500 * time.Millisecond, CommandTimeout: 2 * time.Second},
 		LeaseExpired: i.leaseExpired,
+		Unheard:      i.manager.Unheard,
 		Suspensions:  i.suspensions, SuspensionsCommitted: i.suspensionsCommitted,
 		Term: i.Term,
 		Now:  time.Now,
--- a/internal/coordination/dispatch/leases/manager.go
+++ b/internal/coordination/dispatch/leases/manager.go
@@ -413,6 +413,17 @@
 	return now.After(leaseEnd) && now.Sub(known) > m.youngPeriod()
 }
 
+// Unheard reports whether a worker has not answered a poll of this term.
+func (m *Manager) Unheard(worker string) bool {
+	s := m.session(worker)
+	if s == nil {
+		return true
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return !s.polled
+}
+
 // DescribeLease describes, for the log, what is known of the lease under which a member was placed.
 func (m *Manager) DescribeLease(placement *controlpb.Placement) logrus.Fields {
 	m.mu.Lock()
