dispatch: a run that was given up and has failed counts as an attempt

Since a gang starts again before the lease of a silent member is over, such an end may be taken note of while that lease lasts.

Change: the end is reported to the log, which counts it once (epochs that are counted stand in the job, in a field of their own, so that replicas of earlier versions hold the same state but for it); only then its worker is told to forget it. A waiting job whose attempts are used up that way is parked.

--- a/internal/coordination/dispatch/gang/machine.go
+++ b/internal/coordination/dispatch/gang/machine.go
@@ -102,6 +102,8 @@
 	stops        stops
 	// completed holds, by job, the newest report of a completed task. Its run may have been given up since.
 	completed map[string]completedRun
+	// failed holds, by job and epoch, the reported failures that the log may not count yet.
+	failed map[string]map[uint64]bool
 }
 
 // worker holds the newest announcement of a live worker.
@@ -126,7 +128,7 @@
 
 // New returns a machine without any recorded state.
 func New(config Config) *Machine {
-	return &Machine{config: config, runs: map[string]*run{}, workers: map[string]*worker{}, stops: stops{}, completed: map[string]completedRun{}}
+	return &Machine{config: config, runs: map[string]*run{}, workers: map[string]*worker{}, stops: stops{}, completed: map[string]completedRun{}, failed: map[string]map[uint64]bool{}}
 }
 
 // NextTerm returns the machine for a new leadership term of the same instance. It keeps
@@ -163,9 +165,11 @@
 	s.applyAnswers()
 	tracked := make(map[string]*run, len(in.Jobs))
 	s.forgetCompleted()
+	s.forgetFailures()
 	for _, job := range in.Jobs {
+		s.countLateFailures(job)
 		if len(job.Placements) == 0 {
-			if !s.placeCompleted(job) {
+			if !s.placeCompleted(job) && !s.outOfAttempts(job) {
 				s.giveUp(job)
 			}
 			continue
@@ -256,6 +260,7 @@
 
 func (s *step) applyReports(upstream *peerpb.Upstream) {
 	for _, report := range upstream.Tasks {
+		s.noteFailure(report)
 		if report.Phase == peerpb.TaskPhase_TASK_PHASE_COMPLETED {
 			s.completed[report.Job] = completedRun{report.Epoch, upstream.Id, upstream.Incarnation}
 		}
--- a/internal/coordination/dispatch/gang/retry.go
+++ b/internal/coordination/dispatch/gang/retry.go
@@ -8,6 +8,7 @@
 
 	"pinewinch.example/pinewinch/internal/protocol/controlpb"
 	"pinewinch.example/pinewinch/internal/protocol/failure"
+	"pinewinch.example/pinewinch/internal/state/store"
 )
 
 const (
@@ -84,7 +85,7 @@
 // and parks it when the attempts are used up. Infrastructure failures don't count as
 // attempts.
 func (s *step) decideBoundedRetry(job *controlpb.Job, move *controlpb.MoveJob) {
-	failed := job.OwnFailures
+	failed := store.FailedAttempts(job)
 	if move.Failure != nil && !failure.Code(move.Failure.Code).Infrastructure() {
 		failed++
 	}
--- a/internal/coordination/dispatch/gang/stopping.go
+++ b/internal/coordination/dispatch/gang/stopping.go
@@ -110,7 +110,7 @@
 // hasSpareAttempt reports whether another run may begin even if each run that lost a member had failed by itself.
 func hasSpareAttempt(job *controlpb.Job) bool {
 	_, infrastructure := countFailures(job)
-	return job.MaxAttempts > 0 && job.OwnFailures+uint32(infrastructure) < job.MaxAttempts
+	return job.MaxAttempts > 0 && store.FailedAttempts(job)+uint32(infrastructure) < job.MaxAttempts
 }
 
 // reportSlowStop reports, once under each leader, a stop that lasts.
--- a/internal/coordination/dispatch/leases/tracker.go
+++ b/internal/coordination/dispatch/leases/tracker.go
@@ -262,10 +262,11 @@
 
 // isCommitted reports whether the state contains the end. The leader's state holds
 // every run for which a start was ever sent, so a run that is not in the state is
-// finished. A run that was given up and has done its work completes its job first.
+// finished. A run that was given up and has done its work completes its job first, and one that has failed
+// is counted first.
 func isCommitted(state *store.State, end End) bool {
 	job, task, ok := FindTask(state, end.Task)
-	if ok && end.Outcome == Done && store.CompletesLate(job, end.Run) {
+	if ok && (end.Outcome == Done && store.CompletesLate(job, end.Run) || end.Outcome == Failed && store.FailsLate(job, end.Run)) {
 		return false
 	}
 	if !ok || job.Epoch != end.Run || store.Ended(job.State) || job.State == controlpb.JobState_JOB_STATE_WAITING {
@@ -288,7 +289,7 @@
 	if !ok || store.Ended(job.State) || end.Outcome != Done && end.Outcome != Failed {
 		return
 	}
-	if job.Epoch == end.Run && (slices.Contains(job.DoneTasks, task) || job.FailedEpoch == end.Run) {
+	if job.Epoch == end.Run && (slices.Contains(job.DoneTasks, task) || job.FailedEpoch == end.Run) || slices.Contains(job.CountedEpochs, end.Run) {
 		return
 	}
 	t.superseded = append(t.superseded, supersededEnd{end, job.Epoch, job.State})
--- a/internal/state/store/moves.go
+++ b/internal/state/store/moves.go
@@ -28,6 +28,9 @@
 	for _, crash := range op.Crashes {
 		s.recordCrash(crash)
 	}
+	for _, late := range op.LateFailures {
+		s.recordLateFailure(late)
+	}
 	for _, acknowledged := range op.Stopped {
 		s.acknowledgeStop(acknowledged)
 	}
@@ -109,6 +112,7 @@
 	if !failure.Code(failed.Code).Infrastructure() && job.FailedEpoch < job.Epoch {
 		job.FailedEpoch = job.Epoch
 		job.OwnFailures++
+		job.CountedEpochs = append(job.CountedEpochs, job.Epoch)
 	}
 	s.recordWorkerFailure(job.Id, failed)
 }
