store: a list of suspended leases continues the one that its leader knew

When it lists one itself, they counted the end from their first list, and the next leader would start a run while the one before goes on.

A list names the one that it continues; where that isn't the newest, its leases count anew.

--- a/internal/coordination/dispatch/leases/suspensions.go
+++ b/internal/coordination/dispatch/leases/suspensions.go
@@ -57,7 +57,7 @@
 	for _, suspended := range list.Suspended {
 		left := time.Duration(float64(suspended.EndsInMs)*(1+maxRateError)) * time.Millisecond
 		lease := suspendedLease{incarnation: suspended.Incarnation, since: suspended.Since, endsBy: now.Add(left)}
-		if earlier := s.seen[suspended.Worker]; earlier.since == lease.since && earlier.endsBy.Before(lease.endsBy) {
+		if earlier, ok := s.seen[suspended.Worker]; ok && earlier.since == lease.since && earlier.endsBy.Before(lease.endsBy) {
 			lease.endsBy = earlier.endsBy
 		}
 		seen[suspended.Worker] = lease
@@ -108,7 +108,7 @@
 	if len(silent) == 0 && !resumed && len(inLog.GetSuspended()) == 0 {
 		return nil
 	}
-	list := &controlpb.LeaseSuspensions{}
+	list := &controlpb.LeaseSuspensions{Continues: inLog.GetIndex()}
 	holding := workersWithRuns(state)
 	for _, worker := range silent {
 		if holding[worker] {
--- a/internal/state/store/suspensions.go
+++ b/internal/state/store/suspensions.go
@@ -27,14 +27,17 @@
 	return &next
 }
 
-// suspendLeases replaces the list, decided in a term.
+// suspendLeases replaces the list, decided in a term. A lease that stays listed keeps the index from which on it is, unless
+// the leader didn't know the list here: it may have renewed the lease since.
 func (s *State) suspendLeases(list *controlpb.LeaseSuspensions, term uint64) {
 	if list == nil || term == 0 {
 		return
 	}
 	since := map[string]*controlpb.LeaseSuspension{}
-	for _, earlier := range s.suspensions.Suspended {
-		since[earlier.Worker] = earlier
+	if list.Continues == s.suspensions.Index {
+		for _, earlier := range s.suspensions.Suspended {
+			since[earlier.Worker] = earlier
+		}
 	}
 	next := &controlpb.LeaseSuspensions{DecidedIn: term, LogTerm: s.suspensions.LogTerm, Index: s.index}
 	for _, suspended := range list.Suspended {
--- a/internal/state/store/suspensions_test.go
+++ b/internal/state/store/suspensions_test.go
@@ -12,7 +12,7 @@
 
 // suspending is the state after a leader has suspended the leases of workers in a term.
 func suspending(state *store.State, term uint64, workers ...string) *store.State {
-	list := &controlpb.LeaseSuspensions{}
+	list := &controlpb.LeaseSuspensions{Continues: state.LeaseSuspensions().Index}
 	for _, worker := range workers {
 		list.Suspended = append(list.Suspended, &controlpb.LeaseSuspension{Worker: worker, Incarnation: 1, EndsInMs: 5000})
 	}
@@ -63,3 +63,19 @@
 	later.Index++
 	is.Equal(len(store.Restore(later).LeaseSuspensions().Suspended), 0)
 }
+
+// A leader whose state comes from a snapshot of an earlier version knows no list, and renews a lease that others list. If
+// they counted the end from the first list when it lists the lease itself, they would take it for over while runs go on.
+func TestSuspensionByALeaderThatDidNotKnowTheListIsANewOne(t *testing.T) {
+	is := is.New(t)
+	others := suspending(beginTerm(store.New(), 3), 3, "w1")
+	snapshot := proto.CloneOf(others.Snapshot())
+	others = beginTerm(others, 3)
+	snapshot.Index = others.Index()
+	leader := beginTerm(store.Restore(snapshot), 4)
+	is.Equal(len(leader.LeaseSuspensions().Suspended), 0)
+	list := &controlpb.LeaseSuspensions{Continues: leader.LeaseSuspensions().Index, Suspended: []*controlpb.LeaseSuspension{{Worker: "w1", Incarnation: 1}}}
+	command := &controlpb.Command{DecidedIn: 4, Op: &controlpb.Command_BatchMove{BatchMove: &controlpb.BatchMove{Suspensions: list}}}
+	others, _ = beginTerm(others, 4).Apply(others.Index()+2, command)
+	is.Equal(others.LeaseSuspensions().Suspended[0].Since, others.Index())
+}
