dispatch/leases: the commit of a list of an earlier term resumes nothing

An instance that leads again may hear late that a list of its earlier term was committed, while the log lists the lease by now. It then renewed what the log says nobody renews, and a leader after it would start the runs a second time.

The commit counts in its term only. TestCommitOfAListOfAnEarlierTermResumesNothing fails without that (8600, 5196 expected).

--- a/internal/coordination/dispatch/dispatch.go
+++ b/internal/coordination/dispatch/dispatch.go
@@ -70,7 +70,7 @@
 	// Suspensions lists the leases that are not renewed, if the state has another list, and
 	// SuspensionsCommitted says that the log has one; nil if LeaseExpired is.
 	Suspensions          func(state *store.State) *controlpb.LeaseSuspensions
-	SuspensionsCommitted func(list *controlpb.LeaseSuspensions)
+	SuspensionsCommitted func(term uint64, list *controlpb.LeaseSuspensions)
 	// DescribeLease describes, for the log, what is known of the lease of a placed member; nil
 	// if LeaseExpired is.
 	DescribeLease func(placement *controlpb.Placement) logrus.Fields
@@ -337,6 +337,6 @@
 		d.records.Succeeded(worker)
 	}
 	if batch.Suspensions != nil {
-		d.config.SuspensionsCommitted(batch.Suspensions)
+		d.config.SuspensionsCommitted(d.term, batch.Suspensions)
 	}
 }
--- a/internal/coordination/dispatch/leases/instance_model_test.go
+++ b/internal/coordination/dispatch/leases/instance_model_test.go
@@ -108,19 +108,19 @@
 	list := i.manager.Suspensions(state)
 	switch {
 	case list != nil && i.simulation.fault == renewSuspendedLeases:
-		i.manager.SuspensionsCommitted(&controlpb.LeaseSuspensions{})
+		i.manager.SuspensionsCommitted(i.actingTerm, &controlpb.LeaseSuspensions{})
 		if len(list.Suspended) < len(state.LeaseSuspensions().Suspended) {
 			return nil
 		}
 	case list != nil && i.simulation.fault == resumeBeforeCommit:
-		i.manager.SuspensionsCommitted(list)
+		i.manager.SuspensionsCommitted(i.actingTerm, list)
 	}
 	return list
 }
 
 // suspensionsCommitted takes a turn, so that the controller's steps don't fall on the moments of polls that begin here.
-func (i *instance) suspensionsCommitted(list *controlpb.LeaseSuspensions) {
-	i.manager.SuspensionsCommitted(list)
+func (i *instance) suspensionsCommitted(term uint64, list *controlpb.LeaseSuspensions) {
+	i.manager.SuspensionsCommitted(term, list)
 	i.simulation.takeTurn(i.number, "resumed")
 }
 
--- a/internal/coordination/dispatch/leases/suspensions.go
+++ b/internal/coordination/dispatch/leases/suspensions.go
@@ -168,11 +168,15 @@
 	return &controlpb.LeaseSuspension{Worker: worker, Incarnation: incarnation, EndsInMs: max(left, 0).Milliseconds() + 1}
 }
 
-// SuspensionsCommitted records that a list which Suspensions has returned is in the log: the leases that it
-// leaves out are renewed again.
-func (m *Manager) SuspensionsCommitted(list *controlpb.LeaseSuspensions) {
+// SuspensionsCommitted records that a list which Suspensions has returned in a term is in the log: the leases that it
+// leaves out are renewed again. The commit of a list of an earlier term may be heard of late, when the log has
+// another one.
+func (m *Manager) SuspensionsCommitted(term uint64, list *controlpb.LeaseSuspensions) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	if m.term != term {
+		return
+	}
 	listed := map[string]bool{}
 	for _, suspended := range list.Suspended {
 		listed[suspended.Worker] = true
--- a/internal/coordination/dispatch/leases/suspensions_test.go
+++ b/internal/coordination/dispatch/leases/suspensions_test.go
@@ -6,9 +6,34 @@
 
 	"github.com/matryer/is"
 
+	"pinewinch.example/pinewinch/internal/protocol/api"
 	"pinewinch.example/pinewinch/internal/protocol/controlpb"
 )
 
+// The commit of a list that this instance proposed in an earlier term is heard of in a later one, whose log lists the
+// lease. If it were renewed, the next leader would start its runs a second time.
+func TestCommitOfAListOfAnEarlierTermResumesNothing(t *testing.T) {
+	withManager(t, func(is *is.I, c *fakeCluster, m *Manager) {
+		_, err := sendCommand(m, api.PathTaskStart)
+		is.NoErr(err)
+		c.set(func() { c.leader = false })
+		time.Sleep(4 * refreshInterval)
+		list := &controlpb.LeaseSuspensions{Suspended: []*controlpb.LeaseSuspension{{Worker: worker.Id, Incarnation: 1, EndsInMs: 5000}}}
+		command := &controlpb.Command{DecidedIn: 2, Op: &controlpb.Command_BatchMove{BatchMove: &controlpb.BatchMove{Suspensions: list}}}
+		next, _ := c.state.EnterTerm(2).Apply(c.state.Index()+1, command)
+		next, _ = next.EnterTerm(3).Apply(next.Index()+1, &controlpb.Command{})
+		c.set(func() { c.state, c.term, c.leader = next, 3, true })
+		time.Sleep(4*refreshInterval + 2*pollWait)
+		before := c.lease
+		m.SuspensionsCommitted(1, &controlpb.LeaseSuspensions{})
+		time.Sleep(2 * time.Second)
+		is.Equal(c.lease, before)
+		m.SuspensionsCommitted(3, &controlpb.LeaseSuspensions{})
+		time.Sleep(2 * time.Second)
+		is.True(c.lease > before)
+	})
+}
+
 // A lease is listed again after a renewal, or for another incarnation. If its end counted from the first list, it would be
 // taken for over while runs go on.
 func TestSeenEndIsKeptOnlyWhileALeaseStaysListed(t *testing.T) {
