dispatch/leases: a task lost together with its leader stands for as long as leaders are lost (fails)

In simulated time a worker crashes under a task alone at the moment at which the leader is lost, and leaders are lost every 2.5 or 4 s from then on. The limit is 7 s: 4 s until the loss counts as calm, and 3 s.

--- a/internal/coordination/dispatch/leases/simulation_model_test.go
+++ b/internal/coordination/dispatch/leases/simulation_model_test.go
@@ -45,6 +45,8 @@
 	faultPercent int
 	// crashesBreakPolls makes the crash of a worker break the polls that wait there.
 	crashesBreakPolls bool
+	// listedAfterCrash is how long a worker stays listed after its crash.
+	listedAfterCrash time.Duration
 	// gangsBreakUnevenly lets a member on a worker that the leader can't reach go on until its lease is over when another one
 	// has ended.
 	gangsBreakUnevenly bool
--- a/internal/coordination/dispatch/leases/standing_test.go
+++ b/internal/coordination/dispatch/leases/standing_test.go
@@ -40,10 +40,37 @@
 	}
 }
 
-// workerLoss is how a gang loses the worker of a member: it crashes or is cut off for good. From then on leaders are
-// lost, the first after a time, then at an interval.
+// calmStand is how long a task may have nothing running after the last failure: 4 s until that counts as calm, and the
+// time that accepted work may stand.
+const calmStand = 4*time.Second + tolerableStand
+
+// A worker crashes under a task alone, so that nobody else can tell its end, and leaders are lost one after the other. The
+// next ones may have no announcement of the worker any more. If one of them began the wait for its lease anew, the task
+// would have nothing running for as long as that goes on.
+func TestTaskOfALostWorkerStandsNoLongerThanCalmAllows(t *testing.T) {
+	for _, listed := range []time.Duration{0, 3 * time.Second, lossPeriod} {
+		for _, apart := range []time.Duration{1500 * time.Millisecond, 2500 * time.Millisecond, 4 * time.Second} {
+			checkStands(t, workerLoss{alone: true, listed: listed, leaders: int(lossPeriod / apart), first: apart, apart: apart}, calmStand)
+		}
+	}
+}
+
+// As before, but the first leader is lost together with the worker, so that nobody knows when the lease was renewed
+// last.
+func TestTaskLostWithItsLeaderStandsNoLongerThanCalmAllows(t *testing.T) {
+	for _, listed := range []time.Duration{0, 3 * time.Second, lossPeriod} {
+		for _, apart := range []time.Duration{2500 * time.Millisecond, 4 * time.Second} {
+			checkStands(t, workerLoss{alone: true, listed: listed, leaders: int(lossPeriod / apart), apart: apart}, calmStand)
+		}
+	}
+}
+
+// workerLoss is how a gang of two, or a task alone, loses a worker: it crashes, and stays listed for a time, or is cut off
+// for good. From then on leaders are lost, the first after a time, then at an interval.
 type workerLoss struct {
+	alone        bool
 	cut          bool
+	listed       time.Duration
 	leaders      int
 	first, apart time.Duration
 }
@@ -55,7 +82,7 @@
 func checkStands(t *testing.T, loss workerLoss, limit time.Duration) {
 	for seed, played := uint64(0), 0; played < 8; seed++ {
 		stood, spread := longestStand(t, seed, loss)
-		if !spread {
+		if !spread && !loss.alone {
 			// All members were on the worker that is lost.
 			continue
 		}
@@ -66,7 +93,7 @@
 	}
 }
 
-// longestStand plays a gang of two on three workers that loses a worker once it runs. It returns the longest time for
+// longestStand plays the loss of a worker, of three, once the gang or task runs. It returns the longest time for
 // which nothing ran, and whether the gang was on two workers then.
 func longestStand(t *testing.T, seed uint64, loss workerLoss) (longest time.Duration, spread bool) {
 	defer runOneAtATime()()
@@ -76,7 +103,12 @@
 		sim.start(ctx, schedule{workflows: 0})
 		sim.mu.Lock()
 		sim.faultPercent, sim.crashesBreakPolls = 0, true
-		sim.submitGang("g", 2, longWork)
+		sim.listedAfterCrash = loss.listed
+		size := 2
+		if loss.alone {
+			size = 1
+		}
+		sim.submitGang("g", size, longWork)
 		sim.mu.Unlock()
 		const step = 20 * time.Millisecond
 		for !sim.gangRuns("g") {
--- a/internal/coordination/dispatch/leases/worker_model_test.go
+++ b/internal/coordination/dispatch/leases/worker_model_test.go
@@ -35,6 +35,7 @@
 	startedAt      time.Time
 	clockRate      float64
 	crashed        bool
+	crashedAt      time.Time
 	token          uint64
 	lease          int64
 	leaseExpiredAt time.Time
@@ -217,7 +218,7 @@
 }
 
 func (b *workerProcess) crash() {
-	b.crashed = true
+	b.crashed, b.crashedAt = true, time.Now()
 	b.running = map[string]*activeRun{}
 }
 
@@ -240,7 +241,7 @@
 	if !b.departedAt.IsZero() {
 		return now.Sub(b.departedAt) < departedTTL
 	}
-	return !b.crashed
+	return !b.crashed || now.Sub(b.crashedAt) < b.simulation.listedAfterCrash
 }
 
 // announcedAddress returns the address in the newest announcement.
