dispatch/leases: a new leader takes over the lease of a worker that nobody announces to it

What callers saw: work on a worker that is lost together with the leader has nothing running for as long as leaders are lost (29.98 s of 30 s), if the next leader has no announcement of the worker: it has no session with it, so that no lease of it was recorded, and each leader counted 7.2 s from its own election (LOST).

Change: for its first 10 s a leader records the leases of workers that have runs and are unknown to it, with the end that it would count itself. The leaders after it go on from there. A stop for a worker that an earlier leader has lost fails at once until it answers, so that hundreds of them don't use up the commands in flight.

--- a/internal/coordination/dispatch/leases/manager.go
+++ b/internal/coordination/dispatch/leases/manager.go
@@ -380,7 +380,7 @@
 	m.mu.Lock()
 	s := m.sessions[placement.Worker]
 	leaderSince, keptTerm := m.leaderSince, m.term
-	leaseEnd := leaderSince.Add(m.config.FreshnessBound + LeaseUpperBound(m.config.Lease))
+	leaseEnd := m.earlierLeasesEnd()
 	if endsBy, ok := m.suspensions.inheritedEnd(placement.Worker, placement.Incarnation); ok && endsBy.Before(leaseEnd) {
 		leaseEnd = endsBy
 	}
@@ -428,11 +428,16 @@
 func (m *Manager) DescribeLease(placement *controlpb.Placement) logrus.Fields {
 	m.mu.Lock()
 	s := m.sessions[placement.Worker]
-	leaderSince := m.leaderSince
+	leaderSince, leaseEnd := m.leaderSince, m.earlierLeasesEnd()
+	inherited, suspended := m.suspensions.inherited[placement.Worker]
 	m.mu.Unlock()
 	now := m.config.Now()
 	fields := logrus.Fields{"leading_ms": now.Sub(leaderSince).Milliseconds(), "known": s != nil}
 	if s == nil {
+		if suspended {
+			leaseEnd = inherited.endsBy
+		}
+		fields["suspended"], fields["lease_left_ms"] = suspended, leaseEnd.Sub(now).Milliseconds()
 		return fields
 	}
 	s.mu.Lock()
--- a/internal/coordination/dispatch/leases/stop.go
+++ b/internal/coordination/dispatch/leases/stop.go
@@ -39,12 +39,13 @@
 		s.mu.Unlock()
 		return &api.TaskAnswer{Incarnation: command.Incarnation, Phase: phases[end.Outcome], Checkpoint: end.Checkpoint}, nil
 	}
-	unresponsive := s.unresponsive()
+	unresponsive := s.unresponsive() || s.suspended && !s.polled
 	s.lastCommand = s.now()
 	s.mu.Unlock()
 	if unresponsive {
 		// Each stop would otherwise run into its timeout, and with a tenth of the
-		// workers partitioned such stops would use up the limit on commands in flight.
+		// workers partitioned such stops would use up the limit on commands in flight. That
+		// holds from the start for a worker that an earlier leader has lost.
 		return nil, failure.New(failure.Unreachable, "worker %s does not answer", s.worker)
 	}
 	s.requestPoll()
--- a/internal/coordination/dispatch/leases/suspensions.go
+++ b/internal/coordination/dispatch/leases/suspensions.go
@@ -67,9 +67,9 @@
 
 // inherit begins a term with the newest list.
 func (s *suspensions) inherit() {
-	s.inherited, s.listed = maps.Clone(s.seen), map[string]bool{}
-	for worker := range s.seen {
-		s.listed[worker] = true
+	s.inherited, s.listed = map[string]suspendedLease{}, map[string]bool{}
+	for worker, lease := range s.seen {
+		s.inherited[worker], s.listed[worker] = lease, true
 	}
 }
 
@@ -103,6 +103,7 @@
 	if m.term == 0 || m.term != term {
 		return nil
 	}
+	m.inheritUnknown(state)
 	silent, resumed := m.silentWorkers()
 	inLog := state.LeaseSuspensions()
 	if len(silent) == 0 && !resumed && len(inLog.GetSuspended()) == 0 {
@@ -128,6 +129,33 @@
 	return a.Worker == b.Worker && a.Incarnation == b.Incarnation
 }
 
+// takeover is how long a new leader looks for workers with runs that nobody announces to it. What is placed later is on
+// workers that it knows.
+const takeover = 10 * time.Second
+
+// inheritUnknown adds the leases of workers that have runs and are unknown to a new leader: the one that placed them may
+// have been lost together with them. The caller must hold the lock.
+func (m *Manager) inheritUnknown(state *store.State) {
+	if m.config.Now().Sub(m.leaderSince) > takeover {
+		return
+	}
+	for _, job := range state.ActiveJobs() {
+		for _, placement := range job.Placements {
+			if _, known := m.suspensions.inherited[placement.Worker]; known || m.sessions[placement.Worker] != nil {
+				continue
+			}
+			m.suspensions.inherited[placement.Worker] = suspendedLease{incarnation: placement.Incarnation, endsBy: m.earlierLeasesEnd()}
+			m.suspensions.listed[placement.Worker] = true
+		}
+	}
+}
+
+// earlierLeasesEnd is the time by which all leases have ended that earlier leaders have renewed. The caller must
+// hold the lock.
+func (m *Manager) earlierLeasesEnd() time.Time {
+	return m.leaderSince.Add(m.config.FreshnessBound + LeaseUpperBound(m.config.Lease))
+}
+
 // silentWorkers lists the workers that leave requests unanswered, or have not answered in this term after
 // an earlier leader lost them. resumed is set if another one is listed whose lease is to be renewed again. The
 // caller must hold the lock.
