dispatch: an answered start ends a quarantine for unanswered commands

Callers see accepted jobs with nothing running beside a worker that could hold them: the worker was quarantined for three starts that it left unanswered, answers again, and runs one job as a probe. The others waited until a task of that job had ended, though what was in doubt, whether the worker answers, was known 20 ms after the start was sent. Class: a safeguard that is lifted by other evidence than what it was set up for.

While a job runs there whose start was answered after the newest failure, and all failures are unanswered commands, the worker is healthy. Failed or stalled tasks still need a task that completes. The failures stay in the log until then, so that the next probe waits longer if the worker falls silent again.

--- a/internal/coordination/dispatch/controller.go
+++ b/internal/coordination/dispatch/controller.go
@@ -285,7 +285,7 @@
 	speeds := c.dispatcher.speeds()
 	held := c.heldWorkers(state, live)
 	// Computed only on demand: usually no worker is due for a probe.
-	holding := sync.OnceValue(func() map[string]bool { return workersHoldingTasks(state) })
+	holding := sync.OnceValue(func() map[string]time.Time { return workersHoldingTasks(state) })
 	judged := c.judgeWorkers(state, live, holding)
 	kept := c.keepInUse(state, live, judged, held)
 	for _, worker := range live {
@@ -330,12 +330,14 @@
 	badRecord bool
 }
 
-func (c *Controller) judgeWorkers(state *store.State, live []*peerpb.Upstream, holding func() map[string]bool) map[string]judgement {
+func (c *Controller) judgeWorkers(state *store.State, live []*peerpb.Upstream, holding func() map[string]time.Time) map[string]judgement {
 	judged := make(map[string]judgement, len(live))
 	for _, worker := range live {
 		verdict, badRecord := c.dispatcher.judgeRecord(state, worker.Id)
-		if verdict == quarantine.Probing && holding()[worker.Id] {
-			verdict = quarantine.Quarantined
+		if verdict == quarantine.Probing {
+			if answered, probed := holding()[worker.Id]; probed {
+				verdict = quarantine.WhileProbed(c.dispatcher.failuresOf(state, worker.Id), answered)
+			}
 		}
 		judged[worker.Id] = judgement{verdict, badRecord}
 	}
@@ -389,14 +391,19 @@
 	}
 }
 
-// workersHoldingTasks returns the set of workers that hold tasks of open jobs. It is built
+// workersHoldingTasks returns the workers that hold tasks of open jobs, each with the time at
+// which the newest job that runs there was started; zero if none runs. It is built
 // once for all workers: after a network partition hundreds of workers are due for a probe,
 // and a scan of all jobs for each of them would delay every step.
-func workersHoldingTasks(state *store.State) map[string]bool {
-	holding := map[string]bool{}
+func workersHoldingTasks(state *store.State) map[string]time.Time {
+	holding := map[string]time.Time{}
 	for _, job := range state.ActiveJobs() {
+		var started time.Time
+		if job.State == controlpb.JobState_JOB_STATE_RUNNING {
+			started = time.UnixMilli(job.StartedMs)
+		}
 		for _, placement := range job.Placements {
-			holding[placement.Worker] = true
+			holding[placement.Worker] = latest(holding[placement.Worker], started)
 		}
 	}
 	return holding
--- a/internal/coordination/dispatch/quarantine/quarantine.go
+++ b/internal/coordination/dispatch/quarantine/quarantine.go
@@ -45,7 +45,7 @@
 	// no work until a probe is due.
 	Quarantined
 	// Probing workers are quarantined and may be given one job as a probe; if it succeeds,
-	// they are healthy again.
+	// they are healthy again (see also WhileProbed).
 	Probing
 )
 
@@ -112,6 +112,23 @@
 	return DistinctJobs(health) >= minDistinctJobs
 }
 
+// WhileProbed returns the verdict on a quarantined worker that holds a job. All that runs
+// there was started by answered, which is zero if nothing runs yet. Most failures need a
+// task that completes to be disproved. Commands that were left unanswered need an answered
+// start: to wait for the end of the task would keep other work waiting beside the worker,
+// for as long as a task takes.
+func WhileProbed(failures []*controlpb.WorkerFailure, answered time.Time) Verdict {
+	disproved := func(failed *controlpb.WorkerFailure) bool {
+		return unanswered[failure.Code(failed.Code)] && answered.After(time.UnixMilli(failed.TimeMs))
+	}
+	for _, failed := range failures {
+		if !disproved(failed) {
+			return Quarantined
+		}
+	}
+	return Healthy
+}
+
 // DistinctJobs returns the number of different jobs that failed on the worker since its last
 // success.
 func DistinctJobs(health *controlpb.WorkerHealth) int {
--- a/internal/coordination/dispatch/quarantine/quarantine_test.go
+++ b/internal/coordination/dispatch/quarantine/quarantine_test.go
@@ -77,6 +77,33 @@
 	is.Equal(quarantine.Evaluate(config, again, at(6000)), quarantine.Quarantined) // three pauses
 }
 
+// An answered start must not clear a worker of what it doesn't disprove: tasks that failed
+// or stalled, and commands that were left unanswered later.
+func TestAnsweredStartDisprovesOnlyUnansweredCommands(t *testing.T) {
+	at := func(ms int64) time.Time { return time.UnixMilli(ms) }
+	unanswered := unansweredHealth(1000, 3000, 5000).Failures
+	mixed := append(unansweredHealth(1000, 3000).Failures, &controlpb.WorkerFailure{Job: "c", Code: string(failure.TaskFailed), TimeMs: 2000})
+	cases := []struct {
+		name     string
+		failures []*controlpb.WorkerFailure
+		answered time.Time
+		want     quarantine.Verdict
+	}{
+		{"unanswered commands, and no start is answered yet", unanswered, time.Time{}, quarantine.Quarantined},
+		{"what runs was started before the newest failure", unanswered, at(4000), quarantine.Quarantined},
+		{"at the time of the newest failure", unanswered, at(5000), quarantine.Quarantined},
+		{"a start is answered after the newest failure", unanswered, at(5001), quarantine.Healthy},
+		{"a task failed", mixed, at(9000), quarantine.Quarantined},
+		{"a task stalled", stalledHealth().Failures, at(9000), quarantine.Quarantined},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			is.Equal(quarantine.WhileProbed(c.failures, c.answered), c.want)
+		})
+	}
+}
+
 // A pass, which doesn't know of probes, places three jobs on a worker that is being probed.
 // Only one may be started: if the worker is still faulty, the other two would fail too.
 func TestOneJobProbesAWorker(t *testing.T) {
--- a/internal/coordination/dispatch/quarantine/records.go
+++ b/internal/coordination/dispatch/quarantine/records.go
@@ -84,10 +84,15 @@
 
 // Failures returns the number of failures that count against a worker.
 func (r *Records) Failures(worker string) int {
+	return len(r.Of(worker))
+}
+
+// Of returns the failures that count against a worker.
+func (r *Records) Of(worker string) []*controlpb.WorkerFailure {
 	if kept := r.workers[worker]; kept != nil {
-		return len(kept.failures)
+		return kept.failures
 	}
-	return 0
+	return nil
 }
 
 // Succeeded records that a task has completed on a worker.
--- a/internal/coordination/dispatch/verdicts.go
+++ b/internal/coordination/dispatch/verdicts.go
@@ -47,6 +47,11 @@
 	return d.records.Verdict(d.config.Quarantine, worker, bySource(state, state.Health(worker)), now)
 }
 
+// failuresOf returns the failures that count against a worker, in the log or in its record.
+func (d *Dispatcher) failuresOf(state *store.State, worker string) []*controlpb.WorkerFailure {
+	return slices.Concat(state.Health(worker).GetFailures(), d.records.Of(worker))
+}
+
 // removeDeparted removes the expired records of workers that aren't live.
 func (d *Dispatcher) removeDeparted(live []*peerpb.Upstream) {
 	if d.records.Count() == 0 {
