dispatch: work waits until the probe of a worker that answers is due (fails)

A worker that left starts of three workflows unanswered gets no work for three leases, twice that after the next one, up to a minute. It may answer again at once, as after a short fault; accepted work that only it could hold has nothing running until then.

In simulated time the worker runs 0 of 8 jobs 3 s after the last unanswered start.

--- a/internal/coordination/dispatch/probes_test.go
+++ b/internal/coordination/dispatch/probes_test.go
@@ -18,32 +18,54 @@
 // worker is full. Accepted jobs have nothing running although the first worker could hold
 // them all: one runs there as a probe, and the others wait until it has ended.
 func TestWorkWaitsForTheEndOfAnAnsweredProbe(t *testing.T) {
+	simulateUnansweredStarts(t, 3, func(t *testing.T, m *machines, silent *machine) {
+		m.await(t, 20*time.Second, "the probe runs", func() bool { return m.runningOn(silent) > 0 })
+		time.Sleep(time.Second)
+		is.New(t).Equal(m.runningOn(silent), 8)
+	})
+}
+
+// The same, after more and more unanswered starts: the accepted jobs wait until a probe is
+// due, for a quarter of a minute and more, although the worker answers again. Work may stand
+// beside free capacity for three seconds.
+func TestWorkWaitsUntilAProbeIsDue(t *testing.T) {
+	for _, unanswered := range []int{1, 2, 3, 5, 8} {
+		t.Run(fmt.Sprint(unanswered, " unanswered starts"), func(t *testing.T) {
+			simulateUnansweredStarts(t, unanswered, func(t *testing.T, m *machines, silent *machine) {
+				time.Sleep(3 * time.Second)
+				is.New(t).Equal(m.runningOn(silent), 8)
+			})
+		})
+	}
+}
+
+// simulateUnansweredStarts calls test when one of two workers has left starts unanswered, and
+// 16 jobs of 30 s have been submitted. Each worker holds eight.
+func simulateUnansweredStarts(t *testing.T, count int, test func(t *testing.T, m *machines, silent *machine)) {
 	synctest.Test(t, func(t *testing.T) {
-		is, m := is.New(t), newMachines(2)
+		m := newMachines(2)
 		m.quarantine = quarantine.Config{CoolDown: time.Second, Probe: 15 * time.Second}
 		m.taskTime = 30 * time.Second
-		probed := m.list[0]
-		m.state = store.Restore(&controlpb.Snapshot{Health: []*controlpb.WorkerHealth{unansweredStarts(probed.id(), 3)}})
+		silent := m.list[0]
+		m.state = store.Restore(&controlpb.Snapshot{Health: []*controlpb.WorkerHealth{unansweredStarts(silent.id(), count)}})
 		m.lead(t)
-		time.Sleep(2 * time.Second)
-		for n := range 16 { // each worker holds eight
+		defer func() {
+			m.stopLeader()
+			time.Sleep(settleTime)
+		}()
+		for n := range 16 {
 			m.submit(fmt.Sprint("t", n), "x", &controlpb.Step{Count: 1, CoresMilli: 4000})
 		}
-		m.await(t, 20*time.Second, "the probe runs", func() bool { return m.runningOn(probed) > 0 })
-		time.Sleep(time.Second)
-		running := m.runningOn(probed)
-		m.stopLeader()
-		time.Sleep(settleTime)
-		is.Equal(running, 8)
+		test(t, m, silent)
 	})
 }
 
 // unansweredStarts returns the health of a worker that has just left a start of each of
-// several jobs unanswered.
+// several jobs unanswered, two seconds apart.
 func unansweredStarts(worker string, jobs int) *controlpb.WorkerHealth {
 	health := &controlpb.WorkerHealth{Worker: worker, Consecutive: uint32(jobs)}
 	for n := range jobs {
-		at := time.Now().Add(time.Duration(n-jobs) * 2 * time.Second)
+		at := time.Now().Add(time.Duration(n+1-jobs) * 2 * time.Second)
 		health.Failures = append(health.Failures, &controlpb.WorkerFailure{Job: fmt.Sprint("j", n), Code: string(failure.OutcomeUnknown), TimeMs: at.UnixMilli()})
 	}
 	return health
