dispatch: a worker that only left commands unanswered is tried again within two seconds

Callers see accepted jobs with nothing running beside a worker that answers again: after three unanswered starts it got no work for three leases, then twice that, up to a minute. Whether it answers shows at the next start, though, and a start that is lost there delays one job by less than a second and costs it no attempt, as long as the worker answers polls and stops; one that answers nothing is left out by the lease manager whatever its verdict.

Where the leader renews the leases, both delays of such a worker are at most 2 s: with a pass and a start that stays under the three seconds for which accepted work may stand. Other failures, and workers that renew their leases by announcements, wait as before: there a job whose start was lost waits for the end of a lease.

The tests set the new limit in their settings.

--- a/internal/app/work.go
+++ b/internal/app/work.go
@@ -135,6 +135,19 @@
 	return leasedStallAfter
 }
 
+// maxUnansweredDelay leaves time for a pass and a start within the three seconds for which
+// accepted work may stand beside free capacity.
+const maxUnansweredDelay = 2 * time.Second
+
+// maxUnanswered is 0 where workers renew leases themselves: a job whose start is lost there
+// waits for the end of a lease.
+func (w *workers) maxUnanswered() time.Duration {
+	if w.leaseManager == nil {
+		return 0
+	}
+	return maxUnansweredDelay
+}
+
 func newDispatcher(s *settings.Settings, log control.Log, w *workers, logger *logrus.Logger) *dispatch.Dispatcher {
 	config := dispatch.Config{
 		Logger:        logger,
@@ -164,6 +177,8 @@
 		Quarantine: quarantine.Config{
 			CoolDown: s.Upstreams.Lease / coolDownsPerLease,
 			Probe:    s.Upstreams.Lease * leasesPerProbe,
+
+			MaxUnanswered: w.maxUnanswered(),
 		},
 		Now: time.Now,
 	}
--- a/internal/coordination/dispatch/probes_test.go
+++ b/internal/coordination/dispatch/probes_test.go
@@ -44,7 +44,7 @@
 func simulateUnansweredStarts(t *testing.T, count int, test func(t *testing.T, m *machines, silent *machine)) {
 	synctest.Test(t, func(t *testing.T) {
 		m := newMachines(2)
-		m.quarantine = quarantine.Config{CoolDown: time.Second, Probe: 15 * time.Second}
+		m.quarantine = quarantine.Config{CoolDown: time.Second, Probe: 15 * time.Second, MaxUnanswered: 2 * time.Second}
 		m.taskTime = 30 * time.Second
 		silent := m.list[0]
 		m.state = store.Restore(&controlpb.Snapshot{Health: []*controlpb.WorkerHealth{unansweredStarts(silent.id(), count)}})
--- a/internal/coordination/dispatch/quarantine/quarantine.go
+++ b/internal/coordination/dispatch/quarantine/quarantine.go
@@ -4,6 +4,7 @@
 package quarantine
 
 import (
+	"slices"
 	"time"
 
 	"pinewinch.example/pinewinch/internal/protocol/controlpb"
@@ -18,6 +19,11 @@
 	// Probe is the delay until a quarantined worker is probed with one job. It doubles with
 	// each failed probe, up to maxProbeDelay.
 	Probe time.Duration
+	// MaxUnanswered limits both delays of a worker that has only left commands unanswered; 0
+	// for no limit. Whether it answers shows at the next start. That is cheap to try where the
+	// start delays one job by less than a second and costs it no attempt; where a job whose
+	// start was lost waits for the end of a lease, it is not.
+	MaxUnanswered time.Duration
 }
 
 const (
@@ -64,16 +70,25 @@
 	health = countStallsOnce(health)
 	since := now.Sub(time.UnixMilli(health.Failures[len(health.Failures)-1].TimeMs))
 	failures := int(health.Consecutive)
-	if !quarantined(health) {
-		if since < backoff(config.CoolDown, failures-1, config.Probe) {
-			return CoolingDown
-		}
-		return Healthy
+	coolDown := backoff(config.CoolDown, failures-1, config.Probe)
+	probe := backoff(config.Probe, failures-minDistinctJobs, maxProbeDelay)
+	if config.MaxUnanswered > 0 && onlyUnanswered(health.Failures) {
+		coolDown, probe = min(coolDown, config.MaxUnanswered), min(probe, config.MaxUnanswered)
 	}
-	if since < backoff(config.Probe, max(failures-minDistinctJobs, 0), maxProbeDelay) {
-		return Quarantined
+	switch {
+	case !quarantined(health) && since >= coolDown:
+		return Healthy
+	case !quarantined(health):
+		return CoolingDown
+	case since >= probe:
+		return Probing
 	}
-	return Probing
+	return Quarantined
+}
+
+// onlyUnanswered reports whether all failures are commands that were left unanswered.
+func onlyUnanswered(failures []*controlpb.WorkerFailure) bool {
+	return !slices.ContainsFunc(failures, func(failed *controlpb.WorkerFailure) bool { return !unanswered[failure.Code(failed.Code)] })
 }
 
 // countStallsOnce returns a worker's failures with all commands that it left unanswered at
--- a/internal/coordination/dispatch/quarantine/quarantine_test.go
+++ b/internal/coordination/dispatch/quarantine/quarantine_test.go
@@ -77,6 +77,30 @@
 	is.Equal(quarantine.Evaluate(config, again, at(6000)), quarantine.Quarantined) // three pauses
 }
 
+// A worker that answers again after several unanswered starts must get work within three
+// seconds; one at which anything else failed waits as long as before.
+func TestUnansweredCommandsDelayWorkBriefly(t *testing.T) {
+	is := is.New(t)
+	at := func(ms int64) time.Time { return time.UnixMilli(ms) }
+	unlimited := config
+	config := quarantine.Config{CoolDown: 2 * time.Second, Probe: 30 * time.Second, MaxUnanswered: 2 * time.Second}
+	twice := unansweredHealth(0, 2000, 4000, 6000)
+	for _, failed := range twice.Failures {
+		failed.Job = "a"
+	}
+	is.Equal(quarantine.Evaluate(config, twice, at(7999)), quarantine.CoolingDown)
+	is.Equal(quarantine.Evaluate(config, twice, at(8000)), quarantine.Healthy)
+	is.Equal(quarantine.Evaluate(unlimited, twice, at(21_999)), quarantine.CoolingDown)
+	often := unansweredHealth(0, 2000, 4000, 6000, 8000, 10_000, 12_000)
+	often.Consecutive = 50
+	is.Equal(quarantine.Evaluate(config, often, at(13_999)), quarantine.Quarantined)
+	is.Equal(quarantine.Evaluate(config, often, at(14_000)), quarantine.Probing)
+	is.Equal(quarantine.Evaluate(unlimited, often, at(71_999)), quarantine.Quarantined)
+	often.Failures[0].Code = string(failure.TaskFailed)
+	is.Equal(quarantine.Evaluate(config, often, at(71_999)), quarantine.Quarantined)
+	is.Equal(quarantine.Evaluate(config, often, at(72_000)), quarantine.Probing)
+}
+
 // An answered start must not clear a worker of what it doesn't disprove: tasks that failed
 // or stalled, and commands that were left unanswered later.
 func TestAnsweredStartDisprovesOnlyUnansweredCommands(t *testing.T) {
