transport/admission: a budget for what connections make a process hold

Clients that send requests without their end made a process hold as much as its descriptors allowed, since net/http bounds a connection and not all of them: a head of legal size takes 16 times its bytes live in its map of header fields (261 KB for 16 KB of distinct short lines), and twice that between collections.

At the limit the longest unfinished message or answer is closed, never a message that a handler has. It isn't used by a listener yet.

--- /dev/null
+++ b/internal/transport/admission/budget.go
@@ -0,0 +1,186 @@
+package admission
+
+import (
+	"container/list"
+	"time"
+)
+
+// Phase is what a connection is doing.
+type Phase int
+
+// A connection is Idle between messages, in Head and Body while a message is incomplete,
+// in Handling while its answer is awaited, and in Answering while a write lasts.
+const (
+	Idle Phase = iota
+	Head
+	Body
+	Handling
+	Answering
+	phases
+)
+
+// patience is how long a message or an answer may be unfinished before its connection is
+// closed in favour of a new one, rather than an idle one. Ordinary messages arrive within a
+// round trip.
+const patience = time.Second
+
+// Entry is a connection in a Budget.
+type Entry struct {
+	// Owner is what the caller of Open knows the connection by.
+	Owner any
+	phase Phase
+	since time.Time
+	bytes int64
+	// place is in the queue that the phase has, if it has one.
+	place *list.Element
+	open  bool
+}
+
+// Budget decides which connections a process holds and how many bytes their messages may
+// take. It closes nothing itself: it returns the entries whose connections are to be closed,
+// which no longer count. It isn't safe for concurrent use.
+type Budget struct {
+	connections int
+	bytes       int64
+
+	held    int64
+	byPhase [phases]int
+	// unfinished holds the entries in Head, Body and Answering, idle those in Idle; the
+	// longest in it is first.
+	unfinished, idle list.List
+}
+
+// NewBudget creates a budget of a number of connections and of bytes of messages.
+func NewBudget(connections int, bytes int64) *Budget {
+	return &Budget{connections: connections, bytes: bytes}
+}
+
+// Open adds an idle connection. At the limit it evicts one: a message that is unfinished for
+// longer than patience, else the longest idle connection, else the longest unfinished one. It
+// returns false if all are being handled.
+func (b *Budget) Open(e *Entry, now time.Time) (evicted *Entry, ok bool) {
+	if b.open() >= b.connections {
+		evicted = b.oldestFor(now)
+		if evicted == nil {
+			return nil, false
+		}
+		b.Close(evicted)
+	}
+	e.open = true
+	b.byPhase[Idle]++
+	b.enqueue(e, Idle, now)
+	return evicted, true
+}
+
+func (b *Budget) open() int {
+	total := 0
+	for _, n := range b.byPhase {
+		total += n
+	}
+	return total
+}
+
+func (b *Budget) oldestFor(now time.Time) *Entry {
+	unfinished, idle := front(&b.unfinished), front(&b.idle)
+	if unfinished == nil || idle != nil && now.Sub(unfinished.since) <= patience {
+		return idle
+	}
+	if idle == nil || now.Sub(unfinished.since) > patience {
+		return unfinished
+	}
+	return idle
+}
+
+func front(queue *list.List) *Entry {
+	if first := queue.Front(); first != nil {
+		return first.Value.(*Entry)
+	}
+	return nil
+}
+
+// Enter moves a connection to a phase. A message keeps its place among the unfinished ones
+// from its first byte to its last. An entry that was evicted is left alone.
+func (b *Budget) Enter(e *Entry, phase Phase, now time.Time) {
+	if !e.open || e.phase == phase {
+		return
+	}
+	b.byPhase[e.phase]--
+	b.byPhase[phase]++
+	if e.place != nil && b.queue(e.phase) == b.queue(phase) {
+		e.phase = phase
+		return
+	}
+	b.dequeue(e)
+	b.enqueue(e, phase, now)
+}
+
+func (b *Budget) queue(phase Phase) *list.List {
+	switch phase {
+	case Idle:
+		return &b.idle
+	case Handling:
+		return nil
+	}
+	return &b.unfinished
+}
+
+func (b *Budget) enqueue(e *Entry, phase Phase, now time.Time) {
+	e.phase, e.since = phase, now
+	if queue := b.queue(phase); queue != nil {
+		e.place = queue.PushBack(e)
+	}
+}
+
+func (b *Budget) dequeue(e *Entry) {
+	if e.place != nil {
+		b.queue(e.phase).Remove(e.place)
+		e.place = nil
+	}
+}
+
+// Charge sets the bytes that a connection's messages hold. If the budget is exhausted, it
+// evicts the longest unfinished connections, but for e, until the bytes fit. It returns false
+// if they don't fit then either, or if e was evicted before; e is then charged as before.
+func (b *Budget) Charge(e *Entry, bytes int64) (evicted []*Entry, ok bool) {
+	if !e.open {
+		return nil, false
+	}
+	for !b.Fits(e, bytes) {
+		oldest := b.oldestHolding(e)
+		if oldest == nil {
+			return evicted, false
+		}
+		b.Close(oldest)
+		evicted = append(evicted, oldest)
+	}
+	b.held += bytes - e.bytes
+	e.bytes = bytes
+	return evicted, true
+}
+
+// Fits tells whether a connection may hold so many bytes without an eviction.
+func (b *Budget) Fits(e *Entry, bytes int64) bool {
+	return bytes <= e.bytes || b.held-e.bytes+bytes <= b.bytes
+}
+
+// oldestHolding returns the longest unfinished entry but for one, which holds any bytes: to
+// evict others would free nothing.
+func (b *Budget) oldestHolding(except *Entry) *Entry {
+	for at := b.unfinished.Front(); at != nil; at = at.Next() {
+		if e := at.Value.(*Entry); e != except && e.bytes > 0 {
+			return e
+		}
+	}
+	return nil
+}
+
+// Close removes a connection and what it holds. Closing it again has no effect.
+func (b *Budget) Close(e *Entry) {
+	if !e.open {
+		return
+	}
+	b.dequeue(e)
+	b.byPhase[e.phase]--
+	b.held -= e.bytes
+	e.bytes, e.open = 0, false
+}
--- a/scripts/check.sh
+++ b/scripts/check.sh
@@ -1,6 +1,6 @@
 #!/usr/bin/env bash
 # The checks that `make test` and CI run: format, vet, staticcheck, all tests with the
-# race detector except those listed in KNOWN-RED.txt, and the fuzz targets of ./platform.
+# race detector except those listed in KNOWN-RED.txt, and the fuzz targets.
 # Each line of KNOWN-RED.txt is
 # "TestName/sub | command and seed | what was seen | issue".
 set -euo pipefail
@@ -38,3 +38,4 @@
 for target in FuzzDecodeJob FuzzDecodeConfiguration FuzzDecodeAnnouncement FuzzDecodeReport; do
   go test ./platform -run '^$' -fuzz "^$target\$" -fuzztime 20000x
 done
+go test ./internal/transport/admission -run '^$' -fuzz '^FuzzMessageFraming$' -fuzztime 20000x
