app: all HTTP listeners pass through one budget of the machine's memory

Nothing but descriptors times what one connection may hold bounded the memory of a process, so a crowd of half-sent requests took it over its machine's. All listeners (callers, control, readiness, the product's own HTTP with and without TLS) now share one admission gate whose limits are shares of the machine's memory; scrapes have a small one of their own. [instance] memory_mb tells an instance outside of the platform its memory.

--- a/internal/app/app.go
+++ b/internal/app/app.go
@@ -26,7 +26,7 @@
 		fx.Supply(s),
 		fx.WithLogger(func() fxevent.Logger { return fxevent.NopLogger }),
 		fx.StopTimeout(s.Stop.Notice + s.Stop.Grace + stopMargin),
-		fx.Provide(newLogger, newAllocation, newAccepted),
+		fx.Provide(newLogger, newAllocation, newAccepted, newGates),
 		controlModule,
 		membershipModule,
 		requestsModule,
--- a/internal/app/http.go
+++ b/internal/app/http.go
@@ -18,6 +18,7 @@
 	"pinewinch.example/pinewinch/internal/protocol/api"
 	"pinewinch.example/pinewinch/internal/protocol/failure"
 	"pinewinch.example/pinewinch/internal/settings"
+	"pinewinch.example/pinewinch/internal/transport/admission"
 	"pinewinch.example/pinewinch/internal/transport/connections"
 	"pinewinch.example/pinewinch/internal/transport/counted"
 	"pinewinch.example/pinewinch/internal/transport/httpapi"
@@ -43,7 +44,7 @@
 // Timeouts of the HTTP server: a client that sends or reads slowly must not
 // hold a connection forever.
 const (
-	readHeaderTimeout = 5 * time.Second
+	readHeaderTimeout = admission.DefaultHeadTimeout
 	readTimeout       = 30 * time.Second
 	writeTimeout      = 2 * time.Minute
 	idleTimeout       = time.Minute
@@ -52,7 +53,7 @@
 // traffic counts the bytes of callers, operators and announcing upstreams together.
 var traffic = counted.NewCounters("http")
 
-func runHTTP(lifecycle fx.Lifecycle, s *settings.Settings, server *httpapi.Server, executor *claims.Executor, allocation connections.Allocation, accepted *connections.Group, failed *logFailed, logger *logrus.Logger) error {
+func runHTTP(lifecycle fx.Lifecycle, s *settings.Settings, server *httpapi.Server, executor *claims.Executor, allocation connections.Allocation, accepted *connections.Group, gates gates, failed *logFailed, logger *logrus.Logger) error {
 	listener, err := net.Listen("tcp", s.Instance.ListenHTTP.String())
 	if err != nil {
 		return failure.Wrap(failure.BadSettings, err, "[instance] listen_http")
@@ -66,6 +67,7 @@
 		listener = tls.NewListener(listener, source.Server())
 	}
 	web := newServer(server.Handler())
+	listener = gates.requests.Serve(web, listener)
 	lifecycle.Append(fx.Hook{
 		OnStart: func(context.Context) error {
 			go serve(web, listener, logger)
--- a/internal/app/leased.go
+++ b/internal/app/leased.go
@@ -19,6 +19,7 @@
 	"pinewinch.example/pinewinch/internal/coordination/workflows"
 	"pinewinch.example/pinewinch/internal/protocol/failure"
 	"pinewinch.example/pinewinch/internal/settings"
+	"pinewinch.example/pinewinch/internal/transport/admission"
 	"pinewinch.example/pinewinch/internal/transport/connections"
 	"pinewinch.example/pinewinch/internal/transport/counted"
 	"pinewinch.example/pinewinch/internal/transport/metrics"
@@ -32,7 +33,7 @@
 // leasedTraffic counts the bytes of callers, operators and announcing workers together.
 var leasedTraffic = counted.NewCounters("leased")
 
-func runLeased(lifecycle fx.Lifecycle, s *settings.Settings, node control.Node, registry *membership.Registry, evacuations *operators.Evacuations, allocation connections.Allocation, accepted *connections.Group, failed *logFailed, logger *logrus.Logger) error {
+func runLeased(lifecycle fx.Lifecycle, s *settings.Settings, node control.Node, registry *membership.Registry, evacuations *operators.Evacuations, allocation connections.Allocation, accepted *connections.Group, gates gates, failed *logFailed, logger *logrus.Logger) error {
 	if s.LeaderLeases == nil {
 		return nil
 	}
@@ -44,18 +45,19 @@
 		// accepted limits the connections. It is nil for no limit, so that metrics are
 		// served when callers have taken all connections.
 		accepted *connections.Group
+		gate     *admission.Gate
 	}{
-		{s.LeaderLeases.Control, platform.NewControlHandler(newAnnouncements(node, registry, logger, s.Instance.Name, allocation.Accepted), operators.NewService(node, logger), evacuations, s.LeaderLeases.Control, s.LeaderLeases.AnnounceEvery), accepted},
-		{s.LeaderLeases.Callers, platform.NewJobHandler(workflows.NewHandler(node, logger)), accepted},
-		{s.LeaderLeases.Metrics, metrics.Handler(), nil},
-		{s.LeaderLeases.Readiness, platform.Readiness(func() error { return ready(node, stopping) }), accepted},
+		{s.LeaderLeases.Control, platform.NewControlHandler(newAnnouncements(node, registry, logger, s.Instance.Name, allocation.Accepted), operators.NewService(node, logger), evacuations, s.LeaderLeases.Control, s.LeaderLeases.AnnounceEvery), accepted, gates.requests},
+		{s.LeaderLeases.Callers, platform.NewJobHandler(workflows.NewHandler(node, logger)), accepted, gates.requests},
+		{s.LeaderLeases.Metrics, metrics.Handler(), nil, gates.metrics},
+		{s.LeaderLeases.Readiness, platform.Readiness(func() error { return ready(node, stopping) }), accepted, gates.requests},
 	}
 	var running []*http.Server
 	for _, server := range servers {
 		if !server.address.IsValid() {
 			continue
 		}
-		web, err := listenAndServe(server.address, server.handler, server.accepted, logger)
+		web, err := listenAndServe(server.address, server.handler, server.accepted, server.gate, logger)
 		if err != nil {
 			return err
 		}
@@ -91,7 +93,7 @@
 	return workflows.CheckReady(node)
 }
 
-func listenAndServe(address netip.AddrPort, handler http.Handler, accepted *connections.Group, logger *logrus.Logger) (*http.Server, error) {
+func listenAndServe(address netip.AddrPort, handler http.Handler, accepted *connections.Group, gate *admission.Gate, logger *logrus.Logger) (*http.Server, error) {
 	listener, err := net.Listen("tcp", address.String())
 	if err != nil {
 		return nil, failure.Wrap(failure.BadSettings, err, "listen on %s", address)
@@ -101,7 +103,7 @@
 		listener = accepted.Listener(listener)
 	}
 	web := newServer(handler)
-	go serve(web, listener, logger)
+	go serve(web, gate.Serve(web, listener), logger)
 	return web, nil
 }
 
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -227,6 +227,7 @@
 			ListenHTTP: r.address("instance", "listen_http"),
 			ListenPeer: r.address("instance", "listen_peer"),
 			DataFolder: r.text("instance", "data_folder", ""),
+			MemoryMB:   r.positiveInt("instance", "memory_mb", 0),
 		},
 		Peers: r.peers(),
 		Control: Control{
