app: the memory limit of the runtime is set on fronts, too

The runtime lets the heap double between two collections, so what clients hold counted twice on an instance without a replica, which set no limit. Every process that knows its memory now sets the limit at 0.8 of it; the percentage stays with replicas.

--- a/internal/app/collection.go
+++ b/internal/app/collection.go
@@ -14,7 +14,8 @@
 	"pinewinch.example/pinewinch/internal/settings"
 )
 
-// A collection of garbage takes processor time from the decisions of a leader, most of all
+// Near the memory of the machine the runtime collects as often as it takes. Below that, a
+// collection takes processor time from the decisions of a leader, most of all
 // on a machine with a part of one core. Where the machine has memory to spare, instances with
 // a replica collect less often: the heap may grow to a share of the machine's memory.
 
@@ -37,7 +38,7 @@
 
 var gcPercent = expvar.NewInt("collection_percent")
 
-// collectionModule is used on all instances; it acts on those with a replica only.
+// collectionModule is used on all instances.
 var collectionModule = fx.Module("collection", fx.Invoke(runCollection))
 
 // gcPercentFor returns by how many percent the live heap, in bytes, may grow until the next
@@ -52,10 +53,16 @@
 
 func runCollection(lifecycle fx.Lifecycle, s *settings.Settings, logger *logrus.Logger) {
 	memory := uint64(s.Instance.MemoryMB) * bytesPerMB
-	if memory == 0 || s.Instance.DataFolder == "" {
+	if memory == 0 {
+		return
+	}
+	lifecycle.Append(fx.StartStopHook(
+		func() { debug.SetMemoryLimit(int64(memoryShare * float64(memory))) },
+		func() { debug.SetMemoryLimit(math.MaxInt64) },
+	))
+	if s.Instance.DataFolder == "" {
 		return
 	}
-	debug.SetMemoryLimit(int64(memoryShare * float64(memory)))
 	background(lifecycle, func(ctx context.Context) {
 		ticker := time.NewTicker(collectionInterval)
 		defer ticker.Stop()
@@ -64,7 +71,6 @@
 			select {
 			case <-ctx.Done():
 				debug.SetGCPercent(usualGCPercent)
-				debug.SetMemoryLimit(math.MaxInt64)
 				return
 			case <-ticker.C:
 			}
