--- a/internal/coordination/workflows/check.go
+++ b/internal/coordination/workflows/check.go
@@ -5,11 +5,13 @@
 	"pinewinch.example/pinewinch/internal/protocol/failure"
 )
 
+// MaxSteps limits the steps of a workflow.
+const MaxSteps = 64
+
 // Limits of one workflow, which is stored in a single log entry and for which the
 // state holds a job per task. maxSpecification is in bytes.
 const (
 	maxSpecification = 4000
-	maxSteps         = 64
 	maxTasks         = 10000
 	maxRepetitions   = 10000
 	// Limits of one task, far above any worker's capacity. They keep sums far from overflow.
@@ -25,8 +27,8 @@
 		return badRequest("the specification is larger than %d bytes", maxSpecification)
 	case len(w.Steps) == 0:
 		return badRequest("the workflow has no steps")
-	case len(w.Steps) > maxSteps:
-		return badRequest("the workflow has more than %d steps", maxSteps)
+	case len(w.Steps) > MaxSteps:
+		return badRequest("the workflow has more than %d steps", MaxSteps)
 	case w.Repetitions > maxRepetitions:
 		return badRequest("the workflow has more than %d repetitions", maxRepetitions)
 	case w.Repetitions > 0 && (w.FirstDueMs <= 0 || w.EveryMs < 0):
