transport/admission: what an evicted connection holds counts until it is closed

The bytes of an evicted connection were given to the next message at once, while its handler and buffers were still there, so a crowd that reconnects held more than the budget. They count now until the server has let go of the connection; the next message waits for that.

--- a/internal/transport/admission/budget.go
+++ b/internal/transport/admission/budget.go
@@ -9,13 +9,15 @@
 type Phase int
 
 // A connection is Idle between messages, in Head and Body while a message is incomplete,
-// in Handling while its answer is awaited, and in Answering while a write lasts.
+// in Handling while its answer is awaited, and in Answering while a write lasts. Closing
+// follows an eviction, until the server has let go of the connection.
 const (
 	Idle Phase = iota
 	Head
 	Body
 	Handling
 	Answering
+	Closing
 	phases
 )
 
@@ -36,15 +38,19 @@
 	open  bool
 }
 
+// admitted tells whether the connection is open and was not evicted.
+func (e *Entry) admitted() bool { return e.open && e.phase != Closing }
+
 // Budget decides which connections a process holds and how many bytes their messages may
-// take. It closes nothing itself: it returns the entries whose connections are to be closed,
-// which no longer count. It isn't safe for concurrent use.
+// take. It closes nothing itself: it returns the entries whose connections are to be closed.
+// What these hold counts until Close. It isn't safe for concurrent use.
 type Budget struct {
 	connections int
 	bytes       int64
 
-	held    int64
-	byPhase [phases]int
+	// held are the bytes of all entries, closing those of entries in Closing.
+	held, closing int64
+	byPhase       [phases]int
 	// unfinished holds the entries in Head, Body and Answering, idle those in Idle; the
 	// longest in it is first.
 	unfinished, idle list.List
@@ -64,7 +70,7 @@
 		if evicted == nil {
 			return nil, false
 		}
-		b.Close(evicted)
+		b.evict(evicted)
 	}
 	e.open = true
 	b.byPhase[Idle]++
@@ -72,14 +78,23 @@
 	return evicted, true
 }
 
+// open returns the number of connections that are not closing.
 func (b *Budget) open() int {
 	total := 0
-	for _, n := range b.byPhase {
+	for _, n := range b.byPhase[:Closing] {
 		total += n
 	}
 	return total
 }
 
+func (b *Budget) evict(e *Entry) {
+	b.dequeue(e)
+	b.byPhase[e.phase]--
+	b.byPhase[Closing]++
+	b.closing += e.bytes
+	e.phase = Closing
+}
+
 func (b *Budget) oldestFor(now time.Time) *Entry {
 	unfinished, idle := front(&b.unfinished), front(&b.idle)
 	if unfinished == nil || idle != nil && now.Sub(unfinished.since) <= patience {
@@ -101,7 +116,7 @@
 // Enter moves a connection to a phase. A message keeps its place among the unfinished ones
 // from its first byte to its last. An entry that was evicted is left alone.
 func (b *Budget) Enter(e *Entry, phase Phase, now time.Time) {
-	if !e.open || e.phase == phase {
+	if !e.admitted() || e.phase == phase {
 		return
 	}
 	b.byPhase[e.phase]--
@@ -118,7 +133,7 @@
 	switch phase {
 	case Idle:
 		return &b.idle
-	case Handling:
+	case Handling, Closing:
 		return nil
 	}
 	return &b.unfinished
@@ -139,20 +154,24 @@
 }
 
 // Charge sets the bytes that a connection's messages hold. If the budget is exhausted, it
-// evicts the longest unfinished connections, but for e, until the bytes fit. It returns false
-// if they don't fit then either, or if e was evicted before; e is then charged as before.
+// evicts the longest unfinished connections, but for e, until the bytes fit once these are
+// closed. It returns false if they don't fit yet, or if e was evicted before; e is then
+// charged as before.
 func (b *Budget) Charge(e *Entry, bytes int64) (evicted []*Entry, ok bool) {
-	if !e.open {
+	if !e.admitted() {
 		return nil, false
 	}
-	for !b.Fits(e, bytes) {
+	for !b.Fits(e, bytes-b.closing) {
 		oldest := b.oldestHolding(e)
 		if oldest == nil {
 			return evicted, false
 		}
-		b.Close(oldest)
+		b.evict(oldest)
 		evicted = append(evicted, oldest)
 	}
+	if !b.Fits(e, bytes) {
+		return evicted, false
+	}
 	b.held += bytes - e.bytes
 	e.bytes = bytes
 	return evicted, true
@@ -182,5 +201,8 @@
 	b.dequeue(e)
 	b.byPhase[e.phase]--
 	b.held -= e.bytes
+	if e.phase == Closing {
+		b.closing -= e.bytes
+	}
 	e.bytes, e.open = 0, false
 }
--- a/internal/transport/admission/gate.go
+++ b/internal/transport/admission/gate.go
@@ -122,6 +122,20 @@
 	return ok
 }
 
+// abandonAll makes evicted connections wait no longer.
+func (g *Gate) abandonAll(evicted []*Entry) {
+	for _, e := range evicted {
+		g.abandon(e.Owner.(*Conn))
+	}
+}
+
+// closeAll closes connections whose bytes are needed. The caller doesn't hold the mutex.
+func (g *Gate) closeAll(evicted []*Entry) {
+	for _, e := range evicted {
+		g.closeEvicted(e, messageBytes)
+	}
+}
+
 func (g *Gate) closeEvicted(e *Entry, why cause) {
 	e.Owner.(*Conn).abort()
 	g.count(why)
@@ -133,21 +147,17 @@
 func (g *Gate) charge(c *Conn, bytes int64, phase Phase) error {
 	g.mu.Lock()
 	evicted, ok := g.budget.Charge(&c.entry, bytes)
-	if !ok && c.entry.open {
+	if !ok && c.entry.admitted() {
 		g.enqueue(c, bytes)
 	}
 	if ok {
 		g.budget.Enter(&c.entry, phase, time.Now())
 	}
-	for _, e := range evicted {
-		g.abandon(e.Owner.(*Conn))
-	}
+	g.abandonAll(evicted)
 	g.publish()
 	granted := c.waiting
 	g.mu.Unlock()
-	for _, e := range evicted {
-		g.closeEvicted(e, messageBytes)
-	}
+	g.closeAll(evicted)
 	if ok {
 		return nil
 	}
@@ -178,7 +188,7 @@
 	defer g.mu.Unlock()
 	_, waits := g.wanted[c]
 	g.abandon(c)
-	if waits || !c.entry.open {
+	if waits || !c.entry.admitted() {
 		return errNoBytes
 	}
 	g.budget.Enter(&c.entry, phase, time.Now())
@@ -203,18 +213,22 @@
 	c.waiting = nil
 }
 
-// grant gives what was returned to the connections that wait.
-func (g *Gate) grant() {
+// grant gives what was returned to the connections that wait, and returns those that were
+// evicted for them.
+func (g *Gate) grant() (evicted []*Entry) {
 	for len(g.queue) > 0 {
 		first := g.queue[0]
-		if !g.budget.Fits(&first.entry, g.wanted[first]) {
-			return
+		more, ok := g.budget.Charge(&first.entry, g.wanted[first])
+		g.abandonAll(more)
+		evicted = append(evicted, more...)
+		if !ok {
+			return evicted
 		}
-		_, _ = g.budget.Charge(&first.entry, g.wanted[first])
 		g.queue = g.queue[1:]
 		delete(g.wanted, first)
 		close(first.waiting)
 	}
+	return evicted
 }
 
 // answered returns what a message held: its answer is sent.
@@ -225,20 +239,22 @@
 	}
 	c.charged = 0
 	g.mu.Lock()
-	defer g.mu.Unlock()
 	_, _ = g.budget.Charge(&c.entry, int64(cap(c.buffer)))
 	g.budget.Enter(&c.entry, phase, time.Now())
-	g.grant()
+	evicted := g.grant()
 	g.publish()
+	g.mu.Unlock()
+	g.closeAll(evicted)
 }
 
 func (g *Gate) leave(c *Conn) {
 	g.mu.Lock()
-	defer g.mu.Unlock()
 	g.abandon(c)
 	g.budget.Close(&c.entry)
-	g.grant()
+	evicted := g.grant()
 	g.publish()
+	g.mu.Unlock()
+	g.closeAll(evicted)
 }
 
 func (g *Gate) writes(c *Conn) { g.move(c, Handling, Answering) }
--- a/internal/transport/admission/report.go
+++ b/internal/transport/admission/report.go
@@ -52,7 +52,7 @@
 // reportInterval is the shortest time between two log lines of the same cause.
 const reportInterval = time.Second
 
-var phaseNames = [phases]string{"idle", "head", "body", "handling", "answering"}
+var phaseNames = [phases]string{"idle", "head", "body", "handling", "answering", "closing"}
 
 // report publishes the metrics of a gate and logs what it closes.
 type report struct {
