app: the kernel keeps less of what callers have sent and nobody has read

Bytes that have arrived and are not read count as memory of the process, and a client that pipelines beside a handled request can have as many as the kernel takes for each of its connections. The control address keeps the default, for documents of megabytes.

--- a/internal/app/leased.go
+++ b/internal/app/leased.go
@@ -46,22 +46,25 @@
 		// served when callers have taken all connections.
 		accepted *connections.Group
 		gate     *admission.Gate
+		// receiveBytes limits the kernel's receive buffers; 0 for its default, which
+		// operators' documents of megabytes need.
+		receiveBytes int
 	}{
-		{s.LeaderLeases.Control, platform.NewControlHandler(newAnnouncements(node, registry, logger, s.Instance.Name, allocation.Accepted), operators.NewService(node, logger), evacuations, s.LeaderLeases.Control, s.LeaderLeases.AnnounceEvery), accepted, gates.requests},
-		{s.LeaderLeases.Callers, platform.NewJobHandler(workflows.NewHandler(node, logger)), accepted, gates.requests},
-		{s.LeaderLeases.Metrics, metrics.Handler(), nil, gates.metrics},
-		{s.LeaderLeases.Readiness, platform.Readiness(func() error { return ready(node, stopping) }), accepted, gates.requests},
+		{s.LeaderLeases.Control, platform.NewControlHandler(newAnnouncements(node, registry, logger, s.Instance.Name, allocation.Accepted), operators.NewService(node, logger), evacuations, s.LeaderLeases.Control, s.LeaderLeases.AnnounceEvery), accepted, gates.requests, 0},
+		{s.LeaderLeases.Callers, platform.NewJobHandler(workflows.NewHandler(node, logger)), accepted, gates.requests, callerReceiveBytes},
+		{s.LeaderLeases.Metrics, metrics.Handler(), nil, gates.metrics, callerReceiveBytes},
+		{s.LeaderLeases.Readiness, platform.Readiness(func() error { return ready(node, stopping) }), accepted, gates.requests, callerReceiveBytes},
 	}
 	var running []*http.Server
 	for _, server := range servers {
 		if !server.address.IsValid() {
 			continue
 		}
-		web, err := listenAndServe(server.address, server.handler, server.accepted, server.gate, logger)
+		listener, err := listen(server.address, server.receiveBytes, logger)
 		if err != nil {
 			return err
 		}
-		running = append(running, web)
+		running = append(running, startServer(listener, server.handler, server.accepted, server.gate, logger))
 	}
 	lifecycle.Append(fx.StopHook(func(ctx context.Context) {
 		logger.WithField("requests", "draining").Info("stop")
@@ -93,18 +96,15 @@
 	return workflows.CheckReady(node)
 }
 
-func listenAndServe(address netip.AddrPort, handler http.Handler, accepted *connections.Group, gate *admission.Gate, logger *logrus.Logger) (*http.Server, error) {
-	listener, err := net.Listen("tcp", address.String())
-	if err != nil {
-		return nil, failure.Wrap(failure.BadSettings, err, "listen on %s", address)
-	}
+// startServer serves a listener in the background.
+func startServer(listener net.Listener, handler http.Handler, accepted *connections.Group, gate *admission.Gate, logger *logrus.Logger) *http.Server {
 	listener = leasedTraffic.Listener(listener)
 	if accepted != nil {
 		listener = accepted.Listener(listener)
 	}
 	web := newServer(handler)
 	go serve(web, gate.Serve(web, listener), logger)
-	return web, nil
+	return web
 }
 
 // ignoreHangUp logs SIGHUP, the request to reload settings, which would end the process
