transport/admission: TLS handshakes are within the budget

A handshake is buffered by TLS before the guard reads: 110 KB of heap for 60,000 bytes that lack their last 100. It is charged 128 KiB until it is complete, and closed for others by its age; one that fails is counted and logged (net/http logged it to standard error before). A plain request to a TLS port is closed without net/http's 400 text.

The files are split: heads, deadlines, the queue of those that wait.

--- a/internal/transport/admission/conn_test.go
+++ b/internal/transport/admission/conn_test.go
@@ -3,11 +3,13 @@
 import (
 	"bufio"
 	"bytes"
+	"crypto/tls"
 	"errors"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"os"
 	"strings"
 	"testing"
@@ -369,3 +371,34 @@
 		is.NoErr(err)
 	}
 }
+
+// The handshakes of TLS are buffered before any guard, so they must be charged and closable.
+func TestHalfSentHandshakesMakeWay(t *testing.T) {
+	is := is.New(t)
+	limits := testLimits
+	limits.MessageBytes = 3 * handshakeBytes
+	gate := NewGate("test", limits, nil)
+	plain := httptest.NewUnstartedServer(http.HandlerFunc(echo))
+	plain.StartTLS()
+	plain.Close()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	web := &http.Server{Handler: http.HandlerFunc(echo), ReadHeaderTimeout: DefaultHeadTimeout}
+	guarded := gate.Serve(web, tls.NewListener(listener, plain.TLS))
+	go func() { _ = web.Serve(guarded) }()
+	defer web.Close()
+	for range 8 {
+		conn, err := net.Dial("tcp", listener.Addr().String())
+		is.NoErr(err)
+		defer conn.Close()
+		_, err = conn.Write([]byte{22, 3, 1, 64, 0, 1})
+		is.NoErr(err)
+	}
+	conn, err := tls.Dial("tcp", listener.Addr().String(), &tls.Config{RootCAs: plain.Client().Transport.(*http.Transport).TLSClientConfig.RootCAs, ServerName: "example.com"})
+	is.NoErr(err)
+	defer conn.Close()
+	is.Equal(exchange(t, conn, plainPost+plainGet, 2), []string{"200 /b hello", "200 /a "})
+	gate.mu.Lock()
+	defer gate.mu.Unlock()
+	is.True(gate.budget.held <= limits.MessageBytes)
+}
--- a/internal/transport/admission/gate.go
+++ b/internal/transport/admission/gate.go
@@ -8,6 +8,7 @@
 package admission
 
 import (
+	"errors"
 	"net"
 	"net/http"
 	"sync"
@@ -31,6 +32,8 @@
 	// bodyFactor is what a handler holds for each byte of a body: a buffer that grows, and
 	// what is decoded from it.
 	bodyFactor = 4
+	// handshakeBytes is what an incomplete TLS handshake may hold, in bytes.
+	handshakeBytes = 128 << 10
 	// waitLimit is how long a message waits for bytes that messages in handling hold.
 	waitLimit = time.Second
 	// refusalTimeout limits the time in which a client takes a refusal.
@@ -122,13 +125,6 @@
 	return ok
 }
 
-// abandonAll makes evicted connections wait no longer.
-func (g *Gate) abandonAll(evicted []*Entry) {
-	for _, e := range evicted {
-		g.abandon(e.Owner.(*Conn))
-	}
-}
-
 // closeAll closes connections whose bytes are needed. The caller doesn't hold the mutex.
 func (g *Gate) closeAll(evicted []*Entry) {
 	for _, e := range evicted {
@@ -150,10 +146,11 @@
 	if !ok && c.entry.admitted() {
 		g.enqueue(c, bytes)
 	}
+	g.abandonAll(evicted)
 	if ok {
 		g.budget.Enter(&c.entry, phase, time.Now())
+		evicted = append(evicted, g.grant()...)
 	}
-	g.abandonAll(evicted)
 	g.publish()
 	granted := c.waiting
 	g.mu.Unlock()
@@ -164,73 +161,6 @@
 	return g.wait(c, granted, phase)
 }
 
-func (g *Gate) enqueue(c *Conn, bytes int64) {
-	c.waiting = make(chan struct{})
-	g.queue = append(g.queue, c)
-	g.wanted[c] = bytes
-	// While it waits it is unfinished.
-	if c.entry.phase == Idle {
-		g.budget.Enter(&c.entry, Head, time.Now())
-	}
-}
-
-// wait returns nil once the connection was granted what it asks for.
-func (g *Gate) wait(c *Conn, granted chan struct{}, phase Phase) error {
-	if granted != nil {
-		timer := time.NewTimer(waitLimit)
-		defer timer.Stop()
-		select {
-		case <-granted:
-		case <-timer.C:
-		}
-	}
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	_, waits := g.wanted[c]
-	g.abandon(c)
-	if waits || !c.entry.admitted() {
-		return errNoBytes
-	}
-	g.budget.Enter(&c.entry, phase, time.Now())
-	return nil
-}
-
-// abandon removes a connection from those that wait.
-func (g *Gate) abandon(c *Conn) {
-	if c.waiting == nil {
-		return
-	}
-	for i, waiting := range g.queue {
-		if waiting == c {
-			g.queue = append(g.queue[:i], g.queue[i+1:]...)
-			break
-		}
-	}
-	if _, waits := g.wanted[c]; waits {
-		delete(g.wanted, c)
-		close(c.waiting)
-	}
-	c.waiting = nil
-}
-
-// grant gives what was returned to the connections that wait, and returns those that were
-// evicted for them.
-func (g *Gate) grant() (evicted []*Entry) {
-	for len(g.queue) > 0 {
-		first := g.queue[0]
-		more, ok := g.budget.Charge(&first.entry, g.wanted[first])
-		g.abandonAll(more)
-		evicted = append(evicted, more...)
-		if !ok {
-			return evicted
-		}
-		g.queue = g.queue[1:]
-		delete(g.wanted, first)
-		close(first.waiting)
-	}
-	return evicted
-}
-
 // answered returns what a message held: its answer is sent.
 func (g *Gate) answered(c *Conn) {
 	phase := Idle
@@ -274,6 +204,14 @@
 
 func (g *Gate) count(why cause) { g.report.closed(why, time.Now()) }
 
+// refused counts a connection that is closed for an error. Those without bytes are counted
+// where these are missed.
+func (g *Gate) refused(err error) {
+	if !errors.Is(err, errNoBytes) {
+		g.count(causeOf(err))
+	}
+}
+
 var (
 	errEmptyLines = failure.New(failure.BadRequest, "empty lines before a request exceed %d bytes", maxEmptyBytes)
 	errNoBytes    = failure.New(failure.Overloaded, "connection closed for lack of memory")
--- a/internal/transport/admission/report.go
+++ b/internal/transport/admission/report.go
@@ -26,9 +26,10 @@
 	badFraming       cause = "bad_framing"
 	emptyLines       cause = "empty_lines"
 	slowHead         cause = "slow_head"
+	failedHandshake  cause = "failed_handshake"
 )
 
-var causes = []cause{connectionLimit, messageBytes, noConnectionLeft, noBytesLeft, tooLarge, badFraming, emptyLines, slowHead}
+var causes = []cause{connectionLimit, messageBytes, noConnectionLeft, noBytesLeft, tooLarge, badFraming, emptyLines, slowHead, failedHandshake}
 
 // refusals are the answers to messages that can't be admitted; other causes have none.
 var refusals = map[cause]string{
