transport/admission: an answer that is just written isn't cut off

At the limit the oldest message or answer made way for a new one, also one whose write had begun microseconds before and would have succeeded: its caller lost an answer. An answer counts as unfinished only after a second now, and what waits asks again meanwhile, for up to 2 s. For a new connection one that has just connected no longer goes before an older half-sent message.

--- a/internal/transport/admission/budget.go
+++ b/internal/transport/admission/budget.go
@@ -1,6 +1,7 @@
 package admission
 
 import (
+	"cmp"
 	"container/list"
 	"time"
 )
@@ -21,9 +22,8 @@
 	phases
 )
 
-// patience is how long a message or an answer may be unfinished before its connection is
-// closed in favour of a new one, rather than an idle one. Ordinary messages arrive within a
-// round trip.
+// patience is how long a connection may be unfinished or idle before it is the first to be
+// closed for a new one. Ordinary messages arrive within a round trip.
 const patience = time.Second
 
 // Entry is a connection in a Budget.
@@ -61,9 +61,9 @@
 	return &Budget{connections: connections, bytes: bytes}
 }
 
-// Open adds an idle connection. At the limit it evicts one: a message that is unfinished for
-// longer than patience, else the longest idle connection, else the longest unfinished one. It
-// returns false if all are being handled.
+// Open adds an idle connection. At the limit it evicts the longest unfinished connection or,
+// if that is so for no longer than patience, the longest idle one; if neither is, the longer
+// of them. It returns false if all are being handled.
 func (b *Budget) Open(e *Entry, now time.Time) (evicted *Entry, ok bool) {
 	if b.open() >= b.connections {
 		evicted = b.oldestFor(now)
@@ -96,14 +96,17 @@
 }
 
 func (b *Budget) oldestFor(now time.Time) *Entry {
-	unfinished, idle := front(&b.unfinished), front(&b.idle)
-	if unfinished == nil || idle != nil && now.Sub(unfinished.since) <= patience {
-		return idle
+	unfinished, idle := b.oldestUnfinished(now, func(*Entry) bool { return true }), front(&b.idle)
+	if unfinished == nil || idle == nil {
+		return cmp.Or(unfinished, idle)
 	}
-	if idle == nil || now.Sub(unfinished.since) > patience {
+	if now.Sub(unfinished.since) > patience {
 		return unfinished
 	}
-	return idle
+	if now.Sub(idle.since) > patience || idle.since.Before(unfinished.since) {
+		return idle
+	}
+	return unfinished
 }
 
 func front(queue *list.List) *Entry {
@@ -157,12 +160,12 @@
 // evicts the longest unfinished connections, but for e, until the bytes fit once these are
 // closed. It returns false if they don't fit yet, or if e was evicted before; e is then
 // charged as before.
-func (b *Budget) Charge(e *Entry, bytes int64) (evicted []*Entry, ok bool) {
+func (b *Budget) Charge(e *Entry, bytes int64, now time.Time) (evicted []*Entry, ok bool) {
 	if !e.admitted() {
 		return nil, false
 	}
 	for !b.Fits(e, bytes-b.closing) {
-		oldest := b.oldestHolding(e)
+		oldest := b.oldestUnfinished(now, func(other *Entry) bool { return other != e && other.bytes > 0 })
 		if oldest == nil {
 			return evicted, false
 		}
@@ -182,11 +185,13 @@
 	return bytes <= e.bytes || b.held-e.bytes+bytes <= b.bytes
 }
 
-// oldestHolding returns the longest unfinished entry but for one, which holds any bytes: to
-// evict others would free nothing.
-func (b *Budget) oldestHolding(except *Entry) *Entry {
+// oldestUnfinished returns the longest unfinished entry that is wanted. A write is unfinished
+// for a moment with every answer, so an answer counts only after patience.
+func (b *Budget) oldestUnfinished(now time.Time, wanted func(*Entry) bool) *Entry {
 	for at := b.unfinished.Front(); at != nil; at = at.Next() {
-		if e := at.Value.(*Entry); e != except && e.bytes > 0 {
+		e := at.Value.(*Entry)
+		blocked := e.phase != Answering || now.Sub(e.since) > patience
+		if blocked && wanted(e) {
 			return e
 		}
 	}
--- a/internal/transport/admission/conn_test.go
+++ b/internal/transport/admission/conn_test.go
@@ -387,12 +387,20 @@
 	guarded := gate.Serve(web, tls.NewListener(listener, plain.TLS))
 	go func() { _ = web.Serve(guarded) }()
 	defer web.Close()
+	closed := make(chan error, 8)
 	for range 8 {
 		conn, err := net.Dial("tcp", listener.Addr().String())
 		is.NoErr(err)
 		defer conn.Close()
 		_, err = conn.Write([]byte{22, 3, 1, 64, 0, 1})
 		is.NoErr(err)
+		go func() {
+			_, err := conn.Read(make([]byte, 1))
+			closed <- err
+		}()
+	}
+	for range 5 {
+		<-closed // three fit
 	}
 	conn, err := tls.Dial("tcp", listener.Addr().String(), &tls.Config{RootCAs: plain.Client().Transport.(*http.Transport).TLSClientConfig.RootCAs, ServerName: "example.com"})
 	is.NoErr(err)
--- a/internal/transport/admission/gate.go
+++ b/internal/transport/admission/gate.go
@@ -35,7 +35,8 @@
 	// handshakeBytes is what an incomplete TLS handshake may hold, in bytes.
 	handshakeBytes = 128 << 10
 	// waitLimit is how long a message waits for bytes that messages in handling hold.
-	waitLimit = time.Second
+	waitLimit = 2 * patience
+	waitStep  = patience / 4
 	// refusalTimeout limits the time in which a client takes a refusal.
 	refusalTimeout = time.Second
 )
@@ -142,7 +143,7 @@
 // connection was closed for another.
 func (g *Gate) charge(c *Conn, bytes int64, phase Phase) error {
 	g.mu.Lock()
-	evicted, ok := g.budget.Charge(&c.entry, bytes)
+	evicted, ok := g.budget.Charge(&c.entry, bytes, time.Now())
 	if !ok && c.entry.admitted() {
 		g.enqueue(c, bytes)
 	}
@@ -169,7 +170,7 @@
 	}
 	c.charged = 0
 	g.mu.Lock()
-	_, _ = g.budget.Charge(&c.entry, int64(cap(c.buffer)))
+	_, _ = g.budget.Charge(&c.entry, int64(cap(c.buffer)), time.Now())
 	g.budget.Enter(&c.entry, phase, time.Now())
 	evicted := g.grant()
 	g.publish()
--- a/internal/transport/admission/queue.go
+++ b/internal/transport/admission/queue.go
@@ -13,16 +13,29 @@
 	}
 }
 
-// wait returns nil once the connection was granted what it asks for.
-func (g *Gate) wait(c *Conn, granted chan struct{}, phase Phase) error {
-	if granted != nil {
-		timer := time.NewTimer(waitLimit)
-		defer timer.Stop()
+// awaitGrant waits up to waitLimit. An answer may block for longer than patience meanwhile, so
+// it asks again every waitStep.
+func (g *Gate) awaitGrant(granted chan struct{}) {
+	ticker := time.NewTicker(waitStep)
+	defer ticker.Stop()
+	for range waitLimit / waitStep {
 		select {
 		case <-granted:
-		case <-timer.C:
+			return
+		case <-ticker.C:
+			g.mu.Lock()
+			evicted := g.grant()
+			g.mu.Unlock()
+			g.closeAll(evicted)
 		}
 	}
+}
+
+// wait returns nil once the connection was granted what it asks for.
+func (g *Gate) wait(c *Conn, granted chan struct{}, phase Phase) error {
+	if granted != nil {
+		g.awaitGrant(granted)
+	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	_, waits := g.wanted[c]
@@ -60,7 +73,7 @@
 func (g *Gate) grant() (evicted []*Entry) {
 	for len(g.queue) > 0 {
 		first := g.queue[0]
-		more, ok := g.budget.Charge(&first.entry, g.wanted[first])
+		more, ok := g.budget.Charge(&first.entry, g.wanted[first], time.Now())
 		g.abandonAll(more)
 		evicted = append(evicted, more...)
 		if !ok {
