transport/logsink: queued lines are limited by their bytes, too

A crowd of clients that send paths of 8 KB and read no answers took a front of 96 MB to 71.4, 87.5 and 89.2 MB: while the reader of the log is slow, up to 4,096 lines wait, each with a path that a client chose. The queue takes 2 MB of lines at most; what doesn't fit is dropped and counted, as before.

TestLongLinesStayWithinTheBytesOfTheQueue.

--- a/internal/transport/logsink/logsink_test.go
+++ b/internal/transport/logsink/logsink_test.go
@@ -90,6 +90,28 @@
 	})
 }
 
+// Clients send requests with long paths while the reader of the log is slow. The queued lines must not take more memory
+// than a bound, however long they are, and there must be room again once they are written.
+func TestLongLinesStayWithinTheBytesOfTheQueue(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		out := &blockedWriter{release: make(chan struct{})}
+		sink := logsink.New(out, logsink.DefaultQueueLength)
+		line := append(bytes.Repeat([]byte("x"), 8<<10), '\n')
+		for range 1000 {
+			_, _ = sink.Write(line)
+		}
+		synctest.Wait()
+		close(out.release)
+		synctest.Wait()
+		is.True(strings.Count(out.String(), string(line)) <= (2<<20)/len(line)+2)
+		before := strings.Count(out.String(), string(line))
+		_, _ = sink.Write(line)
+		sink.Close(context.Background())
+		is.Equal(strings.Count(out.String(), string(line)), before+1)
+	})
+}
+
 // Lines are still queued when a process ends. They must be written before Close returns.
 func TestCloseFlushesQueuedLines(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/transport/logsink/sink.go
+++ b/internal/transport/logsink/sink.go
@@ -16,6 +16,10 @@
 // that logs several messages at their rate limit, or 1 MB of memory at 250 bytes per line.
 const DefaultQueueLength = 4096
 
+// maxQueuedBytes limits the bytes of the queued lines. A line may have a part of what a client has sent, so that
+// their number alone bounds no memory.
+const maxQueuedBytes = 2 << 20
+
 // maxWrite limits the bytes of one write that combines queued lines. Writes of up to this
 // size to a pipe are atomic (PIPE_BUF); longer ones may be interleaved in the middle of a
 // line with those of other processes that share the pipe.
@@ -31,6 +35,8 @@
 type Sink struct {
 	out   io.Writer
 	lines chan []byte
+	// queued is the number of bytes of the queued lines.
+	queued atomic.Int64
 	// dropped counts the dropped lines that have not been reported yet.
 	dropped atomic.Int64
 	closing chan struct{}
@@ -45,21 +51,41 @@
 	return s
 }
 
-// Write queues a line, or drops it if the queue is full. It never returns an error, which
+// Write queues a line, or drops it if the queue is full, by lines or by bytes. It never returns an error, which
 // callers could not handle anyway.
 func (s *Sink) Write(line []byte) (int, error) {
 	if len(line) == 0 {
 		return 0, nil
 	}
-	select {
-	case s.lines <- append([]byte(nil), line...):
-	default:
+	if !s.enqueue(line) {
 		s.dropped.Add(1)
 		linesDropped.Add(1)
 	}
 	return len(line), nil
 }
 
+// enqueue returns false if the queue is full.
+func (s *Sink) enqueue(line []byte) bool {
+	size := int64(len(line))
+	if s.queued.Add(size) > maxQueuedBytes {
+		s.queued.Add(-size)
+		return false
+	}
+	select {
+	case s.lines <- append([]byte(nil), line...):
+		return true
+	default:
+		s.queued.Add(-size)
+		return false
+	}
+}
+
+// taken returns a line that was taken from the queue.
+func (s *Sink) taken(line []byte) []byte {
+	s.queued.Add(-int64(len(line)))
+	return line
+}
+
 // Close writes the queued lines and returns when that is done or ctx ends. Lines written
 // after Close are lost.
 func (s *Sink) Close(ctx context.Context) {
@@ -75,7 +101,7 @@
 	for {
 		select {
 		case line := <-s.lines:
-			s.write(line)
+			s.write(s.taken(line))
 		case <-s.closing:
 			s.drain()
 			return
@@ -87,7 +113,7 @@
 	for {
 		select {
 		case line := <-s.lines:
-			s.write(line)
+			s.write(s.taken(line))
 		default:
 			return
 		}
@@ -120,7 +146,7 @@
 func (s *Sink) nextQueued() []byte {
 	select {
 	case next := <-s.lines:
-		return next
+		return s.taken(next)
 	default:
 		return nil
 	}
