transport/peers: connections that say nothing make way for others

Whoever can reach the port between instances may open connections and say nothing: they were bounded by nothing, and 1,100 of them took a core of 1,024 descriptors to 1,127. At most 128 connections on which no call has begun yet stay open, and the oldest is closed for one more. An instance dials to call, so that its connection isn't among them.

--- a/internal/transport/peers/peers.go
+++ b/internal/transport/peers/peers.go
@@ -69,6 +69,7 @@
 	sessions map[string]*link
 	// discovered holds instances that are not in addresses; their names are addresses.
 	discovered map[string]bool
+	silent     silentConns
 }
 
 // NewNetwork creates the network of the named instance; addresses maps the names of its
@@ -142,6 +143,8 @@
 }
 
 func (n *Network) serveConn(ctx context.Context, conn net.Conn, handler Handler) {
+	spoke := n.silent.add(conn)
+	defer spoke()
 	conn, err := n.secureServer(ctx, traffic.Conn(conn))
 	if err != nil {
 		return
@@ -158,6 +161,7 @@
 		if err != nil {
 			return
 		}
+		spoke()
 		go serveStream(ctx, stream, handler)
 	}
 }
