scripts/check: the crowds run after the other tests, alone

They measure the memory of single processes, one at a time and apart from other load. Beside the other packages of go test ./... they would be neither.

--- a/scripts/check.sh
+++ b/scripts/check.sh
@@ -31,7 +31,10 @@
   cat KNOWN-RED.txt
   skip=$(skip_pattern KNOWN-RED.txt)
 fi
-go test -race -timeout 20m ${skip:+-skip "$skip"} ./...
+# The crowds measure the memory of single processes, and run apart from all other tests.
+crowds='^TestCrowd'
+go test -race -timeout 20m -skip "$crowds${skip:+|$skip}" ./...
+go test -race -timeout 20m -run "$crowds" ${skip:+-skip "$skip"} ./platform/e2e
 
 # Fuzzes each decoder of input from other programs, limited by a number of inputs and not
 # by time.
