--- a/internal/coordination/dispatch/leases/suspensions_test.go
+++ b/internal/coordination/dispatch/leases/suspensions_test.go
@@ -24,13 +24,17 @@
 		next, _ = next.EnterTerm(3).Apply(next.Index()+1, &controlpb.Command{})
 		c.set(func() { c.state, c.term, c.leader = next, 3, true })
 		time.Sleep(4*refreshInterval + 2*pollWait)
-		before := c.lease
+		lease := func() (deadline int64) {
+			c.set(func() { deadline = c.lease })
+			return deadline
+		}
+		before := lease()
 		m.SuspensionsCommitted(1, &controlpb.LeaseSuspensions{})
 		time.Sleep(2 * time.Second)
-		is.Equal(c.lease, before)
+		is.Equal(lease(), before)
 		m.SuspensionsCommitted(3, &controlpb.LeaseSuspensions{})
 		time.Sleep(2 * time.Second)
-		is.True(c.lease > before)
+		is.True(lease() > before)
 	})
 }
 
