--- a/internal/protocol/failure/failure.go
+++ b/internal/protocol/failure/failure.go
@@ -130,7 +130,7 @@
 	MemoryExceeded:   {http.StatusInsufficientStorage, 45},
 	TaskFailed:       {http.StatusBadGateway, 46},
 	LeaseLost:        {http.StatusBadGateway, 47},
-	GangEnded:        {http.StatusBadGateway, 47},
+	GangEnded:        {http.StatusBadGateway, 58},
 	WorkerVanished:   {http.StatusBadGateway, 48},
 	StartTimeout:     {http.StatusGatewayTimeout, 49},
 	Stalled:          {http.StatusBadGateway, 53},
