--- a/review/two/minion.go
+++ b/review/two/minion.go
@@ -152,6 +152,7 @@
 			if status := post(client, "http://"+target+"/pinewinch/instances/"+id+"/heartbeat", body, &answer); status/100 == 2 {
 				if answer.HeartbeatAddress != "" {
 					next = answer.HeartbeatAddress
+					m.w.locked(func() { m.sys.named = next })
 				}
 				sent = true
 				break
--- a/review/two/relost.go
+++ b/review/two/relost.go
@@ -100,6 +100,12 @@
 			s.launch(m)
 		}
 	}
+	c.readBack(s, j, newest, recovery)
+}
+
+// readBack asks for the newest desired state and for an accepted job until both come, or until it
+// has taken well over the time of recovery.
+func (c *caseRun) readBack(s *system, j *job, newest int, recovery time.Duration) {
 	c.w.locked(func() { c.w.note("all machines are back; version %d is the newest that was confirmed", newest) })
 	back := time.Now()
 	got, state := 0, ""
--- a/review/two/system.go
+++ b/review/two/system.go
@@ -40,7 +40,10 @@
 
 	peerPort, controlPort, frontPort, readyPort int
 	zones                                       []string
-	heartbeat                                   time.Duration
+	// named is the control address to which the minions were told last to check in; protected by
+	// the mutex of the world.
+	named     string
+	heartbeat time.Duration
 }
 
 func cannotRun(format string, args ...any) {
@@ -120,6 +123,29 @@
 	return ports[0], ports[1], ports[2], ports[3]
 }
 
+// leader returns the core machine to which the minions are told to check in.
+func (s *system) leader() *machine {
+	var named string
+	s.w.locked(func() { named = s.named })
+	for _, c := range s.cores {
+		if s.control(c) == named {
+			return c
+		}
+	}
+	cannotRun("no check-in was answered with an address")
+	return nil
+}
+
+// addCore starts a core machine at a new address, with an empty disk.
+func (s *system) addCore(zone string) *machine {
+	prefix := strings.TrimSuffix(s.cores[0].ip, "10")
+	m := &machine{name: fmt.Sprintf("core-%d", len(s.cores)+1), ip: fmt.Sprintf("%s%d", prefix, 50+len(s.cores)), zone: zone, core: true}
+	s.cores = append(s.cores, m)
+	s.launch(m)
+	s.w.locked(func() { s.w.note("%s is added in %s, with an empty disk", m.name, zone) })
+	return m
+}
+
 func (s *system) control(m *machine) string { return fmt.Sprintf("%s:%d", m.ip, s.controlPort) }
 func (s *system) front(m *machine) string   { return fmt.Sprintf("%s:%d", m.ip, s.frontPort) }
 
