--- a/review/7/run.sh
+++ b/review/7/run.sh
@@ -3,4 +3,4 @@
 # the disruption out. Needs the build of the deploy file and review/build-2.sh.
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/pinewinchd ] && [ -x review/two/bin/harness ] || { echo "not built" >&2; exit 2; }
-ROOT=$PWD exec review/two/bin/harness moved review/7/record.txt
+ROOT=$PWD exec review/two/bin/harness elsewhere review/7/record.txt
