--- a/review/two/minion.go
+++ b/review/two/minion.go
@@ -24,7 +24,12 @@
 	address      string
 	stopTime     time.Duration
 	beatInterval time.Duration
+	// keepsID makes each boot start under the same id and name the time of its start.
+	keepsID bool
 
+	born int64
+	// dark: it is lost, and nothing answers at its address.
+	dark     bool
 	boot     int
 	id       string
 	up       bool
@@ -79,6 +84,10 @@
 // start boots the minion.
 func (m *minion) start() {
 	listener, err := net.Listen("tcp", m.address)
+	for try := 0; err != nil && try < 20; try++ {
+		time.Sleep(50 * time.Millisecond)
+		listener, err = net.Listen("tcp", m.address)
+	}
 	if err != nil {
 		cannotRun("minion %s: %v", m.name, err)
 	}
@@ -86,6 +95,9 @@
 	m.address = listener.Addr().String()
 	m.boot++
 	m.id = fmt.Sprintf("i-%s-%d-%x", m.name, m.boot, bootNumber.Add(1))
+	if m.keepsID {
+		m.id, m.born = "i-"+m.name, time.Now().UnixMilli()
+	}
 	m.up, m.began, m.token, m.deadline = true, time.Now(), 0, 0
 	m.running, m.retired, m.ends, m.lastEnd = map[string]*run{}, map[string]uint64{}, nil, 0
 	m.sequence, m.state = 0, "ready"
@@ -106,14 +118,19 @@
 }
 
 // crash ends the boot with all that runs on it. Nothing is sent.
-func (m *minion) crash() {
+func (m *minion) crash() { m.end(false) }
+
+// goDark ends the boot for good, and its address stays silent.
+func (m *minion) goDark() { m.end(true) }
+
+func (m *minion) end(dark bool) {
 	m.w.mu.Lock()
 	if !m.up {
 		m.w.mu.Unlock()
 		return
 	}
 	m.w.note("minion %s (%s) crashes with %v", m.name, m.id, m.names())
-	m.up = false
+	m.up, m.dark = false, dark
 	for _, r := range m.running {
 		m.drop(r)
 		m.breakGang(r)
@@ -122,7 +139,9 @@
 	server := m.server
 	close(m.stopBeat)
 	m.w.mu.Unlock()
-	server.Close()
+	if !dark {
+		server.Close()
+	}
 }
 
 func (m *minion) clock() int64 { return time.Since(m.began).Milliseconds() }
@@ -134,11 +153,15 @@
 	for {
 		m.w.mu.Lock()
 		m.sequence++
-		body, _ := json.Marshal(map[string]any{
+		report := map[string]any{
 			"service": m.service, "address": m.address, "zone": m.zone, "version": "v1", "slots": 8, "state": m.state,
 			"coldRemainingMs": 0, "capacity": map[string]int{"cpu": m.cpu, "memMb": m.mem, "gpus": m.gpus},
 			"labels": []string{m.kind, m.rack}, "clockMs": m.clock(), "sequence": m.sequence,
-		})
+		}
+		if m.keepsID {
+			report["born"] = m.born
+		}
+		body, _ := json.Marshal(report)
 		m.w.mu.Unlock()
 		sent := false
 		for range 2 * len(m.sys.cores) {
@@ -202,7 +225,7 @@
 		case <-time.After(10 * time.Millisecond):
 		}
 		m.w.mu.Lock()
-		if m.id == id && m.up && len(m.running) > 0 && m.clock() > m.deadline {
+		if m.stopBeat == stop && m.up && len(m.running) > 0 && m.clock() > m.deadline {
 			m.w.note("minion %s: lease over", m.name)
 			for _, task := range m.names() {
 				m.finish(m.running[task], "lapsed")
@@ -227,6 +250,12 @@
 func (m *minion) command(id string, handle func(http.ResponseWriter, *http.Request, *order)) http.HandlerFunc {
 	return func(out http.ResponseWriter, r *http.Request) {
 		text, err := io.ReadAll(r.Body)
+		dark := false
+		m.w.locked(func() { dark = m.dark })
+		if dark {
+			<-r.Context().Done()
+			panic(http.ErrAbortHandler)
+		}
 		o := &order{}
 		if err != nil || json.Unmarshal(text, o) != nil {
 			out.WriteHeader(http.StatusBadRequest)
@@ -521,6 +550,9 @@
 		ends = append(ends, []any{e.number, e.task, e.run, e.how, ""})
 	}
 	body := map[string]any{"clockMs": m.clock(), "running": running, "endedRuns": ends}
+	if m.keepsID {
+		body["born"] = m.born
+	}
 	m.w.mu.Unlock()
 	answer(out, http.StatusOK, body)
 }
