--- a/review/two/learned.go
+++ b/review/two/learned.go
@@ -48,7 +48,7 @@
 		catchUp  = 4 * time.Second
 		short    = time.Second
 		long     = 4200 * time.Millisecond
-		next     = time.Second
+		next     = time.Second / 2
 		recovery = 12 * time.Second
 	)
 	s, j, newest := c.prepare(2)
