--- a/internal/coordination/repair/repair.go
+++ b/internal/coordination/repair/repair.go
@@ -149,11 +149,20 @@
 	if voter.Replaced {
 		return true
 	}
-	delay := voter.Delay
-	if voter.DataCentre != "" && !s.Reachable[voter.DataCentre] {
-		delay = max(delay, config.PartitionDelay)
+	return voter.UnresponsiveFor > 0 && voter.UnresponsiveFor >= Wait(config, s, voter)
+}
+
+// Wait returns the time after which an unresponsive voter counts as lost.
+func Wait(config Config, s Snapshot, voter *Member) time.Duration {
+	if s.unreachable(voter.DataCentre) {
+		return max(voter.Delay, config.PartitionDelay)
 	}
-	return voter.UnresponsiveFor > 0 && voter.UnresponsiveFor >= delay
+	return voter.Delay
+}
+
+// unreachable reports whether no instance of a data centre is reachable.
+func (s *Snapshot) unreachable(dataCentre string) bool {
+	return dataCentre != "" && !s.Reachable[dataCentre]
 }
 
 func compareLost(a, b *Member) int {
--- a/internal/coordination/repairer/repairer.go
+++ b/internal/coordination/repairer/repairer.go
@@ -70,13 +70,15 @@
 	// dataCentres holds the last known data centre of each instance.
 	dataCentres map[string]string
 	reason      repair.Reason
+	// waits holds how long each unresponsive voter is waited for, by identity.
+	waits map[string]time.Duration
 }
 
 // New returns a repairer.
 func New(config Config, log Log, instances Instances, detector *detector.Detector) *Repairer {
 	return &Repairer{
 		config: config, log: log, instances: instances, detector: detector,
-		unresponsiveSince: map[string]time.Time{}, dataCentres: map[string]string{},
+		unresponsiveSince: map[string]time.Time{}, dataCentres: map[string]string{}, waits: map[string]time.Duration{},
 	}
 }
 
@@ -97,6 +99,7 @@
 		return
 	}
 	snapshot := r.collectSnapshot(status)
+	r.logWaits(snapshot)
 	change, reason := repair.Decide(r.config.Repair, snapshot)
 	if reason != r.reason {
 		r.reason = reason
@@ -108,6 +111,28 @@
 	r.applyChange(ctx, change, status.Configuration)
 }
 
+// logWaits logs how long each unresponsive voter is waited for and what that follows from,
+// whenever it changes.
+func (r *Repairer) logWaits(s repair.Snapshot) {
+	waits := map[string]time.Duration{}
+	for i := range s.Members {
+		member := &s.Members[i]
+		if !member.Voter || member.UnresponsiveFor == 0 {
+			continue
+		}
+		wait := repair.Wait(r.config.Repair, s, member)
+		if before, known := r.waits[member.Identity]; !known || before != wait {
+			r.config.Logger.WithFields(logrus.Fields{
+				"instance": member.Instance, "data_centre": member.DataCentre, "data_centre_reachable": s.Reachable[member.DataCentre],
+				"unresponsive_ms": member.UnresponsiveFor.Milliseconds(), "wait_ms": wait.Milliseconds(), "delay_ms": member.Delay.Milliseconds(),
+				"spares": len(s.Spares),
+			}).Info("a voter does not respond")
+		}
+		waits[member.Identity] = wait
+	}
+	r.waits = waits
+}
+
 func (r *Repairer) applyChange(ctx context.Context, change repair.Change, configuration *consensuspb.Configuration) {
 	entry := r.config.Logger.WithField("add", change.Add).WithField("remove", change.Remove)
 	if err := r.log.ChangeMembers(ctx, &peerpb.ChangeMembers{Add: change.Add, Remove: change.Remove}); err != nil {
