repair: a voter of an unreachable data centre is waited for no longer than the deployment counts

Cause: such a voter counted as lost only after PartitionDelay = 2 h, successor or not ('a voter does not respond': wait_ms 2000 until the data centre is unreachable, 7200000 from then on, delay_ms 2000 all the time). The deployment counts the loss as over catchUpS (4 s) after the successor's start. Ruled out: no spare ('waiting', not 'no_spare'), a change that does not end (none begins).

--- a/internal/app/repair.go
+++ b/internal/app/repair.go
@@ -18,7 +18,7 @@
 	// minRepairDelay keeps a quick restart from counting as a loss.
 	minRepairDelay = 30 * time.Second
 	// maxRepairDelay limits the delay learned from a peer's history, and is how long
-	// the voters of an unreachable data centre are waited for.
+	// the voters of an unreachable data centre are waited for, unless the settings say less.
 	maxRepairDelay = 2 * time.Hour
 	// repairCost is the delay of a real repair that is worth one avoided needless repair:
 	// docs/design/failure-detection.md.
@@ -38,7 +38,7 @@
 		RepairCost:   repairCost,
 	})
 	config := repairer.Config{
-		Repair: repair.Config{Voters: s.Control.WantedVoters(), PartitionDelay: maxRepairDelay},
+		Repair: repair.Config{Voters: s.Control.WantedVoters(), PartitionDelay: maxRepairDelay, MaxDelay: s.Control.MaxRepairDelay},
 		Window: livenessWindow,
 		Now:    time.Now,
 		Logger: logger,
--- a/internal/coordination/repair/repair.go
+++ b/internal/coordination/repair/repair.go
@@ -18,6 +18,10 @@
 	// its whole data centre is unreachable: most such outages are network partitions,
 	// and the voters behind them return together.
 	PartitionDelay time.Duration
+	// MaxDelay limits that wait. A deployment counts a machine as present again some time
+	// after the start of its successor; if the lost one is still a voter by then, the next
+	// losses that it must bear take the quorum.
+	MaxDelay time.Duration
 }
 
 // Member is one member of the log's configuration.
@@ -155,7 +159,7 @@
 // Wait returns the time after which an unresponsive voter counts as lost.
 func Wait(config Config, s Snapshot, voter *Member) time.Duration {
 	if s.unreachable(voter.DataCentre) {
-		return max(voter.Delay, config.PartitionDelay)
+		return max(voter.Delay, min(config.PartitionDelay, config.MaxDelay))
 	}
 	return voter.Delay
 }
--- a/internal/coordination/repair/repair_test.go
+++ b/internal/coordination/repair/repair_test.go
@@ -14,7 +14,7 @@
 	partitionDelay = 2 * time.Hour
 )
 
-var config = Config{Voters: 3, PartitionDelay: partitionDelay}
+var config = Config{Voters: 3, PartitionDelay: partitionDelay, MaxDelay: partitionDelay}
 
 func voter(instance, dataCentre string, unresponsiveFor time.Duration) Member {
 	return Member{Identity: instance + ".id", Instance: instance, DataCentre: dataCentre, Voter: true, UnresponsiveFor: unresponsiveFor, Delay: delay}
@@ -58,6 +58,24 @@
 	}
 }
 
+// Guards against a lost voter that is waited for because its data centre is unreachable, while a
+// spare in another one could vote before the next losses.
+func TestVoterOfAnUnreachableDataCentreIsWaitedForAtMostMaxDelay(t *testing.T) {
+	is := is.New(t)
+	config := Config{Voters: 3, PartitionDelay: partitionDelay, MaxDelay: 2 * time.Second}
+	lost := voter("c", "dc3", 2*time.Second-1)
+	lost.Delay = time.Second
+	s := Snapshot{
+		Members: []Member{voter("a", "dc1", 0), voter("b", "dc2", 0), lost}, Spares: []Spare{{"s1", "dc1"}},
+		Reachable: map[string]bool{"dc1": true, "dc2": true},
+	}
+	_, reason := Decide(config, s)
+	is.Equal(reason, Waiting)
+	s.Members[2].UnresponsiveFor++
+	change, _ := Decide(config, s)
+	is.Equal(change, Change{"s1", "c.id"})
+}
+
 // In any state, a change removes only a voter that was unresponsive for at least its
 // delay or whose disk was replaced, and leaves a live quorum at each step: with the
 // added voter, and after the removal.
--- a/internal/coordination/repairer/repairer.go
+++ b/internal/coordination/repairer/repairer.go
@@ -70,15 +70,22 @@
 	// dataCentres holds the last known data centre of each instance.
 	dataCentres map[string]string
 	reason      repair.Reason
-	// waits holds how long each unresponsive voter is waited for, by identity.
-	waits map[string]time.Duration
+	// waits holds the logged waits for unresponsive voters, by identity.
+	waits map[string]voterWait
+}
+
+// voterWait is how long an unresponsive voter is waited for, and whether its data centre is
+// reachable.
+type voterWait struct {
+	wait      time.Duration
+	reachable bool
 }
 
 // New returns a repairer.
 func New(config Config, log Log, instances Instances, detector *detector.Detector) *Repairer {
 	return &Repairer{
 		config: config, log: log, instances: instances, detector: detector,
-		unresponsiveSince: map[string]time.Time{}, dataCentres: map[string]string{}, waits: map[string]time.Duration{},
+		unresponsiveSince: map[string]time.Time{}, dataCentres: map[string]string{}, waits: map[string]voterWait{},
 	}
 }
 
@@ -114,21 +121,21 @@
 // logWaits logs how long each unresponsive voter is waited for and what that follows from,
 // whenever it changes.
 func (r *Repairer) logWaits(s repair.Snapshot) {
-	waits := map[string]time.Duration{}
+	waits := map[string]voterWait{}
 	for i := range s.Members {
 		member := &s.Members[i]
 		if !member.Voter || member.UnresponsiveFor == 0 {
 			continue
 		}
-		wait := repair.Wait(r.config.Repair, s, member)
-		if before, known := r.waits[member.Identity]; !known || before != wait {
+		w := voterWait{repair.Wait(r.config.Repair, s, member), s.Reachable[member.DataCentre]}
+		if before, known := r.waits[member.Identity]; !known || before != w {
 			r.config.Logger.WithFields(logrus.Fields{
-				"instance": member.Instance, "data_centre": member.DataCentre, "data_centre_reachable": s.Reachable[member.DataCentre],
-				"unresponsive_ms": member.UnresponsiveFor.Milliseconds(), "wait_ms": wait.Milliseconds(), "delay_ms": member.Delay.Milliseconds(),
+				"instance": member.Instance, "data_centre": member.DataCentre, "data_centre_reachable": w.reachable,
+				"unresponsive_ms": member.UnresponsiveFor.Milliseconds(), "wait_ms": w.wait.Milliseconds(), "delay_ms": member.Delay.Milliseconds(),
 				"spares": len(s.Spares),
 			}).Info("a voter does not respond")
 		}
-		waits[member.Identity] = wait
+		waits[member.Identity] = w
 	}
 	r.waits = waits
 }
--- a/internal/coordination/repairer/repairer_test.go
+++ b/internal/coordination/repairer/repairer_test.go
@@ -75,7 +75,7 @@
 func (c *fakeCluster) repairer() *Repairer {
 	logger := logrus.New()
 	logger.SetOutput(io.Discard)
-	config := Config{Repair: repair.Config{Voters: 3, PartitionDelay: time.Hour}, Now: func() time.Time { return c.now }, Logger: logger}
+	config := Config{Repair: repair.Config{Voters: 3, PartitionDelay: time.Hour, MaxDelay: time.Hour}, Now: func() time.Time { return c.now }, Logger: logger}
 	return New(config, c, c, detector.New(detector.Config{InitialDelay: delay, MinDelay: time.Second, MaxDelay: time.Hour, RepairCost: time.Hour}))
 }
 
--- a/internal/settings/check.go
+++ b/internal/settings/check.go
@@ -21,6 +21,9 @@
 	r.checkInstance(s)
 	r.checkVoters(s)
 	r.checkTokens(s)
+	if s.Control.MaxRepairDelay < s.Control.RepairAfter {
+		r.addProblem("control", "max_repair_delay", "shorter than repair_after")
+	}
 	if s.Upstreams.Lease < minAnnouncementsPerLease*s.Upstreams.AnnounceEvery {
 		r.addProblem("upstreams", "lease", "shorter than %d announcement intervals", minAnnouncementsPerLease)
 	}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -69,6 +69,9 @@
 	// RepairAfter is the time since a voter's last message after which it is replaced,
 	// while too little is known of how long outages last.
 	RepairAfter time.Duration
+	// MaxRepairDelay limits how long an unresponsive voter is waited for, whatever its
+	// outages or its data centre suggest, where a spare can take its place.
+	MaxRepairDelay time.Duration
 	// OrderResendWindow is how long after an operator's order was committed the same order
 	// may be a resend of it.
 	OrderResendWindow time.Duration
@@ -236,6 +239,7 @@
 			ElectionTimeout:   r.duration("control", "election_timeout", 400*time.Millisecond),
 			AutomaticRepair:   r.enum("control", "repair", "manual", "automatic") == "automatic",
 			RepairAfter:       r.duration("control", "repair_after", 10*time.Minute),
+			MaxRepairDelay:    r.duration("control", "max_repair_delay", 2*time.Hour),
 			OrderResendWindow: r.duration("control", "order_resend_window", 3*time.Second),
 		},
 		Upstreams: Upstreams{
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -69,6 +69,7 @@
 		"bad duration":     {"[customers]", "[stop]\ngrace = 30\n[customers]", `f:13: [stop] grace: "30" is not a duration such as 500ms or 10s`},
 		"bad number":       {"[customers]", "[requests]\nqueue_length = many\n[customers]", `f:13: [requests] queue_length: "many" is not a whole number above 0`},
 		"bad log":          {"[customers]", "[log]\nformat = xml\nlevel = loud\n[customers]", `f:13: [log] format: "xml" is not text or json` + "\n" + `f:14: [log] level: "loud" is not info or panic or fatal or error or warning or debug or trace`},
+		"short repair":     {"voters = i1", "voters = i1\nrepair_after = 1m\nmax_repair_delay = 30s", `f:13: [control] max_repair_delay: shorter than repair_after`},
 		"short lease":      {"[customers]", "[upstreams]\nlease = 2s\n[customers]", `f:13: [upstreams] lease: shorter than 3 announcement intervals`},
 		"plain token":      {hashA, "crews-secret", `f:13: [customers] crews: not sha256: and 64 hex digits`},
 		"shared token":     {hashB, hashA, `f:13: [customers] crews: has the same token as "ops"`},
