repair: outages that ended by themselves don't put the repair of a lost voter off

Cause: after eight outages of any voters the detector's delay is 1.25 times the longest of them ('a voter does not respond': wait_ms 2000 until the eighth has ended, 5000 from then on), by weighing a needless repair with an hour. The deployment counts the loss as over catchUpS (4 s) after the start of the successor. Ruled out: an unreachable data centre (data_centre_reachable true), a change that takes long (the reason is 'waiting' to the end).

Without the limit TestOutagesThatEndedDoNotPutARepairOff fails, with outages of 4.2 s and of a minute.

--- a/internal/coordination/repair/repair.go
+++ b/internal/coordination/repair/repair.go
@@ -18,9 +18,9 @@
 	// its whole data centre is unreachable: most such outages are network partitions,
 	// and the voters behind them return together.
 	PartitionDelay time.Duration
-	// MaxDelay limits that wait. A deployment counts a machine as present again some time
-	// after the start of its successor; if the lost one is still a voter by then, the next
-	// losses that it must bear take the quorum.
+	// MaxDelay limits that wait and the delay by earlier outages. A deployment counts a
+	// machine as present again some time after the start of its successor; if the lost one
+	// is still a voter by then, the next losses that it must bear take the quorum.
 	MaxDelay time.Duration
 }
 
@@ -158,10 +158,11 @@
 
 // Wait returns the time after which an unresponsive voter counts as lost.
 func Wait(config Config, s Snapshot, voter *Member) time.Duration {
+	delay := voter.Delay
 	if s.unreachable(voter.DataCentre) {
-		return max(voter.Delay, min(config.PartitionDelay, config.MaxDelay))
+		delay = max(delay, config.PartitionDelay)
 	}
-	return voter.Delay
+	return min(delay, config.MaxDelay)
 }
 
 // unreachable reports whether no instance of a data centre is reachable.
--- a/internal/coordination/repairer/repairer_test.go
+++ b/internal/coordination/repairer/repairer_test.go
@@ -72,11 +72,14 @@
 
 func (c *fakeCluster) Instances(time.Duration) []*peerpb.InstanceState { return c.live }
 
-func (c *fakeCluster) repairer() *Repairer {
+func (c *fakeCluster) repairer() *Repairer { return c.repairerWith(delay, time.Hour) }
+
+// repairerWith returns a repairer with the delay while there is no history, and the longest one.
+func (c *fakeCluster) repairerWith(initial, longest time.Duration) *Repairer {
 	logger := logrus.New()
 	logger.SetOutput(io.Discard)
-	config := Config{Repair: repair.Config{Voters: 3, PartitionDelay: time.Hour, MaxDelay: time.Hour}, Now: func() time.Time { return c.now }, Logger: logger}
-	return New(config, c, c, detector.New(detector.Config{InitialDelay: delay, MinDelay: time.Second, MaxDelay: time.Hour, RepairCost: time.Hour}))
+	config := Config{Repair: repair.Config{Voters: 3, PartitionDelay: time.Hour, MaxDelay: longest}, Now: func() time.Time { return c.now }, Logger: logger}
+	return New(config, c, c, detector.New(detector.Config{InitialDelay: initial, MinDelay: time.Second, MaxDelay: time.Hour, RepairCost: time.Hour}))
 }
 
 // advance advances the time by d with one step per checkInterval.
@@ -124,6 +127,36 @@
 	is.True(len(c.changes) > 0)
 }
 
+// Guards against a lost voter that stays one beside its successor because earlier outages of any
+// voters have ended by themselves: further disks, lost when the deployment counts the machine as
+// replaced, would take everything that was accepted.
+func TestOutagesThatEndedDoNotPutARepairOff(t *testing.T) {
+	for _, outage := range []time.Duration{4200 * time.Millisecond, time.Minute} {
+		t.Run(outage.String(), func(t *testing.T) {
+			is, c := is.New(t), newFakeCluster()
+			spare := c.live[3]
+			c.live = c.live[:3]
+			const longest = 2 * time.Second
+			r := c.repairerWith(longest, longest)
+			for n := range 12 {
+				name := []string{"b", "c"}[n%2]
+				c.unresponsive[name] = true
+				c.advance(r, outage)
+				c.unresponsive[name] = false
+				c.advance(r, 5*time.Second)
+			}
+			is.Equal(len(c.changes), 0) // nobody could take its place
+			c.unresponsive["c"] = true
+			c.live = append(c.live, spare)
+			c.advance(r, longest-checkInterval)
+			is.Equal(len(c.changes), 0)
+			c.advance(r, 2*checkInterval)
+			is.True(len(c.changes) > 0)
+			is.Equal([]string{c.changes[0].Add, c.changes[0].Remove}, []string{"spare", "c.1"})
+		})
+	}
+}
+
 // The disk of a voter was replaced: its instance runs, but is not a member. Its new
 // replica must become a voter again without the full delay.
 func TestReplacedDiskRejoinsSoon(t *testing.T) {
