store: accepted work follows its queue to another service

Cause: the service of a queue was copied into the workflow at submission and into each of its jobs, and nothing changed it. docs/PROMISES.md said so ('It ends at the service at which it was accepted'); that was ours. Ruled out: minions that are not eligible (the third job has the same shape), no pass after the change.

Change: a document that sends a queue to another service gives its open workflows, and those of their jobs that have not ended, the service of now, in the same log entry; what runs goes on where it is. A submission gets the service of the version in which it is committed.

--- a/internal/state/store/document.go
+++ b/internal/state/store/document.go
@@ -55,6 +55,7 @@
 	s.document = op.Document
 	s.revision++
 	s.succeedCustomers(customers)
+	s.moveWorkToItsService()
 	return &controlpb.Result{}
 }
 
--- a/internal/state/store/workflows.go
+++ b/internal/state/store/workflows.go
@@ -60,6 +60,10 @@
 	if keyed && w.Customer != "" {
 		w.Customer = caller.Name
 	}
+	if service, declared := s.serviceOf(w); declared {
+		// The caller was let in by a document that another one may have replaced since.
+		w.Service = service
+	}
 	w.State = controlpb.WorkflowState_WORKFLOW_STATE_QUEUED
 	w.SubmittedMs = s.timeMs
 	if w.Repetitions == 0 {
