repairer: a new leader doesn't count the silence of a voter anew

TestLeadersInSeriesDoNotPutARepairOff shows it: with leaders of 1.5 s and a delay of 2 s nothing is replaced within a minute.

A leader now counts from when the voter's instance was due to be heard from by the heartbeats between instances, once it has found it unresponsive itself for a second: right after an election nobody has answered yet (TestVoterThatIsAboutToAnswerANewLeaderIsNotReplaced).

--- a/internal/app/repair.go
+++ b/internal/app/repair.go
@@ -38,10 +38,11 @@
 		RepairCost:   repairCost,
 	})
 	config := repairer.Config{
-		Repair: repair.Config{Voters: s.Control.WantedVoters(), PartitionDelay: maxRepairDelay, MaxDelay: s.Control.MaxRepairDelay},
-		Window: livenessWindow,
-		Now:    time.Now,
-		Logger: logger,
+		Repair:          repair.Config{Voters: s.Control.WantedVoters(), PartitionDelay: maxRepairDelay, MaxDelay: s.Control.MaxRepairDelay},
+		Window:          livenessWindow,
+		ContactInterval: peerPingInterval,
+		Now:             time.Now,
+		Logger:          logger,
 	}
 	background(lifecycle, repairer.New(config, log, registry, delays).Run)
 }
--- a/internal/coordination/membership/view.go
+++ b/internal/coordination/membership/view.go
@@ -229,6 +229,17 @@
 	return r.self
 }
 
+// LastContact returns when an instance was last heard from, if this process ever has.
+func (r *Registry) LastContact(instance string) (time.Time, bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	o := r.origins[instance]
+	if o == nil {
+		return time.Time{}, false
+	}
+	return o.lastContact, true
+}
+
 // Instances lists this instance and those heard from within the window, by name.
 func (r *Registry) Instances(window time.Duration) []*peerpb.InstanceState {
 	r.mu.Lock()
--- a/internal/coordination/repairer/repairer.go
+++ b/internal/coordination/repairer/repairer.go
@@ -29,6 +29,9 @@
 	// replacedDiskDelay is how long a voter must be unresponsive before its running
 	// instance counts as one with a new disk, since a start also takes time.
 	replacedDiskDelay = 10 * time.Second
+	// minObservation is how long a leader itself must have found a voter unresponsive before
+	// what it knows from before counts: right after its election nobody has answered it yet.
+	minObservation = time.Second
 )
 
 var (
@@ -45,9 +48,10 @@
 	ChangeMembers(ctx context.Context, change *peerpb.ChangeMembers) error
 }
 
-// Instances lists the live instances.
+// Instances lists the live instances, and tells when an instance was last heard from.
 type Instances interface {
 	Instances(window time.Duration) []*peerpb.InstanceState
+	LastContact(instance string) (time.Time, bool)
 }
 
 // Config is the configuration of a repairer.
@@ -55,8 +59,10 @@
 	Repair repair.Config
 	// Window is how long an instance counts as live after its last message.
 	Window time.Duration
-	Now    func() time.Time
-	Logger *logrus.Logger
+	// ContactInterval is the time between two messages of a live instance.
+	ContactInterval time.Duration
+	Now             func() time.Time
+	Logger          *logrus.Logger
 }
 
 // Repairer observes the voters. It is not safe for concurrent use.
@@ -65,8 +71,8 @@
 	log       Log
 	instances Instances
 	detector  *detector.Detector
-	// unresponsiveSince holds the members that do not respond, by identity.
-	unresponsiveSince map[string]time.Time
+	// unresponsive holds the members that do not respond, by identity.
+	unresponsive map[string]silence
 	// dataCentres holds the last known data centre of each instance.
 	dataCentres map[string]string
 	reason      repair.Reason
@@ -74,6 +80,18 @@
 	waits map[string]voterWait
 }
 
+// silence is since when a member does not respond, which may be earlier than when this leader first
+// found it so.
+type silence struct{ since, observed time.Time }
+
+// length returns how long the silence has lasted.
+func (s silence) length(now time.Time) time.Duration {
+	if observed := now.Sub(s.observed); observed < minObservation {
+		return observed
+	}
+	return now.Sub(s.since)
+}
+
 // voterWait is how long an unresponsive voter is waited for, and whether its data centre is
 // reachable.
 type voterWait struct {
@@ -85,7 +103,7 @@
 func New(config Config, log Log, instances Instances, detector *detector.Detector) *Repairer {
 	return &Repairer{
 		config: config, log: log, instances: instances, detector: detector,
-		unresponsiveSince: map[string]time.Time{}, dataCentres: map[string]string{}, waits: map[string]voterWait{},
+		unresponsive: map[string]silence{}, dataCentres: map[string]string{}, waits: map[string]voterWait{},
 	}
 }
 
@@ -102,7 +120,7 @@
 	if status.Role != consensus.Leader {
 		// Another leader observes the voters now; what happens meanwhile is not known
 		// here.
-		clear(r.unresponsiveSince)
+		clear(r.unresponsive)
 		return
 	}
 	snapshot := r.collectSnapshot(status)
@@ -152,7 +170,7 @@
 	for _, member := range configuration.GetMembers() {
 		if member.Identity == change.Remove {
 			r.detector.ObserveLoss(member.Instance)
-			delete(r.unresponsiveSince, member.Identity)
+			delete(r.unresponsive, member.Identity)
 		}
 	}
 }
@@ -169,7 +187,7 @@
 	}
 	r.learnDataCentres()
 	r.observeMembers(status, now)
-	unresponsiveCount := len(r.unresponsiveSince)
+	unresponsiveCount := len(r.unresponsive)
 	members := status.Configuration.GetMembers()
 	for _, member := range members {
 		s.Members = append(s.Members, r.describe(member, live[member.Instance], now, unresponsiveCount, len(members)))
@@ -223,21 +241,34 @@
 	isMember := map[string]bool{}
 	for _, member := range status.Configuration.GetMembers() {
 		isMember[member.Identity] = true
-		since, unresponsive := r.unresponsiveSince[member.Identity]
+		silence, unresponsive := r.unresponsive[member.Identity]
 		switch {
 		case live[member.Identity] && unresponsive:
-			r.detector.ObserveReturn(member.Instance, now.Sub(since))
-			delete(r.unresponsiveSince, member.Identity)
+			r.detector.ObserveReturn(member.Instance, silence.length(now))
+			delete(r.unresponsive, member.Identity)
 		case !live[member.Identity] && !unresponsive:
-			r.unresponsiveSince[member.Identity] = now
+			r.unresponsive[member.Identity] = r.silenceOf(member.Instance, now)
 		}
 	}
-	for identity := range r.unresponsiveSince {
+	for identity := range r.unresponsive {
 		if !isMember[identity] {
-			delete(r.unresponsiveSince, identity)
+			delete(r.unresponsive, identity)
+		}
+	}
+	unresponsiveVoters.Set(int64(len(r.unresponsive)))
+}
+
+// silenceOf returns the silence of a member that this leader finds unresponsive from now on. If it was
+// to be heard from before, it has been silent for longer: a leader that counted anew would put the
+// repair off, and leaders lost in series for ever.
+func (r *Repairer) silenceOf(instance string, now time.Time) silence {
+	since := now
+	if contact, known := r.instances.LastContact(instance); known {
+		if due := contact.Add(r.config.ContactInterval); due.Before(since) {
+			since = due
 		}
 	}
-	unresponsiveVoters.Set(int64(len(r.unresponsiveSince)))
+	return silence{since: since, observed: now}
 }
 
 func (r *Repairer) describe(member *consensuspb.Member, instance *peerpb.InstanceState, now time.Time, unresponsiveCount, total int) repair.Member {
@@ -252,13 +283,13 @@
 		// lost.
 		described.Replaced = true
 	}
-	since, unresponsive := r.unresponsiveSince[member.Identity]
+	silence, unresponsive := r.unresponsive[member.Identity]
 	if !unresponsive {
 		return described
 	}
 	// A member that just became unresponsive must have a duration above 0, which stands
 	// for a live one.
-	described.UnresponsiveFor = max(now.Sub(since), time.Nanosecond)
+	described.UnresponsiveFor = max(silence.length(now), time.Nanosecond)
 	described.Delay = r.detector.Delay(member.Instance, unresponsiveCount-1, total)
 	described.Replaced = described.Replaced || instance != nil && instance.Ready && instance.Replica && !instance.Voter && described.UnresponsiveFor >= replacedDiskDelay
 	return described
--- a/internal/coordination/repairer/repairer_test.go
+++ b/internal/coordination/repairer/repairer_test.go
@@ -18,7 +18,10 @@
 	"pinewinch.example/pinewinch/internal/state/store"
 )
 
-const delay = time.Minute
+const (
+	delay           = time.Minute
+	contactInterval = 2 * time.Second
+)
 
 // fakeCluster is a log with the voters a, b and c, led by a, and instances with disks.
 type fakeCluster struct {
@@ -30,7 +33,9 @@
 	live    []*peerpb.InstanceState
 	// published is the list of replicas in the replicated state.
 	published []*controlpb.ReplicaInstance
-	changes   []*peerpb.ChangeMembers
+	// contacts has when instances were last heard from.
+	contacts map[string]time.Time
+	changes  []*peerpb.ChangeMembers
 }
 
 func newFakeCluster() *fakeCluster {
@@ -72,13 +77,18 @@
 
 func (c *fakeCluster) Instances(time.Duration) []*peerpb.InstanceState { return c.live }
 
+func (c *fakeCluster) LastContact(instance string) (time.Time, bool) {
+	contact, known := c.contacts[instance]
+	return contact, known
+}
+
 func (c *fakeCluster) repairer() *Repairer { return c.repairerWith(delay, time.Hour) }
 
 // repairerWith returns a repairer with the delay while there is no history, and the longest one.
 func (c *fakeCluster) repairerWith(initial, longest time.Duration) *Repairer {
 	logger := logrus.New()
 	logger.SetOutput(io.Discard)
-	config := Config{Repair: repair.Config{Voters: 3, PartitionDelay: time.Hour, MaxDelay: longest}, Now: func() time.Time { return c.now }, Logger: logger}
+	config := Config{Repair: repair.Config{Voters: 3, PartitionDelay: time.Hour, MaxDelay: longest}, ContactInterval: contactInterval, Now: func() time.Time { return c.now }, Logger: logger}
 	return New(config, c, c, detector.New(detector.Config{InitialDelay: initial, MinDelay: time.Second, MaxDelay: time.Hour, RepairCost: time.Hour}))
 }
 
@@ -157,6 +167,40 @@
 	}
 }
 
+// Guards against a repair that each leader puts off: a voter is gone for good and leaders are lost in
+// series, each sooner than the delay. None of them has to count the silence of the voter anew.
+func TestLeadersInSeriesDoNotPutARepairOff(t *testing.T) {
+	is, c := is.New(t), newFakeCluster()
+	const longest = 2 * time.Second
+	r := c.repairerWith(longest, longest)
+	c.advance(r, time.Second)
+	c.unresponsive["c"] = true
+	c.contacts = map[string]time.Time{"c": c.now}
+	lost := c.now
+	for len(c.changes) == 0 && c.now.Sub(lost) < time.Minute {
+		c.role = consensus.Leader
+		c.advance(r, 1500*time.Millisecond)
+		c.role = consensus.Follower
+		c.advance(r, 500*time.Millisecond)
+	}
+	is.True(len(c.changes) > 0)
+	is.True(c.now.Sub(lost) <= contactInterval+longest+2*time.Second) // and the term in which it is due
+}
+
+// A leader has just been elected, and no voter has answered it yet. It has heard from none for longer,
+// as it was suspended itself: the voters that answer in a moment must not be replaced.
+func TestVoterThatIsAboutToAnswerANewLeaderIsNotReplaced(t *testing.T) {
+	is, c := is.New(t), newFakeCluster()
+	const longest = 2 * time.Second
+	r := c.repairerWith(longest, longest)
+	c.contacts = map[string]time.Time{"b": c.now.Add(-time.Minute), "c": c.now.Add(-time.Minute)}
+	c.unresponsive["c"] = true
+	c.advance(r, minObservation-checkInterval)
+	c.unresponsive["c"] = false
+	c.advance(r, time.Minute)
+	is.Equal(len(c.changes), 0)
+}
+
 // The disk of a voter was replaced: its instance runs, but is not a member. Its new
 // replica must become a voter again without the full delay.
 func TestReplacedDiskRejoinsSoon(t *testing.T) {
