repairer: a change ends when the replica that it adds is lost while it catches up

Cause: a change waits up to a minute for the identity that it adds, and the repairer for the change. The instance runs under another identity by then, which the leader knows. Ruled out: no spare, and a delay (neither reason is written, the repairer is silent).

An instance whose replica could not be added goes last among the spares, a silent learner is none, and learners of an instance's earlier disks are removed.

--- a/internal/coordination/repair/repair.go
+++ b/internal/coordination/repair/repair.go
@@ -45,6 +45,8 @@
 type Spare struct {
 	Instance   string
 	DataCentre string
+	// Failed is set if its replica could not be added a moment ago: it may be lost.
+	Failed bool
 }
 
 // Snapshot is the observed state at one time.
@@ -186,8 +188,9 @@
 }
 
 // chooseSpare picks the spare in the data centre with the fewest live voters, so that
-// the loss of a data centre takes as few voters as possible. Ties are broken by the
-// instance, then the data centre, of the lost voter, then by the least name.
+// the loss of a data centre takes as few voters as possible; one that has failed goes
+// last. Ties are broken by the instance, then the data centre, of the lost voter, then by
+// the least name.
 func chooseSpare(s Snapshot, live []Member, lost *Member) string {
 	liveVoters := map[string]int{}
 	for _, voter := range live {
@@ -196,6 +199,7 @@
 	spares := slices.Clone(s.Spares)
 	slices.SortFunc(spares, func(a, b Spare) int {
 		return cmp.Or(
+			cmp.Compare(boolToInt(a.Failed), boolToInt(b.Failed)),
 			cmp.Compare(liveVoters[a.DataCentre], liveVoters[b.DataCentre]),
 			cmp.Compare(proximity(lost, b), proximity(lost, a)),
 			cmp.Compare(a.Instance, b.Instance),
--- a/internal/coordination/repair/repair_test.go
+++ b/internal/coordination/repair/repair_test.go
@@ -21,7 +21,7 @@
 }
 
 func TestDecide(t *testing.T) {
-	spare := []Spare{{"s1", "dc1"}, {"s2", "dc2"}, {"s3", "dc3"}}
+	spare := []Spare{{"s1", "dc1", false}, {"s2", "dc2", false}, {"s3", "dc3", false}}
 	a, b, c := voter("a", "dc1", 0), voter("b", "dc2", 0), voter("c", "dc3", 0)
 	unresponsive := func(m Member, unresponsiveFor time.Duration) Member { m.UnresponsiveFor = unresponsiveFor; return m }
 	replaced := func(m Member) Member { m.Replaced = true; return m }
@@ -33,20 +33,21 @@
 		change   Change
 		reason   Reason
 	}{
-		"all live":                          {Snapshot{Members: []Member{a, b, c}, Spares: spare, Reachable: all}, Change{}, NothingLost},
-		"unresponsive for a short time":     {Snapshot{Members: []Member{a, b, unresponsive(c, delay-1)}, Spares: spare, Reachable: all}, Change{}, Waiting},
-		"lost, spare in its data centre":    {Snapshot{Members: []Member{a, b, unresponsive(c, delay)}, Spares: spare, Reachable: all}, Change{"s3", "c.id"}, ""},
-		"its data centre has no spare":      {Snapshot{Members: []Member{a, b, unresponsive(c, delay)}, Spares: spare[:2], Reachable: all}, Change{"s1", "c.id"}, ""},
-		"data centre partitioned":           {Snapshot{Members: []Member{a, b, unresponsive(c, partitionDelay-1)}, Spares: spare[:2], Reachable: withoutC}, Change{}, Waiting},
-		"data centre lost":                  {Snapshot{Members: []Member{a, b, unresponsive(c, partitionDelay)}, Spares: spare[:2], Reachable: withoutC}, Change{"s1", "c.id"}, ""},
-		"disk replaced":                     {Snapshot{Members: []Member{a, b, replaced(c)}, Spares: append(spare, Spare{"c", "dc3"}), Reachable: all}, Change{"c", "c.id"}, ""},
-		"two lost of three":                 {Snapshot{Members: []Member{a, unresponsive(b, delay), unresponsive(c, delay)}, Spares: spare, Reachable: all}, Change{}, NoQuorum},
-		"one change at a time":              {Snapshot{Members: []Member{a, b, unresponsive(c, delay)}, Spares: spare, Reachable: all, ChangeInProgress: true}, Change{}, ChangeInProgress},
-		"no spare":                          {Snapshot{Members: []Member{a, b, unresponsive(c, delay)}, Reachable: all}, Change{}, NoSpare},
-		"change interrupted before removal": {Snapshot{Members: []Member{a, b, unresponsive(c, delay), voter("s3", "dc3", 0)}, Spares: spare[:2], Reachable: all}, Change{Remove: "c.id"}, ""},
-		"too few voters":                    {Snapshot{Members: []Member{a, b}, Spares: spare, Reachable: all}, Change{Add: "s3"}, ""},
-		"learners do not count":             {Snapshot{Members: []Member{a, unresponsive(b, delay), learner, unresponsive(c, delay)}, Spares: spare, Reachable: all}, Change{}, NoQuorum},
-		"longest lost is removed first":     {Snapshot{Members: []Member{a, b, c, unresponsive(voter("d", "dc1", 0), delay), unresponsive(voter("e", "dc2", 0), 2*delay)}, Spares: spare, Reachable: all}, Change{Remove: "e.id"}, ""},
+		"all live":                              {Snapshot{Members: []Member{a, b, c}, Spares: spare, Reachable: all}, Change{}, NothingLost},
+		"unresponsive for a short time":         {Snapshot{Members: []Member{a, b, unresponsive(c, delay-1)}, Spares: spare, Reachable: all}, Change{}, Waiting},
+		"lost, spare in its data centre":        {Snapshot{Members: []Member{a, b, unresponsive(c, delay)}, Spares: spare, Reachable: all}, Change{"s3", "c.id"}, ""},
+		"its data centre has no spare":          {Snapshot{Members: []Member{a, b, unresponsive(c, delay)}, Spares: spare[:2], Reachable: all}, Change{"s1", "c.id"}, ""},
+		"data centre partitioned":               {Snapshot{Members: []Member{a, b, unresponsive(c, partitionDelay-1)}, Spares: spare[:2], Reachable: withoutC}, Change{}, Waiting},
+		"data centre lost":                      {Snapshot{Members: []Member{a, b, unresponsive(c, partitionDelay)}, Spares: spare[:2], Reachable: withoutC}, Change{"s1", "c.id"}, ""},
+		"disk replaced":                         {Snapshot{Members: []Member{a, b, replaced(c)}, Spares: append(spare, Spare{"c", "dc3", false}), Reachable: all}, Change{"c", "c.id"}, ""},
+		"two lost of three":                     {Snapshot{Members: []Member{a, unresponsive(b, delay), unresponsive(c, delay)}, Spares: spare, Reachable: all}, Change{}, NoQuorum},
+		"one change at a time":                  {Snapshot{Members: []Member{a, b, unresponsive(c, delay)}, Spares: spare, Reachable: all, ChangeInProgress: true}, Change{}, ChangeInProgress},
+		"no spare":                              {Snapshot{Members: []Member{a, b, unresponsive(c, delay)}, Reachable: all}, Change{}, NoSpare},
+		"a spare that can't be added goes last": {Snapshot{Members: []Member{a, b, unresponsive(c, delay)}, Spares: []Spare{spare[0], {"s3", "dc3", true}}, Reachable: all}, Change{"s1", "c.id"}, ""},
+		"change interrupted before removal":     {Snapshot{Members: []Member{a, b, unresponsive(c, delay), voter("s3", "dc3", 0)}, Spares: spare[:2], Reachable: all}, Change{Remove: "c.id"}, ""},
+		"too few voters":                        {Snapshot{Members: []Member{a, b}, Spares: spare, Reachable: all}, Change{Add: "s3"}, ""},
+		"learners do not count":                 {Snapshot{Members: []Member{a, unresponsive(b, delay), learner, unresponsive(c, delay)}, Spares: spare, Reachable: all}, Change{}, NoQuorum},
+		"longest lost is removed first":         {Snapshot{Members: []Member{a, b, c, unresponsive(voter("d", "dc1", 0), delay), unresponsive(voter("e", "dc2", 0), 2*delay)}, Spares: spare, Reachable: all}, Change{Remove: "e.id"}, ""},
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
@@ -66,7 +67,7 @@
 	lost := voter("c", "dc3", 2*time.Second-1)
 	lost.Delay = time.Second
 	s := Snapshot{
-		Members: []Member{voter("a", "dc1", 0), voter("b", "dc2", 0), lost}, Spares: []Spare{{"s1", "dc1"}},
+		Members: []Member{voter("a", "dc1", 0), voter("b", "dc2", 0), lost}, Spares: []Spare{{"s1", "dc1", false}},
 		Reachable: map[string]bool{"dc1": true, "dc2": true},
 	}
 	_, reason := Decide(config, s)
@@ -90,7 +91,7 @@
 			s.Members = append(s.Members, member)
 		}
 		for i := range rapid.IntRange(0, 4).Draw(t, "spares") {
-			s.Spares = append(s.Spares, Spare{fmt.Sprint("s", i), fmt.Sprint("dc", dataCentre.Draw(t, "centre"))})
+			s.Spares = append(s.Spares, Spare{fmt.Sprint("s", i), fmt.Sprint("dc", dataCentre.Draw(t, "centre")), rapid.Bool().Draw(t, "failed")})
 		}
 		change, reason := Decide(config, s)
 		if (reason == "") == (change == Change{}) {
--- a/internal/coordination/repairer/repairer.go
+++ b/internal/coordination/repairer/repairer.go
@@ -76,6 +76,8 @@
 	// dataCentres holds the last known data centre of each instance.
 	dataCentres map[string]string
 	reason      repair.Reason
+	// failedAdditions holds when a change last failed to add the replica of an instance.
+	failedAdditions map[string]time.Time
 	// waits holds the logged waits for unresponsive voters, by identity.
 	waits map[string]voterWait
 }
@@ -103,7 +105,7 @@
 func New(config Config, log Log, instances Instances, detector *detector.Detector) *Repairer {
 	return &Repairer{
 		config: config, log: log, instances: instances, detector: detector,
-		unresponsive: map[string]silence{}, dataCentres: map[string]string{}, waits: map[string]voterWait{},
+		unresponsive: map[string]silence{}, dataCentres: map[string]string{}, waits: map[string]voterWait{}, failedAdditions: map[string]time.Time{},
 	}
 }
 
@@ -160,11 +162,20 @@
 
 func (r *Repairer) applyChange(ctx context.Context, change repair.Change, configuration *consensuspb.Configuration) {
 	entry := r.config.Logger.WithField("add", change.Add).WithField("remove", change.Remove)
-	if err := r.log.ChangeMembers(ctx, &peerpb.ChangeMembers{Add: change.Add, Remove: change.Remove}); err != nil {
+	began := r.config.Now()
+	ctx, end := r.whileAdding(ctx, change.Add)
+	err := r.log.ChangeMembers(ctx, &peerpb.ChangeMembers{Add: change.Add, Remove: change.Remove})
+	cause := context.Cause(ctx)
+	end()
+	if err != nil {
 		repairsFailed.Add(1)
-		entry.WithField("code", failure.From(err).Code).Warn("a voter could not be replaced")
+		r.failedAdditions[change.Add] = r.config.Now()
+		entry.WithFields(logrus.Fields{
+			"code": failure.From(err).Code, "cause": cause, "took_ms": r.config.Now().Sub(began).Milliseconds(),
+		}).Warn("a voter could not be replaced")
 		return
 	}
+	delete(r.failedAdditions, change.Add)
 	repairsDone.Add(1)
 	entry.Info("a voter was replaced")
 	for _, member := range configuration.GetMembers() {
@@ -194,12 +205,19 @@
 	}
 	for name, instance := range live {
 		if isSpare(s.Members, instance) {
-			s.Spares = append(s.Spares, repair.Spare{Instance: name, DataCentre: instance.DataCentre})
+			s.Spares = append(s.Spares, repair.Spare{Instance: name, DataCentre: instance.DataCentre, Failed: r.failedRecently(name, now)})
 		}
 	}
 	return s
 }
 
+// failedRecently reports whether the replica of an instance could not be added while the instance, if
+// it is lost, may still count as live.
+func (r *Repairer) failedRecently(instance string, now time.Time) bool {
+	failed, ok := r.failedAdditions[instance]
+	return ok && now.Sub(failed) < r.config.Window
+}
+
 // learnDataCentres takes the data centres of replicas that this process has never heard from
 // out of the replicated state. A voter that was lost before this process started would
 // otherwise be taken for one in an unreachable data centre, whose return is waited for.
@@ -225,7 +243,7 @@
 	for _, member := range members {
 		if instance.Identity != "" && member.Identity == instance.Identity {
 			// A lost leader may have left a learner, which reports itself as a member.
-			return !member.Voter
+			return !member.Voter && member.UnresponsiveFor == 0
 		}
 	}
 	return !slices.ContainsFunc(members, func(m repair.Member) bool { return m.Instance == instance.Name && !m.Replaced })
--- a/internal/coordination/repairer/repairer_test.go
+++ b/internal/coordination/repairer/repairer_test.go
@@ -30,7 +30,9 @@
 	unresponsive map[string]bool
 	// learner is a member without a vote; nil for none.
 	learner *consensuspb.Member
-	live    []*peerpb.InstanceState
+	// learnerUnresponsive is set if that member does not respond.
+	learnerUnresponsive bool
+	live                []*peerpb.InstanceState
 	// published is the list of replicas in the replicated state.
 	published []*controlpb.ReplicaInstance
 	// contacts has when instances were last heard from.
@@ -61,7 +63,7 @@
 	}
 	if c.learner != nil {
 		s.Configuration.Members = append(s.Configuration.Members, c.learner)
-		s.Members = append(s.Members, consensus.MemberStatus{Identity: c.learner.Identity, Live: true})
+		s.Members = append(s.Members, consensus.MemberStatus{Identity: c.learner.Identity, Live: !c.learnerUnresponsive})
 	}
 	return s
 }
--- a/internal/coordination/replica/members.go
+++ b/internal/coordination/replica/members.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"google.golang.org/protobuf/proto"
@@ -63,6 +64,9 @@
 	if introduction.Identity == "" {
 		return "", failure.New(failure.BadRequest, "%s has no data folder", instance)
 	}
+	if err := r.dropLostLearners(ctx, instance, introduction.Identity); err != nil {
+		return "", err
+	}
 	if r.memberOf(introduction.Identity) == nil {
 		learner := &consensuspb.Member{Identity: introduction.Identity, Instance: instance}
 		if err := r.reconfigure(ctx, func(c *consensuspb.Configuration) { c.Members = append(c.Members, learner) }); err != nil {
@@ -82,6 +86,23 @@
 	})
 }
 
+// dropLostLearners removes the learners of an instance whose disk was lost while they caught up: they
+// never return.
+func (r *Replica) dropLostLearners(ctx context.Context, instance, identity string) error {
+	for _, member := range r.Status().Configuration.GetMembers() {
+		if member.Voter || member.Instance != instance || member.Identity == identity {
+			continue
+		}
+		err := r.reconfigure(ctx, func(c *consensuspb.Configuration) {
+			c.Members = slices.DeleteFunc(c.Members, func(m *consensuspb.Member) bool { return m.Identity == member.Identity })
+		})
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 // removeMember removes the members with the given identity or on the given instance,
 // except the one just added there.
 func (r *Replica) removeMember(ctx context.Context, name, except string) error {
--- a/internal/coordination/replica/members_test.go
+++ b/internal/coordination/replica/members_test.go
@@ -74,3 +74,22 @@
 		propose(is, next, "after")
 	})
 }
+
+// Guards against learners that pile up in the configuration: an instance loses its disk again and again
+// while its replica catches up, and each of these replicas is a member that never returns.
+func TestLearnerOfALostDiskIsDropped(t *testing.T) {
+	inBubble(t, func(is *is.I, m *mesh) {
+		leader := startAll(m)
+		added := m.start("i4")
+		time.Sleep(time.Second)
+		for _, lost := range []string{"i4.lost-1", "i4.lost-2"} {
+			learner := &consensuspb.Member{Identity: lost, Instance: "i4"}
+			is.NoErr(leader.reconfigure(background(), func(c *consensuspb.Configuration) { c.Members = append(c.Members, learner) }))
+		}
+		is.NoErr(leader.ChangeMembers(background(), &peerpb.ChangeMembers{Add: "i4"}))
+		time.Sleep(time.Second)
+		is.Equal(added.Role(), "voter")
+		is.Equal(len(leader.Status().Configuration.Members), 4)
+		propose(is, leader, "after")
+	})
+}
