scheduling: a job returns to workers on which it failed before it stands too long

Once it has stood for scheduling.max_stand, and most of its service is free with room for it twice over, it may start on any. TestJobReturnsToWorkersOnWhichItFailedBeforeItStandsTooLong fails without it.

--- a/internal/coordination/scheduling/quarantined.go
+++ b/internal/coordination/scheduling/quarantined.go
@@ -11,7 +11,8 @@
 // A worker on which work has failed is kept out of use for a time that grows with its failures. Work
 // that finds no place elsewhere, as only that worker has the label that it requires, would stand beside
 // an idle worker for as long, and nothing would show that the worker is sound again. Such work tries
-// the worker after a limited time, first one job and then all.
+// the worker after a limited time, first one job and then all. The same holds for a job that is kept from
+// the workers on which it failed itself, while those on which it hasn't are busy for long.
 
 // probeDivisor is the part of MaxStand, one of probeDivisor, after which one job tries a quarantined
 // worker that holds nothing.
@@ -29,42 +30,85 @@
 // quarantined reports whether the node gets no work only because of its failures.
 func (n *node) quarantined() bool { return n.worker.Unavailable && !n.worker.FailedAt.IsZero() }
 
-// quarantinedKey is what determines whether a request finds a place on quarantined nodes.
-type quarantinedKey struct {
-	shape       shapeKey
-	stood, once bool
+// standing is the work that a pass has left waiting, and what its search for quarantined workers knows.
+type standing struct {
+	// quarantined is set if there are quarantined workers.
+	quarantined bool
+	services    serviceCapacities
+	// refused has the requests that found no place on quarantined nodes.
+	refused map[standingKey]bool
 }
 
-// startOnQuarantined starts work that no other worker can take on quarantined ones.
-func (p *pass) startOnQuarantined(queue []*request) {
-	if p.snapshot.MaxStand == 0 || !slices.ContainsFunc(p.cluster.nodes, (*node).quarantined) {
+// standingKey is what determines whether a request finds a place on quarantined nodes.
+type standingKey struct {
+	shape             shapeKey
+	stood, lastChance bool
+}
+
+// startStanding starts work that has found no place: where it has failed before, if it stands for too
+// long, and on quarantined workers, if no other can take it.
+func (p *pass) startStanding(queue []*request) {
+	if p.snapshot.MaxStand == 0 {
 		return
 	}
+	s := &standing{
+		quarantined: slices.ContainsFunc(p.cluster.nodes, (*node).quarantined),
+		services:    serviceCapacities{}, refused: map[standingKey]bool{},
+	}
 	waiting := p.waitingWithoutReservation()
-	services := serviceCapacities{}
-	refused := map[quarantinedKey]bool{}
-	for _, queued := range queue {
-		if !waiting[queued.job.Id] || queued.restricted || p.overLimit(queued) {
-			continue
-		}
-		req := p.unrestrictedRequest(queued.job)
-		req.retriesAnywhere = true
-		key := quarantinedKey{req.key(), p.stoodTooLong(req.job), lastAttempt(req.job)}
-		if refused[key] || !p.needsQuarantined(req, services.of(p, req.job.Service)) {
-			continue
+	for _, req := range queue {
+		if waiting[req.job.Id] && !req.restricted && !p.overLimit(req) {
+			p.startStandingJob(s, req.job)
 		}
-		placement := p.findOnQuarantined(req)
-		if placement == nil {
-			refused[key] = true
-			p.expectQuarantined(req)
-			continue
-		}
-		p.recordQuarantined(req, placement)
-		p.assign(req, placement)
 	}
 	p.plan.Waiting = slices.DeleteFunc(p.plan.Waiting, func(r Reason) bool { return p.started[r.Job] })
 }
 
+func (p *pass) startStandingJob(s *standing, job *controlpb.Job) {
+	mayReturn := p.mayReturn(job)
+	if !mayReturn && !s.quarantined {
+		return
+	}
+	req := p.unrestrictedRequest(job)
+	req.retriesAnywhere = true
+	service := s.services.of(p, job.Service)
+	if mayReturn && p.startWhereItFailed(req, service) {
+		return
+	}
+	key := standingKey{req.key(), p.stoodTooLong(job), lastAttempt(job)}
+	if s.refused[key] || !s.quarantined || !p.needsQuarantined(req, service) {
+		return
+	}
+	placement := p.findOnQuarantined(req)
+	if placement == nil {
+		s.refused[key] = true
+		p.expectQuarantined(req)
+		return
+	}
+	p.recordQuarantined(req, placement)
+	p.assign(req, placement)
+}
+
+// mayReturn reports whether a job may start again on workers on which it has failed, although others that
+// might hold it are only busy: it has stood for too long.
+func (p *pass) mayReturn(job *controlpb.Job) bool {
+	return job.MaxAttempts > 0 && len(job.Failures) > 0 && p.stoodTooLong(job)
+}
+
+// startWhereItFailed starts a job that has stood for too long on any available workers, if its service has
+// ample free capacity and twice its tasks fit.
+func (p *pass) startWhereItFailed(req *request, service *serviceCapacity) bool {
+	if !p.hasAmpleCapacity(service, req.perTask) || !p.fitsTwice(req) {
+		return false
+	}
+	placement := p.cluster.findPlacement(req, freeCapacity)
+	if placement == nil {
+		return false
+	}
+	p.assign(req, placement)
+	return true
+}
+
 // needsQuarantined reports whether work that has found no place may use quarantined workers: the
 // available ones can't hold it even when they are empty, or they are busy while most of the service
 // is free, as when the other workers lack a label.
--- a/internal/coordination/scheduling/retries_test.go
+++ b/internal/coordination/scheduling/retries_test.go
@@ -168,3 +168,36 @@
 		plan = Pass(snapshot)
 	}
 }
+
+// Guards against a job that waits, beside free workers on which it has failed, for one that is full for
+// long, beyond the time for which accepted work may stand after a disturbance.
+func TestJobReturnsToWorkersOnWhichItFailedBeforeItStandsTooLong(t *testing.T) {
+	const first, second, third, last = "d0-r0-w0", "d0-r0-w1", "d0-r1-w0", "d0-r1-w1"
+	for name, test := range map[string]struct {
+		stood        time.Duration
+		failed, busy []string
+		placed       bool
+	}{
+		"not yet":                    {maxStand - time.Millisecond, []string{first, second, third}, []string{last}, false},
+		"it has stood too long":      {maxStand, []string{first, second, third}, []string{last}, true},
+		"the service is mostly busy": {maxStand, []string{first}, []string{second, third, last}, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			job := unitJob("j", "b", 1, 4, attemptsOn(test.failed...), func(j *controlpb.Job) { j.MaxAttempts = 4 })
+			job.SubmittedMs = start.Add(-test.stood).UnixMilli()
+			for _, failed := range job.Failures {
+				failed.TimeMs = job.SubmittedMs
+			}
+			jobs := []*controlpb.Job{job}
+			for _, worker := range test.busy {
+				jobs = append(jobs, unitJob("on-"+worker, "b", 1, 8, running(time.Second, 0, worker), func(j *controlpb.Job) { j.RunTimeMs = time.Hour.Milliseconds() }))
+			}
+			snapshot := unitsSnapshot(testWorkers(1, 2, 2, 8), jobs...)
+			snapshot.MaxStand = maxStand
+			plan := Pass(snapshot)
+			is.Equal(plan.Breach, nil)
+			is.Equal(len(plan.Assignments) > 0, test.placed)
+		})
+	}
+}
--- a/internal/coordination/scheduling/scheduling.go
+++ b/internal/coordination/scheduling/scheduling.go
@@ -78,7 +78,7 @@
 	// Features are the optional parts that the settings switch on.
 	Features Features
 	// MaxStand is how long work may stand that only workers can take which are unavailable because
-	// of their failures; 0 for no limit.
+	// of their failures, or on which it has failed itself; 0 for no limit.
 	MaxStand time.Duration
 	// Disabled are mechanisms that an experiment switches off; empty in production.
 	Disabled Mechanisms
@@ -177,7 +177,7 @@
 	p.startLongWaiting(queue)
 	p.startRemaining(queue)
 	p.startStarved(queue)
-	p.startOnQuarantined(queue)
+	p.startStanding(queue)
 	p.recordLocalityWaits(queue)
 	p.plan.Cells = p.cluster.cellList()
 }
