--- a/internal/coordination/dispatch/controller.go
+++ b/internal/coordination/dispatch/controller.go
@@ -294,10 +294,11 @@
 		if verdict == quarantine.Probing {
 			probing[worker.Id] = true
 		}
-		excluded := worker.Leaving || state.Drained(worker.Id) || !kept[worker.Id] && (verdict == quarantine.CoolingDown || verdict == quarantine.Quarantined)
+		retired := worker.Leaving || state.Drained(worker.Id)
+		failed := !kept[worker.Id] && (verdict == quarantine.CoolingDown || verdict == quarantine.Quarantined)
 		evacuated := state.Evacuated(worker.DataCentre)
 		var failedAt time.Time
-		if excluded && !worker.Leaving && !state.Drained(worker.Id) && !evacuated && !held[worker.Id] {
+		if failed && !retired && !evacuated && !held[worker.Id] {
 			failedAt = c.dispatcher.newestFailure(state, worker.Id)
 		}
 		if verdict != quarantine.Healthy {
@@ -319,8 +320,8 @@
 			Speed:        speeds[worker.Id],
 			BadRecord:    badRecord,
 			Cold:         worker.Cold && c.dispatcher.config.Evacuation.ColdStart > 0,
-			Unavailable:  excluded || evacuated || held[worker.Id],
-			Evacuated:    evacuated && !excluded,
+			Unavailable:  retired || failed || evacuated || held[worker.Id],
+			Evacuated:    evacuated && !retired && !failed,
 			FailedAt:     failedAt,
 		})
 	}
--- a/internal/coordination/repairer/repairer.go
+++ b/internal/coordination/repairer/repairer.go
@@ -169,7 +169,9 @@
 	end()
 	if err != nil {
 		repairsFailed.Add(1)
-		r.failedAdditions[change.Add] = r.config.Now()
+		if change.Add != "" {
+			r.failedAdditions[change.Add] = r.config.Now()
+		}
 		entry.WithFields(logrus.Fields{
 			"code": failure.From(err).Code, "cause": cause, "took_ms": r.config.Now().Sub(began).Milliseconds(),
 		}).Warn("a voter could not be replaced")
--- a/internal/coordination/scheduling/quarantined.go
+++ b/internal/coordination/scheduling/standing.go
@@ -41,8 +41,8 @@
 
 // standingKey is what determines whether a request finds a place on quarantined nodes.
 type standingKey struct {
-	shape             shapeKey
-	stood, lastChance bool
+	shape              shapeKey
+	stood, lastAttempt bool
 }
 
 // startStanding starts work that has found no place: where it has failed before, if it stands for too
@@ -72,7 +72,8 @@
 	req := p.unrestrictedRequest(job)
 	req.retriesAnywhere = true
 	service := s.services.of(p, job.Service)
-	if mayReturn && p.startWhereItFailed(req, service) {
+	if mayReturn && p.startIfAmple(req, service) {
+		service.free = service.free.minus(req.size())
 		return
 	}
 	key := standingKey{req.key(), p.stoodTooLong(job), lastAttempt(job)}
@@ -87,6 +88,7 @@
 	}
 	p.recordQuarantined(req, placement)
 	p.assign(req, placement)
+	service.free = service.free.minus(req.size())
 }
 
 // mayReturn reports whether a job may start again on workers on which it has failed, although others that
@@ -95,20 +97,6 @@
 	return job.MaxAttempts > 0 && len(job.Failures) > 0 && p.stoodTooLong(job)
 }
 
-// startWhereItFailed starts a job that has stood for too long on any available workers, if its service has
-// ample free capacity and twice its tasks fit.
-func (p *pass) startWhereItFailed(req *request, service *serviceCapacity) bool {
-	if !p.hasAmpleCapacity(service, req.perTask) || !p.fitsTwice(req) {
-		return false
-	}
-	placement := p.cluster.findPlacement(req, freeCapacity)
-	if placement == nil {
-		return false
-	}
-	p.assign(req, placement)
-	return true
-}
-
 // needsQuarantined reports whether work that has found no place may use quarantined workers: the
 // available ones can't hold it even when they are empty, or they are busy while most of the service
 // is free, as when the other workers lack a label.
--- a/internal/coordination/scheduling/starvation.go
+++ b/internal/coordination/scheduling/starvation.go
@@ -161,21 +161,22 @@
 	return p.starvedTooLong(req) && p.startUnrestricted(req, p.serviceCapacity(req.job.Service))
 }
 
-// startUnrestricted starts a unit that has waited long enough, if its service has ample
-// free capacity and twice its tasks fit.
+// startUnrestricted starts a unit that has waited long enough on any eligible workers, if there is
+// ample capacity.
 func (p *pass) startUnrestricted(req *request, service *serviceCapacity) bool {
-	if !p.mayStartUnrestricted(req) || !p.hasAmpleCapacity(service, req.perTask) {
-		return false
-	}
-	unrestricted := p.unrestrictedRequest(req.job)
-	if !p.fitsTwice(unrestricted) {
+	return p.mayStartUnrestricted(req) && p.startIfAmple(p.unrestrictedRequest(req.job), service)
+}
+
+// startIfAmple starts a request if its service has ample free capacity and twice its tasks fit.
+func (p *pass) startIfAmple(req *request, service *serviceCapacity) bool {
+	if !p.hasAmpleCapacity(service, req.perTask) || !p.fitsTwice(req) {
 		return false
 	}
-	placement := p.cluster.findPlacement(unrestricted, freeCapacity)
+	placement := p.cluster.findPlacement(req, freeCapacity)
 	if placement == nil {
 		return false
 	}
-	p.assign(unrestricted, placement)
+	p.assign(req, placement)
 	return true
 }
 
