--- a/review/lib3/play/main.go
+++ b/review/lib3/play/main.go
@@ -29,6 +29,7 @@
 
 var cases = map[string]func(*play) int{
 	"flapping": flapping,
+	"standing": standing,
 }
 
 func main() {
--- a/review/lib3/world.go
+++ b/review/lib3/world.go
@@ -218,6 +218,10 @@
 		address = "127.0.0.1:0"
 	}
 	listener, err := net.Listen("tcp", address)
+	for try := 0; err != nil && try < 100; try++ {
+		time.Sleep(10 * time.Millisecond)
+		listener, err = net.Listen("tcp", address)
+	}
 	if err != nil {
 		panic(err)
 	}
@@ -271,6 +275,13 @@
 	x.server.Close()
 }
 
+// Up reports whether the worker has not crashed.
+func (x *Worker) Up() bool {
+	x.w.mu.Lock()
+	defer x.w.mu.Unlock()
+	return x.up
+}
+
 // Addr is the address that the worker listens on.
 func (x *Worker) Addr() string { return x.addr }
 
@@ -794,3 +805,75 @@
 	defer w.mu.Unlock()
 	return w.failedEnds[id]
 }
+
+// Running returns how many runs of a job are active.
+func (w *World) Running(job *Job) int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	active := 0
+	for _, x := range w.Workers {
+		for _, r := range x.running {
+			if r.job == job {
+				active++
+			}
+		}
+	}
+	return active
+}
+
+// AwaitRunning waits until so many runs of a job are active.
+func (w *World) AwaitRunning(job *Job, runs int, within time.Duration) bool {
+	for end := time.Now().Add(within); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
+		if w.Running(job) >= runs {
+			return true
+		}
+	}
+	return false
+}
+
+// Ended reports whether all tasks of a job have ended done.
+func (w *World) Ended(job *Job) bool {
+	done, _ := w.AllDone(job)
+	return done
+}
+
+// IdleFor returns how many tasks of a step fit beside what runs on the workers that are up.
+func (w *World) IdleFor(step *Step) int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	fits := 0
+	for _, x := range w.Workers {
+		if !x.up || x.cut || x.Draining || step.Requirements != "" && !contains(x.Labels, step.Requirements) {
+			continue
+		}
+		gpus, cpu, mem := x.GPUs, x.CPU, x.Mem
+		for _, r := range x.running {
+			gpus, cpu, mem = gpus-r.step.GPUs, cpu-r.step.CPU, mem-r.step.MemMB
+		}
+		room := cpu / max(step.CPU, 1)
+		if step.MemMB > 0 {
+			room = min(room, mem/step.MemMB)
+		}
+		if step.GPUs > 0 {
+			room = min(room, gpus/step.GPUs)
+		}
+		fits += max(room, 0)
+	}
+	return fits
+}
+
+// GPUsInUse returns the accelerators of the workers that are up: in use, and all.
+func (w *World) GPUsInUse() (used, all int) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for _, x := range w.Workers {
+		if !x.up {
+			continue
+		}
+		all += x.GPUs
+		for _, r := range x.running {
+			used += r.step.GPUs
+		}
+	}
+	return used, all
+}
