--- a/review/lib3/play/main.go
+++ b/review/lib3/play/main.go
@@ -30,6 +30,7 @@
 var cases = map[string]func(*play) int{
 	"flapping": flapping,
 	"standing": standing,
+	"late":     lateOrder,
 }
 
 func main() {
--- a/review/lib3/system.go
+++ b/review/lib3/system.go
@@ -181,6 +181,8 @@
 	}
 	if os.Getenv("KEEP") == "" {
 		os.RemoveAll(s.Dir)
+	} else {
+		s.W.Log("the processes' logs are kept in %s", s.Dir)
 	}
 }
 
--- a/review/lib3/world.go
+++ b/review/lib3/world.go
@@ -69,6 +69,8 @@
 	CancelMs int64
 	Quiet    bool
 	Starts   int
+	// OnStart, if set, is asked at each start of a task and returns what it breaks, or "".
+	OnStart func(x *Worker, task string) string
 	// failedEnds counts, by job, the runs that have ended as failed.
 	failedEnds map[string]int
 }
@@ -568,6 +570,11 @@
 	if !w.Quiet {
 		w.log("worker %s starts %s run %d checkpoint %q", x.ID, o.Task, o.Run, o.Checkpoint)
 	}
+	if w.OnStart != nil {
+		if text := w.OnStart(x, o.Task); text != "" {
+			w.broke("%s", text)
+		}
+	}
 	for _, other := range t.active {
 		w.broke("TWICE: %s run %d starts on %s while run %d is on %s", o.Task, o.Run, x.ID, other.number, other.worker.ID)
 	}
@@ -706,11 +713,11 @@
 }
 
 func (w *World) breakGang(r *run, how string) {
-	if r.gang == "" || how == "alone" {
+	if r.gang == "" || how == "alone" || how == "broken" {
 		return
 	}
 	for _, m := range append([]*run{}, w.gangs[r.gang]...) {
-		if m != r && m.worker.up {
+		if m != r && m.worker.running[m.task] == m {
 			m.worker.end(m, "broken")
 		}
 	}
@@ -877,3 +884,10 @@
 	}
 	return used, all
 }
+
+// AnyBroken reports whether a rule was broken.
+func (w *World) AnyBroken() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return len(w.Broken) > 0
+}
