--- a/review/lib3/play/main.go
+++ b/review/lib3/play/main.go
@@ -32,6 +32,7 @@
 	"late":     lateOrder,
 	"schedule": schedule,
 	"reborn":   reborn,
+	"twice":    twice,
 }
 
 func main() {
--- a/review/lib3/world.go
+++ b/review/lib3/world.go
@@ -187,6 +187,13 @@
 	Controls []string
 	BeatMs   int
 
+	// Cut is set if the worker starts cut off. LateStarts is the number of starts that get no answer next
+	// and are carried out late, by the life that is there then.
+	Cut        bool
+	LateStarts int
+	// next is the worker's next life under its id.
+	next *Worker
+
 	began  time.Time
 	addr   string
 	server *http.Server
@@ -227,7 +234,7 @@
 	if err != nil {
 		panic(err)
 	}
-	x.w, x.began, x.addr, x.up = w, time.Now(), listener.Addr().String(), true
+	x.w, x.began, x.addr, x.up, x.cut = w, time.Now(), listener.Addr().String(), true, x.Cut
 	if x.Rate == 0 {
 		x.Rate = 1
 	}
@@ -277,6 +284,21 @@
 	x.server.Close()
 }
 
+// Restart crashes the worker and starts it again under its id, at its address.
+func (x *Worker) Restart(after time.Duration, cut bool) *Worker {
+	x.Crash()
+	time.Sleep(after)
+	next := &Worker{
+		ID: x.ID, Service: x.Service, Zone: x.Zone, Labels: x.Labels, CPU: x.CPU, Mem: x.Mem, GPUs: x.GPUs, Guards: x.Guards,
+		Rate: x.Rate, Controls: x.Controls, BeatMs: x.BeatMs, Address: x.addr, Born: time.Now().UnixMilli(), Cut: cut,
+	}
+	x.w.StartWorker(next)
+	x.w.mu.Lock()
+	x.next = next
+	x.w.mu.Unlock()
+	return next
+}
+
 // Up reports whether the worker has not crashed.
 func (x *Worker) Up() bool {
 	x.w.mu.Lock()
@@ -379,6 +401,10 @@
 	x.w.mu.Lock()
 	cut, hang, delay := x.cut, x.Hang, x.AnswerDelay
 	late := kind != "hold" && x.w.Rand.Float64() < x.Late
+	if kind == "run-start" && x.LateStarts > 0 && !x.cut {
+		x.LateStarts--
+		late = true
+	}
 	lost := x.w.Rand.Float64() < x.LostAnswers
 	wait := x.LateFrom + time.Duration(x.w.Rand.Float64()*float64(x.LateTo-x.LateFrom))
 	x.w.mu.Unlock()
@@ -391,7 +417,16 @@
 	}
 	if late {
 		x.w.Log("worker %s: %s %s run %d is carried out %s late", x.ID, kind, o.Task, o.Run, wait.Round(time.Millisecond))
-		time.AfterFunc(wait, func() { x.carryOut(kind, o) })
+		time.AfterFunc(wait, func() {
+			x.w.mu.Lock()
+			life := x
+			for life.next != nil {
+				life = life.next
+			}
+			x.w.mu.Unlock()
+			x.w.Log("worker %s carries out the late %s %s run %d", life.ID, kind, o.Task, o.Run)
+			life.carryOut(kind, o)
+		})
 		<-r.Context().Done()
 		panic(http.ErrAbortHandler)
 	}
